Lay out the workspace with shared types and ports

Every later crate names ids, keys, times and result codes the same way, so these come first. The ports to the platform fix what an append may mean: refused before its effect, or unanswered with the effect unknown.

--- /dev/null
+++ b/crates/admit/src/lib.rs
@@ -0,0 +1,1 @@
+//! Deadlines, priorities, fairness and limits.
--- /dev/null
+++ b/crates/backend/src/lib.rs
@@ -0,0 +1,1 @@
+//! HTTP towards backend servers.
--- /dev/null
+++ b/crates/base/src/code.rs
@@ -0,0 +1,176 @@
+//! Numbered result codes.
+
+use core::fmt;
+
+use serde::{Deserialize, Serialize};
+
+/// What an answer says about the request under its key.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Outcome {
+    /// The whole answer is here.
+    Answered,
+    /// An attempt under this key is running or may still run; ask for its status.
+    InProgress,
+    /// Nothing under this key has run, and nothing of this attempt ever will.
+    NotRun,
+    /// Something under this key may have run; it will not be repeated; ask for its status.
+    Unknown,
+}
+
+impl Outcome {
+    /// Returns the name of the outcome as answers write it.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Answered => "answered",
+            Self::InProgress => "in_progress",
+            Self::NotRun => "not_run",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
+macro_rules! codes {
+    ($($(#[doc = $doc:literal])+ $name:ident = $number:literal, $status:literal, $outcome:ident, $again:ident;)+) => {
+        /// A numbered result code; `docs/CODES.md` has the table.
+        ///
+        /// # Examples
+        ///
+        /// ```
+        /// use base::{Code, Outcome};
+        /// assert_eq!(Code::Answered.number(), 100);
+        /// assert_eq!(Code::from_number(100), Some(Code::Answered));
+        /// assert_eq!(Code::KeyMissing.outcome(), Outcome::NotRun);
+        /// ```
+        #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        pub enum Code {
+            $($(#[doc = $doc])+ $name,)+
+        }
+
+        impl Code {
+            /// Every code, in the order of its number.
+            pub const ALL: &[Self] = &[$(Self::$name,)+];
+
+            /// Returns the number of the code.
+            pub const fn number(self) -> u16 {
+                match self { $(Self::$name => $number,)+ }
+            }
+
+            /// Returns the HTTP status that goes with the code.
+            pub const fn status(self) -> u16 {
+                match self { $(Self::$name => $status,)+ }
+            }
+
+            /// Returns what the code says about the request.
+            pub const fn outcome(self) -> Outcome {
+                match self { $(Self::$name => Outcome::$outcome,)+ }
+            }
+
+            /// Tells whether sending the same request again later may help.
+            pub const fn again(self) -> bool {
+                match self { $(Self::$name => codes!(@again $again),)+ }
+            }
+
+            /// Returns one line of explanation.
+            pub const fn title(self) -> &'static str {
+                match self { $(Self::$name => concat!($($doc),+).trim_ascii(),)+ }
+            }
+        }
+    };
+    (@again again) => { true };
+    (@again final_) => { false };
+}
+
+codes! {
+    /// The whole answer.
+    Answered = 100, 200, Answered, final_;
+    /// The request is stored and will be worked on; ask at the place given.
+    Accepted = 101, 202, InProgress, again;
+    /// An attempt under this key is in progress; ask for its status.
+    InProgress = 102, 409, InProgress, again;
+    /// The body is not JSON of the expected shape.
+    BodyInvalid = 200, 400, NotRun, final_;
+    /// The body is over its limit.
+    BodyTooLarge = 201, 413, NotRun, final_;
+    /// No pipeline has this name.
+    PipelineUnknown = 202, 404, NotRun, final_;
+    /// No client account has this credential.
+    AccountUnknown = 203, 401, NotRun, final_;
+    /// The client account may not use this pipeline.
+    AccountForbidden = 204, 403, NotRun, final_;
+    /// The pipeline holds a call that may not be repeated, and the request has no key.
+    KeyMissing = 205, 400, NotRun, final_;
+    /// The key is not a UUID of version 7.
+    KeyInvalid = 206, 400, NotRun, final_;
+    /// The key was used with another body.
+    KeyReused = 207, 422, NotRun, final_;
+    /// The key was issued too long ago or in the future.
+    KeyExpired = 208, 422, NotRun, final_;
+    /// The deadline is malformed or has passed.
+    DeadlineInvalid = 209, 400, NotRun, final_;
+    /// No request is known under this key.
+    RequestUnknown = 210, 404, Unknown, final_;
+    /// The place to resume from is malformed or not of this stream.
+    ResumeInvalid = 211, 400, NotRun, final_;
+    /// The deadline cannot be met at the present load.
+    DeadlineUnmeetable = 300, 503, NotRun, again;
+    /// The client account is over its limit.
+    AccountLimited = 301, 429, NotRun, again;
+    /// The queue is full.
+    Overloaded = 302, 503, NotRun, again;
+    /// A stage of the pipeline has no backend server that can take the request.
+    StageUnavailable = 303, 503, NotRun, again;
+    /// The deadline passed before the request was answered.
+    DeadlinePassed = 304, 504, NotRun, again;
+    /// The retry budget is spent.
+    RetriesSpent = 305, 503, NotRun, again;
+    /// The request crashed backend servers and is refused for good.
+    RequestHarmful = 306, 422, NotRun, final_;
+    /// A backend server refused the request.
+    StageRefused = 307, 422, NotRun, final_;
+    /// No signed-off configuration is in force yet.
+    BundleMissing = 308, 503, NotRun, again;
+    /// The instance is stopping.
+    Stopping = 309, 503, NotRun, again;
+    /// The platform's log cannot be reached, so a call that may not be repeated was not started.
+    LogUnavailable = 310, 503, NotRun, again;
+    /// The call may have run; it will not be repeated.
+    CallUnknown = 400, 504, Unknown, final_;
+    /// This attempt did not run; whether an earlier one under the key ran cannot be told now.
+    EarlierUnknown = 401, 503, Unknown, again;
+    /// The stream was cut; resume it from the last event received.
+    StreamCut = 402, 502, Unknown, again;
+    /// The stream cannot be continued as it began.
+    StreamDiverged = 403, 409, Unknown, final_;
+    /// A fault of the system itself.
+    Internal = 500, 500, Unknown, again;
+}
+
+impl Code {
+    /// Finds the code that has a number.
+    pub fn from_number(number: u16) -> Option<Self> {
+        Self::ALL
+            .binary_search_by_key(&number, |code| code.number())
+            .ok()
+            .map(|at| Self::ALL[at])
+    }
+}
+
+impl fmt::Display for Code {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} {}", self.number(), self.title())
+    }
+}
+
+impl Serialize for Code {
+    fn serialize<S: serde::Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.serialize_u16(self.number())
+    }
+}
+
+impl<'de> Deserialize<'de> for Code {
+    fn deserialize<D: serde::Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        let number = u16::deserialize(deserializer)?;
+        Self::from_number(number).ok_or_else(|| serde::de::Error::custom("no such result code"))
+    }
+}
--- /dev/null
+++ b/crates/bundle/src/content.rs
@@ -0,0 +1,296 @@
+//! What a bundle says: pipelines, stages, pools, client accounts, signers and limits.
+//!
+//! Every list is sorted by name once the bundle is read, so a look-up is a binary search.
+
+use core::time::Duration;
+
+use base::{Digest, Name};
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+/// A bundle: everything that operators decide.
+///
+/// # Examples
+///
+/// ```
+/// let text = r#"
+/// name = "tiny"
+/// version = 1
+/// "#;
+/// let bundle = bundle::Bundle::from_toml(text).unwrap();
+/// assert_eq!(bundle.version, 1);
+/// assert!(bundle.pipeline("none").is_none());
+/// ```
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Bundle {
+    /// The name of the deployment.
+    pub name: Name,
+    /// The version; each published bundle has a higher one than the one it is based on.
+    pub version: u64,
+    /// Limits that hold for every pipeline.
+    #[serde(default)]
+    pub limits: Limits,
+    /// Client accounts, sorted by name.
+    #[serde(default)]
+    pub accounts: Vec<Account>,
+    /// Pipelines, sorted by name.
+    #[serde(default)]
+    pub pipelines: Vec<Pipeline>,
+    /// Pools of backend servers, sorted by name.
+    #[serde(default)]
+    pub pools: Vec<Pool>,
+    /// Who may sign bundles off, sorted by name.
+    #[serde(default)]
+    pub signers: Vec<Signer>,
+}
+
+/// Limits that hold for every pipeline.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Limits {
+    /// The largest request body, in bytes.
+    pub body_bytes: usize,
+    /// The number of requests that may wait in one entry instance.
+    pub queue_requests: usize,
+    /// Retries allowed for each hundred first attempts.
+    pub retry_percent: u32,
+    /// The number of different signers, other than the author, that a roll-out needs.
+    pub sign_offs: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            body_bytes: 256 * 1024,
+            queue_requests: 1_000,
+            retry_percent: 10,
+            sign_offs: 1,
+        }
+    }
+}
+
+/// A client account.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Account {
+    /// The name.
+    pub name: Name,
+    /// The SHA-256 digest of the bearer token that the account's callers send.
+    pub token_digest: Digest,
+    /// Requests a second that the account may send over all entry instances.
+    #[serde(default = "Account::default_rate")]
+    pub requests_per_second: f64,
+    /// Requests that the account may send at once after a pause.
+    #[serde(default = "Account::default_burst")]
+    pub burst_requests: u32,
+    /// The share of capacity under contention, relative to the other accounts.
+    #[serde(default = "Account::default_weight")]
+    pub weight: u32,
+}
+
+impl Account {
+    const fn default_rate() -> f64 {
+        50.0
+    }
+
+    const fn default_burst() -> u32 {
+        100
+    }
+
+    const fn default_weight() -> u32 {
+        1
+    }
+}
+
+/// A pipeline.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Pipeline {
+    /// The name.
+    pub name: Name,
+    /// The deadline of a request that states none, in milliseconds.
+    pub deadline_ms: u64,
+    /// The priority; a higher one goes first.
+    #[serde(default)]
+    pub priority: u8,
+    /// The client accounts that may use the pipeline; empty for all of them.
+    #[serde(default)]
+    pub accounts: Vec<Name>,
+    /// The share of requests to be answered within their deadline, from 0 to 1.
+    #[serde(default = "Pipeline::default_objective")]
+    pub objective: f64,
+    /// The stages, in the order in which a request passes through them.
+    pub stages: Vec<Stage>,
+}
+
+impl Pipeline {
+    const fn default_objective() -> f64 {
+        0.99
+    }
+
+    /// Returns the deadline of a request that states none.
+    pub const fn deadline(&self) -> Duration {
+        Duration::from_millis(self.deadline_ms)
+    }
+
+    /// Returns the index of the one stage whose call may not be repeated, if there is one.
+    pub fn once(&self) -> Option<usize> {
+        self.stages.iter().position(|stage| !stage.idempotent)
+    }
+
+    /// Tells whether the last stage streams its answer.
+    pub fn streams(&self, bundle: &Bundle) -> bool {
+        self.stages
+            .last()
+            .and_then(|stage| bundle.pool(stage.pool.as_str()))
+            .is_some_and(|pool| pool.kind == Kind::Generate)
+    }
+}
+
+/// One stage of a pipeline.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Stage {
+    /// The name, unique within the pipeline.
+    pub name: Name,
+    /// The pool that serves the stage.
+    pub pool: Name,
+    /// Whether a call of this stage may be repeated.
+    #[serde(default = "Stage::default_idempotent")]
+    pub idempotent: bool,
+    /// The operation asked of the backend server; the stage's name where it is empty.
+    #[serde(default)]
+    pub operation: Name,
+}
+
+impl Stage {
+    const fn default_idempotent() -> bool {
+        true
+    }
+
+    /// Returns the operation asked of the backend server.
+    pub fn operation(&self) -> &Name {
+        if self.operation.as_str().is_empty() {
+            &self.name
+        } else {
+            &self.operation
+        }
+    }
+}
+
+/// What the backend servers of a pool do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Kind {
+    /// Encoders.
+    Encode,
+    /// Engines that generate tokens.
+    Generate,
+    /// Rerankers.
+    Rerank,
+    /// Retrievers.
+    Retrieve,
+    /// Plain services.
+    Service,
+}
+
+/// A pool of backend servers.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Pool {
+    /// The name, by which the platform's instance list marks the pool's servers.
+    pub name: Name,
+    /// What the servers do.
+    pub kind: Kind,
+    /// Requests that one server works on at once.
+    #[serde(default = "Pool::default_concurrency")]
+    pub concurrency: u32,
+    /// The cost of one second of one server's work, in operators' units.
+    #[serde(default = "Pool::default_cost")]
+    pub cost_per_second: f64,
+    /// Whether the servers refuse an order that carries an old fencing number.
+    #[serde(default)]
+    pub checks_fencing: bool,
+    /// Whether the servers report their load.
+    #[serde(default)]
+    pub reports_load: bool,
+    /// The models that the servers may hold.
+    #[serde(default)]
+    pub models: Vec<Name>,
+}
+
+impl Pool {
+    const fn default_concurrency() -> u32 {
+        8
+    }
+
+    const fn default_cost() -> f64 {
+        1.0
+    }
+}
+
+/// Someone who may author or sign off bundles.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Signer {
+    /// The name.
+    pub name: Name,
+    /// The ed25519 public key, as 64 hexadecimal digits.
+    pub public_key: Digest,
+}
+
+/// Why a text is not a bundle.
+#[derive(Debug, Error)]
+pub enum Error {
+    /// The text is not TOML of the expected shape.
+    #[error("{0}")]
+    Syntax(#[from] toml::de::Error),
+}
+
+impl Bundle {
+    /// Reads a bundle from TOML and sorts its lists.
+    ///
+    /// # Errors
+    ///
+    /// - The text is not TOML.
+    /// - A field is unknown, missing or of the wrong type.
+    pub fn from_toml(text: &str) -> Result<Self, Error> {
+        let mut bundle: Self = toml::from_str(text)?;
+        bundle.sort();
+        Ok(bundle)
+    }
+
+    /// Finds the client account with a name.
+    pub fn account(&self, name: &str) -> Option<&Account> {
+        find(&self.accounts, |account| &account.name, name)
+    }
+
+    /// Finds the pipeline with a name.
+    pub fn pipeline(&self, name: &str) -> Option<&Pipeline> {
+        find(&self.pipelines, |pipeline| &pipeline.name, name)
+    }
+
+    /// Finds the pool with a name.
+    pub fn pool(&self, name: &str) -> Option<&Pool> {
+        find(&self.pools, |pool| &pool.name, name)
+    }
+
+    /// Finds the signer with a name.
+    pub fn signer(&self, name: &str) -> Option<&Signer> {
+        find(&self.signers, |signer| &signer.name, name)
+    }
+
+    fn sort(&mut self) {
+        self.accounts.sort_by(|a, b| a.name.cmp(&b.name));
+        self.pipelines.sort_by(|a, b| a.name.cmp(&b.name));
+        self.pools.sort_by(|a, b| a.name.cmp(&b.name));
+        self.signers.sort_by(|a, b| a.name.cmp(&b.name));
+    }
+}
+
+fn find<'a, T>(list: &'a [T], name_of: impl Fn(&T) -> &Name, name: &str) -> Option<&'a T> {
+    list.binary_search_by(|item| name_of(item).as_str().cmp(name))
+        .ok()
+        .map(|at| &list[at])
+}
--- /dev/null
+++ b/crates/burn/src/lib.rs
@@ -0,0 +1,1 @@
+//! Attainment, cost and error-budget burn.
--- /dev/null
+++ b/crates/ctl/src/lib.rs
@@ -0,0 +1,1 @@
+//! Operators' command line: check, sign, publish, sign off, roll out.
--- /dev/null
+++ b/crates/ctl/src/main.rs
@@ -0,0 +1,3 @@
+//! The limpetstep-ctl program.
+
+fn main() {}
--- /dev/null
+++ b/crates/demo/src/main.rs
@@ -0,0 +1,3 @@
+//! Placeholder of the demo.
+
+fn main() {}
--- /dev/null
+++ b/crates/entry/src/lib.rs
@@ -0,0 +1,1 @@
+//! One entry instance: every core and edge in one process.
--- /dev/null
+++ b/crates/entry/src/main.rs
@@ -0,0 +1,3 @@
+//! The limpetstep-entry program.
+
+fn main() {}
--- /dev/null
+++ b/crates/fake/src/lib.rs
@@ -0,0 +1,1 @@
+//! Small stand-ins for the platform and for backend servers.
--- /dev/null
+++ b/crates/fake/src/main.rs
@@ -0,0 +1,3 @@
+//! The limpetstep-fake program.
+
+fn main() {}
--- /dev/null
+++ b/crates/front/src/lib.rs
@@ -0,0 +1,1 @@
+//! HTTP towards callers.
--- /dev/null
+++ b/crates/member/src/lib.rs
@@ -0,0 +1,1 @@
+//! Instances and backend servers that are live or leaving.
--- /dev/null
+++ b/crates/peer/src/lib.rs
@@ -0,0 +1,1 @@
+//! Messages between instances over tonic.
--- /dev/null
+++ b/crates/place/src/lib.rs
@@ -0,0 +1,1 @@
+//! Orders to engines.
--- /dev/null
+++ b/crates/report/src/lib.rs
@@ -0,0 +1,1 @@
+//! Report on service-level burn.
--- /dev/null
+++ b/crates/report/src/main.rs
@@ -0,0 +1,3 @@
+//! The limpetstep-report program.
+
+fn main() {}
--- /dev/null
+++ b/crates/retry/src/lib.rs
@@ -0,0 +1,1 @@
+//! Retry budgets, hedges and suspect requests.
--- /dev/null
+++ b/crates/route/src/lib.rs
@@ -0,0 +1,1 @@
+//! Choice of a backend server.
--- /dev/null
+++ b/crates/trial/src/lib.rs
@@ -0,0 +1,1 @@
+//! Decisions compared with plain baselines on seeded traces in virtual time.
--- /dev/null
+++ b/crates/wiregen/src/main.rs
@@ -0,0 +1,3 @@
+//! Writes the generated code of the wire crate.
+
+fn main() {}
