ledger: add the claim protocol over the platform's log

Calls that may not be repeated need one arbiter. The log's order is it: the first claim of a slot wins, the holder alone calls, the outcome is recorded behind it.

- slot, record, partition: what is written and where
- owner: batches appends, reads, tells verdicts; safe when two own a partition
- claim: the holder's state machine for one call

Ruled out: expiry or takeover of claims (a paused holder may then call as well); `not run` by a fresh read of the log (another attempt may run between the read and the answer), so only a held claim or the caller's own word allows it.

--- /dev/null
+++ b/crates/ledger/src/configs/owner.rs
@@ -0,0 +1,38 @@
+//! Configuration of a partition's owner.
+
+use core::time::Duration;
+
+use super::Fold;
+
+/// How the owner of a partition batches and how long it tries.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Owner {
+    /// The longest text of a batch, in bytes; a single larger record still goes alone.
+    pub batch_bytes: usize,
+    /// The most records of a batch.
+    pub batch_records: usize,
+    /// How long the first record of a batch waits for others.
+    pub batch_window: Duration,
+    /// The horizon and what it rests on.
+    pub fold: Fold,
+    /// The most submissions and look-ups that wait; more are refused at once.
+    pub pending: usize,
+    /// How long a failed append or read is not tried again.
+    pub retry_interval: Duration,
+    /// How long a submission or look-up waits for its verdict.
+    pub verdict_limit: Duration,
+}
+
+impl Default for Owner {
+    fn default() -> Self {
+        Self {
+            batch_bytes: 256 * 1024,
+            batch_records: 256,
+            batch_window: Duration::from_millis(20),
+            fold: Fold::default(),
+            pending: 4096,
+            retry_interval: Duration::from_millis(100),
+            verdict_limit: Duration::from_secs(2),
+        }
+    }
+}
--- /dev/null
+++ b/crates/ledger/src/fold.rs
@@ -0,0 +1,377 @@
+//! The state of one partition, computed from its records in log order.
+//!
+//! - A claim wins if its slot is free where the claim stands in the log.
+//! - A claim that found its slot taken is void for good, and so is a released one, also where the
+//!   release stands before the claim.
+//! - A nonce counts once, however often its claim was appended.
+//! - An outcome counts only from the nonce that won.
+//!
+//! Two instances that applied the same records agree on every slot that neither has dropped.
+
+use std::collections::VecDeque;
+
+use base::{Digest, Incarnation, Stamp};
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    configs,
+    record::{self, Answer, Record},
+    slot::{Nonce, Slot},
+};
+
+/// Who holds a slot.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct Winner {
+    nonce: Nonce,
+    holder: Incarnation,
+    body: Digest,
+    answer: Option<Answer>,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct Entry {
+    slot: Slot,
+    winner: Option<Box<Winner>>,
+    /// Nonces that can never win this slot, sorted.
+    void: Vec<Nonce>,
+}
+
+/// What is known of a slot.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum State {
+    /// Nobody holds it, and nobody has called.
+    Free,
+    /// An attempt holds it and has recorded no outcome; it may have called.
+    InProgress {
+        /// The instance that alone may call.
+        holder: Incarnation,
+    },
+    /// The call is over.
+    Done(Answer),
+}
+
+/// What is known of one attempt at a slot.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    /// No record of the attempt was applied.
+    Unseen,
+    /// The attempt holds the slot.
+    Won,
+    /// The attempt can never hold the slot.
+    Void,
+}
+
+/// The state of one partition.
+#[derive(Clone, Debug)]
+pub struct Fold {
+    config: configs::Fold,
+    /// The offset of the next record to apply; `None` before the first page.
+    position: Option<u64>,
+    /// Slots issued before this were dropped.
+    floor: Stamp,
+    /// Records that were missed may be about slots issued up to this.
+    blind: Option<Stamp>,
+    /// Sorted by slot, so that the oldest are dropped from the front and new ones, mostly, are
+    /// added at the back.
+    entries: VecDeque<Entry>,
+}
+
+/// A fold that another instance may take over, to read the log from `position` on only.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Snapshot {
+    position: u64,
+    floor: Stamp,
+    blind: Option<Stamp>,
+    entries: Vec<Entry>,
+}
+
+impl Snapshot {
+    /// Returns the offset of the first record that the snapshot does not hold.
+    pub const fn position(&self) -> u64 {
+        self.position
+    }
+}
+
+impl Fold {
+    /// Returns a fold that has read nothing.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use base::{Digest, Incarnation, Key, Stamp};
+    /// use ledger::{configs, fold::{Fold, State}, record::Record, slot::{Nonce, Slot}};
+    /// let issued = Stamp::from_millis(5);
+    /// let slot = Slot::new("compas", &Key::from_parts(issued, 1), "entries-api");
+    /// let holder = Incarnation::new("entry-1", issued);
+    /// let claim = |nonce| Record::Claim {
+    ///     slot,
+    ///     nonce: Nonce::from_random(nonce),
+    ///     holder: holder.clone(),
+    ///     body: Digest::of(b"registration"),
+    /// };
+    /// let mut fold = Fold::open(configs::Fold::default());
+    /// fold.begin(0, issued);
+    /// fold.apply(0, &claim(1));
+    /// fold.apply(1, &claim(2));
+    /// assert_eq!(fold.state(&slot), State::InProgress { holder });
+    /// assert!(fold.is_won(&slot, Nonce::from_random(1)));
+    /// ```
+    pub const fn open(config: configs::Fold) -> Self {
+        Self {
+            config,
+            position: None,
+            floor: Stamp::from_millis(0),
+            blind: None,
+            entries: VecDeque::new(),
+        }
+    }
+
+    /// Returns a fold that goes on from a snapshot.
+    pub fn restore(config: configs::Fold, snapshot: Snapshot) -> Self {
+        Self {
+            config,
+            position: Some(snapshot.position),
+            floor: snapshot.floor,
+            blind: snapshot.blind,
+            entries: snapshot.entries.into(),
+        }
+    }
+
+    /// Returns a copy of the state, or `None` before the first page.
+    pub fn snapshot(&self) -> Option<Snapshot> {
+        Some(Snapshot {
+            position: self.position?,
+            floor: self.floor,
+            blind: self.blind,
+            entries: self.entries.iter().cloned().collect(),
+        })
+    }
+
+    /// Returns the offset of the next record to apply, or `None` before the first page.
+    pub const fn position(&self) -> Option<u64> {
+        self.position
+    }
+
+    /// Returns the number of slots held.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Tells whether no slot is held.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// Notes the lowest offset that the log keeps, as a page told it.
+    ///
+    /// A fold that has read nothing starts there: by the configuration's check, what the log has
+    /// dropped is about keys that are refused. A fold that finds records gone that it had still
+    /// to read does not know whom they were about.
+    pub fn begin(&mut self, first: u64, now: Stamp) {
+        match self.position {
+            None => self.position = Some(first),
+            Some(position) if position < first => {
+                self.miss(now);
+                self.position = Some(first);
+            }
+            Some(_) => {}
+        }
+    }
+
+    /// Notes that a record was missed or could not be understood.
+    ///
+    /// Slots issued up to now are not decided until they are past the horizon.
+    pub fn miss(&mut self, now: Stamp) {
+        let last = now + self.config.clock_error;
+        self.blind = self.blind.max(Some(last));
+    }
+
+    /// Applies the body of one record of the log; one at another offset than the next is ignored.
+    pub fn apply_body(&mut self, offset: u64, body: &str, now: Stamp) {
+        if self.position != Some(offset) {
+            return;
+        }
+        match record::decode(body) {
+            Ok(records) => records.iter().for_each(|record| self.note(record)),
+            Err(_) => self.miss(now),
+        }
+        self.position = Some(offset + 1);
+    }
+
+    /// Applies a record that stands alone at an offset; one at another offset than the next is
+    /// ignored.
+    pub fn apply(&mut self, offset: u64, record: &Record) {
+        self.apply_batch(offset, core::slice::from_ref(record));
+    }
+
+    /// Applies the records that stand together at an offset; those at another offset than the
+    /// next are ignored.
+    pub fn apply_batch(&mut self, offset: u64, records: &[Record]) {
+        if self.position != Some(offset) {
+            return;
+        }
+        records.iter().for_each(|record| self.note(record));
+        self.position = Some(offset + 1);
+    }
+
+    fn note(&mut self, record: &Record) {
+        if record.slot().issued() < self.floor {
+            return;
+        }
+        let entry = self.entry(*record.slot());
+        match record {
+            Record::Claim {
+                nonce,
+                holder,
+                body,
+                ..
+            } => entry.claim(*nonce, holder, *body),
+            Record::Done { nonce, answer, .. } => entry.done(*nonce, answer),
+            Record::Released { nonce, .. } => entry.release(*nonce),
+        }
+    }
+
+    fn entry(&mut self, slot: Slot) -> &mut Entry {
+        let at = match self.find(&slot) {
+            Ok(at) => at,
+            Err(at) => {
+                let entry = Entry {
+                    slot,
+                    winner: None,
+                    void: Vec::new(),
+                };
+                self.entries.insert(at, entry);
+                at
+            }
+        };
+        &mut self.entries[at]
+    }
+
+    fn find(&self, slot: &Slot) -> Result<usize, usize> {
+        // Most records are about slots newer than all that are held.
+        match self.entries.back() {
+            Some(last) if last.slot < *slot => Err(self.entries.len()),
+            _ => self.entries.binary_search_by_key(slot, |entry| entry.slot),
+        }
+    }
+
+    /// Drops the slots that are past the horizon.
+    pub fn expire(&mut self, now: Stamp) {
+        let horizon = self.config.horizon.as_millis();
+        let horizon = u64::try_from(horizon).unwrap_or(u64::MAX);
+        let floor = Stamp::from_millis(now.as_millis().saturating_sub(horizon));
+        // The wall clock may step back; what was dropped stays refused.
+        self.floor = self.floor.max(floor);
+        let kept = self
+            .entries
+            .partition_point(|entry| entry.slot.issued() < self.floor);
+        self.entries.drain(..kept);
+        self.blind = self.blind.filter(|blind| *blind >= self.floor);
+    }
+
+    /// Tells whether a slot's key is too old or too far ahead to be decided.
+    pub fn is_refused(&self, slot: &Slot, now: Stamp) -> bool {
+        slot.issued() < self.floor || slot.issued() > now + self.config.clock_error
+    }
+
+    /// Tells whether records about a slot may have been missed, so that nothing is known of it.
+    pub fn is_blind(&self, slot: &Slot) -> bool {
+        self.blind.is_some_and(|blind| slot.issued() <= blind)
+    }
+
+    /// Returns what the applied records say of a slot.
+    pub fn state(&self, slot: &Slot) -> State {
+        let winner = self.winner(slot);
+        match winner {
+            None => State::Free,
+            Some(Winner {
+                answer: Some(answer),
+                ..
+            }) => State::Done(answer.clone()),
+            Some(winner) => State::InProgress {
+                holder: winner.holder.clone(),
+            },
+        }
+    }
+
+    /// Returns the digest of the request whose attempt holds the slot.
+    pub fn body(&self, slot: &Slot) -> Option<Digest> {
+        Some(self.winner(slot)?.body)
+    }
+
+    /// Returns what the applied records say of one attempt at a slot.
+    pub fn standing(&self, slot: &Slot, nonce: Nonce) -> Standing {
+        let Ok(at) = self.find(slot) else {
+            return Standing::Unseen;
+        };
+        let entry = &self.entries[at];
+        if entry.is_won(nonce) {
+            Standing::Won
+        } else if entry.is_void(nonce) {
+            Standing::Void
+        } else {
+            Standing::Unseen
+        }
+    }
+
+    /// Tells whether an attempt holds its slot.
+    pub fn is_won(&self, slot: &Slot, nonce: Nonce) -> bool {
+        self.standing(slot, nonce) == Standing::Won
+    }
+
+    fn winner(&self, slot: &Slot) -> Option<&Winner> {
+        let at = self.find(slot).ok()?;
+        self.entries[at].winner.as_deref()
+    }
+}
+
+impl Entry {
+    fn claim(&mut self, nonce: Nonce, holder: &Incarnation, body: Digest) {
+        if self.is_won(nonce) {
+            return;
+        }
+        if self.winner.is_some() {
+            // The loser was told so; a copy of its claim that comes late may not win after all.
+            self.avoid(nonce);
+        } else if !self.is_void(nonce) {
+            self.winner = Some(Box::new(Winner {
+                nonce,
+                holder: holder.clone(),
+                body,
+                answer: None,
+            }));
+        }
+    }
+
+    fn done(&mut self, nonce: Nonce, answer: &Answer) {
+        let winner = self.winner.as_mut().filter(|winner| winner.nonce == nonce);
+        if let Some(winner) = winner {
+            winner.answer.get_or_insert_with(|| answer.clone());
+        }
+    }
+
+    fn release(&mut self, nonce: Nonce) {
+        let winner = self.winner.take_if(|winner| winner.nonce == nonce);
+        match winner {
+            // Whoever has recorded an outcome did call; a release after that is void.
+            Some(winner) if winner.answer.is_some() => self.winner = Some(winner),
+            _ => self.avoid(nonce),
+        }
+    }
+
+    fn avoid(&mut self, nonce: Nonce) {
+        if let Err(at) = self.void.binary_search(&nonce) {
+            self.void.insert(at, nonce);
+        }
+    }
+
+    fn is_won(&self, nonce: Nonce) -> bool {
+        self.winner
+            .as_ref()
+            .is_some_and(|winner| winner.nonce == nonce)
+    }
+
+    fn is_void(&self, nonce: Nonce) -> bool {
+        self.void.binary_search(&nonce).is_ok()
+    }
+}
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -1,1 +1,81 @@
 //! Calls that may not be repeated, arbitrated by the platform's log.
+//!
+//! The log's order decides who may make a call: the first claim of a slot wins, only its holder
+//! calls, and what it found out is recorded behind the claim. A claim never lapses and never
+//! passes to another holder, so a holder that was paused for any time is still the only one.
+//!
+//! # Wiring
+//!
+//! - For each partition, whoever owns it runs one [`owner::Owner`]. A driver carries out its
+//!   actions against `platform::Log`, reports each result exactly once, and calls it again at
+//!   [`owner::Owner::wake`]. Two owners of one partition are safe; they only cost more appends.
+//! - For each call, the instance that serves the request runs one [`claim::Claim`] with a random
+//!   nonce. Its `Submit` and `Lookup` actions go to an owner of [`partition::of`] the slot, by a
+//!   message to a peer or to an owner of its own where no peer can be reached; a message that is
+//!   lost or times out counts as [`owner::Verdict::Unavailable`] with `may_have_landed`.
+//!   The verdicts come back by [`claim::Event::of`] and [`claim::Event::Found`].
+//! - The driver reports [`claim::Event::CallWritten`] before the first byte of the call leaves,
+//!   and lets it leave only on [`claim::Action::Write`]. A library that cannot tell when it
+//!   writes is given the request only after that.
+//! - A claim is dropped once [`claim::Claim::is_ended`]; until then it is called again at
+//!   [`claim::Claim::wake`], also after its caller has been answered.
+//!
+//! # Examples
+//!
+//! ```
+//! use base::{Code, Digest, Incarnation, Key, Stamp, Tick};
+//! use ledger::{Now, claim, configs, owner, partition, record::Answer, slot::{Nonce, Slot}};
+//!
+//! let issued = Stamp::from_millis(1_000_000);
+//! let now = Now { tick: Tick::from_millis(1), wall: issued };
+//! let slot = Slot::new("adinkra", &Key::from_parts(issued, 7), "commission-ledger");
+//! let mut owner = owner::Owner::open(configs::Owner::default(), partition::of(&slot), None);
+//! let mut claim = claim::Claim::open(
+//!     configs::Claim::default(),
+//!     claim::Call {
+//!         slot,
+//!         nonce: Nonce::from_random(42),
+//!         holder: Incarnation::new("entry-1", issued),
+//!         body: Digest::of(b"release deposit 12"),
+//!         first: false,
+//!     },
+//! );
+//!
+//! // The claim asks for a record; the owner appends it after its batch window.
+//! let submit = claim.on(now, claim::Event::Start);
+//! let [claim::Action::Submit(record)] = submit.as_slice() else { panic!() };
+//! owner.on(now, owner::Event::Submit { token: 1, record: record.clone() });
+//! owner.on(now, owner::Event::Page { first: 0, end: 0, records: Vec::new() });
+//! let later = Now { tick: Tick::from_millis(1_000), wall: issued };
+//! owner.on(later, owner::Event::Tick);
+//! let replies = owner.on(later, owner::Event::Appended { offset: 0 });
+//! let [owner::Action::Reply { verdict, .. }] = replies.as_slice() else { panic!() };
+//! assert_eq!(*verdict, owner::Verdict::Won);
+//!
+//! // The winner calls, once.
+//! let event = claim::Event::of(record, verdict.clone());
+//! assert_eq!(claim.on(later, event), [claim::Action::Call]);
+//! assert_eq!(claim.on(later, claim::Event::CallWritten), [claim::Action::Write]);
+//! let answer = Answer::new(Code::Answered, "released", 3).unwrap();
+//! let ended = claim.on(later, claim::Event::CallAnswered(answer.clone()));
+//! assert_eq!(ended[0], claim::Action::Answer(answer));
+//! ```
+
+pub mod claim;
+pub mod configs;
+pub mod fold;
+pub mod owner;
+pub mod partition;
+pub mod record;
+pub mod slot;
+
+use base::{Stamp, Tick};
+
+/// The present, by both clocks of an instance.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Now {
+    /// The monotonic clock, for windows and limits.
+    pub tick: Tick,
+    /// The wall clock, for the age of keys.
+    pub wall: Stamp,
+}
--- /dev/null
+++ b/crates/ledger/src/partition.rs
@@ -0,0 +1,27 @@
+//! The partitions of the ledger, each a stream of the log.
+
+use crate::slot::Slot;
+
+/// The number of partitions.
+pub const PARTITIONS: u16 = 32;
+
+/// Returns the partition that decides about a slot.
+///
+/// # Examples
+///
+/// ```
+/// use base::{Key, Stamp};
+/// use ledger::{partition, slot::Slot};
+/// let slot = Slot::new("adinkra", &Key::from_parts(Stamp::from_millis(5), 1), "deposit");
+/// assert!(partition::of(&slot) < partition::PARTITIONS);
+/// assert_eq!(partition::stream(7), "ledger-07");
+/// ```
+pub fn of(slot: &Slot) -> u16 {
+    let part = slot.bits() % u128::from(PARTITIONS);
+    u16::try_from(part).expect("a remainder of PARTITIONS fits")
+}
+
+/// Returns the name of a partition's stream.
+pub fn stream(partition: u16) -> String {
+    format!("ledger-{partition:02}")
+}
--- /dev/null
+++ b/crates/ledger/tests/fold.rs
@@ -0,0 +1,192 @@
+//! Rules of the fold.
+
+use base::{Code, Digest, Incarnation, Key, Stamp};
+use googletest::prelude::*;
+use ledger::{
+    configs,
+    fold::{Fold, Standing, State},
+    record::{self, Answer, Record},
+    slot::{Nonce, Slot},
+};
+
+const NOW: Stamp = Stamp::from_millis(1_000_000_000);
+
+fn slot_of(issued: Stamp) -> Slot {
+    Slot::new("compas", &Key::from_parts(issued, 1), "entries-api")
+}
+
+fn slot() -> Slot {
+    slot_of(NOW)
+}
+
+fn nonce(bits: u128) -> Nonce {
+    Nonce::from_random(bits)
+}
+
+fn claim(bits: u128) -> Record {
+    Record::Claim {
+        slot: slot(),
+        nonce: nonce(bits),
+        holder: Incarnation::new("entry-1", NOW),
+        body: Digest::of(b"registration"),
+    }
+}
+
+fn done(bits: u128, body: &str) -> Record {
+    Record::Done {
+        slot: slot(),
+        nonce: nonce(bits),
+        answer: Answer::new(Code::Answered, body, 1).unwrap(),
+    }
+}
+
+fn released(bits: u128) -> Record {
+    Record::Released {
+        slot: slot(),
+        nonce: nonce(bits),
+    }
+}
+
+fn fold_of(records: &[Record]) -> Fold {
+    let mut fold = Fold::open(configs::Fold::default());
+    fold.begin(0, NOW);
+    for (offset, record) in records.iter().enumerate() {
+        fold.apply(offset as u64, record);
+    }
+    fold
+}
+
+fn standings(records: &[Record]) -> Vec<Standing> {
+    let fold = fold_of(records);
+    let standing = |bits| fold.standing(&slot(), nonce(bits));
+    vec![standing(1), standing(2)]
+}
+
+#[gtest]
+fn first_claim_wins_and_a_second_is_void() {
+    expect_that!(
+        standings(&[claim(1), claim(2)]),
+        elements_are![eq(&Standing::Won), eq(&Standing::Void)]
+    );
+}
+
+#[gtest]
+fn a_doubled_claim_counts_once() {
+    expect_that!(
+        standings(&[claim(1), claim(1), claim(2)]),
+        elements_are![eq(&Standing::Won), eq(&Standing::Void)]
+    );
+}
+
+#[gtest]
+fn a_release_frees_the_slot_for_later_claims_only() {
+    expect_that!(
+        standings(&[claim(1), claim(2), released(1)]),
+        each(eq(&Standing::Void))
+    );
+    expect_that!(
+        standings(&[claim(1), released(1), claim(2)]),
+        elements_are![eq(&Standing::Void), eq(&Standing::Won)]
+    );
+}
+
+#[gtest]
+fn a_release_before_its_claim_voids_it() {
+    expect_that!(
+        standings(&[released(1), claim(1)]),
+        elements_are![eq(&Standing::Void), eq(&Standing::Unseen)]
+    );
+}
+
+#[gtest]
+fn a_late_copy_of_a_lost_claim_does_not_win_after_a_release() {
+    expect_that!(
+        standings(&[claim(1), claim(2), released(1), claim(2)]),
+        each(eq(&Standing::Void))
+    );
+}
+
+#[gtest]
+fn an_outcome_counts_from_the_winner_only_and_once() {
+    let fold = fold_of(&[claim(1), claim(2), done(2, "b"), done(1, "a"), done(1, "c")]);
+    let answer = Answer::new(Code::Answered, "a", 1).unwrap();
+    expect_that!(fold.state(&slot()), eq(&State::Done(answer)));
+}
+
+#[gtest]
+fn an_outcome_outlives_a_release() {
+    let fold = fold_of(&[claim(1), done(1, "a"), released(1), claim(2)]);
+    expect_that!(fold.state(&slot()), matches_pattern!(State::Done(_)));
+}
+
+#[gtest]
+fn records_out_of_place_are_ignored() {
+    let mut fold = fold_of(&[claim(1)]);
+    fold.apply(0, &claim(2));
+    fold.apply(5, &claim(2));
+    expect_that!(fold.standing(&slot(), nonce(2)), eq(Standing::Unseen));
+    expect_that!(fold.position(), some(eq(1)));
+}
+
+#[gtest]
+fn slots_past_the_horizon_are_dropped_and_refused_also_when_the_clock_steps_back() {
+    let mut fold = fold_of(&[claim(1)]);
+    let horizon = configs::Fold::default().horizon;
+    fold.expire(NOW + horizon);
+    expect_that!(fold.len(), eq(1));
+    expect_false!(fold.is_refused(&slot(), NOW + horizon));
+    let later = NOW + horizon + core::time::Duration::from_millis(1);
+    fold.expire(later);
+    expect_that!(fold.len(), eq(0));
+    expect_true!(fold.is_refused(&slot(), later));
+    fold.expire(NOW);
+    expect_true!(fold.is_refused(&slot(), NOW));
+    fold.apply(1, &claim(1));
+    expect_that!(fold.len(), eq(0));
+}
+
+#[gtest]
+fn a_key_ahead_of_the_clock_error_is_refused() {
+    let fold = fold_of(&[]);
+    let error = configs::Fold::default().clock_error;
+    expect_false!(fold.is_refused(&slot_of(NOW + error), NOW));
+    let ahead = NOW + error + core::time::Duration::from_millis(1);
+    expect_true!(fold.is_refused(&slot_of(ahead), NOW));
+}
+
+#[gtest]
+fn records_gone_before_they_were_read_leave_the_fold_blind_for_a_horizon() {
+    let config = configs::Fold::default();
+    let mut fold = fold_of(&[claim(1)]);
+    fold.begin(9, NOW);
+    expect_that!(fold.position(), some(eq(9)));
+    expect_true!(fold.is_blind(&slot()));
+    expect_true!(fold.is_blind(&slot_of(NOW + config.clock_error)));
+    let after = NOW + config.clock_error + core::time::Duration::from_millis(1);
+    expect_false!(fold.is_blind(&slot_of(after)));
+    fold.expire(after + config.horizon);
+    expect_false!(fold.is_blind(&slot()));
+}
+
+#[gtest]
+fn a_body_of_another_version_leaves_the_fold_blind() {
+    let mut fold = fold_of(&[]);
+    fold.apply_body(0, &record::encode(&[claim(1)]), NOW);
+    expect_false!(fold.is_blind(&slot()));
+    fold.apply_body(1, r#"{"v":2,"r":[]}"#, NOW);
+    expect_true!(fold.is_blind(&slot()));
+}
+
+#[gtest]
+fn a_snapshot_goes_on_like_its_original() {
+    let mut fold = fold_of(&[claim(1), claim(2), released(2)]);
+    let text = serde_json::to_string(&fold.snapshot().unwrap()).unwrap();
+    let mut other = Fold::restore(
+        configs::Fold::default(),
+        serde_json::from_str(&text).unwrap(),
+    );
+    for fold in [&mut fold, &mut other] {
+        fold.apply(3, &done(1, "a"));
+    }
+    expect_that!(other.snapshot(), eq(&fold.snapshot()));
+}
