--- a/crates/ledger/src/claim.rs
+++ b/crates/ledger/src/claim.rs
@@ -198,7 +198,6 @@
                 vec![Action::Call]
             }
             Verdict::Lost(state) => self.attach(now, state),
-            Verdict::Conflict => self.answer(Answer::from_code(Code::KeyReused)),
             // An attempt under the key may have run before it became too old.
             Verdict::Expired => self.answer(Answer::from_code(Code::EarlierUnknown)),
             Verdict::Unavailable { may_have_landed } => {
@@ -217,8 +216,13 @@
 
     fn attach(&mut self, now: Now, state: State) -> Vec<Action> {
         match state {
-            State::Done(answer) => self.answer(answer),
-            State::InProgress { holder } => {
+            State::Done { answer, body } if body == self.call.body => self.answer(answer),
+            State::Done { .. } => self.answer(Answer::from_code(Code::KeyReused)),
+            // The holder may release the slot yet, so that this request's body may run after all.
+            State::InProgress { body, .. } if body != self.call.body => {
+                self.answer(Answer::from_code(Code::EarlierUnknown))
+            }
+            State::InProgress { holder, .. } => {
                 self.phase = Phase::Attached {
                     holder,
                     waiting: false,
@@ -247,11 +251,9 @@
         match verdict {
             Verdict::Found(state) => self.attach(now, state),
             Verdict::Expired => self.answer(Answer::from_code(Code::CallUnknown)),
-            Verdict::Won
-            | Verdict::Lost(_)
-            | Verdict::Conflict
-            | Verdict::Recorded
-            | Verdict::Unavailable { .. } => Vec::new(),
+            Verdict::Won | Verdict::Lost(_) | Verdict::Recorded | Verdict::Unavailable { .. } => {
+                Vec::new()
+            }
         }
     }
 
--- a/crates/ledger/src/fold.rs
+++ b/crates/ledger/src/fold.rs
@@ -45,9 +45,16 @@
     InProgress {
         /// The instance that alone may call.
         holder: Incarnation,
+        /// The digest of the caller's request.
+        body: Digest,
+    },
+    /// The call is over; this never changes.
+    Done {
+        /// What its holder found out.
+        answer: Answer,
+        /// The digest of the caller's request.
+        body: Digest,
     },
-    /// The call is over.
-    Done(Answer),
 }
 
 /// What is known of one attempt at a slot.
@@ -113,7 +120,7 @@
     /// fold.begin(0, issued);
     /// fold.apply(0, &claim(1));
     /// fold.apply(1, &claim(2));
-    /// assert_eq!(fold.state(&slot), State::InProgress { holder });
+    /// assert_eq!(fold.state(&slot), State::InProgress { holder, body: Digest::of(b"registration") });
     /// assert!(fold.is_won(&slot, Nonce::from_random(1)));
     /// ```
     pub const fn open(config: configs::Fold) -> Self {
@@ -281,22 +288,26 @@
 
     /// Returns what the applied records say of a slot.
     pub fn state(&self, slot: &Slot) -> State {
-        let winner = self.winner(slot);
-        match winner {
-            None => State::Free,
-            Some(Winner {
-                answer: Some(answer),
-                ..
-            }) => State::Done(answer.clone()),
-            Some(winner) => State::InProgress {
+        let Some(winner) = self.winner(slot) else {
+            return State::Free;
+        };
+        let body = winner.body;
+        match &winner.answer {
+            Some(answer) => State::Done {
+                answer: answer.clone(),
+                body,
+            },
+            None => State::InProgress {
                 holder: winner.holder.clone(),
+                body,
             },
         }
     }
 
-    /// Returns the digest of the request whose attempt holds the slot.
-    pub fn body(&self, slot: &Slot) -> Option<Digest> {
-        Some(self.winner(slot)?.body)
+    /// Tells whether the outcome of a slot's call is known, which never changes.
+    pub fn is_done(&self, slot: &Slot) -> bool {
+        self.winner(slot)
+            .is_some_and(|winner| winner.answer.is_some())
     }
 
     /// Returns what the applied records say of one attempt at a slot.
--- a/crates/ledger/src/owner.rs
+++ b/crates/ledger/src/owner.rs
@@ -97,8 +97,6 @@
     Won,
     /// The claim can never hold its slot; this is the slot's state.
     Lost(State),
-    /// The slot is held under the same key with another request body.
-    Conflict,
     /// The key is too old, or too far ahead, to be decided.
     Expired,
     /// The outcome or release is in the log.
@@ -262,12 +260,10 @@
         });
     }
 
-    /// A claim of a slot that seems taken is only looked up, which costs no append.
+    /// A claim of a call that is over is only looked up, which costs no append.
     fn first_stage(&self, ask: &Ask) -> Stage {
         match ask {
-            Ask::Record(Record::Claim { slot, .. }) if self.fold.state(slot) != State::Free => {
-                Stage::UNREAD
-            }
+            Ask::Record(Record::Claim { slot, .. }) if self.fold.is_done(slot) => Stage::UNREAD,
             Ask::Record(_) => Stage::Queued,
             Ask::Slot(_) => Stage::UNREAD,
         }
--- a/crates/ledger/src/owner/pending.rs
+++ b/crates/ledger/src/owner/pending.rs
@@ -1,11 +1,11 @@
 //! One submission or look-up on its way to a verdict.
 
-use base::{Digest, Tick};
+use base::Tick;
 
 use super::{Token, Verdict};
 use crate::{
     Now,
-    fold::{Fold, Standing, State},
+    fold::{Fold, Standing},
     record::Record,
     slot::Slot,
 };
@@ -117,7 +117,7 @@
         if fold.is_refused(slot, now.wall) {
             return Some(Verdict::Expired);
         }
-        let Record::Claim { nonce, body, .. } = record else {
+        let Record::Claim { nonce, .. } = record else {
             return self.closed(fold, record);
         };
         if fold.is_blind(slot) {
@@ -125,8 +125,13 @@
         }
         match fold.standing(slot, *nonce) {
             Standing::Won => Some(Verdict::Won),
-            Standing::Unseen if !is_read || fold.state(slot) == State::Free => None,
-            Standing::Unseen | Standing::Void => Some(lost(fold, slot, *body)),
+            Standing::Void => Some(Verdict::Lost(fold.state(slot))),
+            // Only a call that is over keeps its slot for good; another holder may release it, and
+            // a copy of this claim that is still on its way would then win for nobody.
+            Standing::Unseen if is_read && fold.is_done(slot) => {
+                Some(Verdict::Lost(fold.state(slot)))
+            }
+            Standing::Unseen => None,
         }
     }
 
@@ -147,20 +152,11 @@
     }
 }
 
-fn lost(fold: &Fold, slot: &Slot, body: Digest) -> Verdict {
-    match fold.body(slot) {
-        Some(held) if held != body => Verdict::Conflict,
-        _ => Verdict::Lost(fold.state(slot)),
-    }
-}
-
 fn is_recorded(fold: &Fold, record: &Record) -> bool {
     let standing = fold.standing(record.slot(), record.nonce());
     match record {
         Record::Claim { .. } => false,
-        Record::Done { slot, .. } => {
-            standing == Standing::Won && matches!(fold.state(slot), State::Done(_))
-        }
+        Record::Done { slot, .. } => standing == Standing::Won && fold.is_done(slot),
         Record::Released { .. } => standing == Standing::Void,
     }
 }
--- a/crates/ledger/tests/fold.rs
+++ b/crates/ledger/tests/fold.rs
@@ -109,14 +109,17 @@
 #[gtest]
 fn an_outcome_counts_from_the_winner_only_and_once() {
     let fold = fold_of(&[claim(1), claim(2), done(2, "b"), done(1, "a"), done(1, "c")]);
-    let answer = Answer::new(Code::Answered, "a", 1).unwrap();
-    expect_that!(fold.state(&slot()), eq(&State::Done(answer)));
+    let state = State::Done {
+        answer: Answer::new(Code::Answered, "a", 1).unwrap(),
+        body: Digest::of(b"registration"),
+    };
+    expect_that!(fold.state(&slot()), eq(&state));
 }
 
 #[gtest]
 fn an_outcome_outlives_a_release() {
     let fold = fold_of(&[claim(1), done(1, "a"), released(1), claim(2)]);
-    expect_that!(fold.state(&slot()), matches_pattern!(State::Done(_)));
+    expect_that!(fold.state(&slot()), matches_pattern!(State::Done { .. }));
 }
 
 #[gtest]
--- /dev/null
+++ b/crates/ledger/tests/world/log.rs
@@ -0,0 +1,70 @@
+//! The platform's log, with appends that land late or twice and records that age out.
+
+use base::Stamp;
+use ledger::{configs, fold::Fold, owner::Event};
+
+/// The most records of one page, small so that pages break everywhere.
+const PAGE: usize = 3;
+
+#[derive(Debug, Default)]
+pub(super) struct Log {
+    first: u64,
+    /// When each record landed, and its body.
+    records: Vec<(u64, String)>,
+    /// Appends that were not answered and may yet land.
+    late: Vec<String>,
+}
+
+impl Log {
+    pub(super) fn append(&mut self, body: String, time: u64) -> u64 {
+        self.records.push((time, body));
+        self.end() - 1
+    }
+
+    fn end(&self) -> u64 {
+        self.first + self.records.len() as u64
+    }
+
+    pub(super) fn delay(&mut self, body: String) {
+        self.late.push(body);
+    }
+
+    pub(super) fn land_late(&mut self, pick: usize, time: u64) -> bool {
+        if self.late.is_empty() {
+            return false;
+        }
+        let body = self.late.swap_remove(pick % self.late.len());
+        self.append(body, time);
+        true
+    }
+
+    /// Drops what is older than the retention.
+    pub(super) fn retire(&mut self, time: u64, config: &configs::Fold) {
+        let retention = u64::try_from(config.retention.as_millis()).unwrap();
+        let oldest = time.saturating_sub(retention);
+        let gone = self.records.partition_point(|(landed, _)| *landed < oldest);
+        self.records.drain(..gone);
+        self.first += gone as u64;
+    }
+
+    pub(super) fn page(&self, from: u64) -> Event {
+        let from = from.max(self.first);
+        let skip = usize::try_from(from - self.first).unwrap();
+        let records = self.records.iter().skip(skip).take(PAGE).enumerate();
+        Event::Page {
+            first: self.first,
+            end: self.end(),
+            records: records
+                .map(|(at, (_, body))| (from + at as u64, body.clone()))
+                .collect(),
+        }
+    }
+
+    pub(super) fn replay(&self, fold: &mut Fold, now: Stamp) {
+        fold.expire(now);
+        fold.begin(self.first, now);
+        for (at, (_, body)) in self.records.iter().enumerate() {
+            fold.apply_body(self.first + at as u64, body, now);
+        }
+    }
+}
