ledger: test holder and owner case by case, refuse at once in an outage

In an outage of the log every claim waited for its limit of 2 s, and every holder sent its last record again each second. An owner refuses slots of another partition, since two arbiters would decide apart.

An expired key is 'not run' only if the caller states that it sent nothing before.

--- a/crates/ledger/src/claim.rs
+++ b/crates/ledger/src/claim.rs
@@ -6,7 +6,7 @@
 //! - A call that was written and has no answer is `unknown`, at once.
 //! - Nothing here goes by time but the pace of look-ups and of submissions that failed.
 
-use core::mem;
+use core::{mem, time::Duration};
 
 use base::{Code, Digest, Incarnation, Tick};
 
@@ -117,6 +117,7 @@
 struct Closing {
     record: Record,
     since: Tick,
+    interval: Duration,
     next: Tick,
 }
 
@@ -199,7 +200,10 @@
             }
             Verdict::Lost(state) => self.attach(now, state),
             // An attempt under the key may have run before it became too old.
-            Verdict::Expired => self.answer(Answer::from_code(Code::EarlierUnknown)),
+            Verdict::Expired => {
+                let code = self.refusal(Code::KeyExpired);
+                self.answer(Answer::from_code(code))
+            }
             Verdict::Unavailable { may_have_landed } => {
                 let code = self.refusal(Code::LogUnavailable);
                 let mut actions = if may_have_landed {
@@ -337,7 +341,9 @@
         if let Some(closing) = &mut self.closing
             && closing.next <= now.tick
         {
-            closing.next = now.tick + self.config.record_interval;
+            let limit = self.config.record_interval_limit;
+            closing.interval = limit.min(2 * closing.interval);
+            closing.next = now.tick + closing.interval;
             actions.push(Action::Submit(closing.record.clone()));
         }
         let limit = self.config.record_limit;
@@ -379,6 +385,7 @@
         self.closing = Some(Closing {
             record: record.clone(),
             since: now.tick,
+            interval: self.config.record_interval,
             next: now.tick + self.config.record_interval,
         });
         vec![Action::Submit(record)]
--- a/crates/ledger/src/configs/owner.rs
+++ b/crates/ledger/src/configs/owner.rs
@@ -15,6 +15,8 @@
     pub batch_window: Duration,
     /// The horizon and what it rests on.
     pub fold: Fold,
+    /// How long the log may fail before claims and look-ups are refused at once.
+    pub outage: Duration,
     /// The most submissions and look-ups that wait; more are refused at once.
     pub pending: usize,
     /// How long a failed append or read is not tried again.
@@ -30,6 +32,7 @@
             batch_records: 256,
             batch_window: Duration::from_millis(20),
             fold: Fold::default(),
+            outage: Duration::from_secs(1),
             pending: 4096,
             retry_interval: Duration::from_millis(100),
             verdict_limit: Duration::from_secs(2),
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -12,7 +12,8 @@
 //! - For each call, the instance that serves the request runs one [`claim::Claim`] with a random
 //!   nonce. Its `Submit` and `Lookup` actions go to an owner of [`partition::of`] the slot, by a
 //!   message to a peer or to an owner of its own where no peer can be reached; a message that is
-//!   lost or times out counts as [`owner::Verdict::Unavailable`] with `may_have_landed`.
+//!   lost or times out counts as [`owner::Verdict::LOST`]. The transport must not send a message
+//!   again by itself: a claim that arrives twice is safe, but may hold its slot for nobody.
 //!   The verdicts come back by [`claim::Event::of`] and [`claim::Event::Found`].
 //! - The driver reports [`claim::Event::CallWritten`] before the first byte of the call leaves,
 //!   and lets it leave only on [`claim::Action::Write`]. A library that cannot tell when it
--- a/crates/ledger/src/owner.rs
+++ b/crates/ledger/src/owner.rs
@@ -144,6 +144,7 @@
 #[derive(Clone, Debug)]
 pub struct Owner {
     config: configs::Owner,
+    partition: u16,
     stream: String,
     fold: Fold,
     /// Whether the position comes from a snapshot that no page has confirmed yet.
@@ -152,9 +153,13 @@
     /// The records of the append in flight.
     sent: Option<Vec<Record>>,
     append_after: Tick,
+    /// Since when no append has succeeded.
+    append_failing: Option<Tick>,
     /// Whether a read is in flight.
     reading: bool,
     read_after: Tick,
+    /// Since when no read has succeeded.
+    read_failing: Option<Tick>,
     stats: Stats,
 }
 
@@ -168,14 +173,17 @@
         };
         Self {
             config,
+            partition,
             stream: partition::stream(partition),
             fold,
             restored,
             pending: Vec::new(),
             sent: None,
             append_after: Tick::default(),
+            append_failing: None,
             reading: false,
             read_after: Tick::default(),
+            read_failing: None,
             stats: Stats::default(),
         }
     }
@@ -238,14 +246,12 @@
     }
 
     fn admit(&mut self, now: Now, token: Token, ask: Ask, actions: &mut Vec<Action>) {
-        if self.pending.len() >= self.config.pending {
+        if !self.is_admitted(now, &ask) {
             self.stats.unavailable += 1;
-            actions.push(Action::Reply {
-                token,
-                verdict: Verdict::Unavailable {
-                    may_have_landed: false,
-                },
-            });
+            let verdict = Verdict::Unavailable {
+                may_have_landed: false,
+            };
+            actions.push(Action::Reply { token, verdict });
             return;
         }
         let deadline = now.tick + self.config.verdict_limit;
@@ -260,6 +266,25 @@
         });
     }
 
+    fn is_admitted(&self, now: Now, ask: &Ask) -> bool {
+        let is_idle = self.pending.is_empty();
+        // In an outage one at a time is let in to find its end; the others need not wait.
+        let is_open = match ask {
+            Ask::Record(Record::Claim { .. }) => {
+                is_idle || !self.is_down(now, self.append_failing.or(self.read_failing))
+            }
+            Ask::Slot(_) => is_idle || !self.is_down(now, self.read_failing),
+            Ask::Record(_) => true,
+        };
+        // Another partition's owner would decide about a slot of its own apart from this one.
+        let is_own = partition::of(ask.slot()) == self.partition;
+        is_open && is_own && self.pending.len() < self.config.pending
+    }
+
+    fn is_down(&self, now: Now, failing: Option<Tick>) -> bool {
+        failing.is_some_and(|since| now.tick - since >= self.config.outage)
+    }
+
     /// A claim of a call that is over is only looked up, which costs no append.
     fn first_stage(&self, ask: &Ask) -> Stage {
         match ask {
@@ -273,6 +298,7 @@
         let Some(sent) = self.sent.take() else {
             return;
         };
+        self.append_failing = None;
         for pending in &mut self.pending {
             if pending.stage == Stage::Sent {
                 pending.stage = Stage::Landed(offset);
@@ -286,8 +312,7 @@
 
     fn refused(&mut self, now: Now) {
         self.stats.appends_refused += 1;
-        self.sent = None;
-        self.append_after = now.tick + self.config.retry_interval;
+        self.append_failed(now);
         for pending in &mut self.pending {
             if pending.stage == Stage::Sent {
                 pending.stage = Stage::Queued;
@@ -297,8 +322,7 @@
 
     fn unanswered(&mut self, now: Now) {
         self.stats.appends_unanswered += 1;
-        self.sent = None;
-        self.append_after = now.tick + self.config.retry_interval;
+        self.append_failed(now);
         for pending in &mut self.pending {
             if pending.stage == Stage::Sent {
                 pending.stage = Stage::UNREAD;
@@ -307,6 +331,12 @@
         }
     }
 
+    fn append_failed(&mut self, now: Now) {
+        self.sent = None;
+        self.append_after = now.tick + self.config.retry_interval;
+        self.append_failing.get_or_insert(now.tick);
+    }
+
     fn page(&mut self, now: Now, first: u64, end: u64, records: &[(u64, String)]) {
         self.reading = false;
         let position = self.fold.position().unwrap_or(first);
@@ -321,6 +351,7 @@
             self.fold.expire(now.wall);
         }
         self.restored = false;
+        self.read_failing = None;
         self.fold.begin(first, now.wall);
         for (offset, body) in records {
             self.stats.read_bytes += body.len() as u64;
@@ -339,6 +370,7 @@
         self.reading = false;
         self.stats.reads_failed += 1;
         self.read_after = now.tick + self.config.retry_interval;
+        self.read_failing.get_or_insert(now.tick);
         // The next read begins after all that wait.
         for pending in &mut self.pending {
             pending.read_failed();
--- a/crates/ledger/src/owner/pending.rs
+++ b/crates/ledger/src/owner/pending.rs
@@ -22,6 +22,16 @@
     Slot(Slot),
 }
 
+impl Ask {
+    /// Returns the slot that is asked about.
+    pub(super) const fn slot(&self) -> &Slot {
+        match self {
+            Self::Record(record) => record.slot(),
+            Self::Slot(slot) => slot,
+        }
+    }
+}
+
 /// How far it has come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Stage {
--- /dev/null
+++ b/crates/ledger/tests/claim.rs
@@ -0,0 +1,324 @@
+//! The holder of one call, case by case.
+
+use core::time::Duration;
+
+use base::{Code, Digest, Incarnation, Key, Stamp, Tick};
+use googletest::prelude::*;
+use ledger::{
+    Now,
+    claim::{Action, Call, Claim, Event},
+    configs,
+    fold::State,
+    owner::Verdict,
+    record::{Answer, Record},
+    slot::{Nonce, Slot},
+};
+
+const ISSUED: Stamp = Stamp::from_millis(1_000_000_000);
+const REFUSED: Verdict = Verdict::Unavailable {
+    may_have_landed: false,
+};
+
+fn now() -> Now {
+    after(Duration::ZERO)
+}
+
+fn after(span: Duration) -> Now {
+    Now {
+        tick: Tick::from_millis(1) + span,
+        wall: ISSUED + span,
+    }
+}
+
+fn slot() -> Slot {
+    Slot::new("adinkra", &Key::from_parts(ISSUED, 1), "commission-ledger")
+}
+
+fn body() -> Digest {
+    Digest::of(b"release deposit 12")
+}
+
+fn holder() -> Incarnation {
+    Incarnation::new("entry-2", ISSUED)
+}
+
+fn open(first: bool) -> Claim {
+    let call = Call {
+        slot: slot(),
+        nonce: Nonce::from_random(1),
+        holder: Incarnation::new("entry-1", ISSUED),
+        body: body(),
+        first,
+    };
+    Claim::open(configs::Claim::default(), call)
+}
+
+fn started(first: bool) -> Claim {
+    let mut claim = open(first);
+    claim.on(now(), Event::Start);
+    claim
+}
+
+fn won() -> Claim {
+    let mut claim = started(false);
+    let actions = claim.on(now(), Event::Claimed(Verdict::Won));
+    assert_that!(actions, elements_are![eq(&Action::Call)]);
+    claim
+}
+
+fn called() -> Claim {
+    let mut claim = won();
+    let actions = claim.on(now(), Event::CallWritten);
+    assert_that!(actions, elements_are![eq(&Action::Write)]);
+    claim
+}
+
+fn attached() -> Claim {
+    let mut claim = started(false);
+    let lost = Verdict::Lost(in_progress(body()));
+    assert_that!(claim.on(now(), Event::Claimed(lost)), is_empty());
+    claim
+}
+
+fn in_progress(body: Digest) -> State {
+    let holder = holder();
+    State::InProgress { holder, body }
+}
+
+fn done(body: Digest) -> State {
+    let answer = paid();
+    State::Done { answer, body }
+}
+
+fn paid() -> Answer {
+    Answer::new(Code::Answered, "paid", 1).unwrap()
+}
+
+fn code(code: Code) -> Action {
+    Action::Answer(Answer::from_code(code))
+}
+
+fn released() -> Action {
+    Action::Submit(Record::Released {
+        slot: slot(),
+        nonce: Nonce::from_random(1),
+    })
+}
+
+fn recorded(answer: Answer) -> Action {
+    Action::Submit(Record::Done {
+        slot: slot(),
+        nonce: Nonce::from_random(1),
+        answer,
+    })
+}
+
+#[gtest]
+fn a_refused_claim_says_not_run_only_for_a_first_sending() {
+    expect_that!(
+        started(true).on(now(), Event::Claimed(REFUSED)),
+        elements_are![eq(&code(Code::LogUnavailable))]
+    );
+    expect_that!(
+        started(false).on(now(), Event::Claimed(REFUSED)),
+        elements_are![eq(&code(Code::EarlierUnknown))]
+    );
+}
+
+#[gtest]
+fn a_claim_that_may_have_landed_is_released() {
+    let mut claim = started(false);
+    expect_that!(
+        claim.on(now(), Event::Claimed(Verdict::LOST)),
+        elements_are![eq(&released()), eq(&code(Code::EarlierUnknown))]
+    );
+    expect_false!(claim.is_ended());
+    expect_that!(claim.on(now(), Event::Claimed(Verdict::Won)), is_empty());
+    claim.on(now(), Event::Closed(Verdict::Recorded));
+    expect_true!(claim.is_ended());
+}
+
+#[gtest]
+fn a_winner_that_gives_up_before_writing_says_not_run_and_never_writes() {
+    let mut claim = won();
+    expect_that!(
+        claim.on(now(), Event::GiveUp(Code::DeadlinePassed)),
+        elements_are![
+            eq(&Action::Cancel),
+            eq(&code(Code::DeadlinePassed)),
+            eq(&released())
+        ]
+    );
+    // The release is not acknowledged, the holder is paused, and the call resumes.
+    claim.on(now(), Event::Closed(Verdict::LOST));
+    let late = after(Duration::from_secs(600));
+    expect_that!(
+        claim.on(late, Event::CallWritten),
+        elements_are![eq(&Action::Cancel)]
+    );
+    expect_that!(claim.on(late, Event::Tick), elements_are![eq(&released())]);
+    expect_that!(
+        claim.on(late, Event::CallWritten),
+        elements_are![eq(&Action::Cancel)]
+    );
+}
+
+#[gtest]
+fn a_paused_winner_still_calls() {
+    let mut claim = won();
+    let late = after(Duration::from_secs(86_400));
+    expect_that!(
+        claim.on(late, Event::CallWritten),
+        elements_are![eq(&Action::Write)]
+    );
+}
+
+#[gtest]
+fn a_call_is_written_once() {
+    let mut claim = called();
+    expect_that!(claim.on(now(), Event::CallWritten), is_empty());
+    expect_that!(claim.on(now(), Event::Claimed(Verdict::Won)), is_empty());
+    expect_that!(claim.on(now(), Event::Start), is_empty());
+}
+
+#[gtest]
+fn a_written_call_without_an_answer_is_unknown_at_once() {
+    let unknown = Answer::from_code(Code::CallUnknown);
+    let failed = Event::CallFailed {
+        written: true,
+        code: Code::StageUnavailable,
+    };
+    for event in [failed, Event::GiveUp(Code::DeadlinePassed)] {
+        let mut claim = called();
+        expect_that!(
+            claim.on(now(), event),
+            elements_are![
+                eq(&Action::Answer(unknown.clone())),
+                eq(&recorded(unknown.clone()))
+            ]
+        );
+        expect_that!(claim.on(now(), Event::CallAnswered(paid())), is_empty());
+        expect_that!(
+            claim.on(now(), Event::CallWritten),
+            elements_are![eq(&Action::Cancel)]
+        );
+    }
+}
+
+#[gtest]
+fn a_failure_before_anything_was_written_is_not_run() {
+    let failed = Event::CallFailed {
+        written: false,
+        code: Code::StageUnavailable,
+    };
+    expect_that!(
+        won().on(now(), failed.clone()),
+        elements_are![
+            eq(&Action::Cancel),
+            eq(&code(Code::StageUnavailable)),
+            eq(&released())
+        ]
+    );
+    // A driver that has reported the write cannot take it back.
+    expect_that!(
+        called().on(now(), failed),
+        contains(eq(&code(Code::CallUnknown)))
+    );
+}
+
+#[gtest]
+fn an_outcome_is_submitted_until_the_log_has_it() {
+    let mut claim = called();
+    expect_that!(
+        claim.on(now(), Event::CallAnswered(paid())),
+        elements_are![eq(&Action::Answer(paid())), eq(&recorded(paid()))]
+    );
+    claim.on(now(), Event::Closed(REFUSED));
+    let second = after(Duration::from_secs(1));
+    expect_that!(claim.wake(), some(eq(second.tick)));
+    expect_that!(
+        claim.on(second, Event::Tick),
+        elements_are![eq(&recorded(paid()))]
+    );
+    expect_that!(claim.wake(), some(eq(after(Duration::from_secs(3)).tick)));
+    claim.on(second, Event::Closed(Verdict::Recorded));
+    expect_true!(claim.is_ended());
+    expect_that!(claim.wake(), none());
+}
+
+#[gtest]
+fn a_loser_waits_for_the_winners_answer() {
+    let mut claim = attached();
+    let next = after(Duration::from_millis(250));
+    expect_that!(
+        claim.on(next, Event::Tick),
+        elements_are![eq(&Action::Lookup(slot()))]
+    );
+    expect_that!(claim.on(next, Event::Found(REFUSED)), is_empty());
+    let next = after(Duration::from_millis(500));
+    expect_that!(
+        claim.on(next, Event::Tick),
+        elements_are![eq(&Action::Lookup(slot()))]
+    );
+    let found = Event::Found(Verdict::Found(done(body())));
+    expect_that!(
+        claim.on(next, found),
+        elements_are![eq(&Action::Answer(paid()))]
+    );
+    expect_true!(claim.is_ended());
+}
+
+#[gtest]
+fn a_loser_claims_again_under_another_nonce_after_a_release() {
+    let mut claim = attached();
+    let next = after(Duration::from_millis(250));
+    claim.on(next, Event::Tick);
+    let actions = claim.on(next, Event::Found(Verdict::Found(State::Free)));
+    let [Action::Submit(Record::Claim { nonce, .. })] = actions.as_slice() else {
+        panic!("{actions:?}");
+    };
+    expect_that!(*nonce, eq(Nonce::from_random(1).next()));
+}
+
+#[gtest]
+fn a_loser_answers_at_once_when_given_up_or_when_the_holder_is_gone() {
+    expect_that!(
+        attached().on(now(), Event::GiveUp(Code::DeadlinePassed)),
+        elements_are![eq(&code(Code::InProgress))]
+    );
+    let other = Incarnation::new("entry-2", ISSUED + Duration::from_secs(1));
+    let mut claim = attached();
+    expect_that!(claim.on(now(), Event::HolderLost(other)), is_empty());
+    expect_that!(
+        claim.on(now(), Event::HolderLost(holder())),
+        elements_are![eq(&code(Code::CallUnknown))]
+    );
+}
+
+#[gtest]
+fn a_key_used_with_another_body_never_gets_that_bodys_answer() {
+    let other = Digest::of(b"release deposit 13");
+    let lost = |state| started(false).on(now(), Event::Claimed(Verdict::Lost(state)));
+    expect_that!(lost(done(other)), elements_are![eq(&code(Code::KeyReused))]);
+    expect_that!(
+        lost(in_progress(other)),
+        elements_are![eq(&code(Code::EarlierUnknown))]
+    );
+    let mut claim = attached();
+    let next = after(Duration::from_millis(250));
+    claim.on(next, Event::Tick);
+    expect_that!(
+        claim.on(next, Event::Found(Verdict::Found(done(other)))),
+        elements_are![eq(&code(Code::KeyReused))]
+    );
+}
+
+#[gtest]
+fn an_expired_key_says_not_run_only_for_a_first_sending() {
+    let expired = |first| started(first).on(now(), Event::Claimed(Verdict::Expired));
+    expect_that!(expired(true), elements_are![eq(&code(Code::KeyExpired))]);
+    expect_that!(
+        expired(false),
+        elements_are![eq(&code(Code::EarlierUnknown))]
+    );
+}
--- /dev/null
+++ b/crates/ledger/tests/owner.rs
@@ -0,0 +1,371 @@
+//! The owner of one partition, against a log that loses answers.
+
+use core::time::Duration;
+
+use base::{Code, Digest, Incarnation, Key, Stamp, Tick};
+use googletest::prelude::*;
+use ledger::{
+    Now, configs,
+    fold::State,
+    owner::{Action, Event, Owner, Token, Verdict},
+    partition,
+    record::{self, Answer, Record},
+    slot::{Nonce, Slot},
+};
+
+const ISSUED: Stamp = Stamp::from_millis(1_000_000_000);
+const WINDOW: Duration = Duration::from_millis(20);
+
+fn after(span: Duration) -> Now {
+    Now {
+        tick: Tick::from_millis(1) + span,
+        wall: ISSUED + span,
+    }
+}
+
+fn now() -> Now {
+    after(Duration::ZERO)
+}
+
+fn slot(random: u128) -> Slot {
+    let keys = (random * 1_000..).map(|random| Key::from_parts(ISSUED, random));
+    let mut slots = keys.map(|key| Slot::new("compas", &key, "entries-api"));
+    slots.find(|slot| partition::of(slot) == 3).unwrap()
+}
+
+fn holder() -> Incarnation {
+    Incarnation::new("entry-1", ISSUED)
+}
+
+fn body() -> Digest {
+    Digest::of(b"registration")
+}
+
+fn claim(at: u128, nonce: u128) -> Record {
+    Record::Claim {
+        slot: slot(at),
+        nonce: Nonce::from_random(nonce),
+        holder: holder(),
+        body: body(),
+    }
+}
+
+fn done(at: u128, nonce: u128) -> Record {
+    Record::Done {
+        slot: slot(at),
+        nonce: Nonce::from_random(nonce),
+        answer: Answer::from_code(Code::Answered),
+    }
+}
+
+fn released(at: u128, nonce: u128) -> Record {
+    Record::Released {
+        slot: slot(at),
+        nonce: Nonce::from_random(nonce),
+    }
+}
+
+fn page(from: u64, end: u64, batches: &[&[Record]]) -> Event {
+    let records = batches.iter().enumerate();
+    Event::Page {
+        first: 0,
+        end,
+        records: records
+            .map(|(at, batch)| (from + at as u64, record::encode(batch)))
+            .collect(),
+    }
+}
+
+fn submit(token: Token, record: Record) -> Event {
+    Event::Submit { token, record }
+}
+
+fn lookup(token: Token, at: u128) -> Event {
+    let slot = slot(at);
+    Event::Lookup { token, slot }
+}
+
+fn reply(token: Token, verdict: Verdict) -> Action {
+    Action::Reply { token, verdict }
+}
+
+fn append(batch: &[Record]) -> Action {
+    let stream = "ledger-03".to_owned();
+    let body = record::encode(batch);
+    Action::Append { stream, body }
+}
+
+fn read(from: u64) -> Action {
+    let stream = "ledger-03".to_owned();
+    Action::Read { stream, from }
+}
+
+fn unavailable(may_have_landed: bool) -> Verdict {
+    Verdict::Unavailable { may_have_landed }
+}
+
+/// Returns an owner that has read an empty log.
+fn opened() -> Owner {
+    let mut owner = Owner::open(configs::Owner::default(), 3, None);
+    assert_that!(owner.on(now(), Event::Tick), elements_are![eq(&read(0))]);
+    assert_that!(owner.on(now(), page(0, 0, &[])), is_empty());
+    owner
+}
+
+/// Returns an owner whose append of one claim is in flight.
+fn sent() -> Owner {
+    let mut owner = opened();
+    owner.on(now(), submit(1, claim(1, 1)));
+    let actions = owner.on(after(WINDOW), Event::Tick);
+    assert_that!(actions, elements_are![eq(&append(&[claim(1, 1)]))]);
+    owner
+}
+
+#[gtest]
+fn submissions_within_a_window_share_an_append_and_need_no_read() {
+    let mut owner = opened();
+    expect_that!(owner.on(now(), submit(1, claim(1, 1))), is_empty());
+    expect_that!(owner.wake(), some(eq(after(WINDOW).tick)));
+    owner.on(now(), submit(2, claim(1, 2)));
+    owner.on(now(), submit(3, claim(2, 3)));
+    expect_that!(
+        owner.on(after(WINDOW), Event::Tick),
+        elements_are![eq(&append(&[claim(1, 1), claim(1, 2), claim(2, 3)]))]
+    );
+    let state = State::InProgress {
+        holder: holder(),
+        body: body(),
+    };
+    expect_that!(
+        owner.on(after(WINDOW), Event::Appended { offset: 0 }),
+        elements_are![
+            eq(&reply(1, Verdict::Won)),
+            eq(&reply(2, Verdict::Lost(state))),
+            eq(&reply(3, Verdict::Won))
+        ]
+    );
+    expect_that!(owner.stats().appends, eq(1));
+    expect_that!(owner.stats().reads, eq(1));
+}
+
+#[gtest]
+fn a_claim_behind_another_owners_append_is_read_before_it_is_judged() {
+    let mut owner = sent();
+    expect_that!(
+        owner.on(now(), Event::Appended { offset: 1 }),
+        elements_are![eq(&read(0))]
+    );
+    let batches: [&[Record]; 2] = [&[claim(1, 9)], &[claim(1, 1)]];
+    let replies = owner.on(now(), page(0, 2, &batches));
+    expect_that!(
+        replies,
+        elements_are![matches_pattern!(Action::Reply {
+            token: eq(&1),
+            verdict: matches_pattern!(Verdict::Lost(_))
+        })]
+    );
+}
+
+#[gtest]
+fn an_unanswered_append_is_found_in_the_log_and_not_appended_again() {
+    let mut owner = sent();
+    expect_that!(
+        owner.on(now(), Event::AppendUnanswered),
+        elements_are![eq(&read(0))]
+    );
+    expect_that!(
+        owner.on(now(), page(0, 1, &[&[claim(1, 1)]])),
+        elements_are![eq(&reply(1, Verdict::Won))]
+    );
+    expect_that!(owner.stats().appends, eq(1));
+}
+
+#[gtest]
+fn an_unanswered_append_that_is_not_in_the_log_is_appended_again() {
+    let mut owner = sent();
+    owner.on(now(), Event::AppendUnanswered);
+    expect_that!(owner.on(now(), page(0, 0, &[])), is_empty());
+    let later = after(Duration::from_millis(200));
+    expect_that!(
+        owner.on(later, Event::Tick),
+        elements_are![eq(&append(&[claim(1, 1)]))]
+    );
+    // The first append lands after all, in front of the second.
+    expect_that!(
+        owner.on(later, Event::Appended { offset: 1 }),
+        elements_are![eq(&read(0))]
+    );
+    let batch: &[Record] = &[claim(1, 1)];
+    expect_that!(
+        owner.on(later, page(0, 2, &[batch, batch])),
+        elements_are![eq(&reply(1, Verdict::Won))]
+    );
+}
+
+#[gtest]
+fn an_unanswered_append_may_have_landed_at_the_limit() {
+    let late = after(Duration::from_secs(2));
+    let mut owner = sent();
+    owner.on(now(), Event::AppendUnanswered);
+    expect_that!(
+        owner.on(late, Event::ReadFailed),
+        elements_are![eq(&reply(1, unavailable(true)))]
+    );
+    let mut owner = sent();
+    owner.on(now(), Event::AppendRefused);
+    expect_that!(
+        owner.on(late, Event::Tick),
+        elements_are![eq(&reply(1, unavailable(false)))]
+    );
+}
+
+#[gtest]
+fn an_attempt_is_not_told_lost_while_its_claim_may_land_after_a_release() {
+    let mut owner = sent();
+    owner.on(now(), Event::AppendUnanswered);
+    expect_that!(owner.on(now(), page(0, 1, &[&[claim(1, 9)]])), is_empty());
+    let later = after(Duration::from_millis(200));
+    expect_that!(
+        owner.on(later, Event::Tick),
+        elements_are![eq(&append(&[claim(1, 1)]))]
+    );
+}
+
+#[gtest]
+fn a_claim_of_a_call_that_is_over_costs_no_append() {
+    let mut owner = sent();
+    owner.on(now(), Event::Appended { offset: 0 });
+    owner.on(now(), submit(2, done(1, 1)));
+    owner.on(after(WINDOW), Event::Tick);
+    expect_that!(
+        owner.on(now(), Event::Appended { offset: 1 }),
+        elements_are![eq(&reply(2, Verdict::Recorded))]
+    );
+    expect_that!(
+        owner.on(now(), submit(3, claim(1, 2))),
+        elements_are![eq(&read(2))]
+    );
+    let state = State::Done {
+        answer: Answer::from_code(Code::Answered),
+        body: body(),
+    };
+    expect_that!(
+        owner.on(now(), page(2, 2, &[])),
+        elements_are![eq(&reply(3, Verdict::Lost(state)))]
+    );
+    expect_that!(owner.stats().appends, eq(2));
+}
+
+#[gtest]
+fn a_lookup_is_answered_from_a_read_that_began_after_it() {
+    let mut owner = opened();
+    expect_that!(owner.on(now(), lookup(1, 1)), elements_are![eq(&read(0))]);
+    // The second arrives while that read is under way, and needs another.
+    owner.on(now(), lookup(2, 1));
+    expect_that!(
+        owner.on(now(), page(0, 0, &[])),
+        elements_are![eq(&reply(1, Verdict::Found(State::Free))), eq(&read(0))]
+    );
+    let state = State::InProgress {
+        holder: holder(),
+        body: body(),
+    };
+    expect_that!(
+        owner.on(now(), page(0, 1, &[&[claim(1, 1)]])),
+        elements_are![eq(&reply(2, Verdict::Found(state)))]
+    );
+}
+
+#[gtest]
+fn a_lookup_is_answered_only_at_the_end_that_its_read_saw() {
+    let mut owner = opened();
+    owner.on(now(), lookup(1, 1));
+    expect_that!(
+        owner.on(now(), page(0, 2, &[&[claim(1, 1)]])),
+        elements_are![eq(&read(1))]
+    );
+    let replies = owner.on(now(), page(1, 3, &[&[released(1, 1)]]));
+    expect_that!(
+        replies,
+        elements_are![eq(&reply(1, Verdict::Found(State::Free)))]
+    );
+}
+
+#[gtest]
+fn a_log_that_is_behind_what_was_read_tells_nothing() {
+    let mut owner = sent();
+    owner.on(now(), Event::Appended { offset: 0 });
+    owner.on(now(), lookup(2, 1));
+    expect_that!(owner.on(now(), page(0, 0, &[])), is_empty());
+    let late = after(Duration::from_secs(3));
+    expect_that!(
+        owner.on(late, Event::Tick),
+        contains(eq(&reply(2, unavailable(false))))
+    );
+}
+
+#[gtest]
+fn nothing_is_decided_about_slots_whose_records_were_missed() {
+    let mut owner = opened();
+    owner.on(now(), lookup(1, 1));
+    let records = Vec::new();
+    let gap = Event::Page {
+        first: 7,
+        end: 7,
+        records,
+    };
+    expect_that!(
+        owner.on(now(), gap),
+        elements_are![eq(&reply(1, unavailable(false)))]
+    );
+    expect_that!(
+        owner.on(now(), submit(2, claim(1, 2))),
+        elements_are![eq(&reply(2, unavailable(false)))]
+    );
+}
+
+#[gtest]
+fn a_snapshot_older_than_the_log_is_not_gone_on_from() {
+    let mut owner = sent();
+    owner.on(now(), Event::Appended { offset: 0 });
+    let mut other = Owner::open(configs::Owner::default(), 3, owner.snapshot());
+    expect_that!(other.on(now(), Event::Tick), elements_are![eq(&read(1))]);
+    let records = vec![(5, record::encode(&[claim(2, 2)]))];
+    let first = 5;
+    let end = 6;
+    other.on(
+        now(),
+        Event::Page {
+            first,
+            end,
+            records,
+        },
+    );
+    expect_that!(other.fold().state(&slot(1)), eq(&State::Free));
+    expect_false!(other.fold().is_blind(&slot(1)));
+    expect_that!(other.fold().position(), some(eq(6)));
+}
+
+#[gtest]
+fn in_an_outage_claims_are_refused_at_once_but_for_one_at_a_time() {
+    let mut owner = sent();
+    owner.on(now(), Event::AppendRefused);
+    let later = after(Duration::from_millis(1_500));
+    expect_that!(
+        owner.on(later, submit(2, claim(2, 2))),
+        contains(eq(&reply(2, unavailable(false))))
+    );
+    expect_that!(owner.on(later, submit(3, done(2, 2))), is_empty());
+    owner.on(after(Duration::from_secs(4)), Event::AppendRefused);
+    let probe = owner.on(after(Duration::from_secs(5)), submit(4, claim(2, 2)));
+    expect_that!(probe, is_empty());
+}
+
+#[gtest]
+fn slots_of_another_partition_are_refused() {
+    let mut owner = Owner::open(configs::Owner::default(), 4, None);
+    expect_that!(
+        owner.on(now(), submit(1, claim(1, 1))),
+        contains(eq(&reply(1, unavailable(false))))
+    );
+}
