ledger: visit every state of a small protocol instance

Random orders leave out rare ones. Two real owners and two real claims of one slot are moved in every order, with any one fault: a message lost or late, an append refused or its answer lost with the append landing at once or later, a call failed, a request given up, a holder killed.

--- /dev/null
+++ b/crates/ledger/tests/explorer/mod.rs
@@ -0,0 +1,507 @@
+//! Visits every state that a few claims and two owners can reach with a few faults.
+//!
+//! Claims, owners and folds are the real ones; windows and intervals are zero, so that time does
+//! not split states. Pauses need no move of their own: whoever is not moved is paused.
+
+use core::time::Duration;
+use std::{
+    collections::{HashSet, VecDeque},
+    fmt,
+    rc::Rc,
+};
+
+use base::{Code, Digest, Incarnation, Key, Outcome, Stamp, Tick};
+use ledger::{
+    Now, claim, configs,
+    owner::{self, Owner, Verdict},
+    partition,
+    record::{Answer, Record},
+    slot::{Nonce, Slot},
+};
+
+const ISSUED: Stamp = Stamp::from_millis(1_000_000_000);
+const NOW: Now = Now {
+    tick: Tick::from_millis(1),
+    wall: ISSUED,
+};
+const OWNERS: usize = 2;
+
+/// How much is explored.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Bounds {
+    pub(crate) claims: usize,
+    pub(crate) faults: u8,
+    /// The most look-ups of one attached claim.
+    pub(crate) lookups: u8,
+}
+
+/// What was visited.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Visited {
+    pub(crate) states: usize,
+    pub(crate) moves: usize,
+    /// States in which nothing is left to do.
+    pub(crate) ends: usize,
+    /// Ends in which a call was made.
+    pub(crate) called: usize,
+}
+
+/// A part of the state that most moves leave alone, with its name.
+#[derive(Clone)]
+struct Part<T> {
+    value: Rc<T>,
+    key: Digest,
+}
+
+#[derive(Clone, Debug)]
+struct Actor {
+    claim: claim::Claim,
+    /// Requests to owners, in the order in which they were sent.
+    asks: Vec<Ask>,
+    lookups: u8,
+    is_prepared: bool,
+    is_called: bool,
+    is_dead: bool,
+    answer: Option<Code>,
+}
+
+#[derive(Clone, Debug)]
+struct Ask {
+    /// The record, or none for a look-up.
+    record: Option<Record>,
+    is_open: bool,
+}
+
+#[derive(Clone, Debug)]
+enum Read {
+    Asked(u64),
+    Served(owner::Event),
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Message {
+    Ask { owner: usize, id: u64 },
+    Reply { id: u64, verdict: String },
+}
+
+#[derive(Clone, Debug)]
+struct State {
+    slot: Slot,
+    faults: u8,
+    calls: u8,
+    log: Vec<String>,
+    late: Vec<String>,
+    owners: Vec<Part<Owner>>,
+    appends: Vec<Option<String>>,
+    reads: Vec<Option<Read>>,
+    actors: Vec<Part<Actor>>,
+    wire: Vec<Message>,
+    verdicts: Vec<(String, Verdict)>,
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Move {
+    Start(usize, usize),
+    Deliver(usize),
+    Lose(usize),
+    /// The claimant stops waiting for the answer to a message that may still arrive.
+    TimeOut(usize),
+    Append(usize),
+    Refuse(usize),
+    /// The append lands and its answer is lost.
+    Mute(usize),
+    /// The append's answer is lost and it may land later.
+    Delay(usize),
+    Land(usize),
+    Read(usize),
+    Write(usize),
+    Answer(usize),
+    Fail(usize),
+    GiveUp(usize),
+    Kill(usize),
+    Lookup(usize, usize),
+}
+
+/// Visits all states and checks each move.
+pub(crate) fn explore(bounds: Bounds) -> Visited {
+    let start = State::open(bounds);
+    let mut visited = Visited::default();
+    let mut seen = HashSet::from([start.key()]);
+    let mut queue = VecDeque::from([start]);
+    while let Some(state) = queue.pop_front() {
+        visited.states += 1;
+        let moves = state.moves(bounds);
+        visited.ends += usize::from(moves.is_empty());
+        visited.called += usize::from(moves.is_empty() && state.calls > 0);
+        for each in moves {
+            visited.moves += 1;
+            let mut next = state.clone();
+            next.apply(each);
+            if seen.insert(next.key()) {
+                queue.push_back(next);
+            }
+        }
+    }
+    visited
+}
+
+impl State {
+    fn open(bounds: Bounds) -> Self {
+        let keys = (0..).map(|random| Key::from_parts(ISSUED, random));
+        let mut slots = keys.map(|key| Slot::new("compas", &key, "entries-api"));
+        let slot = slots.find(|slot| partition::of(slot) == 0).unwrap();
+        let mut state = Self {
+            slot,
+            faults: bounds.faults,
+            calls: 0,
+            log: Vec::new(),
+            late: Vec::new(),
+            owners: vec![Part::open(Owner::open(config(), 0, None)); OWNERS],
+            appends: vec![None; OWNERS],
+            reads: vec![None, None],
+            actors: Vec::new(),
+            wire: Vec::new(),
+            verdicts: Vec::new(),
+        };
+        for index in 0..bounds.claims {
+            state.actors.push(Part::open(Actor::open(slot, index)));
+        }
+        state
+    }
+
+    fn key(&self) -> Digest {
+        Digest::of(format!("{self:?}").as_bytes())
+    }
+
+    fn moves(&self, bounds: Bounds) -> Vec<Move> {
+        let mut moves = Vec::new();
+        let has_fault = self.faults > 0;
+        for at in 0..self.wire.len() {
+            moves.push(Move::Deliver(at));
+            if has_fault {
+                moves.extend([Move::Lose(at), Move::TimeOut(at)]);
+            }
+        }
+        moves.extend((0..self.late.len()).map(Move::Land));
+        for owner in 0..OWNERS {
+            moves.extend(self.reads[owner].is_some().then_some(Move::Read(owner)));
+            if self.appends[owner].is_some() {
+                moves.push(Move::Append(owner));
+                if has_fault {
+                    moves.extend([Move::Refuse(owner), Move::Mute(owner), Move::Delay(owner)]);
+                }
+            }
+        }
+        for (index, actor) in self.actors.iter().enumerate() {
+            actor.value.moves(index, bounds, has_fault, &mut moves);
+        }
+        moves
+    }
+
+    fn apply(&mut self, each: Move) {
+        match each {
+            Move::Start(actor, owner) => self.drive(actor, owner, claim::Event::Start),
+            Move::Deliver(at) => {
+                let message = self.wire.remove(at);
+                self.deliver(message);
+            }
+            Move::Lose(at) => {
+                let id = self.wire.remove(at).id();
+                self.time_out(id);
+            }
+            Move::TimeOut(at) => self.time_out(self.wire[at].id()),
+            Move::Append(owner) => {
+                let offset = self.land(owner);
+                self.own(owner, owner::Event::Appended { offset });
+            }
+            Move::Refuse(owner) => {
+                self.faults -= 1;
+                self.appends[owner] = None;
+                self.own(owner, owner::Event::AppendRefused);
+            }
+            Move::Mute(owner) => {
+                self.faults -= 1;
+                self.land(owner);
+                self.own(owner, owner::Event::AppendUnanswered);
+            }
+            Move::Delay(owner) => {
+                self.faults -= 1;
+                self.late.extend(self.appends[owner].take());
+                self.own(owner, owner::Event::AppendUnanswered);
+            }
+            Move::Land(at) => {
+                let body = self.late.remove(at);
+                self.log.push(body);
+            }
+            Move::Read(owner) => self.read(owner),
+            Move::Write(actor) => {
+                self.actors[actor].edit(|actor| actor.is_prepared = false);
+                self.drive(actor, 0, claim::Event::CallWritten);
+            }
+            Move::Answer(actor) => {
+                self.actors[actor].edit(|actor| actor.is_called = false);
+                self.drive(actor, 0, claim::Event::CallAnswered(result()));
+            }
+            Move::Fail(actor) => {
+                self.faults -= 1;
+                let written = self.actors[actor].value.is_called;
+                self.actors[actor].edit(|actor| actor.is_called = false);
+                self.actors[actor].edit(|actor| actor.is_prepared = false);
+                let code = Code::StageUnavailable;
+                self.drive(actor, 0, claim::Event::CallFailed { written, code });
+            }
+            Move::GiveUp(actor) => {
+                self.faults -= 1;
+                self.drive(actor, 0, claim::Event::GiveUp(Code::DeadlinePassed));
+            }
+            Move::Kill(actor) => {
+                self.faults -= 1;
+                self.actors[actor].edit(|actor| actor.is_dead = true);
+            }
+            Move::Lookup(actor, owner) => {
+                self.actors[actor].edit(|actor| actor.lookups += 1);
+                self.drive(actor, owner, claim::Event::Tick);
+            }
+        }
+        self.wire.sort_unstable();
+        self.late.sort_unstable();
+    }
+
+    fn land(&mut self, owner: usize) -> u64 {
+        self.log.extend(self.appends[owner].take());
+        self.log.len() as u64 - 1
+    }
+
+    fn read(&mut self, owner: usize) {
+        match self.reads[owner].take() {
+            Some(Read::Asked(from)) => {
+                let skip = usize::try_from(from).unwrap();
+                let records = self.log.iter().enumerate().skip(skip);
+                let page = owner::Event::Page {
+                    first: 0,
+                    end: self.log.len() as u64,
+                    records: records
+                        .map(|(offset, body)| (offset as u64, body.clone()))
+                        .collect(),
+                };
+                self.reads[owner] = Some(Read::Served(page));
+            }
+            Some(Read::Served(page)) => self.own(owner, page),
+            None => {}
+        }
+    }
+
+    fn time_out(&mut self, id: u64) {
+        self.faults -= 1;
+        self.reply(id, Verdict::LOST);
+    }
+
+    fn deliver(&mut self, message: Message) {
+        match message {
+            Message::Ask { owner, id } => {
+                let (actor, at) = split(id);
+                let event = match self.actors[actor].value.asks[at].record.clone() {
+                    Some(record) => owner::Event::Submit { token: id, record },
+                    None => owner::Event::Lookup {
+                        token: id,
+                        slot: self.slot,
+                    },
+                };
+                self.own(owner, event);
+            }
+            Message::Reply { id, verdict } => {
+                let found = self.verdicts.iter().find(|(text, _)| *text == verdict);
+                let verdict = found.unwrap().1.clone();
+                self.reply(id, verdict);
+            }
+        }
+    }
+
+    fn reply(&mut self, id: u64, verdict: Verdict) {
+        let (actor, at) = split(id);
+        let ask = self.actors[actor].value.asks[at].clone();
+        if !ask.is_open {
+            return;
+        }
+        self.actors[actor].edit(|actor| actor.asks[at].is_open = false);
+        let event = match &ask.record {
+            Some(record) => claim::Event::of(record, verdict),
+            None => claim::Event::Found(verdict),
+        };
+        if !self.actors[actor].value.is_dead {
+            self.drive(actor, 0, event);
+        }
+    }
+
+    fn own(&mut self, owner: usize, event: owner::Event) {
+        for action in self.owners[owner].edit(|owner| owner.on(NOW, event)) {
+            match action {
+                owner::Action::Append { body, .. } => self.appends[owner] = Some(body),
+                owner::Action::Read { from, .. } => self.reads[owner] = Some(Read::Asked(from)),
+                owner::Action::Reply { token, verdict } => {
+                    let text = format!("{verdict:?}");
+                    if self.verdicts.iter().all(|(known, _)| *known != text) {
+                        self.verdicts.push((text.clone(), verdict));
+                        self.verdicts.sort_by(|one, other| one.0.cmp(&other.0));
+                    }
+                    let (id, verdict) = (token, text);
+                    self.wire.push(Message::Reply { id, verdict });
+                }
+            }
+        }
+    }
+
+    fn drive(&mut self, index: usize, owner: usize, event: claim::Event) {
+        let actions = self.actors[index].edit(|actor| actor.claim.on(NOW, event));
+        for action in actions {
+            match action {
+                claim::Action::Submit(record) => {
+                    let id = self.actors[index].edit(|actor| actor.ask(index, Some(record)));
+                    self.wire.push(Message::Ask { owner, id });
+                }
+                claim::Action::Lookup(_) => {
+                    let id = self.actors[index].edit(|actor| actor.ask(index, None));
+                    self.wire.push(Message::Ask { owner, id });
+                }
+                claim::Action::Call => {
+                    self.actors[index].edit(|actor| actor.is_prepared = true);
+                }
+                claim::Action::Write => {
+                    self.calls += 1;
+                    assert_eq!(self.calls, 1, "called twice");
+                    self.actors[index].edit(Actor::call);
+                }
+                claim::Action::Cancel => {
+                    self.actors[index].edit(|actor| actor.is_prepared = false);
+                }
+                claim::Action::Answer(answer) => {
+                    match answer.code.outcome() {
+                        Outcome::NotRun => assert_eq!(self.calls, 0, "it ran"),
+                        Outcome::Answered => assert_eq!(answer, result(), "another answer"),
+                        Outcome::InProgress | Outcome::Unknown => {}
+                    }
+                    self.actors[index].edit(|actor| actor.tell(answer.code));
+                }
+            }
+        }
+    }
+}
+
+impl<T: Clone + fmt::Debug> Part<T> {
+    fn open(value: T) -> Self {
+        let value = Rc::new(value);
+        let key = Digest::default();
+        let mut part = Self { value, key };
+        part.edit(|_| ());
+        part
+    }
+
+    fn edit<R>(&mut self, change: impl FnOnce(&mut T) -> R) -> R {
+        let result = change(Rc::make_mut(&mut self.value));
+        let mut text = format!("{:?}", self.value);
+        // Counts of what led to a state do not matter.
+        if let Some(from) = text.find("stats: Stats {") {
+            let to = from + text[from..].find('}').unwrap();
+            text.replace_range(from..=to, "");
+        }
+        self.key = Digest::of(text.as_bytes());
+        result
+    }
+}
+
+impl<T> fmt::Debug for Part<T> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(&self.key, f)
+    }
+}
+
+impl Actor {
+    fn open(slot: Slot, index: usize) -> Self {
+        let call = claim::Call {
+            slot,
+            nonce: Nonce::from_random(index as u128),
+            holder: Incarnation::new(format!("entry-{index}"), ISSUED),
+            body: Digest::of(b"registration"),
+            first: false,
+        };
+        let config = configs::Claim {
+            lookup_interval: Duration::ZERO,
+            ..configs::Claim::default()
+        };
+        Self {
+            claim: claim::Claim::open(config, call),
+            asks: Vec::new(),
+            lookups: 0,
+            is_prepared: false,
+            is_called: false,
+            is_dead: false,
+            answer: None,
+        }
+    }
+
+    fn moves(&self, index: usize, bounds: Bounds, has_fault: bool, moves: &mut Vec<Move>) {
+        if self.is_dead {
+            return;
+        }
+        if self.asks.is_empty() {
+            // Instances may differ about who owns the partition; the owners are alike, so that the
+            // first claim may go to the first of them.
+            let owners = if index == 0 { 1 } else { OWNERS };
+            moves.extend((0..owners).map(|owner| Move::Start(index, owner)));
+            return;
+        }
+        moves.extend(self.is_prepared.then_some(Move::Write(index)));
+        moves.extend(self.is_called.then_some(Move::Answer(index)));
+        if has_fault && self.answer.is_none() {
+            moves.extend([Move::GiveUp(index), Move::Kill(index)]);
+        }
+        if has_fault && (self.is_prepared || self.is_called) {
+            moves.push(Move::Fail(index));
+        }
+        if self.lookups < bounds.lookups && self.claim.wake().is_some() && self.answer.is_none() {
+            moves.extend((0..OWNERS).map(|owner| Move::Lookup(index, owner)));
+        }
+    }
+
+    fn call(&mut self) {
+        assert!(self.answer.is_none(), "called after its answer");
+        self.is_called = true;
+    }
+
+    fn tell(&mut self, code: Code) {
+        assert!(self.answer.is_none(), "answered twice");
+        self.answer = Some(code);
+    }
+
+    fn ask(&mut self, index: usize, record: Option<Record>) -> u64 {
+        let at = self.asks.len();
+        let is_open = true;
+        self.asks.push(Ask { record, is_open });
+        (index * 100 + at) as u64
+    }
+}
+
+impl Message {
+    const fn id(&self) -> u64 {
+        match self {
+            Self::Ask { id, .. } | Self::Reply { id, .. } => *id,
+        }
+    }
+}
+
+fn split(id: u64) -> (usize, usize) {
+    let id = usize::try_from(id).unwrap();
+    (id / 100, id % 100)
+}
+
+fn result() -> Answer {
+    Answer::new(Code::Answered, "registered", 1).unwrap()
+}
+
+fn config() -> configs::Owner {
+    configs::Owner {
+        batch_window: Duration::ZERO,
+        retry_interval: Duration::ZERO,
+        ..configs::Owner::default()
+    }
+}
