place: lease of the planner, plan by attainment, convergent orders

Engines take orders from whoever sends them, some ignore fencing numbers, and a lease can lapse while its holder is paused.

- lease: records in the log, valid only if no valid record stands between what the author had read and its own place; the holder counts the term from before it sent; whoever takes over waits a term, the clocks' drift and the longest order in flight
- plan: loads by requests answered in time for each second of the weight store, less what they evict
- planner: orders name the state wanted; what was seen decides what is ordered next

Ruled out: a base offset named in the record, as in a compare-and-swap; once the base had left the log, a fresh reader and an old one would have judged the same record differently.

--- /dev/null
+++ b/crates/place/src/configs.rs
@@ -0,0 +1,6 @@
+//! Configuration of each part, with its defaults.
+
+mod lease;
+mod planner;
+
+pub use self::{lease::Lease, planner::Planner};
--- /dev/null
+++ b/crates/place/src/lease.rs
@@ -0,0 +1,274 @@
+//! The lease of one failure domain's planner, by records in the platform's log.
+//!
+//! - A record tells how far its author had read, and is valid if no valid record stands between
+//!   there and itself; of two that had read the same, the first in the log wins.
+//! - The holder counts the term by its own monotonic clock, from before its record was sent, and
+//!   checks it right before each order.
+//! - Whoever takes the lease over has seen no renewal for a term, and then waits until orders of
+//!   the holder before it have had their effect or never will.
+
+use base::{Incarnation, Tick};
+use serde::{Deserialize, Serialize};
+
+use crate::configs;
+
+/// The record that takes or renews the lease.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Record {
+    /// Who takes the lease.
+    pub holder: Incarnation,
+    /// The offset of the first record that the holder had not read.
+    pub read: u64,
+    /// Counts the holder's records.
+    pub number: u64,
+}
+
+/// What happened.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Event {
+    /// The append took effect.
+    Appended,
+    /// The append had no effect and will have none.
+    AppendRefused,
+    /// The append may have taken effect or may do so yet.
+    AppendUnanswered,
+    /// The read's answer.
+    Page {
+        /// The lowest offset that the log keeps.
+        first: u64,
+        /// The offset that the next append will get.
+        end: u64,
+        /// The records, from the offset asked for or from `first` on.
+        records: Vec<(u64, String)>,
+    },
+    /// The read gave nothing.
+    ReadFailed,
+    /// Time passed.
+    Tick,
+}
+
+/// What is to be done.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Action {
+    /// Append to the domain's stream and report the result, once.
+    Append {
+        /// The body of the record.
+        body: String,
+    },
+    /// Read the domain's stream and report the result, once.
+    Read {
+        /// The first offset wanted.
+        from: u64,
+    },
+}
+
+/// The valid record that was read last.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Head {
+    offset: u64,
+    holder: Incarnation,
+    /// When it was read, by this instance's clock; it was sent before that.
+    seen: Tick,
+}
+
+/// What this instance holds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Held {
+    fence: u64,
+    from: Tick,
+    until: Tick,
+}
+
+/// One instance's view of the lease.
+#[derive(Clone, Debug)]
+pub struct Lease {
+    config: configs::Lease,
+    holder: Incarnation,
+    is_wanted: bool,
+    position: u64,
+    head: Option<Head>,
+    held: Option<Held>,
+    /// From when on no order of another holder can have an effect any more.
+    free: Tick,
+    number: u64,
+    /// When the newest record was sent.
+    sent: Tick,
+    is_appending: bool,
+    is_reading: bool,
+    next_append: Tick,
+    next_read: Tick,
+}
+
+impl Lease {
+    /// Returns an instance's view that has read nothing.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use base::{Incarnation, Stamp, Tick};
+    /// use place::{configs, lease::{Action, Event, Lease}};
+    /// let holder = Incarnation::new("entry-1", Stamp::from_millis(5));
+    /// let mut lease = Lease::open(configs::Lease::default(), holder, true);
+    /// let now = Tick::from_millis(1);
+    /// assert_eq!(lease.on(now, Event::Tick), [Action::Read { from: 0 }]);
+    /// let page = |end, records| Event::Page { first: 0, end, records };
+    /// let actions = lease.on(now, page(0, Vec::new()));
+    /// let [Action::Append { body }] = actions.as_slice() else { panic!() };
+    /// assert_eq!(lease.on(now, Event::Appended), [Action::Read { from: 0 }]);
+    /// lease.on(now, page(1, vec![(0, body.clone())]));
+    /// assert_eq!(lease.permit(now), Some(0));
+    /// assert_eq!(lease.permit(now + configs::Lease::default().term), None);
+    /// ```
+    pub const fn open(config: configs::Lease, holder: Incarnation, is_wanted: bool) -> Self {
+        Self {
+            config,
+            holder,
+            is_wanted,
+            position: 0,
+            head: None,
+            held: None,
+            free: Tick::from_micros(0),
+            number: 0,
+            sent: Tick::from_micros(0),
+            is_appending: false,
+            is_reading: false,
+            next_append: Tick::from_micros(0),
+            next_read: Tick::from_micros(0),
+        }
+    }
+
+    /// Says whether this instance is to be the planner, as far as it knows the others.
+    pub const fn want(&mut self, is_wanted: bool) {
+        self.is_wanted = is_wanted;
+    }
+
+    /// Returns the fencing number if an order may be sent at this moment.
+    pub fn permit(&self, now: Tick) -> Option<u64> {
+        let held = self.held?;
+        (held.from <= now && now < held.until).then_some(held.fence)
+    }
+
+    /// Takes an event and returns what is to be done, in order.
+    pub fn on(&mut self, now: Tick, event: Event) -> Vec<Action> {
+        match event {
+            Event::Appended => {
+                self.is_appending = false;
+                self.next_read = now;
+            }
+            Event::AppendRefused | Event::AppendUnanswered => {
+                self.is_appending = false;
+                self.next_append = now + self.config.retry_interval;
+                self.next_read = now;
+            }
+            Event::Page {
+                first,
+                end,
+                records,
+            } => self.page(now, first, end, &records),
+            Event::ReadFailed => {
+                self.is_reading = false;
+                self.next_read = now + self.config.retry_interval;
+            }
+            Event::Tick => {}
+        }
+        let mut actions = Vec::new();
+        self.read(now, &mut actions);
+        self.append(now, &mut actions);
+        actions
+    }
+
+    fn page(&mut self, now: Tick, first: u64, end: u64, records: &[(u64, String)]) {
+        self.is_reading = false;
+        let is_behind = end < self.position;
+        self.next_read = now + self.config.retry_interval;
+        if is_behind {
+            return;
+        }
+        if first > self.position {
+            // The records that are gone may have passed the lease on.
+            if self.position > 0 {
+                self.free = self.free_after(now);
+            }
+            self.position = first;
+            self.held = None;
+            self.head = None;
+        }
+        for (offset, body) in records {
+            if *offset != self.position {
+                continue;
+            }
+            self.position += 1;
+            if let Ok(record) = serde_json::from_str::<Record>(body) {
+                self.apply(now, *offset, record);
+            }
+        }
+        if self.position < end {
+            self.next_read = now;
+        }
+    }
+
+    fn apply(&mut self, now: Tick, offset: u64, record: Record) {
+        let head = self.head.as_ref();
+        if head.is_some_and(|head| record.read <= head.offset) {
+            return;
+        }
+        self.held = None;
+        if record.holder != self.holder {
+            self.free = self.free_after(now);
+        } else if record.number == self.number {
+            // An older record of its own would say nothing of when the newest was sent.
+            self.held = Some(Held {
+                fence: offset,
+                from: self.sent.max(self.free),
+                until: self.sent + self.config.term,
+            });
+        }
+        self.head = Some(Head {
+            offset,
+            holder: record.holder,
+            seen: now,
+        });
+    }
+
+    /// Returns when no order of a holder can have an effect any more whose record is read now.
+    fn free_after(&self, now: Tick) -> Tick {
+        now + self.config.term + self.config.clock_drift + self.config.order_limit
+    }
+
+    fn read(&mut self, now: Tick, actions: &mut Vec<Action>) {
+        if self.is_reading || !self.is_wanted || now < self.next_read {
+            return;
+        }
+        self.is_reading = true;
+        let from = self.position;
+        actions.push(Action::Read { from });
+    }
+
+    fn append(&mut self, now: Tick, actions: &mut Vec<Action>) {
+        let is_waiting = self.is_appending || self.is_reading || now < self.next_append;
+        if is_waiting || !self.is_wanted || !self.is_due(now) {
+            return;
+        }
+        self.number += 1;
+        let record = Record {
+            holder: self.holder.clone(),
+            read: self.position,
+            number: self.number,
+        };
+        self.sent = now;
+        self.is_appending = true;
+        self.next_append = now + self.config.retry_interval;
+        let body = serde_json::to_string(&record).expect("a record has no map");
+        actions.push(Action::Append { body });
+    }
+
+    fn is_due(&self, now: Tick) -> bool {
+        match &self.head {
+            None => true,
+            Some(head) if head.holder == self.holder => self
+                .held
+                .is_none_or(|held| now + self.config.renewal >= held.until),
+            Some(head) => now >= head.seen + self.config.term + self.config.clock_drift,
+        }
+    }
+}
--- /dev/null
+++ b/crates/place/tests/lease.rs
@@ -0,0 +1,251 @@
+//! At most one instance may order at a time, and never while an order of another may be under way.
+
+use core::time::Duration;
+
+use base::{Incarnation, Stamp, Tick};
+use googletest::prelude::*;
+use place::{
+    configs,
+    lease::{Action, Event, Lease},
+};
+use proptest::{collection, prelude::*, test_runner::Config, test_runner::RngSeed};
+
+/// One instance with what is under way for it.
+struct Candidate {
+    lease: Lease,
+    append: Option<String>,
+    read: Option<u64>,
+    is_paused: bool,
+}
+
+#[derive(Default)]
+struct World {
+    time: Duration,
+    log: Vec<String>,
+    late: Vec<String>,
+    candidates: Vec<Candidate>,
+    /// Who may have ordered last, and when.
+    last: Option<(usize, Duration)>,
+    holders: Vec<usize>,
+}
+
+impl World {
+    fn open(count: usize) -> Self {
+        let mut world = Self::default();
+        for index in 0..count {
+            world.candidates.push(candidate(index, 0));
+        }
+        world
+    }
+
+    fn now(&self, index: usize) -> Tick {
+        // Each clock has an origin of its own.
+        Tick::from_millis(1_000 * index as u64) + self.time
+    }
+
+    fn step(&mut self, choice: u32) {
+        let rest = (choice >> 8) as usize;
+        let index = rest % self.candidates.len();
+        match choice % 32 {
+            0..=15 => self.run(index),
+            16..=22 => self.time += Duration::from_millis(rest as u64 % 2_000),
+            23 => self.time += Duration::from_secs(20),
+            24 => self.candidates[index].is_paused = true,
+            25..=26 => self.candidates[index].is_paused = false,
+            27 => self.fail_append(index, rest),
+            28 => self.event(index, Event::Tick),
+            29 if !self.late.is_empty() => {
+                let at = rest % self.late.len();
+                self.log.push(self.late.swap_remove(at));
+            }
+            30 if rest.is_multiple_of(8) => self.restart(index),
+            31 => self.candidates[index].lease.want(rest % 4 < 3),
+            _ => self.run(index),
+        }
+        self.judge();
+    }
+
+    fn run(&mut self, index: usize) {
+        if self.candidates[index].is_paused {
+            return;
+        }
+        if let Some(body) = self.candidates[index].append.take() {
+            self.log.push(body);
+            self.event(index, Event::Appended);
+        } else if let Some(from) = self.candidates[index].read.take() {
+            let records = (from..).zip(self.log[usize::try_from(from).unwrap()..].iter().cloned());
+            let page = Event::Page {
+                first: 0,
+                end: self.log.len() as u64,
+                records: records.take(3).collect(),
+            };
+            self.event(index, page);
+        } else {
+            self.event(index, Event::Tick);
+        }
+    }
+
+    fn event(&mut self, index: usize, event: Event) {
+        if self.candidates[index].is_paused {
+            return;
+        }
+        let now = self.now(index);
+        for action in self.candidates[index].lease.on(now, event) {
+            match action {
+                Action::Append { body } => self.candidates[index].append = Some(body),
+                Action::Read { from } => self.candidates[index].read = Some(from),
+            }
+        }
+    }
+
+    fn fail_append(&mut self, index: usize, rest: usize) {
+        if self.candidates[index].is_paused {
+            return;
+        }
+        let Some(body) = self.candidates[index].append.take() else {
+            return;
+        };
+        match rest % 4 {
+            0 => return self.event(index, Event::AppendRefused),
+            1 => self.log.push(body),
+            2 => self.late.push(body),
+            _ => {
+                self.log.push(body.clone());
+                self.late.push(body);
+            }
+        }
+        self.event(index, Event::AppendUnanswered);
+    }
+
+    fn restart(&mut self, index: usize) {
+        self.late.extend(self.candidates[index].append.take());
+        let life = self.time.as_millis().try_into().unwrap();
+        self.candidates[index] = candidate(index, life);
+    }
+
+    fn judge(&mut self) {
+        for index in 0..self.candidates.len() {
+            // A paused holder checks once it resumes, which is now at the earliest.
+            if self.candidates[index]
+                .lease
+                .permit(self.now(index))
+                .is_none()
+            {
+                continue;
+            }
+            if let Some((last, at)) = self.last
+                && last != index
+            {
+                let gap = self.time - at;
+                assert!(
+                    gap >= configs::Lease::default().order_limit,
+                    "{last} {index} {gap:?}"
+                );
+            }
+            if self.last.is_none_or(|(last, _)| last != index) {
+                self.holders.push(index);
+            }
+            self.last = Some((index, self.time));
+        }
+    }
+}
+
+fn candidate(index: usize, life: u64) -> Candidate {
+    let holder = Incarnation::new(format!("entry-{index}"), Stamp::from_millis(life));
+    Candidate {
+        lease: Lease::open(configs::Lease::default(), holder, true),
+        append: None,
+        read: None,
+        is_paused: false,
+    }
+}
+
+proptest! {
+    #![proptest_config(Config {
+        cases: 256,
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(1),
+        ..Config::default()
+    })]
+
+    #[test]
+    fn holders_never_overlap(
+        count in 2..4_usize,
+        choices in collection::vec(any::<u32>(), 1..2_000),
+    ) {
+        let mut world = World::open(count);
+        for choice in choices {
+            world.step(choice);
+        }
+    }
+}
+
+/// Lets some candidates run for a time.
+fn run(world: &mut World, indexes: &[usize], seconds: u64) {
+    for _ in 0..seconds * 10 {
+        for index in indexes {
+            for _ in 0..3 {
+                world.run(*index);
+            }
+        }
+        world.time += Duration::from_millis(100);
+        world.judge();
+    }
+}
+
+fn fence(world: &World, index: usize) -> Option<u64> {
+    world.candidates[index].lease.permit(world.now(index))
+}
+
+#[gtest]
+fn a_holder_renews_before_its_term_ends() {
+    let mut world = World::open(1);
+    run(&mut world, &[0], 1);
+    let first = fence(&world, 0);
+    expect_that!(first, some(eq(0)));
+    run(&mut world, &[0], 60);
+    expect_that!(fence(&world, 0), gt(first));
+    // One record in twenty seconds.
+    expect_that!(world.log.len(), eq(4));
+}
+
+#[gtest]
+fn a_paused_holder_that_resumes_may_not_order_and_its_number_is_lower() {
+    let mut world = World::open(2);
+    run(&mut world, &[0, 1], 10);
+    let old = fence(&world, 0);
+    assert_that!(old, some(anything()));
+    world.candidates[0].is_paused = true;
+    run(&mut world, &[1], 80);
+    let new = fence(&world, 1);
+    expect_that!(new, gt(old));
+    world.candidates[0].is_paused = false;
+    expect_that!(fence(&world, 0), none());
+    run(&mut world, &[0, 1], 60);
+    expect_that!(fence(&world, 0), none());
+    expect_that!(fence(&world, 1), ge(new));
+    expect_that!(world.holders, elements_are![eq(&0), eq(&1)]);
+}
+
+#[gtest]
+fn a_holder_cut_off_from_the_log_stops_at_its_term() {
+    let mut world = World::open(1);
+    run(&mut world, &[0], 1);
+    run(&mut world, &[], 28);
+    expect_that!(fence(&world, 0), some(anything()));
+    run(&mut world, &[], 2);
+    expect_that!(fence(&world, 0), none());
+}
+
+#[gtest]
+fn records_that_left_the_log_unread_cost_the_lease() {
+    let mut world = World::open(1);
+    run(&mut world, &[0], 1);
+    let gap = Event::Page {
+        first: 9,
+        end: 9,
+        records: Vec::new(),
+    };
+    world.event(0, gap);
+    expect_that!(fence(&world, 0), none());
+}
--- /dev/null
+++ b/crates/place/tests/plan.rs
@@ -0,0 +1,81 @@
+//! What is loaded first, and what is never dropped for it.
+
+use base::{Incarnation, Name, Stamp};
+use googletest::prelude::*;
+use place::{
+    order::Engine,
+    plan::{self, Model, View},
+};
+
+fn engine(name: &str, models: &[&str]) -> Engine {
+    Engine {
+        server: Incarnation::new(name, Stamp::from_millis(5)),
+        models: models.iter().map(|model| Name::from(*model)).collect(),
+        memory: 10,
+        is_fenced: false,
+    }
+}
+
+fn model(name: &str, bytes: u64, demand: f64) -> Model {
+    Model {
+        name: name.into(),
+        bytes,
+        demand,
+        rate: 4.0,
+    }
+}
+
+fn loads(models: &[Model], engines: &[Engine]) -> Vec<String> {
+    let view = View {
+        models,
+        engines,
+        store_rate: 2.0,
+    };
+    let loads = plan::loads(&view);
+    let text = |load: plan::Load| {
+        let names: Vec<&str> = load.models.iter().map(Name::as_str).collect();
+        format!("{}: {}", load.server.name, names.join(" "))
+    };
+    loads.into_iter().map(text).collect()
+}
+
+#[gtest]
+fn the_load_that_buys_most_a_second_comes_first() {
+    let models = [model("a", 10, 3.0), model("b", 5, 2.0), model("c", 1, 0.5)];
+    let engines = [engine("e1", &[]), engine("e2", &[])];
+    expect_that!(
+        loads(&models, &engines),
+        elements_are![eq("e1: c"), eq("e1: b c"), eq("e2: a")]
+    );
+}
+
+#[gtest]
+fn a_model_is_loaded_as_often_as_its_demand_needs() {
+    let engines = [engine("e1", &[]), engine("e2", &[]), engine("e3", &[])];
+    expect_that!(loads(&[model("a", 4, 6.0)], &engines), len(eq(2)));
+    expect_that!(loads(&[model("a", 4, 0.0)], &engines), is_empty());
+}
+
+#[gtest]
+fn a_model_gives_way_only_to_one_worth_more() {
+    let engines = [engine("e1", &["a"])];
+    let more = [model("a", 8, 1.0), model("b", 8, 3.0)];
+    expect_that!(loads(&more, &engines), elements_are![eq("e1: b")]);
+    let less = [model("a", 8, 3.0), model("b", 8, 1.0)];
+    expect_that!(loads(&less, &engines), is_empty());
+}
+
+#[gtest]
+fn what_is_worth_least_for_its_size_is_dropped() {
+    let engines = [engine("e1", &["a", "b"])];
+    let models = [model("a", 4, 0.1), model("b", 4, 2.0), model("c", 6, 3.0)];
+    expect_that!(loads(&models, &engines), elements_are![eq("e1: b c")]);
+}
+
+#[gtest]
+fn a_model_larger_than_an_engine_is_not_loaded() {
+    expect_that!(
+        loads(&[model("a", 11, 1.0)], &[engine("e1", &[])]),
+        is_empty()
+    );
+}
--- /dev/null
+++ b/crates/place/tests/planner.rs
@@ -0,0 +1,202 @@
+//! Two planners at once, one of them paused and resumed, over engines that check and ignore
+//! fencing numbers.
+
+use core::time::Duration;
+
+use base::{Incarnation, Name, Stamp, Tick};
+use googletest::prelude::*;
+use place::{
+    configs,
+    lease::{Action, Event, Lease},
+    order::{Engine, Order},
+    plan::Model,
+    planner::{Domain, Planner},
+};
+
+struct World {
+    now: Tick,
+    log: Vec<String>,
+    planners: Vec<Planner>,
+    engines: Vec<Engine>,
+    fences: Vec<u64>,
+    models: Vec<Model>,
+    applied: usize,
+    refused: usize,
+}
+
+impl World {
+    fn open() -> Self {
+        let planner = |index: usize| {
+            let holder = Incarnation::new(format!("entry-{index}"), Stamp::from_millis(5));
+            let lease = Lease::open(configs::Lease::default(), holder, true);
+            Planner::open(configs::Planner::default(), lease)
+        };
+        let engine = |index: usize| Engine {
+            server: Incarnation::new(format!("runner-{index}"), Stamp::from_millis(5)),
+            models: Vec::new(),
+            memory: 10,
+            is_fenced: index < 2,
+        };
+        Self {
+            now: Tick::from_millis(1),
+            log: Vec::new(),
+            planners: (0..2).map(planner).collect(),
+            engines: (0..4).map(engine).collect(),
+            fences: vec![0; 4],
+            models: vec![model("a", 12.0), model("b", 4.0)],
+            applied: 0,
+            refused: 0,
+        }
+    }
+
+    /// Lets some planners run for a time; what they order takes effect at once.
+    fn run(&mut self, indexes: &[usize], seconds: u64) {
+        for _ in 0..seconds {
+            for index in indexes {
+                self.event(*index, Event::Tick);
+                for order in self.orders(*index) {
+                    self.apply(&order);
+                }
+            }
+            self.now = self.now + Duration::from_secs(1);
+        }
+    }
+
+    fn event(&mut self, index: usize, event: Event) {
+        for action in self.planners[index].on(self.now, event) {
+            let event = match action {
+                Action::Append { body } => {
+                    self.log.push(body);
+                    Event::Appended
+                }
+                Action::Read { from } => {
+                    let skip = usize::try_from(from).unwrap();
+                    let records = (from..).zip(self.log.iter().skip(skip).cloned());
+                    Event::Page {
+                        first: 0,
+                        end: self.log.len() as u64,
+                        records: records.collect(),
+                    }
+                }
+            };
+            self.event(index, event);
+        }
+    }
+
+    fn orders(&mut self, index: usize) -> Vec<Order> {
+        let domain = Domain {
+            models: &self.models,
+            engines: &self.engines,
+            store_rate: 1.0,
+        };
+        self.planners[index].orders(self.now, &domain)
+    }
+
+    fn apply(&mut self, order: &Order) {
+        let at = self
+            .engines
+            .iter()
+            .position(|engine| engine.server == order.server);
+        let at = at.unwrap();
+        if self.engines[at].is_fenced && order.fence < self.fences[at] {
+            self.refused += 1;
+            return;
+        }
+        self.applied += 1;
+        self.fences[at] = order.fence;
+        self.engines[at].models.clone_from(&order.models);
+    }
+
+    fn held(&self) -> String {
+        let names = self.engines.iter().flat_map(|engine| &engine.models);
+        let mut names: Vec<&str> = names.map(Name::as_str).collect();
+        names.sort_unstable();
+        names.join(" ")
+    }
+}
+
+fn model(name: &str, demand: f64) -> Model {
+    Model {
+        name: name.into(),
+        bytes: 8,
+        demand,
+        rate: 4.0,
+    }
+}
+
+#[gtest]
+fn one_planner_brings_engines_to_what_is_wanted_and_then_rests() {
+    let mut world = World::open();
+    world.run(&[0, 1], 100);
+    expect_that!(world.held(), eq("a a a b"));
+    expect_that!(world.applied, eq(4));
+}
+
+#[gtest]
+fn late_orders_of_a_replaced_planner_are_refused_or_repaired() {
+    let mut world = World::open();
+    world.run(&[0], 1);
+    // The first planner has orders ready for all that it plans, and is paused before sending.
+    world
+        .engines
+        .iter_mut()
+        .for_each(|engine| engine.models.clear());
+    let mut late = Vec::new();
+    for _ in 0..2 {
+        world.now = world.now + Duration::from_secs(1);
+        let orders = world.orders(0);
+        late.extend(orders);
+    }
+    // Demand turns round, another planner takes over and places for it.
+    world.models = vec![model("a", 4.0), model("b", 12.0)];
+    world.run(&[1], 200);
+    let wanted = "a b b b";
+    expect_that!(world.held(), eq(wanted));
+    // The first one resumes and its driver does not ask for the permit again.
+    let mut orders = late;
+    let old: Vec<Order> = world
+        .engines
+        .iter()
+        .map(|engine| Order {
+            fence: 0,
+            server: engine.server.clone(),
+            models: vec!["a".into()],
+        })
+        .collect();
+    orders.extend(old);
+    expect_that!(world.planners[0].permit(world.now), none());
+    for order in &orders {
+        world.apply(order);
+    }
+    expect_that!(world.refused, ge(2));
+    expect_that!(world.held(), not(eq(wanted)));
+    let before = world.applied;
+    world.run(&[0, 1], 200);
+    expect_that!(world.held(), eq(wanted));
+    // One order repairs what one late order did.
+    expect_that!(world.applied - before, le(orders.len()));
+}
+
+#[gtest]
+fn at_most_so_many_loads_share_the_weight_store() {
+    let mut world = World::open();
+    world.event(0, Event::Tick);
+    let sent = world.orders(0);
+    expect_that!(sent, len(eq(configs::Planner::default().loads)));
+    // Nothing has shown an effect yet.
+    expect_that!(world.orders(0), is_empty());
+}
+
+#[gtest]
+fn an_order_without_effect_is_sent_again() {
+    let mut world = World::open();
+    world.event(0, Event::Tick);
+    let first = world.orders(0);
+    for _ in 0..70 {
+        world.now = world.now + Duration::from_secs(1);
+        world.event(0, Event::Tick);
+    }
+    let again = world.orders(0);
+    let servers = |orders: &[Order]| orders.iter().map(|o| o.server.clone()).collect::<Vec<_>>();
+    expect_that!(servers(&again), eq(&servers(&first)));
+}
