ledger: let a slow driver try to write after it was cancelled

The judge's driver forgot a prepared call as soon as it was cancelled, so that the soak passed also where a claim that was given up let its call go. Now the driver still tries.

--- a/crates/ledger/tests/explorer/mod.rs
+++ b/crates/ledger/tests/explorer/mod.rs
@@ -371,9 +371,8 @@
                     assert_eq!(self.calls, 1, "called twice");
                     self.actors[index].edit(Actor::call);
                 }
-                claim::Action::Cancel => {
-                    self.actors[index].edit(|actor| actor.is_prepared = false);
-                }
+                // The driver may be slow to hear of it, and still try to write.
+                claim::Action::Cancel => {}
                 claim::Action::Answer(answer) => {
                     match answer.code.outcome() {
                         Outcome::NotRun => assert_eq!(self.calls, 0, "it ran"),
--- a/crates/ledger/tests/world/mod.rs
+++ b/crates/ledger/tests/world/mod.rs
@@ -252,7 +252,8 @@
                     driver.is_called = true;
                     self.judge.call(driver);
                 }
-                claim::Action::Cancel => self.instances[index].claims[at].is_prepared = false,
+                // The driver may be slow to hear of it, and still try to write.
+                claim::Action::Cancel => {}
                 claim::Action::Answer(answer) => {
                     self.judge
                         .answer(&mut self.instances[index].claims[at], &answer);
