--- /dev/null
+++ b/crates/ledger/benches/fold.rs
@@ -0,0 +1,121 @@
+//! Time of the fold and of an owner, for one record and one call.
+
+use core::hint::black_box;
+
+use base::{Code, Digest, Incarnation, Key, Stamp, Tick};
+use criterion::{BatchSize, Criterion, Throughput, criterion_group, criterion_main};
+use ledger::{
+    Now, configs,
+    fold::Fold,
+    owner::{Action, Event, Owner},
+    partition,
+    record::{self, Answer, Record},
+    slot::{Nonce, Slot},
+};
+
+const ISSUED: Stamp = Stamp::from_millis(1_000_000_000);
+const SIZES: [u64; 2] = [10_000, 100_000];
+const BATCH: usize = 8;
+
+/// Returns the claim and the outcome of calls whose keys were issued one after the other.
+fn records(calls: u64) -> Vec<Record> {
+    let holder = Incarnation::new("entry-17", ISSUED);
+    let slots = (0..).map(|at| {
+        let issued = Stamp::from_millis(ISSUED.as_millis() + at / 100);
+        Slot::new("adinkra", &Key::from_parts(issued, at.into()), "deposit")
+    });
+    let own = slots.filter(|slot| partition::of(slot) == 0);
+    let calls = usize::try_from(calls).unwrap();
+    let pairs = own.take(calls).zip(1..).flat_map(|(slot, at)| {
+        let nonce = Nonce::from_random(at);
+        let claim = Record::Claim {
+            slot,
+            nonce,
+            holder: holder.clone(),
+            body: Digest::of(&at.to_be_bytes()),
+        };
+        let answer = Answer::new(Code::Answered, "x".repeat(200), 1).unwrap();
+        [
+            claim,
+            Record::Done {
+                slot,
+                nonce,
+                answer,
+            },
+        ]
+    });
+    pairs.collect()
+}
+
+fn fold(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("fold");
+    for size in SIZES {
+        let bodies: Vec<String> = records(size).chunks(BATCH).map(record::encode).collect();
+        group.throughput(Throughput::Elements(2 * size));
+        group.sample_size(10);
+        group.bench_function(format!("records of {size} calls"), |bencher| {
+            bencher.iter_batched(
+                || Fold::open(configs::Fold::default()),
+                |mut fold| {
+                    fold.begin(0, ISSUED);
+                    for (offset, body) in (0..).zip(&bodies) {
+                        fold.apply_body(offset, black_box(body), ISSUED);
+                    }
+                    fold
+                },
+                BatchSize::LargeInput,
+            );
+        });
+    }
+}
+
+fn owner(criterion: &mut Criterion) {
+    let records = records(1_000);
+    let mut group = criterion.benchmark_group("owner");
+    group.throughput(Throughput::Elements(records.len() as u64));
+    for waiting in [1, 64] {
+        group.bench_function(format!("records, {waiting} an append"), |bencher| {
+            bencher.iter(|| submit_all(black_box(&records), waiting));
+        });
+    }
+}
+
+/// Submits records, a number at a time, and appends each lot at once.
+fn submit_all(records: &[Record], waiting: usize) -> Owner {
+    let mut owner = Owner::open(configs::Owner::default(), 0, None);
+    let window = owner_window();
+    let mut now = Now {
+        tick: Tick::from_millis(1),
+        wall: ISSUED,
+    };
+    owner.on(now, Event::Tick);
+    let records_read = Vec::new();
+    owner.on(
+        now,
+        Event::Page {
+            first: 0,
+            end: 0,
+            records: records_read,
+        },
+    );
+    let mut token = 0;
+    for (offset, lot) in (0..).zip(records.chunks(waiting)) {
+        for record in lot {
+            token += 1;
+            let record = record.clone();
+            owner.on(now, Event::Submit { token, record });
+        }
+        now.tick = now.tick + window;
+        let actions = owner.on(now, Event::Tick);
+        assert!(matches!(actions.as_slice(), [Action::Append { .. }]));
+        owner.on(now, Event::Appended { offset });
+    }
+    owner
+}
+
+fn owner_window() -> core::time::Duration {
+    configs::Owner::default().batch_window
+}
+
+criterion_group!(benches, fold, owner);
+criterion_main!(benches);
