Tell incomplete requests apart from those that did not run

Cause: a request given up in a late stage has run its early stages, so 'not run' would be untrue, while 'unknown' would hide that sending it again is safe. Ruled out: calling it 'not run' because only idempotent stages ran. Change: a fifth outcome, incomplete.

--- a/crates/base/src/code.rs
+++ b/crates/base/src/code.rs
@@ -12,6 +12,9 @@
     Answered,
     /// An attempt under this key is running or may still run; ask for its status.
     InProgress,
+    /// No whole answer exists; stages that may be repeated may have run, the call that may not
+    /// be repeated did not, so sending the request again is safe.
+    Incomplete,
     /// Nothing under this key has run, and nothing of this attempt ever will.
     NotRun,
     /// Something under this key may have run; it will not be repeated; ask for its status.
@@ -24,6 +27,7 @@
         match self {
             Self::Answered => "answered",
             Self::InProgress => "in_progress",
+            Self::Incomplete => "incomplete",
             Self::NotRun => "not_run",
             Self::Unknown => "unknown",
         }
@@ -61,7 +65,8 @@
                 match self { $(Self::$name => $status,)+ }
             }
 
-            /// Returns what the code says about the request.
+            /// Returns what the code says about the request, where the answer itself does not
+            /// say it more narrowly.
             pub const fn outcome(self) -> Outcome {
                 match self { $(Self::$name => Outcome::$outcome,)+ }
             }
@@ -121,13 +126,13 @@
     /// A stage of the pipeline has no backend server that can take the request.
     StageUnavailable = 303, 503, NotRun, again;
     /// The deadline passed before the request was answered.
-    DeadlinePassed = 304, 504, NotRun, again;
+    DeadlinePassed = 304, 504, Incomplete, again;
     /// The retry budget is spent.
-    RetriesSpent = 305, 503, NotRun, again;
+    RetriesSpent = 305, 503, Incomplete, again;
     /// The request crashed backend servers and is refused for good.
-    RequestHarmful = 306, 422, NotRun, final_;
+    RequestHarmful = 306, 422, Incomplete, final_;
     /// A backend server refused the request.
-    StageRefused = 307, 422, NotRun, final_;
+    StageRefused = 307, 422, Incomplete, final_;
     /// No signed-off configuration is in force yet.
     BundleMissing = 308, 503, NotRun, again;
     /// The instance is stopping.
@@ -139,9 +144,9 @@
     /// This attempt did not run; whether an earlier one under the key ran cannot be told now.
     EarlierUnknown = 401, 503, Unknown, again;
     /// The stream was cut; resume it from the last event received.
-    StreamCut = 402, 502, Unknown, again;
+    StreamCut = 402, 502, Incomplete, again;
     /// The stream cannot be continued as it began.
-    StreamDiverged = 403, 409, Unknown, final_;
+    StreamDiverged = 403, 409, Incomplete, final_;
     /// A fault of the system itself.
     Internal = 500, 500, Unknown, again;
 }
