Carry requests through their stages and call backend servers

The state machine of a request decides order, retries and what the answer may say ran; the client tells calls that never left from those that may have run. Ruled out: reading any connecting error as 'never sent', since a connection that ended after the server read the call is reported so too; only errors that nothing but opening gives count.

Not yet driven end to end.

--- /dev/null
+++ b/crates/flow/src/failure.rs
@@ -0,0 +1,46 @@
+//! Why a call to a backend server gave no answer.
+
+use core::time::Duration;
+
+/// Why a call to a backend server gave no answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Failure {
+    /// The server had no room and took nothing.
+    Busy {
+        /// When the server expects to have room.
+        retry_after: Option<Duration>,
+    },
+    /// The connection ended after the call was written; the server may have died.
+    Disconnected,
+    /// The server is leaving and took nothing.
+    Leaving,
+    /// The server answered with something that is no answer to this attempt.
+    Mismatched,
+    /// No connection could be opened, so no byte of the call left.
+    NotConnected,
+    /// The server judged the input and refused it; another server would, too.
+    Refused {
+        /// What the server said.
+        detail: String,
+    },
+    /// No progress within the limit; the connection was closed.
+    Silent,
+}
+
+impl Failure {
+    /// Tells whether the server may have run the call.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use flow::Failure;
+    /// assert!(Failure::Silent.may_have_run());
+    /// assert!(!Failure::NotConnected.may_have_run());
+    /// ```
+    pub const fn may_have_run(&self) -> bool {
+        match self {
+            Self::Busy { .. } | Self::Leaving | Self::NotConnected | Self::Refused { .. } => false,
+            Self::Disconnected | Self::Mismatched | Self::Silent => true,
+        }
+    }
+}
--- /dev/null
+++ b/crates/flow/src/request.rs
@@ -0,0 +1,339 @@
+//! The state machine of one request.
+
+use core::time::Duration;
+
+use base::{Code, Incarnation, Outcome, Tick, attempt::Attempt, request::Id};
+use bundle::content::{Pipeline, Stage};
+use serde_json::{Value, json};
+
+use crate::{Action, Answer, Event, Failure, answer};
+
+/// The wait advised after a failure that says nothing about how long it will last.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// What a request may see when it decides.
+#[derive(Clone, Copy, Debug)]
+pub struct Context {
+    /// The present instant.
+    pub now: Tick,
+}
+
+/// One request on its way through its pipeline.
+#[derive(Debug)]
+pub struct Request {
+    id: Id,
+    pipeline: Pipeline,
+    input: Value,
+    previous: Value,
+    stage: usize,
+    phase: Phase,
+    number: u16,
+    since: Tick,
+    spent: f64,
+    exclude: Vec<Incarnation>,
+    last: Option<Failure>,
+    emitted: u64,
+    done: Vec<answer::Stage>,
+    ran: Ran,
+}
+
+/// What the request waits for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum Phase {
+    Admission,
+    Budget,
+    Call(Attempt),
+    Claim,
+    End,
+    Pick,
+}
+
+/// What may have run on behalf of the request.
+#[derive(Clone, Copy, Debug, Default)]
+struct Ran {
+    /// A call that may be repeated was written.
+    idempotent: bool,
+    /// The claim on the call that may not be repeated was won by this request.
+    claimed: bool,
+    /// The call that may not be repeated may have run, here or in an earlier attempt.
+    once: bool,
+}
+
+impl Request {
+    /// Builds a request that waits for its admission.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use base::{Tick, request::Id};
+    /// use flow::{Action, Event, Request, request::Context};
+    ///
+    /// let bundle = bundle::Bundle::from_toml(r#"
+    ///     name = "tiny"
+    ///     version = 1
+    ///     pools = [{ name = "encoders", kind = "encode" }]
+    ///     [[pipelines]]
+    ///     name = "embed"
+    ///     deadline_ms = 1000
+    ///     stages = [{ name = "encode", pool = "encoders" }]
+    /// "#).unwrap();
+    /// let pipeline = bundle.pipeline("embed").unwrap().clone();
+    /// let mut request = Request::new(Id::from_random(1), pipeline, "text".into());
+    /// let cx = Context { now: Tick::from_millis(1) };
+    /// let action = request.on(cx, Event::Admitted);
+    /// assert!(matches!(action, Action::Pick { .. }));
+    /// ```
+    pub fn new(id: Id, pipeline: Pipeline, input: Value) -> Self {
+        Self {
+            id,
+            pipeline,
+            input,
+            previous: Value::Null,
+            stage: 0,
+            phase: Phase::Admission,
+            number: 0,
+            since: Tick::default(),
+            spent: 0.0,
+            exclude: Vec::new(),
+            last: None,
+            emitted: 0,
+            done: Vec::new(),
+            ran: Ran::default(),
+        }
+    }
+
+    /// Returns the stage that the request is at.
+    pub fn stage(&self) -> &Stage {
+        &self.pipeline.stages[self.stage.min(self.pipeline.stages.len() - 1)]
+    }
+
+    /// Returns the index of the stage that the request is at.
+    pub const fn index(&self) -> usize {
+        self.stage
+    }
+
+    /// Takes note of an event and returns what the driver does next.
+    ///
+    /// An event that belongs to an attempt given up earlier changes nothing.
+    pub fn on(&mut self, cx: Context, event: Event) -> Action {
+        match event {
+            Event::Admitted if self.phase == Phase::Admission => self.enter_stage(cx),
+            Event::ClaimWon if self.phase == Phase::Claim => {
+                self.ran.claimed = true;
+                self.pick()
+            }
+            Event::ClaimDone { output } if self.phase == Phase::Claim => {
+                self.ran.once = true;
+                self.leave_stage(cx, output)
+            }
+            Event::ClaimRefused { code, detail } if self.phase == Phase::Claim => {
+                self.refuse_claim(code, detail)
+            }
+            Event::DeadlinePassed => self.give_up(cx, Code::DeadlinePassed, "deadline passed"),
+            Event::Failed {
+                attempt,
+                failure,
+                cost,
+            } if self.phase == Phase::Call(attempt) => self.fail(cx, failure, cost),
+            Event::NoServer { retry_after } if self.phase == Phase::Pick => self.refuse(
+                Code::StageUnavailable,
+                "no backend server",
+                Some(retry_after),
+            ),
+            Event::Picked { server } if self.phase == Phase::Pick => self.call(server),
+            Event::Progressed { count } => {
+                self.emitted = self.emitted.max(count);
+                Action::Nothing
+            }
+            Event::Replied {
+                attempt,
+                output,
+                cost,
+            } if self.phase == Phase::Call(attempt) => {
+                self.spent += cost;
+                self.leave_stage(cx, output)
+            }
+            Event::RetryGranted if self.phase == Phase::Budget => self.retry(),
+            Event::RetryDenied if self.phase == Phase::Budget => self.deny_retry(),
+            _ => Action::Nothing,
+        }
+    }
+
+    fn enter_stage(&mut self, cx: Context) -> Action {
+        self.since = cx.now;
+        self.number = 0;
+        self.spent = 0.0;
+        self.exclude.clear();
+        if self.stage().idempotent {
+            return self.pick();
+        }
+        self.phase = Phase::Claim;
+        Action::Claim
+    }
+
+    fn pick(&mut self) -> Action {
+        self.phase = Phase::Pick;
+        Action::Pick {
+            exclude: self.exclude.clone(),
+        }
+    }
+
+    fn call(&mut self, server: Incarnation) -> Action {
+        let stage = u16::try_from(self.stage).unwrap_or(u16::MAX);
+        let attempt = Attempt::new(self.id, stage, self.number);
+        let idempotent = self.stage().idempotent;
+        self.phase = Phase::Call(attempt);
+        self.exclude.push(server.clone());
+        if idempotent {
+            self.ran.idempotent = true;
+        } else {
+            // Until the driver says otherwise, the call may be under way.
+            self.ran.once = true;
+        }
+        Action::Call {
+            attempt,
+            server,
+            input: self.stage_input(),
+            from: self.emitted,
+            idempotent,
+        }
+    }
+
+    fn stage_input(&self) -> Value {
+        json!({ "request": self.input, "previous": self.previous })
+    }
+
+    fn leave_stage(&mut self, cx: Context, output: Value) -> Action {
+        let name = self.stage().name.clone();
+        let once = !self.stage().idempotent;
+        self.done.push(answer::Stage {
+            name,
+            took_ms: (cx.now - self.since).as_secs_f64() * 1_000.0,
+            cost: self.spent,
+            attempts: self.number + 1,
+        });
+        self.previous = output;
+        self.stage += 1;
+        if once && self.ran.claimed {
+            self.phase = Phase::Admission;
+            return Action::Settle {
+                output: self.previous.clone(),
+            };
+        }
+        self.next_stage(cx)
+    }
+
+    /// Goes on once the output of a claimed call was recorded, or could not be.
+    ///
+    /// The caller gets the answer either way: the call has run, and its claim keeps it from
+    /// running again.
+    pub fn settled(&mut self, cx: Context) -> Action {
+        self.next_stage(cx)
+    }
+
+    fn next_stage(&mut self, cx: Context) -> Action {
+        if self.stage < self.pipeline.stages.len() {
+            return self.enter_stage(cx);
+        }
+        self.phase = Phase::End;
+        Action::Finish(Answer {
+            code: Code::Answered,
+            outcome: Outcome::Answered,
+            output: self.previous.clone(),
+            retry_after: None,
+            stages: self.done.clone(),
+            detail: String::new(),
+        })
+    }
+
+    fn refuse_claim(&mut self, code: Code, detail: String) -> Action {
+        self.phase = Phase::End;
+        let outcome = match code.outcome() {
+            Outcome::NotRun => self.outcome(),
+            other => other,
+        };
+        let mut answer = Answer::refusal(code, detail).with_outcome(outcome);
+        if code.again() {
+            answer = answer.after(RETRY_AFTER);
+        }
+        Action::Finish(answer)
+    }
+
+    fn fail(&mut self, cx: Context, failure: Failure, cost: f64) -> Action {
+        self.spent += cost;
+        if !self.stage().idempotent {
+            if failure.may_have_run() {
+                return self.give_up(cx, Code::CallUnknown, "the call got no answer");
+            }
+            self.ran.once = false;
+        }
+        if let Failure::Refused { detail } = &failure {
+            let detail = detail.clone();
+            return self.refuse(Code::StageRefused, &detail, None);
+        }
+        self.last = Some(failure);
+        self.phase = Phase::Budget;
+        Action::AskRetry
+    }
+
+    fn retry(&mut self) -> Action {
+        self.number += 1;
+        self.pick()
+    }
+
+    fn deny_retry(&mut self) -> Action {
+        let (code, wait) = match self.last.take() {
+            Some(Failure::Busy { retry_after }) => (Code::Overloaded, retry_after),
+            _ => (Code::RetriesSpent, None),
+        };
+        self.refuse(code, code.title(), Some(wait.unwrap_or(RETRY_AFTER)))
+    }
+
+    fn refuse(&mut self, code: Code, detail: &str, retry_after: Option<Duration>) -> Action {
+        let mut answer = Answer::refusal(code, detail).with_outcome(self.outcome());
+        answer.retry_after = retry_after;
+        answer.stages.clone_from(&self.done);
+        self.phase = Phase::End;
+        if self.ran.claimed && !self.ran.once {
+            return Action::Release(answer);
+        }
+        Action::Finish(answer)
+    }
+
+    fn give_up(&mut self, _cx: Context, code: Code, detail: &str) -> Action {
+        match self.phase {
+            Phase::End => Action::Nothing,
+            // The claim may be won yet; only the ledger's driver can void it.
+            Phase::Claim => {
+                self.ran.claimed = true;
+                self.refuse(code, detail, Some(RETRY_AFTER))
+            }
+            _ if self.ran.once => {
+                let code = if self.stage_is_once() {
+                    Code::CallUnknown
+                } else {
+                    code
+                };
+                self.refuse(code, detail, code.again().then_some(RETRY_AFTER))
+            }
+            _ => self.refuse(code, detail, Some(RETRY_AFTER)),
+        }
+    }
+
+    fn stage_is_once(&self) -> bool {
+        self.pipeline
+            .stages
+            .get(self.stage)
+            .is_some_and(|stage| !stage.idempotent)
+    }
+
+    fn outcome(&self) -> Outcome {
+        if self.ran.once {
+            Outcome::Unknown
+        } else if self.ran.idempotent {
+            Outcome::Incomplete
+        } else {
+            Outcome::NotRun
+        }
+    }
+}
