--- /dev/null
+++ b/crates/front/src/ask.rs
@@ -0,0 +1,131 @@
+//! What a caller asks for.
+
+use core::time::Duration;
+
+use actix_web::HttpRequest;
+use base::{Code, Digest, Key, Name, Stamp};
+use flow::Answer;
+use serde::Deserialize;
+use serde_json::Value;
+
+use crate::Resume;
+
+const DEADLINE: &str = "Limpetstep-Deadline";
+const FIRST: &str = "Limpetstep-First";
+const KEY: &str = "Idempotency-Key";
+const LAST_EVENT: &str = "Last-Event-ID";
+
+/// The farthest deadline that a caller may name.
+const DEADLINE_LIMIT: Duration = Duration::from_secs(30 * 24 * 3600);
+
+/// A caller's request, read but not yet judged.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Ask {
+    /// The digest of pipeline and body, by which a repeat is told from another request.
+    pub body: Digest,
+    /// The digest of the bearer token.
+    pub credential: Digest,
+    /// The deadline, by the wall clock.
+    pub deadline: Option<Stamp>,
+    /// Whether the caller says that it never sent this key before.
+    pub first: bool,
+    /// The input of the pipeline.
+    pub input: Value,
+    /// The idempotency key.
+    pub key: Option<Key>,
+    /// The pipeline.
+    pub pipeline: Name,
+    /// Where to resume a stream that was cut.
+    pub resume: Option<Resume>,
+    /// Whether the caller takes an event stream.
+    pub stream: bool,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Body {
+    input: Value,
+}
+
+impl Ask {
+    /// Reads a request from its head and body.
+    ///
+    /// # Errors
+    ///
+    /// - `AccountUnknown`: there is no bearer token.
+    /// - `BodyInvalid`: the body is not `{"input": …}`.
+    /// - `DeadlineInvalid`: the deadline is malformed, has passed or is too far away.
+    /// - `KeyInvalid`: the key is not a UUID of version 7.
+    /// - `ResumeInvalid`: the last event's id is malformed.
+    pub fn read(
+        head: &HttpRequest,
+        pipeline: &str,
+        body: &[u8],
+        now: Stamp,
+    ) -> Result<Self, Answer> {
+        let credential = credential(head)?;
+        let key = key(head)?;
+        let deadline = deadline(head, now)?;
+        let resume = resume(head)?;
+        let content: Body = serde_json::from_slice(body)
+            .map_err(|error| Answer::refusal(Code::BodyInvalid, error.to_string()))?;
+        let canonical = content.input.to_string();
+        Ok(Self {
+            body: Digest::of_parts(&[pipeline.as_bytes(), canonical.as_bytes()]),
+            credential,
+            deadline,
+            first: header(head, FIRST) == Some("?1"),
+            input: content.input,
+            key,
+            pipeline: Name::from(pipeline),
+            resume,
+            stream: header(head, "Accept").is_some_and(|list| list.contains("text/event-stream")),
+        })
+    }
+}
+
+/// Reads the digest of the bearer token.
+pub(crate) fn credential(head: &HttpRequest) -> Result<Digest, Answer> {
+    header(head, "Authorization")
+        .and_then(|value| value.strip_prefix("Bearer "))
+        .map(|token| Digest::of(token.as_bytes()))
+        .ok_or_else(|| Answer::refusal(Code::AccountUnknown, "no bearer token"))
+}
+
+fn key(head: &HttpRequest) -> Result<Option<Key>, Answer> {
+    header(head, KEY)
+        .map(|text| Key::parse(text.trim_matches('"')))
+        .transpose()
+        .map_err(|error| Answer::refusal(Code::KeyInvalid, error.to_string()))
+}
+
+fn deadline(head: &HttpRequest, now: Stamp) -> Result<Option<Stamp>, Answer> {
+    let Some(text) = header(head, DEADLINE) else {
+        return Ok(None);
+    };
+    let refuse = |detail: &str| Answer::refusal(Code::DeadlineInvalid, detail);
+    let millis = text
+        .parse()
+        .map_err(|_| refuse("the deadline is not a number of milliseconds since the epoch"))?;
+    let deadline = Stamp::from_millis(millis);
+    if deadline <= now {
+        return Err(refuse("the deadline has passed"));
+    }
+    if deadline - now > DEADLINE_LIMIT {
+        return Err(refuse("the deadline is over 30 days away"));
+    }
+    Ok(Some(deadline))
+}
+
+fn resume(head: &HttpRequest) -> Result<Option<Resume>, Answer> {
+    let Some(text) = header(head, LAST_EVENT) else {
+        return Ok(None);
+    };
+    let resume = Resume::parse(text);
+    let refusal = || Answer::refusal(Code::ResumeInvalid, "the last event's id is malformed");
+    resume.map(Some).ok_or_else(refusal)
+}
+
+fn header<'a>(head: &'a HttpRequest, name: &str) -> Option<&'a str> {
+    head.headers().get(name)?.to_str().ok()
+}
--- /dev/null
+++ b/crates/front/src/problem.rs
@@ -0,0 +1,35 @@
+//! Whole answers and problems as HTTP responses.
+
+use actix_web::{HttpResponse, http::StatusCode};
+use base::{Code, Key, request::Id};
+use flow::Answer;
+
+use crate::body;
+
+/// Returns the response for an answer.
+///
+/// # Examples
+///
+/// ```
+/// use base::{Code, request::Id};
+/// let answer = flow::Answer::refusal(Code::BodyInvalid, "line 1");
+/// let response = front::problem::respond(&answer, Id::from_random(1), None);
+/// assert_eq!(response.status(), 400);
+/// ```
+pub fn respond(answer: &Answer, request: Id, key: Option<Key>) -> HttpResponse {
+    let status =
+        StatusCode::from_u16(answer.code.status()).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let mut response = HttpResponse::build(status);
+    if let Some(wait) = answer.retry_after {
+        // The header counts whole seconds; the body has the exact wait.
+        let seconds = wait.as_millis().div_ceil(1_000).max(1);
+        response.insert_header(("Retry-After", seconds.to_string()));
+    }
+    response.insert_header(("Limpetstep-Request", request.to_string()));
+    let kind = match answer.code {
+        Code::Accepted | Code::Answered => "application/json",
+        _ => "application/problem+json",
+    };
+    response.content_type(kind);
+    response.body(body::of(answer, request, key).to_string())
+}
--- /dev/null
+++ b/crates/front/src/routes.rs
@@ -0,0 +1,101 @@
+//! Routes for callers.
+
+use std::rc::Rc;
+
+use actix_web::{HttpRequest, HttpResponse, error::PayloadError, web};
+use base::{Code, Key, request::Id};
+use bytes::{Bytes, BytesMut};
+use flow::Answer;
+use futures_util::StreamExt as _;
+use tokio::sync::mpsc;
+
+use crate::{Ask, Frame, Reply, Service, ask, problem};
+
+/// Adds the routes for callers, served by a service.
+///
+/// - `POST /v1/pipelines/{pipeline}`: sends a request.
+/// - `GET /v1/requests/{key}`: asks what became of one.
+pub fn configure<S: Service>(config: &mut web::ServiceConfig, service: Rc<S>) {
+    config
+        .app_data(web::Data::new(service))
+        .route("/v1/pipelines/{pipeline}", web::post().to(send::<S>))
+        .route("/v1/requests/{key}", web::get().to(status::<S>));
+}
+
+async fn send<S: Service>(
+    service: web::Data<Rc<S>>,
+    head: HttpRequest,
+    pipeline: web::Path<String>,
+    payload: web::Payload,
+) -> HttpResponse {
+    let id = service.id();
+    let ask = match read(&***service, &head, &pipeline, payload).await {
+        Ok(ask) => ask,
+        Err(answer) => return problem::respond(&answer, id, None),
+    };
+    let key = ask.key;
+    match service.serve(id, ask).await {
+        Reply::Whole(answer) => problem::respond(&answer, id, key),
+        Reply::Stream(frames) => stream(frames, id, key),
+    }
+}
+
+async fn read<S: Service>(
+    service: &S,
+    head: &HttpRequest,
+    pipeline: &str,
+    payload: web::Payload,
+) -> Result<Ask, Answer> {
+    let body = read_body(payload, service.body_limit()).await?;
+    Ask::read(head, pipeline, &body, service.now())
+}
+
+async fn read_body(mut payload: web::Payload, limit: usize) -> Result<BytesMut, Answer> {
+    let mut body = BytesMut::new();
+    while let Some(chunk) = payload.next().await {
+        let chunk = chunk.map_err(|error| broken(&error))?;
+        if body.len() + chunk.len() > limit {
+            let detail = format!("the body is over {limit} bytes");
+            return Err(Answer::refusal(Code::BodyTooLarge, detail));
+        }
+        body.extend_from_slice(&chunk);
+    }
+    Ok(body)
+}
+
+fn broken(error: &PayloadError) -> Answer {
+    Answer::refusal(Code::BodyInvalid, error.to_string())
+}
+
+fn stream(frames: mpsc::Receiver<Frame>, id: Id, key: Option<Key>) -> HttpResponse {
+    let events = futures_util::stream::unfold(frames, move |mut frames| async move {
+        let frame = frames.recv().await?;
+        Some((Ok::<Bytes, actix_web::Error>(frame.write(id, key)), frames))
+    });
+    HttpResponse::Ok()
+        .content_type("text/event-stream")
+        .insert_header(("Cache-Control", "no-store"))
+        .insert_header(("Limpetstep-Request", id.to_string()))
+        .streaming(events)
+}
+
+async fn status<S: Service>(
+    service: web::Data<Rc<S>>,
+    head: HttpRequest,
+    key: web::Path<String>,
+) -> HttpResponse {
+    let id = service.id();
+    let credential = match ask::credential(&head) {
+        Ok(credential) => credential,
+        Err(answer) => return problem::respond(&answer, id, None),
+    };
+    let key = match Key::parse(&key) {
+        Ok(key) => key,
+        Err(error) => {
+            let answer = Answer::refusal(Code::KeyInvalid, error.to_string());
+            return problem::respond(&answer, id, None);
+        }
+    };
+    let answer = service.status(credential, key).await;
+    problem::respond(&answer, id, Some(key))
+}
--- /dev/null
+++ b/crates/front/src/service.rs
@@ -0,0 +1,35 @@
+//! The port behind which requests are served.
+
+use core::future::Future;
+
+use base::{Digest, Key, Stamp, request::Id};
+use flow::Answer;
+use tokio::sync::mpsc;
+
+use crate::{Ask, Frame};
+
+/// How an answer is given.
+pub enum Reply {
+    /// The whole answer, or a refusal.
+    Whole(Answer),
+    /// An event stream; dropping the receiver cancels the request.
+    Stream(mpsc::Receiver<Frame>),
+}
+
+/// Serves requests.
+pub trait Service: 'static {
+    /// Returns the largest body taken, in bytes.
+    fn body_limit(&self) -> usize;
+
+    /// Returns a new request id.
+    fn id(&self) -> Id;
+
+    /// Returns the wall-clock time.
+    fn now(&self) -> Stamp;
+
+    /// Serves one request.
+    fn serve(&self, id: Id, ask: Ask) -> impl Future<Output = Reply>;
+
+    /// Tells what is known of an earlier request of the account with a credential.
+    fn status(&self, credential: Digest, key: Key) -> impl Future<Output = Answer>;
+}
