Pick backend servers by expected wait

A routing decision needs one place that counts own attempts, ages load reports and knows which servers fail or are slow. The table takes events and gives picks, without I/O, so that the entry instance and the trials drive the same code.

Weighed: fewest in flight over the whole pool (herds on stale reports) and random choice (ignores queues); a few random choices by expected wait avoid both. A holder of the prefix joins the candidates and is scored by prefill saved against wait added.

--- /dev/null
+++ b/crates/route/src/choose.rs
@@ -0,0 +1,125 @@
+//! Picks the candidate on which an attempt is expected to end soonest.
+
+use core::time::Duration;
+
+use base::Code;
+use rand::RngExt;
+
+use crate::{
+    configs::Config,
+    health::Use,
+    pool::Pool,
+    state::State,
+    table::{Ask, Context, Error, Pick},
+};
+
+/// Picks a server of a pool.
+pub(crate) fn choose(
+    config: &Config,
+    pool: &Pool,
+    cx: &mut Context<'_>,
+    ask: &Ask<'_>,
+) -> Result<Pick, Error> {
+    let (local, remote) = usable(config, pool, cx, ask);
+    let mut candidates = sample(cx.rng, &local, config.choose.local);
+    candidates.extend(sample(cx.rng, &remote, config.choose.remote));
+    candidates.extend(holders(config, pool, ask, &local, &remote));
+    let best = candidates
+        .into_iter()
+        .map(|at| (at, score(config, pool, cx, ask, &pool.servers[at])))
+        .min_by(|a, b| a.1.total_cmp(&b.1));
+    let Some((at, _)) = best else {
+        return Err(unavailable(config, pool, cx));
+    };
+    Ok(pick(config, pool, cx, ask, &pool.servers[at]))
+}
+
+fn usable(
+    config: &Config,
+    pool: &Pool,
+    cx: &Context<'_>,
+    ask: &Ask<'_>,
+) -> (Vec<usize>, Vec<usize>) {
+    (0..pool.servers.len())
+        .filter(|at| {
+            let state = &pool.servers[*at];
+            state.usable(config, cx.now)
+                && !ask.exclude.contains(&state.server.incarnation)
+                && (!ask.alone || state.in_flight() == 0)
+        })
+        .partition(|at| pool.servers[*at].server.domain == *cx.own_domain)
+}
+
+fn sample(rng: &mut dyn rand::Rng, from: &[usize], count: usize) -> Vec<usize> {
+    if from.len() <= count {
+        return from.to_vec();
+    }
+    (0..count)
+        .map(|_| from[rng.random_range(0..from.len())])
+        .collect()
+}
+
+fn holders(
+    config: &Config,
+    pool: &Pool,
+    ask: &Ask<'_>,
+    local: &[usize],
+    remote: &[usize],
+) -> Vec<usize> {
+    let Some(prefix) = ask.prefix else {
+        return Vec::new();
+    };
+    let mut held: Vec<usize> = local
+        .iter()
+        .chain(remote)
+        .copied()
+        .filter(|at| pool.servers[*at].index.holds(prefix))
+        .collect();
+    held.sort_by_key(|at| pool.servers[*at].in_flight());
+    held.truncate(config.choose.holders);
+    held
+}
+
+fn score(config: &Config, pool: &Pool, cx: &Context<'_>, ask: &Ask<'_>, state: &State) -> f64 {
+    let hop = if state.server.domain == *cx.own_domain {
+        0.0
+    } else {
+        config.choose.hop.as_secs_f64()
+    };
+    let chance = ask.prefix.map_or(0.0, |prefix| state.index.chance(prefix));
+    let saved = config.choose.token.as_secs_f64() * f64::from(ask.prefill_tokens) * chance;
+    state.expected(config, cx.now, pool.typical()) + hop - saved
+}
+
+fn pick(config: &Config, pool: &Pool, cx: &Context<'_>, ask: &Ask<'_>, state: &State) -> Pick {
+    let typical = pool.typical();
+    Pick {
+        incarnation: state.server.incarnation.clone(),
+        address: state.server.address,
+        expected_wait: Duration::from_secs_f64(state.wait(config, cx.now, typical)),
+        expected: Duration::from_secs_f64(state.expected(config, cx.now, typical)),
+        cached: ask.prefix.is_some_and(|prefix| state.index.holds(prefix)),
+    }
+}
+
+fn unavailable(config: &Config, pool: &Pool, cx: &mut Context<'_>) -> Error {
+    let soonest = pool
+        .servers
+        .iter()
+        .filter(|state| state.present && !state.server.leaving)
+        .map(|state| match state.health.allows(cx.now) {
+            Use::None(until) => until,
+            Use::Free | Use::Limited(_) => cx.now + config.health.backoff,
+        })
+        .min();
+    let wait = soonest.unwrap_or(cx.now + config.health.backoff_max) - cx.now;
+    Error {
+        code: Code::StageUnavailable,
+        retry_after: spread(cx, wait.max(config.health.backoff)),
+    }
+}
+
+/// Lengthens a wait by up to its own length, so that callers don't return together.
+fn spread(cx: &mut Context<'_>, wait: Duration) -> Duration {
+    wait.mul_f64(cx.rng.random_range(1.0..2.0))
+}
--- /dev/null
+++ b/crates/route/src/configs/choose.rs
@@ -0,0 +1,30 @@
+//! Settings of the choice among candidates.
+
+use core::time::Duration;
+
+/// Settings of the choice among candidates.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Config {
+    /// Random candidates from the own failure domain.
+    pub local: usize,
+    /// Random candidates from other failure domains.
+    pub remote: usize,
+    /// Candidates that are believed to hold the prefix.
+    pub holders: usize,
+    /// What a hop into another failure domain counts for, as added wait.
+    pub hop: Duration,
+    /// Prefill time that one cached token saves.
+    pub token: Duration,
+}
+
+impl Default for Config {
+    fn default() -> Self {
+        Self {
+            local: 2,
+            remote: 2,
+            holders: 2,
+            hop: Duration::from_millis(2),
+            token: Duration::from_micros(100),
+        }
+    }
+}
--- /dev/null
+++ b/crates/route/src/configs/mod.rs
@@ -0,0 +1,22 @@
+//! Settings, one structure for each feature.
+
+pub mod cache;
+pub mod choose;
+pub mod health;
+pub mod pace;
+pub mod state;
+
+/// Every setting of a [`crate::Table`].
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Config {
+    /// Prefix indexes.
+    pub cache: cache::Config,
+    /// The choice among candidates.
+    pub choose: choose::Config,
+    /// Ejection and return.
+    pub health: health::Config,
+    /// Measured service times.
+    pub pace: pace::Config,
+    /// Load of one server.
+    pub state: state::Config,
+}
--- /dev/null
+++ b/crates/route/src/pool.rs
@@ -0,0 +1,114 @@
+//! The servers of one pool and what is typical of them.
+
+use base::{Incarnation, Name, Tick};
+
+use crate::{configs::Config, health::Health, server::Server, state::State};
+
+/// One pool.
+#[derive(Clone, Debug)]
+pub struct Pool {
+    /// Its name.
+    pub name: Name,
+    /// Its servers, sorted by incarnation.
+    pub servers: Vec<State>,
+    typical: f64,
+    refreshed: Option<Tick>,
+}
+
+impl Pool {
+    /// Starts out empty.
+    pub fn new(config: &Config, name: Name) -> Self {
+        Self {
+            name,
+            servers: Vec::new(),
+            typical: config.pace.initial.as_secs_f64(),
+            refreshed: None,
+        }
+    }
+
+    /// Takes the servers that membership names; those gone stay until their attempts end.
+    pub fn set(&mut self, servers: &[Server]) {
+        for state in &mut self.servers {
+            state.present = false;
+        }
+        for server in servers {
+            match self.find(&server.incarnation) {
+                Ok(at) => {
+                    let state = &mut self.servers[at];
+                    let leaving = state.server.leaving || server.leaving;
+                    state.server = server.clone();
+                    state.server.leaving = leaving;
+                    state.present = true;
+                }
+                Err(at) => self.servers.insert(at, State::new(server.clone())),
+            }
+        }
+        self.sweep();
+    }
+
+    /// Drops servers that are gone and have no attempt in flight.
+    pub fn sweep(&mut self) {
+        self.servers
+            .retain(|state| state.present || state.in_flight() > 0);
+    }
+
+    /// Returns the median service time, in seconds.
+    pub const fn typical(&self) -> f64 {
+        self.typical
+    }
+
+    /// Works out what is typical and ejects slow servers, when that is due.
+    pub fn refresh(&mut self, config: &Config, now: Tick) {
+        if self
+            .refreshed
+            .is_some_and(|at| now - at < config.pace.refresh)
+        {
+            return;
+        }
+        self.refreshed = Some(now);
+        let mut paces: Vec<f64> = self
+            .servers
+            .iter()
+            .filter(|state| state.present)
+            .filter_map(|state| state.pace.warm(&config.pace))
+            .collect();
+        if paces.is_empty() {
+            return;
+        }
+        let middle = (paces.len() - 1) / 2;
+        self.typical = *paces.select_nth_unstable_by(middle, f64::total_cmp).1;
+        self.eject(config, now);
+    }
+
+    /// Finds a server.
+    pub fn find(&self, incarnation: &Incarnation) -> Result<usize, usize> {
+        self.servers
+            .binary_search_by(|state| state.server.incarnation.cmp(incarnation))
+    }
+
+    fn eject(&mut self, config: &Config, now: Tick) {
+        let present = self.servers.iter().filter(|state| state.present).count();
+        let most = (present as f64 * config.health.ejected_share) as usize;
+        let mut ejected = self
+            .servers
+            .iter()
+            .filter(|state| state.present && state.health.is_ejected())
+            .count();
+        let bound = self.typical * config.health.slow_ratio;
+        for state in self.servers.iter_mut().filter(|state| state.present) {
+            if ejected >= most {
+                return;
+            }
+            let slow = state
+                .pace
+                .warm(&config.pace)
+                .is_some_and(|pace| pace > bound);
+            if slow && state.health == Health::Good {
+                state.ejections += 1;
+                state.health.eject(&config.health, now, state.ejections);
+                state.pace.reset();
+                ejected += 1;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/route/src/table.rs
@@ -0,0 +1,189 @@
+//! The table of pools that one entry instance picks from.
+
+use core::time::Duration;
+use std::net::SocketAddr;
+
+use base::{Code, Incarnation, Name, Tick};
+use thiserror::Error;
+
+use crate::{choose::choose, configs::Config, event::Event, pool::Pool, server::Server};
+
+/// What a choice may see of the world.
+pub struct Context<'a> {
+    /// The present instant.
+    pub now: Tick,
+    /// Randomness.
+    pub rng: &'a mut dyn rand::Rng,
+    /// The failure domain of this instance.
+    pub own_domain: &'a Name,
+}
+
+/// What is asked of a choice.
+#[derive(Clone, Copy, Debug)]
+pub struct Ask<'a> {
+    /// The pool.
+    pub pool: &'a str,
+    /// The digest of the prompt prefix, where there is one.
+    pub prefix: Option<u64>,
+    /// Tokens of the prefix, which a cache hit saves.
+    pub prefill_tokens: u32,
+    /// Servers not to be picked, such as those already tried.
+    pub exclude: &'a [Incarnation],
+    /// Whether the server must have no other attempt of this instance in flight.
+    pub alone: bool,
+}
+
+impl<'a> Ask<'a> {
+    /// Asks for any server of a pool.
+    pub const fn any(pool: &'a str) -> Self {
+        Self {
+            pool,
+            prefix: None,
+            prefill_tokens: 0,
+            exclude: &[],
+            alone: false,
+        }
+    }
+}
+
+/// The server picked.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Pick {
+    /// The server.
+    pub incarnation: Incarnation,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// The expected time in its queue.
+    pub expected_wait: Duration,
+    /// The expected time until the attempt ends.
+    pub expected: Duration,
+    /// Whether it is believed to hold the prefix.
+    pub cached: bool,
+}
+
+/// Why no server was picked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+#[error("{code}; try again in {retry_after:?}")]
+pub struct Error {
+    /// The result code.
+    pub code: Code,
+    /// When trying again may help; spread, so that callers don't return together.
+    pub retry_after: Duration,
+}
+
+/// Every pool, with what is known of its servers.
+///
+/// # Examples
+///
+/// ```
+/// use base::{Incarnation, Name, Stamp, Tick};
+/// use rand::{SeedableRng, rngs::SmallRng};
+/// use route::{Ask, Context, Server, Table};
+///
+/// let server = Server {
+///     incarnation: Incarnation::new("runner-1", Stamp::from_millis(1)),
+///     domain: Name::from("north"),
+///     address: "127.0.0.1:9000".parse().unwrap(),
+///     concurrency: 8,
+///     leaving: false,
+/// };
+/// let mut table = Table::default();
+/// table.set("runners", &[server.clone()]);
+/// let mut rng = SmallRng::seed_from_u64(1);
+/// let mut cx = Context { now: Tick::default(), rng: &mut rng, own_domain: &server.domain };
+/// let pick = table.pick(&mut cx, &Ask::any("runners")).unwrap();
+/// assert_eq!(pick.incarnation, server.incarnation);
+/// assert!(table.pick(&mut cx, &Ask::any("encoders")).is_err());
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct Table {
+    config: Config,
+    pools: Vec<Pool>,
+}
+
+impl Table {
+    /// Makes an empty table.
+    pub const fn new(config: Config) -> Self {
+        Self {
+            config,
+            pools: Vec::new(),
+        }
+    }
+
+    /// Takes the servers of a pool; each server belongs to one pool.
+    ///
+    /// - A server no longer named keeps its attempts in flight until they end and gets nothing new.
+    /// - A server once seen leaving stays so, whatever a later list says.
+    pub fn set(&mut self, pool: &str, servers: &[Server]) {
+        let at = match self.find(pool) {
+            Ok(at) => at,
+            Err(at) => {
+                self.pools
+                    .insert(at, Pool::new(&self.config, Name::from(pool)));
+                at
+            }
+        };
+        self.pools[at].set(servers);
+    }
+
+    /// Picks a server; the caller then reports [`Event::Started`].
+    ///
+    /// # Errors
+    ///
+    /// - The pool is unknown or has no server that may be used now.
+    /// - Every usable server is excluded, or busy where `alone` is asked.
+    pub fn pick(&mut self, cx: &mut Context<'_>, ask: &Ask<'_>) -> Result<Pick, Error> {
+        let Ok(at) = self.find(ask.pool) else {
+            return Err(Error {
+                code: Code::StageUnavailable,
+                retry_after: self.config.health.backoff_max,
+            });
+        };
+        let pool = &mut self.pools[at];
+        pool.refresh(&self.config, cx.now);
+        choose(&self.config, pool, cx, ask)
+    }
+
+    /// Takes an event; one about an unknown server or attempt is ignored.
+    pub fn on(&mut self, now: Tick, event: Event) {
+        let config = &self.config;
+        let found = self.pools.iter_mut().find_map(|pool| {
+            let at = pool.find(event.server()).ok()?;
+            Some((pool, at))
+        });
+        let Some((pool, at)) = found else {
+            return;
+        };
+        let state = &mut pool.servers[at];
+        match event {
+            Event::Started {
+                attempt, prefix, ..
+            } => state.started(config, now, attempt, prefix),
+            Event::FirstByte { .. } => {}
+            Event::Finished { attempt, took, .. } => state.finished(config, now, attempt, took),
+            Event::Failed { attempt, kind, .. } => state.failed(config, now, attempt, kind),
+            Event::Load {
+                running,
+                waiting,
+                age,
+                ..
+            } => state.load(now, running.saturating_add(waiting), age),
+            Event::Cache { seq, change, .. } => state.index.on(&config.cache, seq, change),
+            Event::CacheMiss { prefix, .. } => state.missed(config, prefix),
+            Event::Leaving { .. } => state.server.leaving = true,
+        }
+        if !state.present && state.in_flight() == 0 {
+            pool.sweep();
+        }
+    }
+
+    /// Returns the pools, sorted by name.
+    pub fn pools(&self) -> &[Pool] {
+        &self.pools
+    }
+
+    fn find(&self, pool: &str) -> Result<usize, usize> {
+        self.pools
+            .binary_search_by(|item| item.name.as_str().cmp(pool))
+    }
+}
