Define the messages between instances and commit their code

The build must not need protoc, so the code comes from protox and tonic-prost-build and is committed.

--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,1 +1,25 @@
-//! Messages between instances.
+//! Messages between instances, as protocol buffers.
+//!
+//! The code is generated from `proto/peer.proto` by `cargo run -p wiregen` and committed.
+//!
+//! # Examples
+//!
+//! ```
+//! use wire::{Message as _, Want};
+//! let want = Want { offset: 7, digest: vec![1; 32] };
+//! assert_eq!(Want::decode(want.encode_to_vec().as_slice()).unwrap(), want);
+//! ```
+
+#[expect(
+    missing_docs,
+    clippy::all,
+    reason = "generated code"
+)]
+#[rustfmt::skip]
+mod generated {
+    include!("generated/limpetstep.peer.v1.rs");
+}
+
+pub use prost::Message;
+
+pub use self::generated::*;
--- a/crates/wiregen/src/main.rs
+++ b/crates/wiregen/src/main.rs
@@ -1,3 +1,7 @@
 //! Writes the generated code of the wire crate.
 
-fn main() {}
+use std::io;
+
+fn main() -> io::Result<()> {
+    wiregen::generate(&wiregen::home().join("src/generated"))
+}
