ledger: let a holder prepare a call again that is known not to have run

Cause: a client library cannot tell the holder when the first byte leaves, so the driver reports the call as written before it is handed over; a connection that could not be opened then looked like a lost call and ended as unknown. Change: an event that takes the holder back to where it may try another server or release the claim.

--- a/crates/ledger/src/claim.rs
+++ b/crates/ledger/src/claim.rs
@@ -58,6 +58,9 @@
         /// The reason to report if none has.
         code: Code,
     },
+    /// The call is known not to have run: no connection could be opened, or the server turned it
+    /// away. It may be prepared again, or given up.
+    CallRefused,
     /// The instance that holds the slot is known to be gone for good.
     HolderLost(Incarnation),
     /// Time passed.
@@ -151,6 +154,7 @@
             Event::CallWritten => self.written(),
             Event::CallAnswered(answer) => self.answered(now, answer),
             Event::CallFailed { written, code } => self.failed(now, written, code),
+            Event::CallRefused => self.call_refused(),
             Event::HolderLost(incarnation) => self.holder_lost(&incarnation),
             Event::Tick => self.tick(now),
         }
@@ -314,6 +318,13 @@
         }
     }
 
+    fn call_refused(&mut self) -> Vec<Action> {
+        if self.phase == Phase::Written {
+            self.phase = Phase::Calling;
+        }
+        Vec::new()
+    }
+
     fn holder_lost(&mut self, incarnation: &Incarnation) -> Vec<Action> {
         match &self.phase {
             Phase::Attached { holder, .. } if holder == incarnation => {
