--- /dev/null
+++ b/crates/entry/src/control.rs
@@ -0,0 +1,7 @@
+//! The control side: actors that follow the platform and the peers.
+//!
+//! It has a thread of its own, so that its processor time can be told from the serving side's.
+
+pub mod config;
+pub mod ledger;
+pub mod roster;
--- /dev/null
+++ b/crates/entry/src/settings.rs
@@ -0,0 +1,266 @@
+//! Settings of an entry instance: flags, each also an environment variable; flags go first.
+
+use core::{fmt, net::SocketAddr, str::FromStr, time::Duration};
+use std::env;
+
+use argh::FromArgs;
+use base::{Digest, Name};
+
+/// Serves multi-stage model pipelines as one entry instance. Each flag is also an environment
+/// variable: LIMPETSTEP_ and the flag's name in capitals, with underscores. Flags go first.
+#[derive(Clone, Debug, Default, FromArgs)]
+pub struct Flags {
+    /// where callers connect: IP:PORT (default 127.0.0.1:8080; port 0 takes a free one)
+    #[argh(option)]
+    pub address: Option<String>,
+    /// check the settings, print them and exit
+    #[argh(switch)]
+    pub check: bool,
+    /// the failure domain of this instance: a name (default local)
+    #[argh(option)]
+    pub domain: Option<String>,
+    /// after a stop signal, how long to go on accepting while the balancer lags: milliseconds, 0 to 600000 (default 5000)
+    #[argh(option)]
+    pub drain_ms: Option<String>,
+    /// the form of log lines: text or json (default text)
+    #[argh(option)]
+    pub log_format: Option<String>,
+    /// the least severe log lines written: error, warn, info, debug or trace (default info)
+    #[argh(option)]
+    pub log_level: Option<String>,
+    /// the name of this instance, unique in the deployment (default entry)
+    #[argh(option)]
+    pub name: Option<String>,
+    /// where peers connect: IP:PORT (default 127.0.0.1:0, which takes a free port)
+    #[argh(option)]
+    pub peer_address: Option<String>,
+    /// the base URL of the platform's services: http://IP:PORT (required)
+    #[argh(option)]
+    pub platform: Option<String>,
+    /// the time limit of one call of the platform: milliseconds, 10 to 60000 (default 1000)
+    #[argh(option)]
+    pub platform_limit_ms: Option<String>,
+    /// how often to read configuration and the instance list: milliseconds, 10 to 15000 (default 500)
+    #[argh(option)]
+    pub poll_ms: Option<String>,
+    /// the longest wait for a backend server's next sign of progress: milliseconds, 10 to 600000 (default 10000)
+    #[argh(option)]
+    pub progress_ms: Option<String>,
+    /// public keys that the first bundle's signers must be among: 64 hexadecimal digits each, comma-separated (required)
+    #[argh(option)]
+    pub root_keys: Option<String>,
+}
+
+/// The form of log lines.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Format {
+    /// One JSON object a line.
+    Json,
+    /// Plain text.
+    #[default]
+    Text,
+}
+
+/// Checked settings.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Where callers connect.
+    pub address: SocketAddr,
+    /// The failure domain of this instance.
+    pub domain: Name,
+    /// How long to go on accepting after a stop signal.
+    pub drain: Duration,
+    /// The form of log lines.
+    pub log_format: Format,
+    /// The least severe log lines written.
+    pub log_level: log::LevelFilter,
+    /// The name of this instance.
+    pub name: Name,
+    /// Where peers connect.
+    pub peer_address: SocketAddr,
+    /// The base URL of the platform's services.
+    pub platform: String,
+    /// The time limit of one call of the platform.
+    pub platform_limit: Duration,
+    /// How often to read configuration and the instance list.
+    pub poll: Duration,
+    /// The longest wait for a backend server's next sign of progress.
+    pub progress: Duration,
+    /// Public keys that the first bundle's signers must be among.
+    pub root_keys: Vec<Digest>,
+}
+
+/// One setting that is missing or out of its range.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Fault {
+    /// The name of the flag.
+    pub setting: &'static str,
+    /// The value given; empty where none was.
+    pub value: String,
+    /// What is allowed.
+    pub allowed: &'static str,
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        if self.value.is_empty() {
+            return write!(f, "--{} is missing; allowed: {}", self.setting, self.allowed);
+        }
+        let (setting, value, allowed) = (self.setting, &self.value, self.allowed);
+        write!(f, "--{setting} is '{value}'; allowed: {allowed}")
+    }
+}
+
+impl Settings {
+    /// Checks flags and environment, and returns the settings or every fault at once.
+    ///
+    /// # Errors
+    ///
+    /// One fault for each setting that is missing, malformed or out of its range.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use entry::settings::{Flags, Settings};
+    /// let flags = Flags { poll_ms: Some("never".into()), ..Flags::default() };
+    /// let faults = Settings::check(&flags, |_| None).unwrap_err();
+    /// let names: Vec<_> = faults.iter().map(|fault| fault.setting).collect();
+    /// assert_eq!(names, ["platform", "poll-ms", "root-keys"]);
+    /// ```
+    pub fn check(
+        flags: &Flags,
+        variable: impl Fn(&str) -> Option<String>,
+    ) -> Result<Self, Vec<Fault>> {
+        let mut reader = Reader {
+            variable: &variable,
+            faults: Vec::new(),
+        };
+        let settings = Self {
+            address: reader.parse("address", &flags.address, "127.0.0.1:8080", ADDRESS),
+            domain: Name::from(reader.text("domain", &flags.domain, "local")),
+            drain: reader.millis("drain-ms", &flags.drain_ms, "5000", 0, 600_000),
+            log_format: reader.format(&flags.log_format),
+            log_level: reader.parse("log-level", &flags.log_level, "info", LEVELS),
+            name: Name::from(reader.text("name", &flags.name, "entry")),
+            peer_address: reader.parse("peer-address", &flags.peer_address, "127.0.0.1:0", ADDRESS),
+            platform: reader.platform(&flags.platform),
+            platform_limit: reader.millis(
+                "platform-limit-ms",
+                &flags.platform_limit_ms,
+                "1000",
+                10,
+                60_000,
+            ),
+            poll: reader.millis("poll-ms", &flags.poll_ms, "500", 10, 15_000),
+            progress: reader.millis("progress-ms", &flags.progress_ms, "10000", 10, 600_000),
+            root_keys: reader.keys(&flags.root_keys),
+        };
+        if reader.faults.is_empty() {
+            return Ok(settings);
+        }
+        Err(reader.faults)
+    }
+
+    /// Checks flags and the process's environment.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Settings::check`].
+    pub fn from_process(flags: &Flags) -> Result<Self, Vec<Fault>> {
+        Self::check(flags, |name| env::var(name).ok())
+    }
+}
+
+const ADDRESS: &str = "IP:PORT, such as 127.0.0.1:8080";
+const LEVELS: &str = "error, warn, info, debug or trace";
+const MILLIS: &str = "a whole number of milliseconds within the range that --help states";
+
+struct Reader<'a> {
+    variable: &'a dyn Fn(&str) -> Option<String>,
+    faults: Vec<Fault>,
+}
+
+impl Reader<'_> {
+    fn text(&self, setting: &str, flag: &Option<String>, default: &str) -> String {
+        let variable = format!("LIMPETSTEP_{}", setting.to_uppercase().replace('-', "_"));
+        flag.clone()
+            .or_else(|| (self.variable)(&variable))
+            .unwrap_or_else(|| default.to_owned())
+    }
+
+    fn fault(&mut self, setting: &'static str, value: String, allowed: &'static str) {
+        self.faults.push(Fault {
+            setting,
+            value,
+            allowed,
+        });
+    }
+
+    fn parse<T: FromStr>(
+        &mut self,
+        setting: &'static str,
+        flag: &Option<String>,
+        default: &str,
+        allowed: &'static str,
+    ) -> T {
+        let text = self.text(setting, flag, default);
+        if let Ok(value) = text.parse() {
+            return value;
+        }
+        self.fault(setting, text, allowed);
+        let Ok(value) = default.parse() else {
+            unreachable!("the default of --{setting} is valid")
+        };
+        value
+    }
+
+    fn millis(
+        &mut self,
+        setting: &'static str,
+        flag: &Option<String>,
+        default: &str,
+        least: u64,
+        most: u64,
+    ) -> Duration {
+        let millis: u64 = self.parse(setting, flag, default, MILLIS);
+        if !(least..=most).contains(&millis) {
+            self.fault(setting, millis.to_string(), MILLIS);
+        }
+        Duration::from_millis(millis)
+    }
+
+    fn format(&mut self, flag: &Option<String>) -> Format {
+        let text = self.text("log-format", flag, "text");
+        match text.as_str() {
+            "json" => Format::Json,
+            "text" => Format::Text,
+            _ => {
+                self.fault("log-format", text, "text or json");
+                Format::Text
+            }
+        }
+    }
+
+    fn platform(&mut self, flag: &Option<String>) -> String {
+        let text = self.text("platform", flag, "");
+        let valid = text
+            .strip_prefix("http://")
+            .is_some_and(|rest| rest.trim_end_matches('/').parse::<SocketAddr>().is_ok());
+        if !valid {
+            self.fault("platform", text.clone(), "http://IP:PORT");
+        }
+        text
+    }
+
+    fn keys(&mut self, flag: &Option<String>) -> Vec<Digest> {
+        let text = self.text("root-keys", flag, "");
+        let keys: Option<Vec<_>> = text.split(',').map(|key| Digest::parse(key.trim())).collect();
+        if let Some(mut keys) = keys {
+            keys.sort_unstable();
+            return keys;
+        }
+        let allowed = "64 hexadecimal digits for each key, comma-separated";
+        self.fault("root-keys", text, allowed);
+        Vec::new()
+    }
+}
--- /dev/null
+++ b/crates/entry/src/shared.rs
@@ -0,0 +1,51 @@
+//! What every part of one instance shares.
+
+use std::sync::{
+    Arc,
+    atomic::{AtomicBool, Ordering},
+};
+
+use actix::Addr;
+use base::Incarnation;
+use tokio::sync::watch;
+
+use crate::{
+    clock::Clock,
+    control::ledger::Ledger,
+    metrics::Metrics,
+    settings::Settings,
+    view::{Force, Servers},
+};
+
+/// Shared by the control side and the serving side.
+#[derive(Clone)]
+pub struct Shared {
+    /// The clocks.
+    pub clock: Clock,
+    /// The configuration in force.
+    pub force: watch::Receiver<Force>,
+    /// The name and the start of this instance.
+    pub incarnation: Incarnation,
+    /// The ledger's actor.
+    pub ledger: Addr<Ledger>,
+    /// Metrics.
+    pub metrics: Arc<Metrics>,
+    /// Backend servers.
+    pub servers: watch::Receiver<Servers>,
+    /// Settings.
+    pub settings: Arc<Settings>,
+    /// Set once the instance is to stop.
+    pub stopping: Arc<AtomicBool>,
+}
+
+impl Shared {
+    /// Tells whether the instance is to stop.
+    pub fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::Relaxed)
+    }
+
+    /// Tells whether the instance can serve: it has a configuration and is not stopping.
+    pub fn is_ready(&self) -> bool {
+        !self.is_stopping() && self.force.borrow().is_some()
+    }
+}
