Admit requests by deadline, priority and fair share

Work done for nothing is the main cost under overload, so the gate refuses at once what measured stage times and the queue ahead say can't be answered in time. Order: priority raised by wait, then least served cost for each weight, then deadline less the time already waited under the key.

Limits of accounts are split over instances by the demand that peers report; a domain cut off keeps the fixed share of one domain.

Seen failing first: four gate tests, as a limit of 1.25 let two requests through where one place exists; the limit now counts the request that asks.

--- /dev/null
+++ b/crates/admit/src/budget.rs
@@ -0,0 +1,111 @@
+//! Measured stage times and the budgets made of them.
+
+use core::time::Duration;
+
+use base::Name;
+
+use crate::configs::budget::Config;
+
+/// A mean and a mean deviation, in seconds, that follow what is measured.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Estimate {
+    mean: f64,
+    deviation: f64,
+    samples: u32,
+}
+
+impl Estimate {
+    /// Takes a sample, in seconds.
+    pub fn sample(&mut self, config: &Config, seconds: f64) {
+        self.samples = self.samples.saturating_add(1);
+        let weight = config.weight.max(1.0 / f64::from(self.samples));
+        let error = seconds - self.mean;
+        self.mean += weight * error;
+        self.deviation += weight * (error.abs() - self.deviation);
+    }
+
+    /// Returns the mean, in seconds.
+    pub const fn mean(&self) -> f64 {
+        self.mean
+    }
+
+    /// Returns the mean with a margin, in seconds.
+    pub fn budget(&self, config: &Config) -> f64 {
+        self.mean + config.deviations * self.deviation
+    }
+}
+
+/// A stage of a pipeline.
+#[derive(Clone, Debug)]
+pub struct Stage {
+    /// The pool that serves it.
+    pub pool: Name,
+    /// Its measured time.
+    pub time: Estimate,
+}
+
+/// A pipeline.
+#[derive(Clone, Debug)]
+pub struct Pipeline {
+    /// The name.
+    pub name: Name,
+    /// Its stages, in order.
+    pub stages: Vec<Stage>,
+    /// The measured cost of one request.
+    pub cost: Estimate,
+}
+
+impl Pipeline {
+    /// Starts out with nothing measured.
+    pub fn new(name: Name, pools: &[Name]) -> Self {
+        let stage = |pool: &Name| Stage {
+            pool: pool.clone(),
+            time: Estimate::default(),
+        };
+        Self {
+            name,
+            stages: pools.iter().map(stage).collect(),
+            cost: Estimate::default(),
+        }
+    }
+
+    /// Takes the names of the pools of its stages; what was measured of a stage stays.
+    pub fn set(&mut self, pools: &[Name]) {
+        let mut fresh = Self::new(self.name.clone(), pools);
+        for (new, old) in fresh.stages.iter_mut().zip(&self.stages) {
+            if new.pool == old.pool {
+                new.time = old.time;
+            }
+        }
+        self.stages = fresh.stages;
+    }
+
+    /// Returns the time that the stages from one on need, margin included.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use admit::{budget::Pipeline, configs::budget::Config};
+    /// use core::time::Duration;
+    ///
+    /// let mut pipeline = Pipeline::new("draft".into(), &["encoders".into(), "runners".into()]);
+    /// pipeline.took(&Config::default(), 1, Duration::from_millis(300));
+    /// assert!(pipeline.need(&Config::default(), 0) >= Duration::from_millis(300));
+    /// ```
+    pub fn need(&self, config: &Config, from: usize) -> Duration {
+        let stages = self.stages.iter().skip(from);
+        let mean: f64 = stages.clone().map(|stage| stage.time.mean()).sum();
+        let margin: f64 = stages
+            .map(|stage| stage.time.budget(config) - stage.time.mean())
+            .map(|margin| margin * margin)
+            .sum();
+        Duration::from_secs_f64(mean + margin.sqrt())
+    }
+
+    /// Takes a measured stage time.
+    pub fn took(&mut self, config: &Config, stage: usize, took: Duration) {
+        if let Some(stage) = self.stages.get_mut(stage) {
+            stage.time.sample(config, took.as_secs_f64());
+        }
+    }
+}
--- /dev/null
+++ b/crates/admit/src/configs/budget.rs
@@ -0,0 +1,19 @@
+//! Settings of stage times and budgets.
+
+/// Settings of stage times and budgets.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Config {
+    /// Weight of one measured stage time.
+    pub weight: f64,
+    /// Mean deviations above the mean that a budget holds.
+    pub deviations: f64,
+}
+
+impl Default for Config {
+    fn default() -> Self {
+        Self {
+            weight: 0.05,
+            deviations: 2.0,
+        }
+    }
+}
--- /dev/null
+++ b/crates/admit/src/gate.rs
@@ -0,0 +1,505 @@
+//! The gate of one entry instance: which requests start, wait or are refused.
+
+use core::time::Duration;
+
+use base::{Code, Name, Tick, request::Id};
+
+use crate::{
+    account::Accounts,
+    budget::Pipeline,
+    configs::Config,
+    event::{Action, Ask, Context, Event, Refusal, Verdict},
+    line::{Entry, Kind, Line},
+    pool::Pool,
+    returns::Returns,
+};
+
+/// A request that was started and has not ended.
+#[derive(Clone, Debug)]
+struct Running {
+    request: Id,
+    pipeline: Name,
+    account: Name,
+    stage: usize,
+    estimate: f64,
+}
+
+/// The gate of one entry instance.
+///
+/// # Examples
+///
+/// ```
+/// use admit::{Ask, Context, Gate, Verdict};
+/// use base::{Tick, request::Id};
+/// use rand::{SeedableRng, rngs::SmallRng};
+///
+/// let mut gate = Gate::default();
+/// gate.pipeline(&"draft".into(), &["runners".into()]);
+/// let mut rng = SmallRng::seed_from_u64(1);
+/// let mut cx = Context { now: Tick::default(), rng: &mut rng };
+/// let ask = Ask {
+///     request: Id::from_random(1),
+///     account: "press".into(),
+///     pipeline: "draft".into(),
+///     priority: 0,
+///     deadline: Tick::from_millis(5_000),
+///     age_from: Tick::default(),
+/// };
+/// assert_eq!(gate.offer(&mut cx, ask), Verdict::Start);
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct Gate {
+    config: Config,
+    accounts: Accounts,
+    lines: Vec<Line>,
+    pipelines: Vec<Pipeline>,
+    pools: Vec<Pool>,
+    returns: Returns,
+    running: Vec<Running>,
+    starts: u64,
+    waiting: usize,
+    waiting_patient: usize,
+}
+
+impl Gate {
+    /// Makes a gate that knows nothing yet.
+    pub fn new(config: Config) -> Self {
+        Self {
+            config,
+            ..Self::default()
+        }
+    }
+
+    /// Sets the weight of a client account.
+    pub fn account(&mut self, name: &Name, weight: u32) {
+        self.accounts.set(name, weight);
+    }
+
+    /// Sets the pools of a pipeline's stages.
+    pub fn pipeline(&mut self, name: &Name, pools: &[Name]) {
+        match self.find_pipeline(name) {
+            Ok(at) => self.pipelines[at].set(pools),
+            Err(at) => self
+                .pipelines
+                .insert(at, Pipeline::new(name.clone(), pools)),
+        }
+        for pool in pools {
+            self.pool(pool);
+        }
+    }
+
+    /// Returns the number of requests that wait.
+    pub const fn waiting(&self) -> usize {
+        self.waiting + self.waiting_patient
+    }
+
+    /// Returns the number of requests that were started and have not ended.
+    pub const fn running(&self) -> usize {
+        self.running.len()
+    }
+
+    /// Returns the time that the stages of a pipeline from one on need, margin included.
+    pub fn need(&self, pipeline: &Name, from: usize) -> Duration {
+        self.find_pipeline(pipeline).map_or(Duration::ZERO, |at| {
+            self.pipelines[at].need(&self.config.budget, from)
+        })
+    }
+
+    /// Decides on a request.
+    ///
+    /// - It is refused at once if its deadline can't be met, a pool of its stages is down or the
+    ///   queue is full.
+    /// - It starts if every pool of its stages has room and nothing that goes first waits.
+    /// - Otherwise it waits.
+    pub fn offer(&mut self, cx: &mut Context<'_>, ask: Ask) -> Verdict {
+        let Ok(at) = self.find_pipeline(&ask.pipeline) else {
+            return Verdict::Refused(self.refuse(cx, Code::PipelineUnknown, Duration::ZERO, None));
+        };
+        let kind = self.kind(&ask);
+        if let Some(refusal) = self.judge(cx, &ask, &kind, at) {
+            return Verdict::Refused(refusal);
+        }
+        let request = ask.request;
+        self.queue(cx.now, &ask, kind);
+        if self.start_one(cx.now, Some(request)) {
+            return Verdict::Start;
+        }
+        Verdict::Queued
+    }
+
+    /// Takes an event and returns what to do with waiting requests.
+    pub fn on(&mut self, cx: &mut Context<'_>, event: Event) -> Vec<Action> {
+        match event {
+            Event::StageTook {
+                request,
+                stage,
+                took,
+            } => self.stage_took(request, stage, took),
+            Event::Finished { request, cost } => self.finished(request, cost),
+            Event::Cancelled { request } => self.cancelled(request),
+            Event::Capacity {
+                pool,
+                places,
+                retry_after,
+            } => {
+                let pool = self.pool(&pool);
+                pool.places = Some(places);
+                pool.retry_after = retry_after;
+            }
+        }
+        self.starts_due(cx)
+    }
+
+    /// Refuses waiting requests that can't be answered in time any more and starts what may start.
+    pub fn tick(&mut self, cx: &mut Context<'_>) -> Vec<Action> {
+        let mut actions = self.overdue(cx);
+        actions.extend(self.starts_due(cx));
+        actions
+    }
+
+    fn kind(&self, ask: &Ask) -> Kind {
+        Kind {
+            pipeline: ask.pipeline.clone(),
+            account: ask.account.clone(),
+            priority: ask.priority,
+            patient: ask.deadline - ask.age_from >= self.config.gate.patient,
+        }
+    }
+
+    fn judge(
+        &mut self,
+        cx: &mut Context<'_>,
+        ask: &Ask,
+        kind: &Kind,
+        pipeline: usize,
+    ) -> Option<Refusal> {
+        if kind.patient {
+            return (self.waiting_patient >= self.config.gate.patient_queue)
+                .then(|| self.refuse(cx, Code::Overloaded, self.config.returns.most, None));
+        }
+        if let Some(back) = self.down(pipeline) {
+            return Some(self.refuse(cx, Code::StageUnavailable, back, None));
+        }
+        let rate = self.rate(pipeline);
+        let wait = self.wait(cx.now, ask, kind, rate);
+        let need = self.pipelines[pipeline].need(&self.config.budget, 0);
+        let left = ask.deadline - cx.now;
+        if wait + need > left {
+            let over = wait + need - left;
+            return Some(self.refuse(cx, Code::DeadlineUnmeetable, over, rate));
+        }
+        (self.waiting >= self.config.gate.queue)
+            .then(|| self.refuse(cx, Code::Overloaded, wait, rate))
+    }
+
+    fn down(&self, pipeline: usize) -> Option<Duration> {
+        self.pipelines[pipeline]
+            .stages
+            .iter()
+            .filter_map(|stage| self.find_pool(&stage.pool).ok())
+            .map(|at| &self.pools[at])
+            .filter(|pool| pool.is_down())
+            .map(|pool| pool.retry_after)
+            .max()
+    }
+
+    /// Returns the requests a second that the narrowest pool of a pipeline serves.
+    fn rate(&self, pipeline: usize) -> Option<f64> {
+        let pipeline = &self.pipelines[pipeline];
+        (0..pipeline.stages.len())
+            .filter_map(|stage| {
+                let at = self.find_pool(&pipeline.stages[stage].pool).ok()?;
+                self.pools[at].rate(pipeline, stage)
+            })
+            .min_by(f64::total_cmp)
+    }
+
+    /// Returns the expected time in the queue.
+    fn wait(&self, now: Tick, ask: &Ask, kind: &Kind, rate: Option<f64>) -> Duration {
+        let Some(rate) = rate else {
+            return Duration::ZERO;
+        };
+        let due = due(now, ask);
+        let own = self
+            .lines
+            .iter()
+            .find(|line| line.kind == *kind)
+            .map_or(0, |line| line.ahead(due));
+        let weight = self.accounts.weight(&kind.account);
+        let others: f64 = self
+            .lines
+            .iter()
+            .filter(|line| line.kind != *kind && !line.kind.patient)
+            .filter(|line| line.kind.pipeline == kind.pipeline)
+            .map(|line| {
+                let all = line.entries.len() as f64;
+                if line.kind.priority != kind.priority {
+                    return if line.kind.priority > kind.priority {
+                        all
+                    } else {
+                        0.0
+                    };
+                }
+                let share = self.accounts.weight(&line.kind.account) / weight;
+                all.min((own + 1) as f64 * share)
+            })
+            .sum();
+        Duration::from_secs_f64((own as f64 + others) / rate)
+    }
+
+    fn refuse(
+        &mut self,
+        cx: &mut Context<'_>,
+        code: Code,
+        wait: Duration,
+        rate: Option<f64>,
+    ) -> Refusal {
+        let retry_after = self.returns.after(&self.config.returns, cx, wait, rate);
+        Refusal { code, retry_after }
+    }
+
+    fn queue(&mut self, now: Tick, ask: &Ask, kind: Kind) {
+        self.accounts.queued(&kind.account);
+        if kind.patient {
+            self.waiting_patient += 1;
+        } else {
+            self.waiting += 1;
+        }
+        let entry = Entry {
+            request: ask.request,
+            due: due(now, ask),
+            deadline: ask.deadline,
+            age_from: ask.age_from,
+        };
+        let at = match self.lines.binary_search_by(|line| line.kind.cmp(&kind)) {
+            Ok(at) => at,
+            Err(at) => {
+                self.lines.insert(at, Line::new(kind));
+                at
+            }
+        };
+        self.lines[at].add(entry);
+    }
+
+    fn starts_due(&mut self, cx: &Context<'_>) -> Vec<Action> {
+        let mut actions = Vec::new();
+        while let Some(request) = self.next(cx.now) {
+            actions.push(Action::Start(request));
+        }
+        actions
+    }
+
+    /// Starts the next request only if it is the one given.
+    fn start_one(&mut self, now: Tick, wanted: Option<Id>) -> bool {
+        let Some((line, entry)) = self.first(now) else {
+            return false;
+        };
+        if wanted.is_some_and(|wanted| self.lines[line].entries[entry].request != wanted) {
+            return false;
+        }
+        self.start(line, entry);
+        true
+    }
+
+    fn next(&mut self, now: Tick) -> Option<Id> {
+        let (line, entry) = self.first(now)?;
+        Some(self.start(line, entry))
+    }
+
+    /// Finds the request that goes first, among those whose pools have room.
+    fn first(&self, now: Tick) -> Option<(usize, usize)> {
+        let open = || (0..self.lines.len()).filter(|at| self.has_room(&self.lines[*at].kind));
+        if self.starts % self.config.gate.oldest_every == self.config.gate.oldest_every - 1 {
+            return open()
+                .filter_map(|at| {
+                    let entries = &self.lines[at].entries;
+                    let oldest = (0..entries.len()).min_by_key(|at| entries[*at].age_from)?;
+                    Some((at, oldest))
+                })
+                .min_by_key(|(line, entry)| self.lines[*line].entries[*entry].age_from);
+        }
+        open()
+            .min_by(|a, b| {
+                let (a, b) = (&self.lines[*a], &self.lines[*b]);
+                a.kind
+                    .patient
+                    .cmp(&b.kind.patient)
+                    .then_with(|| self.rank(now, b).cmp(&self.rank(now, a)))
+                    .then_with(|| {
+                        let (a, b) = (&a.kind.account, &b.kind.account);
+                        self.accounts.served(a).total_cmp(&self.accounts.served(b))
+                    })
+                    .then_with(|| a.entries[0].due.cmp(&b.entries[0].due))
+            })
+            .map(|at| (at, 0))
+    }
+
+    /// Returns the priority of a line, raised by the wait of its first request.
+    fn rank(&self, now: Tick, line: &Line) -> u128 {
+        let waited = now - line.entries[0].age_from;
+        let raised = waited.as_micros() / self.config.gate.aging.as_micros().max(1);
+        u128::from(line.kind.priority) + raised
+    }
+
+    fn has_room(&self, kind: &Kind) -> bool {
+        let Ok(at) = self.find_pipeline(&kind.pipeline) else {
+            return true;
+        };
+        let pipeline = &self.pipelines[at];
+        (0..pipeline.stages.len()).all(|stage| {
+            self.find_pool(&pipeline.stages[stage].pool)
+                .is_ok_and(|at| self.pools[at].has_room(&self.config.pool, pipeline, stage))
+        })
+    }
+
+    fn start(&mut self, line: usize, entry: usize) -> Id {
+        let kind = self.lines[line].kind.clone();
+        let request = self.remove(line, entry);
+        self.starts += 1;
+        let at = self.find_pipeline(&kind.pipeline);
+        let estimate = at.map_or(0.0, |at| self.pipelines[at].cost.mean());
+        self.accounts.started(&kind.account, estimate);
+        self.move_ahead(&kind.pipeline, 0, 1);
+        let running = Running {
+            request,
+            pipeline: kind.pipeline,
+            account: kind.account,
+            stage: 0,
+            estimate,
+        };
+        if let Err(at) = self.find_running(request) {
+            self.running.insert(at, running);
+        }
+        request
+    }
+
+    fn remove(&mut self, line: usize, entry: usize) -> Id {
+        let removed = self.lines[line].entries.remove(entry);
+        let kind = self.lines[line].kind.clone();
+        self.accounts.dequeued(&kind.account);
+        if kind.patient {
+            self.waiting_patient -= 1;
+        } else {
+            self.waiting -= 1;
+        }
+        if self.lines[line].entries.is_empty() {
+            self.lines.remove(line);
+        }
+        removed.request
+    }
+
+    fn overdue(&mut self, cx: &mut Context<'_>) -> Vec<Action> {
+        let mut actions = Vec::new();
+        for line in (0..self.lines.len()).rev() {
+            let Ok(at) = self.find_pipeline(&self.lines[line].kind.pipeline) else {
+                continue;
+            };
+            let need = self.pipelines[at].need(&self.config.budget, 0);
+            let rate = self.rate(at);
+            for entry in (0..self.lines[line].entries.len()).rev() {
+                if cx.now + need <= self.lines[line].entries[entry].deadline {
+                    continue;
+                }
+                let request = self.remove(line, entry);
+                let refusal = self.refuse(cx, Code::DeadlineUnmeetable, need, rate);
+                actions.push(Action::Refuse(request, refusal));
+            }
+        }
+        actions
+    }
+
+    fn stage_took(&mut self, request: Id, stage: usize, took: Duration) {
+        let Ok(at) = self.find_running(request) else {
+            return;
+        };
+        let name = self.running[at].pipeline.clone();
+        if let Ok(at) = self.find_pipeline(&name) {
+            self.pipelines[at].took(&self.config.budget, stage, took);
+        }
+        if stage == self.running[at].stage {
+            self.running[at].stage += 1;
+            self.pass(&name, stage);
+        }
+    }
+
+    fn finished(&mut self, request: Id, cost: f64) {
+        let Ok(at) = self.find_running(request) else {
+            return;
+        };
+        let running = self.running.remove(at);
+        self.move_ahead(&running.pipeline, running.stage, -1);
+        self.accounts
+            .finished(&running.account, running.estimate, cost);
+        if let Ok(at) = self.find_pipeline(&running.pipeline) {
+            self.pipelines[at].cost.sample(&self.config.budget, cost);
+        }
+    }
+
+    fn cancelled(&mut self, request: Id) {
+        let found = self.lines.iter().enumerate().find_map(|(at, line)| {
+            let entry = line
+                .entries
+                .iter()
+                .position(|entry| entry.request == request)?;
+            Some((at, entry))
+        });
+        if let Some((line, entry)) = found {
+            self.remove(line, entry);
+        }
+    }
+
+    /// Counts a request in or out at the pools of its stages from one on.
+    fn move_ahead(&mut self, pipeline: &Name, from: usize, by: isize) {
+        let Ok(at) = self.find_pipeline(pipeline) else {
+            return;
+        };
+        for stage in from..self.pipelines[at].stages.len() {
+            let name = self.pipelines[at].stages[stage].pool.clone();
+            let pool = self.pool(&name);
+            pool.ahead = pool.ahead.saturating_add_signed(by);
+        }
+    }
+
+    fn pass(&mut self, pipeline: &Name, stage: usize) {
+        let Ok(at) = self.find_pipeline(pipeline) else {
+            return;
+        };
+        if let Some(stage) = self.pipelines[at].stages.get(stage) {
+            let name = stage.pool.clone();
+            let pool = self.pool(&name);
+            pool.ahead = pool.ahead.saturating_sub(1);
+        }
+    }
+
+    fn pool(&mut self, name: &Name) -> &mut Pool {
+        let at = self.find_pool(name).unwrap_or_else(|at| {
+            self.pools.insert(at, Pool::new(name.clone()));
+            at
+        });
+        &mut self.pools[at]
+    }
+
+    fn find_pool(&self, name: &Name) -> Result<usize, usize> {
+        self.pools.binary_search_by(|pool| pool.name.cmp(name))
+    }
+
+    fn find_pipeline(&self, name: &Name) -> Result<usize, usize> {
+        self.pipelines
+            .binary_search_by(|pipeline| pipeline.name.cmp(name))
+    }
+
+    fn find_running(&self, request: Id) -> Result<usize, usize> {
+        self.running
+            .binary_search_by_key(&request, |running| running.request)
+    }
+}
+
+/// Returns the place of a request: its deadline less the time already waited under its key.
+fn due(now: Tick, ask: &Ask) -> Tick {
+    let waited = now - ask.age_from;
+    Tick::from_micros(
+        (ask.deadline - Tick::default())
+            .saturating_sub(waited)
+            .as_micros() as u64,
+    )
+}
--- /dev/null
+++ b/crates/admit/src/pool.rs
@@ -0,0 +1,69 @@
+//! Requests in flight towards one pool.
+
+use core::time::Duration;
+
+use base::Name;
+
+use crate::{budget::Pipeline, configs::pool::Config};
+
+/// A pool as this instance sees it.
+#[derive(Clone, Debug)]
+pub struct Pool {
+    /// The name.
+    pub name: Name,
+    /// This instance's share of the places in the pool's batches; none known yet counts as no limit.
+    pub places: Option<f64>,
+    /// When the pool may be back, if it has no place at all.
+    pub retry_after: Duration,
+    /// Requests that were started and have not passed the pool yet.
+    pub ahead: usize,
+}
+
+impl Pool {
+    /// Starts out with no limit known.
+    pub const fn new(name: Name) -> Self {
+        Self {
+            name,
+            places: None,
+            retry_after: Duration::ZERO,
+            ahead: 0,
+        }
+    }
+
+    /// Tells whether the pool can take nothing at all.
+    pub fn is_down(&self) -> bool {
+        self.places.is_some_and(|places| places <= 0.0)
+    }
+
+    /// Tells whether one more request of a pipeline may start, as far as this pool goes.
+    pub fn has_room(&self, config: &Config, pipeline: &Pipeline, stage: usize) -> bool {
+        self.limit(config, pipeline, stage)
+            .is_none_or(|limit| (self.ahead + 1) as f64 <= limit)
+    }
+
+    /// Returns the requests that the pool serves in a second, if that is known.
+    pub fn rate(&self, pipeline: &Pipeline, stage: usize) -> Option<f64> {
+        let time = pipeline.stages[stage].time.mean();
+        let places = self.places?;
+        (time > 0.0 && places > 0.0).then(|| places / time)
+    }
+
+    /// Returns the requests that may be on their way to the pool or in it.
+    fn limit(&self, config: &Config, pipeline: &Pipeline, stage: usize) -> Option<f64> {
+        let places = self.places?;
+        if places <= 0.0 {
+            return Some(0.0);
+        }
+        let own = pipeline.stages[stage].time.mean();
+        let before: f64 = pipeline.stages[..stage]
+            .iter()
+            .map(|stage| stage.time.mean())
+            .sum();
+        let upstream = if own > 0.0 {
+            (before / own).min(config.upstream)
+        } else {
+            0.0
+        };
+        Some((places * (config.headroom + upstream)).max(1.0))
+    }
+}
--- /dev/null
+++ b/crates/admit/src/returns.rs
@@ -0,0 +1,38 @@
+//! When refused callers are told to come back.
+
+use core::time::Duration;
+
+use base::Tick;
+use rand::RngExt;
+
+use crate::{configs::returns::Config, event::Context};
+
+/// Hands out times to come back at a rate that can be served.
+#[derive(Clone, Debug, Default)]
+pub struct Returns {
+    next: Tick,
+}
+
+impl Returns {
+    /// Returns how long a caller should wait.
+    ///
+    /// - No sooner than the wait given.
+    /// - Later for each caller refused before it, at a share of the rate given.
+    /// - Spread at random, so that callers don't return together.
+    pub fn after(
+        &mut self,
+        config: &Config,
+        cx: &mut Context<'_>,
+        wait: Duration,
+        rate: Option<f64>,
+    ) -> Duration {
+        let soonest = cx.now + wait.max(config.least);
+        let latest = cx.now + config.most;
+        let at = self.next.max(soonest).min(latest);
+        let gap = rate.map_or(Duration::ZERO, |rate| {
+            Duration::from_secs_f64(1.0 / (rate * config.share).max(1.0))
+        });
+        self.next = at + gap;
+        (at - cx.now).mul_f64(cx.rng.random_range(1.0..1.5))
+    }
+}
--- /dev/null
+++ b/crates/admit/tests/limit.rs
@@ -0,0 +1,128 @@
+//! Limits of client accounts over several entry instances.
+
+use admit::limit::{Limits, Peer};
+use base::{Name, Tick};
+use googletest::prelude::*;
+
+const RATE: f64 = 100.0;
+const BURST: u32 = 20;
+const STEP_MS: u64 = 5;
+
+struct World {
+    instances: Vec<(Name, Limits)>,
+    now: u64,
+}
+
+impl World {
+    fn new(domains: &[&str]) -> Self {
+        let limits = |domain: &&str| {
+            let mut limits = Limits::default();
+            limits.set(&"press".into(), RATE, BURST);
+            (Name::from(*domain), limits)
+        };
+        let mut world = Self {
+            instances: domains.iter().map(limits).collect(),
+            now: 0,
+        };
+        world.exchange(|_, _| true);
+        world
+    }
+
+    fn exchange(&mut self, hears: impl Fn(usize, usize) -> bool) {
+        let now = Tick::from_millis(self.now);
+        let demands: Vec<_> = self
+            .instances
+            .iter_mut()
+            .map(|(domain, limits)| (domain.clone(), limits.demands(now)))
+            .collect();
+        for at in 0..self.instances.len() {
+            let peers: Vec<Peer> = (0..demands.len())
+                .filter(|other| *other != at)
+                .map(|other| Peer {
+                    domain: demands[other].0.clone(),
+                    heard: hears(at, other),
+                    demands: demands[other].1.clone(),
+                })
+                .collect();
+            let (domain, limits) = &mut self.instances[at];
+            limits.share(now, &domain.clone(), &peers);
+        }
+    }
+
+    /// Lets instances be asked at a rate for some seconds; returns what each let through.
+    fn run(
+        &mut self,
+        seconds: u64,
+        per_step: &[u32],
+        hears: impl Fn(usize, usize) -> bool,
+    ) -> Vec<u32> {
+        let mut passed = vec![0; self.instances.len()];
+        let end = self.now + seconds * 1_000;
+        while self.now < end {
+            self.now += STEP_MS;
+            for (at, count) in per_step.iter().enumerate() {
+                for _ in 0..*count {
+                    let limits = &mut self.instances[at].1;
+                    let taken = limits.take(Tick::from_millis(self.now), &"press".into());
+                    passed[at] += u32::from(taken.is_ok());
+                }
+            }
+            if self.now.is_multiple_of(500) {
+                self.exchange(&hears);
+            }
+        }
+        passed
+    }
+}
+
+#[gtest]
+fn the_limit_holds_over_all_instances() {
+    let mut world = World::new(&["a", "a", "b", "b", "c", "c", "d", "d"]);
+    world.run(5, &[1; 8], |_, _| true);
+    let passed: u32 = world.run(10, &[1; 8], |_, _| true).iter().sum();
+    expect_that!(passed, all!(ge(950), le(1_050)));
+}
+
+#[gtest]
+fn the_share_moves_to_where_the_demand_is() {
+    let mut world = World::new(&["a", "a", "b", "b"]);
+    let asked = [4, 0, 0, 0];
+    world.run(10, &asked, |_, _| true);
+    let passed = world.run(10, &asked, |_, _| true);
+    expect_that!(passed[0], all!(ge(800), le(1_000)));
+}
+
+#[gtest]
+fn a_domain_cut_off_keeps_its_fixed_share() {
+    let mut world = World::new(&["a", "a", "b", "b", "c", "c", "d", "d"]);
+    world.run(5, &[1; 8], |_, _| true);
+    let cut = |at: usize, other: usize| (at < 2) == (other < 2);
+    world.run(2, &[1; 8], cut);
+    let passed = world.run(10, &[1; 8], cut);
+    let inside: u32 = passed[..2].iter().sum();
+    let outside: u32 = passed[2..].iter().sum();
+    expect_that!(inside, all!(ge(230), le(270)));
+    expect_that!(inside + outside, all!(ge(950), le(1_050)));
+}
+
+#[gtest]
+fn an_instance_that_hears_nobody_takes_one_instances_part_of_its_domain() {
+    let mut world = World::new(&["a", "a", "b", "b"]);
+    let alone = |at: usize, other: usize| at != 0 && other != 0;
+    world.run(5, &[1; 4], alone);
+    let passed = world.run(10, &[1; 4], alone);
+    expect_that!(passed[0], all!(ge(230), le(270)));
+    expect_that!(passed.iter().sum::<u32>(), all!(ge(950), le(1_300)));
+}
+
+#[gtest]
+fn a_burst_passes_after_a_pause_and_no_more() {
+    let mut world = World::new(&["a"]);
+    world.now = 10_000;
+    let now = Tick::from_millis(world.now);
+    let limits = &mut world.instances[0].1;
+    let passed = (0..100)
+        .filter(|_| limits.take(now, &"press".into()).is_ok())
+        .count();
+    expect_that!(passed, eq(BURST as usize));
+}
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -18,5 +18,5 @@
     configs::Config,
     event::{Event, Failure},
     server::Server,
-    table::{Ask, Context, Error, Pick, Table},
+    table::{Ask, Capacity, Context, Error, Pick, Table},
 };
--- a/crates/route/src/pool.rs
+++ b/crates/route/src/pool.rs
@@ -2,7 +2,13 @@
 
 use base::{Incarnation, Name, Tick};
 
-use crate::{configs::Config, health::Health, server::Server, state::State};
+use crate::{
+    configs::Config,
+    health::{Health, Use},
+    server::Server,
+    state::State,
+    table::Capacity,
+};
 
 /// One pool.
 #[derive(Clone, Debug)]
@@ -80,6 +86,27 @@
         self.eject(config, now);
     }
 
+    /// Returns what the pool can take now.
+    pub fn capacity(&self, config: &Config, now: Tick) -> Capacity {
+        let live = || {
+            self.servers
+                .iter()
+                .filter(|state| state.present && !state.server.leaving)
+        };
+        let places = live().map(|state| state.places(now)).sum();
+        let soonest = live()
+            .filter_map(|state| match state.health.allows(now) {
+                Use::None(until) => Some(until - now),
+                Use::Free | Use::Limited(_) => None,
+            })
+            .min();
+        let retry_after = soonest.unwrap_or(config.health.backoff_max);
+        Capacity {
+            places,
+            retry_after,
+        }
+    }
+
     /// Finds a server.
     pub fn find(&self, incarnation: &Incarnation) -> Result<usize, usize> {
         self.servers
--- a/crates/route/src/state.rs
+++ b/crates/route/src/state.rs
@@ -86,6 +86,19 @@
         }
     }
 
+    /// Returns the places that the server adds to its pool.
+    pub fn places(&self, now: Tick) -> u32 {
+        let free_of = |limit: usize| u32::try_from(limit).unwrap_or(u32::MAX);
+        match (&self.health, self.health.allows(now)) {
+            (_, Use::None(_)) => 0,
+            (_, Use::Free) => self.server.concurrency,
+            (Health::Returning { .. }, Use::Limited(limit)) => {
+                self.server.concurrency.min(free_of(limit))
+            }
+            (_, Use::Limited(limit)) => free_of(limit.saturating_sub(self.in_flight())),
+        }
+    }
+
     /// Returns the requests that the server is believed to have, own ones included.
     pub fn outstanding(&self, config: &configs::state::Config, now: Tick) -> f64 {
         let own = self.in_flight() as f64;
--- a/crates/route/src/table.rs
+++ b/crates/route/src/table.rs
@@ -61,6 +61,16 @@
     pub cached: bool,
 }
 
+/// What a pool can take.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Capacity {
+    /// Places in the batches of its usable servers; a failing server counts as one while a probe
+    /// of it is due.
+    pub places: u32,
+    /// When it may be back, if it has no place at all.
+    pub retry_after: Duration,
+}
+
 /// Why no server was picked.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
 #[error("{code}; try again in {retry_after:?}")]
@@ -177,6 +187,17 @@
         }
     }
 
+    /// Returns what a pool can take now; an unknown pool can take nothing.
+    pub fn capacity(&self, now: Tick, pool: &str) -> Capacity {
+        self.find(pool).map_or(
+            Capacity {
+                places: 0,
+                retry_after: self.config.health.backoff_max,
+            },
+            |at| self.pools[at].capacity(&self.config, now),
+        )
+    }
+
     /// Returns the pools, sorted by name.
     pub fn pools(&self) -> &[Pool] {
         &self.pools
--- a/crates/route/tests/table.rs
+++ b/crates/route/tests/table.rs
@@ -179,6 +179,7 @@
         }
     }
     expect_that!(sent, le(150));
+    expect_that!(world.table.capacity(world.now, POOL).places, le(1));
     world.now = world.now + Duration::from_secs(1);
     let pick = world.pick(&Ask::any(POOL)).expect("a probe");
     let attempt = world.start(&pick.incarnation, None);
