Add stand-ins for the platform and for backend servers

Tests need something on the far side of the platform's and the backend servers' interfaces that can fail as those do: answers lost after the effect, silent connections, a list that lags, streams cut between two tokens.

A stream cut after two tokens lost the second one at first: the body was polled for a third token, and the connection closed, before the second had been written (seen in a_stream_is_whole_and_resumes_where_it_was_cut, 5 of 6 words). The cut now waits 5 ms, in which the connection writes.

--- /dev/null
+++ b/crates/fake/src/platform/http.rs
@@ -0,0 +1,189 @@
+//! The HTTP routes of the platform's stand-in.
+
+use core::time::Duration;
+use std::time::Instant;
+
+use actix_web::{HttpRequest, HttpResponse, web};
+use platform::Instance;
+use serde::Deserialize;
+use serde_json::{Value, json};
+
+use super::{Faults, Inner, State, faults::Fate};
+use crate::{merge::merge, socket};
+
+/// The largest append taken, in bytes.
+const APPEND_BYTES: usize = 8 * 1024 * 1024;
+
+/// Adds the routes to an application.
+pub(super) fn routes(config: &mut web::ServiceConfig) {
+    config
+        .app_data(web::JsonConfig::default().limit(APPEND_BYTES))
+        .route("/faults", web::get().to(get_faults))
+        .route("/faults", web::put().to(put_faults))
+        .route("/instances", web::get().to(get_instances))
+        .route("/instances/{name}", web::put().to(put_instance))
+        .route("/instances/{name}", web::delete().to(delete_instance))
+        .route("/log/{stream}", web::get().to(read))
+        .route("/log/{stream}", web::post().to(append))
+        .route("/stats", web::get().to(stats))
+        .route("/weights/{name}", web::get().to(weight));
+}
+
+#[derive(Deserialize)]
+struct Append {
+    body: String,
+}
+
+#[derive(Deserialize)]
+struct Range {
+    #[serde(default)]
+    from: u64,
+    limit: Option<usize>,
+}
+
+async fn append(
+    request: HttpRequest,
+    state: web::Data<State>,
+    stream: web::Path<String>,
+    body: web::Json<Append>,
+) -> HttpResponse {
+    if let Some(refusal) = unavailable(&state).await {
+        return refusal;
+    }
+    let (fate, offset) = {
+        let mut inner = state.lock();
+        let now = Instant::now();
+        if let Err(wait) = inner.appends.take(now) {
+            inner.stats.appends_limited += 1;
+            return limited(wait);
+        }
+        let fate = inner.faults.take_fate();
+        let offset = match fate {
+            Fate::HungBefore => 0,
+            _ => inner.streams.append(now, &stream, body.into_inner().body),
+        };
+        inner.stats.appends += u64::from(fate != Fate::HungBefore);
+        inner.stats.appends_lost += u64::from(fate != Fate::Answered);
+        (fate, offset)
+    };
+    match fate {
+        Fate::Answered => HttpResponse::Ok().json(json!({ "offset": offset })),
+        Fate::HungAfter | Fate::HungBefore => socket::silence().await,
+        Fate::Lost => socket::close(&request).await,
+    }
+}
+
+async fn read(
+    state: web::Data<State>,
+    stream: web::Path<String>,
+    range: web::Query<Range>,
+) -> HttpResponse {
+    if let Some(refusal) = unavailable(&state).await {
+        return refusal;
+    }
+    let mut inner = state.lock();
+    let (keep, age) = (
+        inner.faults.keep_records,
+        Duration::from_millis(inner.faults.keep_ms),
+    );
+    inner.streams.trim(Instant::now(), keep, age);
+    inner.stats.log_reads += 1;
+    let limit = range.limit.unwrap_or(usize::MAX);
+    HttpResponse::Ok().json(inner.streams.read(&stream, range.from, limit))
+}
+
+async fn get_instances(state: web::Data<State>) -> HttpResponse {
+    if let Some(refusal) = unavailable(&state).await {
+        return refusal;
+    }
+    let mut inner = state.lock();
+    inner.stats.list_reads += 1;
+    let (lag, expire) = list_times(&inner);
+    let instances = inner.list.view(Instant::now(), lag, expire);
+    HttpResponse::Ok().json(json!({ "instances": instances }))
+}
+
+async fn put_instance(
+    state: web::Data<State>,
+    name: web::Path<String>,
+    instance: web::Json<Instance>,
+) -> HttpResponse {
+    register(&state, &name, Some(instance.into_inner())).await
+}
+
+async fn delete_instance(state: web::Data<State>, name: web::Path<String>) -> HttpResponse {
+    register(&state, &name, None).await
+}
+
+async fn register(state: &State, name: &str, instance: Option<Instance>) -> HttpResponse {
+    if let Some(refusal) = unavailable(state).await {
+        return refusal;
+    }
+    state.lock().list.put(Instant::now(), name, instance);
+    HttpResponse::Ok().json(json!({}))
+}
+
+async fn weight(state: web::Data<State>, name: web::Path<String>) -> HttpResponse {
+    if let Some(refusal) = unavailable(&state).await {
+        return refusal;
+    }
+    let mut inner = state.lock();
+    if let Err(wait) = inner.weights.take(Instant::now()) {
+        inner.stats.weights_limited += 1;
+        return limited(wait);
+    }
+    inner.stats.weight_reads += 1;
+    let content: Vec<u8> = name.bytes().cycle().take(inner.weight_bytes).collect();
+    HttpResponse::Ok().body(content)
+}
+
+async fn get_faults(state: web::Data<State>) -> HttpResponse {
+    HttpResponse::Ok().json(&state.lock().faults)
+}
+
+async fn put_faults(state: web::Data<State>, change: web::Json<Value>) -> HttpResponse {
+    let mut inner = state.lock();
+    let (lag, expire) = list_times(&inner);
+    match merge::<Faults>(&inner.faults, &change) {
+        Ok(faults) => {
+            inner
+                .list
+                .freeze(Instant::now(), faults.list_frozen, lag, expire);
+            inner.faults = faults;
+            HttpResponse::Ok().json(&inner.faults)
+        }
+        Err(error) => HttpResponse::BadRequest().body(error.to_string()),
+    }
+}
+
+async fn stats(state: web::Data<State>) -> HttpResponse {
+    HttpResponse::Ok().json(&state.lock().stats)
+}
+
+/// Delays a call as the faults say and refuses it while the platform is down.
+async fn unavailable(state: &State) -> Option<HttpResponse> {
+    let slow = state.lock().faults.slow_ms;
+    if slow > 0 {
+        actix_web::rt::time::sleep(Duration::from_millis(slow)).await;
+    }
+    let mut inner = state.lock();
+    if !inner.faults.down {
+        return None;
+    }
+    inner.stats.refused_down += 1;
+    Some(HttpResponse::ServiceUnavailable().body("down"))
+}
+
+fn limited(wait: Duration) -> HttpResponse {
+    let seconds = wait.as_secs_f64().ceil().max(1.0);
+    HttpResponse::TooManyRequests()
+        .insert_header(("Retry-After", seconds.to_string()))
+        .body("over the rate")
+}
+
+fn list_times(inner: &Inner) -> (Duration, Duration) {
+    (
+        Duration::from_millis(inner.faults.list_lag_ms),
+        Duration::from_millis(inner.faults.list_expire_ms),
+    )
+}
--- /dev/null
+++ b/crates/fake/src/server/faults.rs
@@ -0,0 +1,61 @@
+//! What goes wrong at a backend server, settable while it runs.
+
+use serde::{Deserialize, Serialize};
+
+/// What goes wrong at a backend server.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Faults {
+    /// Every call is refused with 503 without having run.
+    pub down: bool,
+    /// Every connection with a call is closed before its call is looked at.
+    pub refuse: bool,
+    /// The server is leaving: it takes nothing new and says so.
+    pub leaving: bool,
+    /// Multiplies the time that work takes.
+    pub slow_factor: f64,
+    /// Added to the time that work takes, in milliseconds.
+    pub slow_ms: u64,
+    /// Added between the end of the work and the answer, in milliseconds.
+    pub late_answers_ms: u64,
+    /// Calls are read, not run and never answered.
+    pub silent: bool,
+    /// Calls are run and never answered.
+    pub silent_after_run: bool,
+    /// Calls are read, not run, and their connections closed.
+    pub close_after_read: bool,
+    /// Calls are run and their connections closed without an answer.
+    pub close_after_run: bool,
+    /// The connection of a stream is closed after this many tokens.
+    pub cut_stream_after: Option<u64>,
+    /// A stream stops sending after this many tokens and stays open.
+    pub stall_stream_after: Option<u64>,
+    /// A call whose body contains this text crashes the server.
+    pub crash_on: Option<String>,
+    /// A call whose body contains this text is refused with 422.
+    pub refuse_on: Option<String>,
+    /// Answers name another attempt.
+    pub cross_answers: bool,
+}
+
+impl Default for Faults {
+    fn default() -> Self {
+        Self {
+            down: false,
+            refuse: false,
+            leaving: false,
+            slow_factor: 1.0,
+            slow_ms: 0,
+            late_answers_ms: 0,
+            silent: false,
+            silent_after_run: false,
+            close_after_read: false,
+            close_after_run: false,
+            cut_stream_after: None,
+            stall_stream_after: None,
+            crash_on: None,
+            refuse_on: None,
+            cross_answers: false,
+        }
+    }
+}
--- /dev/null
+++ b/crates/fake/src/server/generate.rs
@@ -0,0 +1,197 @@
+//! Streams of tokens from a continuous batch.
+
+use core::time::Duration;
+use std::{convert::Infallible, time::Instant};
+
+use actix_web::{HttpRequest, HttpResponse, http::StatusCode, rt::time::sleep, web};
+use base::{Digest, attempt::Attempt};
+use futures_util::stream;
+use serde_json::{Value, json};
+
+use super::{
+    State,
+    cache::{BLOCK_TOKENS, Prefill},
+    call::{Admitted, Place, admit, note_load, respond, shown},
+    output,
+};
+use crate::socket;
+
+/// The time given to the writes before a cut.
+const FLUSH: Duration = Duration::from_millis(5);
+
+/// Runs a generation and streams its tokens.
+pub(super) async fn answer(
+    request: HttpRequest,
+    state: web::Data<State>,
+    bytes: web::Bytes,
+) -> HttpResponse {
+    let admitted = match admit(&request, &state, &bytes).await {
+        Ok(admitted) => admitted,
+        Err(refusal) => return refusal,
+    };
+    let faults = state.lock().faults.clone();
+    if faults.silent_after_run {
+        return socket::silence().await;
+    }
+    let attempt = admitted.head.attempt;
+    let generation = Generation::begin(request, state.clone(), admitted);
+    respond(&state, StatusCode::OK, Some(attempt))
+        .content_type("text/event-stream")
+        .streaming(stream::unfold(generation, next))
+}
+
+/// One stream in progress; dropping it frees its place in the batch.
+struct Generation {
+    attempt: Attempt,
+    began: Instant,
+    cached: usize,
+    count: u64,
+    digest: Digest,
+    finished: bool,
+    index: u64,
+    /// Freed when the stream ends or its client has gone.
+    _place: Place,
+    prefill: Duration,
+    request: HttpRequest,
+    sent: u64,
+    state: web::Data<State>,
+    stream: Option<String>,
+}
+
+impl Generation {
+    fn begin(request: HttpRequest, state: web::Data<State>, admitted: Admitted) -> Self {
+        let Admitted { body, head, place } = admitted;
+        let prompt = prompt(&body.input);
+        let now = Instant::now();
+        let Prefill { cached, missing } = state.lock().cache.prefill(now, &prompt);
+        note_load(&state);
+        if let Some(stream) = &body.stream {
+            state.lock().streams.begin(stream);
+        }
+        let prefill_ms = state.config.prefill_ms * missing as f64;
+        Self {
+            attempt: head.attempt,
+            began: now,
+            cached,
+            count: output::token_count(&body.input, state.config.tokens),
+            digest: output::digest(&body.operation, &body.input),
+            finished: false,
+            index: body.from,
+            _place: place,
+            prefill: Duration::from_secs_f64(prefill_ms / 1_000.0),
+            request,
+            sent: 0,
+            state,
+            stream: body.stream,
+        }
+    }
+
+    /// Waits for the next token's time, which the running streams share.
+    async fn pace(&mut self) {
+        let interval = {
+            let inner = self.state.lock();
+            let config = &self.state.config;
+            let shared = inner.queue.running() as f64 / config.tokens_per_second;
+            let seconds = shared.max(config.token_ms / 1_000.0);
+            Duration::from_secs_f64(seconds * inner.faults.slow_factor)
+                + Duration::from_millis(inner.faults.slow_ms)
+        };
+        sleep(interval + core::mem::take(&mut self.prefill)).await;
+    }
+
+    /// Carries out the faults that strike in the middle of a stream.
+    async fn interrupt(&self) {
+        let faults = self.state.lock().faults.clone();
+        if faults
+            .cut_stream_after
+            .is_some_and(|limit| self.sent >= limit)
+        {
+            self.state.lock().stats.cut += 1;
+            // The tokens before the cut are written when the body has nothing more to give.
+            sleep(FLUSH).await;
+            socket::close::<()>(&self.request).await;
+        }
+        if faults
+            .stall_stream_after
+            .is_some_and(|limit| self.sent >= limit)
+        {
+            socket::silence::<()>().await;
+        }
+    }
+
+    fn is_cancelled(&self) -> bool {
+        let inner = self.state.lock();
+        self.stream
+            .as_deref()
+            .is_some_and(|stream| inner.streams.is_cancelled(stream))
+    }
+
+    fn token(&mut self) -> web::Bytes {
+        let index = self.index;
+        self.index += 1;
+        self.sent += 1;
+        self.state.lock().stats.tokens += 1;
+        let data = json!({
+            "attempt": self.shown(),
+            "index": index,
+            "text": output::token(&self.digest, index),
+        });
+        event(index, "token", &data)
+    }
+
+    fn done(&mut self) -> web::Bytes {
+        self.finished = true;
+        let whole = output::text(&self.digest, self.count);
+        let data = json!({
+            "attempt": self.shown(),
+            "count": self.count,
+            "digest": Digest::of(whole.as_bytes()),
+            "cost_ms": self.began.elapsed().as_secs_f64() * 1_000.0,
+            "cached_tokens": self.cached * BLOCK_TOKENS,
+        });
+        event(self.count, "done", &data)
+    }
+
+    fn shown(&self) -> String {
+        shown(&self.state.lock().faults, self.attempt).to_string()
+    }
+}
+
+impl Drop for Generation {
+    fn drop(&mut self) {
+        let mut inner = self.state.lock();
+        if let Some(stream) = &self.stream {
+            inner.streams.end(stream);
+        }
+        inner.stats.cancelled += u64::from(!self.finished);
+    }
+}
+
+/// Produces the next event of a stream; a cancelled stream ends without its last event.
+async fn next(mut generation: Generation) -> Option<(Result<web::Bytes, Infallible>, Generation)> {
+    if generation.finished {
+        return None;
+    }
+    generation.interrupt().await;
+    if generation.index >= generation.count {
+        let done = generation.done();
+        return Some((Ok(done), generation));
+    }
+    generation.pace().await;
+    if generation.is_cancelled() {
+        return None;
+    }
+    let token = generation.token();
+    Some((Ok(token), generation))
+}
+
+fn event(id: u64, name: &str, data: &Value) -> web::Bytes {
+    web::Bytes::from(format!("id: {id}\nevent: {name}\ndata: {data}\n\n"))
+}
+
+fn prompt(input: &Value) -> String {
+    match input["prompt"].as_str() {
+        Some(prompt) => prompt.to_owned(),
+        None => input.to_string(),
+    }
+}
