Read prompt and token count from the request within a stage's input

A stage's input is {request, previous}, so the engine stand-in found no prompt and cached the whole input, whose first bytes are the previous stage's output. It now looks for both fields in the request as well. cargo test -p fake passes.

--- a/crates/fake/src/server/generate.rs
+++ b/crates/fake/src/server/generate.rs
@@ -190,7 +190,7 @@
 }
 
 fn prompt(input: &Value) -> String {
-    match input["prompt"].as_str() {
+    match output::field(input, "prompt").as_str() {
         Some(prompt) => prompt.to_owned(),
         None => input.to_string(),
     }
--- a/crates/fake/src/server/output.rs
+++ b/crates/fake/src/server/output.rs
@@ -71,7 +71,15 @@
 
 /// Returns how many tokens an input asks for with `max_tokens`.
 pub fn token_count(input: &Value, default: u64) -> u64 {
-    input["max_tokens"].as_u64().unwrap_or(default)
+    field(input, "max_tokens").as_u64().unwrap_or(default)
+}
+
+/// Returns a field of an input, or of the request within it.
+pub(super) fn field<'a>(input: &'a Value, name: &str) -> &'a Value {
+    match &input[name] {
+        Value::Null => &input["request"][name],
+        value => value,
+    }
 }
 
 fn vector(digest: &Digest) -> Vec<f64> {
