--- a/crates/base/src/code.rs
+++ b/crates/base/src/code.rs
@@ -147,6 +147,8 @@
     StreamCut = 402, 502, Incomplete, again;
     /// The stream cannot be continued as it began.
     StreamDiverged = 403, 409, Incomplete, final_;
+    /// The call has run; its answer was too large to be kept for a repeat.
+    AnswerNotKept = 404, 410, Unknown, final_;
     /// A fault of the system itself.
     Internal = 500, 500, Unknown, again;
 }
--- a/crates/entry/src/logs.rs
+++ b/crates/entry/src/logs.rs
@@ -4,6 +4,8 @@
 
 use serde_json::json;
 
+pub use log::LevelFilter;
+
 use crate::settings::{Format, Settings};
 
 /// Starts logging to standard error as the settings say; a second start is ignored.
--- /dev/null
+++ b/crates/entry/src/plane.rs
@@ -0,0 +1,144 @@
+//! The serving side: takes callers' requests through their pipelines.
+//!
+//! It runs on one thread; its decisions are the cores' (`admit`, `flow`, `ledger`, `retry`,
+//! `route`), and this module carries them out.
+
+mod call;
+mod drive;
+mod inner;
+mod judge;
+mod once;
+mod places;
+mod sink;
+mod status;
+
+use core::cell::RefCell;
+use std::{rc::Rc, sync::atomic::Ordering};
+
+use admit::{Action, Verdict};
+use base::{Code, Digest, Key, Stamp, request::Id};
+use flow::Answer;
+use front::{Ask, Reply, Service};
+use tokio::sync::oneshot;
+
+use self::{drive::Drive, inner::Inner, judge::Judged, sink::Sink};
+use crate::shared::Shared;
+
+/// Serves requests on one thread.
+pub struct Plane {
+    client: backend::Client,
+    inner: RefCell<Inner>,
+    shared: Shared,
+    this: std::rc::Weak<Self>,
+}
+
+impl Plane {
+    /// Returns the serving side of an instance; it has to stay on the thread it was opened on.
+    pub fn open(shared: Shared) -> Rc<Self> {
+        let config = backend::Config {
+            progress: shared.settings.progress,
+            ..backend::Config::default()
+        };
+        let plane = Rc::new_cyclic(|this| Self {
+            client: backend::Client::open(config),
+            inner: RefCell::new(Inner::new(&shared)),
+            shared,
+            this: this.clone(),
+        });
+        actix_web::rt::spawn(inner::tick(Rc::downgrade(&plane)));
+        plane
+    }
+
+    /// Returns the number of requests that are being served.
+    pub fn in_flight(&self) -> i64 {
+        self.shared.metrics.in_flight.get()
+    }
+
+    /// Carries out what the gate decided about waiting requests.
+    fn dispatch(&self, actions: Vec<Action>) {
+        for action in actions {
+            let (id, verdict) = match action {
+                Action::Start(id) => (id, Verdict::Start),
+                Action::Refuse(id, refusal) => (id, Verdict::Refused(refusal)),
+            };
+            let waiter = self.inner.borrow_mut().take_waiter(id);
+            if let Some(waiter) = waiter {
+                // Its caller may have gone.
+                let _gone = waiter.send(verdict);
+            }
+        }
+    }
+
+    fn start(&self, id: Id, ask: &Ask, judged: Judged, sink: Option<Sink>) -> oneshot::Receiver<Answer> {
+        let (sender, receiver) = oneshot::channel();
+        let Some(plane) = self.this.upgrade() else {
+            return receiver;
+        };
+        let drive = Drive::new(plane, id, ask, judged, sink);
+        actix_web::rt::spawn(drive.run(sender));
+        receiver
+    }
+}
+
+impl Service for Plane {
+    fn body_limit(&self) -> usize {
+        self.inner.borrow().body_limit()
+    }
+
+    fn id(&self) -> Id {
+        self.inner.borrow_mut().id()
+    }
+
+    fn now(&self) -> Stamp {
+        self.shared.clock.stamp()
+    }
+
+    async fn serve(&self, id: Id, ask: Ask) -> Reply {
+        let judged = {
+            let mut inner = self.inner.borrow_mut();
+            inner.refresh(&self.client);
+            judge::judge(&inner, &self.shared, &ask)
+        };
+        let judged = match judged {
+            Ok(judged) => judged,
+            Err(answer) => return Reply::Whole(answer),
+        };
+        if !ask.stream || !judged.streams {
+            let ended = self.start(id, &ask, judged, None);
+            return Reply::Whole(ended.await.unwrap_or_else(|_| lost()));
+        }
+        let (sink, opened, frames) = Sink::open(ask.resume.clone());
+        let ended = self.start(id, &ask, judged, Some(sink));
+        tokio::select! {
+            biased;
+            Ok(()) = opened => Reply::Stream(frames),
+            answer = ended => Reply::Whole(answer.unwrap_or_else(|_| lost())),
+        }
+    }
+
+    async fn status(&self, credential: Digest, key: Key) -> Answer {
+        status::ask(self, credential, key).await
+    }
+}
+
+/// Counts a request while it is being served.
+struct Flight(Shared);
+
+impl Flight {
+    fn begin(shared: &Shared) -> Self {
+        shared.metrics.in_flight.inc();
+        shared.flights.fetch_add(1, Ordering::SeqCst);
+        Self(shared.clone())
+    }
+}
+
+impl Drop for Flight {
+    fn drop(&mut self) {
+        self.0.metrics.in_flight.dec();
+        self.0.flights.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
+fn lost() -> Answer {
+    Answer::refusal(Code::Internal, "the request's task ended without an answer")
+}
--- /dev/null
+++ b/crates/entry/src/plane/call.rs
@@ -0,0 +1,251 @@
+//! One call of a backend server, with what the routing learns from it.
+
+use core::time::Duration;
+use std::rc::Rc;
+
+use backend::stream::Part;
+use base::{Incarnation, Name, Tick, attempt::Attempt};
+use bundle::content::{Kind, Pool};
+use flow::{Event, Failure};
+use serde_json::{Value, json};
+
+use crate::plane::{
+    Plane,
+    sink::{Push, Sink, Text},
+};
+
+/// Milliseconds of a server's work in one of the seconds that its cost is stated for.
+const MILLIS: f64 = 1_000.0;
+
+/// One call, ready to be made.
+pub(crate) struct Call<'a> {
+    pub(crate) call: backend::Call,
+    pub(crate) pool: &'a Pool,
+    pub(crate) server: Incarnation,
+    /// Whether the output of this stage is the answer.
+    pub(crate) last: bool,
+}
+
+/// How a call ended, with what is needed to go on after a failure.
+pub(crate) enum End {
+    /// The request goes on with an event.
+    Event(Event),
+    /// The caller has gone.
+    Gone,
+}
+
+/// Makes a call and returns what the request learns of it.
+///
+/// Tokens of the answer's own stage go to the sink as they arrive and are kept in `text`.
+pub(crate) async fn make(
+    plane: &Rc<Plane>,
+    call: Call<'_>,
+    text: &mut Text,
+    sink: Option<&mut Sink>,
+) -> End {
+    let mut watch = Watch::begin(plane, &call);
+    let made = if call.pool.kind == Kind::Generate {
+        generate(plane, &call, text, sink).await
+    } else {
+        reply(plane, &call).await
+    };
+    let ended = match &made {
+        Ok(Made::Output(..) | Made::Diverged) => Ended::Finished,
+        Ok(Made::Gone) => Ended::Failed(route::Failure::Cancelled),
+        Err(failure) => Ended::Failed(blame(failure)),
+    };
+    watch.end(ended);
+    let attempt = call.call.attempt;
+    let cost = cost(call.pool, watch.took());
+    let metrics = &plane.shared.metrics;
+    let label = label(&made);
+    metrics
+        .attempts
+        .with_label_values(&[call.pool.name.as_str(), label])
+        .inc();
+    match made {
+        Ok(Made::Output(output, cost_ms)) => End::Event(Event::Replied {
+            attempt,
+            output,
+            cost: cost_ms / MILLIS * call.pool.cost_per_second,
+        }),
+        Ok(Made::Diverged) => End::Event(Event::Diverged),
+        Ok(Made::Gone) => End::Gone,
+        Err(failure) => End::Event(Event::Failed {
+            attempt,
+            cost: if failure.may_have_run() { cost } else { 0.0 },
+            failure,
+        }),
+    }
+}
+
+enum Made {
+    /// The output and the server's own time on it, in milliseconds.
+    Output(Value, f64),
+    Diverged,
+    Gone,
+}
+
+async fn reply(plane: &Plane, call: &Call<'_>) -> Result<Made, Failure> {
+    let reply = plane.client.call(&call.call).await?;
+    if reply.leaving {
+        leaving(plane, &call.server);
+    }
+    Ok(Made::Output(reply.output, reply.cost_ms))
+}
+
+async fn generate(
+    plane: &Plane,
+    call: &Call<'_>,
+    text: &mut Text,
+    mut sink: Option<&mut Sink>,
+) -> Result<Made, Failure> {
+    let mut inner = Text::default();
+    let text = if call.last { text } else { &mut inner };
+    let mut stream = plane.client.stream(&call.call).await?;
+    if stream.leaving() {
+        leaving(plane, &call.server);
+    }
+    loop {
+        match stream.part().await? {
+            Part::Token { text: token, .. } => {
+                text.push(&token);
+                let Some(sink) = sink.as_mut().filter(|_| call.last) else {
+                    continue;
+                };
+                match sink.push(text, &token).await {
+                    Push::Taken => {}
+                    Push::Gone => return Ok(Made::Gone),
+                    Push::Diverged => return Ok(Made::Diverged),
+                }
+            }
+            Part::Done {
+                digest, cost_ms, ..
+            } => {
+                if digest != text.digest() {
+                    return Ok(Made::Diverged);
+                }
+                let output =
+                    json!({ "text": text.whole, "count": text.count, "digest": digest });
+                return Ok(Made::Output(output, cost_ms));
+            }
+        }
+    }
+}
+
+fn leaving(plane: &Plane, server: &Incarnation) {
+    let server = server.clone();
+    let now = plane.shared.clock.tick();
+    let mut inner = plane.inner.borrow_mut();
+    inner.table.on(now, route::Event::Leaving { server });
+}
+
+fn cost(pool: &Pool, took: Duration) -> f64 {
+    took.as_secs_f64() * pool.cost_per_second
+}
+
+const fn blame(failure: &Failure) -> route::Failure {
+    match failure {
+        Failure::Busy { .. } | Failure::Leaving | Failure::Mismatched => route::Failure::Refused,
+        Failure::Disconnected => route::Failure::Crashed,
+        Failure::NotConnected => route::Failure::ConnectFailed,
+        Failure::Refused { .. } => route::Failure::Cancelled,
+        Failure::Silent => route::Failure::Slow,
+    }
+}
+
+const fn label(made: &Result<Made, Failure>) -> &'static str {
+    match made {
+        Ok(Made::Output(..)) => "answered",
+        Ok(Made::Diverged) => "diverged",
+        Ok(Made::Gone) => "caller_gone",
+        Err(Failure::Busy { .. }) => "busy",
+        Err(Failure::Disconnected) => "disconnected",
+        Err(Failure::Leaving) => "leaving",
+        Err(Failure::Mismatched) => "mismatched",
+        Err(Failure::NotConnected) => "not_connected",
+        Err(Failure::Refused { .. }) => "refused",
+        Err(Failure::Silent) => "silent",
+    }
+}
+
+enum Ended {
+    Finished,
+    Failed(route::Failure),
+}
+
+/// Tells the routing that an attempt began, and how it ended even if its future is dropped.
+struct Watch {
+    attempt: Attempt,
+    deadline: Tick,
+    plane: Rc<Plane>,
+    pool: Name,
+    server: Incarnation,
+    started: Tick,
+    ended: bool,
+}
+
+impl Watch {
+    fn begin(plane: &Rc<Plane>, call: &Call<'_>) -> Self {
+        let now = plane.shared.clock.tick();
+        let (attempt, server) = (call.call.attempt, call.server.clone());
+        let started = route::Event::Started {
+            attempt,
+            server: server.clone(),
+            prefix: None,
+        };
+        plane.inner.borrow_mut().table.on(now, started);
+        Self {
+            attempt,
+            deadline: now + call.call.deadline,
+            plane: Rc::clone(plane),
+            pool: call.pool.name.clone(),
+            server,
+            started: now,
+            ended: false,
+        }
+    }
+
+    fn took(&self) -> Duration {
+        self.plane.shared.clock.tick() - self.started
+    }
+
+    fn end(&mut self, ended: Ended) {
+        self.ended = true;
+        let (attempt, server) = (self.attempt, self.server.clone());
+        let took = self.took();
+        let now = self.plane.shared.clock.tick();
+        let event = match ended {
+            Ended::Finished => route::Event::Finished {
+                attempt,
+                server,
+                took,
+            },
+            Ended::Failed(kind) => route::Event::Failed {
+                attempt,
+                server,
+                kind,
+            },
+        };
+        self.plane.inner.borrow_mut().table.on(now, event);
+    }
+}
+
+impl Drop for Watch {
+    fn drop(&mut self) {
+        if self.ended {
+            return;
+        }
+        let late = self.plane.shared.clock.tick() >= self.deadline;
+        let (kind, label) = if late {
+            (route::Failure::Slow, "late")
+        } else {
+            (route::Failure::Cancelled, "cancelled")
+        };
+        self.end(Ended::Failed(kind));
+        let attempts = &self.plane.shared.metrics.attempts;
+        attempts
+            .with_label_values(&[self.pool.as_str(), label])
+            .inc();
+    }
+}
--- /dev/null
+++ b/crates/entry/src/plane/drive.rs
@@ -0,0 +1,449 @@
+//! Carries one request through its pipeline: the core decides, this does.
+
+use core::time::Duration;
+use std::rc::Rc;
+
+use base::{Code, Incarnation, Outcome, Tick, attempt::Attempt, request::Id};
+use flow::{Action, Answer, Event, Request, request::Context};
+use front::Ask;
+use serde_json::Value;
+use tokio::{sync::oneshot, time};
+
+use crate::plane::{
+    Flight, Plane,
+    call::{self, Call, End},
+    judge::Judged,
+    once::{self, Once, Recall},
+    sink::{Sink, Text},
+};
+
+/// The wait advised to a caller whose request was given up on.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// One request on its way.
+pub(crate) struct Drive {
+    ask: Ask,
+    /// Whether the call that may not be repeated is under way.
+    calling: bool,
+    flight: Flight,
+    id: Id,
+    judged: Judged,
+    once: Option<Once>,
+    picked: Option<route::Pick>,
+    plane: Rc<Plane>,
+    request: Request,
+    sink: Option<Sink>,
+    started: Tick,
+    text: Text,
+}
+
+/// How a request ended.
+enum Over {
+    Answer(Answer),
+    /// Nobody waits for the answer any more.
+    Gone,
+}
+
+impl Drive {
+    pub(crate) fn new(
+        plane: Rc<Plane>,
+        id: Id,
+        ask: &Ask,
+        judged: Judged,
+        sink: Option<Sink>,
+    ) -> Self {
+        let once = prepare_once(&plane, ask, &judged);
+        Self {
+            ask: ask.clone(),
+            calling: false,
+            flight: Flight::begin(&plane.shared),
+            id,
+            once,
+            picked: None,
+            request: Request::new(id, judged.pipeline.clone(), ask.input.clone()),
+            sink,
+            started: plane.shared.clock.tick(),
+            text: Text::default(),
+            judged,
+            plane,
+        }
+    }
+
+    /// Runs the request to its end and sends the answer.
+    pub(crate) async fn run(mut self, mut caller: oneshot::Sender<Answer>) {
+        // A request with a call that may not be repeated goes on without its caller, so that the
+        // outcome of the call is recorded.
+        let over = if self.once.is_some() {
+            self.serve().await
+        } else {
+            tokio::select! {
+                over = self.serve() => over,
+                () = caller.closed(), if self.sink_is_none() => Over::Gone,
+            }
+        };
+        self.finish(over, caller).await;
+    }
+
+    const fn sink_is_none(&self) -> bool {
+        self.sink.is_none()
+    }
+
+    async fn serve(&mut self) -> Over {
+        let first = match self.recall().await {
+            Ok(event) => event,
+            Err(answer) => return Over::Answer(answer),
+        };
+        // What the ledger keeps for a repeat costs nothing to give.
+        if first == Event::Admitted
+            && let Err(answer) = self.admit().await
+        {
+            return Over::Answer(answer);
+        }
+        self.advance(first).await
+    }
+
+    /// Learns what is known of the key, unless the caller says that it is new.
+    async fn recall(&mut self) -> Result<Event, Answer> {
+        let Some(once) = self.once.as_mut().filter(|_| !self.ask.first) else {
+            return Ok(Event::Admitted);
+        };
+        let left = self.judged.deadline - self.plane.shared.clock.tick();
+        match time::timeout(left, once.recall(&self.plane)).await {
+            Ok(Recall::Free) => Ok(Event::Admitted),
+            Ok(Recall::Done(output)) => Ok(Event::Recalled { output }),
+            Ok(Recall::End(answer)) => Err(answer),
+            Err(_) => {
+                let answer = Answer::refusal(Code::EarlierUnknown, "the deadline passed");
+                Err(once.release(&self.plane, answer.after(RETRY_AFTER)))
+            }
+        }
+    }
+
+    /// Waits until the gate lets the request start.
+    async fn admit(&self) -> Result<(), Answer> {
+        let now = self.plane.shared.clock.tick();
+        let account = &self.judged.account;
+        let waiting = {
+            let mut inner = self.plane.inner.borrow_mut();
+            inner
+                .limits
+                .take(now, account)
+                .map_err(|wait| limited(account.as_str(), wait))?;
+            let age_from = match self.ask.key {
+                Some(key) => inner.tick_of(key.issued()).min(now),
+                None => now,
+            };
+            let waiting = inner.wait(self.id);
+            let verdict = inner.offer(admit::Ask {
+                request: self.id,
+                account: account.clone(),
+                pipeline: self.judged.pipeline.name.clone(),
+                priority: self.judged.pipeline.priority,
+                deadline: self.judged.deadline,
+                age_from,
+            });
+            if verdict != admit::Verdict::Queued {
+                inner.take_waiter(self.id);
+                return admitted(verdict);
+            }
+            waiting
+        };
+        let mut place = Place {
+            drive: self,
+            kept: true,
+        };
+        let verdict = waiting.await;
+        place.kept = false;
+        verdict.map_or_else(|_| Err(stopped()), admitted)
+    }
+
+    async fn advance(&mut self, first: Event) -> Over {
+        let mut event = first;
+        loop {
+            let cx = self.cx();
+            let mut action = self.request.on(cx, event);
+            if let Action::Settle { output } = action {
+                self.settle(&output);
+                action = self.request.settled(self.cx());
+            }
+            let left = self.judged.deadline - self.plane.shared.clock.tick();
+            event = match time::timeout(left, self.act(action)).await {
+                Ok(Next::Event(event)) => event,
+                Ok(Next::Over(over)) => return over,
+                Err(_) => {
+                    self.lose_call();
+                    Event::DeadlinePassed
+                }
+            };
+        }
+    }
+
+    async fn act(&mut self, action: Action) -> Next {
+        match action {
+            Action::AskRetry => Next::Event(self.ask_retry()),
+            Action::Call {
+                attempt,
+                server,
+                input,
+                from,
+                idempotent,
+            } => self.call(attempt, server, input, from, idempotent).await,
+            Action::Claim => match &mut self.once {
+                Some(once) => Next::Event(once.claim(&self.plane).await),
+                None => Next::Over(Over::Answer(internal("a claim without a key"))),
+            },
+            Action::Finish(answer) => Next::Over(Over::Answer(answer)),
+            Action::Nothing | Action::Settle { .. } => {
+                Next::Over(Over::Answer(internal("an event out of place")))
+            }
+            Action::Pick { exclude } => Next::Event(self.pick(&exclude)),
+            Action::Release(answer) => {
+                let answer = match &mut self.once {
+                    Some(once) => once.release(&self.plane, answer),
+                    None => answer,
+                };
+                Next::Over(Over::Answer(answer))
+            }
+        }
+    }
+
+    fn pick(&mut self, exclude: &[Incarnation]) -> Event {
+        let pool = self.request.stage().pool.clone();
+        let ask = route::Ask {
+            exclude,
+            ..route::Ask::any(pool.as_str())
+        };
+        let own_domain = &self.plane.shared.settings.domain;
+        let picked = self.plane.inner.borrow_mut().pick(own_domain, &ask);
+        match picked {
+            Ok(pick) => {
+                let server = pick.incarnation.clone();
+                self.picked = Some(pick);
+                Event::Picked { server }
+            }
+            Err(error) => Event::NoServer {
+                retry_after: error.retry_after,
+            },
+        }
+    }
+
+    async fn call(
+        &mut self,
+        attempt: Attempt,
+        server: Incarnation,
+        input: Value,
+        from: u64,
+        idempotent: bool,
+    ) -> Next {
+        let index = self.request.index();
+        let Some((pick, pool)) = self.picked.take().zip(self.judged.pools.get(index)) else {
+            return Next::Over(Over::Answer(internal("a call without a server")));
+        };
+        if let Some(once) = self.once.as_mut().filter(|_| !idempotent)
+            && !once.write(&self.plane)
+        {
+            return Next::Over(Over::Answer(internal("a call after its claim was given up")));
+        }
+        let call = Call {
+            call: backend::Call {
+                account: self.judged.account.clone(),
+                address: pick.address,
+                attempt,
+                deadline: self.judged.deadline - self.plane.shared.clock.tick(),
+                from,
+                idempotent,
+                input,
+                key: self.ask.key,
+                operation: self.request.stage().operation().clone(),
+                priority: self.judged.pipeline.priority,
+            },
+            pool,
+            server,
+            last: index + 1 == self.judged.pipeline.stages.len(),
+        };
+        self.calling = !idempotent;
+        let ended = call::make(&self.plane, call, &mut self.text, self.sink.as_mut()).await;
+        self.calling = false;
+        let count = self.text.count;
+        self.request.on(self.cx(), Event::Progressed { count });
+        match ended {
+            End::Event(event) => {
+                self.note(&event, idempotent);
+                Next::Event(event)
+            }
+            End::Gone => Next::Over(Over::Gone),
+        }
+    }
+
+    /// Tells the claim what became of its call.
+    fn note(&mut self, event: &Event, idempotent: bool) {
+        let Some(once) = self.once.as_mut().filter(|_| !idempotent) else {
+            return;
+        };
+        if let Event::Failed { failure, .. } = event {
+            if failure.may_have_run() {
+                once.lost(&self.plane);
+            } else {
+                once.refused(&self.plane);
+            }
+        }
+    }
+
+    /// Tells the claim that its call was cut by the deadline, if it was under way.
+    fn lose_call(&mut self) {
+        if !self.calling {
+            return;
+        }
+        if let Some(once) = &mut self.once {
+            once.abandon(&self.plane);
+        }
+    }
+
+    fn settle(&mut self, output: &Value) {
+        if let Some(once) = &mut self.once {
+            once.settle(&self.plane, output);
+        }
+    }
+
+    fn ask_retry(&self) -> Event {
+        Event::RetryDenied
+    }
+
+    async fn finish(mut self, over: Over, caller: oneshot::Sender<Answer>) {
+        let answer = match over {
+            Over::Answer(answer) => answer,
+            Over::Gone => {
+                if let Some(once) = &mut self.once {
+                    once.abandon(&self.plane);
+                }
+                internal("the caller has gone")
+            }
+        };
+        self.measure(&answer);
+        if let Some(sink) = &mut self.sink {
+            sink.end(answer.clone(), &self.text).await;
+        }
+        // The caller may have gone.
+        let _gone = caller.send(answer);
+        drop(self.flight);
+    }
+
+    fn measure(&self, answer: &Answer) {
+        let plane = &self.plane;
+        let metrics = &plane.shared.metrics;
+        let pipeline = self.judged.pipeline.name.as_str();
+        let took = plane.shared.clock.tick() - self.started;
+        let code = answer.code.number().to_string();
+        let labels = [pipeline, code.as_str(), answer.outcome.as_str()];
+        metrics.requests.with_label_values(&labels).inc();
+        metrics
+            .request_seconds
+            .with_label_values(&[pipeline])
+            .observe(took.as_secs_f64());
+        metrics
+            .tokens
+            .with_label_values(&[pipeline])
+            .inc_by(self.text.count);
+        let mut cost = 0.0;
+        for stage in &answer.stages {
+            cost += stage.cost;
+            let labels = [pipeline, stage.name.as_str()];
+            let seconds = stage.took_ms / 1_000.0;
+            metrics.stage_seconds.with_label_values(&labels).observe(seconds);
+            metrics.cost.with_label_values(&labels).inc_by(milli(stage.cost));
+        }
+        self.tell_gate(answer, cost);
+    }
+
+    fn tell_gate(&self, answer: &Answer, cost: f64) {
+        let request = self.id;
+        let actions = {
+            let mut inner = self.plane.inner.borrow_mut();
+            for (stage, done) in answer.stages.iter().enumerate() {
+                let took = Duration::from_secs_f64(done.took_ms.max(0.0) / 1_000.0);
+                inner.tell(admit::Event::StageTook {
+                    request,
+                    stage,
+                    took,
+                });
+            }
+            inner.tell(admit::Event::Finished { request, cost })
+        };
+        self.plane.dispatch(actions);
+    }
+
+    fn cx(&self) -> Context {
+        Context {
+            now: self.plane.shared.clock.tick(),
+        }
+    }
+}
+
+/// What follows an action.
+enum Next {
+    Event(Event),
+    Over(Over),
+}
+
+/// A place in the gate's queue, given back if the request is dropped while it waits.
+struct Place<'a> {
+    drive: &'a Drive,
+    kept: bool,
+}
+
+impl Drop for Place<'_> {
+    fn drop(&mut self) {
+        if !self.kept {
+            return;
+        }
+        let request = self.drive.id;
+        let plane = &self.drive.plane;
+        let actions = {
+            let mut inner = plane.inner.borrow_mut();
+            inner.take_waiter(request);
+            inner.tell(admit::Event::Cancelled { request })
+        };
+        plane.dispatch(actions);
+    }
+}
+
+fn prepare_once(plane: &Plane, ask: &Ask, judged: &Judged) -> Option<Once> {
+    judged.pipeline.once()?;
+    let key = ask.key?;
+    let bits = plane.inner.borrow_mut().bits();
+    Some(Once::new(ledger::claim::Call {
+        slot: Once::slot(&judged.account, &key),
+        nonce: once::nonce(bits),
+        holder: plane.shared.incarnation.clone(),
+        body: ask.body,
+        first: ask.first,
+    }))
+}
+
+fn admitted(verdict: admit::Verdict) -> Result<(), Answer> {
+    match verdict {
+        admit::Verdict::Refused(refusal) => {
+            Err(Answer::refusal(refusal.code, refusal.code.title()).after(refusal.retry_after))
+        }
+        admit::Verdict::Queued | admit::Verdict::Start => Ok(()),
+    }
+}
+
+fn limited(account: &str, wait: Duration) -> Answer {
+    let detail = format!("'{account}' is over its requests a second");
+    Answer::refusal(Code::AccountLimited, detail).after(wait)
+}
+
+fn stopped() -> Answer {
+    Answer::refusal(Code::Stopping, Code::Stopping.title()).after(RETRY_AFTER)
+}
+
+fn internal(detail: &str) -> Answer {
+    Answer::refusal(Code::Internal, detail).with_outcome(Outcome::Unknown)
+}
+
+#[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+fn milli(cost: f64) -> u64 {
+    // Costs are small and never negative, so nothing is lost that anyone would miss.
+    (cost * 1_000.0).round().max(0.0) as u64
+}
--- /dev/null
+++ b/crates/entry/src/plane/inner.rs
@@ -0,0 +1,229 @@
+//! The decision cores of the serving side, fed with what the control side publishes.
+
+use core::{net::SocketAddr, time::Duration};
+use std::{rc::Weak, sync::Arc};
+
+use admit::{Gate, limit::Limits};
+use base::{Digest, Name, Stamp, Tick, request::Id};
+use bundle::{Bundle, content::Account};
+use rand::Rng as _;
+use rand_chacha::ChaCha8Rng;
+use route::Table;
+use tokio::sync::{oneshot, watch};
+
+use crate::{
+    clock::Clock,
+    plane::{Plane, places},
+    shared::Shared,
+    view::{Force, Servers},
+};
+
+/// The pace at which waiting requests are looked at.
+const TICK: Duration = Duration::from_millis(20);
+
+/// The largest body taken before a configuration is in force, in bytes.
+const BODY_BYTES: usize = 256 * 1024;
+
+/// The decision cores and what they decide on.
+pub(crate) struct Inner {
+    accounts: Vec<(Digest, usize)>,
+    clock: Clock,
+    pub(crate) bundle: Option<Arc<Bundle>>,
+    force: watch::Receiver<Force>,
+    pub(crate) gate: Gate,
+    pub(crate) limits: Limits,
+    pub(crate) rng: ChaCha8Rng,
+    servers: watch::Receiver<Servers>,
+    pub(crate) table: Table,
+    waiters: Vec<(Id, oneshot::Sender<admit::Verdict>)>,
+}
+
+impl Inner {
+    pub(crate) fn new(shared: &Shared) -> Self {
+        let mut force = shared.force.clone();
+        let mut servers = shared.servers.clone();
+        force.mark_changed();
+        servers.mark_changed();
+        Self {
+            accounts: Vec::new(),
+            clock: shared.clock,
+            bundle: None,
+            force,
+            gate: Gate::default(),
+            limits: Limits::default(),
+            rng: rand::make_rng(),
+            servers,
+            table: Table::new(route::Config::default()),
+            waiters: Vec::new(),
+        }
+    }
+
+    /// Takes in what the control side has published since the last call.
+    pub(crate) fn refresh(&mut self, client: &backend::Client) {
+        let force_changed = self.force.has_changed().unwrap_or(false);
+        let servers_changed = self.servers.has_changed().unwrap_or(false);
+        if force_changed {
+            let force = self.force.borrow_and_update().clone();
+            self.take_bundle(force);
+        }
+        if servers_changed {
+            let servers = self.servers.borrow_and_update().clone();
+            let mut addresses: Vec<SocketAddr> =
+                servers.iter().map(|server| server.address).collect();
+            addresses.sort_unstable();
+            client.retain(&addresses);
+        }
+        if force_changed || servers_changed {
+            self.take_servers();
+        }
+    }
+
+    fn take_bundle(&mut self, force: Force) {
+        let Some(bundle) = &force else {
+            return;
+        };
+        self.accounts = bundle
+            .accounts
+            .iter()
+            .enumerate()
+            .map(|(at, account)| (account.token_digest, at))
+            .collect();
+        self.accounts.sort_unstable();
+        for account in &bundle.accounts {
+            self.gate.account(&account.name, account.weight);
+            let (rate, burst) = (account.requests_per_second, account.burst_requests);
+            self.limits.set(&account.name, rate, burst);
+        }
+        for pipeline in &bundle.pipelines {
+            let pools: Vec<Name> = pipeline
+                .stages
+                .iter()
+                .map(|stage| stage.pool.clone())
+                .collect();
+            self.gate.pipeline(&pipeline.name, &pools);
+        }
+        self.bundle = force;
+    }
+
+    fn take_servers(&mut self) {
+        let Some(bundle) = self.bundle.clone() else {
+            return;
+        };
+        let servers = self.servers.borrow().clone();
+        for pool in &bundle.pools {
+            let members = places::members(&servers, pool);
+            self.table.set(pool.name.as_str(), &members);
+            let event = places::capacity(&members, pool);
+            let mut cx = admit::Context {
+                now: self.clock.tick(),
+                rng: &mut self.rng,
+            };
+            // What may start because of it starts at the next tick.
+            let _later = self.gate.on(&mut cx, event);
+        }
+    }
+
+    pub(crate) fn body_limit(&self) -> usize {
+        self.bundle
+            .as_ref()
+            .map_or(BODY_BYTES, |bundle| bundle.limits.body_bytes)
+    }
+
+    pub(crate) fn id(&mut self) -> Id {
+        Id::from_random(self.bits())
+    }
+
+    pub(crate) fn bits(&mut self) -> u128 {
+        u128::from(self.rng.next_u64()) << 64 | u128::from(self.rng.next_u64())
+    }
+
+    /// Finds the client account whose token has a digest.
+    pub(crate) fn account(&self, token: Digest) -> Option<&Account> {
+        let at = self
+            .accounts
+            .binary_search_by_key(&token, |(digest, _)| *digest)
+            .ok()?;
+        let (_, index) = self.accounts[at];
+        self.bundle.as_ref()?.accounts.get(index)
+    }
+
+    /// Offers a request to the gate.
+    pub(crate) fn offer(&mut self, ask: admit::Ask) -> admit::Verdict {
+        let mut cx = admit::Context {
+            now: self.clock.tick(),
+            rng: &mut self.rng,
+        };
+        self.gate.offer(&mut cx, ask)
+    }
+
+    /// Tells the gate of an event.
+    pub(crate) fn tell(&mut self, event: admit::Event) -> Vec<admit::Action> {
+        let mut cx = admit::Context {
+            now: self.clock.tick(),
+            rng: &mut self.rng,
+        };
+        self.gate.on(&mut cx, event)
+    }
+
+    fn tick(&mut self) -> Vec<admit::Action> {
+        let mut cx = admit::Context {
+            now: self.clock.tick(),
+            rng: &mut self.rng,
+        };
+        self.gate.tick(&mut cx)
+    }
+
+    /// Picks a backend server.
+    pub(crate) fn pick(
+        &mut self,
+        own_domain: &Name,
+        ask: &route::Ask<'_>,
+    ) -> Result<route::Pick, route::Error> {
+        let mut cx = route::Context {
+            now: self.clock.tick(),
+            rng: &mut self.rng,
+            own_domain,
+        };
+        self.table.pick(&mut cx, ask)
+    }
+
+    /// Turns a wall-clock time into an instant of the monotonic clock.
+    pub(crate) fn tick_of(&self, stamp: Stamp) -> Tick {
+        let (now, wall) = (self.clock.tick(), self.clock.stamp());
+        if stamp >= wall {
+            return now + (stamp - wall);
+        }
+        let ago = u64::try_from((wall - stamp).as_micros()).unwrap_or(u64::MAX);
+        Tick::from_micros(now.as_micros().saturating_sub(ago))
+    }
+
+    /// Returns the channel on which a request learns what became of its wait.
+    pub(crate) fn wait(&mut self, id: Id) -> oneshot::Receiver<admit::Verdict> {
+        let (sender, receiver) = oneshot::channel();
+        let at = self.waiters.partition_point(|(known, _)| *known < id);
+        self.waiters.insert(at, (id, sender));
+        receiver
+    }
+
+    pub(crate) fn take_waiter(&mut self, id: Id) -> Option<oneshot::Sender<admit::Verdict>> {
+        let at = self.waiters.binary_search_by_key(&id, |(known, _)| *known).ok()?;
+        Some(self.waiters.remove(at).1)
+    }
+}
+
+/// Looks at waiting requests again and again, until the plane is gone.
+pub(crate) async fn tick(plane: Weak<Plane>) {
+    let mut interval = tokio::time::interval(TICK);
+    loop {
+        interval.tick().await;
+        let Some(plane) = plane.upgrade() else {
+            return;
+        };
+        let actions = {
+            let mut inner = plane.inner.borrow_mut();
+            inner.refresh(&plane.client);
+            inner.tick()
+        };
+        plane.dispatch(actions);
+    }
+}
--- /dev/null
+++ b/crates/entry/src/plane/once.rs
@@ -0,0 +1,251 @@
+//! One call that may not be repeated: its claim, its outcome and its release.
+
+use core::time::Duration;
+
+use base::{Code, Name, Outcome};
+use flow::{Answer, Event};
+use ledger::{
+    claim::{self, Action, Call, Claim},
+    configs,
+    owner::Verdict,
+    record::{self, Record},
+    slot::{Nonce, Slot},
+};
+use serde_json::Value;
+
+use crate::{
+    control::ledger::{Lookup, Submit},
+    plane::{Flight, Plane},
+};
+
+/// The part of a slot that names the stage; one key stands for one call, whatever its stage.
+pub(crate) const STAGE: &str = "";
+
+/// The pause between looks at a claim that nothing else wakes.
+const PAUSE: Duration = Duration::from_millis(50);
+
+/// What a repeat of a request learns before any of its stages runs.
+pub(crate) enum Recall {
+    /// Nothing is claimed under the key.
+    Free,
+    /// The call has run, and this is its output.
+    Done(Value),
+    /// The request ends here.
+    End(Answer),
+}
+
+/// The holder's side of one call.
+pub(crate) struct Once {
+    call: Call,
+    claim: Claim,
+    started: bool,
+}
+
+impl Once {
+    /// Prepares a claim; nothing is in the log before [`Once::claim`].
+    pub(crate) fn new(call: Call) -> Self {
+        Self {
+            claim: Claim::open(configs::Claim::default(), call.clone()),
+            call,
+            started: false,
+        }
+    }
+
+    /// Names the call of an account under a key.
+    pub(crate) fn slot(account: &Name, key: &base::Key) -> Slot {
+        Slot::new(account.as_str(), key, STAGE)
+    }
+
+    /// Asks what is known of the key, and waits for an attempt in progress elsewhere.
+    pub(crate) async fn recall(&mut self, plane: &Plane) -> Recall {
+        use ledger::fold::State;
+        match lookup(plane, self.call.slot).await {
+            Verdict::Found(State::Free) => return Recall::Free,
+            Verdict::Found(_) => {}
+            Verdict::Expired => {
+                let answer = Answer::refusal(Code::KeyExpired, "the key is too old")
+                    .with_outcome(Outcome::Unknown);
+                return Recall::End(answer);
+            }
+            _ => {
+                let answer = Answer::refusal(Code::EarlierUnknown, Code::EarlierUnknown.title());
+                return Recall::End(answer.after(plane.shared.settings.platform_limit));
+            }
+        }
+        // A claim of a slot that is taken costs no append and compares the request bodies.
+        match self.claim(plane).await {
+            Event::ClaimDone { output } => Recall::Done(output),
+            Event::ClaimRefused { code, detail } => {
+                Recall::End(Answer::refusal(code, detail))
+            }
+            _ => {
+                // Its holder released it meanwhile; begin again, now that it is free.
+                self.release(plane, Answer::refusal(Code::InProgress, ""));
+                let nonce = self.call.nonce.next();
+                *self = Self::new(Call { nonce, ..self.call.clone() });
+                Recall::Free
+            }
+        }
+    }
+
+    /// Claims the call and returns what the request learns of it.
+    pub(crate) async fn claim(&mut self, plane: &Plane) -> Event {
+        let mut event = claim::Event::Start;
+        self.started = true;
+        loop {
+            let actions = self.claim.on(plane.shared.clock.now(), event);
+            event = claim::Event::Tick;
+            let mut idle = true;
+            for action in actions {
+                idle = false;
+                match action {
+                    Action::Submit(record) => event = submit(plane, record).await,
+                    Action::Lookup(slot) => {
+                        event = claim::Event::Found(lookup(plane, slot).await);
+                    }
+                    Action::Call => return Event::ClaimWon,
+                    Action::Answer(answer) => return told(&answer),
+                    Action::Cancel | Action::Write => {}
+                }
+            }
+            if idle {
+                tokio::time::sleep(PAUSE).await;
+            }
+        }
+    }
+
+    /// Lets the call leave, unless the claim was given up.
+    pub(crate) fn write(&mut self, plane: &Plane) -> bool {
+        let actions = self
+            .claim
+            .on(plane.shared.clock.now(), claim::Event::CallWritten);
+        actions.contains(&Action::Write)
+    }
+
+    /// Takes note that the call is known not to have run.
+    pub(crate) fn refused(&mut self, plane: &Plane) {
+        self.on(plane, claim::Event::CallRefused);
+    }
+
+    /// Takes note that the call may have run and has no answer.
+    pub(crate) fn lost(&mut self, plane: &Plane) {
+        let event = claim::Event::CallFailed {
+            written: true,
+            code: Code::CallUnknown,
+        };
+        self.on(plane, event);
+    }
+
+    /// Records the output of the call, in the background.
+    pub(crate) fn settle(&mut self, plane: &Plane, output: &Value) {
+        let answer = record::Answer::new(Code::Answered, output.to_string(), 0)
+            .unwrap_or_else(|_| record::Answer::from_code(Code::AnswerNotKept));
+        self.on(plane, claim::Event::CallAnswered(answer));
+    }
+
+    /// Gives the claim up, in the background, and weakens the answer to what is known.
+    pub(crate) fn release(&mut self, plane: &Plane, answer: Answer) -> Answer {
+        if !self.started {
+            return answer;
+        }
+        let told = self.on(plane, claim::Event::GiveUp(answer.code));
+        match told {
+            Some(known) if known.code != answer.code => Answer {
+                code: known.code,
+                outcome: known.code.outcome(),
+                ..answer
+            },
+            _ => answer,
+        }
+    }
+
+    /// Ends whatever is under way, since the request ended in another way.
+    pub(crate) fn abandon(&mut self, plane: &Plane) {
+        if self.started && !self.claim.is_ended() {
+            self.on(plane, claim::Event::GiveUp(Code::DeadlinePassed));
+        }
+    }
+
+    /// Tells the claim an event, sends its records in the background, and returns its answer.
+    fn on(&mut self, plane: &Plane, event: claim::Event) -> Option<record::Answer> {
+        let actions = self.claim.on(plane.shared.clock.now(), event);
+        let mut told = None;
+        let mut records = Vec::new();
+        for action in actions {
+            match action {
+                Action::Answer(answer) => told = Some(answer),
+                Action::Submit(record) => records.push(record),
+                Action::Call | Action::Cancel | Action::Lookup(_) | Action::Write => {}
+            }
+        }
+        if !records.is_empty() {
+            close(plane, self.claim.clone(), records);
+        }
+        told
+    }
+}
+
+/// Turns what the ledger keeps into an answer for a caller.
+pub(crate) fn answer(kept: &record::Answer) -> Answer {
+    let output = output(kept);
+    Answer {
+        output,
+        ..Answer::refusal(kept.code, kept.code.title())
+    }
+}
+
+fn output(kept: &record::Answer) -> Value {
+    serde_json::from_str(&kept.body).unwrap_or(Value::Null)
+}
+
+fn told(kept: &record::Answer) -> Event {
+    if kept.code == Code::Answered {
+        return Event::ClaimDone {
+            output: output(kept),
+        };
+    }
+    Event::ClaimRefused {
+        code: kept.code,
+        detail: kept.code.title().to_owned(),
+    }
+}
+
+/// Sends the last records of a claim until the log has them.
+fn close(plane: &Plane, mut claim: Claim, mut records: Vec<Record>) {
+    let Some(plane) = plane.this.upgrade() else {
+        return;
+    };
+    let flight = Flight::begin(&plane.shared);
+    actix_web::rt::spawn(async move {
+        let _flight = flight;
+        while !claim.is_ended() {
+            let mut event = claim::Event::Tick;
+            for record in core::mem::take(&mut records) {
+                event = submit(&plane, record).await;
+            }
+            for action in claim.on(plane.shared.clock.now(), event) {
+                if let Action::Submit(record) = action {
+                    records.push(record);
+                }
+            }
+            if records.is_empty() && !claim.is_ended() {
+                tokio::time::sleep(PAUSE).await;
+            }
+        }
+    });
+}
+
+async fn submit(plane: &Plane, record: Record) -> claim::Event {
+    let sent = plane.shared.ledger.send(Submit(record.clone())).await;
+    claim::Event::of(&record, sent.unwrap_or(Verdict::LOST))
+}
+
+async fn lookup(plane: &Plane, slot: Slot) -> Verdict {
+    let asked = plane.shared.ledger.send(Lookup(slot)).await;
+    asked.unwrap_or(Verdict::LOST)
+}
+
+/// Returns a nonce for one attempt.
+pub(crate) const fn nonce(bits: u128) -> Nonce {
+    Nonce::from_random(bits)
+}
--- /dev/null
+++ b/crates/entry/src/plane/status.rs
@@ -0,0 +1,39 @@
+//! What became of an earlier request.
+
+use base::{Code, Digest, Key, Outcome};
+use flow::Answer;
+use ledger::{fold::State, owner::Verdict, slot::Slot};
+
+use crate::{
+    control::ledger::Lookup,
+    plane::{Plane, once},
+};
+
+/// Tells what the ledger knows of the call made under a key.
+pub(crate) async fn ask(plane: &Plane, credential: Digest, key: Key) -> Answer {
+    let account = {
+        let mut inner = plane.inner.borrow_mut();
+        inner.refresh(&plane.client);
+        inner.account(credential).map(|account| account.name.clone())
+    };
+    let Some(account) = account else {
+        return Answer::refusal(Code::AccountUnknown, "no account has this token");
+    };
+    let slot = Slot::new(account.as_str(), &key, once::STAGE);
+    let asked = plane.shared.ledger.send(Lookup(slot)).await;
+    match asked.unwrap_or(Verdict::LOST) {
+        Verdict::Found(State::Done(answer)) => once::answer(&answer),
+        Verdict::Found(State::InProgress { holder }) => {
+            let detail = format!("claimed by {holder}");
+            Answer::refusal(Code::InProgress, detail).after(plane.shared.settings.poll)
+        }
+        Verdict::Found(State::Free) => Answer::refusal(
+            Code::RequestUnknown,
+            "no call that may not be repeated was claimed under this key",
+        ),
+        Verdict::Expired => Answer::refusal(Code::KeyExpired, "the key is too old to tell")
+            .with_outcome(Outcome::Unknown),
+        _ => Answer::refusal(Code::EarlierUnknown, "the ledger cannot be read now")
+            .after(plane.shared.settings.platform_limit),
+    }
+}
--- /dev/null
+++ b/crates/entry/src/routes.rs
@@ -0,0 +1,42 @@
+//! Routes for operators and for the platform's balancer.
+
+use std::rc::Rc;
+
+use actix_web::{HttpResponse, web};
+
+use crate::shared::Shared;
+
+/// Adds the routes.
+///
+/// - `GET /live`: the process runs.
+/// - `GET /ready`: the instance has a configuration in force and is not stopping.
+/// - `GET /metrics`: the metrics, for Prometheus.
+pub(crate) fn configure(config: &mut web::ServiceConfig, shared: Shared) {
+    config
+        .app_data(web::Data::new(Rc::new(shared)))
+        .route("/live", web::get().to(live))
+        .route("/ready", web::get().to(ready))
+        .route("/metrics", web::get().to(metrics));
+}
+
+async fn live() -> HttpResponse {
+    HttpResponse::Ok().body("live\n")
+}
+
+async fn ready(shared: web::Data<Rc<Shared>>) -> HttpResponse {
+    if shared.is_ready() {
+        return HttpResponse::Ok().body("ready\n");
+    }
+    let reason = if shared.is_stopping() {
+        "stopping\n"
+    } else {
+        "no configuration is in force yet\n"
+    };
+    HttpResponse::ServiceUnavailable().body(reason)
+}
+
+async fn metrics(shared: web::Data<Rc<Shared>>) -> HttpResponse {
+    HttpResponse::Ok()
+        .content_type("text/plain; version=0.0.4")
+        .body(shared.metrics.text())
+}
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -2,12 +2,12 @@
 
 use std::sync::{
     Arc,
-    atomic::{AtomicBool, Ordering},
+    atomic::{AtomicBool, AtomicUsize, Ordering},
 };
 
 use actix::Addr;
 use base::Incarnation;
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 use crate::{
     clock::Clock,
@@ -22,6 +22,8 @@
 pub struct Shared {
     /// The clocks.
     pub clock: Clock,
+    /// Requests and background records that an orderly stop waits for.
+    pub flights: Arc<AtomicUsize>,
     /// The configuration in force.
     pub force: watch::Receiver<Force>,
     /// The name and the start of this instance.
@@ -34,6 +36,8 @@
     pub servers: watch::Receiver<Servers>,
     /// Settings.
     pub settings: Arc<Settings>,
+    /// Wakes the stop.
+    pub stop: Arc<Notify>,
     /// Set once the instance is to stop.
     pub stopping: Arc<AtomicBool>,
 }
--- a/crates/flow/src/event.rs
+++ b/crates/flow/src/event.rs
@@ -28,6 +28,8 @@
     },
     /// The deadline passed.
     DeadlinePassed,
+    /// A streamed answer went on in another way than it began.
+    Diverged,
     /// A call failed.
     Failed {
         /// The attempt.
@@ -61,6 +63,12 @@
         /// What the attempt cost.
         cost: f64,
     },
+    /// The ledger holds the output of the call that may not be repeated, from an earlier attempt
+    /// under the same key; the stages before it are not needed.
+    Recalled {
+        /// The output.
+        output: Value,
+    },
     /// The retry budget has room for one more attempt.
     RetryGranted,
     /// The retry budget is spent.
--- a/crates/flow/src/request.rs
+++ b/crates/flow/src/request.rs
@@ -130,6 +130,7 @@
                 self.refuse_claim(code, detail)
             }
             Event::DeadlinePassed => self.give_up(cx, Code::DeadlinePassed, "deadline passed"),
+            Event::Diverged => self.refuse(Code::StreamDiverged, Code::StreamDiverged.title(), None),
             Event::Failed {
                 attempt,
                 failure,
@@ -153,12 +154,25 @@
                 self.spent += cost;
                 self.leave_stage(cx, output)
             }
+            Event::Recalled { output } if self.phase == Phase::Admission => {
+                self.recall(cx, output)
+            }
             Event::RetryGranted if self.phase == Phase::Budget => self.retry(),
             Event::RetryDenied if self.phase == Phase::Budget => self.deny_retry(),
             _ => Action::Nothing,
         }
     }
 
+    fn recall(&mut self, cx: Context, output: Value) -> Action {
+        let Some(once) = self.pipeline.once() else {
+            return self.enter_stage(cx);
+        };
+        self.stage = once;
+        self.since = cx.now;
+        self.ran.once = true;
+        self.leave_stage(cx, output)
+    }
+
     fn enter_stage(&mut self, cx: Context) -> Action {
         self.since = cx.now;
         self.number = 0;
