Fold the configuration stream into the bundle in force, and drive it by ctl

The configuration is a stream of records: Publish, SignOff, RollOut and Carry. The fold is strict: a proposal counts only if its base is in force at its place in the log, and a roll-out drops every other proposal, so the whole state is small and a Carry can hold it in full. A reader that began after the log's head was dropped decides nothing until a Carry whose later records it has all seen.

Positions are ordered by version, which is signed, and not by offset, which nothing signed says.

Weighed: a Carry with the bundle in force only. Ruled out, since a reader that starts from it would not know proposals made before it and would judge a later roll-out otherwise than the rest.

ctl looks for its own record after a lost answer and never appends again.

--- a/crates/bundle/src/content.rs
+++ b/crates/bundle/src/content.rs
@@ -246,6 +246,9 @@
     /// The text is not TOML of the expected shape.
     #[error("{0}")]
     Syntax(#[from] toml::de::Error),
+    /// The text is not JSON of the expected shape.
+    #[error("{0}")]
+    Json(#[from] serde_json::Error),
 }
 
 impl Bundle {
@@ -261,6 +264,18 @@
         Ok(bundle)
     }
 
+    /// Reads a bundle from JSON and sorts its lists.
+    ///
+    /// # Errors
+    ///
+    /// - The text is not JSON.
+    /// - A field is unknown, missing or of the wrong type.
+    pub fn from_json(text: &str) -> Result<Self, Error> {
+        let mut bundle: Self = serde_json::from_str(text)?;
+        bundle.sort();
+        Ok(bundle)
+    }
+
     /// Finds the client account with a name.
     pub fn account(&self, name: &str) -> Option<&Account> {
         find(&self.accounts, |account| &account.name, name)
--- a/crates/bundle/src/lib.rs
+++ b/crates/bundle/src/lib.rs
@@ -1,5 +1,25 @@
 //! Configuration: types, checks, signatures and the fold over the log.
+//!
+//! A bundle travels as records of the log stream [`STREAM`]; [`Fold`] turns the records into the
+//! bundle in force, and [`Proof`] hands that to a reader who cannot reach the log.
 
+pub mod approval;
+pub mod chain;
+pub mod check;
 pub mod content;
+pub mod diff;
+pub mod event;
+pub mod fold;
+pub mod position;
+pub mod proof;
+pub mod record;
+pub mod sheet;
+pub mod sign;
 
-pub use content::Bundle;
+pub use self::{
+    content::Bundle, event::Event, fold::Fold, position::Position, proof::Proof, record::Record,
+    sheet::Sheet,
+};
+
+/// The log stream that carries the configuration.
+pub const STREAM: &str = "config";
--- /dev/null
+++ b/crates/bundle/src/record.rs
@@ -0,0 +1,149 @@
+//! Records of the configuration stream.
+
+use base::{Digest, Name};
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+use crate::{approval::Fault, proof::Proof, sheet::Sheet, sign::Signature};
+
+/// The version of the records' layout.
+const LAYOUT: u32 = 1;
+
+/// One record of the stream [`crate::STREAM`].
+///
+/// # Examples
+///
+/// ```
+/// use bundle::{Record, record::SignOff, sign::{Key, Message}};
+/// let digest = base::Digest::of(b"bundle");
+/// let signature = Key::example("steward").sign(&Message::sign_off(1, None, digest));
+/// let record = Record::SignOff(SignOff { digest, signer: "steward".into(), signature });
+/// assert_eq!(Record::parse(&record.to_json()).unwrap(), record);
+/// ```
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(tag = "kind", rename_all = "snake_case")]
+pub enum Record {
+    /// An author proposes a bundle.
+    Publish(Publish),
+    /// A signer approves a proposed bundle.
+    SignOff(SignOff),
+    /// An operator puts a bundle in force.
+    RollOut(RollOut),
+    /// An instance carries the state forward before the log drops the records it came from.
+    Carry(Box<Proof>),
+}
+
+/// An author proposes a bundle.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Publish {
+    /// The version; higher than that of the base.
+    pub version: u64,
+    /// The bundle in force that this one is meant to replace; none for the first.
+    pub base: Option<Digest>,
+    /// The digest over the whole bundle.
+    pub digest: Digest,
+    /// The name of the author, one of the signers in force.
+    pub author: Name,
+    /// What the bundle says.
+    pub content: Content,
+    /// The author's signature.
+    pub signature: Signature,
+}
+
+/// What a proposed bundle says.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Content {
+    /// The whole bundle as TOML.
+    Whole(String),
+}
+
+impl Content {
+    /// Reads the whole bundle.
+    ///
+    /// # Errors
+    ///
+    /// The text is not TOML.
+    pub fn read(&self) -> Result<Sheet, Fault> {
+        match self {
+            Self::Whole(text) => {
+                Sheet::from_toml(text).map_err(|error| Fault::Content(error.to_string()))
+            }
+        }
+    }
+}
+
+/// A signer approves a proposed bundle.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SignOff {
+    /// The digest of the bundle.
+    pub digest: Digest,
+    /// The name of the signer, one of the signers in force and not the author.
+    pub signer: Name,
+    /// The signer's signature over version, base and digest.
+    pub signature: Signature,
+}
+
+/// An operator puts a bundle in force.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RollOut {
+    /// The digest of the bundle.
+    pub digest: Digest,
+    /// The bundle in force when the order was issued.
+    pub base: Option<Digest>,
+    /// The name of the operator, one of the signers in force.
+    pub author: Name,
+    /// A random number by which the operator finds the record again.
+    pub nonce: u64,
+    /// The operator's signature.
+    pub signature: Signature,
+}
+
+/// Why a text is not a record.
+#[derive(Debug, Error)]
+pub enum Error {
+    /// The layout is newer than this release.
+    #[error("layout {0} of the record is unknown to this release")]
+    Layout(u32),
+    /// The text is not JSON of the expected shape.
+    #[error("{0}")]
+    Syntax(#[from] serde_json::Error),
+}
+
+#[derive(Serialize)]
+struct Written<'a> {
+    layout: u32,
+    #[serde(flatten)]
+    record: &'a Record,
+}
+
+#[derive(Deserialize)]
+struct Envelope {
+    layout: u32,
+}
+
+impl Record {
+    /// Writes the record as JSON.
+    pub fn to_json(&self) -> String {
+        let written = Written {
+            layout: LAYOUT,
+            record: self,
+        };
+        // Every map has text keys and there are no floats, so nothing here can fail.
+        serde_json::to_string(&written).unwrap_or_default()
+    }
+
+    /// Reads a record from JSON.
+    ///
+    /// # Errors
+    ///
+    /// - The layout is newer than this release.
+    /// - The text is not JSON of the expected shape.
+    pub fn parse(text: &str) -> Result<Self, Error> {
+        let envelope: Envelope = serde_json::from_str(text)?;
+        if envelope.layout != LAYOUT {
+            return Err(Error::Layout(envelope.layout));
+        }
+        Ok(serde_json::from_str(text)?)
+    }
+}
--- /dev/null
+++ b/crates/ctl/src/append.rs
@@ -0,0 +1,94 @@
+//! One append, and what became of it.
+
+use core::time::Duration;
+
+use bundle::{Record, STREAM, event::Event};
+use platform::{Log, log};
+
+use crate::{Done, Error, Session, View};
+
+/// Looks for an own record after a lost answer.
+const LOOKS: u32 = 5;
+
+/// The pause between looks.
+const LOOK_PAUSE: Duration = Duration::from_millis(300);
+
+/// Appends a record and tells what it did in the log.
+///
+/// # Errors
+///
+/// - `Outage`: the record is not in the log and never will be.
+/// - `Refused`: the record is in the log and counts for nothing.
+/// - `Unknown`: the record may be in the log.
+pub(crate) async fn append<L: Log>(
+    session: &Session<'_, L>,
+    before: &View,
+    record: &Record,
+    done: Done,
+) -> Result<Done, Error> {
+    if session.dry_run {
+        return Ok(done);
+    }
+    let body = record.to_json();
+    let offset = match session.log.append(STREAM, body.clone()).await {
+        Ok(offset) => offset,
+        Err(log::Error::Refused(reason)) => return Err(Error::Outage(reason)),
+        Err(log::Error::Unanswered(reason)) => {
+            find(session.log, before.fold.next(), &body, &reason).await?
+        }
+    };
+    judge(session, offset, done).await
+}
+
+/// Looks for an own record; every record differs by its signature, so its text is enough.
+async fn find<L: Log>(log: &L, from: u64, body: &str, reason: &str) -> Result<u64, Error> {
+    for look in 0..LOOKS {
+        if look > 0 {
+            tokio::time::sleep(LOOK_PAUSE).await;
+        }
+        if let Some(offset) = look_once(log, from, body).await {
+            return Ok(offset);
+        }
+    }
+    Err(Error::Unknown(format!(
+        "the append's answer was lost ({reason}) and the record is not in the log yet"
+    )))
+}
+
+async fn look_once<L: Log>(log: &L, mut from: u64, body: &str) -> Option<u64> {
+    loop {
+        let page = log.read(STREAM, from, PAGE).await.ok()?;
+        if let Some(record) = page.records.iter().find(|record| record.body == body) {
+            return Some(record.offset);
+        }
+        from = page.records.last()?.offset + 1;
+    }
+}
+
+/// Records read at once.
+const PAGE: usize = 200;
+
+async fn judge<L: Log>(session: &Session<'_, L>, offset: u64, done: Done) -> Result<Done, Error> {
+    let view = View::read(session.log, &session.roots)
+        .await
+        .map_err(|error| {
+            Error::Unknown(format!(
+                "the record is at offset {offset}, but what it did can't be read: {error}"
+            ))
+        })?;
+    let done = Done {
+        offset: Some(offset),
+        ..done
+    };
+    match view.event_at(offset) {
+        Some(Event::Refused { fault, .. }) => Err(Error::Refused(fault.clone())),
+        Some(Event::Repeated { .. }) => Ok(Done {
+            repeated: true,
+            ..done
+        }),
+        Some(_) => Ok(done),
+        None => Err(Error::Unknown(format!(
+            "the record is at offset {offset}, but the log doesn't show what it did"
+        ))),
+    }
+}
--- /dev/null
+++ b/crates/ctl/src/cli/run.rs
@@ -0,0 +1,197 @@
+use std::{fs, io::Write as _};
+
+use bundle::{Sheet, check, diff, sign::Key};
+use platform::Http;
+use serde_json::{Value, json};
+
+use super::{Args, Command, Settings, settings::digest};
+use crate::{Done, Error, Session, View, publish, roll_out, sign_off};
+
+/// Does what the command line says and returns the text to print.
+///
+/// # Errors
+///
+/// As for the action; [`Error::exit_code`] gives the exit code of the process.
+///
+/// # Examples
+///
+/// ```
+/// # #[actix_web::main]
+/// # async fn main() {
+/// use argh::FromArgs;
+/// use ctl::cli::{Args, Settings, run};
+/// let args = Args::from_args(&["ctl"], &["check", "/no/such/file"]).unwrap();
+/// let error = run(&args, &Settings::default()).await.unwrap_err();
+/// assert_eq!(error.exit_code(), 2);
+/// # }
+/// ```
+pub async fn run(args: &Args, settings: &Settings) -> Result<String, Error> {
+    match &args.command {
+        Command::Check(args) => run_check(settings, &args.file),
+        Command::Keygen(args) => run_keygen(settings, &args.file),
+        Command::Diff(args) => {
+            let sheet = read_sheet(&args.file)?;
+            let view = view(settings).await?;
+            Ok(show_diff(settings, &view, &sheet))
+        }
+        Command::History(_) => Ok(show_history(settings, &view(settings).await?)),
+        Command::Status(_) => Ok(show_status(settings, &view(settings).await?)),
+        Command::Publish(args) => {
+            let text = read_file(&args.file)?;
+            let (log, key) = (open(settings)?, settings.key()?);
+            let done = publish(&session(settings, &log)?, &args.file, &text, &key).await?;
+            Ok(show_done(settings, "published", &done))
+        }
+        Command::SignOff(args) => {
+            let (log, key) = (open(settings)?, settings.key()?);
+            let digest = digest(&args.digest)?;
+            let done = sign_off(&session(settings, &log)?, digest, &key).await?;
+            Ok(show_done(settings, "signed off", &done))
+        }
+        Command::RollOut(args) => {
+            let (log, key) = (open(settings)?, settings.key()?);
+            let digest = digest(&args.digest)?;
+            let base = base(args.base.as_ref().or(settings.base.as_ref()))?;
+            let nonce = rand::random();
+            let done = roll_out(&session(settings, &log)?, digest, base, &key, nonce).await?;
+            Ok(show_done(settings, "rolled out", &done))
+        }
+    }
+}
+
+/// Reads a file as text.
+pub(super) fn read_file(file: &str) -> Result<String, Error> {
+    fs::read_to_string(file).map_err(|error| Error::Usage(format!("{file}: {error}")))
+}
+
+fn read_sheet(file: &str) -> Result<Sheet, Error> {
+    let text = read_file(file)?;
+    check::read(file, &text).map_err(Error::Faults)?;
+    Sheet::from_toml(&text).map_err(|error| Error::Usage(error.to_string()))
+}
+
+fn base(text: Option<&String>) -> Result<Option<base::Digest>, Error> {
+    match text.map(String::as_str) {
+        Some("none") => Ok(None),
+        Some(text) => digest(text).map(Some),
+        None => Err(Error::Usage("--base is needed".to_owned())),
+    }
+}
+
+fn open(settings: &Settings) -> Result<Http, Error> {
+    Ok(Http::open(settings.platform()?, settings.timeout))
+}
+
+fn session<'a>(settings: &Settings, log: &'a Http) -> Result<Session<'a, Http>, Error> {
+    Ok(Session {
+        log,
+        roots: settings.roots()?,
+        dry_run: settings.dry_run,
+    })
+}
+
+async fn view(settings: &Settings) -> Result<View, Error> {
+    View::read(&open(settings)?, &settings.roots()?).await
+}
+
+fn run_check(settings: &Settings, file: &str) -> Result<String, Error> {
+    let sheet = read_sheet(file)?;
+    let digest = sheet.digest();
+    Ok(shown(
+        settings,
+        json!({ "digest": digest }),
+        format!("{file} has no faults; its digest is {digest}"),
+    ))
+}
+
+/// Writes a new key to a file that only its owner may read.
+fn run_keygen(settings: &Settings, file: &str) -> Result<String, Error> {
+    use std::os::unix::fs::OpenOptionsExt as _;
+    let key = Key::from_seed(rand::random());
+    let failed = |error| Error::Usage(format!("{file}: {error}"));
+    let mut opened = fs::OpenOptions::new()
+        .write(true)
+        .create_new(true)
+        .mode(0o600)
+        .open(file)
+        .map_err(failed)?;
+    writeln!(opened, "{}", key.secret()).map_err(failed)?;
+    let public = key.public();
+    Ok(shown(
+        settings,
+        json!({ "public_key": public }),
+        format!("public_key = \"{public}\""),
+    ))
+}
+
+fn show_done(settings: &Settings, what: &str, done: &Done) -> String {
+    let place = match (done.offset, done.repeated) {
+        (None, _) => "in a dry run, nothing appended".to_owned(),
+        (Some(offset), false) => format!("at offset {offset}"),
+        (Some(offset), true) => format!("before the record at offset {offset}"),
+    };
+    let text = format!("{what} version {} {} {place}", done.version, done.digest);
+    shown(settings, json!(done), text)
+}
+
+fn show_diff(settings: &Settings, view: &View, sheet: &Sheet) -> String {
+    let changes = diff::between(view.fold.sheet().map(AsRef::as_ref), sheet);
+    let lines: Vec<String> = changes.iter().map(ToString::to_string).collect();
+    shown(settings, json!(changes), lines.join("\n"))
+}
+
+fn show_history(settings: &Settings, view: &View) -> String {
+    let lines: Vec<String> = view.events.iter().map(ToString::to_string).collect();
+    shown(settings, json!(lines), lines.join("\n"))
+}
+
+fn show_status(settings: &Settings, view: &View) -> String {
+    let position = view.fold.position();
+    let mut lines = vec![match position {
+        Some(position) => format!(
+            "in force: version {} {} since offset {}",
+            position.version, position.digest, position.offset
+        ),
+        None => "in force: none".to_owned(),
+    }];
+    if !view.fold.known() {
+        lines.push("the log's head is gone and no record tells the state yet".to_owned());
+    }
+    let mut proposed = Vec::new();
+    for proposal in view.fold.pending() {
+        let approval = &proposal.approval;
+        let signers: Vec<&str> = approval
+            .sign_offs
+            .iter()
+            .map(|sign_off| sign_off.signer.as_str())
+            .collect();
+        lines.push(format!(
+            "proposed: version {} {} by {}, signed off by [{}]",
+            approval.version,
+            approval.digest,
+            approval.author,
+            signers.join(", ")
+        ));
+        proposed.push(json!({
+            "version": approval.version,
+            "digest": approval.digest,
+            "author": approval.author,
+            "signed_off_by": signers,
+        }));
+    }
+    let value = json!({
+        "in_force": position,
+        "known": view.fold.known(),
+        "next_offset": view.fold.next(),
+        "proposed": proposed,
+    });
+    shown(settings, value, lines.join("\n"))
+}
+
+fn shown(settings: &Settings, value: Value, text: String) -> String {
+    if settings.json {
+        value.to_string()
+    } else {
+        text
+    }
+}
--- /dev/null
+++ b/crates/ctl/src/cli/settings.rs
@@ -0,0 +1,131 @@
+use core::time::Duration;
+
+use base::Digest;
+use bundle::sign::Key;
+
+use super::Args;
+use crate::Error;
+
+/// Settings from flags and environment variables.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Base URL of the platform.
+    pub platform: Option<String>,
+    /// Public keys of the root set.
+    pub roots: Option<String>,
+    /// File that holds the private key.
+    pub key: Option<String>,
+    /// The bundle that a roll-out replaces.
+    pub base: Option<String>,
+    /// Time limit for one call to the platform.
+    pub timeout: Duration,
+    /// Whether to print JSON.
+    pub json: bool,
+    /// Whether to stop before anything is appended.
+    pub dry_run: bool,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            platform: None,
+            roots: None,
+            key: None,
+            base: None,
+            timeout: Duration::from_secs(5),
+            json: false,
+            dry_run: false,
+        }
+    }
+}
+
+impl Settings {
+    /// Reads settings from the flags and, where a flag is missing, from the environment.
+    ///
+    /// # Errors
+    ///
+    /// A variable has a value of the wrong form.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use argh::FromArgs;
+    /// use ctl::cli::{Args, Settings};
+    /// let args = Args::from_args(&["ctl"], &["--json", "status"]).unwrap();
+    /// let variable = |name: &str| (name == "LIMPETSTEP_TIMEOUT_MS").then(|| "20".to_owned());
+    /// let settings = Settings::read(&args, &variable).unwrap();
+    /// assert!(settings.json && settings.timeout.as_millis() == 20);
+    /// ```
+    pub fn read(args: &Args, variable: &dyn Fn(&str) -> Option<String>) -> Result<Self, Error> {
+        let default = Self::default();
+        let text = |flag: &Option<String>, name: &str| flag.clone().or_else(|| variable(name));
+        let switch = |flag: bool, name: &str| -> Result<bool, Error> {
+            Ok(flag || parse(variable(name), name)?.unwrap_or(false))
+        };
+        let timeout = match args.timeout_ms {
+            Some(millis) => Some(millis),
+            None => parse(variable("LIMPETSTEP_TIMEOUT_MS"), "LIMPETSTEP_TIMEOUT_MS")?,
+        };
+        Ok(Self {
+            platform: text(&args.platform, "LIMPETSTEP_PLATFORM"),
+            roots: text(&args.roots, "LIMPETSTEP_ROOTS"),
+            key: text(&args.key, "LIMPETSTEP_KEY"),
+            base: variable("LIMPETSTEP_BASE"),
+            timeout: timeout.map_or(default.timeout, Duration::from_millis),
+            json: switch(args.json, "LIMPETSTEP_JSON")?,
+            dry_run: switch(args.dry_run, "LIMPETSTEP_DRY_RUN")?,
+        })
+    }
+
+    /// Returns the platform's base URL.
+    ///
+    /// # Errors
+    ///
+    /// It is not set.
+    pub fn platform(&self) -> Result<&str, Error> {
+        needed(&self.platform, "--platform")
+    }
+
+    /// Returns the root keys.
+    ///
+    /// # Errors
+    ///
+    /// They are not set, or one is not 64 hexadecimal digits.
+    pub fn roots(&self) -> Result<Vec<Digest>, Error> {
+        needed(&self.roots, "--roots")?
+            .split(',')
+            .map(|text| digest(text.trim()))
+            .collect()
+    }
+
+    /// Reads the private key from its file.
+    ///
+    /// # Errors
+    ///
+    /// It is not set, the file can't be read, or it holds no key.
+    pub fn key(&self) -> Result<Key, Error> {
+        let file = needed(&self.key, "--key")?;
+        let text = super::run::read_file(file)?;
+        Key::parse(&text).ok_or_else(|| Error::Usage(format!("{file} holds no private key")))
+    }
+}
+
+/// Reads a digest.
+pub(super) fn digest(text: &str) -> Result<Digest, Error> {
+    Digest::parse(text)
+        .ok_or_else(|| Error::Usage(format!("`{text}` is not 64 hexadecimal digits")))
+}
+
+fn needed<'a>(value: &'a Option<String>, flag: &str) -> Result<&'a str, Error> {
+    value
+        .as_deref()
+        .ok_or_else(|| Error::Usage(format!("{flag} is needed")))
+}
+
+fn parse<T: core::str::FromStr>(text: Option<String>, name: &str) -> Result<Option<T>, Error> {
+    text.map(|text| {
+        text.parse()
+            .map_err(|_| Error::Usage(format!("{name} has a value of the wrong form")))
+    })
+    .transpose()
+}
--- /dev/null
+++ b/crates/ctl/src/publish.rs
@@ -0,0 +1,66 @@
+//! Proposes a bundle.
+
+use std::sync::Arc;
+
+use bundle::{
+    Record, Sheet, check,
+    record::{Content, Publish},
+    sign::{Key, Message},
+};
+use platform::Log;
+
+use crate::{Done, Error, Session, View, append::append, view::name_of};
+
+/// Checks a bundle and proposes it in place of the one in force.
+///
+/// # Errors
+///
+/// - `Faults`: the bundle has faults; nothing was appended.
+/// - `Usage`: the key is not that of a signer in force.
+/// - `Outage`: nothing was changed.
+/// - `Refused`: the version is not above the one in force, or another bundle got in force.
+/// - `Unknown`: the record may be in the log.
+///
+/// # Examples
+///
+/// ```no_run
+/// # async fn run(log: platform::Http, text: &str) -> Result<(), ctl::Error> {
+/// use bundle::sign::Key;
+/// let key = Key::example("author");
+/// let session = ctl::Session { log: &log, roots: vec![key.public()], dry_run: false };
+/// let done = ctl::publish(&session, "compas.toml", text, &key).await?;
+/// println!("{}", done.digest);
+/// # Ok(()) }
+/// ```
+pub async fn publish<L: Log>(
+    session: &Session<'_, L>,
+    file: &str,
+    text: &str,
+    key: &Key,
+) -> Result<Done, Error> {
+    let bundle = check::read(file, text).map_err(Error::Faults)?;
+    let sheet = Sheet::from_toml(text).map_err(|error| Error::Usage(error.to_string()))?;
+    let head = sheet
+        .head()
+        .map_err(|error| Error::Usage(error.to_string()))?;
+    let view = View::read(session.log, &session.roots).await?.known()?;
+    let authority = view.fold.head().unwrap_or(&head);
+    let base = view.fold.sheet().map(Arc::as_ref).map(Sheet::digest);
+    let digest = sheet.digest();
+    let record = Record::Publish(Publish {
+        version: bundle.version,
+        base,
+        digest,
+        author: name_of(authority, key)?,
+        content: Content::Whole(text.to_owned()),
+        signature: key.sign(&Message::publish(bundle.version, base, digest)),
+    });
+    let done = Done {
+        digest,
+        version: bundle.version,
+        offset: None,
+        repeated: false,
+    };
+    view.try_out(&record)?;
+    append(session, &view, &record, done).await
+}
--- /dev/null
+++ b/crates/ctl/src/view.rs
@@ -0,0 +1,92 @@
+//! The state of the configuration as the log tells it now.
+
+use base::{Digest, Name};
+use bundle::{Fold, Record, STREAM, approval::Proposal, event::Event, sheet::Head, sign::Key};
+use platform::Log;
+
+use crate::Error;
+
+/// Records read at once.
+const PAGE: usize = 200;
+
+/// The state of the configuration as the log tells it now.
+#[derive(Debug)]
+pub struct View {
+    /// The state.
+    pub fold: Fold,
+    /// What each record did, in the order of the log.
+    pub events: Vec<Event>,
+}
+
+impl View {
+    /// Reads the log to its end.
+    ///
+    /// # Errors
+    ///
+    /// A read failed.
+    pub async fn read<L: Log>(log: &L, roots: &[Digest]) -> Result<Self, Error> {
+        let mut fold = Fold::open(roots.to_vec());
+        let mut events = Vec::new();
+        loop {
+            let page = log
+                .read(STREAM, fold.next(), PAGE)
+                .await
+                .map_err(|error| Error::Outage(error.to_string()))?;
+            fold.seek(page.first);
+            for record in &page.records {
+                events.extend(fold.apply_text(record.offset, &record.body));
+            }
+            if page.records.is_empty() || fold.next() >= page.end {
+                return Ok(Self { fold, events });
+            }
+        }
+    }
+
+    /// Returns the view if the state is known.
+    ///
+    /// # Errors
+    ///
+    /// The log's head is gone and no record tells the state.
+    pub fn known(self) -> Result<Self, Error> {
+        if self.fold.known() {
+            Ok(self)
+        } else {
+            Err(Error::Cut)
+        }
+    }
+
+    /// Tells what a record would do if it were the next one.
+    pub(crate) fn try_out(&self, record: &Record) -> Result<(), Error> {
+        let mut trial = self.fold.clone();
+        match trial.apply(trial.next(), record).into_iter().next() {
+            Some(Event::Refused { fault, .. }) => Err(Error::Refused(fault)),
+            _ => Ok(()),
+        }
+    }
+
+    /// Returns the head whose signers may approve a proposal.
+    pub(crate) fn authority(&self, proposal: &Proposal) -> Result<Head, Error> {
+        match self.fold.head() {
+            Some(head) => Ok(head.clone()),
+            None => proposal
+                .sheet
+                .head()
+                .map_err(|error| Error::Usage(error.to_string())),
+        }
+    }
+
+    /// Returns the event of the record at an offset.
+    pub fn event_at(&self, offset: u64) -> Option<&Event> {
+        self.events
+            .iter()
+            .find(|event| event.offset() == Some(offset))
+    }
+}
+
+/// Returns the name under which a key may sign.
+pub(crate) fn name_of(head: &Head, key: &Key) -> Result<Name, Error> {
+    let public = key.public();
+    head.signer_with(&public)
+        .map(|signer| signer.name.clone())
+        .ok_or_else(|| Error::Usage(format!("no signer in force has the public key {public}")))
+}
--- /dev/null
+++ b/crates/ctl/tests/actions.rs
@@ -0,0 +1,116 @@
+//! Operators' actions against a log that loses answers.
+
+mod common;
+
+use bundle::{approval::Fault, sign::Key};
+use common::{Memory, Mishap};
+use ctl::{Error, Session, View, publish, roll_out, roll_out_all, sign_off};
+use googletest::prelude::*;
+
+const COMPAS: &str = include_str!("../../../examples/compas.toml");
+
+fn keys() -> (Key, Key) {
+    (Key::example("author"), Key::example("steward"))
+}
+
+fn session(log: &Memory) -> Session<'_, Memory> {
+    let (author, steward) = keys();
+    Session {
+        log,
+        roots: vec![author.public(), steward.public()],
+        dry_run: false,
+    }
+}
+
+fn version(number: u64) -> String {
+    COMPAS.replace("version = 1", &format!("version = {number}"))
+}
+
+#[gtest]
+#[actix_web::test]
+async fn a_bundle_is_published_signed_off_and_rolled_out() {
+    let log = Memory::default();
+    let (author, steward) = keys();
+    let done = roll_out_all(&log, COMPAS, &author, &steward).await.unwrap();
+    let view = View::read(&log, &session(&log).roots).await.unwrap();
+    expect_that!(view.fold.position().unwrap().digest, eq(done.digest));
+    expect_that!(done.offset, some(eq(2)));
+    let done = roll_out_all(&log, &version(2), &author, &steward).await;
+    expect_that!(done.unwrap().version, eq(2));
+}
+
+#[gtest]
+#[actix_web::test]
+async fn a_lost_answer_is_looked_up_and_nothing_is_appended_twice() {
+    let log = Memory::default();
+    let (author, _) = keys();
+    log.mishap.set(Mishap::AnswerLost);
+    let done = publish(&session(&log), "compas", COMPAS, &author).await;
+    expect_that!(done.unwrap().offset, some(eq(0)));
+    expect_that!(log.appends.get(), eq(1));
+}
+
+#[gtest]
+#[actix_web::test]
+async fn a_record_that_is_not_found_is_unknown_and_not_appended_again() {
+    let log = Memory::default();
+    let (author, _) = keys();
+    log.mishap.set(Mishap::Lost);
+    let error = publish(&session(&log), "compas", COMPAS, &author).await;
+    expect_that!(error.unwrap_err().exit_code(), eq(4));
+    expect_that!(log.appends.get(), eq(1));
+}
+
+#[gtest]
+#[actix_web::test]
+async fn a_refused_append_changed_nothing() {
+    let log = Memory::default();
+    let (author, _) = keys();
+    log.mishap.set(Mishap::Refused);
+    let error = publish(&session(&log), "compas", COMPAS, &author).await;
+    expect_that!(error.unwrap_err().exit_code(), eq(3));
+}
+
+#[gtest]
+#[actix_web::test]
+async fn the_loser_of_a_race_is_told_so() {
+    let log = Memory::default();
+    let (author, steward) = keys();
+    let first = roll_out_all(&log, COMPAS, &author, &steward).await.unwrap();
+    let session = session(&log);
+    let two = publish(&session, "two", &version(2), &author)
+        .await
+        .unwrap();
+    let three = publish(&session, "three", &version(3), &steward)
+        .await
+        .unwrap();
+    sign_off(&session, two.digest, &steward).await.unwrap();
+    sign_off(&session, three.digest, &author).await.unwrap();
+    let base = Some(first.digest);
+    roll_out(&session, two.digest, base, &author, 1)
+        .await
+        .unwrap();
+    let error = roll_out(&session, three.digest, base, &steward, 2).await;
+    let fault = Fault::Base {
+        named: base,
+        force: Some(two.digest),
+    };
+    expect_that!(
+        error.unwrap_err(),
+        matches_pattern!(Error::Refused(eq(&fault)))
+    );
+}
+
+#[gtest]
+#[actix_web::test]
+async fn an_author_cannot_sign_their_own_bundle_off() {
+    let log = Memory::default();
+    let (author, _) = keys();
+    let session = session(&log);
+    let done = publish(&session, "compas", COMPAS, &author).await.unwrap();
+    let error = sign_off(&session, done.digest, &author).await.unwrap_err();
+    expect_that!(
+        error,
+        matches_pattern!(Error::Refused(eq(&Fault::Author("author".into()))))
+    );
+}
--- /dev/null
+++ b/crates/ctl/tests/common/mod.rs
@@ -0,0 +1,60 @@
+//! A log in memory that loses answers when told to.
+
+use std::cell::{Cell, RefCell};
+
+use platform::log::{Error, Log, Page, Record};
+
+/// What the log does to the next append.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) enum Mishap {
+    /// Nothing.
+    #[default]
+    None,
+    /// It takes effect and the answer is lost.
+    AnswerLost,
+    /// It never takes effect and there is no answer.
+    Lost,
+    /// It is refused.
+    Refused,
+}
+
+/// A log in memory.
+#[derive(Debug, Default)]
+pub(crate) struct Memory {
+    pub(crate) records: RefCell<Vec<String>>,
+    pub(crate) appends: Cell<usize>,
+    pub(crate) mishap: Cell<Mishap>,
+}
+
+impl Log for Memory {
+    async fn append(&self, _stream: &str, body: String) -> Result<u64, Error> {
+        self.appends.set(self.appends.get() + 1);
+        let mishap = self.mishap.take();
+        if mishap == Mishap::Refused {
+            return Err(Error::Refused("down".into()));
+        }
+        let mut records = self.records.borrow_mut();
+        if mishap != Mishap::Lost {
+            records.push(body);
+        }
+        match mishap {
+            Mishap::None => Ok(records.len() as u64 - 1),
+            _ => Err(Error::Unanswered("cut".into())),
+        }
+    }
+
+    async fn read(&self, _stream: &str, from: u64, limit: usize) -> Result<Page, Error> {
+        let records = self.records.borrow();
+        let kept = records.iter().enumerate().skip(from as usize).take(limit);
+        Ok(Page {
+            first: 0,
+            end: records.len() as u64,
+            records: kept
+                .map(|(at, body)| Record {
+                    offset: at as u64,
+                    body: body.clone(),
+                })
+                .collect(),
+        })
+    }
+}
