--- a/crates/demo/src/caller.rs
+++ b/crates/demo/src/caller.rs
@@ -59,7 +59,10 @@
     fn request(&self, message: &Message<'_>) -> awc::ClientRequest {
         let url = format!("http://{}/v1/pipelines/{}", self.address, message.pipeline);
         let token = format!("Bearer {}-token", message.account);
-        let mut request = self.client.post(url).insert_header(("Authorization", token));
+        let mut request = self
+            .client
+            .post(url)
+            .insert_header(("Authorization", token));
         if let Some(key) = message.key {
             request = request.insert_header(("Idempotency-Key", key.to_string()));
         }
--- a/crates/demo/src/scene.rs
+++ b/crates/demo/src/scene.rs
@@ -14,20 +14,14 @@
 const ANSWERED: u64 = 100;
 
 /// Plays the scene of a deployment's user and tells whether every answer was right.
-pub(crate) async fn play(
-    deployment: &Deployment,
-    caller: &Caller,
-) -> Result<bool, Box<dyn Error>> {
+pub(crate) async fn play(deployment: &Deployment, caller: &Caller) -> Result<bool, Box<dyn Error>> {
     match deployment.name().as_str() {
         "adinkra" => play_adinkra(deployment, caller).await,
         _ => play_compas(deployment, caller).await,
     }
 }
 
-async fn play_adinkra(
-    deployment: &Deployment,
-    caller: &Caller,
-) -> Result<bool, Box<dyn Error>> {
+async fn play_adinkra(deployment: &Deployment, caller: &Caller) -> Result<bool, Box<dyn Error>> {
     let brief = Message {
         account: "authors",
         key: None,
@@ -54,10 +48,7 @@
     Ok(right & show_runs(deployment, "commission-ledger", "release", &deposit).await?)
 }
 
-async fn play_compas(
-    deployment: &Deployment,
-    caller: &Caller,
-) -> Result<bool, Box<dyn Error>> {
+async fn play_compas(deployment: &Deployment, caller: &Caller) -> Result<bool, Box<dyn Error>> {
     let registration = Message {
         account: "regional-bands",
         key: Some(Uuid::now_v7()),
--- a/crates/entry/src/control/ledger.rs
+++ b/crates/entry/src/control/ledger.rs
@@ -131,7 +131,10 @@
     }
 
     fn reply(&mut self, token: Token, verdict: Verdict) {
-        let Ok(at) = self.waiting.binary_search_by_key(&token, |(token, _)| *token) else {
+        let Ok(at) = self
+            .waiting
+            .binary_search_by_key(&token, |(token, _)| *token)
+        else {
             return;
         };
         let (_, sender) = self.waiting.remove(at);
--- a/crates/entry/src/control/roster.rs
+++ b/crates/entry/src/control/roster.rs
@@ -39,7 +39,11 @@
         let done = reading.into_actor(self).map(|list, actor, context| {
             match list {
                 Ok(list) => actor.publish(list),
-                Err(_) => actor.metrics.platform_failures.with_label_values(&["list"]).inc(),
+                Err(_) => actor
+                    .metrics
+                    .platform_failures
+                    .with_label_values(&["list"])
+                    .inc(),
             }
             context.run_later(actor.poll, |actor, context| actor.read(context));
         });
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -67,16 +67,25 @@
             gauge
         };
         let seconds = |name: &str, help: &str, labels: &[&str]| {
-            let buckets = exponential_buckets(FIRST_BUCKET_SECONDS, 2.0, 16).expect("valid buckets");
+            let buckets =
+                exponential_buckets(FIRST_BUCKET_SECONDS, 2.0, 16).expect("valid buckets");
             let opts = HistogramOpts::new(format!("limpetstep_{name}"), help).buckets(buckets);
             let histograms = HistogramVec::new(opts, labels).expect("a valid metric");
             register(&registry, &histograms);
             histograms
         };
         Self {
-            attempts: counters("attempts_total", "Calls of backend servers", &["pool", "end"]),
+            attempts: counters(
+                "attempts_total",
+                "Calls of backend servers",
+                &["pool", "end"],
+            ),
             bundle_offset: gauge("bundle_offset", "Offset of the configuration in force"),
-            cost: counters("cost_milli_total", "Cost in thousandths", &["pipeline", "stage"]),
+            cost: counters(
+                "cost_milli_total",
+                "Cost in thousandths",
+                &["pipeline", "stage"],
+            ),
             in_flight: gauge("in_flight", "Requests in flight"),
             ledger_appends: counter("ledger_appends_total", "Appends to the ledger"),
             ledger_reads: counter("ledger_reads_total", "Reads of the ledger"),
--- a/crates/entry/src/plane.rs
+++ b/crates/entry/src/plane.rs
@@ -69,7 +69,13 @@
         }
     }
 
-    fn start(&self, id: Id, ask: &Ask, judged: Judged, sink: Option<Sink>) -> oneshot::Receiver<Answer> {
+    fn start(
+        &self,
+        id: Id,
+        ask: &Ask,
+        judged: Judged,
+        sink: Option<Sink>,
+    ) -> oneshot::Receiver<Answer> {
         let (sender, receiver) = oneshot::channel();
         let Some(plane) = self.this.upgrade() else {
             return receiver;
--- a/crates/entry/src/plane/call.rs
+++ b/crates/entry/src/plane/call.rs
@@ -125,8 +125,7 @@
                 if digest != text.digest() {
                     return Ok(Made::Diverged);
                 }
-                let output =
-                    json!({ "text": text.whole, "count": text.count, "digest": digest });
+                let output = json!({ "text": text.whole, "count": text.count, "digest": digest });
                 return Ok(Made::Output(output, cost_ms));
             }
         }
--- a/crates/entry/src/plane/drive.rs
+++ b/crates/entry/src/plane/drive.rs
@@ -242,7 +242,9 @@
         if let Some(once) = self.once.as_mut().filter(|_| !idempotent)
             && !once.write(&self.plane)
         {
-            return Next::Over(Over::Answer(internal("a call after its claim was given up")));
+            return Next::Over(Over::Answer(internal(
+                "a call after its claim was given up",
+            )));
         }
         let call = Call {
             call: backend::Call {
@@ -349,8 +351,14 @@
             cost += stage.cost;
             let labels = [pipeline, stage.name.as_str()];
             let seconds = stage.took_ms / 1_000.0;
-            metrics.stage_seconds.with_label_values(&labels).observe(seconds);
-            metrics.cost.with_label_values(&labels).inc_by(milli(stage.cost));
+            metrics
+                .stage_seconds
+                .with_label_values(&labels)
+                .observe(seconds);
+            metrics
+                .cost
+                .with_label_values(&labels)
+                .inc_by(milli(stage.cost));
         }
         self.tell_gate(answer, cost);
     }
--- a/crates/entry/src/plane/inner.rs
+++ b/crates/entry/src/plane/inner.rs
@@ -206,7 +206,10 @@
     }
 
     pub(crate) fn take_waiter(&mut self, id: Id) -> Option<oneshot::Sender<admit::Verdict>> {
-        let at = self.waiters.binary_search_by_key(&id, |(known, _)| *known).ok()?;
+        let at = self
+            .waiters
+            .binary_search_by_key(&id, |(known, _)| *known)
+            .ok()?;
         Some(self.waiters.remove(at).1)
     }
 }
--- a/crates/entry/src/plane/once.rs
+++ b/crates/entry/src/plane/once.rs
@@ -75,14 +75,15 @@
         // A claim of a slot that is taken costs no append and compares the request bodies.
         match self.claim(plane).await {
             Event::ClaimDone { output } => Recall::Done(output),
-            Event::ClaimRefused { code, detail } => {
-                Recall::End(Answer::refusal(code, detail))
-            }
+            Event::ClaimRefused { code, detail } => Recall::End(Answer::refusal(code, detail)),
             _ => {
                 // Its holder released it meanwhile; begin again, now that it is free.
                 self.release(plane, Answer::refusal(Code::InProgress, ""));
                 let nonce = self.call.nonce.next();
-                *self = Self::new(Call { nonce, ..self.call.clone() });
+                *self = Self::new(Call {
+                    nonce,
+                    ..self.call.clone()
+                });
                 Recall::Free
             }
         }
--- a/crates/entry/src/plane/sink.rs
+++ b/crates/entry/src/plane/sink.rs
@@ -64,11 +64,6 @@
         (sink, opening, receiver)
     }
 
-    /// Tells whether the caller has closed the stream.
-    pub(crate) fn is_gone(&self) -> bool {
-        self.frames.is_closed()
-    }
-
     /// Takes out the newest token of a text.
     pub(crate) async fn push(&mut self, text: &Text, token: &str) -> Push {
         let place = Resume::new(text.count, &text.digest());
--- a/crates/entry/src/plane/status.rs
+++ b/crates/entry/src/plane/status.rs
@@ -14,7 +14,9 @@
     let account = {
         let mut inner = plane.inner.borrow_mut();
         inner.refresh(&plane.client);
-        inner.account(credential).map(|account| account.name.clone())
+        inner
+            .account(credential)
+            .map(|account| account.name.clone())
     };
     let Some(account) = account else {
         return Answer::refusal(Code::AccountUnknown, "no account has this token");
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -104,7 +104,11 @@
 impl fmt::Display for Fault {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         if self.value.is_empty() {
-            return write!(f, "--{} is missing; allowed: {}", self.setting, self.allowed);
+            return write!(
+                f,
+                "--{} is missing; allowed: {}",
+                self.setting, self.allowed
+            );
         }
         let (setting, value, allowed) = (self.setting, &self.value, self.allowed);
         write!(f, "--{setting} is '{value}'; allowed: {allowed}")
@@ -254,7 +258,10 @@
 
     fn keys(&mut self, flag: &Option<String>) -> Vec<Digest> {
         let text = self.text("root-keys", flag, "");
-        let keys: Option<Vec<_>> = text.split(',').map(|key| Digest::parse(key.trim())).collect();
+        let keys: Option<Vec<_>> = text
+            .split(',')
+            .map(|key| Digest::parse(key.trim()))
+            .collect();
         if let Some(mut keys) = keys {
             keys.sort_unstable();
             return keys;
--- a/crates/flow/src/request.rs
+++ b/crates/flow/src/request.rs
@@ -130,7 +130,9 @@
                 self.refuse_claim(code, detail)
             }
             Event::DeadlinePassed => self.give_up(cx, Code::DeadlinePassed, "deadline passed"),
-            Event::Diverged => self.refuse(Code::StreamDiverged, Code::StreamDiverged.title(), None),
+            Event::Diverged => {
+                self.refuse(Code::StreamDiverged, Code::StreamDiverged.title(), None)
+            }
             Event::Failed {
                 attempt,
                 failure,
@@ -154,9 +156,7 @@
                 self.spent += cost;
                 self.leave_stage(cx, output)
             }
-            Event::Recalled { output } if self.phase == Phase::Admission => {
-                self.recall(cx, output)
-            }
+            Event::Recalled { output } if self.phase == Phase::Admission => self.recall(cx, output),
             Event::RetryGranted if self.phase == Phase::Budget => self.retry(),
             Event::RetryDenied if self.phase == Phase::Budget => self.deny_retry(),
             _ => Action::Nothing,
