--- /dev/null
+++ b/crates/bundle/src/delta.rs
@@ -0,0 +1,87 @@
+//! The changes from one bundle to the next, for bundles too large to be sent whole.
+
+use base::Name;
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    diff,
+    sheet::{Item, Sheet},
+};
+
+/// What changes from a base to the next bundle.
+///
+/// # Examples
+///
+/// ```
+/// use bundle::{Sheet, delta::Delta};
+/// let base = Sheet::from_toml("name = 'tiny'\nversion = 1").unwrap();
+/// let next = Sheet::from_toml("name = 'tiny'\nversion = 2").unwrap();
+/// let delta = Delta::between(&base, &next);
+/// assert_eq!(delta.apply(&base).digest(), next.digest());
+/// ```
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Delta {
+    /// The new head.
+    pub head: Name,
+    /// Items that are new or say something else, sorted by section and name.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub set: Vec<Item>,
+    /// Items that are gone, sorted.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub gone: Vec<Place>,
+}
+
+/// Where an item stands.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Place {
+    /// The section.
+    pub section: Name,
+    /// The name within the section.
+    pub name: Name,
+}
+
+impl Delta {
+    /// Returns the changes from a base to the next bundle.
+    pub fn between(base: &Sheet, next: &Sheet) -> Self {
+        let mut delta = Self {
+            head: next.head.clone(),
+            set: Vec::new(),
+            gone: Vec::new(),
+        };
+        for pair in diff::pairs(&base.items, &next.items) {
+            match pair {
+                (Some(old), Some(new)) if old.json == new.json => {}
+                (_, Some(new)) => delta.set.push(new.clone()),
+                (Some(old), None) => delta.gone.push(Place {
+                    section: old.section.clone(),
+                    name: old.name.clone(),
+                }),
+                (None, None) => {}
+            }
+        }
+        delta
+    }
+
+    /// Returns the next bundle.
+    ///
+    /// Only the digest over the whole tells whether the base was the right one.
+    pub fn apply(&self, base: &Sheet) -> Sheet {
+        let is_gone = |item: &Item| {
+            self.gone
+                .iter()
+                .any(|place| (place.section.as_str(), place.name.as_str()) == item.place())
+        };
+        let mut items = Vec::with_capacity(base.items.len() + self.set.len());
+        for pair in diff::pairs(&base.items, &self.set) {
+            match pair {
+                (_, Some(new)) => items.push(new.clone()),
+                (Some(old), None) if !is_gone(old) => items.push(old.clone()),
+                _ => {}
+            }
+        }
+        Sheet {
+            head: self.head.clone(),
+            items,
+        }
+    }
+}
--- a/crates/bundle/src/fold.rs
+++ b/crates/bundle/src/fold.rs
@@ -5,25 +5,23 @@
 //! [`Record::Carry`] whose records from `as_of` on it has all seen; until then it keeps what it
 //! read and decides nothing.
 
+use core::time::Duration;
 use std::sync::Arc;
 
-use base::{Digest, Name};
-
-pub use crate::event::Event;
+use base::{Digest, Name, Stamp};
 
 use crate::{
-    approval::{self, Approval, Fault, Proposal},
+    approval::{Fault, Proposal},
     chain::Chain,
+    event::Event,
     position::Position,
     proof::Proof,
-    record::{Publish, Record, RollOut, SignOff},
+    record::{Carry, Record},
     sheet::{Head, Sheet},
+    state::State,
 };
 
-/// Open proposals kept; the oldest is dropped for a new one.
-const PROPOSALS: usize = 32;
-
-/// The state of one reader.
+/// One reader of the log.
 ///
 /// # Examples
 ///
@@ -35,43 +33,32 @@
 /// ```
 #[derive(Clone, Debug)]
 pub struct Fold {
-    roots: Vec<Digest>,
+    /// What the log says, with every record below `as_of` accounted for.
+    state: State,
+    as_of: u64,
     /// The first offset from which on no record was missed.
     start: u64,
     next: u64,
     known: bool,
+    /// Records read while the state wasn't known.
     backlog: Vec<(u64, Record)>,
-    /// What the log says.
-    standing: Option<Standing>,
-    pending: Vec<Proposal>,
-    anchor: u64,
+    /// When the latest `Carry` that holds was written.
+    carried: Option<Stamp>,
     /// What a peer's proof says, while it is ahead of what was read of the log.
-    lead: Option<Lead>,
-}
-
-#[derive(Clone, Debug)]
-struct Standing {
-    chain: Chain,
-    head: Head,
-}
-
-#[derive(Clone, Debug)]
-struct Lead {
-    proof: Proof,
+    lead: Option<Proof>,
 }
 
 impl Fold {
     /// Returns a reader that trusts the given root keys for the first bundle.
     pub fn open(roots: Vec<Digest>) -> Self {
         Self {
-            roots,
+            state: State::open(roots),
+            as_of: 0,
             start: 0,
             next: 0,
             known: true,
             backlog: Vec::new(),
-            standing: None,
-            pending: Vec::new(),
-            anchor: 0,
+            carried: None,
             lead: None,
         }
     }
@@ -87,48 +74,42 @@
         self.next = first;
         self.known = false;
         self.backlog.clear();
-        self.pending.clear();
     }
 
-    /// Takes the text of a record in, as [`Self::apply`] does.
+    /// Takes in the text of a record, as [`Self::apply`] does.
     pub fn apply_text(&mut self, offset: u64, text: &str) -> Vec<Event> {
         match Record::parse(text) {
             Ok(record) => self.apply(offset, &record),
-            Err(error) => {
-                if offset < self.next {
-                    return Vec::new();
-                }
-                self.next = offset + 1;
-                vec![Event::Refused {
-                    offset,
-                    author: Name::default(),
-                    fault: Fault::Content(error.to_string()),
-                }]
-            }
+            Err(error) if self.pass(offset) => vec![Event::Refused {
+                offset,
+                author: Name::default(),
+                fault: Fault::Content(error.to_string()),
+            }],
+            Err(_) => Vec::new(),
         }
     }
 
-    /// Takes a record in and returns what it did; a record seen before does nothing.
+    /// Takes in a record and returns what it did; a record seen before does nothing.
     ///
     /// Records must come in the order of their offsets, with none left out.
     pub fn apply(&mut self, offset: u64, record: &Record) -> Vec<Event> {
-        if offset < self.next {
+        if !self.pass(offset) {
             return Vec::new();
         }
-        self.next = offset + 1;
         if self.known {
             return self.act(offset, record);
         }
-        if let Record::Carry(proof) = record
-            && let Ok(events) = self.settle(proof)
+        if let Record::Carry(carry) = record
+            && let Ok(events) = self.settle(&carry.proof)
         {
+            self.carried = self.carried.max(Some(carry.at));
             return events;
         }
         self.backlog.push((offset, record.clone()));
         Vec::new()
     }
 
-    /// Takes a peer's proof in and returns what it did.
+    /// Takes in a peer's proof and returns what it did.
     ///
     /// # Errors
     ///
@@ -136,27 +117,20 @@
     /// - It has another content for the version in force.
     pub fn adopt(&mut self, proof: &Proof) -> Result<Vec<Event>, Fault> {
         let told = proof.position();
-        if let Some(position) = self.position()
-            && told.version == position.version
-            && told.digest != position.digest
-        {
+        let force = self.position();
+        if force.is_some_and(|now| now.version == told.version && now.digest != told.digest) {
             return Err(Fault::Conflict(told.version));
         }
-        proof.authority(&self.roots)?;
+        proof.authority(&self.state.roots)?;
         if !self.known
             && let Ok(events) = self.settle(proof)
         {
             return Ok(events);
         }
-        if self
-            .position()
-            .is_some_and(|position| !told.follows(&position))
-        {
+        if force.is_some_and(|now| !told.follows(&now)) {
             return Ok(Vec::new());
         }
-        self.lead = Some(Lead {
-            proof: proof.clone(),
-        });
+        self.lead = Some(proof.clone());
         Ok(vec![Event::InForce(told)])
     }
 
@@ -172,23 +146,23 @@
 
     /// Returns what to hand to a peer.
     pub fn proof(&self) -> Option<Proof> {
-        match &self.lead {
-            Some(lead) => Some(lead.proof.clone()),
-            None => self.standing.as_ref().map(|standing| self.prove(standing)),
-        }
+        self.lead.clone().or_else(|| self.prove())
     }
 
-    /// Returns what to append as a `Carry`; none while the state of the log isn't known.
-    pub fn carry(&self) -> Option<Proof> {
-        let standing = self.standing.as_ref().filter(|_| self.known)?;
-        Some(self.prove(standing))
-    }
-
-    /// Returns the offset that the log must keep so that a new reader can know the state.
+    /// Returns a `Carry` to append, if the last one is older than the given span.
     ///
-    /// Once this offset has grown old, any instance appends a [`Self::carry`].
-    pub fn anchor(&self) -> u64 {
-        self.anchor
+    /// The span must be well below the time for which the log keeps records. None is due while
+    /// the state of the log isn't known.
+    pub fn carry(&self, now: Stamp, every: Duration) -> Option<Carry> {
+        // A stamp from a clock far ahead would put the next one off for too long.
+        let recent = |at: Stamp| now - at < every && at - now < every;
+        if !self.known || self.carried.is_some_and(recent) {
+            return None;
+        }
+        Some(Carry {
+            at: now,
+            proof: self.prove()?,
+        })
     }
 
     /// Tells whether the state of the log is known, as far as it was read.
@@ -201,34 +175,52 @@
         self.next
     }
 
-    /// Returns the open proposals.
+    /// Returns the open proposals; none while the state of the log isn't known.
     pub fn pending(&self) -> &[Proposal] {
-        &self.pending
+        if self.known { &self.state.pending } else { &[] }
     }
 
     /// Finds the open proposal with a digest.
     pub fn proposal(&self, digest: &Digest) -> Option<&Proposal> {
-        self.place(digest).map(|at| &self.pending[at])
+        self.pending()
+            .iter()
+            .find(|proposal| proposal.approval.digest == *digest)
     }
 
     /// Returns the head of the bundle in force by the log.
     pub fn head(&self) -> Option<&Head> {
-        self.standing.as_ref().map(|standing| &standing.head)
+        self.state.head()
     }
 
     fn chain(&self) -> Option<&Chain> {
         match &self.lead {
-            Some(lead) => Some(&lead.proof.chain),
-            None => self.standing.as_ref().map(|standing| &standing.chain),
+            Some(proof) => Some(&proof.chain),
+            None => self.log_chain(),
         }
     }
 
-    fn prove(&self, standing: &Standing) -> Proof {
-        Proof {
-            as_of: self.next,
-            chain: standing.chain.clone(),
-            pending: self.pending.clone(),
+    fn log_chain(&self) -> Option<&Chain> {
+        self.state.standing.as_ref().map(|standing| &standing.chain)
+    }
+
+    fn prove(&self) -> Option<Proof> {
+        Some(Proof {
+            as_of: self.as_of,
+            chain: self.log_chain()?.clone(),
+            pending: self.state.pending.clone(),
+        })
+    }
+
+    /// Moves past an offset, unless it was passed before.
+    fn pass(&mut self, offset: u64) -> bool {
+        if offset < self.next {
+            return false;
+        }
+        self.next = offset + 1;
+        if self.known {
+            self.as_of = self.next;
         }
+        true
     }
 
     /// Takes over a state whose later records were all seen, then applies those.
@@ -236,20 +228,10 @@
         if proof.as_of < self.start || proof.as_of > self.next {
             return Err(Fault::Offset);
         }
-        let head = proof.authority(&self.roots)?;
-        if let Some(standing) = &self.standing
-            && head.version < standing.head.version
-        {
-            return Err(Fault::Version(head.version));
-        }
         let before = self.position();
-        self.pending = open_proposals(proof, &head);
-        self.standing = Some(Standing {
-            chain: proof.chain.clone(),
-            head,
-        });
+        self.state.restore(proof)?;
         self.known = true;
-        self.anchor = self.anchor.max(proof.as_of);
+        self.as_of = self.next;
         let mut events = vec![Event::Known];
         events.extend(self.announce(before));
         for (offset, record) in core::mem::take(&mut self.backlog) {
@@ -261,123 +243,31 @@
     }
 
     fn act(&mut self, offset: u64, record: &Record) -> Vec<Event> {
-        let (author, result) = match record {
-            Record::Publish(publish) => (&publish.author, self.publish(offset, publish)),
-            Record::SignOff(sign_off) => (&sign_off.signer, self.sign_off(offset, sign_off)),
-            Record::RollOut(order) => (&order.author, self.roll_out(offset, order)),
-            Record::Carry(proof) => return self.note_carry(offset, proof),
-        };
-        result.unwrap_or_else(|fault| {
-            vec![Event::Refused {
-                offset,
-                author: author.clone(),
-                fault,
-            }]
-        })
-    }
-
-    fn publish(&mut self, offset: u64, publish: &Publish) -> Result<Vec<Event>, Fault> {
-        if self.place(&publish.digest).is_some() {
-            return Ok(vec![Event::Repeated { offset }]);
-        }
-        self.check_base(publish.base)?;
-        let proposal = read_proposal(publish)?;
-        let head = read_head(&proposal.sheet)?;
-        if let Some(old) = self.head() {
-            if old.name != head.name {
-                return Err(Fault::Deployment(head.name));
-            }
-            if head.version <= old.version {
-                return Err(Fault::Version(head.version));
-            }
+        if let Record::Carry(carry) = record {
+            self.note_carry(offset, carry);
         }
-        proposal.approval.check(self.authority(&head)?)?;
-        if self.pending.len() == PROPOSALS {
-            self.pending.remove(0);
-        }
-        self.pending.push(proposal);
-        Ok(vec![Event::Proposed {
-            offset,
-            digest: publish.digest,
-            version: publish.version,
-            author: publish.author.clone(),
-        }])
-    }
-
-    fn sign_off(&mut self, offset: u64, sign_off: &SignOff) -> Result<Vec<Event>, Fault> {
-        let at = self
-            .place(&sign_off.digest)
-            .ok_or(Fault::Proposal(sign_off.digest))?;
-        let proposal = &self.pending[at];
-        let head = read_head(&proposal.sheet)?;
-        let authority = self.authority(&head)?;
-        let mut approval = proposal.approval.clone();
-        if approval
-            .sign_offs
-            .iter()
-            .any(|other| other.signer == sign_off.signer)
-        {
-            return Ok(vec![Event::Repeated { offset }]);
-        }
-        approval.sign_offs.push(sign_off.clone());
-        approval.sign_offs.sort_by(|a, b| a.signer.cmp(&b.signer));
-        approval.check(authority)?;
-        self.pending[at].approval = approval;
-        Ok(vec![Event::Approved {
-            offset,
-            digest: sign_off.digest,
-            signer: sign_off.signer.clone(),
-        }])
-    }
-
-    fn roll_out(&mut self, offset: u64, order: &RollOut) -> Result<Vec<Event>, Fault> {
-        if self.standing_digest() == Some(order.digest) {
-            return Ok(vec![Event::Repeated { offset }]);
-        }
-        self.check_base(order.base)?;
-        let at = self
-            .place(&order.digest)
-            .ok_or(Fault::Proposal(order.digest))?;
-        let head = read_head(&self.pending[at].sheet)?;
-        let authority = self.authority(&head)?;
-        approval::check_roll_out(authority, order)?;
-        self.pending[at].approval.check_count(authority)?;
-        Ok(self.win(offset, order, at, head))
-    }
-
-    /// Puts a proposal in force. All others were made for the old base and can't win any more.
-    fn win(&mut self, offset: u64, order: &RollOut, at: usize, head: Head) -> Vec<Event> {
         let before = self.position();
-        let proposal = self.pending.swap_remove(at);
-        self.pending.clear();
-        let old = self
-            .standing
-            .as_ref()
-            .map(|standing| (&standing.chain, &standing.head));
-        let chain = Chain::extend(old, proposal, order.clone(), offset, &head);
-        let position = chain.position();
-        self.standing = Some(Standing { chain, head });
-        let mut events = vec![Event::RolledOut {
-            position,
-            author: order.author.clone(),
-            nonce: order.nonce,
-        }];
+        let mut events = vec![self.state.act(offset, record)];
         events.extend(self.announce(before));
         events
     }
 
+    fn note_carry(&mut self, offset: u64, carry: &Carry) {
+        let same = self.state.digest() == Some(carry.proof.position().digest);
+        if same && carry.proof.as_of <= offset {
+            self.carried = self.carried.max(Some(carry.at));
+        }
+    }
+
     /// Drops a peer's proof that the log has reached and tells what changed for this reader.
     fn announce(&mut self, before: Option<Position>) -> Vec<Event> {
         let mut events = Vec::new();
-        let log = self
-            .standing
-            .as_ref()
-            .map(|standing| standing.chain.position());
-        let peer = self.lead.as_ref().map(|lead| lead.proof.position());
-        if let (Some(log), Some(peer)) = (log, peer) {
-            if !peer.follows(&log) {
-                self.lead = None;
-            }
+        let log = self.log_chain().map(Chain::position);
+        let peer = self.lead.as_ref().map(Proof::position);
+        if let (Some(log), Some(peer)) = (log, peer)
+            && !peer.follows(&log)
+        {
+            self.lead = None;
             if peer.version == log.version && peer.digest != log.digest {
                 events.push(Event::Disagreed { peer, log });
             }
@@ -390,82 +280,4 @@
         }
         events
     }
-
-    fn note_carry(&mut self, offset: u64, proof: &Proof) -> Vec<Event> {
-        let digest = proof.position().digest;
-        if self.standing_digest() == Some(digest) && proof.as_of <= offset {
-            self.anchor = self.anchor.max(proof.as_of);
-        }
-        vec![Event::Repeated { offset }]
-    }
-
-    fn check_base(&self, named: Option<Digest>) -> Result<(), Fault> {
-        let force = self.standing_digest();
-        if named != force {
-            return Err(Fault::Base { named, force });
-        }
-        Ok(())
-    }
-
-    /// Returns the head whose signers count: that in force, or a first bundle's own.
-    fn authority<'a>(&'a self, proposed: &'a Head) -> Result<&'a Head, Fault> {
-        match self.head() {
-            Some(head) => Ok(head),
-            None => approval::check_roots(proposed, &self.roots).map(|()| proposed),
-        }
-    }
-
-    fn place(&self, digest: &Digest) -> Option<usize> {
-        self.pending
-            .iter()
-            .position(|proposal| proposal.approval.digest == *digest)
-    }
-
-    fn standing_digest(&self) -> Option<Digest> {
-        self.standing
-            .as_ref()
-            .map(|standing| standing.chain.evidence.approval.digest)
-    }
-}
-
-fn read_proposal(publish: &Publish) -> Result<Proposal, Fault> {
-    let sheet = publish.content.read()?;
-    if sheet.digest() != publish.digest {
-        return Err(Fault::Digest);
-    }
-    if read_head(&sheet)?.version != publish.version {
-        return Err(Fault::Version(publish.version));
-    }
-    Ok(Proposal {
-        approval: Approval {
-            version: publish.version,
-            base: publish.base,
-            digest: publish.digest,
-            author: publish.author.clone(),
-            signature: publish.signature,
-            sign_offs: Vec::new(),
-        },
-        sheet: Arc::new(sheet),
-    })
-}
-
-fn read_head(sheet: &Sheet) -> Result<Head, Fault> {
-    sheet
-        .head()
-        .map_err(|error| Fault::Content(error.to_string()))
-}
-
-/// Returns the proposals of a proof that may still win.
-fn open_proposals(proof: &Proof, head: &Head) -> Vec<Proposal> {
-    let force = proof.position().digest;
-    proof
-        .pending
-        .iter()
-        .filter(|proposal| {
-            proposal.approval.base == Some(force)
-                && proposal.sheet.digest() == proposal.approval.digest
-                && proposal.approval.check(head).is_ok()
-        })
-        .cloned()
-        .collect()
 }
--- a/crates/bundle/src/lib.rs
+++ b/crates/bundle/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod chain;
 pub mod check;
 pub mod content;
+pub mod delta;
 pub mod diff;
 pub mod event;
 pub mod fold;
@@ -15,6 +16,7 @@
 pub mod record;
 pub mod sheet;
 pub mod sign;
+mod state;
 
 pub use self::{
     content::Bundle, event::Event, fold::Fold, position::Position, proof::Proof, record::Record,
--- a/crates/bundle/src/record.rs
+++ b/crates/bundle/src/record.rs
@@ -1,10 +1,10 @@
 //! Records of the configuration stream.
 
-use base::{Digest, Name};
+use base::{Digest, Name, Stamp};
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
-use crate::{approval::Fault, proof::Proof, sheet::Sheet, sign::Signature};
+use crate::{approval::Fault, delta::Delta, proof::Proof, sheet::Sheet, sign::Signature};
 
 /// The version of the records' layout.
 const LAYOUT: u32 = 1;
@@ -30,7 +30,7 @@
     /// An operator puts a bundle in force.
     RollOut(RollOut),
     /// An instance carries the state forward before the log drops the records it came from.
-    Carry(Box<Proof>),
+    Carry(Box<Carry>),
 }
 
 /// An author proposes a bundle.
@@ -54,6 +54,8 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Content {
+    /// What changes against the base.
+    Delta(Delta),
     /// The whole bundle as TOML.
     Whole(String),
 }
@@ -63,9 +65,13 @@
     ///
     /// # Errors
     ///
-    /// The text is not TOML.
-    pub fn read(&self) -> Result<Sheet, Fault> {
+    /// - The text is not TOML.
+    /// - There is no base to apply the changes to.
+    pub fn read(&self, base: Option<&Sheet>) -> Result<Sheet, Fault> {
         match self {
+            Self::Delta(delta) => base
+                .map(|base| delta.apply(base))
+                .ok_or(Fault::Content("changes without a base".to_owned())),
             Self::Whole(text) => {
                 Sheet::from_toml(text).map_err(|error| Fault::Content(error.to_string()))
             }
@@ -99,6 +105,15 @@
     pub signature: Signature,
 }
 
+/// An instance carries the state forward; more than one does no harm.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Carry {
+    /// When it was written, by the instance's clock; tells only when the next one is due.
+    pub at: Stamp,
+    /// The state.
+    pub proof: Proof,
+}
+
 /// Why a text is not a record.
 #[derive(Debug, Error)]
 pub enum Error {
--- /dev/null
+++ b/crates/bundle/src/state.rs
@@ -0,0 +1,231 @@
+//! What the records of the log add up to, for a reader that missed none of them.
+
+use std::sync::Arc;
+
+use base::Digest;
+
+use crate::{
+    approval::{self, Approval, Fault, Proposal},
+    chain::Chain,
+    event::Event,
+    proof::Proof,
+    record::{Publish, Record, RollOut, SignOff},
+    sheet::{Head, Sheet},
+};
+
+/// Open proposals kept; the oldest is dropped for a new one.
+const PROPOSALS: usize = 32;
+
+/// What the records of the log add up to.
+#[derive(Clone, Debug)]
+pub(crate) struct State {
+    pub(crate) roots: Vec<Digest>,
+    pub(crate) standing: Option<Standing>,
+    pub(crate) pending: Vec<Proposal>,
+}
+
+/// The bundle in force.
+#[derive(Clone, Debug)]
+pub(crate) struct Standing {
+    pub(crate) chain: Chain,
+    pub(crate) head: Head,
+}
+
+impl State {
+    pub(crate) fn open(roots: Vec<Digest>) -> Self {
+        Self {
+            roots,
+            standing: None,
+            pending: Vec::new(),
+        }
+    }
+
+    /// Takes over the state that a proof tells.
+    ///
+    /// # Errors
+    ///
+    /// - The proof doesn't verify.
+    /// - It is of an older version.
+    pub(crate) fn restore(&mut self, proof: &Proof) -> Result<(), Fault> {
+        let head = proof.authority(&self.roots)?;
+        if let Some(old) = self.head()
+            && head.version < old.version
+        {
+            return Err(Fault::Version(head.version));
+        }
+        self.pending = open_proposals(proof, &head);
+        self.standing = Some(Standing {
+            chain: proof.chain.clone(),
+            head,
+        });
+        Ok(())
+    }
+
+    /// Takes in the next record.
+    pub(crate) fn act(&mut self, offset: u64, record: &Record) -> Event {
+        let (author, result) = match record {
+            Record::Publish(publish) => (&publish.author, self.publish(offset, publish)),
+            Record::SignOff(sign_off) => (&sign_off.signer, self.sign_off(offset, sign_off)),
+            Record::RollOut(order) => (&order.author, self.roll_out(offset, order)),
+            Record::Carry(_) => return Event::Repeated { offset },
+        };
+        result.unwrap_or_else(|fault| Event::Refused {
+            offset,
+            author: author.clone(),
+            fault,
+        })
+    }
+
+    pub(crate) fn head(&self) -> Option<&Head> {
+        self.standing.as_ref().map(|standing| &standing.head)
+    }
+
+    pub(crate) fn digest(&self) -> Option<Digest> {
+        self.standing
+            .as_ref()
+            .map(|standing| standing.chain.evidence.approval.digest)
+    }
+
+    pub(crate) fn place(&self, digest: &Digest) -> Option<usize> {
+        self.pending
+            .iter()
+            .position(|proposal| proposal.approval.digest == *digest)
+    }
+
+    fn publish(&mut self, offset: u64, publish: &Publish) -> Result<Event, Fault> {
+        if self.place(&publish.digest).is_some() {
+            return Ok(Event::Repeated { offset });
+        }
+        self.check_base(publish.base)?;
+        let base = self.standing.as_ref().map(|old| old.chain.sheet.as_ref());
+        let proposal = read_proposal(publish, base)?;
+        let head = read_head(&proposal.sheet)?;
+        self.check_successor(&head)?;
+        proposal.approval.check(self.authority(&head)?)?;
+        if self.pending.len() == PROPOSALS {
+            self.pending.remove(0);
+        }
+        self.pending.push(proposal);
+        Ok(Event::Proposed {
+            offset,
+            digest: publish.digest,
+            version: publish.version,
+            author: publish.author.clone(),
+        })
+    }
+
+    fn sign_off(&mut self, offset: u64, sign_off: &SignOff) -> Result<Event, Fault> {
+        let at = self.find(&sign_off.digest)?;
+        let proposal = &self.pending[at];
+        let signer = &sign_off.signer;
+        let given = &proposal.approval.sign_offs;
+        if given.iter().any(|other| other.signer == *signer) {
+            return Ok(Event::Repeated { offset });
+        }
+        let head = read_head(&proposal.sheet)?;
+        let mut approval = proposal.approval.clone();
+        approval.sign_offs.push(sign_off.clone());
+        approval.sign_offs.sort_by(|a, b| a.signer.cmp(&b.signer));
+        approval.check(self.authority(&head)?)?;
+        self.pending[at].approval = approval;
+        Ok(Event::Approved {
+            offset,
+            digest: sign_off.digest,
+            signer: signer.clone(),
+        })
+    }
+
+    fn roll_out(&mut self, offset: u64, order: &RollOut) -> Result<Event, Fault> {
+        if self.digest() == Some(order.digest) {
+            return Ok(Event::Repeated { offset });
+        }
+        self.check_base(order.base)?;
+        let at = self.find(&order.digest)?;
+        let head = read_head(&self.pending[at].sheet)?;
+        let authority = self.authority(&head)?;
+        approval::check_roll_out(authority, order)?;
+        self.pending[at].approval.check_count(authority)?;
+        Ok(self.win(offset, order, at, head))
+    }
+
+    /// Puts a proposal in force. All others were made for the old base and can't win any more.
+    fn win(&mut self, offset: u64, order: &RollOut, at: usize, head: Head) -> Event {
+        let proposal = self.pending.swap_remove(at);
+        self.pending.clear();
+        let old = self.standing.as_ref().map(|old| (&old.chain, &old.head));
+        let chain = Chain::extend(old, proposal, order.clone(), offset, &head);
+        let position = chain.position();
+        self.standing = Some(Standing { chain, head });
+        Event::RolledOut {
+            position,
+            author: order.author.clone(),
+            nonce: order.nonce,
+        }
+    }
+
+    fn check_base(&self, named: Option<Digest>) -> Result<(), Fault> {
+        let force = self.digest();
+        if named != force {
+            return Err(Fault::Base { named, force });
+        }
+        Ok(())
+    }
+
+    fn check_successor(&self, head: &Head) -> Result<(), Fault> {
+        match self.head() {
+            Some(old) if old.name != head.name => Err(Fault::Deployment(head.name.clone())),
+            Some(old) if head.version <= old.version => Err(Fault::Version(head.version)),
+            _ => Ok(()),
+        }
+    }
+
+    /// Returns the head whose signers count: that in force, or a first bundle's own.
+    fn authority<'a>(&'a self, proposed: &'a Head) -> Result<&'a Head, Fault> {
+        match self.head() {
+            Some(head) => Ok(head),
+            None => approval::check_roots(proposed, &self.roots).map(|()| proposed),
+        }
+    }
+
+    fn find(&self, digest: &Digest) -> Result<usize, Fault> {
+        self.place(digest).ok_or(Fault::Proposal(*digest))
+    }
+}
+
+fn read_proposal(publish: &Publish, base: Option<&Sheet>) -> Result<Proposal, Fault> {
+    let sheet = publish.content.read(base)?;
+    if sheet.digest() != publish.digest {
+        return Err(Fault::Digest);
+    }
+    if read_head(&sheet)?.version != publish.version {
+        return Err(Fault::Version(publish.version));
+    }
+    Ok(Proposal {
+        approval: Approval {
+            version: publish.version,
+            base: publish.base,
+            digest: publish.digest,
+            author: publish.author.clone(),
+            signature: publish.signature,
+            sign_offs: Vec::new(),
+        },
+        sheet: Arc::new(sheet),
+    })
+}
+
+fn read_head(sheet: &Sheet) -> Result<Head, Fault> {
+    sheet
+        .head()
+        .map_err(|error| Fault::Content(error.to_string()))
+}
+
+/// Returns the proposals of a proof that may still win.
+fn open_proposals(proof: &Proof, head: &Head) -> Vec<Proposal> {
+    let force = proof.position().digest;
+    let is_open = |proposal: &&Proposal| {
+        proposal.approval.base == Some(force)
+            && proposal.sheet.digest() == proposal.approval.digest
+            && proposal.approval.check(head).is_ok()
+    };
+    proof.pending.iter().filter(is_open).cloned().collect()
+}
