--- /dev/null
+++ b/crates/trial/src/fake.rs
@@ -0,0 +1,122 @@
+//! A small fake of a backend server: a queue, a batch, a service-time law and a prefix cache.
+
+use std::collections::VecDeque;
+
+use base::{Incarnation, Stamp};
+
+use crate::size::Pool;
+
+/// How much a full batch slows each of its requests.
+pub(crate) const BATCH_SLOWDOWN: f64 = 0.5;
+/// Prefill time of one token, in seconds.
+pub(crate) const TOKEN: f64 = 100e-6;
+/// Prefixes that fit into a server's cache.
+const CACHE: usize = 48;
+
+/// A backend server.
+#[derive(Clone, Debug)]
+pub(crate) struct Server {
+    pub(crate) pool: usize,
+    pub(crate) domain: usize,
+    pub(crate) incarnation: Incarnation,
+    pub(crate) concurrency: u32,
+    /// Whether it accepts connections.
+    pub(crate) up: bool,
+    /// Whether nothing reaches it, so that its peers see silence and not a refusal.
+    pub(crate) silent: bool,
+    /// How much slower it is than usual.
+    pub(crate) slow: f64,
+    /// Counts its lives, so that events of an earlier one are dropped.
+    pub(crate) life: u32,
+    /// Number of the next cache event.
+    pub(crate) seq: u64,
+    pub(crate) running: Vec<usize>,
+    pub(crate) queue: VecDeque<usize>,
+    cache: VecDeque<u64>,
+}
+
+impl Server {
+    pub(crate) fn new(pool: usize, settings: &Pool, number: usize, domain: usize) -> Self {
+        Self {
+            pool,
+            domain,
+            incarnation: Incarnation::new(
+                format!("{}-{number:03}", settings.name),
+                Stamp::from_millis(1),
+            ),
+            concurrency: settings.concurrency,
+            up: true,
+            silent: false,
+            slow: 1.0,
+            life: 0,
+            seq: 0,
+            running: Vec::new(),
+            queue: VecDeque::new(),
+            cache: VecDeque::new(),
+        }
+    }
+
+    /// Tells whether an attempt sent now reaches it.
+    pub(crate) const fn reachable(&self) -> bool {
+        self.up && !self.silent
+    }
+
+    /// Ends this life; returns the attempts that were in its hands, the running ones first.
+    pub(crate) fn stop(&mut self) -> (Vec<usize>, Vec<usize>) {
+        self.life += 1;
+        self.cache.clear();
+        let running = core::mem::take(&mut self.running);
+        (running, self.queue.drain(..).collect())
+    }
+
+    /// Begins a new life.
+    pub(crate) fn restart(&mut self, now: u64) {
+        self.up = true;
+        self.silent = false;
+        self.seq = 0;
+        self.incarnation.start = Stamp::from_millis(1 + now / 1_000);
+    }
+
+    /// Takes the next attempt into the batch, if there is a place for it.
+    pub(crate) fn admit(&mut self) -> Option<usize> {
+        if !self.up || self.running.len() >= self.concurrency as usize {
+            return None;
+        }
+        let flight = self.queue.pop_front()?;
+        self.running.push(flight);
+        Some(flight)
+    }
+
+    /// Drops an attempt; tells whether it was here.
+    pub(crate) fn drop_flight(&mut self, flight: usize) -> bool {
+        if let Some(at) = self.running.iter().position(|one| *one == flight) {
+            self.running.remove(at);
+            return true;
+        }
+        let at = self.queue.iter().position(|one| *one == flight);
+        at.is_some_and(|at| self.queue.remove(at).is_some())
+    }
+
+    /// Returns the service time, in seconds, of work relative to the mean.
+    pub(crate) fn service(&self, settings: &Pool, work: f64, hit: bool) -> f64 {
+        let prefill = f64::from(settings.prefix_tokens) * TOKEN;
+        let rest = (settings.service - prefill) * work;
+        let batch = self.running.len() as f64 / f64::from(self.concurrency);
+        let prefill = if hit { 0.0 } else { prefill };
+        (rest + prefill) * self.slow * (1.0 + BATCH_SLOWDOWN * batch)
+    }
+
+    /// Uses a prefix; returns whether it was cached and what it drove out.
+    pub(crate) fn touch(&mut self, prefix: u64) -> (bool, Option<u64>) {
+        if let Some(at) = self.cache.iter().position(|held| *held == prefix) {
+            self.cache.remove(at);
+            self.cache.push_back(prefix);
+            return (true, None);
+        }
+        self.cache.push_back(prefix);
+        let evicted = (self.cache.len() > CACHE)
+            .then(|| self.cache.pop_front())
+            .flatten();
+        (false, evicted)
+    }
+}
--- /dev/null
+++ b/crates/trial/src/tally.rs
@@ -0,0 +1,224 @@
+//! What a run came to.
+
+use base::Code;
+use serde::Serialize;
+
+use crate::{size::Size, trace::Trace};
+
+/// What became of one request of the trace.
+#[derive(Clone, Debug, Default)]
+pub struct Job {
+    /// Whether its whole answer came within its deadline.
+    pub answered: bool,
+    /// Submissions by its caller.
+    pub submissions: u32,
+    /// Attempts at the main pool.
+    pub attempts: u32,
+    /// Work done for it, in seconds of a place in a batch.
+    pub work: f64,
+    /// Work of attempts whose result was not used.
+    pub waste: f64,
+    /// Servers that it crashed, or was in when they crashed.
+    pub crashes: u32,
+    /// The last refusal.
+    pub code: Option<Code>,
+}
+
+/// What a run came to.
+#[derive(Clone, Debug, Serialize)]
+pub struct Tally {
+    /// The size.
+    pub size: &'static str,
+    /// The trace.
+    pub trace: &'static str,
+    /// The policy.
+    pub policy: &'static str,
+    /// Requests in the trace, harmful ones aside.
+    pub requests: usize,
+    /// Requests answered within their deadline.
+    pub answered: usize,
+    /// Work by pool, in seconds of a place in a batch.
+    pub work: Vec<f64>,
+    /// Work on requests not answered and of attempts not used.
+    pub wasted: f64,
+    /// Last refusals by code, sorted by code.
+    pub refusals: Vec<(u16, usize)>,
+    /// Jain's index over the accounts' attainment, from 0 to 1.
+    pub fairness: f64,
+    /// The lowest attainment of an account that did not get hot.
+    pub least: f64,
+    /// Attainment of requests sent before the disturbance.
+    pub before: f64,
+    /// Attainment of requests sent in the disturbance.
+    pub during: f64,
+    /// Attainment of requests sent from 5 s after the disturbance on.
+    pub after: f64,
+    /// Seconds after the disturbance until attainment stays at 0.99 of the earlier one.
+    pub recovery: f64,
+    /// Attempts at the main pool for each request that asked it, sent in the disturbance.
+    pub attempts: f64,
+    /// The most servers that one harmful request crashed.
+    pub crashes: u32,
+    /// Load reports and cache events that reached instances.
+    pub messages: u64,
+    /// Their bytes.
+    pub bytes: u64,
+}
+
+impl Tally {
+    /// Returns the share of requests answered within their deadline.
+    pub fn attainment(&self) -> f64 {
+        ratio(self.answered, self.requests)
+    }
+
+    /// Returns the work for each request answered.
+    pub fn cost(&self) -> f64 {
+        self.work.iter().sum::<f64>() / (self.answered.max(1) as f64)
+    }
+
+    pub(crate) fn new(
+        size: &Size,
+        trace: &Trace,
+        policy: &'static str,
+        jobs: &[Job],
+        work: Vec<f64>,
+    ) -> Self {
+        let good: Vec<usize> = (0..jobs.len())
+            .filter(|at| !trace.requests[*at].poison)
+            .collect();
+        let view = View {
+            size,
+            trace,
+            jobs,
+            good: &good,
+        };
+        Self {
+            size: size.name,
+            trace: trace.kind.as_str(),
+            policy,
+            requests: good.len(),
+            answered: good.iter().filter(|at| jobs[**at].answered).count(),
+            work,
+            wasted: view.wasted(),
+            refusals: view.refusals(),
+            fairness: view.fairness(),
+            least: view.least(),
+            before: view.attainment(trace.begin / 4, trace.begin),
+            during: view.attainment(trace.begin, trace.end),
+            after: view.attainment(trace.end + GRACE, trace.horizon),
+            recovery: view.recovery(),
+            attempts: view.attempts(),
+            crashes: view.crashes(),
+            messages: 0,
+            bytes: 0,
+        }
+    }
+}
+
+const SECOND: u64 = 1_000_000;
+/// The time after a disturbance within which attainment is to recover.
+const GRACE: u64 = 5 * SECOND;
+/// The length of the spans over which recovery is judged.
+const SPAN: u64 = 2 * SECOND;
+/// The share of the earlier attainment that counts as recovered.
+const RECOVERED: f64 = 0.99;
+
+struct View<'a> {
+    size: &'a Size,
+    trace: &'a Trace,
+    jobs: &'a [Job],
+    good: &'a [usize],
+}
+
+impl View<'_> {
+    fn attainment(&self, from: u64, to: u64) -> f64 {
+        let within = |at: &&usize| (from..to).contains(&self.trace.requests[**at].at);
+        let sent = self.good.iter().filter(within);
+        let answered = sent.clone().filter(|at| self.jobs[**at].answered).count();
+        ratio(answered, sent.count())
+    }
+
+    fn wasted(&self) -> f64 {
+        self.jobs
+            .iter()
+            .map(|job| if job.answered { job.waste } else { job.work })
+            .sum()
+    }
+
+    fn refusals(&self) -> Vec<(u16, usize)> {
+        let mut counts: Vec<(u16, usize)> = Vec::new();
+        for at in self.good.iter().filter(|at| !self.jobs[**at].answered) {
+            let code = self.jobs[*at].code.map_or(0, Code::number);
+            match counts.binary_search_by_key(&code, |count| count.0) {
+                Ok(at) => counts[at].1 += 1,
+                Err(at) => counts.insert(at, (code, 1)),
+            }
+        }
+        counts
+    }
+
+    fn accounts(&self) -> Vec<f64> {
+        (0..self.size.accounts.len())
+            .map(|account| {
+                let own = |at: &&usize| self.trace.requests[**at].account == account;
+                let sent = self.good.iter().filter(own);
+                let answered = sent.clone().filter(|at| self.jobs[**at].answered).count();
+                ratio(answered, sent.count())
+            })
+            .collect()
+    }
+
+    fn fairness(&self) -> f64 {
+        let shares = self.accounts();
+        let sum: f64 = shares.iter().sum();
+        let squares: f64 = shares.iter().map(|share| share * share).sum();
+        if squares > 0.0 {
+            sum * sum / (shares.len() as f64 * squares)
+        } else {
+            1.0
+        }
+    }
+
+    fn least(&self) -> f64 {
+        let hot = crate::trace::hot_account(self.size);
+        let shares = self.accounts().into_iter().enumerate();
+        shares
+            .filter(|(at, _)| *at != hot)
+            .map(|(_, share)| share)
+            .fold(1.0, f64::min)
+    }
+
+    fn recovery(&self) -> f64 {
+        let before = self.attainment(self.trace.begin / 4, self.trace.begin);
+        let last = (self.trace.end..self.trace.horizon.saturating_sub(SPAN))
+            .step_by((SECOND / 4) as usize)
+            .filter(|from| self.attainment(*from, from + SPAN) < RECOVERED * before)
+            .last();
+        last.map_or(0.0, |from| {
+            (from + SECOND / 4 - self.trace.end) as f64 / SECOND as f64
+        })
+    }
+
+    fn attempts(&self) -> f64 {
+        let asked = self.good.iter().filter(|at| {
+            let request = &self.trace.requests[**at];
+            let pipeline = &self.size.pipelines[request.pipeline];
+            self.trace.disturbed(request.at) && pipeline.stages.contains(&self.size.main)
+        });
+        let attempts: u32 = asked.clone().map(|at| self.jobs[*at].attempts).sum();
+        f64::from(attempts) / (asked.count().max(1) as f64)
+    }
+
+    fn crashes(&self) -> u32 {
+        let harmful = (0..self.jobs.len()).filter(|at| self.trace.requests[*at].poison);
+        harmful.map(|at| self.jobs[at].crashes).max().unwrap_or(0)
+    }
+}
+
+fn ratio(part: usize, whole: usize) -> f64 {
+    if whole == 0 {
+        1.0
+    } else {
+        part as f64 / whole as f64
+    }
+}
--- /dev/null
+++ b/crates/trial/src/trace.rs
@@ -0,0 +1,228 @@
+//! Seeded traces: who asks for what when, and which faults there are.
+
+use rand::RngExt;
+use rand_chacha::{ChaCha8Rng, rand_core::SeedableRng};
+use rand_distr::{Distribution, Exp, LogNormal, Zipf};
+
+use crate::size::Size;
+
+/// What a trace puts the system through.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Kind {
+    /// One client account asks ten times as much.
+    Account,
+    /// Five times the requests while a failure domain is lost.
+    Both,
+    /// Five times the requests.
+    Burst,
+    /// A failure domain is lost and comes back.
+    Domain,
+    /// One stage is down and comes back.
+    Down,
+    /// Requests that crash the servers that run them.
+    Poison,
+    /// Most requests share one prompt prefix.
+    Prefix,
+    /// One stage is four times slower.
+    Slow,
+    /// Nothing out of the ordinary.
+    Steady,
+}
+
+impl Kind {
+    /// Every kind.
+    pub const ALL: &[Self] = &[
+        Self::Steady,
+        Self::Burst,
+        Self::Slow,
+        Self::Down,
+        Self::Domain,
+        Self::Account,
+        Self::Prefix,
+        Self::Poison,
+        Self::Both,
+    ];
+
+    /// Returns the name.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Account => "account",
+            Self::Both => "both",
+            Self::Burst => "burst",
+            Self::Domain => "domain",
+            Self::Down => "down",
+            Self::Poison => "poison",
+            Self::Prefix => "prefix",
+            Self::Slow => "slow",
+            Self::Steady => "steady",
+        }
+    }
+
+    const fn bursts(self) -> bool {
+        matches!(self, Self::Burst | Self::Both)
+    }
+
+    /// Tells whether a failure domain is lost.
+    pub const fn loses_domain(self) -> bool {
+        matches!(self, Self::Domain | Self::Both)
+    }
+}
+
+/// One request of a trace.
+#[derive(Clone, Debug)]
+pub struct Request {
+    /// When it is sent, in microseconds.
+    pub at: u64,
+    /// When it must be answered, in microseconds.
+    pub deadline: u64,
+    /// The index of its pipeline.
+    pub pipeline: usize,
+    /// The index of its account.
+    pub account: usize,
+    /// Its work at each stage, relative to the mean.
+    pub work: Vec<f64>,
+    /// Its prompt prefix.
+    pub prefix: u64,
+    /// Whether it crashes the servers of the main pool.
+    pub poison: bool,
+}
+
+/// A trace.
+#[derive(Clone, Debug)]
+pub struct Trace {
+    /// What it puts the system through.
+    pub kind: Kind,
+    /// Requests, in order of time.
+    pub requests: Vec<Request>,
+    /// When the disturbance begins, in microseconds.
+    pub begin: u64,
+    /// When it ends.
+    pub end: u64,
+    /// When the last request is sent.
+    pub horizon: u64,
+}
+
+const SECOND: f64 = 1e6;
+const BURST: f64 = 5.0;
+const HOT: f64 = 10.0;
+const HOT_PREFIX: f64 = 0.6;
+const PREFIXES: f64 = 400.0;
+/// How much slower the slow stage is.
+pub const SLOW: f64 = 4.0;
+/// The spread of work, as the standard deviation of its logarithm.
+const SPREAD: f64 = 0.4;
+
+impl Trace {
+    /// Makes a trace of so many seconds; the disturbance fills the second quarter and a bit.
+    pub fn new(size: &Size, kind: Kind, seed: u64, seconds: f64) -> Self {
+        let mut trace = Self {
+            kind,
+            requests: Vec::new(),
+            begin: (seconds * 0.25 * SECOND) as u64,
+            end: (seconds * 0.50 * SECOND) as u64,
+            horizon: (seconds * SECOND) as u64,
+        };
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let mut at = 0.0;
+        loop {
+            let rate = size.rate * trace.factor(size, at as u64);
+            let gap: f64 = Exp::new(rate).expect("a positive rate").sample(&mut rng);
+            at += gap * SECOND;
+            if at as u64 >= trace.horizon {
+                break;
+            }
+            let request = trace.request(size, &mut rng, at as u64);
+            trace.requests.push(request);
+        }
+        if kind == Kind::Poison {
+            trace.poison(size);
+        }
+        trace
+    }
+
+    /// Tells whether an instant lies within the disturbance.
+    pub const fn disturbed(&self, at: u64) -> bool {
+        self.begin <= at && at < self.end
+    }
+
+    fn factor(&self, size: &Size, at: u64) -> f64 {
+        if !self.disturbed(at) {
+            1.0
+        } else if self.kind.bursts() {
+            BURST
+        } else if self.kind == Kind::Account {
+            1.0 + (HOT - 1.0) * hot_share(size)
+        } else {
+            1.0
+        }
+    }
+
+    fn request(&self, size: &Size, rng: &mut ChaCha8Rng, at: u64) -> Request {
+        let shares = size.pipelines.iter().map(|pipeline| pipeline.share);
+        let pipeline = pick(rng, shares);
+        let work = LogNormal::new(-SPREAD * SPREAD / 2.0, SPREAD).expect("a finite spread");
+        let stages = &size.pipelines[pipeline].stages;
+        let hot = self.disturbed(at);
+        let account_hot = hot && self.kind == Kind::Account;
+        let factor = |at| {
+            if account_hot && at == hot_account(size) {
+                HOT
+            } else {
+                1.0
+            }
+        };
+        let shares = size.accounts.iter().enumerate();
+        let shares: Vec<f64> = shares.map(|(at, one)| one.share * factor(at)).collect();
+        let account = pick(rng, shares.into_iter());
+        let prefix = if hot && self.kind == Kind::Prefix && rng.random_bool(HOT_PREFIX) {
+            0
+        } else {
+            Zipf::new(PREFIXES, 1.0).expect("a valid law").sample(rng) as u64
+        };
+        Request {
+            at,
+            deadline: at + (size.pipelines[pipeline].deadline * SECOND) as u64,
+            pipeline,
+            account,
+            work: stages.iter().map(|_| work.sample(rng)).collect(),
+            prefix,
+            poison: false,
+        }
+    }
+
+    /// Marks a few requests that pass the main pool, spread over the disturbance.
+    fn poison(&mut self, size: &Size) {
+        const COUNT: u64 = 4;
+        for number in 0..COUNT {
+            let from = self.begin + (self.end - self.begin) * number / COUNT;
+            let found = self.requests.iter_mut().find(|request| {
+                let pipeline = &size.pipelines[request.pipeline];
+                request.at >= from && pipeline.stages.contains(&size.main)
+            });
+            if let Some(request) = found {
+                request.poison = true;
+            }
+        }
+    }
+}
+
+/// Returns the index of the account that gets hot: the last of five.
+pub fn hot_account(size: &Size) -> usize {
+    4.min(size.accounts.len() - 1)
+}
+
+fn hot_share(size: &Size) -> f64 {
+    size.accounts[hot_account(size)].share
+}
+
+fn pick(rng: &mut ChaCha8Rng, shares: impl Iterator<Item = f64> + Clone) -> usize {
+    let total: f64 = shares.clone().sum();
+    let mut left = rng.random_range(0.0..total);
+    for (at, share) in shares.enumerate() {
+        left -= share;
+        if left <= 0.0 {
+            return at;
+        }
+    }
+    0
+}
--- /dev/null
+++ b/crates/trial/src/world/instances.rs
@@ -0,0 +1,364 @@
+//! Entry instances: admission, stages, attempts and retries.
+
+use core::time::Duration;
+
+use admit::{Action, Event as Admission, Verdict};
+use base::{Code, Name, Tick, attempt::Attempt, request::Id};
+use route::Failure;
+
+use super::{CALLER_HOP, CONNECT_TIMEOUT, Event, World};
+use crate::{
+    agent::Wish,
+    call::{Call, Flight, Phase},
+    policy::Retries,
+};
+
+/// Pause before an attempt is repeated, in microseconds.
+const PAUSE: u64 = 10_000;
+/// Servers that one request may crash.
+const CRASHES: u32 = 2;
+
+impl World<'_> {
+    pub(super) fn offer(&mut self, job: usize, instance: usize) {
+        if !self.agents[instance].up {
+            return self.abandoned(job);
+        }
+        if self.policy.suspects && self.jobs[job].crashes >= CRASHES {
+            return self.refused(job, Code::RequestHarmful, None);
+        }
+        let call = self.open(job, instance);
+        let deadline = self.trace.requests[job].deadline;
+        self.at(deadline, Event::Deadline { call });
+        if !self.policy.gate {
+            return self.start(call);
+        }
+        match self.ask(call) {
+            Verdict::Start => self.start(call),
+            Verdict::Queued => {}
+            Verdict::Refused(refusal) => {
+                self.refuse(call, refusal.code, Some(refusal.retry_after));
+            }
+        }
+    }
+
+    fn open(&mut self, job: usize, instance: usize) -> usize {
+        let call = self.calls.len();
+        self.calls.push(Call {
+            job,
+            id: Id::from_random(call as u128),
+            instance,
+            phase: Phase::Waiting,
+            stage: 0,
+            stage_from: self.tick(),
+            attempts: 0,
+            tried: Vec::new(),
+            flight: None,
+            cost: 0.0,
+        });
+        call
+    }
+
+    fn ask(&mut self, call: usize) -> Verdict {
+        let request = &self.trace.requests[self.calls[call].job];
+        let pipeline = &self.size.pipelines[request.pipeline];
+        let ask = admit::Ask {
+            request: self.calls[call].id,
+            account: Name::from(self.size.accounts[request.account].name.as_str()),
+            pipeline: Name::from(pipeline.name),
+            priority: pipeline.priority,
+            deadline: Tick::from_micros(request.deadline.saturating_sub(CALLER_HOP)),
+            age_from: Tick::from_micros(request.at),
+        };
+        let mut cx = admit::Context {
+            now: Tick::from_micros(self.now),
+            rng: &mut self.rng,
+        };
+        self.agents[self.calls[call].instance]
+            .gate
+            .offer(&mut cx, ask)
+    }
+
+    pub(super) fn gate_event(&mut self, instance: usize, event: Admission) {
+        let mut cx = admit::Context {
+            now: Tick::from_micros(self.now),
+            rng: &mut self.rng,
+        };
+        let actions = self.agents[instance].gate.on(&mut cx, event);
+        self.act(actions);
+    }
+
+    pub(super) fn gate_tick(&mut self, instance: usize) {
+        let mut cx = admit::Context {
+            now: Tick::from_micros(self.now),
+            rng: &mut self.rng,
+        };
+        let actions = self.agents[instance].gate.tick(&mut cx);
+        self.act(actions);
+    }
+
+    fn act(&mut self, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Start(id) => self.start(call_of(id)),
+                Action::Refuse(id, refusal) => {
+                    self.refuse(call_of(id), refusal.code, Some(refusal.retry_after));
+                }
+            }
+        }
+    }
+
+    fn start(&mut self, call: usize) {
+        self.calls[call].phase = Phase::Running;
+        self.calls[call].stage_from = self.tick();
+        self.attempt(call);
+    }
+
+    /// Sends an attempt at the present stage.
+    fn attempt(&mut self, call: usize) {
+        let (job, instance, stage) = {
+            let call = &self.calls[call];
+            (call.job, call.instance, call.stage)
+        };
+        let request = &self.trace.requests[job];
+        let pool = self.size.pipelines[request.pipeline].stages[stage];
+        let wish = Wish {
+            pool,
+            prefix: (self.size.pools[pool].prefix_tokens > 0).then_some(request.prefix),
+            alone: self.policy.suspects && self.jobs[job].crashes > 0,
+            call: &self.calls[call],
+        };
+        let now = Tick::from_micros(self.now);
+        let picked = self.agents[instance].pick(self.policy, self.size, now, &mut self.rng, &wish);
+        match picked {
+            Ok((server, incarnation)) => self.send(call, pool, server, incarnation),
+            Err(wait) if wish_alone(&self.policy, self.jobs[job].crashes) => {
+                self.pause(call, micros(wait));
+            }
+            Err(wait) => self.unavailable(call, wait),
+        }
+    }
+
+    fn send(&mut self, call: usize, pool: usize, server: usize, incarnation: base::Incarnation) {
+        let instance = self.calls[call].instance;
+        let number = self.calls[call].attempts;
+        let stage = self.calls[call].stage;
+        let attempt = Attempt::new(self.calls[call].id, stage as u16, number as u16);
+        let flight = self.flights.len();
+        self.flights.push(Flight {
+            call,
+            attempt,
+            server,
+            incarnation: incarnation.clone(),
+            sent: self.tick(),
+            began: None,
+            open: true,
+            hit: false,
+        });
+        self.calls[call].flight = Some(flight);
+        self.calls[call].attempts += 1;
+        let job = self.calls[call].job;
+        self.jobs[job].attempts += u32::from(pool == self.size.main);
+        let prefix = self.size.pools[pool].prefix_tokens > 0;
+        let prefix = prefix.then(|| self.trace.requests[job].prefix);
+        let now = self.tick();
+        let agent = &mut self.agents[instance];
+        agent.sent(server);
+        if number == 0 {
+            agent.first_attempt();
+        }
+        let event = route::Event::Started {
+            attempt,
+            server: incarnation,
+            prefix,
+        };
+        agent.table.on(now, event);
+        let hop = self.hop(instance, server);
+        if self.servers[server].silent {
+            let kind = Failure::ConnectFailed;
+            return self.after(CONNECT_TIMEOUT, Event::Fail { flight, kind });
+        }
+        self.after(hop, Event::Receive { flight });
+    }
+
+    pub(super) fn answer(&mut self, flight: usize) {
+        if !self.flights[flight].open {
+            return;
+        }
+        self.flights[flight].open = false;
+        let (call, server) = (self.flights[flight].call, self.flights[flight].server);
+        let instance = self.calls[call].instance;
+        let took = self.tick() - self.flights[flight].sent;
+        let attempt = self.flights[flight].attempt;
+        let incarnation = self.flights[flight].incarnation.clone();
+        self.agents[instance].ended(server);
+        let prefix = self.request(flight).prefix;
+        let missed = !self.flights[flight].hit
+            && self.size.pools[self.servers[server].pool].prefix_tokens > 0;
+        let now = self.tick();
+        let table = &mut self.agents[instance].table;
+        if missed {
+            let server = incarnation.clone();
+            table.on(now, route::Event::CacheMiss { server, prefix });
+        }
+        let server = incarnation;
+        let event = route::Event::Finished {
+            attempt,
+            server,
+            took,
+        };
+        table.on(now, event);
+        self.advance(call);
+    }
+
+    fn advance(&mut self, call: usize) {
+        let job = self.calls[call].job;
+        let pipeline = self.trace.requests[job].pipeline;
+        let (stage, instance) = (self.calls[call].stage, self.calls[call].instance);
+        let took = self.tick() - self.calls[call].stage_from;
+        let now = self.tick();
+        let id = self.calls[call].id;
+        self.calls[call].flight = None;
+        self.calls[call].stage += 1;
+        self.calls[call].stage_from = now;
+        self.calls[call].attempts = 0;
+        self.calls[call].tried.clear();
+        if self.policy.gate {
+            let event = Admission::StageTook {
+                request: id,
+                stage,
+                took,
+            };
+            self.gate_event(instance, event);
+        }
+        if stage + 1 < self.size.pipelines[pipeline].stages.len() {
+            return self.attempt(call);
+        }
+        if self.now + CALLER_HOP <= self.trace.requests[job].deadline {
+            self.jobs[job].answered = true;
+            self.jobs[job].waste -= self.calls[call].cost;
+            self.jobs[job].crashes = 0;
+        }
+        self.close(call);
+    }
+
+    pub(super) fn fail(&mut self, flight: usize, kind: Failure) {
+        if !self.flights[flight].open {
+            return;
+        }
+        self.flights[flight].open = false;
+        let (call, server) = (self.flights[flight].call, self.flights[flight].server);
+        let instance = self.calls[call].instance;
+        self.agents[instance].ended(server);
+        let event = route::Event::Failed {
+            attempt: self.flights[flight].attempt,
+            server: self.flights[flight].incarnation.clone(),
+            kind,
+        };
+        let now = self.tick();
+        self.agents[instance].table.on(now, event);
+        self.capacity(instance, self.servers[server].pool);
+        self.calls[call].flight = None;
+        let tried = self.flights[flight].incarnation.clone();
+        self.calls[call].tried.push(tried);
+        self.retry(call);
+    }
+
+    fn retry(&mut self, call: usize) {
+        let (job, instance) = (self.calls[call].job, self.calls[call].instance);
+        if self.policy.suspects && self.jobs[job].crashes >= CRASHES {
+            return self.refuse(call, Code::RequestHarmful, None);
+        }
+        let allowed = match self.policy.retries {
+            Retries::Budget => self.agents[instance].take_retry(),
+            Retries::Fixed(most) => self.calls[call].attempts <= most,
+            Retries::Unlimited => true,
+        };
+        if !allowed {
+            return self.refuse(call, Code::RetriesSpent, None);
+        }
+        if self.policy.retries == Retries::Unlimited {
+            self.calls[call].tried.clear();
+        }
+        self.pause(call, PAUSE);
+    }
+
+    fn pause(&mut self, call: usize, span: u64) {
+        self.calls[call].phase = Phase::Pausing;
+        self.after(span, Event::Again { call });
+    }
+
+    pub(super) fn again(&mut self, call: usize) {
+        if self.calls[call].phase == Phase::Pausing {
+            self.calls[call].phase = Phase::Running;
+            self.attempt(call);
+        }
+    }
+
+    fn unavailable(&mut self, call: usize, wait: Duration) {
+        if self.policy.retries == Retries::Unlimited {
+            return self.pause(call, PAUSE);
+        }
+        self.refuse(call, Code::StageUnavailable, Some(wait));
+    }
+
+    pub(super) fn deadline(&mut self, call: usize) {
+        if self.calls[call].phase != Phase::Over {
+            self.cancel(call);
+            self.refuse(call, Code::DeadlinePassed, None);
+        }
+    }
+
+    fn cancel(&mut self, call: usize) {
+        if let Some(flight) = self.calls[call].flight {
+            let event = route::Event::Failed {
+                attempt: self.flights[flight].attempt,
+                server: self.flights[flight].incarnation.clone(),
+                kind: Failure::Cancelled,
+            };
+            let now = self.tick();
+            let server = self.flights[flight].server;
+            let agent = &mut self.agents[self.calls[call].instance];
+            agent.ended(server);
+            agent.table.on(now, event);
+        }
+        self.drop_flight(call);
+    }
+
+    fn refuse(&mut self, call: usize, code: Code, retry_after: Option<Duration>) {
+        self.close(call);
+        self.refused(self.calls[call].job, code, retry_after.map(micros));
+    }
+
+    /// Ends a call and tells the gate.
+    fn close(&mut self, call: usize) {
+        let waited = self.calls[call].phase == Phase::Waiting;
+        self.calls[call].phase = Phase::Over;
+        if !self.policy.gate {
+            return;
+        }
+        let request = self.calls[call].id;
+        let event = if waited {
+            Admission::Cancelled { request }
+        } else {
+            let cost = self.calls[call].cost;
+            Admission::Finished { request, cost }
+        };
+        self.gate_event(self.calls[call].instance, event);
+    }
+}
+
+/// Tells whether a request waits for a server of its own.
+const fn wish_alone(policy: &crate::Policy, crashes: u32) -> bool {
+    policy.suspects && crashes > 0
+}
+
+/// Finds the call that an id was made for.
+fn call_of(id: Id) -> usize {
+    // Ids are made from the number of the call, and a version and a variant are set in them.
+    let text = id.to_string();
+    usize::from_str_radix(&text[24..], 16).unwrap_or_default()
+}
+
+fn micros(span: Duration) -> u64 {
+    u64::try_from(span.as_micros()).unwrap_or(u64::MAX)
+}
