--- a/crates/base/src/code.rs
+++ b/crates/base/src/code.rs
@@ -15,7 +15,8 @@
     /// No whole answer exists; stages that may be repeated may have run, the call that may not
     /// be repeated did not, so sending the request again is safe.
     Incomplete,
-    /// Nothing under this key has run, and nothing of this attempt ever will.
+    /// Nothing of this request (the key with this body) has run, and nothing of this attempt
+    /// ever will.
     NotRun,
     /// Something under this key may have run; it will not be repeated; ask for its status.
     Unknown,
--- a/crates/entry/src/instance.rs
+++ b/crates/entry/src/instance.rs
@@ -151,6 +151,7 @@
     let (servers, servers_read) = watch::channel(Arc::default());
     let ledger = Ledger::new(clock, Arc::clone(&metrics), platform.clone()).start();
     Config::new(
+        clock,
         settings.root_keys.clone(),
         platform.clone(),
         settings.poll,
--- a/crates/entry/src/plane.rs
+++ b/crates/entry/src/plane.rs
@@ -91,6 +91,10 @@
         self.inner.borrow().body_limit()
     }
 
+    fn closing(&self) -> bool {
+        self.shared.is_stopping()
+    }
+
     fn id(&self) -> Id {
         self.inner.borrow_mut().id()
     }
--- a/crates/entry/src/plane/once.rs
+++ b/crates/entry/src/plane/once.rs
@@ -7,6 +7,7 @@
 use ledger::{
     claim::{self, Action, Call, Claim},
     configs,
+    fold::State,
     owner::Verdict,
     record::{self, Record},
     slot::{Nonce, Slot},
@@ -21,6 +22,9 @@
 /// The part of a slot that names the stage; one key stands for one call, whatever its stage.
 pub(crate) const STAGE: &str = "";
 
+/// The wait advised while another attempt is in progress.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// The pause between looks at a claim that nothing else wakes.
 const PAUSE: Duration = Duration::from_millis(50);
 
@@ -58,10 +62,16 @@
 
     /// Asks what is known of the key, and waits for an attempt in progress elsewhere.
     pub(crate) async fn recall(&mut self, plane: &Plane) -> Recall {
-        use ledger::fold::State;
         match lookup(plane, self.call.slot).await {
             Verdict::Found(State::Free) => return Recall::Free,
-            Verdict::Found(_) => {}
+            Verdict::Found(State::Done { body, .. } | State::InProgress { body, .. })
+                if body != self.call.body =>
+            {
+                let answer = Answer::refusal(Code::KeyReused, "another body came with this key");
+                return Recall::End(answer);
+            }
+            Verdict::Found(State::Done { answer, .. }) => return recalled(told(&answer)),
+            Verdict::Found(State::InProgress { .. }) => {}
             Verdict::Expired => {
                 let answer = Answer::refusal(Code::KeyExpired, "the key is too old")
                     .with_outcome(Outcome::Unknown);
@@ -72,10 +82,9 @@
                 return Recall::End(answer.after(plane.shared.settings.platform_limit));
             }
         }
-        // A claim of a slot that is taken costs no append and compares the request bodies.
+        // A claim of a slot that is taken costs no append, and waits for its holder.
         match self.claim(plane).await {
-            Event::ClaimDone { output } => Recall::Done(output),
-            Event::ClaimRefused { code, detail } => Recall::End(Answer::refusal(code, detail)),
+            event @ (Event::ClaimDone { .. } | Event::ClaimRefused { .. }) => recalled(event),
             _ => {
                 // Its holder released it meanwhile; begin again, now that it is free.
                 self.release(plane, Answer::refusal(Code::InProgress, ""));
@@ -211,6 +220,18 @@
     }
 }
 
+fn recalled(event: Event) -> Recall {
+    match event {
+        Event::ClaimDone { output } => Recall::Done(output),
+        Event::ClaimRefused { code, detail } => {
+            let mut answer = Answer::refusal(code, detail);
+            answer.retry_after = code.again().then_some(RETRY_AFTER);
+            Recall::End(answer)
+        }
+        _ => Recall::Free,
+    }
+}
+
 /// Sends the last records of a claim until the log has them.
 fn close(plane: &Plane, mut claim: Claim, mut records: Vec<Record>) {
     let Some(plane) = plane.this.upgrade() else {
--- a/crates/entry/src/plane/status.rs
+++ b/crates/entry/src/plane/status.rs
@@ -24,8 +24,8 @@
     let slot = Slot::new(account.as_str(), &key, once::STAGE);
     let asked = plane.shared.ledger.send(Lookup(slot)).await;
     match asked.unwrap_or(Verdict::LOST) {
-        Verdict::Found(State::Done(answer)) => once::answer(&answer),
-        Verdict::Found(State::InProgress { holder }) => {
+        Verdict::Found(State::Done { answer, .. }) => once::answer(&answer),
+        Verdict::Found(State::InProgress { holder, .. }) => {
             let detail = format!("claimed by {holder}");
             Answer::refusal(Code::InProgress, detail).after(plane.shared.settings.poll)
         }
--- a/crates/front/src/routes.rs
+++ b/crates/front/src/routes.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use actix_web::{HttpRequest, HttpResponse, error::PayloadError, web};
+use actix_web::{HttpRequest, HttpResponse, error::PayloadError, http::ConnectionType, web};
 use base::{Code, Key, request::Id};
 use bytes::{Bytes, BytesMut};
 use flow::Answer;
@@ -29,10 +29,14 @@
     payload: web::Payload,
 ) -> HttpResponse {
     let id = service.id();
-    let ask = match read(&***service, &head, &pipeline, payload).await {
-        Ok(ask) => ask,
-        Err(answer) => return problem::respond(&answer, id, None),
+    let response = match read(&***service, &head, &pipeline, payload).await {
+        Ok(ask) => serve(&***service, id, ask).await,
+        Err(answer) => problem::respond(&answer, id, None),
     };
+    close_if(response, service.closing())
+}
+
+async fn serve<S: Service>(service: &S, id: Id, ask: Ask) -> HttpResponse {
     let key = ask.key;
     match service.serve(id, ask).await {
         Reply::Whole(answer) => problem::respond(&answer, id, key),
@@ -40,6 +44,15 @@
     }
 }
 
+/// Tells the caller to take another connection, which the balancer leads to another instance.
+fn close_if(mut response: HttpResponse, closing: bool) -> HttpResponse {
+    if closing {
+        let head = response.head_mut();
+        head.set_connection_type(ConnectionType::Close);
+    }
+    response
+}
+
 async fn read<S: Service>(
     service: &S,
     head: &HttpRequest,
--- a/crates/front/src/service.rs
+++ b/crates/front/src/service.rs
@@ -21,6 +21,10 @@
     /// Returns the largest body taken, in bytes.
     fn body_limit(&self) -> usize;
 
+    /// Tells whether connections are to be closed after their present request, since the
+    /// instance is stopping.
+    fn closing(&self) -> bool;
+
     /// Returns a new request id.
     fn id(&self) -> Id;
 
--- a/crates/ledger/tests/world/judge.rs
+++ b/crates/ledger/tests/world/judge.rs
@@ -71,7 +71,9 @@
             Outcome::NotRun if answer.code == Code::KeyReused => {
                 assert!(!calls.contains(&driver.call.body), "{driver:?}");
             }
-            Outcome::NotRun => assert!(calls.is_empty(), "it ran: {driver:?}"),
+            Outcome::Incomplete | Outcome::NotRun => {
+                assert!(calls.is_empty(), "it ran: {driver:?}")
+            }
             Outcome::Answered => {
                 assert_eq!(calls.as_slice(), [driver.call.body], "{driver:?}");
                 assert_eq!(*answer, result(&driver.call.slot, calls[0]), "{driver:?}");
--- a/crates/ledger/tests/world/mod.rs
+++ b/crates/ledger/tests/world/mod.rs
@@ -529,7 +529,7 @@
         match code.outcome() {
             base::Outcome::Answered => self.answered += 1,
             base::Outcome::InProgress => self.in_progress += 1,
-            base::Outcome::NotRun => self.not_run += 1,
+            base::Outcome::Incomplete | base::Outcome::NotRun => self.not_run += 1,
             base::Outcome::Unknown => self.unknown += 1,
         }
     }
--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -1,6 +1,7 @@
 //! The platform's services over HTTP.
 
-use core::time::Duration;
+use core::{cell::RefCell, time::Duration};
+use std::{io, rc::Rc};
 
 use awc::{
     Client,
@@ -16,11 +17,14 @@
 /// The largest answer read, in bytes.
 const ANSWER_BYTES: usize = 16 * 1024 * 1024;
 
-/// A client of the platform's services.
+/// A client of the platform's services; clones share their connections.
+///
+/// A call that gets no answer in time closes its connection and gives up the idle ones too, since
+/// whatever lost track of the one may have lost track of its siblings.
 #[derive(Clone)]
 pub struct Http {
     base: String,
-    client: Client,
+    client: Rc<RefCell<Client>>,
     limit: Duration,
 }
 
@@ -53,14 +57,9 @@
     /// # Ok(()) }
     /// ```
     pub fn open(base: &str, limit: Duration) -> Self {
-        // A redirect would send an append twice.
-        let client = Client::builder()
-            .disable_redirects()
-            .timeout(limit)
-            .finish();
         Self {
             base: base.trim_end_matches('/').to_owned(),
-            client,
+            client: Rc::new(RefCell::new(client(limit))),
             limit,
         }
     }
@@ -76,7 +75,7 @@
     }
 
     async fn get<T: DeserializeOwned>(&self, url: &str) -> Result<T, Error> {
-        let request = self.client.get(url).send();
+        let request = self.client().get(url).send();
         let mut response = self.within(request).await?;
         if !response.status().is_success() {
             return Err(Error::Refused(response.status().to_string()));
@@ -92,22 +91,42 @@
         match tokio::time::timeout(self.limit, step).await {
             Ok(Ok(value)) => Ok(value),
             Ok(Err(error)) => Err(Error::Unanswered(error.to_string())),
-            Err(elapsed) => Err(Error::Unanswered(elapsed.to_string())),
+            Err(_) => Err(self.silent()),
         }
     }
+
+    fn client(&self) -> Client {
+        self.client.borrow().clone()
+    }
+
+    fn silent(&self) -> Error {
+        self.client.replace(client(self.limit));
+        Error::Unanswered(format!("nothing within {} ms", self.limit.as_millis()))
+    }
+}
+
+fn client(limit: Duration) -> Client {
+    // A redirect would send an append twice.
+    Client::builder()
+        .disable_redirects()
+        .timeout(limit)
+        .finish()
 }
 
 impl Log for Http {
     async fn append(&self, stream: &str, body: String) -> Result<u64, Error> {
         let url = format!("{}/log/{stream}", self.base);
-        let sent = self.client.post(url).send_json(&Append { body });
+        let sent = self.client().post(url).send_json(&Append { body });
         let mut response = match tokio::time::timeout(self.limit, sent).await {
             Ok(Ok(response)) => response,
-            Ok(Err(SendRequestError::Connect(ConnectError::Io(error)))) => {
+            Ok(Err(SendRequestError::Connect(ConnectError::Io(error))))
+                if error.kind() == io::ErrorKind::ConnectionRefused =>
+            {
                 return Err(Error::Refused(error.to_string()));
             }
+            Ok(Err(SendRequestError::Timeout)) => return Err(self.silent()),
             Ok(Err(error)) => return Err(Error::Unanswered(error.to_string())),
-            Err(elapsed) => return Err(Error::Unanswered(elapsed.to_string())),
+            Err(_) => return Err(self.silent()),
         };
         match response.status().as_u16() {
             200 => {
