Serve every pipeline of both examples by separate processes

A new crate starts a platform, 3 domains with 2 entry instances each and a server for each pool and domain, rolls an example's bundle out through ctl, and checks every answer against an output computed without the system; calls that may not be repeated are counted by the services.

The engine stand-in's output for a call now has the count and digest that an entry instance gives for a whole stream; the first run of the test differed by these two fields.

--- a/crates/fake/src/server/output.rs
+++ b/crates/fake/src/server/output.rs
@@ -22,7 +22,7 @@
 /// - `encode` gives `{"vector": [8 numbers]}`
 /// - `retrieve` gives `{"documents": [ids]}`
 /// - `rerank` gives the ids of `documents` anywhere in the input in another order
-/// - `generate` gives `{"text": text}`
+/// - `generate` gives `{"count", "digest", "text"}`, as the whole of a stream amounts to
 /// - `service` gives `{"operation", "key", "digest"}`
 ///
 /// # Examples
@@ -44,7 +44,7 @@
     let digest = digest(operation, input);
     match kind {
         Kind::Encode => json!({ "vector": vector(&digest) }),
-        Kind::Generate => json!({ "text": text(&digest, token_count(input, tokens)) }),
+        Kind::Generate => generated(&digest, token_count(input, tokens)),
         Kind::Rerank => json!({ "documents": reranked(&digest, input) }),
         Kind::Retrieve => json!({ "documents": documents(&digest) }),
         Kind::Service => json!({ "operation": operation, "key": key, "digest": digest }),
@@ -82,6 +82,11 @@
     }
 }
 
+fn generated(digest: &Digest, tokens: u64) -> Value {
+    let text = text(digest, tokens);
+    json!({ "count": tokens, "digest": Digest::of(text.as_bytes()), "text": text })
+}
+
 fn vector(digest: &Digest) -> Vec<f64> {
     let bytes = digest.as_bytes().iter().take(VECTOR_LENGTH);
     bytes.map(|byte| f64::from(*byte) / 256.0).collect()
--- /dev/null
+++ b/crates/proc/src/caller.rs
@@ -0,0 +1,247 @@
+//! A caller of the system.
+
+use core::time::Duration;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use awc::{Client, ClientRequest, error::SendRequestError};
+use base::{Digest, Key, Stamp};
+use futures_util::StreamExt as _;
+use serde_json::{Value, json};
+
+/// How long a caller waits for anything.
+const LIMIT: Duration = Duration::from_secs(60);
+
+/// Sends requests for one client account.
+#[derive(Clone)]
+pub struct Caller {
+    client: Client,
+    token: String,
+}
+
+/// One request.
+#[derive(Clone, Debug)]
+pub struct Ask {
+    /// The pipeline.
+    pub pipeline: String,
+    /// The input.
+    pub input: Value,
+    /// The idempotency key.
+    pub key: Option<Key>,
+    /// The time left for it; the pipeline's own where there is none.
+    pub deadline: Option<Duration>,
+    /// The last event received of a stream that is resumed.
+    pub last_event: Option<String>,
+}
+
+/// An answer, a refusal or a problem.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Reply {
+    /// The HTTP status.
+    pub status: u16,
+    /// The body; null where it is not JSON.
+    pub body: Value,
+}
+
+/// What arrived of a stream.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Events {
+    /// The id of the last token.
+    pub last_id: Option<String>,
+    /// The texts of the tokens.
+    pub texts: Vec<String>,
+    /// The name and the data of the last event; none where the stream was cut.
+    pub end: Option<(String, Value)>,
+}
+
+impl Ask {
+    /// Returns a request without a key.
+    pub fn new(pipeline: &str, input: Value) -> Self {
+        Self {
+            pipeline: pipeline.to_owned(),
+            input,
+            key: None,
+            deadline: None,
+            last_event: None,
+        }
+    }
+
+    /// Sets the idempotency key.
+    pub fn key(mut self, key: Key) -> Self {
+        self.key = Some(key);
+        self
+    }
+
+    /// Sets the time left.
+    pub fn within(mut self, deadline: Duration) -> Self {
+        self.deadline = Some(deadline);
+        self
+    }
+
+    /// Goes on after an event.
+    pub fn after(mut self, last_event: Option<String>) -> Self {
+        self.last_event = last_event;
+        self
+    }
+}
+
+impl Reply {
+    /// Returns the result code, or 0 where there is none.
+    pub fn code(&self) -> u64 {
+        self.body["code"].as_u64().unwrap_or_default()
+    }
+
+    /// Returns what the answer says of the request.
+    pub fn outcome(&self) -> &str {
+        self.body["outcome"].as_str().unwrap_or_default()
+    }
+}
+
+impl Events {
+    /// Returns the whole text.
+    pub fn text(&self) -> String {
+        self.texts.concat()
+    }
+
+    /// Tells whether the stream was whole by its own count and digest.
+    pub fn is_whole(&self) -> bool {
+        let Some((name, data)) = &self.end else {
+            return false;
+        };
+        name == "done" && data["digest"] == json!(Digest::of(self.text().as_bytes()))
+    }
+}
+
+impl Caller {
+    /// Returns a caller of one of the examples' client accounts.
+    ///
+    /// # Examples
+    ///
+    /// ```no_run
+    /// # async fn run() {
+    /// let caller = proc::caller::Caller::open("stewards");
+    /// let ask = proc::caller::Ask::new("status", serde_json::json!({"entry": 7}));
+    /// let reply = caller.send("http://127.0.0.1:8080", &ask).await.unwrap();
+    /// assert_eq!(reply.code(), 100);
+    /// # }
+    /// ```
+    pub fn open(account: &str) -> Self {
+        Self {
+            client: Client::builder()
+                .disable_redirects()
+                .timeout(LIMIT)
+                .finish(),
+            token: format!("{account}-token"),
+        }
+    }
+
+    /// Sends a request and returns the whole answer.
+    ///
+    /// # Errors
+    ///
+    /// No answer arrived.
+    pub async fn send(&self, url: &str, ask: &Ask) -> Result<Reply, SendRequestError> {
+        let request = self.request(url, ask);
+        let mut response = request.send_json(&json!({ "input": ask.input })).await?;
+        let status = response.status().as_u16();
+        let body = response.body().await.unwrap_or_default();
+        let body = serde_json::from_slice(&body).unwrap_or_default();
+        Ok(Reply { status, body })
+    }
+
+    /// Sends a request and returns what arrives of its stream, up to `most` tokens.
+    ///
+    /// # Errors
+    ///
+    /// No answer arrived, or a problem in place of a stream.
+    pub async fn stream(&self, url: &str, ask: &Ask, most: usize) -> Result<Events, Reply> {
+        let request = self
+            .request(url, ask)
+            .insert_header(("Accept", "text/event-stream"));
+        let sent = request.send_json(&json!({ "input": ask.input })).await;
+        let Ok(mut response) = sent else {
+            return Ok(Events::default());
+        };
+        let status = response.status().as_u16();
+        if status != 200 {
+            let body = response.body().await.unwrap_or_default();
+            let body = serde_json::from_slice(&body).unwrap_or_default();
+            return Err(Reply { status, body });
+        }
+        let mut events = Events::default();
+        let mut pending = String::new();
+        while let Some(Ok(chunk)) = response.next().await {
+            pending.push_str(&String::from_utf8_lossy(&chunk));
+            while let Some((event, rest)) = pending.split_once("\n\n") {
+                events.take(event);
+                pending = rest.to_owned();
+            }
+            if events.end.is_some() || events.texts.len() >= most {
+                break;
+            }
+        }
+        Ok(events)
+    }
+
+    /// Asks what became of a request.
+    ///
+    /// # Errors
+    ///
+    /// No answer arrived.
+    pub async fn status(&self, url: &str, key: Key) -> Result<Reply, SendRequestError> {
+        let url = format!("{url}/v1/requests/{key}");
+        let mut response = self.head(self.client.get(url)).send().await?;
+        let status = response.status().as_u16();
+        let body = response.body().await.unwrap_or_default();
+        let body = serde_json::from_slice(&body).unwrap_or_default();
+        Ok(Reply { status, body })
+    }
+
+    fn request(&self, url: &str, ask: &Ask) -> ClientRequest {
+        let url = format!("{url}/v1/pipelines/{}", ask.pipeline);
+        let mut request = self.head(self.client.post(url));
+        if let Some(key) = ask.key {
+            request = request.insert_header(("Idempotency-Key", key.to_string()));
+        }
+        if let Some(left) = ask.deadline {
+            let deadline = (now() + left).as_millis().to_string();
+            request = request.insert_header(("Limpetstep-Deadline", deadline));
+        }
+        if let Some(id) = &ask.last_event {
+            request = request.insert_header(("Last-Event-ID", id.clone()));
+        }
+        request
+    }
+
+    fn head(&self, request: ClientRequest) -> ClientRequest {
+        request.insert_header(("Authorization", format!("Bearer {}", self.token)))
+    }
+}
+
+impl Events {
+    fn take(&mut self, event: &str) {
+        let field = |name: &str| event.lines().find_map(|line| line.strip_prefix(name));
+        let data: Value = field("data: ")
+            .and_then(|data| serde_json::from_str(data).ok())
+            .unwrap_or_default();
+        match field("event: ") {
+            Some("token") => {
+                self.last_id = field("id: ").map(str::to_owned);
+                self.texts.extend(data["text"].as_str().map(str::to_owned));
+            }
+            Some(name) => self.end = Some((name.to_owned(), data)),
+            None => {}
+        }
+    }
+}
+
+/// Returns a new idempotency key, issued now.
+pub fn key() -> Key {
+    Key::from_parts(now(), uuid::Uuid::new_v4().as_u128())
+}
+
+fn now() -> Stamp {
+    let passed = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    Stamp::from_millis(u64::try_from(passed.as_millis()).unwrap_or(u64::MAX))
+}
--- /dev/null
+++ b/crates/proc/src/judge.rs
@@ -0,0 +1,54 @@
+//! What the stand-ins say happened, which is what tests judge by.
+
+use awc::Client;
+use base::Key;
+use serde::Deserialize;
+use serde_json::Value;
+
+#[derive(Deserialize)]
+struct Runs {
+    runs: Vec<Run>,
+}
+
+#[derive(Deserialize)]
+struct Run {
+    count: u64,
+}
+
+/// Returns how often calls under a key ran, over some servers.
+///
+/// # Panics
+///
+/// A server does not answer.
+pub async fn runs(urls: &[String], key: Key) -> u64 {
+    let mut total = 0;
+    for url in urls {
+        let runs = get(&format!("{url}/v1/runs/{key}")).await;
+        let runs: Runs = serde_json::from_value(runs).expect("runs");
+        total += runs.runs.iter().map(|run| run.count).sum::<u64>();
+    }
+    total
+}
+
+/// Changes the faults of a stand-in.
+///
+/// # Panics
+///
+/// The stand-in does not take the change.
+pub async fn faults(url: &str, change: Value) {
+    let sent = Client::new()
+        .put(format!("{url}/faults"))
+        .send_json(&change);
+    let status = sent.await.expect("an answer").status();
+    assert!(status.is_success(), "{change}: {status}");
+}
+
+/// Reads JSON from a stand-in.
+///
+/// # Panics
+///
+/// There is no answer, or it is not JSON.
+pub async fn get(url: &str) -> Value {
+    let mut response = Client::new().get(url).send().await.expect("an answer");
+    response.json().await.expect("JSON")
+}
--- /dev/null
+++ b/crates/proc/src/lib.rs
@@ -0,0 +1,12 @@
+//! Runs the programs as separate processes on loopback, for tests that make them fail.
+//!
+//! A test builds a [`scene::Scene`], sends requests with a [`caller::Caller`], breaks something,
+//! and judges by what the stand-ins counted.
+
+pub mod caller;
+pub mod expect;
+pub mod judge;
+pub mod poll;
+pub mod process;
+pub mod programs;
+pub mod scene;
--- /dev/null
+++ b/crates/proc/src/poll.rs
@@ -0,0 +1,37 @@
+//! Waits for a condition, with a limit.
+
+use core::time::Duration;
+use std::time::Instant;
+
+use actix_web::rt::time::sleep;
+
+/// How often the condition is looked at.
+const PERIOD: Duration = Duration::from_millis(10);
+
+/// Asks until there is an answer or the limit has passed.
+///
+/// # Examples
+///
+/// ```
+/// # actix_web::rt::System::new().block_on(async {
+/// use core::time::Duration;
+/// let mut left = 3;
+/// let done = proc::poll::until(Duration::from_secs(5), async || {
+///     left -= 1;
+///     (left == 0).then_some("done")
+/// });
+/// assert_eq!(done.await, Some("done"));
+/// # });
+/// ```
+pub async fn until<T>(limit: Duration, mut ask: impl AsyncFnMut() -> Option<T>) -> Option<T> {
+    let until = Instant::now() + limit;
+    loop {
+        if let Some(answer) = ask().await {
+            return Some(answer);
+        }
+        if Instant::now() >= until {
+            return None;
+        }
+        sleep(PERIOD).await;
+    }
+}
--- /dev/null
+++ b/crates/proc/src/process.rs
@@ -0,0 +1,142 @@
+//! One program in a process of its own.
+
+use core::time::Duration;
+use std::{
+    io::{BufRead as _, BufReader, Read},
+    process::{Child, Command, ExitStatus, Stdio},
+    sync::{Arc, Mutex, PoisonError},
+    thread,
+    time::Instant,
+};
+
+use crate::{poll, programs};
+
+/// How long a program may take to say something or to end.
+const LIMIT: Duration = Duration::from_secs(30);
+
+/// How often a program is looked at while it is waited for.
+const PERIOD: Duration = Duration::from_millis(5);
+
+/// A running program; dropping it kills it.
+pub struct Process {
+    child: Child,
+    lines: Arc<Mutex<Vec<String>>>,
+}
+
+/// The signals that tests send.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Signal {
+    /// Resumes a paused process.
+    Continue,
+    /// Ends a process at once.
+    Kill,
+    /// Pauses a process.
+    Stop,
+    /// Asks a process to stop gracefully.
+    Terminate,
+}
+
+impl Process {
+    /// Starts a program and collects what it prints.
+    ///
+    /// # Panics
+    ///
+    /// The program cannot be started.
+    ///
+    /// # Examples
+    ///
+    /// ```no_run
+    /// let platform = proc::process::Process::spawn("limpetstep-fake", &["platform".into()]);
+    /// println!("{}", platform.address("listening "));
+    /// ```
+    pub fn spawn(program: &str, args: &[String]) -> Self {
+        let mut child = Command::new(programs::path(program))
+            .args(args)
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .stderr(Stdio::piped())
+            .spawn()
+            .expect("the program starts");
+        let lines = Arc::default();
+        collect(child.stdout.take(), &lines);
+        collect(child.stderr.take(), &lines);
+        Self { child, lines }
+    }
+
+    /// Waits for a line that contains a mark and returns the word after it.
+    ///
+    /// # Panics
+    ///
+    /// The program ends or says nothing of the kind in time.
+    pub fn address(&self, mark: &str) -> String {
+        let until = Instant::now() + LIMIT;
+        while Instant::now() < until {
+            let lines = self.lines();
+            let found = lines.iter().find_map(|line| line.split_once(mark));
+            if let Some((_, rest)) = found {
+                let word = rest.split([' ', ',', '"']).next();
+                return word.unwrap_or(rest).to_owned();
+            }
+            thread::sleep(PERIOD);
+        }
+        panic!("no line with '{mark}' among {:#?}", self.lines());
+    }
+
+    /// Returns every line printed so far.
+    pub fn lines(&self) -> Vec<String> {
+        let lines = self.lines.lock().unwrap_or_else(PoisonError::into_inner);
+        lines.clone()
+    }
+
+    /// Returns the process id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Sends a signal to this process alone.
+    ///
+    /// # Panics
+    ///
+    /// The signal cannot be sent.
+    pub fn signal(&self, signal: Signal) {
+        let name = match signal {
+            Signal::Continue => "-CONT",
+            Signal::Kill => "-KILL",
+            Signal::Stop => "-STOP",
+            Signal::Terminate => "-TERM",
+        };
+        let sent = Command::new("kill")
+            .arg(name)
+            .arg(self.id().to_string())
+            .status();
+        assert!(sent.is_ok_and(|status| status.success()), "kill {name}");
+    }
+
+    /// Tells whether the process has ended, and how.
+    pub fn ended(&mut self) -> Option<ExitStatus> {
+        self.child.try_wait().unwrap_or_default()
+    }
+
+    /// Waits for the process to end by itself and returns how it did, if in time.
+    pub async fn end(&mut self, limit: Duration) -> Option<ExitStatus> {
+        poll::until(limit, async || self.child.try_wait().unwrap_or_default()).await
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+fn collect(output: Option<impl Read + Send + 'static>, lines: &Arc<Mutex<Vec<String>>>) {
+    let Some(output) = output else { return };
+    let lines = Arc::clone(lines);
+    thread::spawn(move || {
+        for line in BufReader::new(output).lines().map_while(Result::ok) {
+            let mut lines = lines.lock().unwrap_or_else(PoisonError::into_inner);
+            lines.push(line);
+        }
+    });
+}
--- /dev/null
+++ b/crates/proc/src/programs.rs
@@ -0,0 +1,54 @@
+//! The programs under test, built as needed.
+
+use std::{
+    env,
+    path::PathBuf,
+    process::{Command, Stdio},
+    sync::OnceLock,
+};
+
+/// The packages whose programs a scene runs.
+const PACKAGES: [&str; 2] = ["entry", "fake"];
+
+/// Returns the path of a program, built from the present source.
+///
+/// # Panics
+///
+/// The programs do not build.
+///
+/// # Examples
+///
+/// ```no_run
+/// assert!(proc::programs::path("limpetstep-fake").exists());
+/// ```
+pub fn path(name: &str) -> PathBuf {
+    static DIRECTORY: OnceLock<PathBuf> = OnceLock::new();
+    DIRECTORY.get_or_init(build).join(name)
+}
+
+/// Builds the programs; a stale one would make a test judge code that is gone.
+fn build() -> PathBuf {
+    let mut cargo = Command::new(env!("CARGO"));
+    cargo.args(["build", "--quiet", "--bins"]);
+    cargo.args(PACKAGES.iter().flat_map(|package| ["--package", package]));
+    if !cfg!(debug_assertions) {
+        cargo.arg("--release");
+    }
+    cargo.current_dir(env!("CARGO_MANIFEST_DIR"));
+    let status = cargo.stdout(Stdio::null()).status();
+    assert!(status.is_ok_and(|status| status.success()), "cargo build");
+    directory()
+}
+
+/// Returns the directory of programs: the parent of the one that holds the test.
+fn directory() -> PathBuf {
+    let exe = env::current_exe().expect("the path of the test");
+    let inside = exe.parent().expect("a directory");
+    match inside
+        .file_name()
+        .is_some_and(|name| name == "deps" || name == "examples")
+    {
+        true => inside.parent().expect("a directory").to_owned(),
+        false => inside.to_owned(),
+    }
+}
--- /dev/null
+++ b/crates/proc/src/scene.rs
@@ -0,0 +1,148 @@
+//! Scenes: a platform, failure domains with entry instances, and backend servers.
+
+mod start;
+
+use core::time::Duration;
+
+use bundle::Bundle;
+use tokio::sync::{Mutex, MutexGuard};
+
+use crate::{judge, process::Process};
+
+/// Scenes of one test program run one after another, to bound processes and load.
+static ONE_AT_A_TIME: Mutex<()> = Mutex::const_new(());
+
+/// What a scene consists of.
+///
+/// # Examples
+///
+/// ```no_run
+/// # async fn run() {
+/// let scene = proc::scene::Builder::new("compas").domains(3).entries(2).start().await;
+/// assert_eq!(scene.entries.len(), 6);
+/// # }
+/// ```
+#[derive(Clone, Debug)]
+pub struct Builder {
+    domains: usize,
+    drain: Duration,
+    entries: usize,
+    example: String,
+    pools: Option<Vec<String>>,
+    progress: Duration,
+    server_args: Vec<(String, Vec<String>)>,
+    servers: usize,
+}
+
+/// A running scene; dropping it kills its processes.
+pub struct Scene {
+    /// The bundle in force.
+    pub bundle: Bundle,
+    /// Entry instances, domain by domain.
+    pub entries: Vec<Entry>,
+    /// The platform.
+    pub platform: Server,
+    /// Backend servers, domain by domain.
+    pub servers: Vec<Server>,
+    /// What it was built from, to start more of the same.
+    pub builder: Builder,
+    _turn: MutexGuard<'static, ()>,
+}
+
+/// One entry instance.
+pub struct Entry {
+    /// Its name.
+    pub name: String,
+    /// Its failure domain.
+    pub domain: String,
+    /// Its process.
+    pub process: Process,
+    /// Where callers reach it.
+    pub url: String,
+}
+
+/// One stand-in.
+pub struct Server {
+    /// Its name.
+    pub name: String,
+    /// Its pool.
+    pub pool: String,
+    /// Its process.
+    pub process: Process,
+    /// Where it takes calls and faults.
+    pub url: String,
+}
+
+impl Builder {
+    /// Returns a scene of one domain, with two entry instances and a server for each pool.
+    pub fn new(example: &str) -> Self {
+        Self {
+            domains: 1,
+            drain: Duration::from_millis(500),
+            entries: 2,
+            example: example.to_owned(),
+            pools: None,
+            progress: Duration::from_secs(2),
+            server_args: Vec::new(),
+            servers: 1,
+        }
+    }
+
+    /// Sets the number of failure domains.
+    pub fn domains(mut self, count: usize) -> Self {
+        self.domains = count;
+        self
+    }
+
+    /// Sets the number of entry instances in each domain.
+    pub fn entries(mut self, count: usize) -> Self {
+        self.entries = count;
+        self
+    }
+
+    /// Sets the number of servers of each pool in each domain.
+    pub fn servers(mut self, count: usize) -> Self {
+        self.servers = count;
+        self
+    }
+
+    /// Starts servers of these pools alone.
+    pub fn pools(mut self, pools: &[&str]) -> Self {
+        self.pools = Some(pools.iter().map(|pool| (*pool).to_owned()).collect());
+        self
+    }
+
+    /// Sets the longest wait for a server's next sign of progress.
+    pub fn progress(mut self, progress: Duration) -> Self {
+        self.progress = progress;
+        self
+    }
+
+    /// Adds arguments for the servers of one pool.
+    pub fn server_args(mut self, pool: &str, args: &[&str]) -> Self {
+        let args = args.iter().map(|arg| (*arg).to_owned()).collect();
+        self.server_args.push((pool.to_owned(), args));
+        self
+    }
+}
+
+impl Scene {
+    /// Returns the servers of a pool.
+    pub fn pool(&self, pool: &str) -> Vec<&Server> {
+        let wanted = |server: &&Server| server.pool == pool;
+        self.servers.iter().filter(wanted).collect()
+    }
+
+    /// Returns where the servers of a pool are.
+    pub fn urls(&self, pool: &str) -> Vec<String> {
+        let servers = self.pool(pool);
+        servers.iter().map(|server| server.url.clone()).collect()
+    }
+
+    /// Changes the faults of every server of a pool.
+    pub async fn faults(&self, pool: &str, change: serde_json::Value) {
+        for url in self.urls(pool) {
+            judge::faults(&url, change.clone()).await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/proc/src/scene/start.rs
@@ -0,0 +1,192 @@
+//! Starts the processes of a scene and waits until they serve.
+
+use core::time::Duration;
+use std::{fs, path::Path};
+
+use bundle::{Bundle, sign::Key};
+use platform::Http;
+use serde_json::json;
+
+use super::{Builder, Entry, ONE_AT_A_TIME, Scene, Server};
+use crate::{
+    caller::{Ask, Caller},
+    expect, poll,
+    process::Process,
+};
+
+/// How long a scene may take until every entry instance serves.
+const READY: Duration = Duration::from_secs(60);
+
+/// The time limit of one call of the platform.
+const PLATFORM_LIMIT: Duration = Duration::from_secs(5);
+
+/// How often entry instances read the platform, in milliseconds.
+const POLL_MS: u64 = 100;
+
+impl Builder {
+    /// Starts the scene, rolls the example's bundle out and waits until every entry serves.
+    ///
+    /// # Panics
+    ///
+    /// Something does not start or does not serve in time.
+    pub async fn start(self) -> Scene {
+        let turn = ONE_AT_A_TIME.lock().await;
+        let text = example(&self.example);
+        let bundle = Bundle::from_toml(&text).expect("the example is a bundle");
+        let platform = self.platform();
+        let log = Http::open(&platform.url, PLATFORM_LIMIT);
+        let (author, steward) = (Key::example("author"), Key::example("steward"));
+        ctl::roll_out_all(&log, &text, &author, &steward)
+            .await
+            .expect("the example is rolled out");
+        let domains: Vec<String> = (1..=self.domains)
+            .map(|at| format!("domain-{at}"))
+            .collect();
+        let mut scene = Scene {
+            bundle,
+            entries: Vec::new(),
+            platform,
+            servers: Vec::new(),
+            builder: self,
+            _turn: turn,
+        };
+        for domain in &domains {
+            scene.start_servers(domain);
+            for number in 1..=scene.builder.entries {
+                scene.start_entry(domain, &format!("{domain}-entry-{number}"));
+            }
+        }
+        scene.ready().await;
+        scene
+    }
+
+    fn platform(&self) -> Server {
+        let process = Process::spawn("limpetstep-fake", &["platform".to_owned()]);
+        let url = format!("http://{}", process.address("listening "));
+        Server {
+            name: "platform".to_owned(),
+            pool: String::new(),
+            process,
+            url,
+        }
+    }
+}
+
+impl Scene {
+    /// Starts one more entry instance and returns its index.
+    pub fn start_entry(&mut self, domain: &str, name: &str) -> usize {
+        let roots = ["author", "steward"].map(|role| Key::example(role).public().to_string());
+        let args = [
+            ("--address", "127.0.0.1:0".to_owned()),
+            ("--peer-address", "127.0.0.1:0".to_owned()),
+            ("--domain", domain.to_owned()),
+            ("--name", name.to_owned()),
+            ("--platform", self.platform.url.clone()),
+            ("--poll-ms", POLL_MS.to_string()),
+            ("--drain-ms", self.builder.drain.as_millis().to_string()),
+            (
+                "--progress-ms",
+                self.builder.progress.as_millis().to_string(),
+            ),
+            ("--root-keys", roots.join(",")),
+        ];
+        let args = args.map(|(flag, value)| [flag.to_owned(), value]).concat();
+        let process = Process::spawn("limpetstep-entry", &args);
+        let url = format!("http://{}", process.address("listening "));
+        self.entries.push(Entry {
+            name: name.to_owned(),
+            domain: domain.to_owned(),
+            process,
+            url,
+        });
+        self.entries.len() - 1
+    }
+
+    /// Starts one more backend server and returns its index.
+    pub fn start_server(&mut self, domain: &str, pool: &str, name: &str) -> usize {
+        let found = self.bundle.pool(pool).expect("a pool");
+        let kind = expect::kind(found.kind).to_string();
+        let args = [
+            ("--name", name),
+            ("--pool", pool),
+            ("--domain", domain),
+            ("--kind", kind.as_str()),
+            ("--platform", self.platform.url.as_str()),
+        ];
+        let mut args = args
+            .map(|(flag, value)| [flag.to_owned(), value.to_owned()])
+            .concat();
+        args.insert(0, "server".to_owned());
+        if found.checks_fencing {
+            args.push("--checks-fencing".to_owned());
+        }
+        for (wanted, more) in &self.builder.server_args {
+            if wanted == pool {
+                args.extend(more.iter().cloned());
+            }
+        }
+        let process = Process::spawn("limpetstep-fake", &args);
+        let url = format!("http://{}", process.address("listening "));
+        self.servers.push(Server {
+            name: name.to_owned(),
+            pool: pool.to_owned(),
+            process,
+            url,
+        });
+        self.servers.len() - 1
+    }
+
+    /// Waits until every entry instance answers each pipeline that has no consequences.
+    ///
+    /// # Panics
+    ///
+    /// One does not in time.
+    pub async fn ready(&self) {
+        for entry in &self.entries {
+            for pipeline in self.probes() {
+                let caller = Caller::open(self.bundle.accounts[0].name.as_str());
+                let ask = Ask::new(&pipeline, json!({ "probe": entry.name, "max_tokens": 1 }));
+                let served = poll::until(READY, async || {
+                    let reply = caller.send(&entry.url, &ask).await.ok()?;
+                    (reply.code() == 100).then_some(())
+                });
+                let lines = || entry.process.lines();
+                assert!(served.await.is_some(), "{}: {:#?}", entry.name, lines());
+            }
+        }
+    }
+
+    fn start_servers(&mut self, domain: &str) {
+        let mut pools: Vec<String> = self
+            .bundle
+            .pools
+            .iter()
+            .map(|pool| pool.name.to_string())
+            .collect();
+        if let Some(wanted) = &self.builder.pools {
+            pools.retain(|pool| wanted.contains(pool));
+        }
+        for pool in pools {
+            for number in 1..=self.builder.servers {
+                self.start_server(domain, &pool, &format!("{domain}-{pool}-{number}"));
+            }
+        }
+    }
+
+    /// Returns the pipelines that the scene's pools can serve and that may be repeated.
+    fn probes(&self) -> Vec<String> {
+        let has = |pool: &base::Name| !self.pool(pool.as_str()).is_empty();
+        let pipelines = self.bundle.pipelines.iter();
+        pipelines
+            .filter(|pipeline| pipeline.once().is_none())
+            .filter(|pipeline| pipeline.stages.iter().all(|stage| has(&stage.pool)))
+            .map(|pipeline| pipeline.name.to_string())
+            .collect()
+    }
+}
+
+/// Reads the bundle of an example.
+fn example(name: &str) -> String {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../..");
+    fs::read_to_string(root.join(format!("examples/{name}.toml"))).expect("the example")
+}
--- /dev/null
+++ b/crates/proc/tests/pipelines.rs
@@ -0,0 +1,48 @@
+//! Every pipeline of both examples, served by separate processes.
+
+use googletest::prelude::*;
+use proc::{
+    caller::{self, Ask, Caller},
+    expect, judge,
+    scene::Builder,
+};
+use serde_json::json;
+
+async fn every_pipeline_is_served(example: &str) {
+    let scene = Builder::new(example).domains(3).entries(2).start().await;
+    let servers: Vec<_> = scene
+        .servers
+        .iter()
+        .map(|server| server.url.clone())
+        .collect();
+    for entry in &scene.entries {
+        for pipeline in &scene.bundle.pipelines {
+            let account = pipeline.accounts.first();
+            let account = account.unwrap_or(&scene.bundle.accounts[0].name);
+            let caller = Caller::open(account.as_str());
+            let name = pipeline.name.as_str();
+            let input = json!({ "text": format!("for {}", entry.name) });
+            let key = caller::key();
+            let ask = Ask::new(name, input.clone()).key(key);
+            let reply = caller.send(&entry.url, &ask).await.unwrap();
+            expect_that!(reply.code(), eq(100), "{name}: {:#}", reply.body);
+            let expected = expect::output(&scene.bundle, name, &input, Some(key));
+            expect_that!(reply.body["output"], eq(&expected), "{name}");
+            if pipeline.once().is_some() {
+                expect_that!(judge::runs(&servers, key).await, eq(1), "{name}");
+            }
+        }
+    }
+}
+
+#[gtest]
+#[actix_web::test]
+async fn adinkra() {
+    every_pipeline_is_served("adinkra").await;
+}
+
+#[gtest]
+#[actix_web::test]
+async fn compas() {
+    every_pipeline_is_served("compas").await;
+}
