Send prompts that begin alike to the engine that read the beginning before

Cause: the routing scores prefix affinity but was told no prefix. Ruled out: the engines' own block digests, which other engines form in other ways.

--- a/crates/backend/src/call.rs
+++ b/crates/backend/src/call.rs
@@ -38,8 +38,6 @@
     pub output: Value,
     /// The server's own time on the call, in milliseconds.
     pub cost_ms: f64,
-    /// Tokens of the input that the server's prefix cache held.
-    pub cached_tokens: u64,
     /// Whether the server said that it is leaving.
     pub leaving: bool,
     /// The life of the server that answered, where it said so.
@@ -80,6 +78,4 @@
     pub(crate) output: Value,
     #[serde(default)]
     pub(crate) cost_ms: f64,
-    #[serde(default)]
-    pub(crate) cached_tokens: u64,
 }
--- a/crates/backend/src/client.rs
+++ b/crates/backend/src/client.rs
@@ -77,7 +77,6 @@
         Ok(Reply {
             output: answer.output,
             cost_ms: answer.cost_ms,
-            cached_tokens: answer.cached_tokens,
             leaving,
             server,
         })
--- a/crates/backend/src/stream.rs
+++ b/crates/backend/src/stream.rs
@@ -30,6 +30,8 @@
         digest: String,
         /// The server's own time on the call, in milliseconds.
         cost_ms: f64,
+        /// Tokens of the prompt that the server's prefix cache held, where it says so.
+        cached_tokens: Option<u64>,
     },
 }
 
@@ -58,6 +60,8 @@
     digest: String,
     #[serde(default)]
     cost_ms: f64,
+    #[serde(default)]
+    cached_tokens: Option<u64>,
 }
 
 impl Stream {
@@ -119,6 +123,7 @@
             count: done.count,
             digest: done.digest,
             cost_ms: done.cost_ms,
+            cached_tokens: done.cached_tokens,
         })
     }
 
--- a/crates/entry/src/plane.rs
+++ b/crates/entry/src/plane.rs
@@ -9,6 +9,7 @@
 mod judge;
 mod once;
 mod places;
+mod prefix;
 mod sink;
 mod status;
 
--- a/crates/entry/src/plane/call.rs
+++ b/crates/entry/src/plane/call.rs
@@ -21,6 +21,8 @@
 pub(crate) struct Call<'a> {
     pub(crate) call: backend::Call,
     pub(crate) pool: &'a Pool,
+    /// The digest of the prompt's beginning, where the stage generates.
+    pub(crate) prefix: Option<u64>,
     pub(crate) server: Incarnation,
     /// Whether the output of this stage is the answer.
     pub(crate) last: bool,
@@ -120,8 +122,14 @@
                 }
             }
             Part::Done {
-                digest, cost_ms, ..
+                digest,
+                cost_ms,
+                cached_tokens,
+                ..
             } => {
+                if cached_tokens == Some(0) {
+                    missed(plane, call);
+                }
                 if digest != text.digest() {
                     return Ok(Made::Diverged);
                 }
@@ -132,6 +140,18 @@
     }
 }
 
+fn missed(plane: &Plane, call: &Call<'_>) {
+    let Some(prefix) = call.prefix else {
+        return;
+    };
+    let server = call.server.clone();
+    let now = plane.shared.clock.tick();
+    let mut inner = plane.inner.borrow_mut();
+    inner
+        .table
+        .on(now, route::Event::CacheMiss { server, prefix });
+}
+
 fn leaving(plane: &Plane, server: &Incarnation) {
     let server = server.clone();
     let now = plane.shared.clock.tick();
@@ -191,7 +211,7 @@
         let started = route::Event::Started {
             attempt,
             server: server.clone(),
-            prefix: None,
+            prefix: call.prefix,
         };
         plane.inner.borrow_mut().table.on(now, started);
         Self {
--- a/crates/entry/src/plane/drive.rs
+++ b/crates/entry/src/plane/drive.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 
 use base::{Code, Incarnation, Outcome, Tick, attempt::Attempt, request::Id};
+use bundle::content::Kind;
 use flow::{Action, Answer, Event, Request, request::Context};
 use front::Ask;
 use serde_json::Value;
@@ -14,6 +15,7 @@
     call::{self, Call, End},
     judge::Judged,
     once::{self, Once, Recall},
+    prefix::{self, Prefix},
     sink::{Sink, Text},
 };
 
@@ -30,6 +32,7 @@
     judged: Judged,
     once: Option<Once>,
     picked: Option<route::Pick>,
+    prefix: Option<Prefix>,
     plane: Rc<Plane>,
     request: Request,
     sink: Option<Sink>,
@@ -60,6 +63,7 @@
             id,
             once,
             picked: None,
+            prefix: None,
             request: Request::new(id, judged.pipeline.clone(), ask.input.clone()),
             sink,
             started: plane.shared.clock.tick(),
@@ -209,12 +213,16 @@
 
     fn pick(&mut self, exclude: &[Incarnation]) -> Event {
         let pool = self.request.stage().pool.clone();
+        let prefix = self.find_prefix();
         let ask = route::Ask {
             exclude,
+            prefix: prefix.map(|prefix| prefix.digest),
+            prefill_tokens: prefix.map_or(0, |prefix| prefix.tokens),
             ..route::Ask::any(pool.as_str())
         };
         let own_domain = &self.plane.shared.settings.domain;
         let picked = self.plane.inner.borrow_mut().pick(own_domain, &ask);
+        self.prefix = prefix;
         match picked {
             Ok(pick) => {
                 let server = pick.incarnation.clone();
@@ -227,6 +235,18 @@
         }
     }
 
+    /// Names the beginning of the prompt, where the stage generates.
+    fn find_prefix(&self) -> Option<Prefix> {
+        let pool = self.judged.pools.get(self.request.index())?;
+        if pool.kind != Kind::Generate {
+            return None;
+        }
+        Some(prefix::of(
+            self.request.stage().operation(),
+            &self.request.input(),
+        ))
+    }
+
     async fn call(
         &mut self,
         attempt: Attempt,
@@ -260,6 +280,7 @@
                 priority: self.judged.pipeline.priority,
             },
             pool,
+            prefix: self.prefix.map(|prefix| prefix.digest),
             server,
             last: index + 1 == self.judged.pipeline.stages.len(),
         };
--- a/crates/flow/src/request.rs
+++ b/crates/flow/src/request.rs
@@ -112,6 +112,11 @@
         self.stage
     }
 
+    /// Returns the input of the present stage: the caller's and the previous stage's output.
+    pub fn input(&self) -> Value {
+        json!({ "request": self.input, "previous": self.previous })
+    }
+
     /// Takes note of an event and returns what the driver does next.
     ///
     /// An event that belongs to an attempt given up earlier changes nothing.
@@ -207,16 +212,12 @@
         Action::Call {
             attempt,
             server,
-            input: self.stage_input(),
+            input: self.input(),
             from: self.emitted,
             idempotent,
         }
     }
 
-    fn stage_input(&self) -> Value {
-        json!({ "request": self.input, "previous": self.previous })
-    }
-
     fn leave_stage(&mut self, cx: Context, output: Value) -> Action {
         let name = self.stage().name.clone();
         let once = !self.stage().idempotent;
