--- a/crates/bundle/src/content.rs
+++ b/crates/bundle/src/content.rs
@@ -117,6 +117,9 @@
     /// The client accounts that may use the pipeline; empty for all of them.
     #[serde(default)]
     pub accounts: Vec<Name>,
+    /// Whether requests are stored in the platform's log and answered later.
+    #[serde(default)]
+    pub deferred: bool,
     /// The share of requests to be answered within their deadline, from 0 to 1.
     #[serde(default = "Pipeline::default_objective")]
     pub objective: f64,
--- /dev/null
+++ b/crates/defer/src/record.rs
@@ -0,0 +1,150 @@
+//! Records of deferred requests and their text in the log.
+
+use base::{Code, Digest, Key, Name, Outcome, Stamp};
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+use thiserror::Error;
+
+use crate::Task;
+
+/// The version of the text of a record.
+const VERSION: u8 = 1;
+
+/// One statement about one task.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Record {
+    /// The request is stored.
+    Accepted(Request),
+    /// The request has ended.
+    Ended(Ending),
+}
+
+/// A stored request.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Request {
+    /// The client account.
+    pub account: Name,
+    /// When this record was written.
+    pub at: Stamp,
+    /// The digest of pipeline and input.
+    pub body: Digest,
+    /// When the answer is no longer wanted.
+    pub deadline: Stamp,
+    /// The pipeline's input.
+    pub input: Value,
+    /// The caller's idempotency key.
+    pub key: Key,
+    /// The pipeline.
+    pub pipeline: Name,
+}
+
+/// How a request ended.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Ending {
+    /// When this record was written.
+    pub at: Stamp,
+    /// The digest of pipeline and input.
+    pub body: Digest,
+    /// The offset of the record that this one carries forward, if it does.
+    pub carries: Option<u64>,
+    /// The result code.
+    pub code: Code,
+    /// The deadline that the request had.
+    pub deadline: Stamp,
+    /// What is known of the request.
+    pub outcome: Outcome,
+    /// The output, if the request was answered.
+    pub output: Value,
+    /// The task.
+    pub task: Task,
+}
+
+/// Why a text is not a record.
+#[derive(Debug, Error)]
+pub enum Error {
+    /// The text is not JSON of the expected shape.
+    #[error("not a record of deferred requests: {0}")]
+    Syntax(#[from] serde_json::Error),
+    /// The record was written by a later version.
+    #[error("record of version {0}, known is {VERSION}")]
+    Version(u8),
+}
+
+#[derive(Serialize, Deserialize)]
+struct Envelope<T> {
+    version: u8,
+    record: T,
+}
+
+impl Request {
+    /// Names the task.
+    pub fn task(&self) -> Task {
+        Task::new(&self.account, &self.key)
+    }
+}
+
+impl Record {
+    /// Names the task.
+    pub fn task(&self) -> Task {
+        match self {
+            Self::Accepted(request) => request.task(),
+            Self::Ended(ending) => ending.task,
+        }
+    }
+
+    /// Returns the record at an offset as of a later time, to be written before the log drops it.
+    #[must_use]
+    pub fn carried(self, offset: u64, now: Stamp) -> Self {
+        match self {
+            Self::Accepted(request) => Self::Accepted(Request { at: now, ..request }),
+            Self::Ended(ending) => Self::Ended(Ending {
+                at: now,
+                carries: Some(offset),
+                ..ending
+            }),
+        }
+    }
+
+    /// Writes the text of the record.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use base::{Code, Key, Outcome, Stamp};
+    /// use defer::{Record, Task, record::Ending};
+    /// let key = Key::from_parts(Stamp::from_millis(5), 1);
+    /// let record = Record::Ended(Ending {
+    ///     at: Stamp::from_millis(9),
+    ///     body: base::Digest::of(b"text"),
+    ///     carries: None,
+    ///     code: Code::Answered,
+    ///     deadline: Stamp::from_millis(90),
+    ///     outcome: Outcome::Answered,
+    ///     output: "text".into(),
+    ///     task: Task::new(&"authors".into(), &key),
+    /// });
+    /// assert_eq!(Record::parse(&record.to_json()).unwrap(), record);
+    /// ```
+    pub fn to_json(&self) -> String {
+        let envelope = Envelope {
+            version: VERSION,
+            record: self,
+        };
+        serde_json::to_string(&envelope).expect("records have only text keys")
+    }
+
+    /// Reads a record from its text.
+    ///
+    /// # Errors
+    ///
+    /// - `Syntax`: the text is not a record.
+    /// - `Version`: it was written by a later version.
+    pub fn parse(text: &str) -> Result<Self, Error> {
+        let envelope: Envelope<Value> = serde_json::from_str(text)?;
+        if envelope.version != VERSION {
+            return Err(Error::Version(envelope.version));
+        }
+        Ok(serde_json::from_value(envelope.record)?)
+    }
+}
--- /dev/null
+++ b/crates/defer/src/shift.rs
@@ -0,0 +1,188 @@
+//! Which tasks an instance works on, and which records it carries forward.
+
+use core::time::Duration;
+
+use base::{Digest, Incarnation, Stamp, Tick};
+
+use crate::{Fold, State, Task, configs::Config};
+
+/// What an instance may see when it decides.
+#[derive(Clone, Copy, Debug)]
+pub struct Context<'a> {
+    /// The entry instances heard of, sorted.
+    pub members: &'a [Incarnation],
+    /// The present instant.
+    pub now: Tick,
+    /// This instance.
+    pub own: &'a Incarnation,
+    /// The partition.
+    pub partition: u16,
+    /// The wall-clock time.
+    pub wall: Stamp,
+}
+
+/// What is to be done.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Action {
+    /// Write the record at an offset again.
+    Carry {
+        /// The task.
+        task: Task,
+        /// Where its record is.
+        offset: u64,
+    },
+    /// Record that the task's deadline passed.
+    Expire {
+        /// The task.
+        task: Task,
+        /// Where its request is.
+        offset: u64,
+    },
+    /// Work on the task.
+    Start {
+        /// The task.
+        task: Task,
+        /// Where its request is.
+        offset: u64,
+    },
+}
+
+/// How one task stands at this instance.
+#[derive(Clone, Debug)]
+struct Work {
+    task: Task,
+    running: bool,
+    /// When it may be started again.
+    after: Tick,
+    wait: Duration,
+}
+
+/// One instance's part of the work on a partition.
+///
+/// # Examples
+///
+/// ```
+/// use base::{Incarnation, Stamp, Tick};
+/// use defer::{Fold, Shift, configs::Config, shift::Context};
+/// let own = Incarnation::new("entry-1", Stamp::from_millis(1));
+/// let members = [own.clone()];
+/// let cx = Context {
+///     members: &members,
+///     now: Tick::default(),
+///     own: &own,
+///     partition: 0,
+///     wall: Stamp::from_millis(2),
+/// };
+/// let mut shift = Shift::open(Config::default());
+/// assert!(shift.look(cx, &Fold::open(Config::default().keep)).is_empty());
+/// ```
+#[derive(Clone, Debug)]
+pub struct Shift {
+    config: Config,
+    works: Vec<Work>,
+}
+
+impl Shift {
+    /// Returns a shift that has nothing to do.
+    pub const fn open(config: Config) -> Self {
+        Self {
+            config,
+            works: Vec::new(),
+        }
+    }
+
+    /// Returns the number of tasks that the instance works on.
+    pub fn running(&self) -> usize {
+        self.works.iter().filter(|work| work.running).count()
+    }
+
+    /// Looks through a partition and returns what this instance is to do.
+    ///
+    /// - A partition belongs to the member that ranks highest for it; if that one is lost, the next
+    ///   one takes its tasks on once the members are seen without it.
+    /// - Tasks are started in the order of their deadlines, up to a number at once.
+    pub fn look(&mut self, cx: Context<'_>, fold: &Fold) -> Vec<Action> {
+        self.works
+            .retain(|work| work.running || matches!(fold.state(&work.task), Some(State::Open(_))));
+        let mut actions = Vec::new();
+        if owner(cx.members, cx.partition) != Some(cx.own) {
+            return actions;
+        }
+        let mut ready = Vec::new();
+        for (task, state) in fold.tasks() {
+            let (at, offset) = match state {
+                State::Open(open) => (open.at, open.offset),
+                State::Ended(ended) => (ended.at, ended.offset),
+            };
+            if cx.wall - at >= self.config.carry {
+                actions.push(Action::Carry {
+                    task: *task,
+                    offset,
+                });
+            }
+            if let State::Open(open) = state {
+                ready.push((open.deadline, *task, offset));
+            }
+        }
+        ready.sort_unstable();
+        for (deadline, task, offset) in ready {
+            self.consider(cx, deadline, task, offset, &mut actions);
+        }
+        actions
+    }
+
+    /// Takes note that an attempt has ended; one that may succeed later is made again.
+    pub fn ended(&mut self, now: Tick, task: &Task) {
+        let Ok(at) = self.find(task) else {
+            return;
+        };
+        let work = &mut self.works[at];
+        work.running = false;
+        work.after = now + work.wait;
+        work.wait = (work.wait * 2).min(self.config.retry_most);
+    }
+
+    fn consider(
+        &mut self,
+        cx: Context<'_>,
+        deadline: Stamp,
+        task: Task,
+        offset: u64,
+        actions: &mut Vec<Action>,
+    ) {
+        let busy = self.running() >= self.config.running;
+        let at = self.find(&task).unwrap_or_else(|at| {
+            let work = Work {
+                task,
+                running: false,
+                after: cx.now,
+                wait: self.config.retry_first,
+            };
+            self.works.insert(at, work);
+            at
+        });
+        let work = &mut self.works[at];
+        if work.running || cx.now < work.after {
+            return;
+        }
+        if deadline <= cx.wall {
+            work.after = cx.now + work.wait;
+            actions.push(Action::Expire { task, offset });
+        } else if !busy {
+            work.running = true;
+            actions.push(Action::Start { task, offset });
+        }
+    }
+
+    fn find(&self, task: &Task) -> Result<usize, usize> {
+        self.works.binary_search_by_key(task, |work| work.task)
+    }
+}
+
+/// Returns the member that ranks highest for a partition.
+pub fn owner(members: &[Incarnation], partition: u16) -> Option<&Incarnation> {
+    members.iter().max_by_key(|member| {
+        let name = member.to_string();
+        Digest::of_parts(&[name.as_bytes(), &partition.to_be_bytes()])
+    })
+}
--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -5,3 +5,4 @@
 pub mod config;
 pub mod ledger;
 pub mod roster;
+pub mod work;
--- a/crates/entry/src/control/roster.rs
+++ b/crates/entry/src/control/roster.rs
@@ -9,11 +9,13 @@
 
 use crate::{
     metrics::Metrics,
-    view::{Server, Servers},
+    view::{Members, Server, Servers},
 };
 
 /// Follows the platform's list.
 pub struct Roster {
+    /// Where to publish the entry instances.
+    pub members: watch::Sender<Members>,
     /// Counters.
     pub metrics: Arc<Metrics>,
     /// The platform.
--- a/crates/entry/src/instance.rs
+++ b/crates/entry/src/instance.rs
@@ -4,7 +4,7 @@
 use std::{
     io,
     sync::{
-        Arc,
+        Arc, Mutex,
         atomic::{AtomicBool, AtomicUsize, Ordering},
         mpsc,
     },
@@ -19,7 +19,7 @@
 
 use crate::{
     clock::Clock,
-    control::{config::Config, ledger::Ledger, roster::Roster},
+    control::{config::Config, ledger::Ledger, roster::Roster, work::Work},
     metrics::Metrics,
     plane::Plane,
     routes,
@@ -149,6 +149,10 @@
     let platform = platform::Http::open(&settings.platform, settings.platform_limit);
     let (force, force_read) = watch::channel(None);
     let (servers, servers_read) = watch::channel(Arc::default());
+    let incarnation = Incarnation::new(settings.name.clone(), clock.stamp());
+    let (members, members_read) = watch::channel(Arc::new(vec![incarnation.clone()]));
+    let (jobs, jobs_read) = tokio::sync::mpsc::unbounded_channel();
+    let work = Work::new(clock, incarnation.clone(), &platform, members_read, jobs).start();
     let ledger = Ledger::new(clock, Arc::clone(&metrics), platform.clone()).start();
     Config::new(
         clock,
@@ -160,6 +164,7 @@
     )
     .start();
     Roster {
+        members,
         metrics: Arc::clone(&metrics),
         platform,
         poll: settings.poll,
@@ -170,13 +175,15 @@
         clock,
         flights: Arc::new(AtomicUsize::new(0)),
         force: force_read,
-        incarnation: Incarnation::new(settings.name.clone(), clock.stamp()),
+        incarnation,
+        jobs: Arc::new(Mutex::new(Some(jobs_read))),
         ledger,
         metrics,
         servers: servers_read,
         settings: Arc::new(settings),
         stop: Arc::default(),
         stopping: Arc::new(AtomicBool::new(false)),
+        work,
     }
 }
 
--- a/crates/entry/src/plane.rs
+++ b/crates/entry/src/plane.rs
@@ -6,6 +6,7 @@
 mod call;
 mod drive;
 mod inner;
+mod jobs;
 mod judge;
 mod once;
 mod places;
@@ -47,6 +48,7 @@
             this: this.clone(),
         });
         actix_web::rt::spawn(inner::tick(Rc::downgrade(&plane)));
+        actix_web::rt::spawn(jobs::work(Rc::downgrade(&plane)));
         plane
     }
 
@@ -114,6 +116,9 @@
             Ok(judged) => judged,
             Err(answer) => return Reply::Whole(answer),
         };
+        if judged.pipeline.deferred {
+            return Reply::Whole(jobs::accept(self, &ask, &judged).await);
+        }
         if !ask.stream || !judged.streams {
             let ended = self.start(id, &ask, judged, None);
             return Reply::Whole(ended.await.unwrap_or_else(|_| lost()));
--- a/crates/entry/src/plane/inner.rs
+++ b/crates/entry/src/plane/inner.rs
@@ -129,6 +129,12 @@
             .map_or(BODY_BYTES, |bundle| bundle.limits.body_bytes)
     }
 
+    /// Tells whether any pipeline is deferred.
+    pub(crate) fn has_deferred(&self) -> bool {
+        let bundle = self.bundle.as_ref();
+        bundle.is_some_and(|bundle| bundle.pipelines.iter().any(|pipeline| pipeline.deferred))
+    }
+
     pub(crate) fn id(&mut self) -> Id {
         Id::from_random(self.bits())
     }
--- a/crates/entry/src/plane/judge.rs
+++ b/crates/entry/src/plane/judge.rs
@@ -1,7 +1,7 @@
 //! Whether a request may be served at all.
 
-use base::{Code, Name, Outcome, Tick};
-use bundle::content::Pipeline;
+use base::{Code, Name, Outcome, Stamp, Tick};
+use bundle::{Bundle, content::Pipeline};
 use flow::Answer;
 use front::Ask;
 
@@ -42,11 +42,24 @@
         let detail = format!("'{}' may not use '{}'", account.name, pipeline.name);
         return Err(Answer::refusal(Code::AccountForbidden, detail));
     }
-    if pipeline.once().is_some() && ask.key.is_none() {
+    if (pipeline.deferred || pipeline.once().is_some()) && ask.key.is_none() {
         let detail = "send an Idempotency-Key that is a UUID of version 7";
         return Err(Answer::refusal(Code::KeyMissing, detail));
     }
-    let deadline = match ask.deadline {
+    let judged = of(inner, shared, bundle, pipeline, &account.name, ask.deadline);
+    Ok(judged)
+}
+
+/// Prepares a request of an account that may use a pipeline.
+pub(crate) fn of(
+    inner: &Inner,
+    shared: &Shared,
+    bundle: &Bundle,
+    pipeline: &Pipeline,
+    account: &Name,
+    deadline: Option<Stamp>,
+) -> Judged {
+    let deadline = match deadline {
         Some(stamp) => inner.tick_of(stamp),
         None => shared.clock.tick() + pipeline.deadline(),
     };
@@ -55,13 +68,13 @@
         .iter()
         .filter_map(|stage| bundle.pool(stage.pool.as_str()).cloned())
         .collect();
-    Ok(Judged {
-        account: account.name.clone(),
+    Judged {
+        account: account.clone(),
         deadline,
         pipeline: pipeline.clone(),
         pools,
         streams: pipeline.streams(bundle),
-    })
+    }
 }
 
 /// Weakens `not run` to `unknown` where an earlier attempt under the key may have run.
--- a/crates/entry/src/plane/status.rs
+++ b/crates/entry/src/plane/status.rs
@@ -1,12 +1,13 @@
 //! What became of an earlier request.
 
 use base::{Code, Digest, Key, Outcome};
+use defer::Task;
 use flow::Answer;
 use ledger::{fold::State, owner::Verdict, slot::Slot};
 
 use crate::{
     control::ledger::Lookup,
-    plane::{Plane, once},
+    plane::{Plane, jobs, once},
 };
 
 /// Tells what the ledger knows of the call made under a key.
@@ -21,6 +22,11 @@
     let Some(account) = account else {
         return Answer::refusal(Code::AccountUnknown, "no account has this token");
     };
+    let deferred = plane.inner.borrow().has_deferred();
+    let task = Task::new(&account, &key);
+    if deferred && let Some(answer) = jobs::status(plane, task).await {
+        return answer;
+    }
     let slot = Slot::new(account.as_str(), &key, once::STAGE);
     let asked = plane.shared.ledger.send(Lookup(slot)).await;
     match asked.unwrap_or(Verdict::LOST) {
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -1,17 +1,20 @@
 //! What every part of one instance shares.
 
 use std::sync::{
-    Arc,
+    Arc, Mutex,
     atomic::{AtomicBool, AtomicUsize, Ordering},
 };
 
 use actix::Addr;
 use base::Incarnation;
-use tokio::sync::{Notify, watch};
+use tokio::sync::{Notify, mpsc, watch};
 
 use crate::{
     clock::Clock,
-    control::ledger::Ledger,
+    control::{
+        ledger::Ledger,
+        work::{Job, Work},
+    },
     metrics::Metrics,
     settings::Settings,
     view::{Force, Servers},
@@ -30,6 +33,8 @@
     pub incarnation: Incarnation,
     /// The ledger's actor.
     pub ledger: Addr<Ledger>,
+    /// Deferred requests that the serving side is to work on; taken once.
+    pub jobs: Arc<Mutex<Option<mpsc::UnboundedReceiver<Job>>>>,
     /// Metrics.
     pub metrics: Arc<Metrics>,
     /// Backend servers.
@@ -40,6 +45,8 @@
     pub stop: Arc<Notify>,
     /// Set once the instance is to stop.
     pub stopping: Arc<AtomicBool>,
+    /// The actor of deferred requests.
+    pub work: Addr<Work>,
 }
 
 impl Shared {
--- a/crates/entry/src/view.rs
+++ b/crates/entry/src/view.rs
@@ -12,6 +12,9 @@
 /// The backend servers known, sorted by pool and incarnation.
 pub type Servers = Arc<Vec<Server>>;
 
+/// The entry instances heard of, sorted; this one is always among them.
+pub type Members = Arc<Vec<Incarnation>>;
+
 /// One backend server.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Server {
--- a/crates/front/src/problem.rs
+++ b/crates/front/src/problem.rs
@@ -26,6 +26,9 @@
         response.insert_header(("Retry-After", seconds.to_string()));
     }
     response.insert_header(("Limpetstep-Request", request.to_string()));
+    if let Some(key) = key.filter(|_| answer.code == Code::Accepted) {
+        response.insert_header(("Location", format!("/v1/requests/{key}")));
+    }
     let kind = match answer.code {
         Code::Accepted | Code::Answered => "application/json",
         _ => "application/problem+json",
