Make calls that may not be repeated fail in separate processes

Lost and silent append answers, one key at two instances at once, a holder paused between claim and call and during the call for longer than every limit, a holder killed before, during and after, the platform down and slow, and services that go silent, close or cross their answers. The services' own counts of runs judge; each test goes on after the answer.

The three that failed expected too much, and were corrected before they landed: a request whose roster was read is 'incomplete', not 'not run'; only the caller can say that a key is new while the ledger is away (Limpetstep-First); and an answer can only be repeated by another instance once its record is in the log.

--- a/crates/proc/src/caller.rs
+++ b/crates/proc/src/caller.rs
@@ -29,6 +29,8 @@
     pub key: Option<Key>,
     /// The time left for it; the pipeline's own where there is none.
     pub deadline: Option<Duration>,
+    /// Whether the caller says that it never sent the key before.
+    pub first: bool,
     /// The last event received of a stream that is resumed.
     pub last_event: Option<String>,
 }
@@ -61,6 +63,7 @@
             input,
             key: None,
             deadline: None,
+            first: false,
             last_event: None,
         }
     }
@@ -77,6 +80,12 @@
         self
     }
 
+    /// Says that the key was never sent before.
+    pub fn first(mut self) -> Self {
+        self.first = true;
+        self
+    }
+
     /// Goes on after an event.
     pub fn after(mut self, last_event: Option<String>) -> Self {
         self.last_event = last_event;
@@ -206,6 +215,9 @@
             let deadline = (now() + left).as_millis().to_string();
             request = request.insert_header(("Limpetstep-Deadline", deadline));
         }
+        if ask.first {
+            request = request.insert_header(("Limpetstep-First", "?1"));
+        }
         if let Some(id) = &ask.last_event {
             request = request.insert_header(("Last-Event-ID", id.clone()));
         }
--- a/crates/proc/src/judge.rs
+++ b/crates/proc/src/judge.rs
@@ -52,3 +52,13 @@
     let mut response = Client::new().get(url).send().await.expect("an answer");
     response.json().await.expect("JSON")
 }
+
+/// Returns one count of a stand-in's statistics.
+///
+/// # Panics
+///
+/// There is no such count.
+pub async fn count(url: &str, name: &str) -> u64 {
+    let stats = get(&format!("{url}/stats")).await;
+    stats[name].as_u64().expect("a count")
+}
--- a/crates/proc/src/lib.rs
+++ b/crates/proc/src/lib.rs
@@ -10,3 +10,4 @@
 pub mod process;
 pub mod programs;
 pub mod scene;
+pub mod settle;
--- /dev/null
+++ b/crates/proc/tests/once.rs
@@ -0,0 +1,327 @@
+//! Calls that may not be repeated, under failure. The services' own counts of runs judge.
+
+use core::time::Duration;
+
+use actix_web::rt::{spawn, time::sleep};
+use base::Key;
+use futures_util::future::join_all;
+use googletest::prelude::*;
+use proc::{
+    caller::{self, Ask, Caller, Reply},
+    judge, poll,
+    process::Signal,
+    scene::{Builder, Scene},
+    settle,
+};
+use serde_json::{Value, json};
+
+const LIMIT: Duration = Duration::from_secs(20);
+const POOL: &str = "entries-api";
+
+/// Longer than the deadline of a payment and than every limit towards platform and servers.
+const PAUSE: Duration = Duration::from_secs(9);
+
+struct Payment<'a> {
+    ask: Ask,
+    caller: Caller,
+    key: Key,
+    scene: &'a Scene,
+}
+
+async fn scene() -> Scene {
+    let builder = Builder::new("compas").servers(2);
+    builder.pools(&[POOL, "roster-sync"]).start().await
+}
+
+impl<'a> Payment<'a> {
+    fn new(scene: &'a Scene) -> Self {
+        let key = caller::key();
+        let ask = Ask::new("fee-payment", json!({"band": "Quetzal"}));
+        Self {
+            ask: ask.key(key).within(Duration::from_secs(6)),
+            caller: Caller::open("contest-office"),
+            key,
+            scene,
+        }
+    }
+
+    async fn send(&self, entry: usize) -> Option<Reply> {
+        let url = &self.scene.entries[entry].url;
+        self.caller.send(url, &self.ask).await.ok()
+    }
+
+    /// Sends the request in the background, to an instance that is about to fail.
+    fn begin(&self, entry: usize) {
+        let (caller, ask) = (self.caller.clone(), self.ask.clone());
+        let url = self.scene.entries[entry].url.clone();
+        spawn(async move { caller.send(&url, &ask).await.ok() });
+    }
+
+    async fn runs(&self) -> u64 {
+        judge::runs(&self.scene.urls(POOL), self.key).await
+    }
+
+    async fn await_run(&self) {
+        let ran = poll::until(LIMIT, async || (self.runs().await == 1).then_some(()));
+        assert_that!(ran.await, some(anything()));
+    }
+
+    /// Waits until an append took effect whose answer will not come.
+    async fn await_lost_append(&self) {
+        let url = &self.scene.platform.url;
+        let lost = poll::until(LIMIT, async || {
+            (judge::count(url, "appends_lost").await > 0).then_some(())
+        });
+        assert_that!(lost.await, some(anything()));
+    }
+
+    /// Asks on some instances until the outcome is final, and counts the runs.
+    async fn settle(&self, entries: &[usize]) -> (Reply, u64) {
+        let url = |at: &usize| self.scene.entries[*at].url.as_str();
+        let urls: Vec<_> = entries.iter().map(url).collect();
+        let reply = settle::until_final(&self.caller, &urls, &self.ask).await;
+        (reply, self.runs().await)
+    }
+}
+
+async fn platform(scene: &Scene, change: Value) {
+    judge::faults(&scene.platform.url, change).await;
+}
+
+/// An answer counts as many runs as it says; `unknown` allows for one.
+fn expect_truth(reply: &Reply, runs: u64, what: &str) {
+    match reply.outcome() {
+        "answered" => expect_that!(runs, eq(1), "{what}: {:#}", reply.body),
+        "incomplete" | "not_run" => expect_that!(runs, eq(0), "{what}: {:#}", reply.body),
+        _ => expect_that!(runs, le(1), "{what}: {:#}", reply.body),
+    }
+}
+
+#[gtest]
+#[actix_web::test]
+async fn append_answers_are_lost() {
+    let scene = scene().await;
+    for fault in ["lose_answers", "hang_appends", "hang_appends_before"] {
+        let payment = Payment::new(&scene);
+        platform(&scene, json!({fault: 2})).await;
+        let first = payment.send(0).await.unwrap();
+        expect_truth(&first, payment.runs().await, fault);
+        let (last, runs) = payment.settle(&[1, 0]).await;
+        expect_that!(
+            (last.code(), runs),
+            eq((100, 1)),
+            "{fault}: {:#}",
+            last.body
+        );
+    }
+}
+
+#[gtest]
+#[actix_web::test]
+async fn many_instances_get_one_key_at_once() {
+    let scene = scene().await;
+    for _ in 0..10 {
+        let payment = Payment::new(&scene);
+        let replies = join_all([0, 1, 0, 1].map(|entry| payment.send(entry))).await;
+        for reply in replies.iter().flatten() {
+            expect_that!(reply.outcome(), not(eq("not_run")), "{:#}", reply.body);
+        }
+        let (last, runs) = payment.settle(&[0, 1]).await;
+        expect_that!((last.code(), runs), eq((100, 1)));
+    }
+}
+
+#[gtest]
+#[actix_web::test]
+async fn the_holder_is_paused_between_claim_and_call() {
+    let scene = scene().await;
+    let payment = Payment::new(&scene);
+    platform(&scene, json!({"hang_appends": 1})).await;
+    payment.begin(0);
+    payment.await_lost_append().await;
+    scene.entries[0].process.signal(Signal::Stop);
+    let other = payment.send(1).await.unwrap();
+    expect_that!(other.outcome(), not(eq("not_run")), "{:#}", other.body);
+    sleep(PAUSE).await;
+    scene.entries[0].process.signal(Signal::Continue);
+    let (last, runs) = payment.settle(&[1, 0]).await;
+    expect_truth(&last, runs, "resumed");
+    sleep(Duration::from_secs(1)).await;
+    expect_that!(payment.runs().await, eq(runs));
+}
+
+#[gtest]
+#[actix_web::test]
+async fn the_holder_is_paused_during_the_call() {
+    let scene = scene().await;
+    let payment = Payment::new(&scene);
+    scene.faults(POOL, json!({"slow_ms": 500})).await;
+    payment.begin(0);
+    payment.await_run().await;
+    scene.entries[0].process.signal(Signal::Stop);
+    let other = payment.send(1).await.unwrap();
+    expect_that!(other.outcome(), not(eq("not_run")), "{:#}", other.body);
+    sleep(PAUSE).await;
+    scene.entries[0].process.signal(Signal::Continue);
+    let (last, runs) = payment.settle(&[1, 0]).await;
+    expect_that!(runs, eq(1), "{:#}", last.body);
+}
+
+#[gtest]
+#[actix_web::test]
+async fn the_holder_is_killed_before_the_call() {
+    let scene = scene().await;
+    let payment = Payment::new(&scene);
+    platform(&scene, json!({"hang_appends": 1})).await;
+    payment.begin(0);
+    payment.await_lost_append().await;
+    scene.entries[0].process.signal(Signal::Kill);
+    for _ in 0..3 {
+        let reply = payment.send(1).await.unwrap();
+        expect_that!(reply.outcome(), not(eq("not_run")), "{:#}", reply.body);
+        expect_that!(payment.runs().await, eq(0));
+    }
+}
+
+#[gtest]
+#[actix_web::test]
+async fn the_holder_is_killed_during_the_call() {
+    let scene = scene().await;
+    let payment = Payment::new(&scene);
+    scene.faults(POOL, json!({"slow_ms": 1_000})).await;
+    payment.begin(0);
+    payment.await_run().await;
+    scene.entries[0].process.signal(Signal::Kill);
+    for _ in 0..3 {
+        let reply = payment.send(1).await.unwrap();
+        expect_that!(reply.outcome(), not(eq("not_run")), "{:#}", reply.body);
+        expect_that!(payment.runs().await, eq(1));
+    }
+}
+
+#[gtest]
+#[actix_web::test]
+async fn the_holder_is_killed_after_the_answer() {
+    let scene = scene().await;
+    let payment = Payment::new(&scene);
+    let before = judge::count(&scene.platform.url, "appends").await;
+    let first = payment.send(0).await.unwrap();
+    expect_that!(first.code(), eq(100));
+    // The claim and the outcome; until both are in the log nobody else can know the answer.
+    let recorded = poll::until(LIMIT, async || {
+        let appends = judge::count(&scene.platform.url, "appends").await;
+        (appends >= before + 2).then_some(())
+    });
+    assert_that!(recorded.await, some(anything()));
+    scene.entries[0].process.signal(Signal::Kill);
+    let again = payment.send(1).await.unwrap();
+    expect_that!(
+        again.body["output"],
+        eq(&first.body["output"]),
+        "{:#}",
+        again.body
+    );
+    expect_that!(payment.runs().await, eq(1));
+}
+
+#[gtest]
+#[actix_web::test]
+async fn the_platform_is_down_and_comes_back() {
+    let scene = scene().await;
+    let payment = Payment::new(&scene);
+    platform(&scene, json!({"down": true})).await;
+    // Without the ledger, only its caller knows that a key is new.
+    let repeat = payment.send(0).await.unwrap();
+    expect_that!(repeat.code(), eq(401), "{:#}", repeat.body);
+    let new = Payment::new(&scene);
+    let ask = new.ask.clone().first();
+    let refused = new.caller.send(&scene.entries[0].url, &ask).await.unwrap();
+    expect_that!(
+        refused.outcome(),
+        any!(eq("incomplete"), eq("not_run")),
+        "{:#}",
+        refused.body
+    );
+    expect_that!(new.runs().await, eq(0));
+    expect_that!(refused.body["retry_after_ms"].as_u64(), some(gt(0)));
+    let status = Ask::new("status", json!({"band": "Quetzal"}));
+    let status = payment
+        .caller
+        .send(&scene.entries[0].url, &status)
+        .await
+        .unwrap();
+    expect_that!(status.code(), eq(100), "{:#}", status.body);
+    expect_that!(payment.runs().await, eq(0));
+    platform(&scene, json!({"down": false})).await;
+    let (last, runs) = payment.settle(&[1, 0]).await;
+    expect_that!((last.code(), runs), eq((100, 1)));
+}
+
+#[gtest]
+#[actix_web::test]
+async fn the_platform_is_slow_and_recovers() {
+    let scene = scene().await;
+    for slow_ms in [300, 1_500] {
+        let payment = Payment::new(&scene);
+        platform(&scene, json!({"slow_ms": slow_ms})).await;
+        let first = payment.send(0).await.unwrap();
+        expect_truth(&first, payment.runs().await, "slow");
+        platform(&scene, json!({"slow_ms": 0})).await;
+        let (last, runs) = payment.settle(&[1, 0]).await;
+        expect_truth(&last, runs, "after");
+        expect_that!(runs, eq(1), "{slow_ms} {:#}", last.body);
+    }
+}
+
+#[gtest]
+#[actix_web::test]
+async fn a_call_without_an_answer_is_never_repeated() {
+    let scene = scene().await;
+    for (fault, runs) in [
+        ("silent", 0),
+        ("silent_after_run", 1),
+        ("close_after_read", 0),
+        ("close_after_run", 1),
+        ("cross_answers", 1),
+    ] {
+        let payment = Payment::new(&scene);
+        scene.faults(POOL, json!({fault: true})).await;
+        let first = payment.send(0).await.unwrap();
+        expect_that!(first.outcome(), eq("unknown"), "{fault}: {:#}", first.body);
+        scene.faults(POOL, json!({fault: false})).await;
+        let (last, counted) = payment.settle(&[1, 0]).await;
+        expect_that!(last.outcome(), eq("unknown"), "{fault}: {:#}", last.body);
+        expect_that!(counted, eq(runs), "{fault}");
+    }
+}
+
+#[gtest]
+#[actix_web::test]
+async fn a_refused_call_did_not_run_and_may_come_again() {
+    let scene = scene().await;
+    for fault in ["down", "leaving"] {
+        let payment = Payment::new(&scene);
+        scene.faults(POOL, json!({fault: true})).await;
+        let first = payment.send(0).await.unwrap();
+        // The roster was read, so the request as a whole is not "not run".
+        expect_that!(
+            first.outcome(),
+            eq("incomplete"),
+            "{fault}: {:#}",
+            first.body
+        );
+        expect_that!(payment.runs().await, eq(0), "{fault}");
+        scene.faults(POOL, json!({fault: false})).await;
+        if fault == "leaving" {
+            // A server once seen leaving gets no new work in this life.
+            continue;
+        }
+        let (last, runs) = payment.settle(&[1, 0]).await;
+        expect_that!(
+            (last.code(), runs),
+            eq((100, 1)),
+            "{fault}: {:#}",
+            last.body
+        );
+    }
+}
