--- a/crates/entry/src/plane.rs
+++ b/crates/entry/src/plane.rs
@@ -9,6 +9,7 @@
 mod judge;
 mod once;
 mod places;
+mod prefix;
 mod sink;
 mod status;
 
@@ -69,7 +70,13 @@
         }
     }
 
-    fn start(&self, id: Id, ask: &Ask, judged: Judged, sink: Option<Sink>) -> oneshot::Receiver<Answer> {
+    fn start(
+        &self,
+        id: Id,
+        ask: &Ask,
+        judged: Judged,
+        sink: Option<Sink>,
+    ) -> oneshot::Receiver<Answer> {
         let (sender, receiver) = oneshot::channel();
         let Some(plane) = self.this.upgrade() else {
             return receiver;
@@ -85,6 +92,10 @@
         self.inner.borrow().body_limit()
     }
 
+    fn closing(&self) -> bool {
+        self.shared.is_stopping()
+    }
+
     fn id(&self) -> Id {
         self.inner.borrow_mut().id()
     }
--- a/crates/flow/src/request.rs
+++ b/crates/flow/src/request.rs
@@ -112,6 +112,11 @@
         self.stage
     }
 
+    /// Returns the input of the present stage: the caller's and the previous stage's output.
+    pub fn input(&self) -> Value {
+        json!({ "request": self.input, "previous": self.previous })
+    }
+
     /// Takes note of an event and returns what the driver does next.
     ///
     /// An event that belongs to an attempt given up earlier changes nothing.
@@ -130,7 +135,9 @@
                 self.refuse_claim(code, detail)
             }
             Event::DeadlinePassed => self.give_up(cx, Code::DeadlinePassed, "deadline passed"),
-            Event::Diverged => self.refuse(Code::StreamDiverged, Code::StreamDiverged.title(), None),
+            Event::Diverged => {
+                self.refuse(Code::StreamDiverged, Code::StreamDiverged.title(), None)
+            }
             Event::Failed {
                 attempt,
                 failure,
@@ -154,9 +161,7 @@
                 self.spent += cost;
                 self.leave_stage(cx, output)
             }
-            Event::Recalled { output } if self.phase == Phase::Admission => {
-                self.recall(cx, output)
-            }
+            Event::Recalled { output } if self.phase == Phase::Admission => self.recall(cx, output),
             Event::RetryGranted if self.phase == Phase::Budget => self.retry(),
             Event::RetryDenied if self.phase == Phase::Budget => self.deny_retry(),
             _ => Action::Nothing,
@@ -207,16 +212,12 @@
         Action::Call {
             attempt,
             server,
-            input: self.stage_input(),
+            input: self.input(),
             from: self.emitted,
             idempotent,
         }
     }
 
-    fn stage_input(&self) -> Value {
-        json!({ "request": self.input, "previous": self.previous })
-    }
-
     fn leave_stage(&mut self, cx: Context, output: Value) -> Action {
         let name = self.stage().name.clone();
         let once = !self.stage().idempotent;
