--- a/crates/demo/src/caller.rs
+++ b/crates/demo/src/caller.rs
@@ -1,6 +1,6 @@
 //! A caller of the deployment.
 
-use core::net::SocketAddr;
+use core::{net::SocketAddr, time::Duration};
 use std::error::Error;
 
 use eventsource_stream::Eventsource as _;
@@ -8,6 +8,9 @@
 use serde_json::{Value, json};
 use uuid::Uuid;
 
+/// The pace at which the answer of a stored request is asked for.
+const PACE: Duration = Duration::from_millis(100);
+
 /// Sends requests to one entry instance.
 pub(crate) struct Caller {
     address: SocketAddr,
@@ -56,6 +59,24 @@
         Err("the stream ended without a terminal event".into())
     }
 
+    /// Asks for the answer of a stored request until it is there.
+    pub(crate) async fn wait(&self, message: &Message<'_>) -> Result<Value, Box<dyn Error>> {
+        let key = message.key.ok_or("a stored request has a key")?;
+        let url = format!("http://{}/v1/requests/{key}", self.address);
+        loop {
+            let token = format!("Bearer {}-token", message.account);
+            let asked = self
+                .client
+                .get(&url)
+                .insert_header(("Authorization", token));
+            let answer: Value = serde_json::from_slice(&asked.send().await?.body().await?)?;
+            if answer["outcome"] != "in_progress" {
+                return Ok(answer);
+            }
+            tokio::time::sleep(PACE).await;
+        }
+    }
+
     fn request(&self, message: &Message<'_>) -> awc::ClientRequest {
         let url = format!("http://{}/v1/pipelines/{}", self.address, message.pipeline);
         let token = format!("Bearer {}-token", message.account);
--- a/crates/demo/src/scene.rs
+++ b/crates/demo/src/scene.rs
@@ -13,6 +13,9 @@
 /// The number that stands for a whole answer.
 const ANSWERED: u64 = 100;
 
+/// The number that stands for a request stored and not answered yet.
+const STORED: u64 = 101;
+
 /// Plays the scene of a deployment's user and tells whether every answer was right.
 pub(crate) async fn play(deployment: &Deployment, caller: &Caller) -> Result<bool, Box<dyn Error>> {
     match deployment.name().as_str() {
@@ -39,7 +42,14 @@
         text: "deposit 12, artist 7",
         ..brief
     };
+    let report = Message {
+        key: Some(Uuid::now_v7()),
+        pipeline: "manuscript-report",
+        ..summary
+    };
     let mut right = show(&brief, &caller.send(&brief).await?);
+    right &= show_stored(&report, &caller.send(&report).await?);
+    right &= show(&report, &caller.wait(&report).await?);
     right &= show(&summary, &caller.send(&summary).await?);
     let first = caller.send(&deposit).await?;
     right &= show(&deposit, &first);
@@ -93,6 +103,13 @@
     answer["code"].as_u64() == Some(ANSWERED)
 }
 
+/// Prints that a request was stored, and tells whether it was.
+fn show_stored(message: &Message<'_>, answer: &Value) -> bool {
+    let (code, outcome) = (&answer["code"], text(&answer["outcome"]));
+    println!("{}: {code} {outcome}, stored in the log", message.pipeline);
+    answer["code"].as_u64() == Some(STORED)
+}
+
 /// Prints how often the backend servers ran a call, by their own count.
 async fn show_runs(
     deployment: &Deployment,
--- a/crates/proc/src/caller.rs
+++ b/crates/proc/src/caller.rs
@@ -8,9 +8,14 @@
 use futures_util::StreamExt as _;
 use serde_json::{Value, json};
 
+use crate::poll;
+
 /// How long a caller waits for anything.
 const LIMIT: Duration = Duration::from_secs(60);
 
+/// The result code of a request that is stored and not answered yet.
+const STORED: u64 = 101;
+
 /// Sends requests for one client account.
 #[derive(Clone)]
 pub struct Caller {
@@ -191,6 +196,15 @@
         Ok(events)
     }
 
+    /// Asks until a stored request has ended; gives nothing if that takes too long.
+    pub async fn wait(&self, url: &str, key: Key) -> Option<Reply> {
+        poll::until(LIMIT, async || {
+            let reply = self.status(url, key).await.ok()?;
+            (reply.code() != STORED).then_some(reply)
+        })
+        .await
+    }
+
     /// Asks what became of a request.
     ///
     /// # Errors
