--- /dev/null
+++ b/crates/bundle/tests/forgery.rs
@@ -0,0 +1,223 @@
+//! Proofs that were forged or are old.
+
+mod world;
+
+use bundle::{
+    Event, Fold, Proof, Record, Sheet,
+    approval::Fault,
+    record::Carry,
+    sign::{Key, Message},
+};
+use googletest::prelude::*;
+use world::{publish, roll_out, roots, sign_off};
+
+/// Puts one more bundle in force and returns its proof.
+fn advance(fold: &mut Fold, mark: u64) -> Proof {
+    let record = publish(fold, "ana", mark, false);
+    fold.apply(fold.next(), &record);
+    let record = sign_off(fold, "ben", 0).unwrap();
+    fold.apply(fold.next(), &record);
+    let record = roll_out(fold, "eva", 0, mark).unwrap();
+    fold.apply(fold.next(), &record);
+    fold.proof().unwrap()
+}
+
+fn proofs(count: u64) -> Vec<Proof> {
+    let mut fold = Fold::open(roots());
+    (0..count).map(|mark| advance(&mut fold, mark)).collect()
+}
+
+/// Signs all of a proof's last bundle with keys of the forger's choice.
+fn sign_with(proof: &mut Proof, key: &str) {
+    let evidence = &mut proof.chain.evidence;
+    let approval = &mut evidence.approval;
+    let (version, base, digest) = (approval.version, approval.base, approval.digest);
+    let key = Key::example(key);
+    approval.signature = key.sign(&Message::publish(version, base, digest));
+    approval.sign_offs[0].digest = digest;
+    approval.sign_offs[0].signature = key.sign(&Message::sign_off(version, base, digest));
+    let order = &mut evidence.roll_out;
+    order.digest = digest;
+    order.signature = key.sign(&Message::roll_out(order.base, digest, order.nonce));
+}
+
+#[gtest]
+fn a_true_proof_verifies_and_survives_its_text() {
+    for proof in proofs(3) {
+        let json = serde_json::to_string(&proof).unwrap();
+        let read: Proof = serde_json::from_str(&json).unwrap();
+        expect_that!(read, eq(&proof));
+        expect_that!(read.verify(&roots()), ok(anything()));
+        expect_that!(
+            read.verify(&roots()[..2]),
+            err(eq(&Fault::Root("eva".into())))
+        );
+    }
+}
+
+#[gtest]
+fn a_swapped_content_is_seen() {
+    for mut proof in proofs(2) {
+        let text = world::text(proof.position().version, 9);
+        proof.chain.sheet = Sheet::from_toml(&text).unwrap().into();
+        expect_that!(proof.verify(&roots()), err(eq(&Fault::Digest)));
+    }
+}
+
+#[gtest]
+fn strangers_signatures_are_seen() {
+    let mut proof = proofs(2).pop().unwrap();
+    sign_with(&mut proof, "mallory");
+    expect_that!(proof.verify(&roots()), err(anything()));
+}
+
+#[gtest]
+fn an_own_first_bundle_is_seen() {
+    let mut proof = proofs(1).pop().unwrap();
+    let public = Key::example("mallory").public();
+    let text = format!(
+        "name = \"trial\"\nversion = 9\n[[signers]]\nname = \"ana\"\npublic_key = \"{public}\"\n"
+    );
+    let sheet = Sheet::from_toml(&text).unwrap();
+    proof.chain.evidence.approval.version = 9;
+    proof.chain.evidence.approval.digest = sheet.digest();
+    proof.chain.links[0].head = sheet.head.clone();
+    proof.chain.links[0].rest = sheet.rest();
+    proof.chain.sheet = sheet.into();
+    sign_with(&mut proof, "mallory");
+    proof.chain.links[0].evidence = proof.chain.evidence.clone();
+    expect_that!(proof.verify(&roots()), err(eq(&Fault::Root("ana".into()))));
+}
+
+#[gtest]
+fn a_raised_version_is_seen() {
+    let mut proof = proofs(2).pop().unwrap();
+    proof.chain.evidence.approval.version = 9;
+    expect_that!(proof.verify(&roots()), err(anything()));
+    let mut proof = proofs(2).pop().unwrap();
+    proof.chain.links.push(proof.chain.links[0].clone());
+    expect_that!(proof.verify(&roots()), err(anything()));
+}
+
+#[gtest]
+fn missing_sign_offs_and_links_are_seen() {
+    let mut proof = proofs(2).pop().unwrap();
+    proof.chain.evidence.approval.sign_offs.clear();
+    expect_that!(
+        proof.verify(&roots()),
+        err(eq(&Fault::SignOffs { have: 0, need: 1 }))
+    );
+    let mut proof = proofs(2).pop().unwrap();
+    proof.chain.links.clear();
+    expect_that!(proof.verify(&roots()), err(anything()));
+    let mut proof = proofs(1).pop().unwrap();
+    proof.as_of = proof.chain.offset;
+    expect_that!(proof.verify(&roots()), err(eq(&Fault::Offset)));
+}
+
+#[gtest]
+fn an_older_proof_changes_nothing() {
+    let proofs = proofs(3);
+    let mut fold = Fold::open(roots());
+    fold.adopt(&proofs[2]).unwrap();
+    expect_that!(fold.adopt(&proofs[0]).unwrap(), is_empty());
+    expect_that!(fold.position().unwrap().version, eq(3));
+}
+
+#[gtest]
+fn an_old_carry_does_not_take_a_reader_back() {
+    let proofs = proofs(3);
+    let mut fold = Fold::open(roots());
+    fold.seek(3);
+    let carry = |proof: &Proof| {
+        Record::Carry(Box::new(Carry {
+            at: base::Stamp::default(),
+            proof: proof.clone(),
+        }))
+    };
+    fold.apply(9, &carry(&proofs[2]));
+    expect_that!(fold.position().unwrap().version, eq(3));
+    // The reader pauses until the log has dropped what it knew, then meets an old record.
+    fold.seek(20);
+    let late = Proof {
+        as_of: 30,
+        ..proofs[0].clone()
+    };
+    fold.apply(30, &carry(&late));
+    expect_that!(fold.known(), eq(false));
+    expect_that!(fold.position().unwrap().version, eq(3));
+}
+
+#[gtest]
+fn the_log_overrules_a_signed_bundle_that_lost_its_race() {
+    let mut winner = Fold::open(roots());
+    advance(&mut winner, 0);
+    let mut loser = winner.clone();
+    let (won, lost) = (advance(&mut winner, 1), advance(&mut loser, 2));
+    let mut fold = winner.clone();
+    expect_that!(fold.adopt(&lost), err(eq(&Fault::Conflict(2))));
+    // A reader without the log can't tell, but is put right by the log.
+    let mut fold = Fold::open(roots());
+    fold.adopt(&lost).unwrap();
+    expect_that!(fold.position().unwrap().digest, eq(lost.position().digest));
+    fold.seek(4);
+    let carry = Carry {
+        at: base::Stamp::default(),
+        proof: won.clone(),
+    };
+    let events = fold.apply(won.as_of, &Record::Carry(Box::new(carry)));
+    let disagreed = Event::Disagreed {
+        peer: lost.position(),
+        log: won.position(),
+    };
+    expect_that!(events, contains(eq(&disagreed)));
+    expect_that!(fold.position().unwrap().digest, eq(won.position().digest));
+}
+
+#[gtest]
+fn a_change_of_signers_is_part_of_the_proof() {
+    let mut fold = Fold::open(roots());
+    advance(&mut fold, 0);
+    let base = fold.position().map(|position| position.digest);
+    let newcomer = Key::example("zoe").public();
+    let text = world::text(2, 1).replace(
+        "[[pools]]",
+        &format!("[[signers]]\nname = \"zoe\"\npublic_key = \"{newcomer}\"\n[[pools]]"),
+    );
+    let sheet = Sheet::from_toml(&text).unwrap();
+    let digest = sheet.digest();
+    let message = Message::publish(2, base, digest);
+    let record = Record::Publish(bundle::record::Publish {
+        version: 2,
+        base,
+        digest,
+        author: "ana".into(),
+        content: bundle::record::Content::Whole(text),
+        signature: Key::example("ana").sign(&message),
+    });
+    fold.apply(fold.next(), &record);
+    expect_that!(
+        sign_off(&fold, "ben", 0).map(|one| fold.apply(fold.next(), &one)),
+        some(not(is_empty()))
+    );
+    let order = roll_out(&fold, "ben", 0, 2).unwrap();
+    fold.apply(fold.next(), &order);
+    let proof = fold.proof().unwrap();
+    expect_that!(proof.chain.links.len(), eq(2));
+    expect_that!(proof.verify(&roots()), ok(anything()));
+    // The newcomer's bundle is worth nothing without the change that let the newcomer in.
+    let record = publish(&fold, "zoe", 3, false);
+    fold.apply(fold.next(), &record);
+    let record = sign_off(&fold, "ben", 0).unwrap();
+    fold.apply(fold.next(), &record);
+    let record = roll_out(&fold, "ben", 0, 3).unwrap();
+    fold.apply(fold.next(), &record);
+    let mut proof = fold.proof().unwrap();
+    expect_that!(proof.position().version, eq(3));
+    expect_that!(proof.verify(&roots()), ok(anything()));
+    proof.chain.links.remove(1);
+    expect_that!(
+        proof.verify(&roots()),
+        err(eq(&Fault::Signer("zoe".into())))
+    );
+}
--- a/crates/bundle/tests/order.rs
+++ b/crates/bundle/tests/order.rs
@@ -27,6 +27,9 @@
             .prop_map(|(operator, at, fate)| Step::SignOff { operator, at, fate }),
         4 => (0..3u8, 0..3u8, fate())
             .prop_map(|(operator, at, fate)| Step::RollOut { operator, at, fate }),
+        3 => (0..3u8, 0..3u8, any::<bool>())
+            .prop_map(|(operator, mark, delta)| Step::Advance { operator, mark, delta }),
+        2 => (0..3u8, any::<bool>()).prop_map(|(first, delta)| Step::Race { first, delta }),
         2 => any::<u8>().prop_map(|at| Step::Arrive { at }),
         5 => (0..4u8, 1..9u8).prop_map(|(instance, records)| Step::Read { instance, records }),
         2 => (0..4u8, 0..4u8).prop_map(|(instance, peer)| Step::Adopt { instance, peer }),
@@ -62,28 +65,10 @@
 
 /// Puts one more bundle in force.
 fn advance(world: &mut World, mark: u8) {
-    let fate = Fate::Now;
-    let delta = true;
-    for operator in 0..2 {
-        world.step(Step::Look { operator });
-    }
-    world.step(Step::Publish {
+    world.step(Step::Advance {
         operator: 0,
         mark,
-        delta,
-        fate,
-    });
-    world.step(Step::Look { operator: 1 });
-    world.step(Step::SignOff {
-        operator: 1,
-        at: 0,
-        fate,
-    });
-    world.step(Step::Look { operator: 1 });
-    world.step(Step::RollOut {
-        operator: 1,
-        at: 0,
-        fate,
+        delta: true,
     });
 }
 
--- /dev/null
+++ b/crates/bundle/tests/races.rs
@@ -0,0 +1,156 @@
+//! Every interleaving of two and of three operators, against rules written down once more.
+
+mod world;
+
+use std::collections::HashSet;
+
+use base::Digest;
+use bundle::{Event, Fold, Record};
+use googletest::prelude::*;
+use world::{OPERATORS, publish, roll_out, roots, sign_off};
+
+/// What an operator does, in this order.
+const SCRIPT: usize = 4;
+
+/// Everything that tells one state from another.
+#[derive(Clone)]
+struct State {
+    log: Vec<Record>,
+    /// What the log says.
+    fold: Fold,
+    won: Vec<Digest>,
+    /// A digest over the log.
+    digest: Digest,
+    /// The next action of each operator.
+    place: Vec<usize>,
+    /// What each operator last read.
+    views: Vec<Fold>,
+    /// Records that arrive once more.
+    repeats: usize,
+}
+
+impl State {
+    fn open(operators: usize, repeats: usize) -> Self {
+        let fold = Fold::open(roots());
+        Self {
+            log: Vec::new(),
+            won: Vec::new(),
+            digest: Digest::default(),
+            place: vec![0; operators],
+            views: vec![fold.clone(); operators],
+            fold,
+            repeats,
+        }
+    }
+
+    fn key(&self) -> (Digest, Vec<usize>, Vec<u64>, usize) {
+        let views = self.views.iter().map(Fold::next).collect();
+        (self.digest, self.place.clone(), views, self.repeats)
+    }
+
+    fn append(&mut self, record: Record) {
+        for event in self.fold.apply(self.fold.next(), &record) {
+            if let Event::RolledOut { position, .. } = event {
+                self.won.push(position.digest);
+            }
+        }
+        let text = record.to_json();
+        self.digest = Digest::of_parts(&[self.digest.as_bytes(), text.as_bytes()]);
+        self.log.push(record);
+    }
+
+    /// Reads the log, proposes, signs another's proposal off and orders a roll-out.
+    fn act(&self, at: usize) -> Self {
+        let mut next = self.clone();
+        let name = OPERATORS[at];
+        let action = next.place[at] % SCRIPT;
+        // The order is given on what the operator saw when signing off, as people do.
+        if action != 3 {
+            next.views[at] = self.fold.clone();
+        }
+        let view = &next.views[at];
+        let record = match action {
+            0 => None,
+            1 => Some(publish(view, name, at as u64, at == 0)),
+            2 => sign_off(view, name, 0),
+            _ => roll_out(view, name, 0, at as u64),
+        };
+        if let Some(record) = record {
+            next.append(record);
+        }
+        next.place[at] += 1;
+        next
+    }
+
+    fn repeat(&self) -> Option<Self> {
+        let last = self.log.last().filter(|_| self.repeats > 0)?.clone();
+        let mut next = self.clone();
+        next.append(last);
+        next.repeats -= 1;
+        Some(next)
+    }
+}
+
+/// The winners by the rules as the docs state them.
+fn winners(log: &[Record]) -> Vec<Digest> {
+    let mut won = Vec::new();
+    let mut open: Vec<(Digest, &str, HashSet<&str>)> = Vec::new();
+    for record in log {
+        let force = won.last().copied();
+        match record {
+            Record::Publish(one) if one.base == force => {
+                let known = open.iter().any(|(digest, ..)| *digest == one.digest);
+                if !known {
+                    open.push((one.digest, one.author.as_str(), HashSet::new()));
+                }
+            }
+            Record::SignOff(one) => {
+                for (digest, author, signers) in &mut open {
+                    if *digest == one.digest && *author != one.signer.as_str() {
+                        signers.insert(one.signer.as_str());
+                    }
+                }
+            }
+            Record::RollOut(one) if one.base == force => {
+                let enough = |(digest, _, signers): &(_, _, HashSet<&str>)| {
+                    *digest == one.digest && !signers.is_empty()
+                };
+                if open.iter().any(enough) {
+                    won.push(one.digest);
+                    open.clear();
+                }
+            }
+            _ => {}
+        }
+    }
+    won
+}
+
+/// Visits every state and returns their number and the most roll-outs that won in one of them.
+fn explore(operators: usize, rounds: usize, repeats: usize) -> (usize, usize) {
+    let mut seen = HashSet::new();
+    let mut most = 0;
+    let mut open = vec![State::open(operators, repeats)];
+    while let Some(state) = open.pop() {
+        if !seen.insert(state.key()) {
+            continue;
+        }
+        assert_eq!(state.won, winners(&state.log));
+        most = most.max(state.won.len());
+        let ready = (0..operators).filter(|at| state.place[*at] < rounds * SCRIPT);
+        open.extend(ready.map(|at| state.act(at)));
+        open.extend(state.repeat());
+    }
+    (seen.len(), most)
+}
+
+#[gtest]
+fn two_operators_twice_with_a_repeated_record() {
+    // Three of the four roll-outs can win: the bootstrap and one more of each operator.
+    expect_that!(explore(2, 2, 1), eq((42_010, 3)));
+}
+
+#[gtest]
+fn three_operators_once() {
+    expect_that!(explore(3, 1, 0), eq((5_942, 2)));
+}
--- /dev/null
+++ b/crates/bundle/tests/rules.rs
@@ -0,0 +1,264 @@
+//! Each rule of the records by itself.
+
+mod world;
+
+use core::time::Duration;
+
+use base::{Digest, Stamp};
+use bundle::{
+    Event, Fold, Record, Sheet,
+    approval::Fault,
+    record::{Content, Publish, RollOut, SignOff},
+    sign::{Key, Message},
+};
+use googletest::prelude::*;
+use world::{publish, roll_out, roots, sign_off, text};
+
+fn apply(fold: &mut Fold, record: &Record) -> Event {
+    let offset = fold.next();
+    fold.apply(offset, record).remove(0)
+}
+
+/// Returns why the next record counts for nothing.
+fn fault(fold: &mut Fold, record: &Record) -> Option<Fault> {
+    match apply(fold, record) {
+        Event::Refused { fault, .. } => Some(fault),
+        _ => None,
+    }
+}
+
+/// Proposes a text as it stands.
+fn propose(base: Option<Digest>, author: &str, key: &str, text: &str) -> Record {
+    let sheet = Sheet::from_toml(text).unwrap();
+    let (version, digest) = (sheet.head().unwrap().version, sheet.digest());
+    Record::Publish(Publish {
+        version,
+        base,
+        digest,
+        author: author.into(),
+        content: Content::Whole(text.to_owned()),
+        signature: Key::example(key).sign(&Message::publish(version, base, digest)),
+    })
+}
+
+fn advance(fold: &mut Fold, mark: u64) {
+    let record = publish(fold, "ana", mark, false);
+    apply(fold, &record);
+    let record = sign_off(fold, "ben", 0).unwrap();
+    apply(fold, &record);
+    let record = roll_out(fold, "eva", 0, mark).unwrap();
+    apply(fold, &record);
+}
+
+fn started() -> Fold {
+    let mut fold = Fold::open(roots());
+    advance(&mut fold, 0);
+    fold
+}
+
+#[gtest]
+fn an_author_does_not_sign_off_nor_one_signer_twice() {
+    let mut fold = Fold::open(roots());
+    let record = publish(&fold, "ana", 0, false);
+    apply(&mut fold, &record);
+    let Some(Record::SignOff(other)) = sign_off(&fold, "ben", 0) else {
+        panic!("nothing to sign")
+    };
+    let message = Message::sign_off(1, None, other.digest);
+    let own = Record::SignOff(SignOff {
+        signer: "ana".into(),
+        signature: Key::example("ana").sign(&message),
+        ..other.clone()
+    });
+    expect_that!(
+        fault(&mut fold, &own),
+        some(eq(&Fault::Author("ana".into())))
+    );
+    let other = Record::SignOff(other);
+    expect_that!(
+        apply(&mut fold, &other),
+        matches_pattern!(Event::Approved { .. })
+    );
+    expect_that!(
+        apply(&mut fold, &other),
+        matches_pattern!(Event::Repeated { .. })
+    );
+    expect_that!(fold.pending()[0].approval.sign_offs.len(), eq(1));
+}
+
+#[gtest]
+fn two_names_with_one_key_are_one_signer() {
+    let mut fold = Fold::open(roots());
+    let key = Key::example("ben").public();
+    let text = text(1, 0).replace(
+        "[[pools]]",
+        &format!("[[signers]]\nname = \"ben-again\"\npublic_key = \"{key}\"\n[[pools]]"),
+    );
+    let text = format!("limits = {{ sign_offs = 2 }}\n{text}");
+    apply(&mut fold, &propose(None, "ana", "ana", &text));
+    let record = sign_off(&fold, "ben", 0).unwrap();
+    apply(&mut fold, &record);
+    let Record::SignOff(again) = record else {
+        unreachable!()
+    };
+    let again = Record::SignOff(SignOff {
+        signer: "ben-again".into(),
+        ..again
+    });
+    expect_that!(fault(&mut fold, &again), some(anything()));
+    let order = roll_out(&fold, "eva", 0, 1).unwrap();
+    let missing = Fault::SignOffs { have: 1, need: 2 };
+    expect_that!(fault(&mut fold, &order), some(eq(&missing)));
+}
+
+#[gtest]
+fn a_roll_out_needs_a_sign_off() {
+    let mut fold = started();
+    let record = publish(&fold, "ana", 1, false);
+    apply(&mut fold, &record);
+    let order = roll_out(&fold, "ben", 0, 1).unwrap();
+    let missing = Fault::SignOffs { have: 0, need: 1 };
+    expect_that!(fault(&mut fold, &order), some(eq(&missing)));
+}
+
+#[gtest]
+fn signatures_of_others_count_for_nothing() {
+    let mut fold = started();
+    let base = fold.position().map(|position| position.digest);
+    let forged = propose(base, "ana", "mallory", &text(2, 1));
+    expect_that!(
+        fault(&mut fold, &forged),
+        some(eq(&Fault::Signature("ana".into())))
+    );
+    let stranger = propose(base, "mallory", "mallory", &text(2, 1));
+    expect_that!(
+        fault(&mut fold, &stranger),
+        some(eq(&Fault::Signer("mallory".into())))
+    );
+    apply(&mut fold, &propose(base, "ana", "ana", &text(2, 1)));
+    let Some(Record::SignOff(sign)) = sign_off(&fold, "ben", 0) else {
+        unreachable!()
+    };
+    let forged = Record::SignOff(SignOff {
+        signer: "eva".into(),
+        ..sign.clone()
+    });
+    expect_that!(
+        fault(&mut fold, &forged),
+        some(eq(&Fault::Signature("eva".into())))
+    );
+    apply(&mut fold, &Record::SignOff(sign));
+    let Some(Record::RollOut(order)) = roll_out(&fold, "ben", 0, 1) else {
+        unreachable!()
+    };
+    let forged = Record::RollOut(RollOut { nonce: 2, ..order });
+    expect_that!(
+        fault(&mut fold, &forged),
+        some(eq(&Fault::Signature("ben".into())))
+    );
+}
+
+#[gtest]
+fn the_first_bundle_names_root_keys_only() {
+    let mut fold = Fold::open(roots()[..2].to_vec());
+    let record = propose(None, "ana", "ana", &text(1, 0));
+    expect_that!(
+        fault(&mut fold, &record),
+        some(eq(&Fault::Root("eva".into())))
+    );
+    let mut fold = Fold::open(roots());
+    let record = propose(None, "ana", "ana", "name = 'trial'\nversion = 1");
+    expect_that!(
+        fault(&mut fold, &record),
+        some(eq(&Fault::Root("trial".into())))
+    );
+}
+
+#[gtest]
+fn versions_rise_and_the_deployment_keeps_its_name() {
+    let mut fold = started();
+    let base = fold.position().map(|position| position.digest);
+    let old = propose(base, "ana", "ana", &text(1, 1));
+    expect_that!(fault(&mut fold, &old), some(eq(&Fault::Version(1))));
+    let other = text(2, 1).replace("trial", "other");
+    let other = propose(base, "ana", "ana", &other);
+    expect_that!(
+        fault(&mut fold, &other),
+        some(eq(&Fault::Deployment("other".into())))
+    );
+    let Record::Publish(record) = propose(base, "ana", "ana", &text(2, 1)) else {
+        unreachable!()
+    };
+    let content = Content::Whole(text(2, 2));
+    let swapped = Record::Publish(Publish { content, ..record });
+    expect_that!(fault(&mut fold, &swapped), some(eq(&Fault::Digest)));
+}
+
+#[gtest]
+fn the_loser_of_a_race_is_named_with_what_is_in_force() {
+    let mut fold = started();
+    let view = fold.clone();
+    let lost = publish(&view, "ben", 2, false);
+    advance(&mut fold, 1);
+    let force = fold.position().map(|position| position.digest);
+    let named = view.position().map(|position| position.digest);
+    expect_that!(
+        fault(&mut fold, &lost),
+        some(eq(&Fault::Base { named, force }))
+    );
+}
+
+#[gtest]
+fn a_rollback_is_a_new_version_with_old_content() {
+    let mut fold = started();
+    advance(&mut fold, 1);
+    let old = fold.position().unwrap();
+    advance(&mut fold, 0);
+    expect_that!(fold.position().unwrap().follows(&old), eq(true));
+    expect_that!(
+        fold.sheet().unwrap().bundle().unwrap().pools[0].concurrency,
+        eq(1)
+    );
+}
+
+#[gtest]
+fn a_record_below_the_place_read_does_nothing() {
+    let mut fold = started();
+    let record = publish(&fold, "ana", 1, false);
+    expect_that!(fold.apply(1, &record), is_empty());
+    expect_that!(fold.apply_text(1, "no record"), is_empty());
+    expect_that!(fold.pending(), is_empty());
+}
+
+#[gtest]
+fn a_text_that_is_no_record_is_passed_over() {
+    let mut fold = started();
+    let newer = publish(&fold, "ana", 1, false)
+        .to_json()
+        .replace("\"layout\":1", "\"layout\":2");
+    for text in ["", "{}", newer.as_str()] {
+        let events = fold.apply_text(fold.next(), text);
+        expect_that!(
+            events,
+            elements_are![matches_pattern!(Event::Refused { .. })]
+        );
+    }
+    advance(&mut fold, 1);
+    expect_that!(fold.position().unwrap().version, eq(2));
+}
+
+#[gtest]
+fn a_carry_is_due_again_after_its_span_and_not_before() {
+    const SPAN: Duration = Duration::from_secs(60);
+    let at = |seconds: u64| Stamp::from_millis(seconds * 1_000);
+    let mut fold = started();
+    let carry = fold.carry(at(100), SPAN).unwrap();
+    apply(&mut fold, &Record::Carry(Box::new(carry)));
+    expect_that!(fold.carry(at(159), SPAN), none());
+    expect_that!(fold.carry(at(160), SPAN), some(anything()));
+    // The writer's clock was far ahead.
+    let ahead = fold.carry(at(9_000), SPAN).unwrap();
+    apply(&mut fold, &Record::Carry(Box::new(ahead)));
+    expect_that!(fold.carry(at(161), SPAN), some(anything()));
+    expect_that!(Fold::open(roots()).carry(at(1), SPAN), none());
+}
--- a/crates/bundle/tests/world/mod.rs
+++ b/crates/bundle/tests/world/mod.rs
@@ -115,6 +115,10 @@
     Restart { instance: u8 },
     /// An instance carries the state forward.
     Carry { instance: u8, fate: Fate },
+    /// An operator changes the bundle from start to end.
+    Advance { operator: u8, mark: u8, delta: bool },
+    /// Two operators change the bundle at once; the one named orders the roll-out first.
+    Race { first: u8, delta: bool },
     /// The log drops records.
     Drop { records: u8 },
 }
@@ -231,6 +235,12 @@
                     self.append(Record::Carry(Box::new(carry)), fate);
                 }
             }
+            Step::Advance {
+                operator,
+                mark,
+                delta,
+            } => self.advance(operator, mark, delta),
+            Step::Race { first, delta } => self.race(first, delta),
             Step::Drop { records } => {
                 self.first = self.records.len().min(self.first + usize::from(records));
             }
@@ -238,6 +248,61 @@
         self.check();
     }
 
+    fn advance(&mut self, operator: u8, mark: u8, delta: bool) {
+        let fate = Fate::Now;
+        let other = operator + 1;
+        self.step(Step::Look { operator });
+        self.step(Step::Publish {
+            operator,
+            mark,
+            delta,
+            fate,
+        });
+        self.step(Step::Look { operator: other });
+        self.step(Step::SignOff {
+            operator: other,
+            at: mark,
+            fate,
+        });
+        self.step(Step::Look { operator: other });
+        self.step(Step::RollOut {
+            operator: other,
+            at: mark,
+            fate,
+        });
+    }
+
+    fn race(&mut self, first: u8, delta: bool) {
+        let fate = Fate::Now;
+        let pair = [first, first + 1];
+        for operator in pair {
+            self.step(Step::Look { operator });
+        }
+        for operator in pair {
+            let mark = operator % 3;
+            self.step(Step::Publish {
+                operator,
+                mark,
+                delta,
+                fate,
+            });
+        }
+        for operator in pair {
+            self.step(Step::Look { operator });
+            self.step(Step::SignOff {
+                operator,
+                at: 0,
+                fate,
+            });
+        }
+        for operator in pair {
+            self.step(Step::Look { operator });
+        }
+        for (at, operator) in (0..).zip(pair) {
+            self.step(Step::RollOut { operator, at, fate });
+        }
+    }
+
     /// Lets every instance read to the end.
     pub(crate) fn read_all(&mut self) {
         for instance in &mut self.instances {
