Count attainment, cost and burn in buckets that merge without double counting

A bucket is known by its origin's life and a range of sequence numbers, and only grows while its minute lasts. Of two copies the one that covers the other stays, so merging is safe in any order and any number of times. Only the origin joins minutes by the hour: joined by two instances that hold different minutes, ranges would overlap and count twice.

--- /dev/null
+++ b/crates/burn/src/book.rs
@@ -0,0 +1,207 @@
+//! All buckets that an instance knows of, its own and those of its peers.
+
+use core::{ops::Range, time::Duration};
+
+use base::{Incarnation, Stamp};
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    bucket::Bucket,
+    configs::Config,
+    event::{Event, Objectives},
+    report::Report,
+};
+
+/// The span of a bucket.
+const MINUTE: Duration = Duration::from_secs(60);
+
+/// Minutes that are joined.
+const HOUR: Duration = Duration::from_secs(3_600);
+
+/// All buckets that an instance knows of.
+///
+/// # Examples
+///
+/// ```
+/// use base::{Code, Incarnation, Stamp};
+/// use burn::{Book, Event};
+/// let now = Stamp::from_millis(60_000);
+/// let mut here = Book::open(Incarnation::new("entry-1", now));
+/// let mut there = Book::open(Incarnation::new("entry-2", now));
+/// let event = Event::ended("status".into(), "stewards".into(), Code::Answered, true, None);
+/// here.on(now, &event.clone().unwrap());
+/// there.on(now, &event.unwrap());
+/// here.merge(&there);
+/// here.merge(&there);
+/// assert_eq!(here.report(now).pipelines[0].budget.total, 2);
+/// ```
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Book {
+    /// The instance whose book it is.
+    pub origin: Incarnation,
+    /// The objectives of the newest bundle heard of.
+    pub objectives: Objectives,
+    /// Buckets, sorted by origin and sequence.
+    buckets: Vec<Bucket>,
+    /// The sequence number of the next bucket.
+    next: u64,
+    /// The own bucket that still grows, by its sequence number.
+    open: Option<u64>,
+    #[serde(skip)]
+    config: Config,
+}
+
+impl Book {
+    /// Returns an empty book of an instance, with default settings.
+    pub fn open(origin: Incarnation) -> Self {
+        Self::with(origin, Config::default())
+    }
+
+    /// Returns an empty book of an instance.
+    pub fn with(origin: Incarnation, config: Config) -> Self {
+        Self {
+            origin,
+            objectives: Objectives::default(),
+            buckets: Vec::new(),
+            next: 0,
+            open: None,
+            config,
+        }
+    }
+
+    /// Counts an event.
+    pub fn on(&mut self, now: Stamp, event: &Event) {
+        match event {
+            Event::Called(called) => self.bucket(now).spend(called),
+            Event::Ended(ended) => self.bucket(now).count(ended),
+            Event::InForce(objectives) => self.take(objectives),
+        }
+    }
+
+    /// Closes the minute that is over, joins old minutes by the hour and drops what is too old.
+    ///
+    /// Counting does this too, once a minute; an idle instance calls it by itself.
+    pub fn tidy(&mut self, now: Stamp) {
+        let open = self.open.and_then(|sequence| self.find(sequence));
+        if open.is_some_and(|at| now >= self.buckets[at].end) {
+            self.open = None;
+        }
+        self.join_hours(now);
+        let kept = self.config.kept;
+        self.buckets.retain(|bucket| now - bucket.end < kept);
+    }
+
+    /// Takes in what another book holds; doing it twice changes nothing.
+    pub fn merge(&mut self, other: &Self) {
+        self.take(&other.objectives);
+        for bucket in &other.buckets {
+            self.merge_bucket(bucket);
+        }
+    }
+
+    /// Takes in a bucket; buckets of this instance's own life are known better here.
+    pub fn merge_bucket(&mut self, bucket: &Bucket) {
+        if bucket.origin == self.origin || bucket.first > bucket.last {
+            return;
+        }
+        let same = self.range_of(&bucket.origin);
+        let held = &self.buckets[same.clone()];
+        if held.iter().any(|held| held.covers(bucket)) {
+            return;
+        }
+        for at in same.rev() {
+            if bucket.covers(&self.buckets[at]) {
+                self.buckets.remove(at);
+            }
+        }
+        self.insert(bucket.clone());
+    }
+
+    /// Returns the own closed buckets that end after a sequence number, for peers.
+    pub fn closed_after(&self, sequence: Option<u64>) -> impl Iterator<Item = &Bucket> {
+        self.buckets[self.range_of(&self.origin)]
+            .iter()
+            .filter(move |bucket| !self.is_open(bucket) && Some(bucket.last) > sequence)
+    }
+
+    /// Returns all buckets, sorted by origin and sequence.
+    pub fn buckets(&self) -> &[Bucket] {
+        &self.buckets
+    }
+
+    /// Returns the report for a time.
+    pub fn report(&self, now: Stamp) -> Report {
+        Report::of(now, &self.buckets, &self.objectives, &self.config)
+    }
+
+    fn take(&mut self, objectives: &Objectives) {
+        if objectives.version > self.objectives.version {
+            self.objectives = objectives.clone();
+        }
+    }
+
+    fn is_open(&self, bucket: &Bucket) -> bool {
+        bucket.origin == self.origin && self.open == Some(bucket.first)
+    }
+
+    /// Returns the own bucket for a time; a new one if the clock left the minute either way.
+    fn bucket(&mut self, now: Stamp) -> &mut Bucket {
+        let open = self.open.and_then(|sequence| self.find(sequence));
+        let at = match open {
+            Some(at) if (self.buckets[at].start..self.buckets[at].end).contains(&now) => at,
+            _ => {
+                self.tidy(now);
+                let bucket =
+                    Bucket::open(self.origin.clone(), self.next, floor(now, MINUTE), MINUTE);
+                self.open = Some(self.next);
+                self.next += 1;
+                self.insert(bucket)
+            }
+        };
+        &mut self.buckets[at]
+    }
+
+    fn range_of(&self, origin: &Incarnation) -> Range<usize> {
+        let start = self.buckets.partition_point(|held| held.origin < *origin);
+        let end = self.buckets.partition_point(|held| held.origin <= *origin);
+        start..end
+    }
+
+    fn find(&self, sequence: u64) -> Option<usize> {
+        self.buckets
+            .binary_search_by(|held| (&held.origin, held.first).cmp(&(&self.origin, sequence)))
+            .ok()
+    }
+
+    fn insert(&mut self, bucket: Bucket) -> usize {
+        let at = self
+            .buckets
+            .partition_point(|held| (&held.origin, held.first) < (&bucket.origin, bucket.first));
+        self.buckets.insert(at, bucket);
+        at
+    }
+
+    /// Joins own neighbours that lie in one hour. Only their origin may, or two instances would
+    /// join different ranges that overlap.
+    fn join_hours(&mut self, now: Stamp) {
+        let (kept, own, open) = (self.config.minutes_kept, self.origin.clone(), self.open);
+        let old = |bucket: &Bucket| {
+            bucket.origin == own && open != Some(bucket.first) && now - bucket.end >= kept
+        };
+        self.buckets.dedup_by(|next, before| {
+            let joined = old(next)
+                && old(before)
+                && before.last + 1 == next.first
+                && floor(before.start, HOUR) == floor(next.start, HOUR);
+            if joined {
+                before.join(next);
+            }
+            joined
+        });
+    }
+}
+
+fn floor(at: Stamp, span: Duration) -> Stamp {
+    let millis = u64::try_from(span.as_millis()).unwrap_or(u64::MAX);
+    Stamp::from_millis(at.as_millis() / millis * millis)
+}
--- /dev/null
+++ b/crates/burn/src/cause.rs
@@ -0,0 +1,128 @@
+//! What spent the error budget.
+
+use base::{Code, Name};
+use serde::{Deserialize, Serialize};
+
+/// Why a request was not wholly answered within its deadline.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Cause {
+    /// The client account was over its limit.
+    AccountLimit,
+    /// The request crashed backend servers.
+    Harmful,
+    /// A fault of the system.
+    Internal,
+    /// The answer came after the deadline.
+    Late,
+    /// The queue was full.
+    Overload,
+    /// The platform could not be reached.
+    Platform,
+    /// Refused early, since the deadline could not be met.
+    RefusedEarly,
+    /// The retry budget was spent.
+    Retries,
+    /// A stage had no backend server.
+    StageDown,
+    /// A backend server refused the request.
+    StageRefused,
+    /// The deadline passed in a stage.
+    StageSlow,
+    /// The instance was stopping.
+    Stopping,
+    /// The stream was cut.
+    StreamCut,
+    /// Whether the call ran is not known.
+    Unknown,
+}
+
+impl Cause {
+    /// Returns the name as reports write it.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::AccountLimit => "account over its limit",
+            Self::Harmful => "request harmful",
+            Self::Internal => "internal fault",
+            Self::Late => "answered late",
+            Self::Overload => "queue full",
+            Self::Platform => "platform down",
+            Self::RefusedEarly => "refused early",
+            Self::Retries => "retries spent",
+            Self::StageDown => "stage down",
+            Self::StageRefused => "stage refused",
+            Self::StageSlow => "stage slow",
+            Self::Stopping => "instance stopping",
+            Self::StreamCut => "stream cut",
+            Self::Unknown => "call unknown",
+        }
+    }
+}
+
+/// A cause with the stage in which it lay.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Blame {
+    /// The cause.
+    pub cause: Cause,
+    /// The stage; none where no stage was to blame.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub stage: Option<Name>,
+}
+
+/// What the end of a request means for attainment.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// It says nothing: the request was at fault itself, or is still in progress.
+    Apart,
+    /// Wholly answered.
+    Answered,
+    /// Not wholly answered.
+    Missed(Cause),
+}
+
+impl Verdict {
+    /// Returns what a result code means for attainment.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use base::Code;
+    /// use burn::cause::{Cause, Verdict};
+    /// assert_eq!(Verdict::of(Code::Answered), Verdict::Answered);
+    /// assert_eq!(Verdict::of(Code::KeyMissing), Verdict::Apart);
+    /// assert_eq!(Verdict::of(Code::Overloaded), Verdict::Missed(Cause::Overload));
+    /// ```
+    pub const fn of(code: Code) -> Self {
+        let cause = match code {
+            Code::Answered => return Self::Answered,
+            Code::Accepted
+            | Code::InProgress
+            | Code::BodyInvalid
+            | Code::BodyTooLarge
+            | Code::PipelineUnknown
+            | Code::AccountUnknown
+            | Code::AccountForbidden
+            | Code::KeyMissing
+            | Code::KeyInvalid
+            | Code::KeyReused
+            | Code::KeyExpired
+            | Code::DeadlineInvalid
+            | Code::RequestUnknown
+            | Code::ResumeInvalid => return Self::Apart,
+            Code::DeadlineUnmeetable => Cause::RefusedEarly,
+            Code::AccountLimited => Cause::AccountLimit,
+            Code::Overloaded => Cause::Overload,
+            Code::StageUnavailable => Cause::StageDown,
+            Code::DeadlinePassed => Cause::StageSlow,
+            Code::RetriesSpent => Cause::Retries,
+            Code::RequestHarmful => Cause::Harmful,
+            Code::StageRefused => Cause::StageRefused,
+            Code::BundleMissing | Code::LogUnavailable => Cause::Platform,
+            Code::Stopping => Cause::Stopping,
+            Code::CallUnknown | Code::EarlierUnknown => Cause::Unknown,
+            Code::StreamCut | Code::StreamDiverged => Cause::StreamCut,
+            Code::Internal => Cause::Internal,
+        };
+        Self::Missed(cause)
+    }
+}
--- /dev/null
+++ b/crates/burn/src/configs.rs
@@ -0,0 +1,5 @@
+//! Settings.
+
+pub mod burn;
+
+pub use burn::Config;
--- /dev/null
+++ b/crates/burn/src/window.rs
@@ -0,0 +1,100 @@
+//! Counts over the last span of time.
+
+use core::time::Duration;
+
+use base::{Name, Stamp};
+use serde::{Deserialize, Serialize};
+
+use crate::bucket::{Bucket, Requests};
+
+/// Requests over the last span of time.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Window {
+    /// The length of the span, in seconds.
+    pub seconds: u64,
+    /// Requests that count.
+    pub total: u64,
+    /// Requests wholly answered within their deadline.
+    pub within: u64,
+    /// The share of them, from 0 to 1; 1 where there were none.
+    pub attainment: f64,
+    /// The rate at which the error budget is spent; 1 spends it exactly.
+    pub burn: f64,
+}
+
+impl Window {
+    /// Counts the requests of all buckets that reach into the last span.
+    pub(crate) fn over(
+        span: Duration,
+        now: Stamp,
+        buckets: &[Bucket],
+        objective: f64,
+        counts: impl Fn(&Requests) -> bool,
+    ) -> Self {
+        let recent = buckets.iter().filter(|bucket| now - bucket.end < span);
+        let requests = recent.flat_map(|bucket| &bucket.requests);
+        Self::count(span, requests.filter(|one| counts(one)), objective)
+    }
+
+    /// Counts requests.
+    pub(crate) fn count<'a>(
+        span: Duration,
+        requests: impl IntoIterator<Item = &'a Requests>,
+        objective: f64,
+    ) -> Self {
+        let (mut total, mut within) = (0, 0);
+        for one in requests {
+            total += one.count;
+            within += if one.blame.is_none() { one.count } else { 0 };
+        }
+        let attainment = share(within, total);
+        Self {
+            seconds: span.as_secs(),
+            total,
+            within,
+            attainment,
+            burn: (1.0 - attainment) / (1.0 - objective),
+        }
+    }
+}
+
+/// Returns the counts of a pipeline for each of the last sixty minutes, oldest first.
+pub(crate) fn minutes(
+    now: Stamp,
+    buckets: &[Bucket],
+    objective: f64,
+    pipeline: &Name,
+) -> Vec<Window> {
+    const COUNT: u64 = 60;
+    const MINUTE: Duration = Duration::from_secs(60);
+    let last = now.as_millis() / 60_000;
+    (last.saturating_sub(COUNT - 1)..=last)
+        .map(|minute| {
+            let start = Stamp::from_millis(minute * 60_000);
+            let within = buckets.iter().filter(|bucket| bucket.start == start);
+            let requests = within.flat_map(|bucket| &bucket.requests);
+            Window::count(
+                MINUTE,
+                requests.filter(|one| one.pipeline == *pipeline),
+                objective,
+            )
+        })
+        .collect()
+}
+
+/// Returns a part as a share of a whole; 1 where there is nothing.
+pub(crate) fn share(part: u64, whole: u64) -> f64 {
+    if whole == 0 {
+        1.0
+    } else {
+        part as f64 / whole as f64
+    }
+}
+
+/// Returns sorted names, each once.
+pub(crate) fn names<'a>(names: impl Iterator<Item = &'a Name>) -> Vec<Name> {
+    let mut names: Vec<Name> = names.cloned().collect();
+    names.sort();
+    names.dedup();
+    names
+}
--- /dev/null
+++ b/crates/burn/tests/merge.rs
@@ -0,0 +1,192 @@
+//! Books of many instances merge without counting anything twice, in whatever order.
+
+use core::time::Duration;
+
+use base::{Code, Incarnation, Stamp};
+use burn::{
+    Book, Event,
+    event::{Called, Objective, Objectives},
+};
+use googletest::prelude::*;
+use proptest::prelude::*;
+
+const INSTANCES: usize = 3;
+
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    /// An instance ends a request.
+    End { instance: usize, good: bool },
+    /// An instance's clock moves, back too.
+    Move { instance: usize, seconds: i64 },
+    /// An instance tidies up.
+    Tidy { instance: usize },
+    /// An instance takes another's book.
+    Merge { instance: usize, from: usize },
+    /// An instance is replaced.
+    Restart { instance: usize },
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let one = 0..INSTANCES;
+    prop_oneof![
+        8 => (one.clone(), any::<bool>())
+            .prop_map(|(instance, good)| Step::End { instance, good }),
+        6 => (one.clone(), -200..900_i64)
+            .prop_map(|(instance, seconds)| Step::Move { instance, seconds }),
+        1 => one.clone().prop_map(|instance| Step::Tidy { instance }),
+        4 => (one.clone(), one.clone())
+            .prop_map(|(instance, from)| Step::Merge { instance, from }),
+        1 => one.prop_map(|instance| Step::Restart { instance }),
+    ]
+}
+
+fn ended(good: bool) -> Event {
+    let code = if good {
+        Code::Answered
+    } else {
+        Code::Overloaded
+    };
+    Event::ended("status".into(), "stewards".into(), code, true, None).unwrap()
+}
+
+fn total(book: &Book) -> (u64, u64) {
+    let requests = || book.buckets().iter().flat_map(|bucket| &bucket.requests);
+    let all = requests().map(|one| one.count).sum();
+    let good = requests().filter(|one| one.blame.is_none());
+    (all, good.map(|one| one.count).sum())
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(256))]
+
+    #[test]
+    fn nothing_is_counted_twice_or_lost(steps in proptest::collection::vec(step(), 1..200)) {
+        let start = Stamp::from_millis(1_000_000_000);
+        let mut clocks = [start; INSTANCES];
+        let mut books: Vec<Book> = (0..INSTANCES)
+            .map(|at| Book::open(Incarnation::new(format!("entry-{at}"), start)))
+            .collect();
+        let mut reader = Book::open(Incarnation::new("reader", start));
+        let (mut all, mut good_ones) = (0, 0);
+        for (life, step) in (1..).zip(steps) {
+            match step {
+                Step::End { instance, good } => {
+                    books[instance].on(clocks[instance], &ended(good));
+                    all += 1;
+                    good_ones += u64::from(good);
+                }
+                Step::Move { instance, seconds } => {
+                    let millis = clocks[instance].as_millis().saturating_add_signed(seconds * 1_000);
+                    clocks[instance] = Stamp::from_millis(millis);
+                }
+                Step::Tidy { instance } => books[instance].tidy(clocks[instance]),
+                Step::Merge { instance, from } => {
+                    let other = books[from].clone();
+                    books[instance].merge(&other);
+                }
+                Step::Restart { instance } => {
+                    reader.merge(&books[instance]);
+                    let life = Stamp::from_millis(start.as_millis() + life);
+                    let name = format!("entry-{instance}");
+                    books[instance] = Book::open(Incarnation::new(name, life));
+                }
+            }
+        }
+        for book in books.iter().chain(books.iter().rev()) {
+            reader.merge(book);
+        }
+        prop_assert_eq!(total(&reader), (all, good_ones));
+        let json = serde_json::to_string(&reader).unwrap();
+        let read: Book = serde_json::from_str(&json).unwrap();
+        prop_assert_eq!(read, reader);
+    }
+}
+
+#[gtest]
+fn old_minutes_are_joined_by_the_hour_and_dropped_in_the_end() {
+    let minute = |count: u64| Stamp::from_millis(count * 60_000);
+    let mut book = Book::open(Incarnation::new("entry-1", minute(0)));
+    for at in 0..180 {
+        book.on(minute(at), &ended(true));
+    }
+    book.tidy(minute(180));
+    // Two hours are kept by the minute; the first hour is one bucket.
+    expect_that!(book.buckets().len(), eq(121));
+    expect_that!(total(&book), eq((180, 180)));
+    book.tidy(minute(4 * 24 * 60));
+    expect_that!(book.buckets(), is_empty());
+}
+
+#[gtest]
+fn buckets_that_never_arrived_are_said_to_be_missing() {
+    let minute = |count: u64| Stamp::from_millis(count * 60_000);
+    let mut book = Book::open(Incarnation::new("entry-1", minute(0)));
+    let mut reader = Book::open(Incarnation::new("reader", minute(0)));
+    for at in 0..4 {
+        book.on(minute(at), &ended(true));
+    }
+    for bucket in book.buckets().iter().filter(|bucket| bucket.first != 1) {
+        reader.merge_bucket(bucket);
+    }
+    let report = reader.report(minute(4));
+    expect_that!(report.origins[0].missing, eq(1));
+    expect_that!(book.closed_after(Some(1)).count(), eq(1));
+}
+
+#[gtest]
+fn the_report_tells_attainment_burn_blame_and_cost() {
+    let now = Stamp::from_millis(600_000);
+    let mut book = Book::open(Incarnation::new("entry-1", now));
+    let objective = Objective {
+        pipeline: "status".into(),
+        share: 0.9,
+    };
+    book.on(
+        now,
+        &Event::InForce(Objectives {
+            version: 1,
+            pipelines: vec![objective],
+        }),
+    );
+    for at in 0..10 {
+        book.on(now, &ended(at < 8));
+    }
+    let called = Called {
+        pipeline: "status".into(),
+        stage: "look-up".into(),
+        busy: Duration::from_millis(500),
+        cost_per_second: 4.0,
+        repeat: true,
+        wasted: true,
+    };
+    book.on(now, &Event::Called(called));
+    let report = book.report(now);
+    let pipeline = &report.pipelines[0];
+    expect_that!(pipeline.budget.attainment, near(0.8, 1e-9));
+    expect_that!(pipeline.budget.burn, near(2.0, 1e-9));
+    expect_that!(pipeline.left, near(-1.0, 1e-9));
+    expect_that!(report.raised(), eq(false));
+    expect_that!(report.blames[0].count, eq(2));
+    expect_that!(report.accounts[0].budget.total, eq(10));
+    expect_that!(report.costs[0].cost_micros, eq(2_000_000));
+    expect_that!(report.costs[0].wasted_micros, eq(2_000_000));
+    expect_that!(pipeline.minutes.last().unwrap().total, eq(10));
+}
+
+#[gtest]
+fn an_alarm_needs_both_windows() {
+    let minute = |count: u64| Stamp::from_millis(count * 60_000);
+    let mut book = Book::open(Incarnation::new("entry-1", minute(0)));
+    for _ in 0..10 {
+        book.on(minute(0), &ended(false));
+    }
+    expect_that!(book.report(minute(1)).raised(), eq(true));
+    // The fault is over: the hour still burns, the last five minutes don't.
+    for _ in 0..10 {
+        book.on(minute(20), &ended(true));
+    }
+    let report = book.report(minute(20));
+    let first = &report.pipelines[0].alarms[0];
+    expect_that!(first.long.burn, ge(first.rate));
+    expect_that!(first.raised, eq(false));
+}
