Report burn over entry instances as text, JSON and a page with plots

limpetstep-report asks every given instance for its book, merges them and names those that gave no answer within the time limit.

--- /dev/null
+++ b/crates/report/src/configs.rs
@@ -0,0 +1,5 @@
+//! Settings.
+
+pub mod report;
+
+pub use report::{Config, Format};
--- /dev/null
+++ b/crates/report/tests/report.rs
@@ -0,0 +1,119 @@
+//! Reports over entry instances that answer, stall or are gone.
+
+use core::{net::SocketAddr, time::Duration};
+use std::net::TcpListener;
+
+use actix_web::{App, HttpResponse, HttpServer, web};
+use base::{Code, Incarnation, Name, Stamp};
+use burn::{
+    Book, Event,
+    event::{Called, Objective, Objectives},
+};
+use googletest::prelude::*;
+use report::{Config, Reading, configs::Format, fetch, fetch::Silent, show};
+
+const NOW: Stamp = Stamp::from_millis(1_796_000_000_000);
+
+fn book(name: &str) -> Book {
+    let mut book = Book::open(Incarnation::new(name, NOW));
+    let pipelines = ["fee-payment", "status"].map(|pipeline| Objective {
+        pipeline: pipeline.into(),
+        share: 0.99,
+    });
+    book.on(
+        NOW,
+        &Event::InForce(Objectives {
+            version: 1,
+            pipelines: pipelines.to_vec(),
+        }),
+    );
+    for at in 0..100_u64 {
+        let time = Stamp::from_millis(NOW.as_millis() - 60_000 * (at % 40));
+        let (code, stage) = match at % 25 {
+            0 => (Code::StageUnavailable, Some(Name::from("look-up"))),
+            1 => (Code::DeadlineUnmeetable, None),
+            _ => (Code::Answered, None),
+        };
+        let account = Name::from(["stewards", "<judges>"][at as usize % 2]);
+        let event = Event::ended("status".into(), account, code, true, stage);
+        book.on(time, &event.unwrap());
+        book.on(
+            time,
+            &Event::Called(Called {
+                pipeline: "status".into(),
+                stage: "look-up".into(),
+                busy: Duration::from_millis(20),
+                cost_per_second: 0.5,
+                repeat: at % 10 == 0,
+                wasted: at % 20 == 0,
+            }),
+        );
+    }
+    book
+}
+
+fn serve(book: Book) -> SocketAddr {
+    let server = HttpServer::new(move || {
+        let book = book.clone();
+        let answer = move || {
+            let book = book.clone();
+            async move { HttpResponse::Ok().json(book) }
+        };
+        App::new().route("/v1/burn", web::get().to(answer))
+    });
+    let server = server.workers(1).bind("127.0.0.1:0").unwrap();
+    let address = server.addrs()[0];
+    actix_web::rt::spawn(server.run());
+    address
+}
+
+#[gtest]
+#[actix_web::test]
+async fn books_are_merged_and_silent_instances_named() {
+    let first = book("entry-1");
+    let mut second = book("entry-2");
+    second.merge(&first);
+    // Takes connections and never answers.
+    let stalled = TcpListener::bind("127.0.0.1:0").unwrap();
+    let stalled = (stalled.local_addr().unwrap(), stalled);
+    let config = Config {
+        entries: vec![serve(first), serve(second), stalled.0],
+        timeout: Duration::from_millis(800),
+        ..Config::default()
+    };
+    let reading = fetch::read(&config, NOW).await.unwrap();
+    let status = &reading.report.pipelines[1];
+    expect_that!(status.budget.total, eq(200));
+    expect_that!(status.budget.within, eq(184));
+    expect_that!(
+        reading.silent,
+        elements_are![matches_pattern!(Silent {
+            address: eq(&stalled.0),
+            ..
+        })]
+    );
+    expect_that!(
+        show::print(&reading, Format::Text),
+        contains_substring("no answer from")
+    );
+    expect_that!(
+        show::print(&reading, Format::Html),
+        contains_substring("No answer from")
+    );
+}
+
+#[gtest]
+fn the_forms_are_as_agreed() {
+    let reading = Reading {
+        report: book("entry-1").report(NOW),
+        silent: vec![Silent {
+            address: "127.0.0.1:9".parse().unwrap(),
+            reason: "timed out".to_owned(),
+        }],
+    };
+    insta::assert_snapshot!("text", show::print(&reading, Format::Text));
+    let page = show::print(&reading, Format::Html);
+    insta::assert_snapshot!("html", page);
+    expect_that!(page, not(contains_substring("<judges>")));
+    expect_that!(page, not(contains_substring("http")));
+}
