Place prefixes by hash and tell a slow pool from a slow server

Change: one mean for the pool, and a ratio to it for each server. A prefix that nobody holds goes to the server with the highest hash of the two, so that instances agree where to place it.

--- a/crates/route/src/choose.rs
+++ b/crates/route/src/choose.rs
@@ -24,9 +24,11 @@
     let mut candidates = sample(cx.rng, &local, config.choose.local);
     candidates.extend(sample(cx.rng, &remote, config.choose.remote));
     candidates.extend(holders(config, pool, ask, &local, &remote));
+    let home = home(pool, ask, &local, &remote);
+    candidates.extend(home);
     let best = candidates
         .into_iter()
-        .map(|at| (at, score(config, pool, cx, ask, &pool.servers[at])))
+        .map(|at| (at, score(config, pool, cx, ask, at, home == Some(at))))
         .min_by(|a, b| a.1.total_cmp(&b.1));
     let Some((at, _)) = best else {
         return Err(unavailable(config, pool, cx));
@@ -80,13 +82,43 @@
     held
 }
 
-fn score(config: &Config, pool: &Pool, cx: &Context<'_>, ask: &Ask<'_>, state: &State) -> f64 {
+/// Finds the server that every instance would place the prefix on: the highest hash of the two.
+fn home(pool: &Pool, ask: &Ask<'_>, local: &[usize], remote: &[usize]) -> Option<usize> {
+    let prefix = ask.prefix?;
+    local
+        .iter()
+        .chain(remote)
+        .copied()
+        .max_by_key(|at| mix(prefix ^ pool.servers[*at].salt()))
+}
+
+/// Scrambles the bits of a number.
+const fn mix(number: u64) -> u64 {
+    let number = (number ^ (number >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let number = (number ^ (number >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    number ^ (number >> 31)
+}
+
+fn score(
+    config: &Config,
+    pool: &Pool,
+    cx: &Context<'_>,
+    ask: &Ask<'_>,
+    at: usize,
+    home: bool,
+) -> f64 {
+    let state = &pool.servers[at];
     let hop = if state.server.domain == *cx.own_domain {
         0.0
     } else {
         config.choose.hop.as_secs_f64()
     };
-    let chance = ask.prefix.map_or(0.0, |prefix| state.index.chance(prefix));
+    let held = ask.prefix.map_or(0.0, |prefix| state.index.chance(prefix));
+    let chance = if home {
+        held.max(config.choose.home)
+    } else {
+        held
+    };
     let saved = config.choose.token.as_secs_f64() * f64::from(ask.prefill_tokens) * chance;
     state.expected(config, cx.now, pool.typical()) + hop - saved
 }
--- a/crates/route/src/configs/choose.rs
+++ b/crates/route/src/configs/choose.rs
@@ -11,6 +11,8 @@
     pub remote: usize,
     /// Candidates that are believed to hold the prefix.
     pub holders: usize,
+    /// What placing a prefix on its home server counts for, relative to a cache hit.
+    pub home: f64,
     /// What a hop into another failure domain counts for, as added wait.
     pub hop: Duration,
     /// Prefill time that one cached token saves.
@@ -23,6 +25,7 @@
             local: 2,
             remote: 2,
             holders: 2,
+            home: 0.9,
             hop: Duration::from_millis(2),
             token: Duration::from_micros(100),
         }
--- a/crates/route/src/configs/pace.rs
+++ b/crates/route/src/configs/pace.rs
@@ -5,6 +5,8 @@
 /// Settings of measured service times.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Config {
+    /// Weight of one sample in the pool's mean.
+    pub level_weight: f64,
     /// Weight of one sample once a server is warm.
     pub weight: f64,
     /// Samples before a server's own mean is judged against its pool.
@@ -13,14 +15,15 @@
     pub half_life: Duration,
     /// The service time assumed before anything was measured.
     pub initial: Duration,
-    /// How often a pool's median is worked out anew.
+    /// How often a pool is searched for slow servers.
     pub refresh: Duration,
 }
 
 impl Default for Config {
     fn default() -> Self {
         Self {
-            weight: 0.1,
+            level_weight: 0.05,
+            weight: 0.03,
             warm_samples: 10,
             half_life: Duration::from_secs(10),
             initial: Duration::from_millis(20),
--- a/crates/route/src/pace.rs
+++ b/crates/route/src/pace.rs
@@ -1,10 +1,39 @@
-//! Measured service time of one server, free of the wait in its queue.
+//! Measured service time of a pool, and of each server relative to it, free of the wait in queues.
 
 use base::Tick;
 
 use crate::configs::pace::Config;
 
-/// The mean service time of one server.
+/// The mean service time of a pool; it follows a stage that gets slow as a whole quickly.
+#[derive(Clone, Debug)]
+pub struct Level {
+    mean: f64,
+    samples: u32,
+}
+
+impl Level {
+    /// Starts out with an assumed time.
+    pub const fn new(config: &Config) -> Self {
+        Self {
+            mean: config.initial.as_secs_f64(),
+            samples: 0,
+        }
+    }
+
+    /// Takes a sample, in seconds.
+    pub fn sample(&mut self, config: &Config, seconds: f64) {
+        self.samples = self.samples.saturating_add(1);
+        let weight = config.level_weight.max(1.0 / f64::from(self.samples));
+        self.mean += weight * (seconds - self.mean);
+    }
+
+    /// Returns the mean, in seconds.
+    pub const fn mean(&self) -> f64 {
+        self.mean
+    }
+}
+
+/// The mean service time of one server, relative to its pool's.
 #[derive(Clone, Debug, Default)]
 pub struct Pace {
     mean: f64,
@@ -13,27 +42,26 @@
 }
 
 impl Pace {
-    /// Takes a sample, in seconds.
-    pub fn sample(&mut self, config: &Config, now: Tick, seconds: f64) {
+    /// Takes a sample, relative to the pool's mean.
+    pub fn sample(&mut self, config: &Config, now: Tick, ratio: f64) {
         self.samples = self.samples.saturating_add(1);
         let weight = config.weight.max(1.0 / f64::from(self.samples));
-        self.mean += weight * (seconds - self.mean);
+        self.mean += weight * (ratio - self.mean);
         self.at = now;
     }
 
-    /// Returns the mean in seconds once enough samples were taken.
+    /// Returns the mean ratio once enough samples were taken.
     pub fn warm(&self, config: &Config) -> Option<f64> {
         (self.samples >= config.warm_samples).then_some(self.mean)
     }
 
-    /// Returns the expected service time in seconds; a server not used for long counts as
-    /// typical of its pool again.
-    pub fn expected(&self, config: &Config, now: Tick, typical: f64) -> f64 {
+    /// Returns the expected ratio; a server not used for long counts as typical again.
+    pub fn expected(&self, config: &Config, now: Tick) -> f64 {
         if self.samples == 0 {
-            return typical;
+            return 1.0;
         }
         let idle = (now - self.at).as_secs_f64() / config.half_life.as_secs_f64();
-        typical + (self.mean - typical) * (-idle).exp2()
+        1.0 + (self.mean - 1.0) * (-idle).exp2()
     }
 
     /// Forgets what was measured.
--- a/crates/route/src/pool.rs
+++ b/crates/route/src/pool.rs
@@ -1,10 +1,13 @@
 //! The servers of one pool and what is typical of them.
 
-use base::{Incarnation, Name, Tick};
+use core::time::Duration;
+
+use base::{Incarnation, Name, Tick, attempt::Attempt};
 
 use crate::{
     configs::Config,
     health::{Health, Use},
+    pace::Level,
     server::Server,
     state::State,
     table::Capacity,
@@ -17,7 +20,7 @@
     pub name: Name,
     /// Its servers, sorted by incarnation.
     pub servers: Vec<State>,
-    typical: f64,
+    level: Level,
     refreshed: Option<Tick>,
 }
 
@@ -27,7 +30,7 @@
         Self {
             name,
             servers: Vec::new(),
-            typical: config.pace.initial.as_secs_f64(),
+            level: Level::new(&config.pace),
             refreshed: None,
         }
     }
@@ -58,12 +61,27 @@
             .retain(|state| state.present || state.in_flight() > 0);
     }
 
-    /// Returns the median service time, in seconds.
+    /// Returns the mean service time, in seconds.
     pub const fn typical(&self) -> f64 {
-        self.typical
+        self.level.mean()
+    }
+
+    /// Takes a whole answer of the server at an index.
+    pub fn finished(
+        &mut self,
+        config: &Config,
+        now: Tick,
+        at: usize,
+        attempt: Attempt,
+        took: Duration,
+    ) {
+        let typical = self.typical();
+        if let Some(seconds) = self.servers[at].finished(config, now, attempt, took, typical) {
+            self.level.sample(&config.pace, seconds);
+        }
     }
 
-    /// Works out what is typical and ejects slow servers, when that is due.
+    /// Ejects slow servers, when a search for them is due.
     pub fn refresh(&mut self, config: &Config, now: Tick) {
         if self
             .refreshed
@@ -82,8 +100,8 @@
             return;
         }
         let middle = (paces.len() - 1) / 2;
-        self.typical = *paces.select_nth_unstable_by(middle, f64::total_cmp).1;
-        self.eject(config, now);
+        let median = *paces.select_nth_unstable_by(middle, f64::total_cmp).1;
+        self.eject(config, now, median * config.health.slow_ratio);
     }
 
     /// Returns what the pool can take now.
@@ -113,7 +131,7 @@
             .binary_search_by(|state| state.server.incarnation.cmp(incarnation))
     }
 
-    fn eject(&mut self, config: &Config, now: Tick) {
+    fn eject(&mut self, config: &Config, now: Tick, bound: f64) {
         let present = self.servers.iter().filter(|state| state.present).count();
         let most = (present as f64 * config.health.ejected_share) as usize;
         let mut ejected = self
@@ -121,7 +139,6 @@
             .iter()
             .filter(|state| state.present && state.health.is_ejected())
             .count();
-        let bound = self.typical * config.health.slow_ratio;
         for state in self.servers.iter_mut().filter(|state| state.present) {
             if ejected >= most {
                 return;
--- a/crates/route/src/state.rs
+++ b/crates/route/src/state.rs
@@ -46,6 +46,8 @@
     pub index: Index,
     /// How often it was ejected for slowness.
     pub ejections: u32,
+    /// A number made of the name, to place prefixes by.
+    salt: u64,
     finished: usize,
     slow: u32,
     flights: Vec<Flight>,
@@ -55,8 +57,10 @@
 impl State {
     /// Starts out with nothing known.
     pub fn new(server: Server) -> Self {
+        let salt = base::Digest::of(server.incarnation.name.as_str().as_bytes()).prefix();
         Self {
             server,
+            salt,
             present: true,
             health: Health::default(),
             pace: Pace::default(),
@@ -69,6 +73,11 @@
         }
     }
 
+    /// Returns a number made of the server's name, to place prefixes by.
+    pub const fn salt(&self) -> u64 {
+        self.salt
+    }
+
     /// Returns the number of own attempts in flight.
     pub fn in_flight(&self) -> usize {
         self.flights.len()
@@ -113,7 +122,7 @@
     pub fn wait(&self, config: &Config, now: Tick, typical: f64) -> f64 {
         let places = f64::from(self.server.concurrency.max(1));
         let ahead = self.outstanding(&config.state, now) + 1.0 - places;
-        let service = self.pace.expected(&config.pace, now, typical);
+        let service = typical * self.pace.expected(&config.pace, now);
         (ahead.max(0.0) / places) * service
     }
 
@@ -121,7 +130,7 @@
     pub fn expected(&self, config: &Config, now: Tick, typical: f64) -> f64 {
         let places = f64::from(self.server.concurrency.max(1));
         let full = (self.outstanding(&config.state, now) / places).min(1.0);
-        let service = self.pace.expected(&config.pace, now, typical);
+        let service = typical * self.pace.expected(&config.pace, now);
         let slowdown = 1.0 + config.state.batch_slowdown * full;
         self.wait(config, now, typical) + service * slowdown
     }
@@ -141,22 +150,25 @@
         }
     }
 
-    /// Takes a whole answer.
-    pub fn finished(&mut self, config: &Config, now: Tick, attempt: Attempt, took: Duration) {
-        let Some(flight) = self.take(attempt) else {
-            return;
-        };
+    /// Takes a whole answer; returns the service time, in seconds, less the wait in the queue.
+    pub fn finished(
+        &mut self,
+        config: &Config,
+        now: Tick,
+        attempt: Attempt,
+        took: Duration,
+        typical: f64,
+    ) -> Option<f64> {
+        let flight = self.take(attempt)?;
         self.finished = self.finished.saturating_add(1);
         self.slow = 0;
         self.health.finished();
-        self.pace.sample(
-            &config.pace,
-            now,
-            took.as_secs_f64() / flight.depth.max(1.0),
-        );
+        let service = took.as_secs_f64() / flight.depth.max(1.0);
+        self.pace.sample(&config.pace, now, service / typical);
         if let Some(prefix) = flight.prefix.filter(|_| !flight.missed) {
             self.index.hit(&config.cache, prefix);
         }
+        Some(service)
     }
 
     /// Takes the end of an attempt without an answer.
--- a/crates/route/src/table.rs
+++ b/crates/route/src/table.rs
@@ -170,7 +170,9 @@
                 attempt, prefix, ..
             } => state.started(config, now, attempt, prefix),
             Event::FirstByte { .. } => {}
-            Event::Finished { attempt, took, .. } => state.finished(config, now, attempt, took),
+            Event::Finished { attempt, took, .. } => {
+                pool.finished(config, now, at, attempt, took);
+            }
             Event::Failed { attempt, kind, .. } => state.failed(config, now, attempt, kind),
             Event::Load {
                 running,
@@ -182,6 +184,7 @@
             Event::CacheMiss { prefix, .. } => state.missed(config, prefix),
             Event::Leaving { .. } => state.server.leaving = true,
         }
+        let state = &pool.servers[at];
         if !state.present && state.in_flight() == 0 {
             pool.sweep();
         }
