--- a/crates/admit/src/budget.rs
+++ b/crates/admit/src/budget.rs
@@ -16,9 +16,9 @@
 
 impl Estimate {
     /// Takes a sample, in seconds.
-    pub fn sample(&mut self, config: &Config, seconds: f64) {
+    pub fn sample(&mut self, weight: f64, seconds: f64) {
         self.samples = self.samples.saturating_add(1);
-        let weight = config.weight.max(1.0 / f64::from(self.samples));
+        let weight = weight.max(1.0 / f64::from(self.samples));
         let error = seconds - self.mean;
         self.mean += weight * error;
         self.deviation += weight * (error.abs() - self.deviation);
@@ -40,8 +40,10 @@
 pub struct Stage {
     /// The pool that serves it.
     pub pool: Name,
-    /// Its measured time.
+    /// Its measured time of late.
     pub time: Estimate,
+    /// Its measured time over long.
+    pub usual: Estimate,
 }
 
 /// A pipeline.
@@ -61,6 +63,7 @@
         let stage = |pool: &Name| Stage {
             pool: pool.clone(),
             time: Estimate::default(),
+            usual: Estimate::default(),
         };
         Self {
             name,
@@ -75,6 +78,7 @@
         for (new, old) in fresh.stages.iter_mut().zip(&self.stages) {
             if new.pool == old.pool {
                 new.time = old.time;
+                new.usual = old.usual;
             }
         }
         self.stages = fresh.stages;
@@ -102,10 +106,16 @@
         Duration::from_secs_f64(mean + margin.sqrt())
     }
 
+    /// Returns the time that the whole pipeline needs when nothing is out of the ordinary.
+    pub fn usual(&self) -> Duration {
+        Duration::from_secs_f64(self.stages.iter().map(|stage| stage.usual.mean()).sum())
+    }
+
     /// Takes a measured stage time.
     pub fn took(&mut self, config: &Config, stage: usize, took: Duration) {
         if let Some(stage) = self.stages.get_mut(stage) {
-            stage.time.sample(config, took.as_secs_f64());
+            stage.time.sample(config.weight, took.as_secs_f64());
+            stage.usual.sample(config.usual_weight, took.as_secs_f64());
         }
     }
 }
--- a/crates/admit/src/configs/budget.rs
+++ b/crates/admit/src/configs/budget.rs
@@ -5,6 +5,8 @@
 pub struct Config {
     /// Weight of one measured stage time.
     pub weight: f64,
+    /// Weight of one measured stage time in the usual one.
+    pub usual_weight: f64,
     /// Mean deviations above the mean that a budget holds.
     pub deviations: f64,
 }
@@ -12,8 +14,9 @@
 impl Default for Config {
     fn default() -> Self {
         Self {
-            weight: 0.05,
-            deviations: 2.0,
+            weight: 0.1,
+            usual_weight: 0.001,
+            deviations: 1.0,
         }
     }
 }
--- a/crates/admit/src/configs/gate.rs
+++ b/crates/admit/src/configs/gate.rs
@@ -7,8 +7,10 @@
 pub struct Config {
     /// Wait after which a request counts as one priority higher.
     pub aging: Duration,
-    /// One in so many starts goes to the oldest request that waits.
+    /// One in so many starts goes to the oldest request that waits, patient ones aside.
     pub oldest_every: u64,
+    /// One in so many starts goes to the oldest patient request.
+    pub patient_every: u64,
     /// Time between issue and deadline from which a request gives way to all others.
     pub patient: Duration,
     /// Requests that may wait, patient ones aside.
@@ -22,6 +24,7 @@
         Self {
             aging: Duration::from_secs(2),
             oldest_every: 20,
+            patient_every: 100,
             patient: Duration::from_secs(3_600),
             queue: 1_000,
             patient_queue: 10_000,
--- a/crates/admit/src/gate.rs
+++ b/crates/admit/src/gate.rs
@@ -113,7 +113,13 @@
     /// - Otherwise it waits.
     pub fn offer(&mut self, cx: &mut Context<'_>, ask: Ask) -> Verdict {
         let Ok(at) = self.find_pipeline(&ask.pipeline) else {
-            return Verdict::Refused(self.refuse(cx, Code::PipelineUnknown, Duration::ZERO, None));
+            return Verdict::Refused(self.refuse(
+                cx,
+                Code::PipelineUnknown,
+                Duration::ZERO,
+                None,
+                Duration::ZERO,
+            ));
         };
         let kind = self.kind(&ask);
         if let Some(refusal) = self.judge(cx, &ask, &kind, at) {
@@ -174,22 +180,30 @@
         pipeline: usize,
     ) -> Option<Refusal> {
         if kind.patient {
-            return (self.waiting_patient >= self.config.gate.patient_queue)
-                .then(|| self.refuse(cx, Code::Overloaded, self.config.returns.most, None));
+            return (self.waiting_patient >= self.config.gate.patient_queue).then(|| {
+                self.refuse(
+                    cx,
+                    Code::Overloaded,
+                    self.config.returns.most,
+                    None,
+                    Duration::ZERO,
+                )
+            });
         }
+        let left = ask.deadline - cx.now;
+        let need = self.pipelines[pipeline].need(&self.config.budget, 0);
+        let spare = left.saturating_sub(self.pipelines[pipeline].usual());
         if let Some(back) = self.down(pipeline) {
-            return Some(self.refuse(cx, Code::StageUnavailable, back, None));
+            return Some(self.refuse(cx, Code::StageUnavailable, back, None, spare));
         }
         let rate = self.rate(pipeline);
         let wait = self.wait(cx.now, ask, kind, rate);
-        let need = self.pipelines[pipeline].need(&self.config.budget, 0);
-        let left = ask.deadline - cx.now;
         if wait + need > left {
             let over = wait + need - left;
-            return Some(self.refuse(cx, Code::DeadlineUnmeetable, over, rate));
+            return Some(self.refuse(cx, Code::DeadlineUnmeetable, over, rate, spare));
         }
         (self.waiting >= self.config.gate.queue)
-            .then(|| self.refuse(cx, Code::Overloaded, wait, rate))
+            .then(|| self.refuse(cx, Code::Overloaded, wait, rate, spare))
     }
 
     fn down(&self, pipeline: usize) -> Option<Duration> {
@@ -209,7 +223,7 @@
         (0..pipeline.stages.len())
             .filter_map(|stage| {
                 let at = self.find_pool(&pipeline.stages[stage].pool).ok()?;
-                self.pools[at].rate(pipeline, stage)
+                self.pools[at].rate(&self.config.pool, pipeline, stage)
             })
             .min_by(f64::total_cmp)
     }
@@ -253,8 +267,11 @@
         code: Code,
         wait: Duration,
         rate: Option<f64>,
+        spare: Duration,
     ) -> Refusal {
-        let retry_after = self.returns.after(&self.config.returns, cx, wait, rate);
+        let retry_after = self
+            .returns
+            .after(&self.config.returns, cx, wait, rate, spare);
         Refusal { code, retry_after }
     }
 
@@ -309,14 +326,11 @@
     /// Finds the request that goes first, among those whose pools have room.
     fn first(&self, now: Tick) -> Option<(usize, usize)> {
         let open = || (0..self.lines.len()).filter(|at| self.has_room(&self.lines[*at].kind));
-        if self.starts % self.config.gate.oldest_every == self.config.gate.oldest_every - 1 {
-            return open()
-                .filter_map(|at| {
-                    let entries = &self.lines[at].entries;
-                    let oldest = (0..entries.len()).min_by_key(|at| entries[*at].age_from)?;
-                    Some((at, oldest))
-                })
-                .min_by_key(|(line, entry)| self.lines[*line].entries[*entry].age_from);
+        if let Some(patient) = self.turn_of_oldest() {
+            let oldest = self.oldest(open().filter(|at| self.lines[*at].kind.patient == patient));
+            if oldest.is_some() {
+                return oldest;
+            }
         }
         open()
             .min_by(|a, b| {
@@ -334,6 +348,28 @@
             .map(|at| (at, 0))
     }
 
+    /// Tells whether the next start goes to the oldest request, and if so, of which sort.
+    const fn turn_of_oldest(&self) -> Option<bool> {
+        let config = &self.config.gate;
+        if self.starts % config.patient_every == config.patient_every - 1 {
+            return Some(true);
+        }
+        if self.starts % config.oldest_every == config.oldest_every - 1 {
+            return Some(false);
+        }
+        None
+    }
+
+    fn oldest(&self, lines: impl Iterator<Item = usize>) -> Option<(usize, usize)> {
+        lines
+            .filter_map(|at| {
+                let entries = &self.lines[at].entries;
+                let oldest = (0..entries.len()).min_by_key(|at| entries[*at].age_from)?;
+                Some((at, oldest))
+            })
+            .min_by_key(|(line, entry)| self.lines[*line].entries[*entry].age_from)
+    }
+
     /// Returns the priority of a line, raised by the wait of its first request.
     fn rank(&self, now: Tick, line: &Line) -> u128 {
         let waited = now - line.entries[0].age_from;
@@ -400,8 +436,10 @@
                 if cx.now + need <= self.lines[line].entries[entry].deadline {
                     continue;
                 }
+                let left = self.lines[line].entries[entry].deadline - cx.now;
+                let spare = left.saturating_sub(self.pipelines[at].usual());
                 let request = self.remove(line, entry);
-                let refusal = self.refuse(cx, Code::DeadlineUnmeetable, need, rate);
+                let refusal = self.refuse(cx, Code::DeadlineUnmeetable, need, rate, spare);
                 actions.push(Action::Refuse(request, refusal));
             }
         }
@@ -431,7 +469,8 @@
         self.accounts
             .finished(&running.account, running.estimate, cost);
         if let Ok(at) = self.find_pipeline(&running.pipeline) {
-            self.pipelines[at].cost.sample(&self.config.budget, cost);
+            let weight = self.config.budget.weight;
+            self.pipelines[at].cost.sample(weight, cost);
         }
     }
 
--- a/crates/admit/src/pool.rs
+++ b/crates/admit/src/pool.rs
@@ -42,10 +42,12 @@
     }
 
     /// Returns the requests that the pool serves in a second, if that is known.
-    pub fn rate(&self, pipeline: &Pipeline, stage: usize) -> Option<f64> {
+    ///
+    /// By Little's law: the requests that may be in it, divided by the time that each takes.
+    pub fn rate(&self, config: &Config, pipeline: &Pipeline, stage: usize) -> Option<f64> {
         let time = pipeline.stages[stage].time.mean();
         let places = self.places?;
-        (time > 0.0 && places > 0.0).then(|| places / time)
+        (time > 0.0 && places > 0.0).then(|| places * headroom(config, time) / time)
     }
 
     /// Returns the requests that may be on their way to the pool or in it.
@@ -64,6 +66,15 @@
         } else {
             0.0
         };
-        Some((places * (config.headroom + upstream)).max(1.0))
+        Some((places * (headroom(config, own) + upstream)).max(1.0))
     }
 }
+
+/// Returns the requests let through for each place, by the time that the stage takes.
+fn headroom(config: &Config, seconds: f64) -> f64 {
+    let (least, most) = config.headroom;
+    if seconds <= 0.0 {
+        return least;
+    }
+    (1.0 + config.queue.as_secs_f64() / seconds).clamp(least, most)
+}
--- a/crates/admit/src/returns.rs
+++ b/crates/admit/src/returns.rs
@@ -18,6 +18,8 @@
     ///
     /// - No sooner than the wait given.
     /// - Later for each caller refused before it, at a share of the rate given.
+    /// - Within `spare`, if that is not zero: the time that the caller can wait and still be
+    ///   answered if the load ends.
     /// - Spread at random, so that callers don't return together.
     pub fn after(
         &mut self,
@@ -25,10 +27,14 @@
         cx: &mut Context<'_>,
         wait: Duration,
         rate: Option<f64>,
+        spare: Duration,
     ) -> Duration {
         let soonest = cx.now + wait.max(config.least);
         let latest = cx.now + config.most;
         let at = self.next.max(soonest).min(latest);
+        if spare > config.least && at - cx.now > spare {
+            return spare.mul_f64(cx.rng.random_range(0.4..1.0));
+        }
         let gap = rate.map_or(Duration::ZERO, |rate| {
             Duration::from_secs_f64(1.0 / (rate * config.share).max(1.0))
         });
