--- a/crates/entry/src/control/roster.rs
+++ b/crates/entry/src/control/roster.rs
@@ -9,11 +9,13 @@
 
 use crate::{
     metrics::Metrics,
-    view::{Server, Servers},
+    view::{Members, Server, Servers},
 };
 
 /// Follows the platform's list.
 pub struct Roster {
+    /// Where to publish the entry instances.
+    pub members: watch::Sender<Members>,
     /// Counters.
     pub metrics: Arc<Metrics>,
     /// The platform.
@@ -39,7 +41,11 @@
         let done = reading.into_actor(self).map(|list, actor, context| {
             match list {
                 Ok(list) => actor.publish(list),
-                Err(_) => actor.metrics.platform_failures.with_label_values(&["list"]).inc(),
+                Err(_) => actor
+                    .metrics
+                    .platform_failures
+                    .with_label_values(&["list"])
+                    .inc(),
             }
             context.run_later(actor.poll, |actor, context| actor.read(context));
         });
--- a/crates/entry/src/plane.rs
+++ b/crates/entry/src/plane.rs
@@ -6,9 +6,11 @@
 mod call;
 mod drive;
 mod inner;
+mod jobs;
 mod judge;
 mod once;
 mod places;
+mod prefix;
 mod sink;
 mod status;
 
@@ -46,6 +48,7 @@
             this: this.clone(),
         });
         actix_web::rt::spawn(inner::tick(Rc::downgrade(&plane)));
+        actix_web::rt::spawn(jobs::work(Rc::downgrade(&plane)));
         plane
     }
 
@@ -69,7 +72,13 @@
         }
     }
 
-    fn start(&self, id: Id, ask: &Ask, judged: Judged, sink: Option<Sink>) -> oneshot::Receiver<Answer> {
+    fn start(
+        &self,
+        id: Id,
+        ask: &Ask,
+        judged: Judged,
+        sink: Option<Sink>,
+    ) -> oneshot::Receiver<Answer> {
         let (sender, receiver) = oneshot::channel();
         let Some(plane) = self.this.upgrade() else {
             return receiver;
@@ -85,6 +94,10 @@
         self.inner.borrow().body_limit()
     }
 
+    fn closing(&self) -> bool {
+        self.shared.is_stopping()
+    }
+
     fn id(&self) -> Id {
         self.inner.borrow_mut().id()
     }
@@ -103,6 +116,9 @@
             Ok(judged) => judged,
             Err(answer) => return Reply::Whole(answer),
         };
+        if judged.pipeline.deferred {
+            return Reply::Whole(jobs::accept(self, &ask, &judged).await);
+        }
         if !ask.stream || !judged.streams {
             let ended = self.start(id, &ask, judged, None);
             return Reply::Whole(ended.await.unwrap_or_else(|_| lost()));
--- a/crates/entry/src/plane/inner.rs
+++ b/crates/entry/src/plane/inner.rs
@@ -129,6 +129,12 @@
             .map_or(BODY_BYTES, |bundle| bundle.limits.body_bytes)
     }
 
+    /// Tells whether any pipeline is deferred.
+    pub(crate) fn has_deferred(&self) -> bool {
+        let bundle = self.bundle.as_ref();
+        bundle.is_some_and(|bundle| bundle.pipelines.iter().any(|pipeline| pipeline.deferred))
+    }
+
     pub(crate) fn id(&mut self) -> Id {
         Id::from_random(self.bits())
     }
@@ -206,7 +212,10 @@
     }
 
     pub(crate) fn take_waiter(&mut self, id: Id) -> Option<oneshot::Sender<admit::Verdict>> {
-        let at = self.waiters.binary_search_by_key(&id, |(known, _)| *known).ok()?;
+        let at = self
+            .waiters
+            .binary_search_by_key(&id, |(known, _)| *known)
+            .ok()?;
         Some(self.waiters.remove(at).1)
     }
 }
--- a/crates/entry/src/plane/status.rs
+++ b/crates/entry/src/plane/status.rs
@@ -1,12 +1,13 @@
 //! What became of an earlier request.
 
 use base::{Code, Digest, Key, Outcome};
+use defer::Task;
 use flow::Answer;
 use ledger::{fold::State, owner::Verdict, slot::Slot};
 
 use crate::{
     control::ledger::Lookup,
-    plane::{Plane, once},
+    plane::{Plane, jobs, once},
 };
 
 /// Tells what the ledger knows of the call made under a key.
@@ -14,16 +15,23 @@
     let account = {
         let mut inner = plane.inner.borrow_mut();
         inner.refresh(&plane.client);
-        inner.account(credential).map(|account| account.name.clone())
+        inner
+            .account(credential)
+            .map(|account| account.name.clone())
     };
     let Some(account) = account else {
         return Answer::refusal(Code::AccountUnknown, "no account has this token");
     };
+    let deferred = plane.inner.borrow().has_deferred();
+    let task = Task::new(&account, &key);
+    if deferred && let Some(answer) = jobs::status(plane, task).await {
+        return answer;
+    }
     let slot = Slot::new(account.as_str(), &key, once::STAGE);
     let asked = plane.shared.ledger.send(Lookup(slot)).await;
     match asked.unwrap_or(Verdict::LOST) {
-        Verdict::Found(State::Done(answer)) => once::answer(&answer),
-        Verdict::Found(State::InProgress { holder }) => {
+        Verdict::Found(State::Done { answer, .. }) => once::answer(&answer),
+        Verdict::Found(State::InProgress { holder, .. }) => {
             let detail = format!("claimed by {holder}");
             Answer::refusal(Code::InProgress, detail).after(plane.shared.settings.poll)
         }
--- a/crates/ledger/src/claim.rs
+++ b/crates/ledger/src/claim.rs
@@ -6,7 +6,7 @@
 //! - A call that was written and has no answer is `unknown`, at once.
 //! - Nothing here goes by time but the pace of look-ups and of submissions that failed.
 
-use core::mem;
+use core::{mem, time::Duration};
 
 use base::{Code, Digest, Incarnation, Tick};
 
@@ -120,6 +120,7 @@
 struct Closing {
     record: Record,
     since: Tick,
+    interval: Duration,
     next: Tick,
 }
 
@@ -202,9 +203,11 @@
                 vec![Action::Call]
             }
             Verdict::Lost(state) => self.attach(now, state),
-            Verdict::Conflict => self.answer(Answer::from_code(Code::KeyReused)),
             // An attempt under the key may have run before it became too old.
-            Verdict::Expired => self.answer(Answer::from_code(Code::EarlierUnknown)),
+            Verdict::Expired => {
+                let code = self.refusal(Code::KeyExpired);
+                self.answer(Answer::from_code(code))
+            }
             Verdict::Unavailable { may_have_landed } => {
                 let code = self.refusal(Code::LogUnavailable);
                 let mut actions = if may_have_landed {
@@ -221,8 +224,13 @@
 
     fn attach(&mut self, now: Now, state: State) -> Vec<Action> {
         match state {
-            State::Done(answer) => self.answer(answer),
-            State::InProgress { holder } => {
+            State::Done { answer, body } if body == self.call.body => self.answer(answer),
+            State::Done { .. } => self.answer(Answer::from_code(Code::KeyReused)),
+            // The holder may release the slot yet, so that this request's body may run after all.
+            State::InProgress { body, .. } if body != self.call.body => {
+                self.answer(Answer::from_code(Code::EarlierUnknown))
+            }
+            State::InProgress { holder, .. } => {
                 self.phase = Phase::Attached {
                     holder,
                     waiting: false,
@@ -251,11 +259,9 @@
         match verdict {
             Verdict::Found(state) => self.attach(now, state),
             Verdict::Expired => self.answer(Answer::from_code(Code::CallUnknown)),
-            Verdict::Won
-            | Verdict::Lost(_)
-            | Verdict::Conflict
-            | Verdict::Recorded
-            | Verdict::Unavailable { .. } => Vec::new(),
+            Verdict::Won | Verdict::Lost(_) | Verdict::Recorded | Verdict::Unavailable { .. } => {
+                Vec::new()
+            }
         }
     }
 
@@ -346,7 +352,9 @@
         if let Some(closing) = &mut self.closing
             && closing.next <= now.tick
         {
-            closing.next = now.tick + self.config.record_interval;
+            let limit = self.config.record_interval_limit;
+            closing.interval = limit.min(2 * closing.interval);
+            closing.next = now.tick + closing.interval;
             actions.push(Action::Submit(closing.record.clone()));
         }
         let limit = self.config.record_limit;
@@ -388,6 +396,7 @@
         self.closing = Some(Closing {
             record: record.clone(),
             since: now.tick,
+            interval: self.config.record_interval,
             next: now.tick + self.config.record_interval,
         });
         vec![Action::Submit(record)]
