--- a/crates/proc/tests/pipelines.rs
+++ b/crates/proc/tests/pipelines.rs
@@ -1,5 +1,8 @@
 //! Every pipeline of both examples, served by separate processes.
 
+use core::time::Duration;
+
+use futures_util::future::join_all;
 use googletest::prelude::*;
 use proc::{
     caller::{self, Ask, Caller},
@@ -46,3 +49,17 @@
 async fn compas() {
     every_pipeline_is_served("compas").await;
 }
+
+#[gtest]
+#[actix_web::test]
+async fn a_burst_on_new_servers_waits_for_its_turn() {
+    let scene = Builder::new("compas").servers(2).start().await;
+    let caller = Caller::open("adjudicators");
+    let ask = Ask::new("status", json!({"band": "Quetzal"})).within(Duration::from_secs(20));
+    let url = &scene.entries[0].url;
+    let replies = join_all((0..24).map(|_| caller.send(url, &ask))).await;
+    for reply in replies {
+        let reply = reply.unwrap();
+        expect_that!(reply.code(), eq(100), "{:#}", reply.body);
+    }
+}
