--- /dev/null
+++ b/crates/proc/tests/poison.rs
@@ -0,0 +1,95 @@
+//! Requests that crash each backend server that runs them.
+
+use core::time::Duration;
+
+use futures_util::future::join_all;
+use googletest::prelude::*;
+use proc::{
+    caller::{Ask, Caller},
+    poll,
+    scene::{Builder, Scene},
+};
+use serde_json::json;
+
+const LIMIT: Duration = Duration::from_secs(10);
+
+/// Servers that one request may crash.
+const CRASHES: usize = 2;
+
+const POOL: &str = "roster-sync";
+
+async fn scene() -> Scene {
+    let faults = json!({"crash_on": "poison"}).to_string();
+    let builder = Builder::new("compas").domains(2).servers(4);
+    let builder = builder.server_args(POOL, &["--faults", &faults, "--work-ms", "20"]);
+    builder.start().await
+}
+
+fn check(text: &str) -> Ask {
+    Ask::new("repertoire-check", json!({"text": text, "max_tokens": 2})).within(LIMIT)
+}
+
+fn crashed(scene: &mut Scene) -> usize {
+    let servers = scene.servers.iter_mut();
+    servers.filter_map(|server| server.process.ended()).count()
+}
+
+#[gtest]
+#[actix_web::test]
+async fn a_request_that_is_sent_again_crashes_at_most_two_servers() {
+    let mut scene = scene().await;
+    let caller = Caller::open("adjudicators");
+    let mut last = 0;
+    for _ in 0..5 {
+        for entry in &scene.entries {
+            let reply = caller.send(&entry.url, &check("poison")).await.unwrap();
+            expect_that!(reply.code(), not(eq(100)));
+            last = reply.code();
+        }
+    }
+    expect_that!(last, eq(306));
+    expect_that!(crashed(&mut scene), le(CRASHES));
+}
+
+#[gtest]
+#[actix_web::test]
+async fn bystanders_are_answered() {
+    let mut scene = scene().await;
+    let caller = Caller::open("adjudicators");
+    let url = scene.entries[0].url.clone();
+    let poison = check("poison");
+    let asks: Vec<_> = (0..12).map(|at| check(&format!("march {at}"))).collect();
+    let bystanders = join_all(asks.iter().map(|ask| caller.send(&url, ask)));
+    let (_, replies) = futures_util::join!(caller.send(&url, &poison), bystanders);
+    for reply in replies {
+        let reply = reply.unwrap();
+        expect_that!(reply.code(), eq(100), "{:#}", reply.body);
+    }
+    expect_that!(crashed(&mut scene), le(CRASHES));
+}
+
+#[gtest]
+#[actix_web::test]
+async fn an_innocent_suspect_is_cleared() {
+    let mut scene = scene().await;
+    let caller = Caller::open("adjudicators");
+    let urls: Vec<_> = scene
+        .entries
+        .iter()
+        .map(|entry| entry.url.clone())
+        .collect();
+    let poison = check("poison");
+    let innocent = check("march");
+    let _ = futures_util::join!(
+        caller.send(&urls[0], &poison),
+        caller.send(&urls[0], &innocent)
+    );
+    for url in &urls {
+        let answered = poll::until(LIMIT, async || {
+            let reply = caller.send(url, &innocent).await.ok()?;
+            (reply.code() == 100).then_some(())
+        });
+        expect_that!(answered.await, some(anything()));
+    }
+    expect_that!(crashed(&mut scene), le(CRASHES));
+}
