--- a/crates/proc/src/scene.rs
+++ b/crates/proc/src/scene.rs
@@ -7,7 +7,11 @@
 use bundle::Bundle;
 use tokio::sync::{Mutex, MutexGuard};
 
-use crate::{judge, process::Process};
+use crate::{
+    caller::{Ask, Caller},
+    judge,
+    process::Process,
+};
 
 /// Scenes of one test program run one after another, to bound processes and load.
 static ONE_AT_A_TIME: Mutex<()> = Mutex::const_new(());
@@ -32,6 +36,7 @@
     progress: Duration,
     server_args: Vec<(String, Vec<String>)>,
     servers: usize,
+    unlimited: bool,
 }
 
 /// A running scene; dropping it kills its processes.
@@ -85,6 +90,7 @@
             progress: Duration::from_secs(2),
             server_args: Vec::new(),
             servers: 1,
+            unlimited: false,
         }
     }
 
@@ -118,6 +124,12 @@
         self
     }
 
+    /// Takes the limits off client accounts, for tests that send many requests.
+    pub fn unlimited(mut self) -> Self {
+        self.unlimited = true;
+        self
+    }
+
     /// Adds arguments for the servers of one pool.
     pub fn server_args(mut self, pool: &str, args: &[&str]) -> Self {
         let args = args.iter().map(|arg| (*arg).to_owned()).collect();
@@ -139,6 +151,17 @@
         servers.iter().map(|server| server.url.clone()).collect()
     }
 
+    /// Sends requests one after another to each instance, so that no server is new to it.
+    pub async fn warm_up(&self, account: &str, asks: &[Ask], rounds: usize) {
+        let caller = Caller::open(account);
+        for entry in &self.entries {
+            for ask in (0..rounds).flat_map(|_| asks) {
+                // Only its effect on the instance counts.
+                let _answered = caller.send(&entry.url, ask).await;
+            }
+        }
+    }
+
     /// Changes the faults of every server of a pool.
     pub async fn faults(&self, pool: &str, change: serde_json::Value) {
         for url in self.urls(pool) {
--- a/crates/proc/src/scene/start.rs
+++ b/crates/proc/src/scene/start.rs
@@ -31,7 +31,10 @@
     /// Something does not start or does not serve in time.
     pub async fn start(self) -> Scene {
         let turn = ONE_AT_A_TIME.lock().await;
-        let text = example(&self.example);
+        let mut text = example(&self.example);
+        if self.unlimited {
+            text = without_limits(&text);
+        }
         let bundle = Bundle::from_toml(&text).expect("the example is a bundle");
         let platform = self.platform();
         let log = Http::open(&platform.url, PLATFORM_LIMIT);
@@ -178,7 +181,7 @@
         let has = |pool: &base::Name| !self.pool(pool.as_str()).is_empty();
         let pipelines = self.bundle.pipelines.iter();
         pipelines
-            .filter(|pipeline| pipeline.once().is_none())
+            .filter(|pipeline| pipeline.once().is_none() && !pipeline.deferred)
             .filter(|pipeline| pipeline.stages.iter().all(|stage| has(&stage.pool)))
             .map(|pipeline| pipeline.name.to_string())
             .collect()
@@ -190,3 +193,13 @@
     let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../..");
     fs::read_to_string(root.join(format!("examples/{name}.toml"))).expect("the example")
 }
+
+/// Raises the limits of every client account beyond what a test sends.
+fn without_limits(text: &str) -> String {
+    let lines = text.lines().map(|line| match line.split_once(" = ") {
+        Some(("requests_per_second", _)) => "requests_per_second = 100000.0",
+        Some(("burst_requests", _)) => "burst_requests = 100000",
+        _ => line,
+    });
+    lines.collect::<Vec<_>>().join("\n")
+}
--- a/crates/proc/tests/leaving.rs
+++ b/crates/proc/tests/leaving.rs
@@ -25,19 +25,14 @@
 
 async fn scene() -> Scene {
     let scene = start().await;
-    let caller = Caller::open("stewards");
-    for entry in &scene.entries {
-        for _ in 0..WARM_UP {
-            for ask in [status(), summary(1)] {
-                caller.send(&entry.url, &ask).await.unwrap();
-            }
-        }
-    }
+    scene
+        .warm_up("stewards", &[status(), summary(1)], WARM_UP)
+        .await;
     scene
 }
 
 async fn start() -> Scene {
-    let builder = Builder::new("compas").servers(2);
+    let builder = Builder::new("compas").servers(2).unlimited();
     let builder = builder.server_args("entries-api", &["--work-ms", "150"]);
     builder
         .pools(&[&POOLS[..], &["draw-board"]].concat())
--- a/crates/proc/tests/poison.rs
+++ b/crates/proc/tests/poison.rs
@@ -2,6 +2,7 @@
 
 use core::time::Duration;
 
+use actix_web::rt::time::sleep;
 use futures_util::future::join_all;
 use googletest::prelude::*;
 use proc::{
@@ -18,11 +19,16 @@
 
 const POOL: &str = "roster-sync";
 
-async fn scene() -> Scene {
+async fn scene(domains: usize, servers: usize) -> Scene {
     let faults = json!({"crash_on": "poison"}).to_string();
-    let builder = Builder::new("compas").domains(2).servers(4);
-    let builder = builder.server_args(POOL, &["--faults", &faults, "--work-ms", "20"]);
-    builder.start().await
+    let builder = Builder::new("compas")
+        .domains(domains)
+        .servers(servers)
+        .unlimited();
+    let builder = builder.server_args(POOL, &["--faults", &faults, "--work-ms", "60"]);
+    let scene = builder.start().await;
+    scene.warm_up("adjudicators", &[check("warm")], 24).await;
+    scene
 }
 
 fn check(text: &str) -> Ask {
@@ -37,7 +43,7 @@
 #[gtest]
 #[actix_web::test]
 async fn a_request_that_is_sent_again_crashes_at_most_two_servers() {
-    let mut scene = scene().await;
+    let mut scene = scene(2, 4).await;
     let caller = Caller::open("adjudicators");
     let mut last = 0;
     for _ in 0..5 {
@@ -54,13 +60,18 @@
 #[gtest]
 #[actix_web::test]
 async fn bystanders_are_answered() {
-    let mut scene = scene().await;
+    let mut scene = scene(1, 3).await;
     let caller = Caller::open("adjudicators");
     let url = scene.entries[0].url.clone();
     let poison = check("poison");
     let asks: Vec<_> = (0..12).map(|at| check(&format!("march {at}"))).collect();
     let bystanders = join_all(asks.iter().map(|ask| caller.send(&url, ask)));
-    let (_, replies) = futures_util::join!(caller.send(&url, &poison), bystanders);
+    let poison = async {
+        // By now the bystanders are in flight on every server.
+        sleep(Duration::from_millis(20)).await;
+        caller.send(&url, &poison).await
+    };
+    let (_, replies) = futures_util::join!(poison, bystanders);
     for reply in replies {
         let reply = reply.unwrap();
         expect_that!(reply.code(), eq(100), "{:#}", reply.body);
@@ -71,7 +82,7 @@
 #[gtest]
 #[actix_web::test]
 async fn an_innocent_suspect_is_cleared() {
-    let mut scene = scene().await;
+    let mut scene = scene(1, 3).await;
     let caller = Caller::open("adjudicators");
     let urls: Vec<_> = scene
         .entries
--- a/crates/proc/tests/streams.rs
+++ b/crates/proc/tests/streams.rs
@@ -15,7 +15,7 @@
 const WHOLE: usize = usize::MAX;
 
 async fn scene() -> Scene {
-    let builder = Builder::new("compas").servers(2);
+    let builder = Builder::new("compas").servers(2).unlimited();
     let builder = builder.progress(Duration::from_millis(500));
     builder
         .pools(&[POOL, "draw-board", "notify-bands", "roster-sync"])
