--- a/crates/burn/src/cause.rs
+++ b/crates/burn/src/cause.rs
@@ -96,6 +96,7 @@
         let cause = match code {
             Code::Answered => return Self::Answered,
             Code::Accepted
+            | Code::AnswerNotKept
             | Code::InProgress
             | Code::BodyInvalid
             | Code::BodyTooLarge
--- a/crates/entry/src/instance.rs
+++ b/crates/entry/src/instance.rs
@@ -14,6 +14,7 @@
 use actix::Actor as _;
 use actix_web::{App, HttpServer, dev::ServerHandle, rt::System, web};
 use base::Incarnation;
+use burn::Book;
 use thiserror::Error;
 use tokio::sync::watch;
 
@@ -172,6 +173,7 @@
     }
     .start();
     Shared {
+        book: Arc::new(Mutex::new(Book::open(incarnation.clone()))),
         clock,
         flights: Arc::new(AtomicUsize::new(0)),
         force: force_read,
--- a/crates/entry/src/plane.rs
+++ b/crates/entry/src/plane.rs
@@ -3,6 +3,7 @@
 //! It runs on one thread; its decisions are the cores' (`admit`, `flow`, `ledger`, `retry`,
 //! `route`), and this module carries them out.
 
+mod budget;
 mod call;
 mod drive;
 mod inner;
@@ -109,7 +110,7 @@
     async fn serve(&self, id: Id, ask: Ask) -> Reply {
         let judged = {
             let mut inner = self.inner.borrow_mut();
-            inner.refresh(&self.client);
+            inner.refresh(&self.client, &self.shared);
             judge::judge(&inner, &self.shared, &ask)
         };
         let judged = match judged {
--- a/crates/entry/src/plane/call.rs
+++ b/crates/entry/src/plane/call.rs
@@ -20,10 +20,12 @@
 /// One call, ready to be made.
 pub(crate) struct Call<'a> {
     pub(crate) call: backend::Call,
+    pub(crate) pipeline: &'a Name,
     pub(crate) pool: &'a Pool,
     /// The digest of the prompt's beginning, where the stage generates.
     pub(crate) prefix: Option<u64>,
     pub(crate) server: Incarnation,
+    pub(crate) stage: &'a Name,
     /// Whether the output of this stage is the answer.
     pub(crate) last: bool,
 }
@@ -57,6 +59,9 @@
         Err(failure) => Ended::Failed(blame(failure)),
     };
     watch.end(ended);
+    if let Err(Failure::Leaving) = &made {
+        leaving(plane, &call.server);
+    }
     let attempt = call.call.attempt;
     let cost = cost(call.pool, watch.took());
     let metrics = &plane.shared.metrics;
@@ -65,6 +70,7 @@
         .attempts
         .with_label_values(&[call.pool.name.as_str(), label])
         .inc();
+    tell_book(plane, &call, &made, watch.took());
     match made {
         Ok(Made::Output(output, cost_ms)) => End::Event(Event::Replied {
             attempt,
@@ -81,6 +87,23 @@
     }
 }
 
+fn tell_book(plane: &Plane, call: &Call<'_>, made: &Result<Made, Failure>, took: Duration) {
+    let busy = match made {
+        Ok(Made::Output(_, cost_ms)) => Duration::from_secs_f64(cost_ms.max(0.0) / MILLIS),
+        Err(failure) if !failure.may_have_run() => Duration::ZERO,
+        _ => took,
+    };
+    let called = burn::Event::Called(burn::event::Called {
+        pipeline: call.pipeline.clone(),
+        stage: call.stage.clone(),
+        busy,
+        cost_per_second: call.pool.cost_per_second,
+        repeat: call.call.attempt.number > 0,
+        wasted: !matches!(made, Ok(Made::Output(..))),
+    });
+    plane.shared.book().on(plane.shared.clock.stamp(), &called);
+}
+
 enum Made {
     /// The output and the server's own time on it, in milliseconds.
     Output(Value, f64),
--- a/crates/entry/src/plane/drive.rs
+++ b/crates/entry/src/plane/drive.rs
@@ -223,6 +223,11 @@
         let own_domain = &self.plane.shared.settings.domain;
         let picked = self.plane.inner.borrow_mut().pick(own_domain, &ask);
         self.prefix = prefix;
+        if exclude.is_empty() {
+            let mut inner = self.plane.inner.borrow_mut();
+            let percent = inner.retry_percent();
+            inner.budget.earn(percent);
+        }
         match picked {
             Ok(pick) => {
                 let server = pick.incarnation.clone();
@@ -279,9 +284,11 @@
                 operation: self.request.stage().operation().clone(),
                 priority: self.judged.pipeline.priority,
             },
+            pipeline: &self.judged.pipeline.name,
             pool,
             prefix: self.prefix.map(|prefix| prefix.digest),
             server,
+            stage: &self.request.stage().name,
             last: index + 1 == self.judged.pipeline.stages.len(),
         };
         self.calling = !idempotent;
@@ -329,7 +336,11 @@
     }
 
     fn ask_retry(&self) -> Event {
-        Event::RetryDenied
+        if self.plane.inner.borrow_mut().budget.spend() {
+            Event::RetryGranted
+        } else {
+            Event::RetryDenied
+        }
     }
 
     async fn finish(mut self, over: Over, caller: oneshot::Sender<Answer>) {
@@ -381,9 +392,22 @@
                 .with_label_values(&labels)
                 .inc_by(milli(stage.cost));
         }
+        self.tell_book(answer);
         self.tell_gate(answer, cost);
     }
 
+    fn tell_book(&self, answer: &Answer) {
+        let shared = &self.plane.shared;
+        let in_time = shared.clock.tick() <= self.judged.deadline;
+        let stage = (answer.code != Code::Answered).then(|| self.request.stage().name.clone());
+        let pipeline = self.judged.pipeline.name.clone();
+        let account = self.judged.account.clone();
+        let ended = burn::Event::ended(pipeline, account, answer.code, in_time, stage);
+        if let Some(ended) = ended {
+            shared.book().on(shared.clock.stamp(), &ended);
+        }
+    }
+
     fn tell_gate(&self, answer: &Answer, cost: f64) {
         let request = self.id;
         let actions = {
--- a/crates/entry/src/plane/inner.rs
+++ b/crates/entry/src/plane/inner.rs
@@ -5,7 +5,10 @@
 
 use admit::{Gate, limit::Limits};
 use base::{Digest, Name, Stamp, Tick, request::Id};
-use bundle::{Bundle, content::Account};
+use bundle::{
+    Bundle,
+    content::{Account, Pipeline},
+};
 use rand::Rng as _;
 use rand_chacha::ChaCha8Rng;
 use route::Table;
@@ -13,7 +16,7 @@
 
 use crate::{
     clock::Clock,
-    plane::{Plane, places},
+    plane::{Plane, budget::Budget, places},
     shared::Shared,
     view::{Force, Servers},
 };
@@ -28,10 +31,13 @@
 pub(crate) struct Inner {
     accounts: Vec<(Digest, usize)>,
     clock: Clock,
+    pub(crate) budget: Budget,
     pub(crate) bundle: Option<Arc<Bundle>>,
     force: watch::Receiver<Force>,
     pub(crate) gate: Gate,
     pub(crate) limits: Limits,
+    /// The places that the gate was last told of, in the order of the bundle's pools.
+    places: Vec<u32>,
     pub(crate) rng: ChaCha8Rng,
     servers: watch::Receiver<Servers>,
     pub(crate) table: Table,
@@ -47,10 +53,12 @@
         Self {
             accounts: Vec::new(),
             clock: shared.clock,
+            budget: Budget::default(),
             bundle: None,
             force,
             gate: Gate::default(),
             limits: Limits::default(),
+            places: Vec::new(),
             rng: rand::make_rng(),
             servers,
             table: Table::new(route::Config::default()),
@@ -59,12 +67,12 @@
     }
 
     /// Takes in what the control side has published since the last call.
-    pub(crate) fn refresh(&mut self, client: &backend::Client) {
+    pub(crate) fn refresh(&mut self, client: &backend::Client, shared: &Shared) {
         let force_changed = self.force.has_changed().unwrap_or(false);
         let servers_changed = self.servers.has_changed().unwrap_or(false);
         if force_changed {
             let force = self.force.borrow_and_update().clone();
-            self.take_bundle(force);
+            self.take_bundle(force, shared);
         }
         if servers_changed {
             let servers = self.servers.borrow_and_update().clone();
@@ -78,7 +86,7 @@
         }
     }
 
-    fn take_bundle(&mut self, force: Force) {
+    fn take_bundle(&mut self, force: Force, shared: &Shared) {
         let Some(bundle) = &force else {
             return;
         };
@@ -102,6 +110,7 @@
                 .collect();
             self.gate.pipeline(&pipeline.name, &pools);
         }
+        shared.book().on(self.clock.stamp(), &in_force(bundle));
         self.bundle = force;
     }
 
@@ -113,22 +122,45 @@
         for pool in &bundle.pools {
             let members = places::members(&servers, pool);
             self.table.set(pool.name.as_str(), &members);
-            let event = places::capacity(&members, pool);
-            let mut cx = admit::Context {
-                now: self.clock.tick(),
-                rng: &mut self.rng,
-            };
-            // What may start because of it starts at the next tick.
-            let _later = self.gate.on(&mut cx, event);
         }
     }
 
+    /// Tells the gate what each pool can take, where that has changed.
+    fn measure(&mut self) -> Vec<admit::Action> {
+        let Some(bundle) = self.bundle.clone() else {
+            return Vec::new();
+        };
+        let now = self.clock.tick();
+        self.places.resize(bundle.pools.len(), u32::MAX);
+        let mut actions = Vec::new();
+        for (at, pool) in bundle.pools.iter().enumerate() {
+            let capacity = self.table.capacity(now, pool.name.as_str());
+            // How long an empty pool stays so changes with every look.
+            if self.places[at] == capacity.places && capacity.places > 0 {
+                continue;
+            }
+            self.places[at] = capacity.places;
+            actions.extend(self.tell(admit::Event::Capacity {
+                pool: pool.name.clone(),
+                places: f64::from(capacity.places),
+                retry_after: capacity.retry_after,
+            }));
+        }
+        actions
+    }
+
     pub(crate) fn body_limit(&self) -> usize {
         self.bundle
             .as_ref()
             .map_or(BODY_BYTES, |bundle| bundle.limits.body_bytes)
     }
 
+    /// Returns the retries allowed for each hundred first attempts.
+    pub(crate) fn retry_percent(&self) -> u32 {
+        let bundle = self.bundle.as_ref();
+        bundle.map_or(0, |bundle| bundle.limits.retry_percent)
+    }
+
     /// Tells whether any pipeline is deferred.
     pub(crate) fn has_deferred(&self) -> bool {
         let bundle = self.bundle.as_ref();
@@ -172,11 +204,13 @@
     }
 
     fn tick(&mut self) -> Vec<admit::Action> {
+        let mut actions = self.measure();
         let mut cx = admit::Context {
             now: self.clock.tick(),
             rng: &mut self.rng,
         };
-        self.gate.tick(&mut cx)
+        actions.extend(self.gate.tick(&mut cx));
+        actions
     }
 
     /// Picks a backend server.
@@ -220,6 +254,18 @@
     }
 }
 
+/// Tells the book of the objectives of a bundle.
+fn in_force(bundle: &Bundle) -> burn::Event {
+    let objective = |pipeline: &Pipeline| burn::event::Objective {
+        pipeline: pipeline.name.clone(),
+        share: pipeline.objective,
+    };
+    burn::Event::InForce(burn::event::Objectives {
+        version: bundle.version,
+        pipelines: bundle.pipelines.iter().map(objective).collect(),
+    })
+}
+
 /// Looks at waiting requests again and again, until the plane is gone.
 pub(crate) async fn tick(plane: Weak<Plane>) {
     let mut interval = tokio::time::interval(TICK);
@@ -230,7 +276,7 @@
         };
         let actions = {
             let mut inner = plane.inner.borrow_mut();
-            inner.refresh(&plane.client);
+            inner.refresh(&plane.client, &plane.shared);
             inner.tick()
         };
         plane.dispatch(actions);
--- a/crates/entry/src/plane/jobs.rs
+++ b/crates/entry/src/plane/jobs.rs
@@ -69,7 +69,7 @@
     let Job { request, answer } = job;
     let judged = {
         let mut inner = plane.inner.borrow_mut();
-        inner.refresh(&plane.client);
+        inner.refresh(&plane.client, &plane.shared);
         judge(plane, &inner, &request)
     };
     match judged {
--- a/crates/entry/src/plane/status.rs
+++ b/crates/entry/src/plane/status.rs
@@ -14,7 +14,7 @@
 pub(crate) async fn ask(plane: &Plane, credential: Digest, key: Key) -> Answer {
     let account = {
         let mut inner = plane.inner.borrow_mut();
-        inner.refresh(&plane.client);
+        inner.refresh(&plane.client, &plane.shared);
         inner
             .account(credential)
             .map(|account| account.name.clone())
--- a/crates/entry/src/routes.rs
+++ b/crates/entry/src/routes.rs
@@ -8,17 +8,25 @@
 
 /// Adds the routes.
 ///
+/// - `GET /v1/burn`: what spent the error budgets, for `limpetstep-report`.
 /// - `GET /live`: the process runs.
 /// - `GET /ready`: the instance has a configuration in force and is not stopping.
 /// - `GET /metrics`: the metrics, for Prometheus.
 pub(crate) fn configure(config: &mut web::ServiceConfig, shared: Shared) {
     config
         .app_data(web::Data::new(Rc::new(shared)))
+        .route("/v1/burn", web::get().to(burn))
         .route("/live", web::get().to(live))
         .route("/ready", web::get().to(ready))
         .route("/metrics", web::get().to(metrics));
 }
 
+async fn burn(shared: web::Data<Rc<Shared>>) -> HttpResponse {
+    let mut book = shared.book();
+    book.tidy(shared.clock.stamp());
+    HttpResponse::Ok().json(&*book)
+}
+
 async fn live() -> HttpResponse {
     HttpResponse::Ok().body("live\n")
 }
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -1,12 +1,13 @@
 //! What every part of one instance shares.
 
 use std::sync::{
-    Arc, Mutex,
+    Arc, Mutex, MutexGuard, PoisonError,
     atomic::{AtomicBool, AtomicUsize, Ordering},
 };
 
 use actix::Addr;
 use base::Incarnation;
+use burn::Book;
 use tokio::sync::{Notify, mpsc, watch};
 
 use crate::{
@@ -23,6 +24,8 @@
 /// Shared by the control side and the serving side.
 #[derive(Clone)]
 pub struct Shared {
+    /// What spent the error budgets.
+    pub book: Arc<Mutex<Book>>,
     /// The clocks.
     pub clock: Clock,
     /// Requests and background records that an orderly stop waits for.
@@ -50,6 +53,11 @@
 }
 
 impl Shared {
+    /// Lets an event into the book, or reads it.
+    pub fn book(&self) -> MutexGuard<'_, Book> {
+        self.book.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Tells whether the instance is to stop.
     pub fn is_stopping(&self) -> bool {
         self.stopping.load(Ordering::Relaxed)
