Fold small client accounts once a bucket's minute is over

With 7,800 accounts a bucket would grow with its requests. It now names the 32 accounts with the most requests and counts the rest as (others).

Minutes are kept for 70 instead of 120 minutes before their origin joins them by the hour, since the longest window that needs them is an hour.

--- a/crates/burn/src/book.rs
+++ b/crates/burn/src/book.rs
@@ -83,7 +83,8 @@
     /// Counting does this too, once a minute; an idle instance calls it by itself.
     pub fn tidy(&mut self, now: Stamp) {
         let open = self.open.and_then(|sequence| self.find(sequence));
-        if open.is_some_and(|at| now >= self.buckets[at].end) {
+        if let Some(at) = open.filter(|at| now >= self.buckets[*at].end) {
+            self.buckets[at].fold_accounts(self.config.accounts);
             self.open = None;
         }
         self.join_hours(now);
@@ -185,6 +186,7 @@
     /// join different ranges that overlap.
     fn join_hours(&mut self, now: Stamp) {
         let (kept, own, open) = (self.config.minutes_kept, self.origin.clone(), self.open);
+        let accounts = self.config.accounts;
         let old = |bucket: &Bucket| {
             bucket.origin == own && open != Some(bucket.first) && now - bucket.end >= kept
         };
@@ -195,6 +197,7 @@
                 && floor(before.start, HOUR) == floor(next.start, HOUR);
             if joined {
                 before.join(next);
+                before.fold_accounts(accounts);
             }
             joined
         });
--- a/crates/burn/src/bucket.rs
+++ b/crates/burn/src/bucket.rs
@@ -13,6 +13,9 @@
 /// Cost is counted in millionths of operators' units, so that sums don't depend on their order.
 const MICROS: f64 = 1e6;
 
+/// Stands for all client accounts that have no count of their own; no account can have this name.
+pub const OTHERS: &str = "(others)";
+
 /// What one instance counted in one span of time.
 ///
 /// A bucket only grows while its minute lasts, so of two copies the one with more events holds
@@ -138,6 +141,30 @@
         }
     }
 
+    /// Counts all but the client accounts with the most requests under the name [`OTHERS`].
+    pub fn fold_accounts(&mut self, kept: usize) {
+        let mut totals: Vec<(Name, u64)> = Vec::new();
+        for one in &self.requests {
+            match totals.binary_search_by(|(name, _)| name.cmp(&one.account)) {
+                Ok(at) => totals[at].1 += one.count,
+                Err(at) => totals.insert(at, (one.account.clone(), one.count)),
+            }
+        }
+        let is_others = |name: &Name| name.as_str() == OTHERS;
+        totals.retain(|(name, _)| !is_others(name));
+        if totals.len() <= kept {
+            return;
+        }
+        totals.sort_by_key(|(_, count)| core::cmp::Reverse(*count));
+        let folded = totals.split_off(kept);
+        for mut one in core::mem::take(&mut self.requests) {
+            if folded.iter().any(|(name, _)| *name == one.account) {
+                one.account = Name::from(OTHERS);
+            }
+            self.add_requests(&one);
+        }
+    }
+
     fn add_requests(&mut self, more: &Requests) {
         match self
             .requests
--- a/crates/burn/src/configs/burn.rs
+++ b/crates/burn/src/configs/burn.rs
@@ -5,6 +5,8 @@
 /// Settings of the report on burn.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Config {
+    /// Client accounts that a closed bucket counts by name, those with the most requests.
+    pub accounts: usize,
     /// How long buckets of a minute are kept before their origin joins them by the hour.
     pub minutes_kept: Duration,
     /// How long anything is kept.
@@ -33,7 +35,8 @@
 impl Default for Config {
     fn default() -> Self {
         Self {
-            minutes_kept: minutes(2 * 60),
+            accounts: 32,
+            minutes_kept: minutes(70),
             kept: minutes(3 * 24 * 60),
             alarms: vec![
                 Alarm {
