--- a/crates/burn/tests/merge.rs
+++ b/crates/burn/tests/merge.rs
@@ -221,3 +221,39 @@
     expect_that!(accounts[0], eq(burn::bucket::OTHERS));
     expect_that!(total(&book), eq((1_080, 1_080)));
 }
+
+#[gtest]
+fn a_short_burst_of_faults_in_a_good_hour_raises_no_alarm() {
+    let minute = |count: u64| Stamp::from_millis(count * 60_000);
+    let mut book = Book::open(Incarnation::new("entry-1", minute(0)));
+    for _ in 0..1_000 {
+        book.on(minute(0), &ended(true));
+    }
+    for _ in 0..10 {
+        book.on(minute(30), &ended(false));
+    }
+    let report = book.report(minute(30));
+    let first = &report.pipelines[0].alarms[0];
+    expect_that!(first.short.burn, ge(first.rate));
+    expect_that!(first.raised, eq(false));
+}
+
+#[gtest]
+fn the_objectives_of_the_newest_bundle_hold() {
+    let objectives = |version, share| {
+        Event::InForce(Objectives {
+            version,
+            pipelines: vec![Objective {
+                pipeline: "status".into(),
+                share,
+            }],
+        })
+    };
+    let now = Stamp::from_millis(60_000);
+    let mut book = Book::open(Incarnation::new("entry-1", now));
+    let mut late = Book::open(Incarnation::new("entry-2", now));
+    book.on(now, &objectives(2, 0.9));
+    late.on(now, &objectives(1, 0.5));
+    book.merge(&late);
+    expect_that!(book.report(now).pipelines[0].objective, eq(0.9));
+}
