Send small changes as deltas, and pin what operators read of faults and changes

ctl publishes the changes against the base where they are smaller than the whole.

The check that an author doesn't sign off stood twice and stands once.

--- /dev/null
+++ b/crates/bundle/benches/fold.rs
@@ -0,0 +1,88 @@
+//! What one change costs in processor time, as the number of client accounts grows.
+#![allow(missing_docs)] // The macros of criterion write undocumented items.
+
+#[path = "../tests/large/mod.rs"]
+mod large;
+
+use bundle::{Bundle, Fold, check};
+use criterion::{BatchSize, BenchmarkId, Criterion, criterion_group, criterion_main};
+use large::{change, keys, roll_out_text, text};
+
+const ACCOUNTS: [usize; 3] = [100, 1_000, 7_800];
+
+/// The three records of a change, from their text to the bundle in force.
+fn bench_change(criterion: &mut Criterion) {
+    let (author, steward) = keys();
+    for (name, delta) in [("fold_delta", true), ("fold_whole", false)] {
+        let mut group = criterion.benchmark_group(name);
+        for accounts in ACCOUNTS {
+            let mut fold = Fold::open(vec![author.public(), steward.public()]);
+            roll_out_text(&mut fold, &text(accounts, 1, 0), false);
+            let records = change(&fold, &text(accounts, 2, 1), delta);
+            let texts = records.map(|record| record.to_json());
+            let apply = |mut fold: Fold| {
+                for text in &texts {
+                    fold.apply_text(fold.next(), text);
+                }
+                fold
+            };
+            group.bench_function(BenchmarkId::from_parameter(accounts), |bencher| {
+                bencher.iter_batched(|| fold.clone(), apply, BatchSize::LargeInput);
+            });
+        }
+        group.finish();
+    }
+}
+
+/// The bundle as the instance uses it, from the sheet in force.
+fn bench_read(criterion: &mut Criterion) {
+    let (author, steward) = keys();
+    let mut group = criterion.benchmark_group("sheet_to_bundle");
+    for accounts in ACCOUNTS {
+        let mut fold = Fold::open(vec![author.public(), steward.public()]);
+        roll_out_text(&mut fold, &text(accounts, 1, 0), false);
+        let sheet = fold.sheet().cloned().unwrap_or_else(|| unreachable!());
+        group.bench_function(BenchmarkId::from_parameter(accounts), |bencher| {
+            bencher.iter(|| sheet.bundle());
+        });
+    }
+    group.finish();
+}
+
+fn bench_check(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("check");
+    for accounts in ACCOUNTS {
+        let bundle = Bundle::from_toml(&text(accounts, 1, 0)).unwrap_or_else(|_| unreachable!());
+        group.bench_function(BenchmarkId::from_parameter(accounts), |bencher| {
+            bencher.iter(|| check::faults(&bundle));
+        });
+    }
+    group.finish();
+}
+
+/// A proof as a restarted instance gets it, from its text to the verified bundle.
+fn bench_verify(criterion: &mut Criterion) {
+    let (author, steward) = keys();
+    let roots = [author.public(), steward.public()];
+    let mut group = criterion.benchmark_group("verify_proof");
+    for accounts in ACCOUNTS {
+        let mut fold = Fold::open(roots.to_vec());
+        roll_out_text(&mut fold, &text(accounts, 1, 0), false);
+        let json = serde_json::to_string(&fold.proof()).unwrap_or_default();
+        group.bench_function(BenchmarkId::from_parameter(accounts), |bencher| {
+            bencher.iter(|| {
+                let proof: bundle::Proof =
+                    serde_json::from_str(&json).unwrap_or_else(|_| unreachable!());
+                proof.verify(&roots)
+            });
+        });
+    }
+    group.finish();
+}
+
+criterion_group! {
+    name = benches;
+    config = Criterion::default().sample_size(10);
+    targets = bench_change, bench_read, bench_check, bench_verify
+}
+criterion_main!(benches);
--- a/crates/bundle/src/approval.rs
+++ b/crates/bundle/src/approval.rs
@@ -111,7 +111,7 @@
     /// # Errors
     ///
     /// - The author or a signer is not among the signers in force.
-    /// - A signature doesn't verify.
+    /// - A signature doesn't verify, or a sign-off is for another bundle.
     /// - A sign-off has the author's key, or two sign-offs have the same key.
     pub fn check(&self, authority: &Head) -> Result<(), Fault> {
         let message = Message::publish(self.version, self.base, self.digest);
@@ -128,23 +128,6 @@
         Ok(())
     }
 
-    /// Checks one sign-off.
-    ///
-    /// # Errors
-    ///
-    /// - The signer is not among the signers in force, or has the author's key.
-    /// - The sign-off is for another bundle, or its signature doesn't verify.
-    pub fn check_sign_off(&self, authority: &Head, sign_off: &SignOff) -> Result<(), Fault> {
-        if sign_off.digest != self.digest {
-            return Err(Fault::Digest);
-        }
-        if key_of(authority, &sign_off.signer)? == key_of(authority, &self.author)? {
-            return Err(Fault::Author(sign_off.signer.clone()));
-        }
-        let message = Message::sign_off(self.version, self.base, self.digest);
-        check_signature(authority, &sign_off.signer, &sign_off.signature, &message)
-    }
-
     /// Checks that there are enough sign-offs; those present were checked before.
     ///
     /// # Errors
@@ -157,6 +140,14 @@
         }
         Ok(())
     }
+
+    fn check_sign_off(&self, authority: &Head, sign_off: &SignOff) -> Result<(), Fault> {
+        if sign_off.digest != self.digest {
+            return Err(Fault::Digest);
+        }
+        let message = Message::sign_off(self.version, self.base, self.digest);
+        check_signature(authority, &sign_off.signer, &sign_off.signature, &message)
+    }
 }
 
 impl Evidence {
--- a/crates/bundle/src/record.rs
+++ b/crates/bundle/src/record.rs
@@ -61,6 +61,11 @@
 }
 
 impl Content {
+    /// Returns the bytes that the content takes in a record.
+    pub fn bytes(&self) -> usize {
+        serde_json::to_string(self).map_or(0, |json| json.len())
+    }
+
     /// Reads the whole bundle.
     ///
     /// # Errors
--- a/crates/bundle/tests/forgery.rs
+++ b/crates/bundle/tests/forgery.rs
@@ -27,6 +27,13 @@
     (0..count).map(|mark| advance(&mut fold, mark)).collect()
 }
 
+fn carry(proof: &Proof) -> Record {
+    Record::Carry(Box::new(Carry {
+        at: base::Stamp::default(),
+        proof: proof.clone(),
+    }))
+}
+
 /// Signs all of a proof's last bundle with keys of the forger's choice.
 fn sign_with(proof: &mut Proof, key: &str) {
     let evidence = &mut proof.chain.evidence;
@@ -129,12 +136,6 @@
     let proofs = proofs(3);
     let mut fold = Fold::open(roots());
     fold.seek(3);
-    let carry = |proof: &Proof| {
-        Record::Carry(Box::new(Carry {
-            at: base::Stamp::default(),
-            proof: proof.clone(),
-        }))
-    };
     fold.apply(9, &carry(&proofs[2]));
     expect_that!(fold.position().unwrap().version, eq(3));
     // The reader pauses until the log has dropped what it knew, then meets an old record.
@@ -161,11 +162,7 @@
     fold.adopt(&lost).unwrap();
     expect_that!(fold.position().unwrap().digest, eq(lost.position().digest));
     fold.seek(4);
-    let carry = Carry {
-        at: base::Stamp::default(),
-        proof: won.clone(),
-    };
-    let events = fold.apply(won.as_of, &Record::Carry(Box::new(carry)));
+    let events = fold.apply(won.as_of, &carry(&won));
     let disagreed = Event::Disagreed {
         peer: lost.position(),
         log: won.position(),
@@ -221,3 +218,37 @@
         err(eq(&Fault::Signer("zoe".into())))
     );
 }
+
+#[gtest]
+fn an_order_for_another_base_does_not_count() {
+    let mut proof = proofs(2).pop().unwrap();
+    let order = &mut proof.chain.evidence.roll_out;
+    order.base = None;
+    let message = Message::roll_out(None, order.digest, order.nonce);
+    order.signature = Key::example("eva").sign(&message);
+    expect_that!(
+        proof.verify(&roots()),
+        err(matches_pattern!(Fault::Base { .. }))
+    );
+}
+
+#[gtest]
+fn a_forged_proposal_in_a_carry_is_left_out() {
+    let mut fold = Fold::open(roots());
+    advance(&mut fold, 0);
+    for author in ["ana", "ben"] {
+        let mark = author.len() as u64 + u64::from(author == "ben");
+        let record = publish(&fold, author, mark, false);
+        fold.apply(fold.next(), &record);
+    }
+    let mut proof = fold.proof().unwrap();
+    expect_that!(proof.pending, len(eq(2)));
+    let approval = &mut proof.pending[1].approval;
+    let message = Message::publish(approval.version, approval.base, approval.digest);
+    approval.signature = Key::example("mallory").sign(&message);
+    let mut reader = Fold::open(roots());
+    reader.seek(1);
+    reader.apply(9, &carry(&proof));
+    expect_that!(reader.known(), eq(true));
+    expect_that!(reader.pending(), len(eq(1)));
+}
--- /dev/null
+++ b/crates/bundle/tests/golden.rs
@@ -0,0 +1,48 @@
+//! What operators read of a faulty bundle and of a change.
+
+use bundle::{Sheet, check, diff};
+use googletest::prelude::*;
+
+const FAULTY: &str = include_str!("golden/faulty.toml");
+const COMPAS: &str = include_str!("../../../examples/compas.toml");
+
+fn listed(faults: &[check::Fault]) -> String {
+    let lines: Vec<String> = faults.iter().map(ToString::to_string).collect();
+    lines.join("\n")
+}
+
+#[gtest]
+fn every_fault_is_told_at_once() {
+    let found = check::read("faulty.toml", FAULTY).unwrap_err();
+    insta::assert_snapshot!("faults", listed(&found));
+}
+
+#[gtest]
+fn texts_that_are_no_bundle_are_told_with_line_and_column() {
+    let texts = [
+        "name = \"compas\"\nversion = ",
+        "name = \"compas\"\nversion = \"one\"",
+        "name = \"compas\"\nversion = 1\n[limits]\nsign_of = 2",
+        "name = \"compas\"\nversion = 1\n[[pools]]\nname = \"a\"\nkind = \"servic\"",
+        "name = \"compas\"",
+    ];
+    let told = texts.map(|text| listed(&check::read("entry.toml", text).unwrap_err()));
+    insta::assert_snapshot!("syntax", told.join("\n"));
+}
+
+#[gtest]
+fn a_change_is_told_field_by_field() {
+    let next = COMPAS
+        .replace("version = 1", "version = 2")
+        .replace("retry_percent = 10", "retry_percent = 5")
+        .replace("name = \"school-bands\"", "name = \"village-bands\"")
+        .replacen("deadline_ms = 5000", "deadline_ms = 4000", 1)
+        .replacen("idempotent = false\n", "", 1);
+    let old = Sheet::from_toml(COMPAS).unwrap();
+    let new = Sheet::from_toml(&next).unwrap();
+    let lines: Vec<String> = diff::between(Some(&old), &new)
+        .iter()
+        .map(ToString::to_string)
+        .collect();
+    insta::assert_snapshot!("diff", lines.join("\n"));
+}
--- a/crates/bundle/tests/order.rs
+++ b/crates/bundle/tests/order.rs
@@ -136,6 +136,9 @@
     let mut world = World::open(2);
     advance(&mut world, 0);
     world.read_all();
+    for operator in 0..3 {
+        world.step(Step::Look { operator });
+    }
     world.step(Step::Drop { records: 3 });
     world.step(Step::Restart { instance: 1 });
     advance(&mut world, 1);
@@ -143,6 +146,7 @@
         instance: 1,
         records: 99,
     });
+    expect_that!(world.order.len(), eq(2));
     expect_that!(world.instances[1].position(), none());
     world.step(Step::Read {
         instance: 0,
@@ -160,3 +164,43 @@
     );
     expect_that!(world.instances[1].known(), eq(true));
 }
+
+#[gtest]
+fn records_from_before_a_carry_are_not_judged_again() {
+    let mut world = World::open(2);
+    advance(&mut world, 0);
+    world.read_all();
+    for operator in 0..3 {
+        world.step(Step::Look { operator });
+    }
+    world.step(Step::Drop { records: 3 });
+    world.step(Step::Restart { instance: 1 });
+    // The roll-out comes too early and loses; the sign-off comes after it.
+    let (fate, operator) = (Fate::Now, 0);
+    world.step(Step::Look { operator });
+    world.step(Step::Publish {
+        operator,
+        mark: 1,
+        delta: true,
+        fate,
+    });
+    world.step(Step::Look { operator: 1 });
+    world.step(Step::RollOut {
+        operator: 1,
+        at: 0,
+        fate,
+    });
+    world.step(Step::SignOff {
+        operator: 1,
+        at: 0,
+        fate,
+    });
+    world.step(Step::Read {
+        instance: 0,
+        records: 99,
+    });
+    world.step(Step::Carry { instance: 0, fate });
+    world.read_all();
+    expect_that!(world.order.len(), eq(1));
+    expect_that!(world.instances[1].pending().len(), eq(1));
+}
--- a/crates/ctl/src/publish.rs
+++ b/crates/ctl/src/publish.rs
@@ -4,6 +4,7 @@
 
 use bundle::{
     Record, Sheet, check,
+    delta::Delta,
     record::{Content, Publish},
     sign::{Key, Message},
 };
@@ -52,7 +53,7 @@
         base,
         digest,
         author: name_of(authority, key)?,
-        content: Content::Whole(text.to_owned()),
+        content: smallest(view.fold.sheet(), &sheet, text),
         signature: key.sign(&Message::publish(bundle.version, base, digest)),
     });
     let done = Done {
@@ -64,3 +65,15 @@
     view.try_out(&record)?;
     append(session, &view, &record, done).await
 }
+
+/// Returns the changes against the base, or the whole where that is smaller.
+fn smallest(base: Option<&Arc<Sheet>>, sheet: &Sheet, text: &str) -> Content {
+    let whole = Content::Whole(text.to_owned());
+    let Some(base) = base else { return whole };
+    let delta = Content::Delta(Delta::between(base, sheet));
+    if delta.bytes() < whole.bytes() {
+        delta
+    } else {
+        whole
+    }
+}
--- a/crates/ctl/tests/actions.rs
+++ b/crates/ctl/tests/actions.rs
@@ -114,3 +114,104 @@
         matches_pattern!(Error::Refused(eq(&Fault::Author("author".into()))))
     );
 }
+
+#[gtest]
+#[actix_web::test]
+async fn a_roll_out_that_is_overtaken_between_read_and_append_is_told_lost() {
+    let log = Memory::default();
+    let (author, steward) = keys();
+    let first = roll_out_all(&log, COMPAS, &author, &steward).await.unwrap();
+    let session = session(&log);
+    let two = publish(&session, "two", &version(2), &author)
+        .await
+        .unwrap();
+    let three = publish(&session, "three", &version(3), &steward)
+        .await
+        .unwrap();
+    sign_off(&session, two.digest, &steward).await.unwrap();
+    sign_off(&session, three.digest, &author).await.unwrap();
+    let base = Some(first.digest);
+    roll_out(&session, two.digest, base, &author, 1)
+        .await
+        .unwrap();
+    let winner = log.records.borrow_mut().pop();
+    log.ahead.replace(winner);
+    let error = roll_out(&session, three.digest, base, &steward, 2).await;
+    let fault = Fault::Base {
+        named: base,
+        force: Some(two.digest),
+    };
+    expect_that!(
+        error.unwrap_err(),
+        matches_pattern!(Error::Refused(eq(&fault)))
+    );
+}
+
+#[gtest]
+#[actix_web::test]
+async fn what_a_record_did_is_not_known_while_the_log_cannot_be_read() {
+    let log = Memory::default();
+    let (author, _) = keys();
+    log.reads.set(Some(1));
+    let error = publish(&session(&log), "compas", COMPAS, &author).await;
+    expect_that!(error.unwrap_err().exit_code(), eq(4));
+    log.reads.set(Some(0));
+    let error = publish(&session(&log), "compas", COMPAS, &author).await;
+    expect_that!(error.unwrap_err().exit_code(), eq(3));
+    expect_that!(log.appends.get(), eq(1));
+}
+
+#[gtest]
+#[actix_web::test]
+async fn nothing_is_appended_to_a_log_whose_state_is_not_known() {
+    let log = Memory::default();
+    let (author, steward) = keys();
+    roll_out_all(&log, COMPAS, &author, &steward).await.unwrap();
+    log.first.set(1);
+    let error = publish(&session(&log), "two", &version(2), &author).await;
+    expect_that!(error.unwrap_err(), matches_pattern!(Error::Cut));
+    expect_that!(log.appends.get(), eq(3));
+}
+
+#[gtest]
+#[actix_web::test]
+async fn a_dry_run_and_a_faulty_bundle_append_nothing() {
+    let log = Memory::default();
+    let (author, _) = keys();
+    let dry = Session {
+        dry_run: true,
+        ..session(&log)
+    };
+    expect_that!(
+        publish(&dry, "compas", COMPAS, &author)
+            .await
+            .unwrap()
+            .offset,
+        none()
+    );
+    let faulty = COMPAS.replace("weight = 4", "weight = 0");
+    let error = publish(&session(&log), "compas", &faulty, &author).await;
+    expect_that!(
+        error.unwrap_err(),
+        matches_pattern!(Error::Faults(len(eq(2))))
+    );
+    expect_that!(log.appends.get(), eq(0));
+}
+
+#[gtest]
+#[actix_web::test]
+async fn a_small_change_is_sent_as_a_delta() {
+    let log = Memory::default();
+    let (author, steward) = keys();
+    roll_out_all(&log, COMPAS, &author, &steward).await.unwrap();
+    let done = roll_out_all(&log, &version(2), &author, &steward)
+        .await
+        .unwrap();
+    expect_that!(log.records.borrow()[3], contains_substring("\"delta\""));
+    expect_that!(
+        log.records.borrow()[3].len(),
+        lt(log.records.borrow()[0].len() / 2)
+    );
+    let view = View::read(&log, &session(&log).roots).await.unwrap();
+    expect_that!(view.fold.position().unwrap().digest, eq(done.digest));
+}
--- a/crates/ctl/tests/common/mod.rs
+++ b/crates/ctl/tests/common/mod.rs
@@ -24,6 +24,12 @@
     pub(crate) records: RefCell<Vec<String>>,
     pub(crate) appends: Cell<usize>,
     pub(crate) mishap: Cell<Mishap>,
+    /// A record of another operator that gets in just before the next append.
+    pub(crate) ahead: RefCell<Option<String>>,
+    /// Reads that still succeed; none for all.
+    pub(crate) reads: Cell<Option<usize>>,
+    /// The lowest offset kept.
+    pub(crate) first: Cell<usize>,
 }
 
 impl Log for Memory {
@@ -34,6 +40,7 @@
             return Err(Error::Refused("down".into()));
         }
         let mut records = self.records.borrow_mut();
+        records.extend(self.ahead.take());
         if mishap != Mishap::Lost {
             records.push(body);
         }
@@ -44,10 +51,17 @@
     }
 
     async fn read(&self, _stream: &str, from: u64, limit: usize) -> Result<Page, Error> {
+        if let Some(left) = self.reads.get() {
+            let left = left
+                .checked_sub(1)
+                .ok_or_else(|| Error::Unanswered("down".into()))?;
+            self.reads.set(Some(left));
+        }
         let records = self.records.borrow();
-        let kept = records.iter().enumerate().skip(from as usize).take(limit);
+        let from = self.first.get().max(from as usize);
+        let kept = records.iter().enumerate().skip(from).take(limit);
         Ok(Page {
-            first: 0,
+            first: self.first.get() as u64,
             end: records.len() as u64,
             records: kept
                 .map(|(at, body)| Record {
