Follow measured rates and send refused callers back within their deadline

Change: rate by Little's law; headroom by time, 0.5 s of queue at the servers; come-back times within the caller's time to spare, spread; a stage time that is not measured goes back to the usual one; one margin in place of two deviations; every other start of the oldest goes to a patient request.

Seen failing first: callers told to wait 5.6 s of their 5 s (the spread came on top); the stage never tried again (refused after 5 s of rest).

--- a/crates/admit/src/budget.rs
+++ b/crates/admit/src/budget.rs
@@ -2,7 +2,7 @@
 
 use core::time::Duration;
 
-use base::Name;
+use base::{Name, Tick};
 
 use crate::configs::budget::Config;
 
@@ -16,9 +16,9 @@
 
 impl Estimate {
     /// Takes a sample, in seconds.
-    pub fn sample(&mut self, config: &Config, seconds: f64) {
+    pub fn sample(&mut self, weight: f64, seconds: f64) {
         self.samples = self.samples.saturating_add(1);
-        let weight = config.weight.max(1.0 / f64::from(self.samples));
+        let weight = weight.max(1.0 / f64::from(self.samples));
         let error = seconds - self.mean;
         self.mean += weight * error;
         self.deviation += weight * (error.abs() - self.deviation);
@@ -29,9 +29,9 @@
         self.mean
     }
 
-    /// Returns the mean with a margin, in seconds.
-    pub fn budget(&self, config: &Config) -> f64 {
-        self.mean + config.deviations * self.deviation
+    /// Returns the margin that a budget holds above the mean, in seconds.
+    pub fn margin(&self, config: &Config) -> f64 {
+        config.deviations * self.deviation
     }
 }
 
@@ -40,8 +40,22 @@
 pub struct Stage {
     /// The pool that serves it.
     pub pool: Name,
-    /// Its measured time.
+    /// Its measured time of late.
     pub time: Estimate,
+    /// Its measured time over long.
+    pub usual: Estimate,
+    /// When it was measured last.
+    at: Tick,
+}
+
+impl Stage {
+    /// Returns its expected time, in seconds; without new measurements it goes back to the usual
+    /// one, so that a stage held to be slow is tried again.
+    pub fn mean(&self, config: &Config, now: Tick) -> f64 {
+        let idle = (now - self.at).as_secs_f64() / config.half_life.as_secs_f64();
+        let usual = self.usual.mean();
+        usual + (self.time.mean() - usual) * (-idle).exp2()
+    }
 }
 
 /// A pipeline.
@@ -61,6 +75,8 @@
         let stage = |pool: &Name| Stage {
             pool: pool.clone(),
             time: Estimate::default(),
+            usual: Estimate::default(),
+            at: Tick::default(),
         };
         Self {
             name,
@@ -75,6 +91,8 @@
         for (new, old) in fresh.stages.iter_mut().zip(&self.stages) {
             if new.pool == old.pool {
                 new.time = old.time;
+                new.usual = old.usual;
+                new.at = old.at;
             }
         }
         self.stages = fresh.stages;
@@ -86,26 +104,41 @@
     ///
     /// ```
     /// use admit::{budget::Pipeline, configs::budget::Config};
+    /// use base::Tick;
     /// use core::time::Duration;
     ///
     /// let mut pipeline = Pipeline::new("draft".into(), &["encoders".into(), "runners".into()]);
-    /// pipeline.took(&Config::default(), 1, Duration::from_millis(300));
-    /// assert!(pipeline.need(&Config::default(), 0) >= Duration::from_millis(300));
+    /// let now = Tick::from_millis(300);
+    /// pipeline.took(&Config::default(), now, 1, Duration::from_millis(300));
+    /// assert!(pipeline.need(&Config::default(), now, 0) >= Duration::from_millis(300));
     /// ```
-    pub fn need(&self, config: &Config, from: usize) -> Duration {
+    pub fn need(&self, config: &Config, now: Tick, from: usize) -> Duration {
         let stages = self.stages.iter().skip(from);
-        let mean: f64 = stages.clone().map(|stage| stage.time.mean()).sum();
+        let mean: f64 = stages.clone().map(|stage| stage.mean(config, now)).sum();
         let margin: f64 = stages
-            .map(|stage| stage.time.budget(config) - stage.time.mean())
+            .map(|stage| stage.time.margin(config))
             .map(|margin| margin * margin)
             .sum();
         Duration::from_secs_f64(mean + margin.sqrt())
     }
 
+    /// Returns the expected time of each stage, in seconds.
+    pub fn times(&self, config: &Config, now: Tick) -> Vec<f64> {
+        let mean = |stage: &Stage| stage.mean(config, now);
+        self.stages.iter().map(mean).collect()
+    }
+
+    /// Returns the time that the whole pipeline needs when nothing is out of the ordinary.
+    pub fn usual(&self) -> Duration {
+        Duration::from_secs_f64(self.stages.iter().map(|stage| stage.usual.mean()).sum())
+    }
+
     /// Takes a measured stage time.
-    pub fn took(&mut self, config: &Config, stage: usize, took: Duration) {
+    pub fn took(&mut self, config: &Config, now: Tick, stage: usize, took: Duration) {
         if let Some(stage) = self.stages.get_mut(stage) {
-            stage.time.sample(config, took.as_secs_f64());
+            stage.at = now;
+            stage.time.sample(config.weight, took.as_secs_f64());
+            stage.usual.sample(config.usual_weight, took.as_secs_f64());
         }
     }
 }
--- a/crates/admit/src/configs/budget.rs
+++ b/crates/admit/src/configs/budget.rs
@@ -1,10 +1,16 @@
 //! Settings of stage times and budgets.
 
+use core::time::Duration;
+
 /// Settings of stage times and budgets.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Config {
     /// Weight of one measured stage time.
     pub weight: f64,
+    /// Weight of one measured stage time in the usual one.
+    pub usual_weight: f64,
+    /// Time without measurements after which half of a stage's slowness is disbelieved.
+    pub half_life: Duration,
     /// Mean deviations above the mean that a budget holds.
     pub deviations: f64,
 }
@@ -12,8 +18,10 @@
 impl Default for Config {
     fn default() -> Self {
         Self {
-            weight: 0.05,
-            deviations: 2.0,
+            weight: 0.1,
+            usual_weight: 0.001,
+            half_life: Duration::from_secs(2),
+            deviations: 1.0,
         }
     }
 }
--- a/crates/admit/src/configs/gate.rs
+++ b/crates/admit/src/configs/gate.rs
@@ -7,7 +7,8 @@
 pub struct Config {
     /// Wait after which a request counts as one priority higher.
     pub aging: Duration,
-    /// One in so many starts goes to the oldest request that waits.
+    /// One in so many starts goes to the oldest request that waits; every other time, to the
+    /// oldest patient one.
     pub oldest_every: u64,
     /// Time between issue and deadline from which a request gives way to all others.
     pub patient: Duration,
--- a/crates/admit/src/configs/pool.rs
+++ b/crates/admit/src/configs/pool.rs
@@ -1,10 +1,14 @@
 //! Settings of requests in flight towards one pool.
 
+use core::time::Duration;
+
 /// Settings of requests in flight towards one pool.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Config {
-    /// Requests let through for each place of the pool.
-    pub headroom: f64,
+    /// The wait in servers' queues that requests are let through for, so that no place stays empty.
+    pub queue: Duration,
+    /// Bounds on the requests let through for each place of the pool.
+    pub headroom: (f64, f64),
     /// The most that time in earlier stages may add, in units of the pool's own places.
     pub upstream: f64,
 }
@@ -12,7 +16,8 @@
 impl Default for Config {
     fn default() -> Self {
         Self {
-            headroom: 1.25,
+            queue: Duration::from_millis(500),
+            headroom: (1.25, 2.0),
             upstream: 4.0,
         }
     }
--- a/crates/admit/src/gate.rs
+++ b/crates/admit/src/gate.rs
@@ -99,9 +99,9 @@
     }
 
     /// Returns the time that the stages of a pipeline from one on need, margin included.
-    pub fn need(&self, pipeline: &Name, from: usize) -> Duration {
+    pub fn need(&self, now: Tick, pipeline: &Name, from: usize) -> Duration {
         self.find_pipeline(pipeline).map_or(Duration::ZERO, |at| {
-            self.pipelines[at].need(&self.config.budget, from)
+            self.pipelines[at].need(&self.config.budget, now, from)
         })
     }
 
@@ -113,7 +113,13 @@
     /// - Otherwise it waits.
     pub fn offer(&mut self, cx: &mut Context<'_>, ask: Ask) -> Verdict {
         let Ok(at) = self.find_pipeline(&ask.pipeline) else {
-            return Verdict::Refused(self.refuse(cx, Code::PipelineUnknown, Duration::ZERO, None));
+            return Verdict::Refused(self.refuse(
+                cx,
+                Code::PipelineUnknown,
+                Duration::ZERO,
+                None,
+                Duration::ZERO,
+            ));
         };
         let kind = self.kind(&ask);
         if let Some(refusal) = self.judge(cx, &ask, &kind, at) {
@@ -134,7 +140,7 @@
                 request,
                 stage,
                 took,
-            } => self.stage_took(request, stage, took),
+            } => self.stage_took(cx.now, request, stage, took),
             Event::Finished { request, cost } => self.finished(request, cost),
             Event::Cancelled { request } => self.cancelled(request),
             Event::Capacity {
@@ -174,22 +180,30 @@
         pipeline: usize,
     ) -> Option<Refusal> {
         if kind.patient {
-            return (self.waiting_patient >= self.config.gate.patient_queue)
-                .then(|| self.refuse(cx, Code::Overloaded, self.config.returns.most, None));
+            return (self.waiting_patient >= self.config.gate.patient_queue).then(|| {
+                self.refuse(
+                    cx,
+                    Code::Overloaded,
+                    self.config.returns.most,
+                    None,
+                    Duration::ZERO,
+                )
+            });
         }
+        let left = ask.deadline - cx.now;
+        let need = self.pipelines[pipeline].need(&self.config.budget, cx.now, 0);
+        let spare = left.saturating_sub(self.pipelines[pipeline].usual());
         if let Some(back) = self.down(pipeline) {
-            return Some(self.refuse(cx, Code::StageUnavailable, back, None));
+            return Some(self.refuse(cx, Code::StageUnavailable, back, None, spare));
         }
-        let rate = self.rate(pipeline);
+        let rate = self.rate(cx.now, pipeline);
         let wait = self.wait(cx.now, ask, kind, rate);
-        let need = self.pipelines[pipeline].need(&self.config.budget, 0);
-        let left = ask.deadline - cx.now;
         if wait + need > left {
             let over = wait + need - left;
-            return Some(self.refuse(cx, Code::DeadlineUnmeetable, over, rate));
+            return Some(self.refuse(cx, Code::DeadlineUnmeetable, over, rate, spare));
         }
         (self.waiting >= self.config.gate.queue)
-            .then(|| self.refuse(cx, Code::Overloaded, wait, rate))
+            .then(|| self.refuse(cx, Code::Overloaded, wait, rate, spare))
     }
 
     fn down(&self, pipeline: usize) -> Option<Duration> {
@@ -204,12 +218,13 @@
     }
 
     /// Returns the requests a second that the narrowest pool of a pipeline serves.
-    fn rate(&self, pipeline: usize) -> Option<f64> {
+    fn rate(&self, now: Tick, pipeline: usize) -> Option<f64> {
         let pipeline = &self.pipelines[pipeline];
+        let times = pipeline.times(&self.config.budget, now);
         (0..pipeline.stages.len())
             .filter_map(|stage| {
                 let at = self.find_pool(&pipeline.stages[stage].pool).ok()?;
-                self.pools[at].rate(pipeline, stage)
+                self.pools[at].rate(&self.config.pool, &times, stage)
             })
             .min_by(f64::total_cmp)
     }
@@ -253,8 +268,11 @@
         code: Code,
         wait: Duration,
         rate: Option<f64>,
+        spare: Duration,
     ) -> Refusal {
-        let retry_after = self.returns.after(&self.config.returns, cx, wait, rate);
+        let retry_after = self
+            .returns
+            .after(&self.config.returns, cx, wait, rate, spare);
         Refusal { code, retry_after }
     }
 
@@ -308,15 +326,14 @@
 
     /// Finds the request that goes first, among those whose pools have room.
     fn first(&self, now: Tick) -> Option<(usize, usize)> {
-        let open = || (0..self.lines.len()).filter(|at| self.has_room(&self.lines[*at].kind));
-        if self.starts % self.config.gate.oldest_every == self.config.gate.oldest_every - 1 {
-            return open()
-                .filter_map(|at| {
-                    let entries = &self.lines[at].entries;
-                    let oldest = (0..entries.len()).min_by_key(|at| entries[*at].age_from)?;
-                    Some((at, oldest))
-                })
-                .min_by_key(|(line, entry)| self.lines[*line].entries[*entry].age_from);
+        let open = || (0..self.lines.len()).filter(|at| self.has_room(now, &self.lines[*at].kind));
+        if let Some(patient) = self.turn_of_oldest() {
+            let sort = |patient| open().filter(move |at| self.lines[*at].kind.patient == patient);
+            let oldest = self.oldest(sort(patient));
+            let oldest = oldest.or_else(|| self.oldest(sort(!patient)));
+            if oldest.is_some() {
+                return oldest;
+            }
         }
         open()
             .min_by(|a, b| {
@@ -334,6 +351,25 @@
             .map(|at| (at, 0))
     }
 
+    /// Tells whether the next start goes to the oldest request, and if so, whether to a patient one.
+    const fn turn_of_oldest(&self) -> Option<bool> {
+        let every = self.config.gate.oldest_every;
+        if self.starts % every == every - 1 {
+            return Some(self.starts / every % 2 == 1);
+        }
+        None
+    }
+
+    fn oldest(&self, lines: impl Iterator<Item = usize>) -> Option<(usize, usize)> {
+        lines
+            .filter_map(|at| {
+                let entries = &self.lines[at].entries;
+                let oldest = (0..entries.len()).min_by_key(|at| entries[*at].age_from)?;
+                Some((at, oldest))
+            })
+            .min_by_key(|(line, entry)| self.lines[*line].entries[*entry].age_from)
+    }
+
     /// Returns the priority of a line, raised by the wait of its first request.
     fn rank(&self, now: Tick, line: &Line) -> u128 {
         let waited = now - line.entries[0].age_from;
@@ -341,14 +377,15 @@
         u128::from(line.kind.priority) + raised
     }
 
-    fn has_room(&self, kind: &Kind) -> bool {
+    fn has_room(&self, now: Tick, kind: &Kind) -> bool {
         let Ok(at) = self.find_pipeline(&kind.pipeline) else {
             return true;
         };
         let pipeline = &self.pipelines[at];
+        let times = pipeline.times(&self.config.budget, now);
         (0..pipeline.stages.len()).all(|stage| {
             self.find_pool(&pipeline.stages[stage].pool)
-                .is_ok_and(|at| self.pools[at].has_room(&self.config.pool, pipeline, stage))
+                .is_ok_and(|at| self.pools[at].has_room(&self.config.pool, &times, stage))
         })
     }
 
@@ -394,27 +431,29 @@
             let Ok(at) = self.find_pipeline(&self.lines[line].kind.pipeline) else {
                 continue;
             };
-            let need = self.pipelines[at].need(&self.config.budget, 0);
-            let rate = self.rate(at);
+            let need = self.pipelines[at].need(&self.config.budget, cx.now, 0);
+            let rate = self.rate(cx.now, at);
             for entry in (0..self.lines[line].entries.len()).rev() {
                 if cx.now + need <= self.lines[line].entries[entry].deadline {
                     continue;
                 }
+                let left = self.lines[line].entries[entry].deadline - cx.now;
+                let spare = left.saturating_sub(self.pipelines[at].usual());
                 let request = self.remove(line, entry);
-                let refusal = self.refuse(cx, Code::DeadlineUnmeetable, need, rate);
+                let refusal = self.refuse(cx, Code::DeadlineUnmeetable, need, rate, spare);
                 actions.push(Action::Refuse(request, refusal));
             }
         }
         actions
     }
 
-    fn stage_took(&mut self, request: Id, stage: usize, took: Duration) {
+    fn stage_took(&mut self, now: Tick, request: Id, stage: usize, took: Duration) {
         let Ok(at) = self.find_running(request) else {
             return;
         };
         let name = self.running[at].pipeline.clone();
         if let Ok(at) = self.find_pipeline(&name) {
-            self.pipelines[at].took(&self.config.budget, stage, took);
+            self.pipelines[at].took(&self.config.budget, now, stage, took);
         }
         if stage == self.running[at].stage {
             self.running[at].stage += 1;
@@ -431,7 +470,8 @@
         self.accounts
             .finished(&running.account, running.estimate, cost);
         if let Ok(at) = self.find_pipeline(&running.pipeline) {
-            self.pipelines[at].cost.sample(&self.config.budget, cost);
+            let weight = self.config.budget.weight;
+            self.pipelines[at].cost.sample(weight, cost);
         }
     }
 
--- a/crates/admit/src/pool.rs
+++ b/crates/admit/src/pool.rs
@@ -4,7 +4,7 @@
 
 use base::Name;
 
-use crate::{budget::Pipeline, configs::pool::Config};
+use crate::configs::pool::Config;
 
 /// A pool as this instance sees it.
 #[derive(Clone, Debug)]
@@ -36,34 +36,44 @@
     }
 
     /// Tells whether one more request of a pipeline may start, as far as this pool goes.
-    pub fn has_room(&self, config: &Config, pipeline: &Pipeline, stage: usize) -> bool {
-        self.limit(config, pipeline, stage)
+    ///
+    /// `times` holds the expected time of each of the pipeline's stages, in seconds.
+    pub fn has_room(&self, config: &Config, times: &[f64], stage: usize) -> bool {
+        self.limit(config, times, stage)
             .is_none_or(|limit| (self.ahead + 1) as f64 <= limit)
     }
 
     /// Returns the requests that the pool serves in a second, if that is known.
-    pub fn rate(&self, pipeline: &Pipeline, stage: usize) -> Option<f64> {
-        let time = pipeline.stages[stage].time.mean();
+    ///
+    /// By Little's law: the requests that may be in it, divided by the time that each takes.
+    pub fn rate(&self, config: &Config, times: &[f64], stage: usize) -> Option<f64> {
+        let time = times[stage];
         let places = self.places?;
-        (time > 0.0 && places > 0.0).then(|| places / time)
+        (time > 0.0 && places > 0.0).then(|| places * headroom(config, time) / time)
     }
 
     /// Returns the requests that may be on their way to the pool or in it.
-    fn limit(&self, config: &Config, pipeline: &Pipeline, stage: usize) -> Option<f64> {
+    fn limit(&self, config: &Config, times: &[f64], stage: usize) -> Option<f64> {
         let places = self.places?;
         if places <= 0.0 {
             return Some(0.0);
         }
-        let own = pipeline.stages[stage].time.mean();
-        let before: f64 = pipeline.stages[..stage]
-            .iter()
-            .map(|stage| stage.time.mean())
-            .sum();
+        let own = times[stage];
+        let before: f64 = times[..stage].iter().sum();
         let upstream = if own > 0.0 {
             (before / own).min(config.upstream)
         } else {
             0.0
         };
-        Some((places * (config.headroom + upstream)).max(1.0))
+        Some((places * (headroom(config, own) + upstream)).max(1.0))
     }
 }
+
+/// Returns the requests let through for each place, by the time that the stage takes.
+fn headroom(config: &Config, seconds: f64) -> f64 {
+    let (least, most) = config.headroom;
+    if seconds <= 0.0 {
+        return least;
+    }
+    (1.0 + config.queue.as_secs_f64() / seconds).clamp(least, most)
+}
--- a/crates/admit/src/returns.rs
+++ b/crates/admit/src/returns.rs
@@ -7,6 +7,9 @@
 
 use crate::{configs::returns::Config, event::Context};
 
+/// How much longer than planned a caller may be told to wait.
+const SPREAD: f64 = 1.5;
+
 /// Hands out times to come back at a rate that can be served.
 #[derive(Clone, Debug, Default)]
 pub struct Returns {
@@ -18,6 +21,8 @@
     ///
     /// - No sooner than the wait given.
     /// - Later for each caller refused before it, at a share of the rate given.
+    /// - Within `spare`, if that is not zero: the time that the caller can wait and still be
+    ///   answered if the load ends.
     /// - Spread at random, so that callers don't return together.
     pub fn after(
         &mut self,
@@ -25,14 +30,18 @@
         cx: &mut Context<'_>,
         wait: Duration,
         rate: Option<f64>,
+        spare: Duration,
     ) -> Duration {
         let soonest = cx.now + wait.max(config.least);
         let latest = cx.now + config.most;
         let at = self.next.max(soonest).min(latest);
+        if spare > config.least && (at - cx.now).mul_f64(SPREAD) > spare {
+            return spare.mul_f64(cx.rng.random_range(0.4..1.0));
+        }
         let gap = rate.map_or(Duration::ZERO, |rate| {
             Duration::from_secs_f64(1.0 / (rate * config.share).max(1.0))
         });
         self.next = at + gap;
-        (at - cx.now).mul_f64(cx.rng.random_range(1.0..1.5))
+        (at - cx.now).mul_f64(cx.rng.random_range(1.0..SPREAD))
     }
 }
--- a/crates/admit/tests/gate.rs
+++ b/crates/admit/tests/gate.rs
@@ -2,7 +2,7 @@
 
 use core::time::Duration;
 
-use admit::{Action, Ask, Context, Event, Gate, Refusal, Verdict};
+use admit::{Action, Ask, Config, Context, Event, Gate, Refusal, Verdict};
 use base::{Code, Name, Tick, request::Id};
 use googletest::prelude::*;
 use rand_chacha::{ChaCha8Rng, rand_core::SeedableRng};
@@ -19,8 +19,11 @@
 impl World {
     /// A pipeline of one stage with so many places.
     fn new(places: f64) -> Self {
+        // One request for each place, so that a test can count what runs.
+        let mut config = Config::default();
+        config.pool.headroom = (1.0, 1.0);
         let mut world = Self {
-            gate: Gate::default(),
+            gate: Gate::new(config),
             rng: ChaCha8Rng::seed_from_u64(1),
             now: Tick::from_millis(100_000_000),
             asked: 0,
@@ -282,3 +285,39 @@
     let actions = world.capacity(8.0);
     expect_that!(started(&actions), elements_are![eq(&request)]);
 }
+
+#[gtest]
+fn callers_with_time_left_come_back_before_their_deadline_at_different_times() {
+    let mut world = World::new(1.0);
+    for _ in 0..50 {
+        world.measure(Duration::from_millis(100));
+    }
+    let mut times = Vec::new();
+    for _ in 0..200 {
+        let ask = world.ask("press", 0, Duration::from_secs(5));
+        times.extend(refusal(world.offer(ask)).map(|refusal| refusal.retry_after));
+    }
+    times.sort();
+    expect_that!(times, len(ge(100)));
+    expect_that!(times[times.len() - 1], le(Duration::from_secs(5)));
+    expect_that!(
+        times[times.len() - 1] - times[0],
+        ge(Duration::from_secs(2))
+    );
+}
+
+#[gtest]
+fn a_stage_once_held_to_be_too_slow_is_tried_again() {
+    let mut world = World::new(4.0);
+    for _ in 0..50 {
+        world.measure(Duration::from_millis(100));
+    }
+    for _ in 0..50 {
+        world.measure(Duration::from_secs(8));
+    }
+    let ask = world.ask("press", 0, Duration::from_secs(5));
+    expect_that!(refusal(world.offer(ask)).is_some(), eq(true));
+    world.now = world.now + Duration::from_secs(5);
+    let ask = world.ask("press", 0, Duration::from_secs(5));
+    expect_that!(refusal(world.offer(ask)).is_none(), eq(true));
+}
