Send single probes to a pool that fails outright

Change: once half of the servers fail, with five failures and no answer between them, the pool counts as down and gets one probe each 250 ms; the first answer lets every failing server return.

--- a/crates/route/src/choose.rs
+++ b/crates/route/src/choose.rs
@@ -20,6 +20,9 @@
     cx: &mut Context<'_>,
     ask: &Ask<'_>,
 ) -> Result<Pick, Error> {
+    if let Some(until) = pool.down_until(cx.now) {
+        return Err(refuse(config, cx, until - cx.now));
+    }
     let (local, remote) = usable(config, pool, cx, ask);
     let mut candidates = sample(cx.rng, &local, config.choose.local);
     candidates.extend(sample(cx.rng, &remote, config.choose.remote));
@@ -145,6 +148,10 @@
         })
         .min();
     let wait = soonest.unwrap_or(cx.now + config.health.backoff_max) - cx.now;
+    refuse(config, cx, wait)
+}
+
+fn refuse(config: &Config, cx: &mut Context<'_>, wait: Duration) -> Error {
     Error {
         code: Code::StageUnavailable,
         retry_after: spread(cx, wait.max(config.health.backoff)),
--- a/crates/route/src/configs/mod.rs
+++ b/crates/route/src/configs/mod.rs
@@ -3,6 +3,7 @@
 pub mod cache;
 pub mod choose;
 pub mod health;
+pub mod outage;
 pub mod pace;
 pub mod state;
 
@@ -15,6 +16,8 @@
     pub choose: choose::Config,
     /// Ejection and return.
     pub health: health::Config,
+    /// Outages of a whole pool.
+    pub outage: outage::Config,
     /// Measured service times.
     pub pace: pace::Config,
     /// Load of one server.
--- a/crates/route/src/health.rs
+++ b/crates/route/src/health.rs
@@ -55,6 +55,18 @@
         }
     }
 
+    /// Tells whether the server is failing.
+    pub const fn is_failing(&self) -> bool {
+        matches!(self, Self::Failing { .. })
+    }
+
+    /// Lets a failing server return.
+    pub fn recover(&mut self) {
+        if self.is_failing() {
+            *self = Self::Returning { finished: 1 };
+        }
+    }
+
     /// Tells whether the server is ejected for slowness.
     pub const fn is_ejected(&self) -> bool {
         matches!(self, Self::Ejected { .. })
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod configs;
 pub mod event;
 pub mod health;
+pub mod outage;
 pub mod pace;
 pub mod pool;
 pub mod server;
--- a/crates/route/src/pool.rs
+++ b/crates/route/src/pool.rs
@@ -6,7 +6,9 @@
 
 use crate::{
     configs::Config,
+    event::Failure,
     health::{Health, Use},
+    outage::Outage,
     pace::Level,
     server::Server,
     state::State,
@@ -21,6 +23,7 @@
     /// Its servers, sorted by incarnation.
     pub servers: Vec<State>,
     level: Level,
+    outage: Outage,
     refreshed: Option<Tick>,
 }
 
@@ -31,6 +34,7 @@
             name,
             servers: Vec::new(),
             level: Level::new(&config.pace),
+            outage: Outage::default(),
             refreshed: None,
         }
     }
@@ -78,7 +82,49 @@
         let typical = self.typical();
         if let Some(seconds) = self.servers[at].finished(config, now, attempt, took, typical) {
             self.level.sample(&config.pace, seconds);
+            if self.outage.finished() {
+                for state in &mut self.servers {
+                    state.health.recover();
+                }
+            }
+        }
+    }
+
+    /// Books an attempt at the server at an index.
+    pub fn started(
+        &mut self,
+        config: &Config,
+        now: Tick,
+        at: usize,
+        attempt: Attempt,
+        prefix: Option<u64>,
+    ) {
+        self.outage.started(&config.outage, now);
+        self.servers[at].started(config, now, attempt, prefix);
+    }
+
+    /// Takes the end of an attempt without an answer of the server at an index.
+    pub fn failed(
+        &mut self,
+        config: &Config,
+        now: Tick,
+        at: usize,
+        attempt: Attempt,
+        kind: Failure,
+    ) {
+        self.servers[at].failed(config, now, attempt, kind);
+        if kind == Failure::Cancelled {
+            return;
         }
+        let present = self.servers.iter().filter(|state| state.present);
+        let failing = present.clone().filter(|state| state.health.is_failing());
+        let share = failing.count() as f64 / (present.count().max(1) as f64);
+        self.outage.failed(&config.outage, now, share);
+    }
+
+    /// Returns when the pool may get its next attempt, if it is down.
+    pub fn down_until(&self, now: Tick) -> Option<Tick> {
+        self.outage.until(now)
     }
 
     /// Ejects slow servers, when a search for them is due.
@@ -111,7 +157,18 @@
                 .iter()
                 .filter(|state| state.present && !state.server.leaving)
         };
-        let places = live().map(|state| state.places(now)).sum();
+        if let Some(until) = self.outage.until(now) {
+            return Capacity {
+                places: 0,
+                retry_after: until - now,
+            };
+        }
+        let places: u32 = live().map(|state| state.places(now)).sum();
+        let places = if self.outage.is_down() {
+            places.min(1)
+        } else {
+            places
+        };
         let soonest = live()
             .filter_map(|state| match state.health.allows(now) {
                 Use::None(until) => Some(until - now),
--- a/crates/route/src/table.rs
+++ b/crates/route/src/table.rs
@@ -168,12 +168,12 @@
         match event {
             Event::Started {
                 attempt, prefix, ..
-            } => state.started(config, now, attempt, prefix),
+            } => pool.started(config, now, at, attempt, prefix),
             Event::FirstByte { .. } => {}
             Event::Finished { attempt, took, .. } => {
                 pool.finished(config, now, at, attempt, took);
             }
-            Event::Failed { attempt, kind, .. } => state.failed(config, now, attempt, kind),
+            Event::Failed { attempt, kind, .. } => pool.failed(config, now, at, attempt, kind),
             Event::Load {
                 running,
                 waiting,
--- a/crates/route/tests/table.rs
+++ b/crates/route/tests/table.rs
@@ -301,3 +301,43 @@
     world.start(&servers[1].incarnation, None);
     expect_that!(world.pick(&ask).is_err(), eq(true));
 }
+
+#[gtest]
+fn a_large_pool_that_fails_outright_gets_single_probes_and_comes_back_whole() {
+    let servers: Vec<_> = (0..98).map(|number| server(number, "a")).collect();
+    let mut world = World::new(&servers);
+    let mut sent = 0;
+    for step in 0..1_000 {
+        world.now = Tick::from_millis(step * 10);
+        if let Ok(pick) = world.pick(&Ask::any(POOL)) {
+            sent += 1;
+            world.fail(&pick.incarnation, Failure::ConnectFailed);
+        }
+    }
+    // At most one attempt for each server before the pool counts as down; then 4 probes a second.
+    expect_that!(sent, le(98 + 10 * 4));
+    world.now = world.now + Duration::from_secs(1);
+    let pick = world.pick(&Ask::any(POOL)).expect("a probe");
+    let attempt = world.start(&pick.incarnation, None);
+    expect_that!(world.pick(&Ask::any(POOL)).is_err(), eq(true));
+    world.finish(&pick.incarnation, attempt, Duration::from_millis(20));
+    expect_that!(world.table.capacity(world.now, POOL).places, ge(98));
+}
+
+#[gtest]
+fn a_lost_failure_domain_is_no_outage_of_the_pool() {
+    let servers: Vec<_> = (0..8)
+        .map(|number| server(number, if number % 4 == 0 { "a" } else { "b" }))
+        .collect();
+    let mut world = World::new(&servers);
+    for server in servers
+        .iter()
+        .filter(|server| server.domain.as_str() == "a")
+    {
+        for _ in 0..10 {
+            world.fail(&server.incarnation, Failure::Slow);
+        }
+    }
+    let picks = world.counts(&servers, 20);
+    expect_that!(picks.iter().sum::<usize>(), eq(20));
+}
