--- a/crates/admit/src/gate.rs
+++ b/crates/admit/src/gate.rs
@@ -99,9 +99,9 @@
     }
 
     /// Returns the time that the stages of a pipeline from one on need, margin included.
-    pub fn need(&self, pipeline: &Name, from: usize) -> Duration {
+    pub fn need(&self, now: Tick, pipeline: &Name, from: usize) -> Duration {
         self.find_pipeline(pipeline).map_or(Duration::ZERO, |at| {
-            self.pipelines[at].need(&self.config.budget, from)
+            self.pipelines[at].need(&self.config.budget, now, from)
         })
     }
 
@@ -140,7 +140,7 @@
                 request,
                 stage,
                 took,
-            } => self.stage_took(request, stage, took),
+            } => self.stage_took(cx.now, request, stage, took),
             Event::Finished { request, cost } => self.finished(request, cost),
             Event::Cancelled { request } => self.cancelled(request),
             Event::Capacity {
@@ -191,12 +191,12 @@
             });
         }
         let left = ask.deadline - cx.now;
-        let need = self.pipelines[pipeline].need(&self.config.budget, 0);
+        let need = self.pipelines[pipeline].need(&self.config.budget, cx.now, 0);
         let spare = left.saturating_sub(self.pipelines[pipeline].usual());
         if let Some(back) = self.down(pipeline) {
             return Some(self.refuse(cx, Code::StageUnavailable, back, None, spare));
         }
-        let rate = self.rate(pipeline);
+        let rate = self.rate(cx.now, pipeline);
         let wait = self.wait(cx.now, ask, kind, rate);
         if wait + need > left {
             let over = wait + need - left;
@@ -218,12 +218,13 @@
     }
 
     /// Returns the requests a second that the narrowest pool of a pipeline serves.
-    fn rate(&self, pipeline: usize) -> Option<f64> {
+    fn rate(&self, now: Tick, pipeline: usize) -> Option<f64> {
         let pipeline = &self.pipelines[pipeline];
+        let times = pipeline.times(&self.config.budget, now);
         (0..pipeline.stages.len())
             .filter_map(|stage| {
                 let at = self.find_pool(&pipeline.stages[stage].pool).ok()?;
-                self.pools[at].rate(&self.config.pool, pipeline, stage)
+                self.pools[at].rate(&self.config.pool, &times, stage)
             })
             .min_by(f64::total_cmp)
     }
@@ -325,9 +326,11 @@
 
     /// Finds the request that goes first, among those whose pools have room.
     fn first(&self, now: Tick) -> Option<(usize, usize)> {
-        let open = || (0..self.lines.len()).filter(|at| self.has_room(&self.lines[*at].kind));
+        let open = || (0..self.lines.len()).filter(|at| self.has_room(now, &self.lines[*at].kind));
         if let Some(patient) = self.turn_of_oldest() {
-            let oldest = self.oldest(open().filter(|at| self.lines[*at].kind.patient == patient));
+            let sort = |patient| open().filter(move |at| self.lines[*at].kind.patient == patient);
+            let oldest = self.oldest(sort(patient));
+            let oldest = oldest.or_else(|| self.oldest(sort(!patient)));
             if oldest.is_some() {
                 return oldest;
             }
@@ -348,14 +351,11 @@
             .map(|at| (at, 0))
     }
 
-    /// Tells whether the next start goes to the oldest request, and if so, of which sort.
+    /// Tells whether the next start goes to the oldest request, and if so, whether to a patient one.
     const fn turn_of_oldest(&self) -> Option<bool> {
-        let config = &self.config.gate;
-        if self.starts % config.patient_every == config.patient_every - 1 {
-            return Some(true);
-        }
-        if self.starts % config.oldest_every == config.oldest_every - 1 {
-            return Some(false);
+        let every = self.config.gate.oldest_every;
+        if self.starts % every == every - 1 {
+            return Some(self.starts / every % 2 == 1);
         }
         None
     }
@@ -377,14 +377,15 @@
         u128::from(line.kind.priority) + raised
     }
 
-    fn has_room(&self, kind: &Kind) -> bool {
+    fn has_room(&self, now: Tick, kind: &Kind) -> bool {
         let Ok(at) = self.find_pipeline(&kind.pipeline) else {
             return true;
         };
         let pipeline = &self.pipelines[at];
+        let times = pipeline.times(&self.config.budget, now);
         (0..pipeline.stages.len()).all(|stage| {
             self.find_pool(&pipeline.stages[stage].pool)
-                .is_ok_and(|at| self.pools[at].has_room(&self.config.pool, pipeline, stage))
+                .is_ok_and(|at| self.pools[at].has_room(&self.config.pool, &times, stage))
         })
     }
 
@@ -430,8 +431,8 @@
             let Ok(at) = self.find_pipeline(&self.lines[line].kind.pipeline) else {
                 continue;
             };
-            let need = self.pipelines[at].need(&self.config.budget, 0);
-            let rate = self.rate(at);
+            let need = self.pipelines[at].need(&self.config.budget, cx.now, 0);
+            let rate = self.rate(cx.now, at);
             for entry in (0..self.lines[line].entries.len()).rev() {
                 if cx.now + need <= self.lines[line].entries[entry].deadline {
                     continue;
@@ -446,13 +447,13 @@
         actions
     }
 
-    fn stage_took(&mut self, request: Id, stage: usize, took: Duration) {
+    fn stage_took(&mut self, now: Tick, request: Id, stage: usize, took: Duration) {
         let Ok(at) = self.find_running(request) else {
             return;
         };
         let name = self.running[at].pipeline.clone();
         if let Ok(at) = self.find_pipeline(&name) {
-            self.pipelines[at].took(&self.config.budget, stage, took);
+            self.pipelines[at].took(&self.config.budget, now, stage, took);
         }
         if stage == self.running[at].stage {
             self.running[at].stage += 1;
--- a/crates/admit/src/returns.rs
+++ b/crates/admit/src/returns.rs
@@ -7,6 +7,9 @@
 
 use crate::{configs::returns::Config, event::Context};
 
+/// How much longer than planned a caller may be told to wait.
+const SPREAD: f64 = 1.5;
+
 /// Hands out times to come back at a rate that can be served.
 #[derive(Clone, Debug, Default)]
 pub struct Returns {
@@ -32,13 +35,13 @@
         let soonest = cx.now + wait.max(config.least);
         let latest = cx.now + config.most;
         let at = self.next.max(soonest).min(latest);
-        if spare > config.least && at - cx.now > spare {
+        if spare > config.least && (at - cx.now).mul_f64(SPREAD) > spare {
             return spare.mul_f64(cx.rng.random_range(0.4..1.0));
         }
         let gap = rate.map_or(Duration::ZERO, |rate| {
             Duration::from_secs_f64(1.0 / (rate * config.share).max(1.0))
         });
         self.next = at + gap;
-        (at - cx.now).mul_f64(cx.rng.random_range(1.0..1.5))
+        (at - cx.now).mul_f64(cx.rng.random_range(1.0..SPREAD))
     }
 }
