Answer at once where a stand-in's work takes no time

A timer of zero still waits for the next millisecond, and a call of the stand-in passed two of them: a direct call took 2,601 us at p50, which hid what an entry instance adds.

--- a/crates/fake/src/server/call.rs
+++ b/crates/fake/src/server/call.rs
@@ -65,7 +65,7 @@
     };
     record(&state, &body, &head);
     let work = work_time(&state);
-    actix_web::rt::time::sleep(work).await;
+    pause(work).await;
     drop(place);
     let faults = state.lock().faults.clone();
     after_run(&request, &faults).await;
@@ -131,7 +131,7 @@
     if faults.close_after_run {
         socket::close::<()>(request).await;
     }
-    actix_web::rt::time::sleep(Duration::from_millis(faults.late_answers_ms)).await;
+    pause(Duration::from_millis(faults.late_answers_ms)).await;
 }
 
 /// A wait for a place, which gives back a place that came too late to be taken.
@@ -231,6 +231,13 @@
     inner.history.note(Instant::now(), sample);
 }
 
+/// Waits, but not at all for no time: a timer would round it up to a millisecond.
+async fn pause(time: Duration) {
+    if !time.is_zero() {
+        actix_web::rt::time::sleep(time).await;
+    }
+}
+
 fn work_time(state: &State) -> Duration {
     let faults = &state.lock().faults;
     let work = Duration::from_secs_f64(state.config.work_ms / 1_000.0);
