--- a/crates/fake/src/platform.rs
+++ b/crates/fake/src/platform.rs
@@ -63,6 +63,8 @@
     appends: Bucket,
     faults: Faults,
     list: List,
+    /// Connections accepted before the one with this number are silent.
+    silent_before: u64,
     stats: Stats,
     streams: Streams,
     weight_bytes: usize,
@@ -90,6 +92,7 @@
                 appends: Bucket::new(config.appends_per_second, config.append_burst, now),
                 faults: config.faults.clone(),
                 list: List::default(),
+                silent_before: 0,
                 stats: Stats::default(),
                 streams: Streams::default(),
                 weight_bytes: config.weight_bytes,
--- a/crates/fake/src/platform/faults.rs
+++ b/crates/fake/src/platform/faults.rs
@@ -8,6 +8,8 @@
 pub struct Faults {
     /// Every service answers 503 without effect.
     pub down: bool,
+    /// Connections open when this is set go silent for good; it is back to false at once.
+    pub silence_open: bool,
     /// Added to every call, in milliseconds.
     pub slow_ms: u64,
     /// This many appends take effect and their connections are closed without an answer.
@@ -32,6 +34,7 @@
     fn default() -> Self {
         Self {
             down: false,
+            silence_open: false,
             slow_ms: 0,
             lose_answers: 0,
             hang_appends: 0,
--- a/crates/fake/src/platform/http.rs
+++ b/crates/fake/src/platform/http.rs
@@ -47,7 +47,7 @@
     stream: web::Path<String>,
     body: web::Json<Append>,
 ) -> HttpResponse {
-    if let Some(refusal) = unavailable(&state).await {
+    if let Some(refusal) = unavailable(&request, &state).await {
         return refusal;
     }
     let (fate, offset) = {
@@ -74,11 +74,12 @@
 }
 
 async fn read(
+    request: HttpRequest,
     state: web::Data<State>,
     stream: web::Path<String>,
     range: web::Query<Range>,
 ) -> HttpResponse {
-    if let Some(refusal) = unavailable(&state).await {
+    if let Some(refusal) = unavailable(&request, &state).await {
         return refusal;
     }
     let mut inner = state.lock();
@@ -92,8 +93,8 @@
     HttpResponse::Ok().json(inner.streams.read(&stream, range.from, limit))
 }
 
-async fn get_instances(state: web::Data<State>) -> HttpResponse {
-    if let Some(refusal) = unavailable(&state).await {
+async fn get_instances(request: HttpRequest, state: web::Data<State>) -> HttpResponse {
+    if let Some(refusal) = unavailable(&request, &state).await {
         return refusal;
     }
     let mut inner = state.lock();
@@ -104,27 +105,41 @@
 }
 
 async fn put_instance(
+    request: HttpRequest,
     state: web::Data<State>,
     name: web::Path<String>,
     instance: web::Json<Instance>,
 ) -> HttpResponse {
-    register(&state, &name, Some(instance.into_inner())).await
+    register(&request, &state, &name, Some(instance.into_inner())).await
 }
 
-async fn delete_instance(state: web::Data<State>, name: web::Path<String>) -> HttpResponse {
-    register(&state, &name, None).await
+async fn delete_instance(
+    request: HttpRequest,
+    state: web::Data<State>,
+    name: web::Path<String>,
+) -> HttpResponse {
+    register(&request, &state, &name, None).await
 }
 
-async fn register(state: &State, name: &str, instance: Option<Instance>) -> HttpResponse {
-    if let Some(refusal) = unavailable(state).await {
+async fn register(
+    request: &HttpRequest,
+    state: &State,
+    name: &str,
+    instance: Option<Instance>,
+) -> HttpResponse {
+    if let Some(refusal) = unavailable(request, state).await {
         return refusal;
     }
     state.lock().list.put(Instant::now(), name, instance);
     HttpResponse::Ok().json(json!({}))
 }
 
-async fn weight(state: web::Data<State>, name: web::Path<String>) -> HttpResponse {
-    if let Some(refusal) = unavailable(&state).await {
+async fn weight(
+    request: HttpRequest,
+    state: web::Data<State>,
+    name: web::Path<String>,
+) -> HttpResponse {
+    if let Some(refusal) = unavailable(&request, &state).await {
         return refusal;
     }
     let mut inner = state.lock();
@@ -145,7 +160,10 @@
     let mut inner = state.lock();
     let (lag, expire) = list_times(&inner);
     match merge::<Faults>(&inner.faults, &change) {
-        Ok(faults) => {
+        Ok(mut faults) => {
+            if core::mem::take(&mut faults.silence_open) {
+                inner.silent_before = socket::next_number();
+            }
             inner
                 .list
                 .freeze(Instant::now(), faults.list_frozen, lag, expire);
@@ -161,8 +179,12 @@
 }
 
 /// Delays a call as the faults say and refuses it while the platform is down.
-async fn unavailable(state: &State) -> Option<HttpResponse> {
-    let slow = state.lock().faults.slow_ms;
+async fn unavailable(request: &HttpRequest, state: &State) -> Option<HttpResponse> {
+    let (slow, silent_before) = {
+        let inner = state.lock();
+        (inner.faults.slow_ms, inner.silent_before)
+    };
+    socket::silence_before(request, silent_before).await;
     if slow > 0 {
         actix_web::rt::time::sleep(Duration::from_millis(slow)).await;
     }
--- a/crates/fake/src/server.rs
+++ b/crates/fake/src/server.rs
@@ -105,6 +105,8 @@
     orders: Orders,
     queue: Queue,
     runs: Runs,
+    /// Connections accepted before the one with this number are silent.
+    silent_before: u64,
     stats: Stats,
     streams: Streams,
 }
@@ -135,6 +137,7 @@
             orders: Orders::new(&config.models),
             queue: Queue::new(config.batch, config.queue),
             runs: Runs::default(),
+            silent_before: 0,
             stats: Stats::default(),
             streams: Streams::default(),
         };
--- a/crates/fake/src/server/call.rs
+++ b/crates/fake/src/server/call.rs
@@ -85,7 +85,11 @@
     state: &web::Data<State>,
     bytes: &[u8],
 ) -> Result<Admitted, HttpResponse> {
-    let faults = state.lock().faults.clone();
+    let (faults, silent_before) = {
+        let inner = state.lock();
+        (inner.faults.clone(), inner.silent_before)
+    };
+    socket::silence_before(request, silent_before).await;
     before_run(request, state, &faults, bytes).await;
     let head = Head::read(request)
         .ok_or_else(|| respond(state, StatusCode::BAD_REQUEST, None).body("no attempt"))?;
--- a/crates/fake/src/server/faults.rs
+++ b/crates/fake/src/server/faults.rs
@@ -18,6 +18,8 @@
     pub slow_ms: u64,
     /// Added between the end of the work and the answer, in milliseconds.
     pub late_answers_ms: u64,
+    /// Connections open when this is set go silent for good; it is back to false at once.
+    pub silence_open: bool,
     /// Calls are read, not run and never answered.
     pub silent: bool,
     /// Calls are run and never answered.
@@ -47,6 +49,7 @@
             slow_factor: 1.0,
             slow_ms: 0,
             late_answers_ms: 0,
+            silence_open: false,
             silent: false,
             silent_after_run: false,
             close_after_read: false,
--- a/crates/fake/src/server/http.rs
+++ b/crates/fake/src/server/http.rs
@@ -3,13 +3,13 @@
 use core::time::Duration;
 use std::time::Instant;
 
-use actix_web::{HttpResponse, web};
+use actix_web::{HttpRequest, HttpResponse, web};
 use base::Digest;
 use serde::Deserialize;
 use serde_json::{Value, json};
 
 use super::{Faults, Kind, State, cache::BLOCK_TOKENS, call, generate, orders::Order};
-use crate::merge::merge;
+use crate::{merge::merge, socket};
 
 /// The largest call taken, in bytes.
 const CALL_BYTES: usize = 8 * 1024 * 1024;
@@ -41,7 +41,7 @@
 }
 
 async fn generate_or_missing(
-    request: actix_web::HttpRequest,
+    request: HttpRequest,
     state: web::Data<State>,
     bytes: web::Bytes,
 ) -> HttpResponse {
@@ -56,9 +56,14 @@
     HttpResponse::Ok().json(json!({ "cancelled": cancelled }))
 }
 
-async fn load(state: web::Data<State>) -> HttpResponse {
-    if state.lock().faults.silent {
-        return crate::socket::silence().await;
+async fn load(request: HttpRequest, state: web::Data<State>) -> HttpResponse {
+    let (silent, silent_before) = {
+        let inner = state.lock();
+        (inner.faults.silent, inner.silent_before)
+    };
+    socket::silence_before(&request, silent_before).await;
+    if silent {
+        return socket::silence().await;
     }
     let inner = state.lock();
     let lag = Duration::from_millis(state.config.load_lag_ms);
@@ -127,7 +132,10 @@
 async fn put_faults(state: web::Data<State>, change: web::Json<Value>) -> HttpResponse {
     let mut inner = state.lock();
     match merge::<Faults>(&inner.faults, &change) {
-        Ok(faults) => {
+        Ok(mut faults) => {
+            if core::mem::take(&mut faults.silence_open) {
+                inner.silent_before = socket::next_number();
+            }
             inner.faults = faults;
             HttpResponse::Ok().json(&inner.faults)
         }
--- a/crates/fake/src/socket.rs
+++ b/crates/fake/src/socket.rs
@@ -1,6 +1,9 @@
-//! A second hold on a connection, so that a handler can close it without an answer.
+//! A second hold on a connection, so that a handler can close it or let it go silent.
 
-use core::any::Any;
+use core::{
+    any::Any,
+    sync::atomic::{AtomicU64, Ordering},
+};
 use std::{
     net::{Shutdown, TcpStream},
     os::fd::AsFd as _,
@@ -8,7 +11,18 @@
 
 use actix_web::{HttpRequest, dev::Extensions, rt::net};
 
-pub(crate) struct Socket(TcpStream);
+/// Connections accepted so far by every stand-in of this process.
+static ACCEPTED: AtomicU64 = AtomicU64::new(0);
+
+pub(crate) struct Socket {
+    number: u64,
+    stream: TcpStream,
+}
+
+/// Returns the number that the next connection will get.
+pub(crate) fn next_number() -> u64 {
+    ACCEPTED.load(Ordering::Relaxed)
+}
 
 /// Keeps a duplicate of an accepted connection in the connection's data.
 pub(crate) fn keep(connection: &dyn Any, data: &mut Extensions) {
@@ -18,18 +32,29 @@
     // A call waits for its answer; Nagle's algorithm would add its delay to every event.
     let _ = stream.set_nodelay(true);
     if let Ok(copy) = stream.as_fd().try_clone_to_owned() {
-        data.insert(Socket(TcpStream::from(copy)));
+        data.insert(Socket {
+            number: ACCEPTED.fetch_add(1, Ordering::Relaxed),
+            stream: TcpStream::from(copy),
+        });
     }
 }
 
 /// Closes the connection of a request without an answer and never returns.
 pub(crate) async fn close<T>(request: &HttpRequest) -> T {
     if let Some(socket) = request.conn_data::<Socket>() {
-        let _ = socket.0.shutdown(Shutdown::Both);
+        let _ = socket.stream.shutdown(Shutdown::Both);
     }
     silence().await
 }
 
+/// Never returns for a request on a connection that was accepted before one with this number.
+pub(crate) async fn silence_before(request: &HttpRequest, number: u64) {
+    let socket = request.conn_data::<Socket>();
+    if socket.is_some_and(|socket| socket.number < number) {
+        silence::<()>().await;
+    }
+}
+
 /// Never answers.
 pub(crate) async fn silence<T>() -> T {
     core::future::pending().await
--- a/crates/fake/tests/server.rs
+++ b/crates/fake/tests/server.rs
@@ -216,3 +216,19 @@
         }
     }
 }
+
+#[actix_web::test]
+async fn open_connections_go_silent_and_new_ones_work() {
+    let handle = start(Kind::Encode);
+    let client = Client::builder().timeout(LIMIT).finish();
+    let url = format!("{}/v1/load", handle.url());
+    client.get(&url).send().await.unwrap().body().await.unwrap();
+    faults(&handle, json!({"silence_open": true})).await;
+    assert_that!(client.get(&url).send().await.is_err(), eq(true));
+    let new = Client::builder().timeout(LIMIT).finish();
+    assert_that!(new.get(&url).send().await.is_ok(), eq(true));
+    assert_that!(
+        get(&handle, "/faults").await["silence_open"],
+        eq(&json!(false))
+    );
+}
