Cut failure domains off from the platform and silence connections

Entry instances reach the platform over a link of their domain, which a test cuts, silences and heals.

--- a/crates/proc/src/lib.rs
+++ b/crates/proc/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod caller;
 pub mod expect;
 pub mod judge;
+pub mod link;
 pub mod poll;
 pub mod process;
 pub mod programs;
--- a/crates/proc/src/scene.rs
+++ b/crates/proc/src/scene.rs
@@ -10,6 +10,7 @@
 use crate::{
     caller::{Ask, Caller},
     judge,
+    link::Link,
     process::Process,
 };
 
@@ -45,6 +46,8 @@
     pub bundle: Bundle,
     /// Entry instances, domain by domain.
     pub entries: Vec<Entry>,
+    /// The way of each domain's entry instances to the platform.
+    pub links: Vec<Link>,
     /// The platform.
     pub platform: Server,
     /// Backend servers, domain by domain.
--- a/crates/proc/src/scene/start.rs
+++ b/crates/proc/src/scene/start.rs
@@ -10,7 +10,9 @@
 use super::{Builder, Entry, ONE_AT_A_TIME, Scene, Server};
 use crate::{
     caller::{Ask, Caller},
-    expect, poll,
+    expect,
+    link::Link,
+    poll,
     process::Process,
 };
 
@@ -44,12 +46,14 @@
         let mut scene = Scene {
             bundle,
             entries: Vec::new(),
+            links: Vec::new(),
             platform,
             servers: Vec::new(),
             builder: self,
             _turn: turn,
         };
         for domain in &domains {
+            scene.start_link().await;
             scene.start_servers(domain);
             for number in 1..=scene.builder.entries {
                 scene.start_entry(domain, &format!("{domain}-entry-{number}"));
@@ -72,7 +76,16 @@
 }
 
 impl Scene {
+    async fn start_link(&mut self) {
+        let address = self.platform.process.address("listening ");
+        let address = address.parse().expect("an address");
+        self.links
+            .push(Link::open(address).await.expect("a free port"));
+    }
+
     /// Starts one more entry instance and returns its index.
+    ///
+    /// It reaches the platform over the link of its domain.
     pub fn start_entry(&mut self, domain: &str, name: &str) -> usize {
         let roots = ["author", "steward"].map(|role| Key::example(role).public().to_string());
         let args = [
@@ -80,7 +93,7 @@
             ("--peer-address", "127.0.0.1:0".to_owned()),
             ("--domain", domain.to_owned()),
             ("--name", name.to_owned()),
-            ("--platform", self.platform.url.clone()),
+            ("--platform", self.link_of(domain).url()),
             ("--poll-ms", POLL_MS.to_string()),
             ("--drain-ms", self.builder.drain.as_millis().to_string()),
             (
@@ -170,6 +183,16 @@
         }
     }
 
+    /// Returns the link of a domain, whose name ends in its number from 1.
+    fn link_of(&self, domain: &str) -> &Link {
+        let number = domain
+            .rsplit('-')
+            .next()
+            .and_then(|number| number.parse().ok());
+        let number: usize = number.expect("a numbered domain");
+        &self.links[number - 1]
+    }
+
     fn start_servers(&mut self, domain: &str) {
         let mut pools: Vec<String> = self
             .bundle
