--- a/crates/proc/src/scene/start.rs
+++ b/crates/proc/src/scene/start.rs
@@ -10,7 +10,9 @@
 use super::{Builder, Entry, ONE_AT_A_TIME, Scene, Server};
 use crate::{
     caller::{Ask, Caller},
-    expect, poll,
+    expect,
+    link::Link,
+    poll,
     process::Process,
 };
 
@@ -37,23 +39,21 @@
         }
         let bundle = Bundle::from_toml(&text).expect("the example is a bundle");
         let platform = self.platform();
-        let log = Http::open(&platform.url, PLATFORM_LIMIT);
-        let (author, steward) = (Key::example("author"), Key::example("steward"));
-        ctl::roll_out_all(&log, &text, &author, &steward)
-            .await
-            .expect("the example is rolled out");
+        roll_out(&platform.url, &text).await;
         let domains: Vec<String> = (1..=self.domains)
             .map(|at| format!("domain-{at}"))
             .collect();
         let mut scene = Scene {
             bundle,
             entries: Vec::new(),
+            links: Vec::new(),
             platform,
             servers: Vec::new(),
             builder: self,
             _turn: turn,
         };
         for domain in &domains {
+            scene.start_link().await;
             scene.start_servers(domain);
             for number in 1..=scene.builder.entries {
                 scene.start_entry(domain, &format!("{domain}-entry-{number}"));
@@ -76,7 +76,16 @@
 }
 
 impl Scene {
+    async fn start_link(&mut self) {
+        let address = self.platform.process.address("listening ");
+        let address = address.parse().expect("an address");
+        self.links
+            .push(Link::open(address).await.expect("a free port"));
+    }
+
     /// Starts one more entry instance and returns its index.
+    ///
+    /// It reaches the platform over the link of its domain.
     pub fn start_entry(&mut self, domain: &str, name: &str) -> usize {
         let roots = ["author", "steward"].map(|role| Key::example(role).public().to_string());
         let args = [
@@ -84,7 +93,7 @@
             ("--peer-address", "127.0.0.1:0".to_owned()),
             ("--domain", domain.to_owned()),
             ("--name", name.to_owned()),
-            ("--platform", self.platform.url.clone()),
+            ("--platform", self.link_of(domain).url()),
             ("--poll-ms", POLL_MS.to_string()),
             ("--drain-ms", self.builder.drain.as_millis().to_string()),
             (
@@ -139,6 +148,21 @@
         self.servers.len() - 1
     }
 
+    /// Rolls out a new version of the example, with one more pipeline of one stage.
+    ///
+    /// # Panics
+    ///
+    /// It is not rolled out.
+    pub async fn roll_out(&self, version: u64, pipeline: &str, pool: &str) {
+        let text = example(&self.builder.example);
+        let text = text.replace("\nversion = 1\n", &format!("\nversion = {version}\n"));
+        let added = format!(
+            "\n[[pipelines]]\nname = \"{pipeline}\"\ndeadline_ms = 5000\n\
+             [[pipelines.stages]]\nname = \"status\"\npool = \"{pool}\"\n"
+        );
+        roll_out(&self.platform.url, &(text + &added)).await;
+    }
+
     /// Waits until every entry instance answers each pipeline that has no consequences.
     ///
     /// # Panics
@@ -159,6 +183,16 @@
         }
     }
 
+    /// Returns the link of a domain, whose name ends in its number from 1.
+    fn link_of(&self, domain: &str) -> &Link {
+        let number = domain
+            .rsplit('-')
+            .next()
+            .and_then(|number| number.parse().ok());
+        let number: usize = number.expect("a numbered domain");
+        &self.links[number - 1]
+    }
+
     fn start_servers(&mut self, domain: &str) {
         let mut pools: Vec<String> = self
             .bundle
@@ -188,6 +222,14 @@
     }
 }
 
+/// Publishes a bundle, signs it off and puts it in force.
+async fn roll_out(platform: &str, text: &str) {
+    let log = Http::open(platform, PLATFORM_LIMIT);
+    let (author, steward) = (Key::example("author"), Key::example("steward"));
+    let rolled_out = ctl::roll_out_all(&log, text, &author, &steward).await;
+    rolled_out.expect("the bundle is rolled out");
+}
+
 /// Reads the bundle of an example.
 fn example(name: &str) -> String {
     let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../..");
