--- /dev/null
+++ b/crates/member/src/configs.rs
@@ -0,0 +1,3 @@
+//! Configuration of the roster.
+
+pub mod roster;
--- /dev/null
+++ b/crates/member/src/fact.rs
@@ -0,0 +1,245 @@
+//! What instances tell each other, one fact at a time.
+
+use core::time::Duration;
+
+use base::{Digest, Incarnation, Name};
+
+/// Short id of an incarnation: the head of the digest of its name and start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Id(pub u64);
+
+impl Id {
+    /// Derives the id of an incarnation.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use base::{Incarnation, Stamp};
+    /// use member::fact::Id;
+    /// let first = Incarnation::new("entry-1", Stamp::from_millis(1));
+    /// let second = Incarnation::new("entry-1", Stamp::from_millis(2));
+    /// assert_ne!(Id::of(&first), Id::of(&second));
+    /// ```
+    pub fn of(incarnation: &Incarnation) -> Self {
+        Self(Digest::of(incarnation.to_string().as_bytes()).prefix())
+    }
+}
+
+/// Whether new work may be sent to an instance or backend server.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub enum State {
+    /// It takes new work.
+    #[default]
+    Live,
+    /// It ends what it has and takes nothing new.
+    Leaving,
+}
+
+/// An entry instance.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Instance {
+    /// Its name and start.
+    pub incarnation: Incarnation,
+    /// Its failure domain.
+    pub domain: Name,
+    /// Where peers reach it, `ip:port`.
+    pub address: Name,
+    /// Whether it takes new work.
+    pub state: State,
+}
+
+/// The load of a backend server.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Load {
+    /// Requests that it runs.
+    pub running: u32,
+    /// Requests that wait in it.
+    pub waiting: u32,
+    /// Use of the memory for KV caches, in thousandths.
+    pub memory: u32,
+    /// How old the figures were when they were told.
+    pub age: Duration,
+}
+
+/// A backend server.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Server {
+    /// Its name and start.
+    pub incarnation: Incarnation,
+    /// Its failure domain.
+    pub domain: Name,
+    /// Where it is reached, `ip:port`.
+    pub address: Name,
+    /// The pool that it belongs to.
+    pub pool: Name,
+    /// Whether it takes new work.
+    pub state: State,
+    /// Its load, where it reports one.
+    pub load: Option<Load>,
+}
+
+/// One pool of a failure domain, summed.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Pool {
+    /// The name of the pool.
+    pub name: Name,
+    /// Backend servers that take new work.
+    pub live: u32,
+    /// Backend servers that are leaving.
+    pub leaving: u32,
+    /// Requests that the live ones run.
+    pub running: u32,
+    /// Requests that wait in the live ones.
+    pub waiting: u32,
+}
+
+/// What one failure domain says of itself to the others.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Domain {
+    /// The name of the failure domain.
+    pub name: Name,
+    /// Grows with each summary of this failure domain.
+    pub version: u64,
+    /// Its pools, by name.
+    pub pools: Vec<Pool>,
+    /// A few entry instances to talk to.
+    pub instances: Vec<Instance>,
+    /// How many entry instances it has heard lately.
+    pub count: u32,
+    /// How many entry instances it knows but has not heard lately.
+    pub unheard: u32,
+    /// The configurations in force at its instances, each once.
+    pub positions: Vec<Position>,
+    /// Counters by pipeline, summed over its instances.
+    pub burns: Vec<Burn>,
+}
+
+/// The place in the log of the configuration in force.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Position {
+    /// Offset of the record in the log.
+    pub offset: u64,
+    /// Digest of the configuration.
+    pub digest: Digest,
+}
+
+/// A content that was in flight when backend servers died.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Suspect {
+    /// Digest over client account, pipeline and body.
+    pub digest: Digest,
+    /// The backend servers that died with it, in order.
+    pub crashed: Vec<Id>,
+    /// Whether it has completed alone since.
+    pub cleared: bool,
+    /// Grows with each change that one instance makes to this fact.
+    pub version: u64,
+    /// The backend server that runs it now.
+    pub running: Option<Id>,
+}
+
+/// Demand of one client account at an instance.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Demand {
+    /// The client account.
+    pub account: Name,
+    /// Cost units a second that were asked for.
+    pub asked: u32,
+    /// Cost units a second that were admitted.
+    pub admitted: u32,
+}
+
+/// Counters of one pipeline at an instance since its start.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Burn {
+    /// The pipeline.
+    pub pipeline: Name,
+    /// Requests answered in time.
+    pub good: u64,
+    /// Requests answered late.
+    pub late: u64,
+    /// Requests refused.
+    pub refused: u64,
+    /// Cost units spent.
+    pub cost: u64,
+}
+
+impl Burn {
+    /// Adds the counters of another instance for the same pipeline.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use member::fact::Burn;
+    /// let mut sum = Burn { good: 1, ..Burn::default() };
+    /// sum.add(&Burn { good: 2, late: 1, ..Burn::default() });
+    /// assert_eq!((sum.good, sum.late), (3, 1));
+    /// ```
+    pub const fn add(&mut self, other: &Self) {
+        self.good += other.good;
+        self.late += other.late;
+        self.refused += other.refused;
+        self.cost += other.cost;
+    }
+}
+
+/// One thing that an instance tells its peers.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Fact {
+    /// Counters of a pipeline.
+    Burn(Burn),
+    /// Demand of a client account.
+    Demand(Demand),
+    /// A failure domain in short.
+    Domain(Domain),
+    /// The instance itself.
+    Instance(Instance),
+    /// The configuration in force.
+    Position(Position),
+    /// A backend server.
+    Server(Server),
+    /// A content that may crash backend servers.
+    Suspect(Suspect),
+}
+
+/// What a fact is about; an instance tells at most one fact about each subject.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Subject {
+    /// A pipeline.
+    Burn(Name),
+    /// A client account.
+    Demand(Name),
+    /// A failure domain.
+    Domain(Name),
+    /// The instance itself.
+    Instance,
+    /// The configuration in force.
+    Position,
+    /// A backend server, by name.
+    Server(Name),
+    /// A content.
+    Suspect(Digest),
+}
+
+impl Fact {
+    /// Returns what the fact is about.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use member::fact::{Demand, Fact, Subject};
+    /// let fact = Fact::Demand(Demand { account: "adinkra".into(), ..Demand::default() });
+    /// assert_eq!(fact.subject(), Subject::Demand("adinkra".into()));
+    /// ```
+    pub fn subject(&self) -> Subject {
+        match self {
+            Self::Burn(burn) => Subject::Burn(burn.pipeline.clone()),
+            Self::Demand(demand) => Subject::Demand(demand.account.clone()),
+            Self::Domain(domain) => Subject::Domain(domain.name.clone()),
+            Self::Instance(_) => Subject::Instance,
+            Self::Position(_) => Subject::Position,
+            Self::Server(server) => Subject::Server(server.incarnation.name.clone()),
+            Self::Suspect(suspect) => Subject::Suspect(suspect.digest),
+        }
+    }
+}
--- /dev/null
+++ b/crates/member/src/mark.rs
@@ -0,0 +1,98 @@
+//! Marks of incarnations that were seen leaving.
+
+use base::{Incarnation, Name, Stamp, Tick};
+
+/// Every incarnation seen leaving; a mark is never taken back.
+#[derive(Clone, Debug, Default)]
+pub struct Marks(Vec<Mark>);
+
+#[derive(Clone, Debug)]
+struct Mark {
+    name: Name,
+    /// The latest start that was seen leaving; earlier ones are over as well.
+    start: Stamp,
+    /// When that start was marked.
+    made: Tick,
+    named: Tick,
+}
+
+impl Marks {
+    /// Marks an incarnation, and tells whether that was news.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use base::{Incarnation, Stamp, Tick};
+    /// let mut marks = member::mark::Marks::default();
+    /// let first = Incarnation::new("runner-1", Stamp::from_millis(1));
+    /// let second = Incarnation::new("runner-1", Stamp::from_millis(2));
+    /// assert!(marks.add(Tick::default(), &first));
+    /// assert!(marks.holds(&first) && !marks.holds(&second));
+    /// ```
+    pub fn add(&mut self, now: Tick, incarnation: &Incarnation) -> bool {
+        match self.find(&incarnation.name) {
+            Ok(at) => {
+                let mark = &mut self.0[at];
+                mark.named = now;
+                if incarnation.start <= mark.start {
+                    return false;
+                }
+                mark.start = incarnation.start;
+                mark.made = now;
+                true
+            }
+            Err(at) => {
+                let mark = Mark {
+                    name: incarnation.name.clone(),
+                    start: incarnation.start,
+                    made: now,
+                    named: now,
+                };
+                self.0.insert(at, mark);
+                true
+            }
+        }
+    }
+
+    /// Tells whether an incarnation was seen leaving.
+    pub fn holds(&self, incarnation: &Incarnation) -> bool {
+        self.find(&incarnation.name)
+            .is_ok_and(|at| incarnation.start <= self.0[at].start)
+    }
+
+    /// Returns the latest few marks made since an instant.
+    pub fn recent(&self, since: Tick, count: usize) -> Vec<Incarnation> {
+        let mut recent: Vec<&Mark> = self.0.iter().filter(|mark| mark.made >= since).collect();
+        recent.sort_by_key(|mark| core::cmp::Reverse(mark.made));
+        let marks = recent.into_iter().take(count);
+        marks
+            .map(|mark| Incarnation::new(mark.name.clone(), mark.start))
+            .collect()
+    }
+
+    /// Notes that some source still names the holder of a name.
+    pub fn name(&mut self, now: Tick, name: &Name) {
+        if let Ok(at) = self.find(name) {
+            self.0[at].named = now;
+        }
+    }
+
+    /// Forgets marks of names that no source has named since an instant.
+    pub fn forget(&mut self, since: Tick) {
+        self.0.retain(|mark| mark.named >= since);
+    }
+
+    /// Returns how many names are marked.
+    pub fn len(&self) -> usize {
+        self.0.len()
+    }
+
+    /// Tells whether no name is marked.
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+
+    fn find(&self, name: &Name) -> Result<usize, usize> {
+        self.0.binary_search_by(|mark| mark.name.cmp(name))
+    }
+}
--- /dev/null
+++ b/crates/member/src/roster.rs
@@ -0,0 +1,422 @@
+//! The roster of one instance: what it knows of the others, and what it does to know it.
+
+use core::time::Duration;
+
+use base::{Incarnation, Name, Stamp, Tick};
+
+use crate::{
+    action::Action,
+    configs,
+    event::{Context, Event, Listing, Role, Word},
+    fact::{Domain, Fact, Id, Instance, Load, Server, State, Subject},
+    mark::Marks,
+    peers::{Peer, Peers},
+    servers::Servers,
+    summary::Summary,
+    table::{News, STEP, Table},
+    view::{self, View},
+};
+
+mod bridge;
+mod duty;
+mod round;
+
+/// The membership core of one instance.
+///
+/// It reads no clock and does no I/O: the driver hands it events with the time and carries out the actions.
+#[derive(Debug)]
+pub struct Roster {
+    own: Instance,
+    config: configs::roster::Roster,
+    table: Table,
+    marks: Marks,
+    servers: Servers,
+    peers: Peers,
+    domains: Vec<Remote>,
+    /// Whether the last summary came from an instance that knows the same origins.
+    agreed: bool,
+    next: Next,
+    polls: Vec<duty::Poll>,
+    roles: duty::Roles,
+    revision: u64,
+}
+
+/// Another failure domain and when news of it last came.
+#[derive(Clone, Debug)]
+struct Remote {
+    domain: Domain,
+    heard: Tick,
+}
+
+/// When each periodic task is due.
+#[derive(Clone, Copy, Debug, Default)]
+struct Next {
+    bridge: Tick,
+    round: Tick,
+}
+
+impl Roster {
+    /// Opens the roster of an instance, which knows nobody yet.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use base::{Incarnation, Stamp, Tick};
+    /// use member::{Roster, configs, fact::Instance};
+    /// let own = Instance {
+    ///     incarnation: Incarnation::new("entry-1", Stamp::from_millis(1)),
+    ///     domain: "accra-1".into(),
+    ///     address: "127.0.0.1:7001".into(),
+    ///     ..Instance::default()
+    /// };
+    /// let roster = Roster::open(own, configs::roster::Roster::default(), Tick::default());
+    /// assert!(roster.view(Tick::default()).pools.is_empty());
+    /// ```
+    pub fn open(own: Instance, config: configs::roster::Roster, now: Tick) -> Self {
+        let mut table = Table::new(Id::of(&own.incarnation), now);
+        table.tell(1, Fact::Instance(own.clone()));
+        Self {
+            own,
+            config,
+            table,
+            marks: Marks::default(),
+            servers: Servers::default(),
+            peers: Peers::default(),
+            domains: Vec::new(),
+            agreed: false,
+            next: Next::default(),
+            polls: Vec::new(),
+            roles: duty::Roles::default(),
+            revision: 0,
+        }
+    }
+
+    /// Handles one event and returns what is to be done.
+    ///
+    /// - An incarnation once seen leaving stays leaving, whatever a list or a peer says later.
+    /// - A later start under the same name supersedes an earlier one.
+    /// - First-hand news of a leaving incarnation goes to every peer of the failure domain at once.
+    pub fn on(&mut self, context: &mut Context<'_>, event: Event) -> Vec<Action> {
+        self.table.beat(context.now, version(context.stamp));
+        match event {
+            Event::Answered(summary) => self.answered(context, &summary),
+            Event::Asked(summary) => self.asked(context, &summary),
+            Event::Heard(word) => self.heard(context, &word),
+            Event::Listed(list) => self.listed(context, &list),
+            Event::Stop => self.stop(context),
+            Event::Tell(fact) => self.tell(context, fact),
+            Event::Tick => self.tick(context),
+            Event::Withdraw(subject) => {
+                self.table.withdraw(version(context.stamp), &subject);
+                Vec::new()
+            }
+        }
+    }
+
+    /// Returns whom to use at an instant, each list sorted by name.
+    pub fn view(&self, now: Tick) -> View {
+        let mut pools: Vec<view::Pool> = Vec::new();
+        for known in self.servers.iter() {
+            let at = match pools.binary_search_by(|pool| pool.name.cmp(&known.pool)) {
+                Ok(at) => at,
+                Err(at) => {
+                    let pool = view::Pool {
+                        name: known.pool.clone(),
+                        servers: Vec::new(),
+                    };
+                    pools.insert(at, pool);
+                    at
+                }
+            };
+            pools[at].servers.push(view::Server {
+                incarnation: known.incarnation.clone(),
+                address: known.address.clone(),
+                state: self.state(&known.incarnation),
+                load: known.load.map(|(load, held)| Load {
+                    age: now - held,
+                    ..load
+                }),
+                age: now - known.heard,
+            });
+        }
+        let peers = self.peers.iter().map(|peer| self.peer(now, peer)).collect();
+        let remote = |one: &Remote| view::Domain {
+            summary: one.domain.clone(),
+            age: now - one.heard,
+        };
+        View {
+            pools,
+            peers,
+            domains: self.domains.iter().map(remote).collect(),
+        }
+    }
+
+    /// Returns the live instances of the own failure domain, the own one included, by name.
+    ///
+    /// Roles are assigned among these by [`crate::rendezvous`].
+    pub fn members(&self, now: Tick) -> Vec<Incarnation> {
+        let mut members: Vec<Incarnation> = self
+            .near(now)
+            .filter(|peer| peer.instance.state == State::Live)
+            .map(|peer| peer.instance.incarnation.clone())
+            .collect();
+        if self.own.state == State::Live || members.is_empty() {
+            members.push(self.own.incarnation.clone());
+        }
+        members.sort_unstable();
+        members
+    }
+
+    /// Returns every fact of every origin, with the time since it was last known to stand.
+    pub fn facts(&self, now: Tick) -> impl Iterator<Item = (Id, Duration, &Fact)> {
+        self.table.origins().iter().flat_map(move |origin| {
+            let age = now - origin.heard;
+            origin.facts().map(move |(_, fact)| (origin.id, age, fact))
+        })
+    }
+
+    /// Returns a number that grows whenever servers, peers or marks change, loads aside.
+    pub const fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// Tells whether an incarnation was seen leaving.
+    pub fn left(&self, incarnation: &Incarnation) -> bool {
+        self.marks.holds(incarnation)
+    }
+
+    fn answered(&mut self, context: &Context<'_>, summary: &Summary) -> Vec<Action> {
+        let told = self.take(context, summary, true);
+        self.carry(context, summary);
+        told
+    }
+
+    fn asked(&mut self, context: &Context<'_>, summary: &Summary) -> Vec<Action> {
+        let mut actions = self.take(context, summary, false);
+        actions.push(Action::Answer(self.answer(context.now, summary)));
+        actions
+    }
+
+    fn take(&mut self, context: &Context<'_>, summary: &Summary, answered: bool) -> Vec<Action> {
+        self.compare(summary);
+        let news = self.table.merge(context.now, summary, answered);
+        let mut actions = self.absorb(context, news);
+        self.learn(context, &summary.leaving);
+        actions.extend(self.adopt(context, summary));
+        actions
+    }
+
+    /// Takes in what a backend server said of itself.
+    fn heard(&mut self, context: &mut Context<'_>, word: &Word) -> Vec<Action> {
+        let now = context.now;
+        let Some(known) = self.servers.get(&word.incarnation.name) else {
+            return Vec::new();
+        };
+        let server = Server {
+            incarnation: word.incarnation.clone(),
+            domain: self.own.domain.clone(),
+            address: known.address.clone(),
+            pool: known.pool.clone(),
+            state: word.state,
+            load: word.load,
+        };
+        let renewed = word.incarnation > known.incarnation;
+        let Some(known) = self.servers.place(now, &server) else {
+            return Vec::new();
+        };
+        known.hear(now, word.load);
+        self.revision += u64::from(renewed);
+        self.report(context, &server);
+        match word.state {
+            State::Live => Vec::new(),
+            State::Leaving => self.leave(context, &word.incarnation),
+        }
+    }
+
+    fn listed(&mut self, context: &mut Context<'_>, list: &[Listing]) -> Vec<Action> {
+        let mut actions = Vec::new();
+        for listing in list {
+            self.place(context.now, listing);
+            if listing.state == State::Leaving {
+                actions.extend(self.leave(context, &listing.incarnation));
+            }
+        }
+        let gone = self.servers.absent(context.now, &self.marks, &self.config);
+        self.drop(context, &gone);
+        actions
+    }
+
+    fn place(&mut self, now: Tick, listing: &Listing) {
+        self.marks.name(now, &listing.incarnation.name);
+        match &listing.role {
+            Role::Backend(pool) if listing.domain == self.own.domain => {
+                let server = Server {
+                    incarnation: listing.incarnation.clone(),
+                    domain: listing.domain.clone(),
+                    address: listing.address.clone(),
+                    pool: pool.clone(),
+                    state: listing.state,
+                    load: None,
+                };
+                self.see(now, &server);
+                if let Some(known) = self.servers.get_mut(&listing.incarnation.name) {
+                    known.listed = now;
+                }
+            }
+            Role::Backend(_) => {}
+            Role::Entry if listing.incarnation.name == self.own.incarnation.name => {}
+            Role::Entry => {
+                let instance = Instance {
+                    incarnation: listing.incarnation.clone(),
+                    domain: listing.domain.clone(),
+                    address: listing.address.clone(),
+                    state: self.state(&listing.incarnation),
+                };
+                self.peers.place(now, &instance);
+            }
+        }
+    }
+
+    /// Places a backend server, unless it is an ended one that nothing but an old list knows.
+    fn see(&mut self, now: Tick, server: &Server) {
+        let name = &server.incarnation.name;
+        let before = self
+            .servers
+            .get(name)
+            .map(|known| known.incarnation.clone());
+        if before.is_none() && self.marks.holds(&server.incarnation) {
+            return;
+        }
+        self.servers.place(now, server);
+        let after = self.servers.get(name).map(|known| &known.incarnation);
+        self.revision += u64::from(before.as_ref() != after);
+    }
+
+    /// Marks an incarnation on first-hand news and passes that on.
+    fn leave(&mut self, context: &mut Context<'_>, incarnation: &Incarnation) -> Vec<Action> {
+        if !self.marks.add(context.now, incarnation) {
+            return Vec::new();
+        }
+        self.revision += 1;
+        self.peers.leave(incarnation);
+        let known = self.servers.get(&incarnation.name);
+        if let Some(known) = known.filter(|known| known.incarnation == *incarnation) {
+            let server = Server {
+                incarnation: incarnation.clone(),
+                domain: self.own.domain.clone(),
+                address: known.address.clone(),
+                pool: known.pool.clone(),
+                state: State::Leaving,
+                load: None,
+            };
+            self.table
+                .tell(version(context.stamp), Fact::Server(server));
+        }
+        self.notify(context.now, incarnation)
+    }
+
+    /// Takes over marks that a peer passed on.
+    fn learn(&mut self, context: &Context<'_>, leaving: &[Incarnation]) {
+        for incarnation in leaving {
+            if self.marks.add(context.now, incarnation) {
+                self.revision += 1;
+                self.peers.leave(incarnation);
+            }
+        }
+    }
+
+    /// Takes in facts that are new in the table.
+    fn absorb(&mut self, context: &Context<'_>, news: Vec<News>) -> Vec<Action> {
+        let mut learned = Vec::new();
+        for News { origin, age, fact } in news {
+            match fact {
+                Fact::Domain(domain) => self.hear(context.now, domain),
+                Fact::Instance(instance) => self.meet(context, &instance),
+                Fact::Server(server) => self.hear_server(context.now, &server, age),
+                Fact::Burn(_) | Fact::Demand(_) | Fact::Position(_) | Fact::Suspect(_) => {
+                    learned.push(Action::Learned { origin, fact });
+                }
+            }
+        }
+        learned
+    }
+
+    fn meet(&mut self, context: &Context<'_>, instance: &Instance) {
+        if instance.state == State::Leaving {
+            self.learn(context, core::slice::from_ref(&instance.incarnation));
+        }
+        self.peers.place(context.now, instance);
+        self.revision += 1;
+    }
+
+    fn hear_server(&mut self, now: Tick, server: &Server, age: Duration) {
+        if server.state == State::Leaving && self.marks.add(now, &server.incarnation) {
+            self.revision += 1;
+        }
+        self.see(now, server);
+        let held = Tick::from_micros(now.as_micros().saturating_sub(micros(age)));
+        if let Some(known) = self.servers.get_mut(&server.incarnation.name)
+            && known.incarnation == server.incarnation
+        {
+            known.hear(held, server.load);
+        }
+    }
+
+    fn stop(&mut self, context: &mut Context<'_>) -> Vec<Action> {
+        self.own.state = State::Leaving;
+        self.table
+            .tell(version(context.stamp), Fact::Instance(self.own.clone()));
+        let own = self.own.incarnation.clone();
+        self.leave(context, &own)
+    }
+
+    fn tell(&mut self, context: &Context<'_>, fact: Fact) -> Vec<Action> {
+        self.table.tell(version(context.stamp), fact);
+        Vec::new()
+    }
+
+    fn drop(&mut self, context: &Context<'_>, names: &[Name]) {
+        for name in names {
+            self.revision += 1;
+            let subject = Subject::Server(name.clone());
+            self.table.withdraw(version(context.stamp), &subject);
+        }
+    }
+
+    fn state(&self, incarnation: &Incarnation) -> State {
+        match self.marks.holds(incarnation) {
+            true => State::Leaving,
+            false => State::Live,
+        }
+    }
+
+    fn peer(&self, now: Tick, peer: &Peer) -> view::Peer {
+        let origin = self.table.origin(peer.id).filter(|one| one.version > 0);
+        let age = origin.map(|one| now - one.heard);
+        view::Peer {
+            instance: peer.instance.clone(),
+            age,
+            heard: age.is_some_and(|age| age <= self.config.lost),
+        }
+    }
+
+    /// Returns the other instances of the own failure domain that were heard lately.
+    fn near(&self, now: Tick) -> impl Iterator<Item = &Peer> {
+        let lost = self.config.lost;
+        let heard = move |peer: &&Peer| {
+            let origin = self.table.origin(peer.id).filter(|one| one.version > 0);
+            origin.is_some_and(|one| now - one.heard <= lost)
+        };
+        let near = |peer: &&Peer| peer.instance.domain == self.own.domain;
+        self.peers.iter().filter(near).filter(heard)
+    }
+}
+
+/// Returns the version that belongs to a wall-clock time.
+fn version(stamp: Stamp) -> u64 {
+    stamp.as_millis() / u64::try_from(STEP.as_millis()).unwrap_or(1)
+}
+
+fn micros(span: Duration) -> u64 {
+    u64::try_from(span.as_micros()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/member/src/roster/bridge.rs
@@ -0,0 +1,213 @@
+//! Summaries between failure domains, carried by one instance of each.
+
+use base::{Incarnation, Name, Tick};
+use rand::seq::IndexedRandom;
+
+use super::{Remote, Roster, version};
+use crate::{
+    action::Action,
+    event::Context,
+    fact::{Burn, Domain, Fact, Id, Instance, Load, Pool, Position, State, Subject},
+    rendezvous,
+    summary::Summary,
+    view,
+};
+
+/// Entry instances that a failure domain names to the others.
+const NAMED: usize = 4;
+
+impl Roster {
+    /// Exchanges summaries with each other failure domain for which this instance holds the role.
+    pub(super) fn bridges(
+        &mut self,
+        context: &mut Context<'_>,
+        members: &[Incarnation],
+    ) -> Vec<Action> {
+        if context.now < self.next.bridge {
+            return Vec::new();
+        }
+        self.next.bridge = context.now + self.config.bridge;
+        let domains = self.abroad_names();
+        let own = Some(&self.own.incarnation);
+        let mine = |name: &&Name| {
+            let key = [b"bridge/", name.as_str().as_bytes()].concat();
+            rendezvous::owner(members, &key) == own
+        };
+        let mut actions = Vec::new();
+        for name in domains.iter().filter(|name| !mine(name)) {
+            let subject = Subject::Domain(name.clone());
+            self.table.withdraw(version(context.stamp), &subject);
+        }
+        for name in domains.iter().filter(mine) {
+            let Some(address) = self.door(context, name) else {
+                continue;
+            };
+            let summary = self.abroad(context.now);
+            actions.push(Action::Exchange { address, summary });
+        }
+        actions
+    }
+
+    /// Builds what this failure domain says to another one.
+    pub(super) fn abroad(&self, now: Tick) -> Summary {
+        let mut facts = vec![Fact::Domain(self.summary(now))];
+        for (_, _, fact) in self.facts(now) {
+            if matches!(fact, Fact::Suspect(_)) && !facts.contains(fact) {
+                facts.push(fact.clone());
+            }
+        }
+        Summary {
+            sender: Id::of(&self.own.incarnation),
+            facts,
+            ..Summary::default()
+        }
+    }
+
+    /// Takes in facts from another failure domain.
+    pub(super) fn adopt(&mut self, context: &Context<'_>, summary: &Summary) -> Vec<Action> {
+        let origin = summary.sender;
+        let mut learned = Vec::new();
+        for fact in &summary.facts {
+            match fact {
+                Fact::Domain(domain) => self.hear(context.now, domain.clone()),
+                fact => learned.push(Action::Learned {
+                    origin,
+                    fact: fact.clone(),
+                }),
+            }
+        }
+        learned
+    }
+
+    /// Tells the own failure domain what another one answered.
+    ///
+    /// Only the asking side does so: the other side asks by itself.
+    pub(super) fn carry(&mut self, context: &Context<'_>, summary: &Summary) {
+        for fact in &summary.facts {
+            if let Fact::Domain(domain) = fact
+                && domain.name != self.own.domain
+            {
+                self.table.tell(version(context.stamp), fact.clone());
+            }
+        }
+    }
+
+    /// Takes in what another failure domain says of itself, where it is newer.
+    pub(super) fn hear(&mut self, now: Tick, domain: Domain) {
+        if domain.name == self.own.domain {
+            return;
+        }
+        for instance in &domain.instances {
+            self.peers.place(now, instance);
+        }
+        let remote = Remote { domain, heard: now };
+        match self
+            .domains
+            .binary_search_by(|one| one.domain.name.cmp(&remote.domain.name))
+        {
+            Ok(at) if self.domains[at].domain.version >= remote.domain.version => {}
+            Ok(at) => self.domains[at] = remote,
+            Err(at) => self.domains.insert(at, remote),
+        }
+        self.revision += 1;
+    }
+
+    fn summary(&self, now: Tick) -> Domain {
+        let view = self.view(now);
+        let near: Vec<&view::Peer> = view
+            .peers
+            .iter()
+            .filter(|peer| peer.instance.domain == self.own.domain)
+            .collect();
+        let heard = near.iter().filter(|peer| peer.heard);
+        let mut instances: Vec<Instance> = heard.map(|peer| peer.instance.clone()).collect();
+        let unheard = count(near.len() - instances.len());
+        instances.push(self.own.clone());
+        let total = count(instances.len());
+        instances.retain(|one| one.state == State::Live);
+        instances.truncate(NAMED);
+        let newest = self
+            .table
+            .origins()
+            .iter()
+            .map(|origin| origin.version)
+            .max();
+        Domain {
+            name: self.own.domain.clone(),
+            version: newest.unwrap_or_default(),
+            pools: view.pools.iter().map(sum).collect(),
+            instances,
+            count: total,
+            unheard,
+            positions: self.positions(now),
+            burns: self.burns(now),
+        }
+    }
+
+    fn positions(&self, now: Tick) -> Vec<Position> {
+        let told = self
+            .facts(now)
+            .filter(|(_, age, _)| *age <= self.config.lost);
+        let mut positions: Vec<Position> = told
+            .filter_map(|(_, _, fact)| match fact {
+                Fact::Position(position) => Some(*position),
+                _ => None,
+            })
+            .collect();
+        positions.sort_unstable_by_key(|one| (one.offset, one.digest));
+        positions.dedup();
+        positions
+    }
+
+    fn burns(&self, now: Tick) -> Vec<Burn> {
+        let mut sums: Vec<Burn> = Vec::new();
+        for (_, _, fact) in self.facts(now) {
+            let Fact::Burn(burn) = fact else { continue };
+            match sums.binary_search_by(|sum| sum.pipeline.cmp(&burn.pipeline)) {
+                Ok(at) => sums[at].add(burn),
+                Err(at) => sums.insert(at, burn.clone()),
+            }
+        }
+        sums
+    }
+
+    fn abroad_names(&self) -> Vec<Name> {
+        let listed = self.peers.iter().map(|peer| peer.instance.domain.clone());
+        let told = self.domains.iter().map(|one| one.domain.name.clone());
+        let mut names: Vec<Name> = listed
+            .chain(told)
+            .filter(|name| *name != self.own.domain)
+            .collect();
+        names.sort_unstable();
+        names.dedup();
+        names
+    }
+
+    fn door(&self, context: &mut Context<'_>, domain: &Name) -> Option<Name> {
+        let there = self
+            .peers
+            .iter()
+            .filter(|peer| peer.instance.domain == *domain);
+        let live = there.filter(|peer| peer.instance.state == State::Live);
+        let doors: Vec<&Name> = live.map(|peer| &peer.instance.address).collect();
+        doors
+            .choose(&mut *context.rng)
+            .map(|address| (*address).clone())
+    }
+}
+
+fn sum(pool: &view::Pool) -> Pool {
+    let live = || pool.servers.iter().filter(|one| one.state == State::Live);
+    let total = |of: fn(&Load) -> u32| live().filter_map(|one| one.load.as_ref()).map(of).sum();
+    Pool {
+        name: pool.name.clone(),
+        live: count(live().count()),
+        leaving: count(pool.servers.len() - live().count()),
+        running: total(|load| load.running),
+        waiting: total(|load| load.waiting),
+    }
+}
+
+fn count(number: usize) -> u32 {
+    u32::try_from(number).unwrap_or(u32::MAX)
+}
--- /dev/null
+++ b/crates/member/src/roster/round.rs
@@ -0,0 +1,124 @@
+//! Rounds of exchanges within the failure domain, and notices that do not wait for a round.
+
+use core::time::Duration;
+
+use base::{Incarnation, Name, Tick};
+use rand::seq::IndexedRandom;
+
+use super::Roster;
+use crate::{action::Action, event::Context, fact::Id, peers::Peer, summary::Summary};
+
+/// Origins unheard for this long are no longer compared.
+const COUNTED: Duration = Duration::from_secs(30);
+/// Rows of origins unheard for this long are forgotten.
+const KEPT: Duration = Duration::from_secs(300);
+/// Leaving marks that go with one exchange.
+const REPEATED: usize = 8;
+/// One exchange in this many goes to any instance, heard or not, so that a healed partition is found.
+const STRAY: u32 = 8;
+/// The same while there are instances that were named lately and never heard.
+const STRAY_NEW: u32 = 2;
+/// How long an instance that was never heard counts as new.
+const NEW: Duration = Duration::from_secs(20);
+
+impl Roster {
+    /// Does whatever is due.
+    pub(super) fn tick(&mut self, context: &mut Context<'_>) -> Vec<Action> {
+        let now = context.now;
+        self.table.sweep(earlier(now, COUNTED), earlier(now, KEPT));
+        self.marks.forget(earlier(now, self.config.mark));
+        self.peers.forget(earlier(now, self.config.mark));
+        let ended = self.servers.ended(now, &self.marks, self.config.silence);
+        self.drop(context, &ended);
+        let members = self.members(now);
+        let mut actions = self.duties(context, &members);
+        actions.extend(self.bridges(context, &members));
+        actions.extend(self.round(context));
+        actions
+    }
+
+    /// Starts the exchanges of a round when it is due.
+    fn round(&mut self, context: &mut Context<'_>) -> Vec<Action> {
+        if context.now < self.next.round {
+            return Vec::new();
+        }
+        let eighths = 7 + context.rng.next_u32() % 3;
+        self.next.round = context.now + self.config.round / 8 * eighths;
+        let targets: Vec<Name> = (0..self.config.fanout)
+            .filter_map(|_| self.target(context))
+            .collect();
+        let mut summary = self.table.request(self.agreed);
+        summary.leaving = self.recent(context.now);
+        let exchange = |address| Action::Exchange {
+            address,
+            summary: summary.clone(),
+        };
+        targets.into_iter().map(exchange).collect()
+    }
+
+    /// Chooses a peer: as a rule one that is heard, now and then one that is not.
+    fn target(&self, context: &mut Context<'_>) -> Option<Name> {
+        let heard: Vec<&Peer> = self.near(context.now).collect();
+        let all = self.peers.iter();
+        let near: Vec<&Peer> = all
+            .filter(|peer| peer.instance.domain == self.own.domain)
+            .collect();
+        let new =
+            |peer: &&Peer| context.now - peer.since < NEW && self.table.origin(peer.id).is_none();
+        let share = if near.iter().any(new) {
+            STRAY_NEW
+        } else {
+            STRAY
+        };
+        let stray = heard.is_empty() || context.rng.next_u32().is_multiple_of(share);
+        let pick = if stray { near } else { heard };
+        let peer = pick.choose(&mut *context.rng)?;
+        Some(peer.instance.address.clone())
+    }
+
+    /// Answers an exchange.
+    pub(super) fn answer(&self, now: Tick, request: &Summary) -> Summary {
+        if !request.facts.is_empty() {
+            return self.abroad(now);
+        }
+        if request.roster == 0 {
+            return Summary::default();
+        }
+        let mut answer = self.table.answer(request);
+        answer.leaving = self.recent(now);
+        answer
+    }
+
+    /// Returns the leaving marks that go with every exchange, so that a lost notice costs one round.
+    fn recent(&self, now: Tick) -> Vec<Incarnation> {
+        self.marks
+            .recent(earlier(now, self.config.repeat), REPEATED)
+    }
+
+    /// Notes whether the sender knows the same origins, which saves spelling them out.
+    pub(super) fn compare(&mut self, summary: &Summary) {
+        if summary.roster != 0 {
+            self.agreed = summary.roster == self.table.roster();
+        }
+    }
+
+    /// Tells every peer of the failure domain at once that an incarnation is leaving.
+    pub(super) fn notify(&self, now: Tick, incarnation: &Incarnation) -> Vec<Action> {
+        let notice = Summary {
+            sender: Id::of(&self.own.incarnation),
+            leaving: vec![incarnation.clone()],
+            ..Summary::default()
+        };
+        let notify = |address: &Name| Action::Exchange {
+            address: address.clone(),
+            summary: notice.clone(),
+        };
+        self.near(now)
+            .map(|peer| notify(&peer.instance.address))
+            .collect()
+    }
+}
+
+fn earlier(now: Tick, span: Duration) -> Tick {
+    Tick::from_micros(now.as_micros().saturating_sub(super::micros(span)))
+}
--- /dev/null
+++ b/crates/member/src/table.rs
@@ -0,0 +1,401 @@
+//! Rows by origin, with versions, so that an exchange carries only what the other end lacks.
+
+use core::time::Duration;
+
+use base::{Digest, Tick};
+
+use crate::{
+    fact::{Fact, Id, Subject},
+    summary::{Body, Delta, Row, Summary},
+};
+
+/// Length of one step of a version.
+pub const STEP: Duration = Duration::from_millis(100);
+
+/// What is held of every origin, the holder's own rows among them.
+#[derive(Clone, Debug)]
+pub struct Table {
+    own: Id,
+    origins: Vec<Origin>,
+}
+
+/// What is held of one origin.
+#[derive(Clone, Debug)]
+pub struct Origin {
+    /// The incarnation that tells the rows.
+    pub id: Id,
+    /// Everything up to this version is held.
+    pub version: u64,
+    /// When the version last grew.
+    pub heard: Tick,
+    /// Whether it counts among the origins that are compared.
+    pub counted: bool,
+    rows: Vec<Held>,
+}
+
+#[derive(Clone, Debug)]
+struct Held {
+    slot: u32,
+    version: u64,
+    /// Version at which anything but the load changed.
+    detailed: u64,
+    fact: Option<Fact>,
+}
+
+/// A fact that an origin told, and how long before its latest word.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct News {
+    /// The origin.
+    pub origin: Id,
+    /// How long the fact had stood when the origin last spoke.
+    pub age: Duration,
+    /// The fact.
+    pub fact: Fact,
+}
+
+impl Table {
+    /// Builds a table that holds nothing yet, for one instance.
+    pub fn new(own: Id, now: Tick) -> Self {
+        let origin = Origin::new(own, now);
+        Self {
+            own,
+            origins: vec![origin],
+        }
+    }
+
+    /// Tells a fact under the holder's own name.
+    ///
+    /// A fact equal to the one told before changes nothing.
+    pub fn tell(&mut self, version: u64, fact: Fact) {
+        let own = self.own_mut();
+        let subject = fact.subject();
+        let at = own.place(|held| held.as_ref().is_some_and(|one| one.subject() == subject));
+        if own.rows[at].fact.as_ref() == Some(&fact) {
+            return;
+        }
+        let version = own.advance(version);
+        let held = &mut own.rows[at];
+        let light = held
+            .fact
+            .as_ref()
+            .is_some_and(|old| same_but_load(old, &fact));
+        held.version = version;
+        if !light {
+            held.detailed = version;
+        }
+        held.fact = Some(fact);
+    }
+
+    /// Takes back what the holder told about a subject.
+    pub fn withdraw(&mut self, version: u64, subject: &Subject) {
+        let own = self.own_mut();
+        let told = |held: &Held| {
+            held.fact
+                .as_ref()
+                .is_some_and(|fact| fact.subject() == *subject)
+        };
+        let Some(at) = own.rows.iter().position(told) else {
+            return;
+        };
+        let version = own.advance(version);
+        let held = &mut own.rows[at];
+        held.version = version;
+        held.detailed = version;
+        held.fact = None;
+    }
+
+    /// Lets the holder's own version grow, as a sign of life.
+    pub fn beat(&mut self, now: Tick, version: u64) {
+        let own = self.own_mut();
+        own.version = own.version.max(version);
+        own.heard = now;
+    }
+
+    /// Returns the digest of the ids that are compared.
+    pub fn roster(&self) -> u64 {
+        let bytes: Vec<u8> = self
+            .counted()
+            .flat_map(|one| one.id.0.to_be_bytes())
+            .collect();
+        Digest::of(&bytes).prefix()
+    }
+
+    /// Builds a request for what is newer than the table.
+    ///
+    /// Where the ids have to be spelt out, the holder's own rows go with them: the receiver may not know
+    /// the holder at all.
+    pub fn request(&self, agreed: bool) -> Summary {
+        let mut summary = self.versions(!agreed);
+        if !agreed {
+            let own = self.counted().position(|one| one.id == self.own);
+            summary.deltas = self
+                .counted()
+                .nth(own.unwrap_or_default())
+                .map(|one| one.since(own.unwrap_or_default(), 0))
+                .into_iter()
+                .collect();
+        }
+        summary
+    }
+
+    /// Builds the answer to a request: rows that the asker lacks.
+    ///
+    /// The answer has no versions where the asker's cannot be told apart, as its roster is another.
+    pub fn answer(&self, request: &Summary) -> Summary {
+        let roster = self.roster();
+        let held = match (request.origins.is_empty(), request.roster == roster) {
+            (true, false) => {
+                return Summary {
+                    sender: self.own,
+                    roster,
+                    ..Summary::default()
+                };
+            }
+            (true, true) => self
+                .counted()
+                .map(|one| one.id)
+                .zip(request.versions.iter().copied())
+                .collect(),
+            (false, _) => pairs(request),
+        };
+        let mut summary = self.versions(request.roster != roster);
+        summary.deltas = self.deltas(&held);
+        summary
+    }
+
+    /// Takes in an answer to an own request, or rows that came with a request.
+    ///
+    /// Returns the facts that are new. Versions are taken over only for origins whose rows are complete: in an
+    /// answer all of them, in a request the sender's own.
+    pub fn merge(&mut self, now: Tick, summary: &Summary, answered: bool) -> Vec<News> {
+        let ids: Vec<Id> = match summary.origins.is_empty() {
+            true if summary.roster == self.roster() => self.counted().map(|one| one.id).collect(),
+            true => return Vec::new(),
+            false => summary.origins.clone(),
+        };
+        let whole = |id: Id| answered || (id == summary.sender && !summary.origins.is_empty());
+        let mut news = Vec::new();
+        for (at, (id, version)) in ids.iter().zip(&summary.versions).enumerate() {
+            if *id == self.own || !whole(*id) {
+                continue;
+            }
+            let delta = summary.deltas.iter().find(|delta| delta.origin == at);
+            let rows = delta.map_or(&[][..], |delta| &delta.rows);
+            self.take(now, *id, *version, rows, &mut news);
+        }
+        news
+    }
+
+    /// Stops comparing origins unheard since an instant, and forgets those unheard since an earlier one.
+    ///
+    /// The rows of an origin that is no longer compared are kept for a while: an answer on its way
+    /// may build on them.
+    pub fn sweep(&mut self, counted: Tick, kept: Tick) {
+        let own = self.own;
+        for origin in &mut self.origins {
+            origin.counted = origin.id == own || origin.heard >= counted;
+        }
+        self.origins
+            .retain(|one| one.id == own || one.heard >= kept);
+    }
+
+    /// Returns the origins, by id.
+    pub fn origins(&self) -> &[Origin] {
+        &self.origins
+    }
+
+    /// Returns what is held of an origin.
+    pub fn origin(&self, id: Id) -> Option<&Origin> {
+        self.find(id).ok().map(|at| &self.origins[at])
+    }
+
+    fn take(&mut self, now: Tick, id: Id, version: u64, rows: &[Row], news: &mut Vec<News>) {
+        let at = match self.find(id) {
+            Ok(at) => at,
+            Err(at) => {
+                self.origins.insert(at, Origin::new(id, now));
+                at
+            }
+        };
+        let origin = &mut self.origins[at];
+        if version <= origin.version {
+            return;
+        }
+        origin.version = version;
+        origin.heard = now;
+        origin.counted = true;
+        for row in rows {
+            news.extend(origin.put(row));
+        }
+    }
+
+    fn versions(&self, spelt: bool) -> Summary {
+        let ids = self.counted().map(|one| one.id);
+        Summary {
+            sender: self.own,
+            roster: self.roster(),
+            versions: self.counted().map(|one| one.version).collect(),
+            origins: if spelt { ids.collect() } else { Vec::new() },
+            ..Summary::default()
+        }
+    }
+
+    fn deltas(&self, held: &[(Id, u64)]) -> Vec<Delta> {
+        let version = |id: Id| {
+            held.binary_search_by_key(&id, |pair| pair.0)
+                .map_or(0, |at| held[at].1)
+        };
+        let deltas = self
+            .counted()
+            .enumerate()
+            .map(|(at, one)| one.since(at, version(one.id)));
+        deltas.filter(|delta| !delta.rows.is_empty()).collect()
+    }
+
+    fn counted(&self) -> impl Iterator<Item = &Origin> {
+        self.origins.iter().filter(|one| one.counted)
+    }
+
+    fn own_mut(&mut self) -> &mut Origin {
+        let at = self.find(self.own).unwrap_or_default();
+        &mut self.origins[at]
+    }
+
+    fn find(&self, id: Id) -> Result<usize, usize> {
+        self.origins.binary_search_by_key(&id, |one| one.id)
+    }
+}
+
+impl Origin {
+    fn new(id: Id, now: Tick) -> Self {
+        Self {
+            id,
+            version: 0,
+            heard: now,
+            counted: true,
+            rows: Vec::new(),
+        }
+    }
+
+    /// Returns the facts that the origin tells, with their age when it last spoke.
+    pub fn facts(&self) -> impl Iterator<Item = (Duration, &Fact)> {
+        let age = |held: &Held| steps(self.version - held.version);
+        self.rows
+            .iter()
+            .filter_map(move |held| Some((age(held), held.fact.as_ref()?)))
+    }
+
+    fn advance(&mut self, version: u64) -> u64 {
+        self.version = version.max(self.version + 1);
+        self.version
+    }
+
+    /// Finds the row that matches, or a free one.
+    fn place(&mut self, matches: impl Fn(&Option<Fact>) -> bool) -> usize {
+        let found = self.rows.iter().position(|held| matches(&held.fact));
+        let free = || self.rows.iter().position(|held| held.fact.is_none());
+        if let Some(at) = found.or_else(free) {
+            return at;
+        }
+        let slot = u32::try_from(self.rows.len()).unwrap_or(u32::MAX);
+        self.rows.push(Held {
+            slot,
+            version: 0,
+            detailed: 0,
+            fact: None,
+        });
+        self.rows.len() - 1
+    }
+
+    fn since(&self, origin: usize, version: u64) -> Delta {
+        let newer = self.rows.iter().filter(|held| held.version > version);
+        Delta {
+            origin,
+            rows: newer.map(|held| held.row(version)).collect(),
+        }
+    }
+
+    fn put(&mut self, row: &Row) -> Option<News> {
+        let at = match self.rows.binary_search_by_key(&row.slot, |held| held.slot) {
+            Ok(at) if row.version <= self.rows[at].version => return None,
+            Ok(at) => at,
+            Err(at) => {
+                self.rows.insert(at, Held::empty(row.slot));
+                at
+            }
+        };
+        let held = &mut self.rows[at];
+        held.version = row.version;
+        held.take(&row.body);
+        let news = |fact| News {
+            origin: self.id,
+            age: steps(self.version.saturating_sub(row.version)),
+            fact,
+        };
+        self.rows[at].fact.clone().map(news)
+    }
+}
+
+impl Held {
+    const fn empty(slot: u32) -> Self {
+        Self {
+            slot,
+            version: 0,
+            detailed: 0,
+            fact: None,
+        }
+    }
+
+    fn row(&self, known: u64) -> Row {
+        let body = match &self.fact {
+            None => Body::Withdrawn,
+            Some(Fact::Server(server)) if self.detailed <= known => {
+                Body::Load(server.load.unwrap_or_default())
+            }
+            Some(fact) => Body::Whole(fact.clone()),
+        };
+        Row {
+            slot: self.slot,
+            version: self.version,
+            body,
+        }
+    }
+
+    fn take(&mut self, body: &Body) {
+        match (body, &mut self.fact) {
+            (Body::Load(load), Some(Fact::Server(server))) => server.load = Some(*load),
+            (Body::Load(_), _) => {}
+            (Body::Whole(fact), _) => {
+                self.detailed = self.version;
+                self.fact = Some(fact.clone());
+            }
+            (Body::Withdrawn, _) => {
+                self.detailed = self.version;
+                self.fact = None;
+            }
+        }
+    }
+}
+
+fn pairs(summary: &Summary) -> Vec<(Id, u64)> {
+    let ids = summary.origins.iter().copied();
+    ids.zip(summary.versions.iter().copied()).collect()
+}
+
+fn steps(count: u64) -> Duration {
+    STEP.saturating_mul(u32::try_from(count).unwrap_or(u32::MAX))
+}
+
+fn same_but_load(old: &Fact, new: &Fact) -> bool {
+    match (old, new) {
+        (Fact::Server(old), Fact::Server(new)) => {
+            new.load.is_some()
+                && old.incarnation == new.incarnation
+                && old.address == new.address
+                && old.pool == new.pool
+                && old.domain == new.domain
+                && old.state == new.state
+        }
+        _ => false,
+    }
+}
--- /dev/null
+++ b/crates/member/src/view.rs
@@ -0,0 +1,86 @@
+//! What the roster shows: whom to use, and how old that knowledge is.
+
+use core::time::Duration;
+
+use base::{Incarnation, Name};
+
+use crate::fact::{self, Instance, Load, State};
+
+/// Backend servers by pool, entry instances and other failure domains, each list sorted by name.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct View {
+    /// Pools of the own failure domain.
+    pub pools: Vec<Pool>,
+    /// Entry instances, the own one excluded.
+    pub peers: Vec<Peer>,
+    /// The other failure domains.
+    pub domains: Vec<Domain>,
+}
+
+/// A pool and its backend servers, by name.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Pool {
+    /// The name of the pool.
+    pub name: Name,
+    /// Its backend servers.
+    pub servers: Vec<Server>,
+}
+
+/// A backend server.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Server {
+    /// Its name and start.
+    pub incarnation: Incarnation,
+    /// Where it is reached.
+    pub address: Name,
+    /// Whether it may be given new work.
+    pub state: State,
+    /// Its load, with the age that the figures have by now.
+    pub load: Option<Load>,
+    /// Time since any instance heard it.
+    pub age: Duration,
+}
+
+/// An entry instance.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Peer {
+    /// Name, failure domain, address and state.
+    pub instance: Instance,
+    /// Time since its version last grew; none where it was never heard.
+    pub age: Option<Duration>,
+    /// Whether it was heard recently enough to hold roles.
+    pub heard: bool,
+}
+
+/// Another failure domain.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Domain {
+    /// What it last said of itself.
+    pub summary: fact::Domain,
+    /// Time since that arrived in the own failure domain.
+    pub age: Duration,
+}
+
+impl View {
+    /// Returns a pool by its name.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// let view = member::View::default();
+    /// assert!(view.pool("limpet-pool").is_none());
+    /// ```
+    pub fn pool(&self, name: &str) -> Option<&Pool> {
+        let at = self
+            .pools
+            .binary_search_by(|pool| pool.name.as_str().cmp(name));
+        at.ok().map(|at| &self.pools[at])
+    }
+
+    /// Returns a backend server by pool and name.
+    pub fn server(&self, pool: &str, name: &str) -> Option<&Server> {
+        let servers = &self.pool(pool)?.servers;
+        let at = servers.binary_search_by(|one| one.incarnation.name.as_str().cmp(name));
+        at.ok().map(|at| &servers[at])
+    }
+}
--- /dev/null
+++ b/crates/member/tests/gossip.rs
@@ -0,0 +1,133 @@
+//! What a failure domain of instances comes to know together, and the bytes that it takes.
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+use member::fact::State;
+
+mod world;
+
+use world::World;
+
+const SECOND: Duration = Duration::from_secs(1);
+
+/// Bytes of messages that an instance may send a second for membership, at 50 instances and 98 servers.
+const BYTES: u64 = 1_800;
+/// Calls that an instance may start or answer a second.
+const CALLS: u64 = 4;
+
+#[gtest]
+fn everybody_knows_everybody_within_the_bytes_allowed() {
+    let mut world = World::new(1, 1, 50, 98);
+    world.run(SECOND * 30);
+    for node in &world.nodes {
+        let view = node.roster.view(world.now);
+        let servers: usize = view.pools.iter().map(|pool| pool.servers.len()).sum();
+        let loads = view
+            .pools
+            .iter()
+            .flat_map(|pool| &pool.servers)
+            .filter(|server| server.load.is_some());
+        expect_that!(node.roster.members(world.now).len(), eq(50));
+        expect_that!(servers, eq(98));
+        expect_that!(loads.count(), eq(98));
+    }
+    world.reset();
+    world.run(SECOND * 20);
+    let bytes: u64 = world.nodes.iter().map(|node| node.bytes).sum();
+    let calls: u64 = world.nodes.iter().map(|node| node.calls).sum();
+    expect_that!(bytes / 50 / 20, le(BYTES));
+    expect_that!(calls / 50 / 20, le(CALLS));
+}
+
+#[gtest]
+fn each_server_has_one_poller_that_tells_its_load() {
+    let mut world = World::new(2, 1, 10, 20);
+    world.run(SECOND * 20);
+    let mut told: Vec<String> = Vec::new();
+    for node in &world.nodes {
+        let own = member::fact::Id::of(&node.own.incarnation);
+        for (origin, _, fact) in node.roster.facts(world.now) {
+            if let (true, member::Fact::Server(server)) = (origin == own, fact) {
+                told.push(server.incarnation.name.to_string());
+            }
+        }
+    }
+    told.sort_unstable();
+    let unique = told.len();
+    told.dedup();
+    expect_that!(unique, eq(20));
+    expect_that!(told.len(), eq(20));
+}
+
+#[gtest]
+fn a_leaving_server_is_known_within_the_bound_though_calls_are_lost() {
+    let mut world = World::new(3, 1, 20, 40);
+    world.run(SECOND * 20);
+    world.loss = 20;
+    world.list = world::List::Down;
+    world.backends[7].state = State::Leaving;
+    world.run(SECOND * 6);
+    let incarnation = world.backends[7].incarnation.clone();
+    expect_that!(
+        world
+            .nodes
+            .iter()
+            .all(|node| node.roster.left(&incarnation)),
+        eq(true)
+    );
+}
+
+#[gtest]
+fn a_leaving_server_is_known_though_its_poller_has_just_died() {
+    let mut world = World::new(4, 1, 20, 40);
+    world.run(SECOND * 20);
+    world.list = world::List::Down;
+    let incarnation = world.backends[7].incarnation.clone();
+    let members = world.nodes[0].roster.members(world.now);
+    let owner = member::rendezvous::owner(&members, incarnation.name.as_str().as_bytes()).cloned();
+    let dead = world
+        .nodes
+        .iter_mut()
+        .find(|node| Some(&node.own.incarnation) == owner.as_ref());
+    dead.expect("the poller is an instance").up = false;
+    world.backends[7].state = State::Leaving;
+    world.run(SECOND * 8);
+    let up = || world.nodes.iter().filter(|node| node.up);
+    expect_that!(up().count(), eq(19));
+    expect_that!(up().all(|node| node.roster.left(&incarnation)), eq(true));
+}
+
+#[gtest]
+fn failure_domains_know_each_other_in_short() {
+    let mut world = World::new(5, 3, 12, 24);
+    world.run(SECOND * 40);
+    for node in &world.nodes {
+        let view = node.roster.view(world.now);
+        expect_that!(view.domains.len(), eq(2));
+        for domain in &view.domains {
+            expect_that!(domain.summary.count, eq(4));
+            expect_that!(domain.age, le(SECOND * 20));
+            let live: u32 = domain.summary.pools.iter().map(|pool| pool.live).sum();
+            expect_that!(live, eq(8));
+        }
+    }
+}
+
+#[gtest]
+fn a_cut_off_domain_shows_its_age() {
+    let mut world = World::new(6, 2, 8, 16);
+    world.run(SECOND * 40);
+    world.sides = world
+        .nodes
+        .iter()
+        .map(|node| u8::from(node.domain == 1))
+        .collect();
+    world.run(SECOND * 60);
+    let view = world.nodes[0].roster.view(world.now);
+    expect_that!(view.domains[0].age, ge(SECOND * 50));
+    world.sides = vec![0; 8];
+    world.run(SECOND * 30);
+    let view = world.nodes[0].roster.view(world.now);
+    expect_that!(view.domains[0].age, le(SECOND * 20));
+}
--- /dev/null
+++ b/crates/peer/src/codec.rs
@@ -0,0 +1,363 @@
+//! Summaries as protocol buffers.
+
+use core::time::Duration;
+
+use base::{Digest, Incarnation, Name, Stamp};
+use member::{
+    fact::{self, Fact, Id},
+    summary::{self, Body},
+};
+use wire::row;
+
+use crate::Error;
+
+/// Encodes a summary; versions become lags behind the newest one.
+///
+/// # Examples
+///
+/// ```
+/// use member::Summary;
+/// use wire::Message as _;
+/// let summary = Summary { roster: 1, versions: vec![9_000_000; 50], ..Summary::default() };
+/// let message = peer::codec::encode(&summary);
+/// assert!(message.encoded_len() < 80);
+/// assert_eq!(peer::codec::decode(message), Ok(summary));
+/// ```
+pub fn encode(summary: &summary::Summary) -> wire::Summary {
+    let base = summary.versions.iter().copied().max().unwrap_or_default();
+    wire::Summary {
+        sender: summary.sender.0,
+        roster: summary.roster,
+        base,
+        lags: summary
+            .versions
+            .iter()
+            .map(|version| lag(base, *version))
+            .collect(),
+        origins: summary.origins.iter().map(|id| id.0).collect(),
+        deltas: summary
+            .deltas
+            .iter()
+            .map(|delta| delta_out(base, delta))
+            .collect(),
+        leaving: summary.leaving.iter().map(leaving_out).collect(),
+        facts: summary.facts.iter().map(fact_row).collect(),
+    }
+}
+
+/// Decodes a summary.
+///
+/// # Errors
+///
+/// - A row, digest or count is out of its range.
+pub fn decode(message: wire::Summary) -> Result<summary::Summary, Error> {
+    let base = message.base;
+    Ok(summary::Summary {
+        sender: Id(message.sender),
+        roster: message.roster,
+        versions: message.lags.iter().map(|lag| version(base, *lag)).collect(),
+        origins: message.origins.into_iter().map(Id).collect(),
+        deltas: all(message.deltas, |delta| delta_in(base, delta))?,
+        leaving: message.leaving.into_iter().map(leaving_in).collect(),
+        facts: all(message.facts, |row| match body_in(row.body)? {
+            Body::Whole(fact) => Ok(fact),
+            Body::Load(_) | Body::Withdrawn => Err(Error::Malformed("a fact without content")),
+        })?,
+    })
+}
+
+/// Stands for a version of 0, of which nothing is held, and for those too old to tell.
+const NOTHING: u32 = u32::MAX;
+
+fn lag(base: u64, version: u64) -> u32 {
+    match u32::try_from(base - version) {
+        Ok(lag) if version > 0 => lag,
+        _ => NOTHING,
+    }
+}
+
+const fn version(base: u64, lag: u32) -> u64 {
+    match lag {
+        NOTHING => 0,
+        lag => base.saturating_sub(lag as u64),
+    }
+}
+
+fn delta_out(base: u64, delta: &summary::Delta) -> wire::Delta {
+    wire::Delta {
+        origin: number(delta.origin),
+        rows: delta.rows.iter().map(|row| row_out(base, row)).collect(),
+    }
+}
+
+fn delta_in(base: u64, delta: wire::Delta) -> Result<summary::Delta, Error> {
+    let origin =
+        usize::try_from(delta.origin).map_err(|_| Error::Malformed("an origin out of range"))?;
+    let rows = all(delta.rows, |row| {
+        Ok(summary::Row {
+            slot: row.slot,
+            version: version(base, row.lag),
+            body: body_in(row.body)?,
+        })
+    })?;
+    Ok(summary::Delta { origin, rows })
+}
+
+fn row_out(base: u64, row: &summary::Row) -> wire::Row {
+    wire::Row {
+        slot: row.slot,
+        lag: lag(base, row.version),
+        body: match &row.body {
+            Body::Load(load) => Some(row::Body::Load(load_out(load))),
+            Body::Whole(fact) => Some(fact_out(fact)),
+            Body::Withdrawn => None,
+        },
+    }
+}
+
+fn fact_row(fact: &Fact) -> wire::Row {
+    wire::Row {
+        body: Some(fact_out(fact)),
+        ..wire::Row::default()
+    }
+}
+
+fn fact_out(fact: &Fact) -> row::Body {
+    match fact {
+        Fact::Burn(burn) => row::Body::Burn(burn_out(burn)),
+        Fact::Demand(demand) => row::Body::Demand(wire::Demand {
+            account: demand.account.to_string(),
+            asked: demand.asked,
+            admitted: demand.admitted,
+        }),
+        Fact::Domain(domain) => row::Body::Domain(domain_out(domain)),
+        Fact::Instance(instance) => row::Body::Instance(instance_out(instance)),
+        Fact::Position(position) => row::Body::Position(position_out(position)),
+        Fact::Server(server) => row::Body::Server(server_out(server)),
+        Fact::Suspect(suspect) => row::Body::Suspect(suspect_out(suspect)),
+    }
+}
+
+fn body_in(body: Option<row::Body>) -> Result<Body, Error> {
+    let fact = match body {
+        None => return Ok(Body::Withdrawn),
+        Some(row::Body::Load(load)) => return Ok(Body::Load(load_in(load))),
+        Some(row::Body::Burn(burn)) => Fact::Burn(burn_in(burn)),
+        Some(row::Body::Demand(demand)) => Fact::Demand(fact::Demand {
+            account: demand.account.into(),
+            asked: demand.asked,
+            admitted: demand.admitted,
+        }),
+        Some(row::Body::Domain(domain)) => Fact::Domain(domain_in(domain)?),
+        Some(row::Body::Instance(instance)) => Fact::Instance(instance_in(instance)),
+        Some(row::Body::Position(position)) => Fact::Position(position_in(position)?),
+        Some(row::Body::Server(server)) => Fact::Server(server_in(server)),
+        Some(row::Body::Suspect(suspect)) => Fact::Suspect(suspect_in(suspect)?),
+    };
+    Ok(Body::Whole(fact))
+}
+
+fn leaving_out(incarnation: &Incarnation) -> wire::Leaving {
+    wire::Leaving {
+        name: incarnation.name.to_string(),
+        start: incarnation.start.as_millis(),
+    }
+}
+
+fn leaving_in(leaving: wire::Leaving) -> Incarnation {
+    incarnation(leaving.name, leaving.start)
+}
+
+fn incarnation(name: String, start: u64) -> Incarnation {
+    Incarnation::new(Name::from(name), Stamp::from_millis(start))
+}
+
+fn instance_out(instance: &fact::Instance) -> wire::Instance {
+    wire::Instance {
+        name: instance.incarnation.name.to_string(),
+        start: instance.incarnation.start.as_millis(),
+        domain: instance.domain.to_string(),
+        address: instance.address.to_string(),
+        state: state_out(instance.state).into(),
+    }
+}
+
+fn instance_in(instance: wire::Instance) -> fact::Instance {
+    let state = state_in(instance.state());
+    fact::Instance {
+        incarnation: incarnation(instance.name, instance.start),
+        domain: instance.domain.into(),
+        address: instance.address.into(),
+        state,
+    }
+}
+
+fn server_out(server: &fact::Server) -> wire::Server {
+    wire::Server {
+        name: server.incarnation.name.to_string(),
+        start: server.incarnation.start.as_millis(),
+        domain: server.domain.to_string(),
+        address: server.address.to_string(),
+        pool: server.pool.to_string(),
+        state: state_out(server.state).into(),
+        load: server.load.as_ref().map(load_out),
+    }
+}
+
+fn server_in(server: wire::Server) -> fact::Server {
+    let state = state_in(server.state());
+    fact::Server {
+        incarnation: incarnation(server.name, server.start),
+        domain: server.domain.into(),
+        address: server.address.into(),
+        pool: server.pool.into(),
+        state,
+        load: server.load.map(load_in),
+    }
+}
+
+const fn state_out(state: fact::State) -> wire::State {
+    match state {
+        fact::State::Live => wire::State::Live,
+        fact::State::Leaving => wire::State::Leaving,
+    }
+}
+
+const fn state_in(state: wire::State) -> fact::State {
+    match state {
+        wire::State::Live => fact::State::Live,
+        wire::State::Leaving => fact::State::Leaving,
+    }
+}
+
+fn load_out(load: &fact::Load) -> wire::Load {
+    wire::Load {
+        running: load.running,
+        waiting: load.waiting,
+        memory: load.memory,
+        age_ms: u32::try_from(load.age.as_millis()).unwrap_or(u32::MAX),
+    }
+}
+
+fn load_in(load: wire::Load) -> fact::Load {
+    fact::Load {
+        running: load.running,
+        waiting: load.waiting,
+        memory: load.memory,
+        age: Duration::from_millis(load.age_ms.into()),
+    }
+}
+
+fn domain_out(domain: &fact::Domain) -> wire::Domain {
+    wire::Domain {
+        name: domain.name.to_string(),
+        version: domain.version,
+        pools: domain.pools.iter().map(pool_out).collect(),
+        instances: domain.instances.iter().map(instance_out).collect(),
+        count: domain.count,
+        unheard: domain.unheard,
+        positions: domain.positions.iter().map(position_out).collect(),
+        burns: domain.burns.iter().map(burn_out).collect(),
+    }
+}
+
+fn domain_in(domain: wire::Domain) -> Result<fact::Domain, Error> {
+    Ok(fact::Domain {
+        name: domain.name.into(),
+        version: domain.version,
+        pools: domain.pools.into_iter().map(pool_in).collect(),
+        instances: domain.instances.into_iter().map(instance_in).collect(),
+        count: domain.count,
+        unheard: domain.unheard,
+        positions: all(domain.positions, position_in)?,
+        burns: domain.burns.into_iter().map(burn_in).collect(),
+    })
+}
+
+fn pool_out(pool: &fact::Pool) -> wire::Pool {
+    wire::Pool {
+        name: pool.name.to_string(),
+        live: pool.live,
+        leaving: pool.leaving,
+        running: pool.running,
+        waiting: pool.waiting,
+    }
+}
+
+fn pool_in(pool: wire::Pool) -> fact::Pool {
+    fact::Pool {
+        name: pool.name.into(),
+        live: pool.live,
+        leaving: pool.leaving,
+        running: pool.running,
+        waiting: pool.waiting,
+    }
+}
+
+fn position_out(position: &fact::Position) -> wire::Position {
+    wire::Position {
+        offset: position.offset,
+        digest: position.digest.as_bytes().to_vec(),
+    }
+}
+
+fn position_in(position: wire::Position) -> Result<fact::Position, Error> {
+    Ok(fact::Position {
+        offset: position.offset,
+        digest: digest(&position.digest)?,
+    })
+}
+
+fn suspect_out(suspect: &fact::Suspect) -> wire::Suspect {
+    wire::Suspect {
+        digest: suspect.digest.as_bytes().to_vec(),
+        crashed: suspect.crashed.iter().map(|id| id.0).collect(),
+        cleared: suspect.cleared,
+        version: suspect.version,
+        running: suspect.running.map_or(0, |id| id.0),
+    }
+}
+
+fn suspect_in(suspect: wire::Suspect) -> Result<fact::Suspect, Error> {
+    Ok(fact::Suspect {
+        digest: digest(&suspect.digest)?,
+        crashed: suspect.crashed.into_iter().map(Id).collect(),
+        cleared: suspect.cleared,
+        version: suspect.version,
+        running: Some(suspect.running).filter(|id| *id != 0).map(Id),
+    })
+}
+
+fn burn_out(burn: &fact::Burn) -> wire::Burn {
+    wire::Burn {
+        pipeline: burn.pipeline.to_string(),
+        good: burn.good,
+        late: burn.late,
+        refused: burn.refused,
+        cost: burn.cost,
+    }
+}
+
+fn burn_in(burn: wire::Burn) -> fact::Burn {
+    fact::Burn {
+        pipeline: burn.pipeline.into(),
+        good: burn.good,
+        late: burn.late,
+        refused: burn.refused,
+        cost: burn.cost,
+    }
+}
+
+fn digest(bytes: &[u8]) -> Result<Digest, Error> {
+    let bytes =
+        <[u8; 32]>::try_from(bytes).map_err(|_| Error::Malformed("a digest of another length"))?;
+    Ok(bytes.into())
+}
+
+fn all<T, U>(items: Vec<T>, each: impl Fn(T) -> Result<U, Error>) -> Result<Vec<U>, Error> {
+    items.into_iter().map(each).collect()
+}
+
+fn number(count: usize) -> u32 {
+    u32::try_from(count).unwrap_or(u32::MAX)
+}
--- /dev/null
+++ b/crates/peer/src/configs.rs
@@ -0,0 +1,3 @@
+//! Configuration of the edges between instances.
+
+pub mod peer;
