Bound retries, hedges and the harm of one content

Further attempts (retries, hedges, callers' own repeats) are paid for by first attempts, per stage and per client account there; a small reserve lets quiet accounts retry. With everything failing and every request tried six times, 20,000 requests at 18 a second see at most 1.1 attempts each (total_failure_of_a_stage_amplifies_by_a_tenth_at_most); at 2 a second the reserve shows (bound 1.15).

A content that was in flight when a server died runs alone, with a permit of the one instance of the domain that rendezvous hashing names, and is refused for good after two servers. The true bound: as many servers as ran copies before the first loss was heard of, or two. Taking the server among two that the digest names brings it to two whatever runs at once; the choice costs no message.

--- a/crates/member/src/fact.rs
+++ b/crates/member/src/fact.rs
@@ -128,14 +128,10 @@
 pub struct Suspect {
     /// Digest over client account, pipeline and body.
     pub digest: Digest,
-    /// The backend servers that died with it, in order.
+    /// The backend servers that died with it since it was last cleared, sorted.
     pub crashed: Vec<Id>,
-    /// Whether it has completed alone since.
-    pub cleared: bool,
-    /// Grows with each change that one instance makes to this fact.
-    pub version: u64,
-    /// The backend server that runs it now.
-    pub running: Option<Id>,
+    /// How often it was cleared by completing.
+    pub cleared: u32,
 }
 
 /// Demand of one client account at an instance.
@@ -164,6 +160,42 @@
     pub cost: u64,
 }
 
+impl Suspect {
+    /// Takes in what another instance knows of the same content, and tells whether that was news.
+    ///
+    /// The result does not depend on the order or number of merges: more clearings win, and crashes
+    /// since the same clearing add up.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use member::fact::{Id, Suspect};
+    /// let known = |crashed: &[u64], cleared| Suspect {
+    ///     digest: base::Digest::of(b"body"),
+    ///     crashed: crashed.iter().map(|id| Id(*id)).collect(),
+    ///     cleared,
+    /// };
+    /// let mut one = known(&[1], 0);
+    /// assert!(one.merge(&known(&[2], 0)) && one == known(&[1, 2], 0));
+    /// assert!(one.merge(&known(&[], 1)) && one == known(&[], 1));
+    /// assert!(!one.merge(&known(&[3], 0)));
+    /// ```
+    pub fn merge(&mut self, other: &Self) -> bool {
+        if other.cleared != self.cleared {
+            let news = other.cleared > self.cleared;
+            if news {
+                self.clone_from(other);
+            }
+            return news;
+        }
+        let before = self.crashed.len();
+        self.crashed.extend(&other.crashed);
+        self.crashed.sort_unstable();
+        self.crashed.dedup();
+        self.crashed.len() > before
+    }
+}
+
 impl Burn {
     /// Adds the counters of another instance for the same pipeline.
     ///
--- a/crates/member/src/roster.rs
+++ b/crates/member/src/roster.rs
@@ -312,7 +312,14 @@
             self.table
                 .tell(version(context.stamp), Fact::Server(server));
         }
-        self.notify(context.now, incarnation)
+        let leaving = vec![incarnation.clone()];
+        self.notify(
+            context.now,
+            &Summary {
+                leaving,
+                ..Summary::default()
+            },
+        )
     }
 
     /// Takes over marks that a peer passed on.
@@ -371,8 +378,18 @@
     }
 
     fn tell(&mut self, context: &Context<'_>, fact: Fact) -> Vec<Action> {
+        let urgent = matches!(fact, Fact::Suspect(_)).then(|| fact.clone());
         self.table.tell(version(context.stamp), fact);
-        Vec::new()
+        match urgent {
+            Some(fact) => self.notify(
+                context.now,
+                &Summary {
+                    facts: vec![fact],
+                    ..Summary::default()
+                },
+            ),
+            None => Vec::new(),
+        }
     }
 
     fn drop(&mut self, context: &Context<'_>, names: &[Name]) {
--- a/crates/member/src/roster/bridge.rs
+++ b/crates/member/src/roster/bridge.rs
@@ -7,7 +7,7 @@
 use crate::{
     action::Action,
     event::Context,
-    fact::{Burn, Domain, Fact, Id, Instance, Load, Pool, Position, State, Subject},
+    fact::{Burn, Domain, Fact, Id, Instance, Load, Pool, Position, State, Subject, Suspect},
     rendezvous,
     summary::Summary,
     view,
@@ -84,14 +84,33 @@
     /// Only the asking side does so: the other side asks by itself.
     pub(super) fn carry(&mut self, context: &Context<'_>, summary: &Summary) {
         for fact in &summary.facts {
-            if let Fact::Domain(domain) = fact
-                && domain.name != self.own.domain
-            {
-                self.table.tell(version(context.stamp), fact.clone());
+            let fact = match fact {
+                Fact::Domain(domain) if domain.name != self.own.domain => Some(fact.clone()),
+                Fact::Suspect(suspect) => self.suspect(context.now, suspect).map(Fact::Suspect),
+                _ => None,
+            };
+            if let Some(fact) = fact {
+                self.table.tell(version(context.stamp), fact);
             }
         }
     }
 
+    /// Joins news of a suspect content with what this failure domain knows; none where it knows that already.
+    fn suspect(&self, now: Tick, news: &Suspect) -> Option<Suspect> {
+        let mut known = Suspect {
+            digest: news.digest,
+            crashed: Vec::new(),
+            cleared: 0,
+        };
+        for (_, _, fact) in self.facts(now) {
+            match fact {
+                Fact::Suspect(told) if told.digest == news.digest => known.merge(told),
+                _ => false,
+            };
+        }
+        known.merge(news).then_some(known)
+    }
+
     /// Takes in what another failure domain says of itself, where it is newer.
     pub(super) fn hear(&mut self, now: Tick, domain: Domain) {
         if domain.name == self.own.domain {
--- a/crates/member/src/roster/round.rs
+++ b/crates/member/src/roster/round.rs
@@ -6,7 +6,13 @@
 use rand::seq::IndexedRandom;
 
 use super::Roster;
-use crate::{action::Action, event::Context, fact::Id, peers::Peer, summary::Summary};
+use crate::{
+    action::Action,
+    event::Context,
+    fact::{Fact, Id},
+    peers::Peer,
+    summary::Summary,
+};
 
 /// Origins unheard for this long are no longer compared.
 const COUNTED: Duration = Duration::from_secs(30);
@@ -78,7 +84,8 @@
 
     /// Answers an exchange.
     pub(super) fn answer(&self, now: Tick, request: &Summary) -> Summary {
-        if !request.facts.is_empty() {
+        let domain = |fact: &Fact| matches!(fact, Fact::Domain(_));
+        if request.facts.iter().any(domain) {
             return self.abroad(now);
         }
         if request.roster == 0 {
@@ -102,20 +109,17 @@
         }
     }
 
-    /// Tells every peer of the failure domain at once that an incarnation is leaving.
-    pub(super) fn notify(&self, now: Tick, incarnation: &Incarnation) -> Vec<Action> {
+    /// Sends news to every peer of the failure domain at once.
+    pub(super) fn notify(&self, now: Tick, news: &Summary) -> Vec<Action> {
         let notice = Summary {
             sender: Id::of(&self.own.incarnation),
-            leaving: vec![incarnation.clone()],
-            ..Summary::default()
+            ..news.clone()
         };
-        let notify = |address: &Name| Action::Exchange {
-            address: address.clone(),
+        let notify = |peer: &Peer| Action::Exchange {
+            address: peer.instance.address.clone(),
             summary: notice.clone(),
         };
-        self.near(now)
-            .map(|peer| notify(&peer.instance.address))
-            .collect()
+        self.near(now).map(notify).collect()
     }
 }
 
--- a/crates/peer/examples/framing.rs
+++ b/crates/peer/examples/framing.rs
@@ -7,7 +7,7 @@
 use actix_web::rt;
 use member::Summary;
 use peer::{Client, Error, Handler, codec, configs};
-use wire::{Batch, Message as _, Proof, Slots, Verdicts, Want};
+use wire::{Batch, Grant, Message as _, Proof, Slots, Trial, Verdicts, Want};
 
 #[path = "../tests/relay/mod.rs"]
 mod relay;
@@ -35,6 +35,10 @@
     async fn lookup(&self, _: Slots) -> Result<Verdicts, Error> {
         Ok(Verdicts::default())
     }
+
+    async fn permit(&self, _: Trial) -> Result<Grant, Error> {
+        Ok(Grant::default())
+    }
 }
 
 fn main() {
--- a/crates/peer/src/client.rs
+++ b/crates/peer/src/client.rs
@@ -9,7 +9,7 @@
     Response, Status,
     transport::{Channel, Endpoint},
 };
-use wire::{Batch, Proof, Slots, Verdicts, Want, peer_client::PeerClient};
+use wire::{Batch, Grant, Proof, Slots, Trial, Verdicts, Want, peer_client::PeerClient};
 
 use crate::{Error, codec, configs};
 
@@ -106,6 +106,16 @@
         self.call(self.config.lookup, call).await
     }
 
+    /// Asks the owner of a suspect content for a permit, or reports how its run ended.
+    ///
+    /// # Errors
+    ///
+    /// - As [`Error`] lists, within the deadline for permits. Without a permit the content must not run.
+    pub async fn permit(&self, trial: Trial) -> Result<Grant, Error> {
+        let call = |mut peer: PeerClient<Channel>| async move { peer.permit(trial).await };
+        self.call(self.config.permit, call).await
+    }
+
     async fn call<T, F>(
         &self,
         deadline: Duration,
--- a/crates/peer/src/codec.rs
+++ b/crates/peer/src/codec.rs
@@ -308,23 +308,25 @@
     })
 }
 
-fn suspect_out(suspect: &fact::Suspect) -> wire::Suspect {
+/// Encodes what is known of a suspect content.
+pub fn suspect_out(suspect: &fact::Suspect) -> wire::Suspect {
     wire::Suspect {
         digest: suspect.digest.as_bytes().to_vec(),
         crashed: suspect.crashed.iter().map(|id| id.0).collect(),
         cleared: suspect.cleared,
-        version: suspect.version,
-        running: suspect.running.map_or(0, |id| id.0),
     }
 }
 
-fn suspect_in(suspect: wire::Suspect) -> Result<fact::Suspect, Error> {
+/// Decodes what is known of a suspect content.
+///
+/// # Errors
+///
+/// - The digest has another length.
+pub fn suspect_in(suspect: wire::Suspect) -> Result<fact::Suspect, Error> {
     Ok(fact::Suspect {
         digest: digest(&suspect.digest)?,
         crashed: suspect.crashed.into_iter().map(Id).collect(),
         cleared: suspect.cleared,
-        version: suspect.version,
-        running: Some(suspect.running).filter(|id| *id != 0).map(Id),
     })
 }
 
--- a/crates/peer/src/configs/peer.rs
+++ b/crates/peer/src/configs/peer.rs
@@ -15,6 +15,8 @@
     pub grace: Duration,
     /// Deadline of a look-up.
     pub lookup: Duration,
+    /// Deadline of a permit.
+    pub permit: Duration,
     /// Largest message, in bytes.
     pub size: usize,
     /// Deadline of a submission.
@@ -29,6 +31,7 @@
             fetch: Duration::from_secs(5),
             grace: Duration::from_secs(5),
             lookup: Duration::from_secs(1),
+            permit: Duration::from_millis(500),
             size: 16 << 20,
             submit: Duration::from_secs(3),
         }
--- a/crates/peer/src/server.rs
+++ b/crates/peer/src/server.rs
@@ -12,7 +12,7 @@
 use tokio::sync::oneshot;
 use tokio_stream::wrappers::TcpListenerStream;
 use tonic::{Request, Response, Status, transport};
-use wire::{Batch, Proof, Slots, Verdicts, Want, peer_server};
+use wire::{Batch, Grant, Proof, Slots, Trial, Verdicts, Want, peer_server};
 
 use crate::{Error, codec, configs};
 
@@ -31,6 +31,9 @@
 
     /// Looks keys up in a partition that this instance owns.
     fn lookup(&self, slots: Slots) -> impl Future<Output = Result<Verdicts, Error>> + Send;
+
+    /// Decides on a trial of a suspect content that this instance owns.
+    fn permit(&self, trial: Trial) -> impl Future<Output = Result<Grant, Error>> + Send;
 }
 
 /// A running server; it goes on when the handle is dropped.
@@ -55,7 +58,7 @@
 /// ```
 /// use member::Summary;
 /// use peer::{Error, Handler};
-/// use wire::{Batch, Proof, Slots, Verdicts, Want};
+/// use wire::{Batch, Grant, Proof, Slots, Trial, Verdicts, Want};
 ///
 /// struct Echo;
 /// impl Handler for Echo {
@@ -63,6 +66,7 @@
 ///     async fn fetch(&self, _: Want) -> Result<Proof, Error> { Err(Error::Refused("none".into())) }
 ///     async fn submit(&self, _: Batch) -> Result<Verdicts, Error> { Ok(Verdicts::default()) }
 ///     async fn lookup(&self, _: Slots) -> Result<Verdicts, Error> { Ok(Verdicts::default()) }
+///     async fn permit(&self, _: Trial) -> Result<Grant, Error> { Ok(Grant::default()) }
 /// }
 ///
 /// actix_web::rt::System::new().block_on(async {
@@ -148,4 +152,8 @@
     async fn lookup(&self, request: Request<Slots>) -> Result<Response<Verdicts>, Status> {
         Ok(Response::new(self.0.lookup(request.into_inner()).await?))
     }
+
+    async fn permit(&self, request: Request<Trial>) -> Result<Response<Grant>, Status> {
+        Ok(Response::new(self.0.permit(request.into_inner()).await?))
+    }
 }
--- a/crates/peer/tests/loopback.rs
+++ b/crates/peer/tests/loopback.rs
@@ -10,7 +10,7 @@
 use googletest::prelude::*;
 use member::Summary;
 use peer::{Client, Error, Handle, Handler, configs};
-use wire::{Batch, Proof, Record, Slots, Verdict, Verdicts, Want};
+use wire::{Batch, Grant, Proof, Record, Slots, Trial, Verdict, Verdicts, Want};
 
 mod relay;
 
@@ -49,6 +49,10 @@
     async fn lookup(&self, _: Slots) -> std::result::Result<Verdicts, Error> {
         Ok(Verdicts::default())
     }
+
+    async fn permit(&self, _: Trial) -> std::result::Result<Grant, Error> {
+        Ok(Grant::default())
+    }
 }
 
 fn config() -> configs::peer::Peer {
--- /dev/null
+++ b/crates/retry/tests/budget.rs
@@ -0,0 +1,127 @@
+//! The budget bounds attempts, whoever repeats.
+
+use std::time::Duration;
+
+use base::{Name, Tick};
+use googletest::prelude::*;
+use proptest::{
+    prelude::{ProptestConfig, any, prop, proptest},
+    test_runner::RngSeed,
+};
+use retry::{Budget, configs};
+
+/// Attempts per request that a stage may see while all of its attempts fail.
+const AMPLIFICATION: f64 = 1.1;
+
+fn open() -> Budget {
+    Budget::open(configs::budget::Budget::default())
+}
+
+/// Sends requests at a stage where everything fails: each is tried twice, and its caller sends it again twice.
+fn fail(accounts: u64, requests: u64, gap: Duration) -> f64 {
+    let mut budget = open();
+    let stage = Name::from("generate");
+    let mut attempts = 0;
+    let mut now = Tick::default();
+    for number in 0..requests {
+        let account = Name::from(format!("account-{}", number % accounts));
+        now = now + gap;
+        budget.first(now, &stage, &account);
+        attempts += 1;
+        for _ in 0..5 {
+            attempts += u64::from(budget.again(now, &stage, &account).is_ok());
+        }
+    }
+    attempts as f64 / requests as f64
+}
+
+#[gtest]
+fn total_failure_of_a_stage_amplifies_by_a_tenth_at_most() {
+    // 18 requests a second at an instance, and a tenth and ten times of that.
+    for (accounts, rate) in [(1, 18), (5, 18), (500, 18), (500, 180), (5, 2)] {
+        let ratio = fail(accounts, 20_000, Duration::from_secs(1) / rate);
+        let bound = if rate < 18 {
+            AMPLIFICATION + 0.05
+        } else {
+            AMPLIFICATION
+        };
+        expect_that!(ratio, le(bound), "{accounts} accounts at {rate} a second");
+        expect_that!(ratio, ge(1.05), "{accounts} accounts at {rate} a second");
+    }
+}
+
+#[gtest]
+fn one_account_does_not_take_the_tokens_of_the_others() {
+    let mut budget = open();
+    let (stage, greedy, modest) = (
+        Name::from("rerank"),
+        Name::from("greedy"),
+        Name::from("modest"),
+    );
+    let now = Tick::default();
+    for _ in 0..200 {
+        budget.first(now, &stage, &greedy);
+    }
+    let taken = (0..100)
+        .filter(|_| budget.again(now, &stage, &greedy).is_ok())
+        .count();
+    expect_that!(taken, le(5));
+    expect_that!(budget.again(now, &stage, &modest), ok(anything()));
+}
+
+#[gtest]
+fn a_quiet_account_has_one_retry() {
+    let mut budget = open();
+    let (stage, account) = (Name::from("encode"), Name::from("adinkra"));
+    let mut now = Tick::default();
+    for _ in 0..10 {
+        budget.first(now, &stage, &account);
+        expect_that!(budget.again(now, &stage, &account), ok(anything()));
+        now = now + Duration::from_secs(10);
+    }
+}
+
+#[gtest]
+fn the_time_to_wait_is_told_and_true() {
+    let mut budget = open();
+    let (stage, account) = (Name::from("encode"), Name::from("adinkra"));
+    let now = Tick::default();
+    expect_that!(budget.again(now, &stage, &account), ok(anything()));
+    let spent = budget
+        .again(now, &stage, &account)
+        .expect_err("one token only");
+    expect_that!(
+        budget.again(now + spent.after, &stage, &account),
+        ok(anything())
+    );
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(1),
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn further_attempts_never_exceed_what_was_paid(
+        steps in prop::collection::vec((any::<bool>(), 0_u8..3, 0_u64..2_000), 1..400),
+    ) {
+        let mut budget = open();
+        let stage = Name::from("generate");
+        let (mut now, mut first, mut further) = (Tick::default(), 0, 0);
+        for (is_first, account, millis) in steps {
+            let account = Name::from(format!("account-{account}"));
+            now = now + Duration::from_millis(millis);
+            if is_first {
+                budget.first(now, &stage, &account);
+                first += 1;
+            } else if budget.again(now, &stage, &account).is_ok() {
+                further += 1;
+            }
+        }
+        let reserve = (now - Tick::default()).as_secs_f64() / 10.0;
+        let paid = f64::from(first) * 0.09 + 1.0 + reserve;
+        proptest::prop_assert!(f64::from(further) <= paid + 1e-6);
+    }
+}
--- /dev/null
+++ b/crates/retry/tests/domain/mod.rs
@@ -0,0 +1,306 @@
+//! A failure domain of instances and backend servers, some contents of which crash servers.
+
+#![allow(unreachable_pub, reason = "a module of a test")]
+
+use std::{collections::VecDeque, time::Duration};
+
+use base::{Digest, Incarnation, Stamp, Tick};
+use member::fact::{Id, Suspect};
+use retry::{
+    Desk, Register, configs,
+    desk::{Decision, Trial},
+    suspect::{self, Action, End, Verdict},
+};
+
+/// How instances choose a server for a content that nobody suspects.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Routing {
+    /// Any server.
+    Free,
+    /// One of the two that the content's digest names.
+    Pair,
+}
+
+/// One attempt that runs at a server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Run {
+    instance: usize,
+    content: usize,
+}
+
+#[derive(Debug)]
+struct Server {
+    incarnation: Incarnation,
+    up: bool,
+    runs: Vec<Run>,
+}
+
+/// A request that waits to be tried.
+#[derive(Clone, Copy, Debug)]
+struct Request {
+    instance: usize,
+    content: usize,
+}
+
+#[derive(Debug)]
+pub struct Domain {
+    /// Servers lost to each content.
+    pub lost: Vec<usize>,
+    /// Servers at which each content ran without a permit.
+    pub unsuspected: Vec<Vec<Id>>,
+    /// Requests answered and refused, by content.
+    pub answered: Vec<usize>,
+    pub refused: Vec<usize>,
+    poison: usize,
+    routing: Routing,
+    registers: Vec<Register>,
+    desk: Desk,
+    servers: Vec<Server>,
+    waiting: VecDeque<Request>,
+    news: VecDeque<(usize, Suspect)>,
+    now: Tick,
+}
+
+impl Domain {
+    /// Builds a failure domain in which contents below `poison` crash the server that runs them.
+    pub fn new(
+        routing: Routing,
+        instances: usize,
+        servers: usize,
+        contents: usize,
+        poison: usize,
+    ) -> Self {
+        let server = |at: usize| Server {
+            incarnation: Incarnation::new(format!("runner-{at}"), Stamp::from_millis(1)),
+            up: true,
+            runs: Vec::new(),
+        };
+        let register = Register::open(configs::suspect::Suspect::default());
+        Self {
+            lost: vec![0; contents],
+            unsuspected: vec![Vec::new(); contents],
+            answered: vec![0; contents],
+            refused: vec![0; contents],
+            poison,
+            routing,
+            registers: vec![register; instances],
+            desk: Desk::default(),
+            servers: (0..servers).map(server).collect(),
+            waiting: VecDeque::new(),
+            news: VecDeque::new(),
+            now: Tick::default(),
+        }
+    }
+
+    /// A request arrives at an instance.
+    pub fn arrive(&mut self, instance: usize, content: usize) {
+        let instance = instance % self.registers.len();
+        let content = content % self.lost.len();
+        self.waiting.push_back(Request { instance, content });
+    }
+
+    /// Tries the request that has waited longest at a server.
+    pub fn attempt(&mut self, pick: usize) {
+        let Some(request) = self.waiting.pop_front() else {
+            return;
+        };
+        let digest = digest(request.content);
+        match self.registers[request.instance].verdict(&digest) {
+            Verdict::Refused => self.refused[request.content] += 1,
+            Verdict::Free => self.run(request, pick, false),
+            Verdict::Alone => self.ask(request, pick),
+        }
+    }
+
+    /// A server ends what it runs: it answers, or crashes if a poison is among it.
+    pub fn finish(&mut self, pick: usize) {
+        let busy: Vec<usize> = (0..self.servers.len())
+            .filter(|at| !self.servers[*at].runs.is_empty())
+            .collect();
+        if busy.is_empty() {
+            return;
+        }
+        let at = busy[pick % busy.len()];
+        let runs = core::mem::take(&mut self.servers[at].runs);
+        let culprit = runs.iter().find(|run| run.content < self.poison).copied();
+        match culprit {
+            Some(run) => self.crash(at, run.content, &runs),
+            None => runs.iter().for_each(|run| self.answer(at, *run)),
+        }
+    }
+
+    /// Delivers one piece of news.
+    pub fn deliver(&mut self) {
+        if let Some((to, fact)) = self.news.pop_front() {
+            let actions = self.registers[to].learn(self.now, &fact);
+            self.act(to, actions);
+        }
+    }
+
+    /// Delivers all news, waits until permits may be given, and starts crashed servers anew.
+    pub fn settle(&mut self) {
+        while !self.news.is_empty() {
+            self.deliver();
+        }
+        self.now = self.now + configs::suspect::Suspect::default().hold;
+        for server in self.servers.iter_mut().filter(|server| !server.up) {
+            server.incarnation.start = server.incarnation.start + Duration::from_millis(1);
+            server.up = true;
+        }
+    }
+
+    /// Goes on until nothing waits or runs.
+    pub fn drain(&mut self) {
+        for pick in 0..10_000 {
+            if self.waiting.is_empty() && self.servers.iter().all(|server| server.runs.is_empty()) {
+                return;
+            }
+            self.attempt(pick);
+            self.finish(pick);
+            self.settle();
+        }
+        panic!("requests still wait: {:?}", self.waiting);
+    }
+
+    pub fn verdict(&self, instance: usize, content: usize) -> Verdict {
+        self.registers[instance].verdict(&digest(content))
+    }
+
+    /// Tells whether a copy of a content runs or waits anywhere.
+    pub fn open(&self, content: usize) -> bool {
+        let waits = self
+            .waiting
+            .iter()
+            .any(|request| request.content == content);
+        waits
+            || self
+                .servers
+                .iter()
+                .flat_map(|server| &server.runs)
+                .any(|run| run.content == content)
+    }
+
+    /// The owner of suspects, instance 0, decides with what it knows.
+    fn ask(&mut self, request: Request, pick: usize) {
+        let Some(at) = self.choose(request.content, pick) else {
+            self.waiting.push_back(request);
+            return;
+        };
+        let server = Id::of(&self.servers[at].incarnation);
+        let trial = self.trial(request.instance, digest(request.content), server);
+        let actions = self.registers[0].learn(self.now, &trial.suspect);
+        self.act(0, actions);
+        match self.desk.ask(self.now, &mut self.registers[0], &trial) {
+            Decision::Busy(_) => self.waiting.push_back(request),
+            Decision::Granted(_) => self.start(request, at, true),
+            Decision::Free => {
+                let known = self.registers[0].get(&trial.suspect.digest).cloned();
+                self.registers[request.instance].learn(self.now, &known.expect("asked for"));
+                self.waiting.push_back(request);
+            }
+            Decision::Refused => self.refused[request.content] += 1,
+        }
+    }
+
+    fn run(&mut self, request: Request, pick: usize, alone: bool) {
+        match self.choose(request.content, pick) {
+            Some(at) => self.start(request, at, alone),
+            None => self.waiting.push_back(request),
+        }
+    }
+
+    fn choose(&self, content: usize, pick: usize) -> Option<usize> {
+        let names: Vec<Incarnation> = self
+            .servers
+            .iter()
+            .map(|server| server.incarnation.clone())
+            .collect();
+        let allowed: Vec<usize> = match self.routing {
+            Routing::Free => (0..names.len()).collect(),
+            Routing::Pair => {
+                let pair = suspect::pair(&names, &digest(content));
+                (0..names.len())
+                    .filter(|at| pair.contains(&&names[*at]))
+                    .collect()
+            }
+        };
+        let up: Vec<usize> = allowed
+            .into_iter()
+            .filter(|at| self.servers[*at].up)
+            .collect();
+        (!up.is_empty()).then(|| up[pick % up.len()])
+    }
+
+    fn start(&mut self, request: Request, at: usize, alone: bool) {
+        let server = Id::of(&self.servers[at].incarnation);
+        let Request { instance, content } = request;
+        self.registers[instance].start(digest(content), server);
+        if !alone && !self.unsuspected[content].contains(&server) {
+            self.unsuspected[content].push(server);
+        }
+        self.servers[at].runs.push(Run { instance, content });
+    }
+
+    fn answer(&mut self, at: usize, run: Run) {
+        let server = Id::of(&self.servers[at].incarnation);
+        let register = &mut self.registers[run.instance];
+        let actions = register.end(self.now, digest(run.content), server, End::Completed);
+        self.act(run.instance, actions);
+        self.answered[run.content] += 1;
+    }
+
+    fn crash(&mut self, at: usize, culprit: usize, runs: &[Run]) {
+        let server = Id::of(&self.servers[at].incarnation);
+        self.lost[culprit] += 1;
+        self.servers[at].up = false;
+        for instance in 0..self.registers.len() {
+            let actions = self.registers[instance].died(self.now, server);
+            self.act(instance, actions);
+        }
+        for Run { instance, content } in runs.iter().copied() {
+            self.waiting.push_back(Request { instance, content });
+        }
+    }
+
+    /// Carries out what an instance's register asks for; reports reach the owner at once.
+    fn act(&mut self, from: usize, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Forget(_) => {}
+                Action::Report {
+                    digest,
+                    server,
+                    step,
+                } => {
+                    let trial = self.trial(from, digest, server);
+                    let actions = self
+                        .desk
+                        .report(self.now, &mut self.registers[0], &trial, step);
+                    self.act(0, actions);
+                }
+                Action::Tell(fact) => {
+                    let others = (0..self.registers.len()).filter(|to| *to != from);
+                    self.news.extend(others.map(|to| (to, fact.clone())));
+                }
+            }
+        }
+    }
+
+    fn trial(&self, instance: usize, digest: Digest, server: Id) -> Trial {
+        let known = self.registers[instance].get(&digest).cloned();
+        let unknown = Suspect {
+            digest,
+            crashed: Vec::new(),
+            cleared: 0,
+        };
+        Trial {
+            suspect: known.unwrap_or(unknown),
+            holder: Id(u64::try_from(instance).unwrap_or_default()),
+            server,
+        }
+    }
+}
+
+fn digest(content: usize) -> Digest {
+    Digest::of(&content.to_be_bytes())
+}
--- /dev/null
+++ b/crates/retry/tests/hedge.rs
@@ -0,0 +1,143 @@
+//! Hedges and limits on progress.
+
+use std::time::Duration;
+
+use base::{Name, Tick};
+use googletest::prelude::*;
+use retry::{
+    Budget, Hedge, Silence, Usual, configs,
+    hedge::{Action, Event, Payer},
+    silence::{Overdue, Progress},
+};
+
+const LATE: Tick = Tick::from_millis(200);
+
+fn usual() -> Usual {
+    let mut usual = Usual::default();
+    (1..=100).for_each(|time| usual.add(Duration::from_millis(time)));
+    usual
+}
+
+fn open(idempotent: bool) -> Hedge {
+    let config = configs::hedge::Hedge::default();
+    Hedge::open(Tick::default(), 0, idempotent, &usual(), &config)
+}
+
+fn on(hedge: &mut Hedge, now: Tick, event: Event, budget: &mut Budget) -> Vec<Action> {
+    let (stage, account) = (Name::from("encode"), Name::from("adinkra"));
+    let mut payer = Payer {
+        budget,
+        stage: &stage,
+        account: &account,
+    };
+    hedge.on(now, event, &mut payer)
+}
+
+fn budget() -> Budget {
+    Budget::open(configs::budget::Budget::default())
+}
+
+#[gtest]
+fn a_call_that_may_not_be_repeated_is_never_hedged() {
+    let (mut hedge, mut budget) = (open(false), budget());
+    expect_that!(on(&mut hedge, LATE, Event::Tick, &mut budget), is_empty());
+}
+
+#[gtest]
+fn the_second_attempt_starts_once_and_late() {
+    let (mut hedge, mut budget) = (open(true), budget());
+    let due = hedge.due().expect("enough is known");
+    expect_that!(
+        due,
+        all![ge(Tick::from_millis(95)), le(Tick::from_millis(105))]
+    );
+    expect_that!(
+        on(&mut hedge, Tick::from_millis(90), Event::Tick, &mut budget),
+        is_empty()
+    );
+    expect_that!(
+        on(&mut hedge, LATE, Event::Tick, &mut budget),
+        elements_are![eq(&Action::Start(1))]
+    );
+    expect_that!(on(&mut hedge, LATE, Event::Tick, &mut budget), is_empty());
+}
+
+#[gtest]
+fn the_first_answer_counts_and_cancels_the_other() {
+    let (mut hedge, mut budget) = (open(true), budget());
+    on(&mut hedge, LATE, Event::Tick, &mut budget);
+    let actions = on(&mut hedge, LATE, Event::Answered(1), &mut budget);
+    expect_that!(
+        actions,
+        elements_are![eq(&Action::Take(1)), eq(&Action::Cancel(0))]
+    );
+    expect_that!(
+        on(&mut hedge, LATE, Event::Answered(0), &mut budget),
+        is_empty()
+    );
+    expect_that!(
+        on(&mut hedge, LATE, Event::Failed(0), &mut budget),
+        is_empty()
+    );
+}
+
+#[gtest]
+fn a_spent_budget_starts_no_hedge() {
+    let (mut hedge, mut budget) = (open(true), budget());
+    let (stage, account) = (Name::from("encode"), Name::from("adinkra"));
+    while budget.again(LATE, &stage, &account).is_ok() {}
+    expect_that!(on(&mut hedge, LATE, Event::Tick, &mut budget), is_empty());
+}
+
+#[gtest]
+fn the_call_fails_when_both_attempts_have() {
+    let (mut hedge, mut budget) = (open(true), budget());
+    on(&mut hedge, LATE, Event::Tick, &mut budget);
+    expect_that!(
+        on(&mut hedge, LATE, Event::Failed(0), &mut budget),
+        is_empty()
+    );
+    expect_that!(
+        on(&mut hedge, LATE, Event::Failed(1), &mut budget),
+        elements_are![eq(&Action::Fail)]
+    );
+}
+
+#[gtest]
+fn limits_follow_what_the_server_usually_does() {
+    let mut silence = Silence::default();
+    let left = Duration::from_secs(60);
+    let before = silence.limits(left);
+    for _ in 0..100 {
+        silence.learn(Progress::First(Duration::from_millis(200)));
+        silence.learn(Progress::Between(Duration::from_millis(30)));
+    }
+    let after = silence.limits(left);
+    expect_that!(before.first, eq(Duration::from_secs(10)));
+    expect_that!(
+        after.first,
+        all![
+            ge(Duration::from_millis(800)),
+            le(Duration::from_millis(900))
+        ]
+    );
+    expect_that!(after.between, eq(Duration::from_millis(250)));
+    expect_that!(after.total, eq(left));
+}
+
+#[gtest]
+fn a_stream_that_stops_midway_is_overdue_before_its_deadline() {
+    let mut silence = Silence::default();
+    for _ in 0..100 {
+        silence.learn(Progress::Between(Duration::from_millis(100)));
+    }
+    let mut watch = silence.watch(Tick::default(), Duration::from_secs(5));
+    watch.piece(Tick::from_millis(100));
+    watch.piece(Tick::from_millis(200));
+    expect_that!(watch.overdue(Tick::from_millis(600)), none());
+    expect_that!(
+        watch.overdue(Tick::from_millis(700)),
+        some(eq(Overdue::Between))
+    );
+    expect_that!(watch.due(), le(Tick::from_millis(700)));
+}
