--- a/crates/demo/src/deployment.rs
+++ b/crates/demo/src/deployment.rs
@@ -43,7 +43,9 @@
         let roots = [author.public(), steward.public()];
         let mut instances = Vec::new();
         for number in 0..INSTANCES {
-            instances.push(start_instance(&bundle, number, &platform.url(), &roots)?);
+            let instance = start_instance(&bundle, number, &platform.url(), &roots)?;
+            list(&instance, &platform.url()).await?;
+            instances.push(instance);
         }
         let log = platform::Http::open(&platform.url(), Duration::from_secs(1));
         ctl::roll_out_all(&log, text, &author, &steward).await?;
@@ -154,6 +156,21 @@
     Ok(entry::spawn(settings)?)
 }
 
+/// Puts an instance into the platform's list, as the platform does by itself.
+async fn list(instance: &entry::Handle, platform: &str) -> Result<(), Box<dyn Error>> {
+    let incarnation = instance.incarnation().clone();
+    let url = format!("{platform}/instances/{}", incarnation.name);
+    let line = platform::Instance {
+        incarnation,
+        pool: Name::from("entry"),
+        domain: Name::from("local"),
+        address: instance.peer_address(),
+        state: platform::list::State::Live,
+    };
+    awc::Client::default().put(url).send_json(&line).await?;
+    Ok(())
+}
+
 async fn is_ready(address: SocketAddr) -> bool {
     let url = format!("http://{address}/ready");
     let asked = awc::Client::default().get(url).send().await;
--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -4,5 +4,7 @@
 
 pub mod config;
 pub mod ledger;
+pub(crate) mod lines;
+pub(crate) mod peers;
 pub mod roster;
 pub mod work;
--- a/crates/entry/src/control/config.rs
+++ b/crates/entry/src/control/config.rs
@@ -3,13 +3,24 @@
 use core::time::Duration;
 use std::sync::Arc;
 
-use actix::{Actor, ActorFutureExt as _, AsyncContext as _, Context, WrapFuture as _};
-use base::Digest;
-use bundle::{Record, fold::Fold};
+use actix::{
+    Actor, ActorFutureExt as _, Addr, AsyncContext as _, Context, Handler, Message, WrapFuture as _,
+};
+use base::{Digest, Name};
+use bundle::{Proof, Record, fold::Fold};
+use member::{Fact, fact};
 use platform::{Log as _, log::Page};
 use tokio::sync::watch;
 
-use crate::{clock::Clock, metrics::Metrics, view::Force};
+use crate::{
+    clock::Clock,
+    control::{
+        lines::Lines,
+        roster::{Roster, Tell},
+    },
+    metrics::Metrics,
+    view::Force,
+};
 
 /// The stream of the log that holds configuration.
 pub const STREAM: &str = "config";
@@ -26,18 +37,23 @@
 /// Follows the configuration.
 pub struct Config {
     clock: Clock,
+    fetching: bool,
     fold: Fold,
+    lines: Lines,
     force: watch::Sender<Force>,
     metrics: Arc<Metrics>,
     platform: platform::Http,
     poll: Duration,
     published: Option<Digest>,
+    /// Told of the configuration in force, for the peers.
+    roster: Option<Addr<Roster>>,
 }
 
 impl Config {
     /// Returns an actor that knows no configuration yet.
-    pub fn new(
+    pub(crate) fn new(
         clock: Clock,
+        lines: Lines,
         root_keys: Vec<Digest>,
         platform: platform::Http,
         poll: Duration,
@@ -46,12 +62,15 @@
     ) -> Self {
         Self {
             clock,
+            fetching: false,
+            lines,
             fold: Fold::open(root_keys),
             force,
             metrics,
             platform,
             poll,
             published: None,
+            roster: None,
         }
     }
 
@@ -103,6 +122,12 @@
         let offset = i64::try_from(position.offset).unwrap_or(i64::MAX);
         self.metrics.bundle_offset.set(offset);
         self.published = Some(position.digest);
+        if let Some(roster) = &self.roster {
+            roster.do_send(Tell(Fact::Position(fact::Position {
+                offset: position.offset,
+                digest: position.digest,
+            })));
+        }
         self.force.send_replace(Some(Arc::new(bundle)));
     }
 }
@@ -136,6 +161,78 @@
     }
 }
 
+/// Asks for the proof of the configuration in force.
+#[derive(Message)]
+#[rtype(result = "Option<Proof>")]
+pub(crate) struct Prove;
+
+/// Names the actor that tells peers of the configuration in force.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub(crate) struct Report(pub(crate) Addr<Roster>);
+
+impl Handler<Report> for Config {
+    type Result = ();
+
+    fn handle(&mut self, message: Report, _: &mut Context<Self>) {
+        self.roster = Some(message.0);
+    }
+}
+
+/// Tells that a peer has a configuration in force at a place in the log.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub(crate) struct Heard {
+    /// Where the peer takes messages.
+    pub(crate) address: Name,
+    /// The place and digest of its configuration.
+    pub(crate) position: fact::Position,
+}
+
+impl Handler<Prove> for Config {
+    type Result = Option<Proof>;
+
+    fn handle(&mut self, _: Prove, _: &mut Context<Self>) -> Self::Result {
+        self.fold.proof()
+    }
+}
+
+impl Handler<Heard> for Config {
+    type Result = ();
+
+    /// Fetches a peer's configuration if it may be newer; the log is read anyway, so this matters
+    /// while the log cannot be.
+    fn handle(&mut self, message: Heard, context: &mut Context<Self>) {
+        let known = self.fold.position();
+        let newer = known.is_none_or(|known| {
+            message.position.offset > known.offset && message.position.digest != known.digest
+        });
+        if !newer || self.fetching {
+            return;
+        }
+        let Some(line) = self.lines.to(&message.address) else {
+            return;
+        };
+        self.fetching = true;
+        let fetching = async move { fetch(&line).await };
+        let done = fetching.into_actor(self).map(|proof, actor, _| {
+            actor.fetching = false;
+            // A proof is taken only if its signatures and its place in the order hold.
+            if let Some(proof) = proof
+                && actor.fold.adopt(&proof).is_ok()
+            {
+                actor.publish();
+            }
+        });
+        context.spawn(done);
+    }
+}
+
+async fn fetch(line: &peer::Client) -> Option<Proof> {
+    let proof = line.fetch(wire::Want::default()).await.ok()?;
+    serde_json::from_slice(&proof.content).ok()
+}
+
 impl Actor for Config {
     type Context = Context<Self>;
 
--- a/crates/entry/src/control/ledger.rs
+++ b/crates/entry/src/control/ledger.rs
@@ -1,11 +1,13 @@
 //! The actor that owns ledger partitions and talks to the log for them.
 
 use core::time::Duration;
+use std::{rc::Rc, sync::Arc};
 
 use actix::{
     Actor, ActorFutureExt as _, AsyncContext as _, Context, Handler, Message, ResponseFuture,
     SpawnHandle, WrapFuture as _,
 };
+use base::Incarnation;
 use ledger::{
     configs,
     owner::{Action, Event, Owner, Token, Verdict},
@@ -13,19 +15,30 @@
     record::Record,
     slot::Slot,
 };
+use member::rendezvous;
 use platform::{Log as _, log};
-use tokio::sync::oneshot;
+use tokio::sync::{oneshot, watch};
 
-use std::sync::Arc;
-
-use crate::{clock::Clock, metrics::Metrics};
+use crate::{
+    clock::Clock,
+    control::{lines::Lines, peers},
+    metrics::Metrics,
+    view::Members,
+};
 
 /// Records read from the log at once.
 const READ_RECORDS: usize = 500;
 
 /// Owns partitions, each opened when it is first needed.
+///
+/// Records and look-ups go to the instance of the failure domain that owns their partition, so that
+/// they are appended in batches and few instances read a partition. Where that instance cannot be
+/// reached, this one takes its place: two owners of a partition are safe.
 pub struct Ledger {
     clock: Clock,
+    lines: Lines,
+    members: watch::Receiver<Members>,
+    own: Incarnation,
     metrics: Arc<Metrics>,
     next_token: Token,
     owners: Vec<Option<Owner>>,
@@ -44,12 +57,32 @@
 #[rtype(result = "Verdict")]
 pub struct Lookup(pub Slot);
 
+/// Hands a record to the log from this instance, whoever owns its partition.
+#[derive(Message)]
+#[rtype(result = "Verdict")]
+pub struct SubmitHere(pub Record);
+
+/// Asks this instance for the state of a slot, whoever owns its partition.
+#[derive(Message)]
+#[rtype(result = "Verdict")]
+pub struct LookupHere(pub Slot);
+
 impl Ledger {
     /// Returns an actor that owns nothing yet.
-    pub fn new(clock: Clock, metrics: Arc<Metrics>, platform: platform::Http) -> Self {
+    pub(crate) fn new(
+        clock: Clock,
+        metrics: Arc<Metrics>,
+        platform: platform::Http,
+        own: Incarnation,
+        members: watch::Receiver<Members>,
+        lines: Lines,
+    ) -> Self {
         let count = usize::from(partition::PARTITIONS);
         Self {
             clock,
+            lines,
+            members,
+            own,
             metrics,
             next_token: 0,
             owners: (0..count).map(|_| None).collect(),
@@ -59,6 +92,17 @@
         }
     }
 
+    /// Returns the connection to the peer that owns a partition; none where this instance does.
+    fn owner(&self, partition: u16) -> Option<Rc<peer::Client>> {
+        let members = self.members.borrow();
+        let key = partition::stream(partition);
+        let owner = rendezvous::owner(&members.names, key.as_bytes())?;
+        if *owner == self.own {
+            return None;
+        }
+        self.lines.to(members.address(owner)?)
+    }
+
     fn ask(
         &mut self,
         partition: u16,
@@ -73,6 +117,16 @@
         Box::pin(async move { receiver.await.unwrap_or(Verdict::LOST) })
     }
 
+    fn submit(&mut self, record: Record, context: &mut Context<Self>) -> ResponseFuture<Verdict> {
+        let partition = partition::of(record.slot());
+        self.ask(partition, |token| Event::Submit { token, record }, context)
+    }
+
+    fn lookup(&mut self, slot: Slot, context: &mut Context<Self>) -> ResponseFuture<Verdict> {
+        let partition = partition::of(&slot);
+        self.ask(partition, |token| Event::Lookup { token, slot }, context)
+    }
+
     fn on(&mut self, partition: u16, event: Event, context: &mut Context<Self>) {
         let now = self.clock.now();
         let owner = self.owners[usize::from(partition)]
@@ -168,8 +222,33 @@
 
     fn handle(&mut self, message: Submit, context: &mut Context<Self>) -> Self::Result {
         let Submit(record) = message;
-        let partition = partition::of(record.slot());
-        self.ask(partition, |token| Event::Submit { token, record }, context)
+        let Some(owner) = self.owner(partition::of(record.slot())) else {
+            return self.submit(record, context);
+        };
+        let own = context.address();
+        Box::pin(async move {
+            if let Ok(verdict) = submit_to(&owner, &record).await {
+                return verdict;
+            }
+            // Whether the owner took the record or not, its nonce lets it count once.
+            own.send(SubmitHere(record)).await.unwrap_or(Verdict::LOST)
+        })
+    }
+}
+
+impl Handler<SubmitHere> for Ledger {
+    type Result = ResponseFuture<Verdict>;
+
+    fn handle(&mut self, message: SubmitHere, context: &mut Context<Self>) -> Self::Result {
+        self.submit(message.0, context)
+    }
+}
+
+impl Handler<LookupHere> for Ledger {
+    type Result = ResponseFuture<Verdict>;
+
+    fn handle(&mut self, message: LookupHere, context: &mut Context<Self>) -> Self::Result {
+        self.lookup(message.0, context)
     }
 }
 
@@ -178,7 +257,43 @@
 
     fn handle(&mut self, message: Lookup, context: &mut Context<Self>) -> Self::Result {
         let Lookup(slot) = message;
-        let partition = partition::of(&slot);
-        self.ask(partition, |token| Event::Lookup { token, slot }, context)
+        let Some(owner) = self.owner(partition::of(&slot)) else {
+            return self.lookup(slot, context);
+        };
+        let own = context.address();
+        Box::pin(async move {
+            if let Ok(verdict) = lookup_at(&owner, slot).await {
+                return verdict;
+            }
+            own.send(LookupHere(slot)).await.unwrap_or(Verdict::LOST)
+        })
     }
 }
+
+async fn submit_to(owner: &peer::Client, record: &Record) -> Result<Verdict, peer::Error> {
+    let batch = wire::Batch {
+        partition: u32::from(partition::of(record.slot())),
+        records: vec![wire::Record {
+            token: 0,
+            json: peers::json(record)?,
+        }],
+    };
+    verdict(owner.submit(batch).await?)
+}
+
+async fn lookup_at(owner: &peer::Client, slot: Slot) -> Result<Verdict, peer::Error> {
+    let slots = wire::Slots {
+        partition: u32::from(partition::of(&slot)),
+        slots: vec![wire::Slot {
+            token: 0,
+            json: peers::json(&slot)?,
+        }],
+    };
+    verdict(owner.lookup(slots).await?)
+}
+
+fn verdict(told: wire::Verdicts) -> Result<Verdict, peer::Error> {
+    let first = told.verdicts.first();
+    let first = first.ok_or(peer::Error::Malformed("no verdict"))?;
+    peers::parse(&first.json)
+}
--- a/crates/entry/src/control/roster.rs
+++ b/crates/entry/src/control/roster.rs
@@ -1,81 +1,283 @@
-//! The actor that follows which backend servers are there.
+//! The actor that follows which instances and backend servers are there.
+
+mod listing;
+mod publish;
 
 use core::time::Duration;
 use std::sync::Arc;
 
-use actix::{Actor, ActorFutureExt as _, AsyncContext as _, Context, WrapFuture as _};
-use platform::list::{Instance, State};
+use actix::{
+    Actor, ActorFutureExt as _, Addr, AsyncContext as _, Context, Handler, Message, WrapFuture as _,
+};
+use base::{Incarnation, Name};
+use member::{
+    Action, Event, Fact, Summary, configs,
+    event::{self, Word},
+    fact::{self, Instance, State},
+};
+use platform::list;
+use rand::SeedableRng as _;
+use rand_chacha::ChaCha8Rng;
 use tokio::sync::watch;
 
 use crate::{
+    clock::Clock,
+    control::{
+        config::{self, Config},
+        lines::Lines,
+    },
     metrics::Metrics,
-    view::{Members, Server, Servers},
+    view::{Members, Servers},
 };
 
-/// Follows the platform's list.
+/// How often the roster acts.
+const TICK: Duration = Duration::from_millis(250);
+
+/// The time limit of asking a backend server for its load.
+const POLL_LIMIT: Duration = Duration::from_millis(500);
+
+/// Follows the platform's list, the peers and the backend servers' own words.
 pub struct Roster {
-    /// Where to publish the entry instances.
-    pub members: watch::Sender<Members>,
-    /// Counters.
-    pub metrics: Arc<Metrics>,
-    /// The platform.
-    pub platform: platform::Http,
-    /// How often to read the list.
-    pub poll: Duration,
-    /// Where to publish the servers.
-    pub servers: watch::Sender<Servers>,
+    client: backend::Client,
+    clock: Clock,
+    config: Addr<Config>,
+    core: member::Roster,
+    lines: Lines,
+    /// What the platform last listed.
+    listed: Vec<list::Instance>,
+    members: watch::Sender<Members>,
+    metrics: Arc<Metrics>,
+    own: Instance,
+    platform: platform::Http,
+    poll: Duration,
+    rng: ChaCha8Rng,
+    servers: watch::Sender<Servers>,
 }
 
-impl Actor for Roster {
-    type Context = Context<Self>;
-
-    fn started(&mut self, context: &mut Context<Self>) {
-        self.read(context);
-    }
+/// What the roster needs of its instance.
+pub(crate) struct World {
+    pub(crate) clock: Clock,
+    pub(crate) config: Addr<Config>,
+    pub(crate) lines: Lines,
+    pub(crate) members: watch::Sender<Members>,
+    pub(crate) metrics: Arc<Metrics>,
+    pub(crate) own: Instance,
+    pub(crate) platform: platform::Http,
+    pub(crate) poll: Duration,
+    /// Peers to ask before the platform's list was read.
+    pub(crate) seeds: Vec<Name>,
+    pub(crate) servers: watch::Sender<Servers>,
 }
 
+/// A peer's summary, to be answered with the own one.
+#[derive(Message)]
+#[rtype(result = "Summary")]
+pub(crate) struct Exchange(pub(crate) Summary);
+
+/// What a backend server said of itself in an answer.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub(crate) struct Heard(pub(crate) Incarnation, pub(crate) State);
+
+/// A fact to tell the peers.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub(crate) struct Tell(pub(crate) Fact);
+
+/// This instance is leaving.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub(crate) struct Leave;
+
 impl Roster {
-    fn read(&self, context: &mut Context<Self>) {
+    pub(crate) fn new(world: World) -> Self {
+        let core = member::Roster::open(
+            world.own.clone(),
+            configs::roster::Roster::default(),
+            world.clock.tick(),
+        );
+        let mut roster = Self {
+            client: backend::Client::open(backend::Config::default()),
+            clock: world.clock,
+            config: world.config,
+            core,
+            lines: world.lines,
+            listed: Vec::new(),
+            members: world.members,
+            metrics: world.metrics,
+            own: world.own,
+            platform: world.platform,
+            poll: world.poll,
+            rng: ChaCha8Rng::from_rng(&mut rand::rng()),
+            servers: world.servers,
+        };
+        let seeds = world.seeds.iter().map(listing::seed).collect();
+        roster.handle_event(Event::Listed(seeds));
+        roster
+    }
+
+    fn handle_event(&mut self, event: Event) -> Vec<Action> {
+        let mut context = event::Context {
+            now: self.clock.tick(),
+            stamp: self.clock.stamp(),
+            rng: &mut self.rng,
+        };
+        self.core.on(&mut context, event)
+    }
+
+    /// Takes an event, carries out what follows, and gives the answer to an exchange.
+    fn on(&mut self, event: Event, context: &mut Context<Self>) -> Option<Summary> {
+        let mut answer = None;
+        for action in self.handle_event(event) {
+            match action {
+                Action::Answer(summary) => answer = Some(summary),
+                Action::Exchange { address, summary } => self.exchange(&address, summary, context),
+                Action::Learned { origin, fact } => self.learn(origin, fact),
+                Action::Poll { server, address } => self.ask(server, &address, context),
+            }
+        }
+        answer
+    }
+
+    fn exchange(&self, address: &Name, summary: Summary, context: &mut Context<Self>) {
+        let Some(line) = self.lines.to(address) else {
+            return;
+        };
+        let exchanging = async move { line.exchange(&summary).await };
+        let done = exchanging.into_actor(self).map(|answer, actor, context| {
+            let end = if answer.is_ok() { "answered" } else { "failed" };
+            let messages = &actor.metrics.peer_messages;
+            messages.with_label_values(&["exchange", end]).inc();
+            if let Ok(summary) = answer {
+                actor.on(Event::Answered(summary), context);
+            }
+        });
+        context.spawn(done);
+    }
+
+    fn learn(&self, origin: fact::Id, fact: Fact) {
+        if let Fact::Position(position) = fact
+            && let Some(address) = self.address_of(origin)
+        {
+            self.config.do_send(config::Heard { address, position });
+        }
+    }
+
+    fn address_of(&self, origin: fact::Id) -> Option<Name> {
+        let view = self.core.view(self.clock.tick());
+        let found = view
+            .peers
+            .iter()
+            .find(|peer| fact::Id::of(&peer.instance.incarnation) == origin);
+        found.map(|peer| peer.instance.address.clone())
+    }
+
+    fn ask(&self, server: Incarnation, address: &Name, context: &mut Context<Self>) {
+        let Ok(address) = address.as_str().parse() else {
+            return;
+        };
+        let client = self.client.clone();
+        let asking = async move { backend::load::ask(&client, address, POLL_LIMIT).await };
+        let done = asking.into_actor(self).map(move |report, actor, context| {
+            // A server that does not report its load says nothing by that.
+            if let Some(report) = report {
+                actor.on(Event::Heard(word(report)), context);
+            } else {
+                log::trace!("{server} did not report its load");
+            }
+        });
+        context.spawn(done);
+    }
+
+    fn read_list(&self, context: &mut Context<Self>) {
         let platform = self.platform.clone();
         let reading = async move { platform.instances().await };
         let done = reading.into_actor(self).map(|list, actor, context| {
             match list {
-                Ok(list) => actor.publish(list),
-                Err(_) => actor
-                    .metrics
-                    .platform_failures
-                    .with_label_values(&["list"])
-                    .inc(),
+                Ok(list) => {
+                    let lines = list.iter().map(listing::of).collect();
+                    actor.listed = list;
+                    actor.on(Event::Listed(lines), context);
+                    actor.publish();
+                }
+                Err(_) => {
+                    let failures = &actor.metrics.platform_failures;
+                    failures.with_label_values(&["list"]).inc();
+                }
             }
-            context.run_later(actor.poll, |actor, context| actor.read(context));
+            context.run_later(actor.poll, |actor, context| actor.read_list(context));
         });
         context.spawn(done);
     }
+}
+
+fn word(report: backend::load::Report) -> Word {
+    Word {
+        incarnation: report.incarnation,
+        state: if report.leaving {
+            State::Leaving
+        } else {
+            State::Live
+        },
+        load: Some(fact::Load {
+            running: report.running,
+            waiting: report.waiting,
+            ..fact::Load::default()
+        }),
+    }
+}
 
-    fn publish(&self, list: Vec<Instance>) {
-        let mut servers: Vec<_> = list
-            .into_iter()
-            .filter(|instance| instance.pool.as_str() != "entry")
-            .map(server)
-            .collect();
-        servers.sort();
-        self.servers.send_if_modified(|known| {
-            if **known == servers {
-                return false;
-            }
-            log::info!("backend servers known: {}", servers.len());
-            *known = Arc::new(servers);
-            true
+impl Actor for Roster {
+    type Context = Context<Self>;
+
+    fn started(&mut self, context: &mut Context<Self>) {
+        self.read_list(context);
+        context.run_interval(TICK, |actor, context| {
+            actor.on(Event::Tick, context);
+            actor.publish();
         });
     }
 }
 
-fn server(instance: Instance) -> Server {
-    Server {
-        pool: instance.pool,
-        incarnation: instance.incarnation,
-        domain: instance.domain,
-        address: instance.address,
-        leaving: instance.state == State::Leaving,
+impl Handler<Exchange> for Roster {
+    type Result = actix::MessageResult<Exchange>;
+
+    fn handle(&mut self, message: Exchange, context: &mut Context<Self>) -> Self::Result {
+        let answer = self.on(Event::Asked(message.0), context);
+        actix::MessageResult(answer.unwrap_or_default())
+    }
+}
+
+impl Handler<Heard> for Roster {
+    type Result = ();
+
+    fn handle(&mut self, message: Heard, context: &mut Context<Self>) {
+        let Heard(incarnation, state) = message;
+        let word = Word {
+            incarnation,
+            state,
+            load: None,
+        };
+        self.on(Event::Heard(word), context);
+        if state == State::Leaving {
+            self.publish();
+        }
+    }
+}
+
+impl Handler<Tell> for Roster {
+    type Result = ();
+
+    fn handle(&mut self, message: Tell, context: &mut Context<Self>) {
+        self.on(Event::Tell(message.0), context);
+    }
+}
+
+impl Handler<Leave> for Roster {
+    type Result = ();
+
+    fn handle(&mut self, _: Leave, context: &mut Context<Self>) {
+        self.own.state = State::Leaving;
+        self.on(Event::Stop, context);
     }
 }
--- /dev/null
+++ b/crates/entry/src/control/roster/publish.rs
@@ -0,0 +1,118 @@
+//! What the roster tells the rest of its instance.
+
+use std::sync::Arc;
+
+use base::{Incarnation, Name, Tick};
+use member::{
+    View,
+    fact::{Load, State},
+    view,
+};
+use platform::list::{self, Instance};
+
+use super::{Roster, listing::ENTRY};
+use crate::view::{self as shared, Group, Server};
+
+impl Roster {
+    /// Publishes instances and backend servers, where they have changed.
+    ///
+    /// - Servers of the own failure domain come from the roster.
+    /// - Servers of other failure domains come from the platform's list, as far as nothing says
+    ///   that they are leaving.
+    pub(super) fn publish(&self) {
+        let now = self.clock.tick();
+        let view = self.core.view(now);
+        self.publish_servers(&view, now);
+        self.publish_members(&view, now);
+    }
+
+    fn publish_servers(&self, view: &View, now: Tick) {
+        let near = view.pools.iter().flat_map(|pool| {
+            let domain = &self.own.domain;
+            pool.servers
+                .iter()
+                .filter_map(move |server| near(&pool.name, domain, server, now))
+        });
+        let far = self.listed.iter().filter_map(|line| self.far(line));
+        let mut servers: Vec<Server> = near.chain(far).collect();
+        servers.sort();
+        self.servers.send_if_modified(|known| {
+            if **known == servers {
+                return false;
+            }
+            if known.len() != servers.len() {
+                log::info!("backend servers known: {}", servers.len());
+            }
+            *known = Arc::new(servers);
+            true
+        });
+    }
+
+    fn far(&self, line: &Instance) -> Option<Server> {
+        if line.domain == self.own.domain || line.pool.as_str() == ENTRY {
+            return None;
+        }
+        Some(Server {
+            pool: line.pool.clone(),
+            incarnation: line.incarnation.clone(),
+            domain: line.domain.clone(),
+            address: line.address,
+            leaving: line.state == list::State::Leaving || self.core.left(&line.incarnation),
+            load: None,
+        })
+    }
+
+    fn publish_members(&self, view: &View, now: Tick) {
+        let names = self.core.members(now);
+        let address = |name: &Incarnation| {
+            if *name == self.own.incarnation {
+                return self.own.address.clone();
+            }
+            let peer = view
+                .peers
+                .iter()
+                .find(|peer| peer.instance.incarnation == *name);
+            peer.map_or_else(Name::default, |peer| peer.instance.address.clone())
+        };
+        let addresses = names.iter().map(address).collect();
+        let group = Group { names, addresses };
+        self.members.send_if_modified(|known| {
+            if **known == group {
+                return false;
+            }
+            log::info!(
+                "entry instances of the failure domain: {}",
+                group.names.len()
+            );
+            *known = Arc::new(group);
+            true
+        });
+        let mut addresses: Vec<Name> = view
+            .peers
+            .iter()
+            .map(|peer| peer.instance.address.clone())
+            .collect();
+        addresses.sort_unstable();
+        self.lines.retain(&addresses);
+    }
+}
+
+fn near(pool: &Name, domain: &Name, server: &view::Server, now: Tick) -> Option<Server> {
+    Some(Server {
+        pool: pool.clone(),
+        incarnation: server.incarnation.clone(),
+        domain: domain.clone(),
+        address: server.address.as_str().parse().ok()?,
+        leaving: server.state == State::Leaving,
+        load: server.load.map(|load| reported(load, now)),
+    })
+}
+
+fn reported(load: Load, now: Tick) -> shared::Load {
+    let age = u64::try_from(load.age.as_micros()).unwrap_or(u64::MAX);
+    shared::Load {
+        running: load.running,
+        waiting: load.waiting,
+        at: Tick::from_micros(now.as_micros().saturating_sub(age)),
+    }
+}
--- a/crates/entry/src/control/work.rs
+++ b/crates/entry/src/control/work.rs
@@ -160,13 +160,13 @@
 async fn look(world: Rc<World>, number: usize) {
     let partition = &world.partitions[number];
     let members = world.members.borrow().clone();
-    let own = shift::owner(&members, partition.number) == Some(&world.own);
+    let own = shift::owner(&members.names, partition.number) == Some(&world.own);
     if !own || !partition.begin_look() {
         return;
     }
     if partition.refresh().await.is_ok() {
         let actions = partition.look(shift::Context {
-            members: &members,
+            members: &members.names,
             now: world.clock.tick(),
             own: &world.own,
             partition: partition.number,
--- a/crates/entry/src/instance.rs
+++ b/crates/entry/src/instance.rs
@@ -3,6 +3,7 @@
 use core::{net::SocketAddr, time::Duration};
 use std::{
     io,
+    net::TcpListener,
     sync::{
         Arc, Mutex,
         atomic::{AtomicBool, AtomicUsize, Ordering},
@@ -13,14 +14,22 @@
 
 use actix::Actor as _;
 use actix_web::{App, HttpServer, dev::ServerHandle, rt::System, web};
-use base::Incarnation;
+use base::{Incarnation, Name};
 use burn::Book;
+use member::fact;
 use thiserror::Error;
 use tokio::sync::watch;
 
 use crate::{
     clock::Clock,
-    control::{config::Config, ledger::Ledger, roster::Roster, work::Work},
+    control::{
+        config::{Config, Report},
+        ledger::Ledger,
+        lines::Lines,
+        peers::Peers,
+        roster::{Leave, Roster, World},
+        work::Work,
+    },
     metrics::Metrics,
     plane::Plane,
     routes,
@@ -56,6 +65,7 @@
 /// A running instance.
 pub struct Handle {
     address: SocketAddr,
+    peer_address: SocketAddr,
     shared: Shared,
     thread: thread::JoinHandle<()>,
 }
@@ -66,6 +76,11 @@
         self.address
     }
 
+    /// Returns where peers connect.
+    pub const fn peer_address(&self) -> SocketAddr {
+        self.peer_address
+    }
+
     /// Returns the name and the start of the instance.
     pub const fn incarnation(&self) -> &Incarnation {
         &self.shared.incarnation
@@ -112,24 +127,28 @@
     let thread = thread::Builder::new().name(name).spawn(move || {
         System::new().block_on(run(settings, sender));
     })?;
-    let (address, shared) = receiver.recv().map_err(|_| Error::Ended)??;
+    let (address, peer_address, shared) = receiver.recv().map_err(|_| Error::Ended)??;
     Ok(Handle {
         address,
+        peer_address,
         shared,
         thread,
     })
 }
 
-type Started = Result<(SocketAddr, Shared), Error>;
+type Started = Result<(SocketAddr, SocketAddr, Shared), Error>;
 
 async fn run(settings: Settings, started: mpsc::Sender<Started>) {
-    let shared = control(settings);
-    let server = match listen(&shared) {
-        Ok((address, server)) => {
-            // The receiver waits in `spawn`.
-            let _sent = started.send(Ok((address, shared.clone())));
+    let begun = control(settings).and_then(|(shared, peers)| {
+        let (address, server) = listen(&shared)?;
+        Ok((shared, peers, address, server))
+    });
+    let (shared, peers, server) = match begun {
+        Ok((shared, peers, address, server)) => {
             log::info!("{} listens on {address}", shared.incarnation);
-            server
+            // The receiver waits in `spawn`.
+            let _sent = started.send(Ok((address, peers.address(), shared.clone())));
+            (shared, peers, server)
         }
         Err(error) => {
             let _sent = started.send(Err(error));
@@ -140,23 +159,27 @@
     let serving = actix_web::rt::spawn(server);
     stop(&shared, &handle).await;
     let _ended = serving.await;
+    peers.stop().await;
     log::info!("{} has stopped", shared.incarnation);
 }
 
 /// Starts the control side on the present thread.
-fn control(settings: Settings) -> Shared {
+fn control(settings: Settings) -> Result<(Shared, peer::Handle), Error> {
     let clock = Clock::start();
     let metrics = Arc::new(Metrics::open());
     let platform = platform::Http::open(&settings.platform, settings.platform_limit);
+    let incarnation = Incarnation::new(settings.name.clone(), clock.stamp());
     let (force, force_read) = watch::channel(None);
     let (servers, servers_read) = watch::channel(Arc::default());
-    let incarnation = Incarnation::new(settings.name.clone(), clock.stamp());
-    let (members, members_read) = watch::channel(Arc::new(vec![incarnation.clone()]));
+    let (members, members_read) = watch::channel(Arc::default());
     let (jobs, jobs_read) = tokio::sync::mpsc::unbounded_channel();
-    let work = Work::new(clock, incarnation.clone(), &platform, members_read, jobs).start();
-    let ledger = Ledger::new(clock, Arc::clone(&metrics), platform.clone()).start();
-    Config::new(
+    let lines = Lines::default();
+    let listener = bind_peers(&settings)?;
+    let peer_address = listener.local_addr().unwrap_or(settings.peer_address);
+
+    let config = Config::new(
         clock,
+        lines.clone(),
         settings.root_keys.clone(),
         platform.clone(),
         settings.poll,
@@ -164,15 +187,43 @@
         force,
     )
     .start();
-    Roster {
+    let ledger = Ledger::new(
+        clock,
+        Arc::clone(&metrics),
+        platform.clone(),
+        incarnation.clone(),
+        members_read.clone(),
+        lines.clone(),
+    )
+    .start();
+    let work = Work::new(clock, incarnation.clone(), &platform, members_read, jobs).start();
+    let roster = Roster::new(World {
+        clock,
+        config: config.clone(),
+        lines,
         members,
         metrics: Arc::clone(&metrics),
+        own: fact::Instance {
+            incarnation: incarnation.clone(),
+            domain: settings.domain.clone(),
+            address: Name::from(peer_address.to_string()),
+            state: fact::State::Live,
+        },
         platform,
         poll: settings.poll,
+        seeds: settings.peers.clone(),
         servers,
-    }
+    })
     .start();
-    Shared {
+    config.do_send(Report(roster.clone()));
+    let service = Peers {
+        config,
+        ledger: ledger.clone(),
+        roster: roster.clone(),
+    };
+    let peers = peer::serve(listener, service, &peer::configs::peer::Peer::default())
+        .map_err(|error| bind_error(settings.peer_address, error))?;
+    let shared = Shared {
         book: Arc::new(Mutex::new(Book::open(incarnation.clone()))),
         clock,
         flights: Arc::new(AtomicUsize::new(0)),
@@ -181,12 +232,23 @@
         jobs: Arc::new(Mutex::new(Some(jobs_read))),
         ledger,
         metrics,
+        roster,
         servers: servers_read,
         settings: Arc::new(settings),
         stop: Arc::default(),
         stopping: Arc::new(AtomicBool::new(false)),
         work,
-    }
+    };
+    Ok((shared, peers))
+}
+
+fn bind_peers(settings: &Settings) -> Result<TcpListener, Error> {
+    let address = settings.peer_address;
+    TcpListener::bind(address).map_err(|error| bind_error(address, error))
+}
+
+const fn bind_error(address: SocketAddr, error: io::Error) -> Error {
+    Error::Bind { address, error }
 }
 
 fn listen(shared: &Shared) -> Result<(SocketAddr, actix_web::dev::Server), Error> {
@@ -213,6 +275,7 @@
 /// Waits for a stop to be asked for and carries it out.
 async fn stop(shared: &Shared, server: &ServerHandle) {
     shared.stop.notified().await;
+    shared.roster.do_send(Leave);
     tokio::time::sleep(shared.settings.drain).await;
     server.stop(true).await;
     let limit = shared.clock.tick() + STOP_LIMIT;
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -25,8 +25,10 @@
     }
     match entry::spawn(settings) {
         Ok(instance) => {
-            // Programs that start this one read the port from here.
+            // Programs that start this one read ports and start from here.
             println!("listening {}", instance.address());
+            println!("peers {}", instance.peer_address());
+            println!("incarnation {}", instance.incarnation());
             serve(instance)
         }
         Err(error) => {
--- a/crates/entry/src/plane/call.rs
+++ b/crates/entry/src/plane/call.rs
@@ -7,11 +7,15 @@
 use base::{Incarnation, Name, Tick, attempt::Attempt};
 use bundle::content::{Kind, Pool};
 use flow::{Event, Failure};
+use member::fact::State;
 use serde_json::{Value, json};
 
-use crate::plane::{
-    Plane,
-    sink::{Push, Sink, Text},
+use crate::{
+    control::roster::Heard,
+    plane::{
+        Plane,
+        sink::{Push, Sink, Text},
+    },
 };
 
 /// Milliseconds of a server's work in one of the seconds that its cost is stated for.
@@ -175,7 +179,12 @@
         .on(now, route::Event::CacheMiss { server, prefix });
 }
 
+/// Tells the routing and the peers that a server said it is leaving.
 fn leaving(plane: &Plane, server: &Incarnation) {
+    plane
+        .shared
+        .roster
+        .do_send(Heard(server.clone(), State::Leaving));
     let server = server.clone();
     let now = plane.shared.clock.tick();
     let mut inner = plane.inner.borrow_mut();
--- a/crates/entry/src/plane/inner.rs
+++ b/crates/entry/src/plane/inner.rs
@@ -18,7 +18,7 @@
     clock::Clock,
     plane::{Plane, budget::Budget, places},
     shared::Shared,
-    view::{Force, Servers},
+    view::{Force, Server, Servers},
 };
 
 /// The pace at which waiting requests are looked at.
@@ -35,6 +35,8 @@
     pub(crate) bundle: Option<Arc<Bundle>>,
     force: watch::Receiver<Force>,
     pub(crate) gate: Gate,
+    /// The servers that the routing was last told of.
+    known: Servers,
     pub(crate) limits: Limits,
     /// The places that the gate was last told of, in the order of the bundle's pools.
     places: Vec<u32>,
@@ -57,6 +59,7 @@
             bundle: None,
             force,
             gate: Gate::default(),
+            known: Servers::default(),
             limits: Limits::default(),
             places: Vec::new(),
             rng: rand::make_rng(),
@@ -123,6 +126,28 @@
             let members = places::members(&servers, pool);
             self.table.set(pool.name.as_str(), &members);
         }
+        self.take_loads(&servers);
+        self.known = servers;
+    }
+
+    /// Tells the routing of load reports that are new.
+    fn take_loads(&mut self, servers: &[Server]) {
+        let now = self.clock.tick();
+        for server in servers {
+            let Some(load) = server.load else {
+                continue;
+            };
+            if places::load(&self.known, server) == Some(load) {
+                continue;
+            }
+            let event = route::Event::Load {
+                server: server.incarnation.clone(),
+                running: load.running,
+                waiting: load.waiting,
+                age: now - load.at,
+            };
+            self.table.on(now, event);
+        }
     }
 
     /// Tells the gate what each pool can take, where that has changed.
--- a/crates/entry/src/plane/places.rs
+++ b/crates/entry/src/plane/places.rs
@@ -2,7 +2,7 @@
 
 use bundle::content::Pool;
 
-use crate::view::Server;
+use crate::view::{Load, Server};
 
 /// Returns the servers of a pool, sorted by incarnation.
 pub(crate) fn members(servers: &[Server], pool: &Pool) -> Vec<route::Server> {
@@ -19,3 +19,10 @@
         })
         .collect()
 }
+
+/// Returns the load that a server had in a list sorted by pool and incarnation.
+pub(crate) fn load(servers: &[Server], server: &Server) -> Option<Load> {
+    let key = |known: &Server| (known.pool.clone(), known.incarnation.clone());
+    let at = servers.binary_search_by_key(&key(server), key).ok()?;
+    servers[at].load
+}
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -34,6 +34,9 @@
     /// where peers connect: IP:PORT (default 127.0.0.1:0, which takes a free port)
     #[argh(option)]
     pub peer_address: Option<String>,
+    /// peers to ask before the platform's list was read: IP:PORT each, comma-separated (default none)
+    #[argh(option)]
+    pub peers: Option<String>,
     /// the base URL of the platform's services: http://IP:PORT (required)
     #[argh(option)]
     pub platform: Option<String>,
@@ -78,6 +81,8 @@
     pub name: Name,
     /// Where peers connect.
     pub peer_address: SocketAddr,
+    /// Peers to ask before the platform's list was read.
+    pub peers: Vec<Name>,
     /// The base URL of the platform's services.
     pub platform: String,
     /// The time limit of one call of the platform.
@@ -147,6 +152,7 @@
             log_level: reader.parse("log-level", &flags.log_level, "info", LEVELS),
             name: Name::from(reader.text("name", &flags.name, "entry")),
             peer_address: reader.parse("peer-address", &flags.peer_address, "127.0.0.1:0", ADDRESS),
+            peers: reader.peers(&flags.peers),
             platform: reader.platform(&flags.platform),
             platform_limit: reader.millis(
                 "platform-limit-ms",
@@ -256,6 +262,23 @@
         text
     }
 
+    fn peers(&mut self, flag: &Option<String>) -> Vec<Name> {
+        let text = self.text("peers", flag, "");
+        let peers: Vec<_> = text
+            .split(',')
+            .map(str::trim)
+            .filter(|peer| !peer.is_empty())
+            .collect();
+        if peers.iter().any(|peer| peer.parse::<SocketAddr>().is_err()) {
+            self.fault(
+                "peers",
+                text.clone(),
+                "IP:PORT for each peer, comma-separated",
+            );
+        }
+        peers.into_iter().map(Name::from).collect()
+    }
+
     fn keys(&mut self, flag: &Option<String>) -> Vec<Digest> {
         let text = self.text("root-keys", flag, "");
         let keys: Option<Vec<_>> = text
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -14,6 +14,7 @@
     clock::Clock,
     control::{
         ledger::Ledger,
+        roster::Roster,
         work::{Job, Work},
     },
     metrics::Metrics,
@@ -40,6 +41,8 @@
     pub jobs: Arc<Mutex<Option<mpsc::UnboundedReceiver<Job>>>>,
     /// Metrics.
     pub metrics: Arc<Metrics>,
+    /// The actor of instances and backend servers.
+    pub(crate) roster: Addr<Roster>,
     /// Backend servers.
     pub servers: watch::Receiver<Servers>,
     /// Settings.
--- a/crates/entry/src/view.rs
+++ b/crates/entry/src/view.rs
@@ -3,7 +3,7 @@
 use core::net::SocketAddr;
 use std::sync::Arc;
 
-use base::{Incarnation, Name};
+use base::{Incarnation, Name, Tick};
 use bundle::Bundle;
 
 /// The configuration in force, if there is one yet.
@@ -12,8 +12,36 @@
 /// The backend servers known, sorted by pool and incarnation.
 pub type Servers = Arc<Vec<Server>>;
 
-/// The entry instances heard of, sorted; this one is always among them.
-pub type Members = Arc<Vec<Incarnation>>;
+/// The live entry instances of the own failure domain, this one among them.
+pub type Members = Arc<Group>;
+
+/// Entry instances among which roles are assigned.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Group {
+    /// The instances, sorted.
+    pub names: Vec<Incarnation>,
+    /// Where each takes messages of its peers, in the same order.
+    pub addresses: Vec<Name>,
+}
+
+impl Group {
+    /// Returns where an instance takes messages of its peers.
+    pub fn address(&self, instance: &Incarnation) -> Option<&Name> {
+        let at = self.names.binary_search(instance).ok()?;
+        self.addresses.get(at)
+    }
+}
+
+/// The load that a backend server reported.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Load {
+    /// Calls that it works on.
+    pub running: u32,
+    /// Calls that wait in it.
+    pub waiting: u32,
+    /// When it was measured.
+    pub at: Tick,
+}
 
 /// One backend server.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -28,4 +56,6 @@
     pub address: SocketAddr,
     /// Whether it takes nothing new.
     pub leaving: bool,
+    /// Its load, where it reports one.
+    pub load: Option<Load>,
 }
--- a/crates/ledger/src/fold.rs
+++ b/crates/ledger/src/fold.rs
@@ -37,7 +37,8 @@
 }
 
 /// What is known of a slot.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub enum State {
     /// Nobody holds it, and nobody has called.
     Free,
--- a/crates/ledger/src/owner.rs
+++ b/crates/ledger/src/owner.rs
@@ -10,6 +10,7 @@
 mod pending;
 
 use base::Tick;
+use serde::{Deserialize, Serialize};
 
 use self::pending::{Ask, Pending, Stage};
 use crate::{
@@ -91,7 +92,8 @@
 }
 
 /// What is told about a submission or a look-up.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub enum Verdict {
     /// The claim holds its slot, for good.
     Won,
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -13,5 +13,5 @@
 pub use self::{
     client::Client,
     error::Error,
-    server::{Handle, Handler, bind},
+    server::{Handle, Handler, bind, serve},
 };
--- a/crates/peer/src/server.rs
+++ b/crates/peer/src/server.rs
@@ -82,7 +82,21 @@
     handler: impl Handler,
     config: &configs::peer::Peer,
 ) -> io::Result<Handle> {
-    let listener = TcpListener::bind(address)?;
+    serve(TcpListener::bind(address)?, handler, config)
+}
+
+/// Starts to serve peers at a listener that was bound before.
+///
+/// It has to be called inside an actix runtime.
+///
+/// # Errors
+///
+/// - The listener cannot be used without blocking.
+pub fn serve(
+    listener: TcpListener,
+    handler: impl Handler,
+    config: &configs::peer::Peer,
+) -> io::Result<Handle> {
     listener.set_nonblocking(true)?;
     let address = listener.local_addr()?;
     let incoming = TcpListenerStream::new(tokio::net::TcpListener::from_std(listener)?);
--- a/crates/proc/src/scene/start.rs
+++ b/crates/proc/src/scene/start.rs
@@ -3,6 +3,8 @@
 use core::time::Duration;
 use std::{fs, path::Path};
 
+use awc::Client;
+use base::{Incarnation, Stamp};
 use bundle::{Bundle, sign::Key};
 use platform::Http;
 use serde_json::json;
@@ -105,6 +107,7 @@
         let args = args.map(|(flag, value)| [flag.to_owned(), value]).concat();
         let process = Process::spawn("limpetstep-entry", &args);
         let url = format!("http://{}", process.address("listening "));
+        self.list_entry(domain, &process);
         self.entries.push(Entry {
             name: name.to_owned(),
             domain: domain.to_owned(),
@@ -114,6 +117,30 @@
         self.entries.len() - 1
     }
 
+    /// Puts an entry instance into the platform's list, as the platform does by itself.
+    fn list_entry(&self, domain: &str, process: &Process) {
+        let incarnation = process.address("incarnation ");
+        let (name, start) = incarnation.rsplit_once('@').expect("name and start");
+        let start = Stamp::from_millis(start.parse().expect("a start"));
+        let line = platform::Instance {
+            incarnation: Incarnation::new(name, start),
+            pool: "entry".into(),
+            domain: domain.into(),
+            address: process.address("peers ").parse().expect("an address"),
+            state: platform::list::State::Live,
+        };
+        let url = format!("{}/instances/{name}", self.platform.url);
+        actix_web::rt::spawn(async move {
+            // A platform that is down takes the line once it is back.
+            poll::until(READY, async || {
+                let put = Client::default().put(&url).send_json(&line).await;
+                put.is_ok_and(|answer| answer.status().is_success())
+                    .then_some(())
+            })
+            .await
+        });
+    }
+
     /// Starts one more backend server and returns its index.
     pub fn start_server(&mut self, domain: &str, pool: &str, name: &str) -> usize {
         let found = self.bundle.pool(pool).expect("a pool");
