--- /dev/null
+++ b/crates/bundle/examples/size.rs
@@ -0,0 +1,82 @@
+//! Prints what bundles cost in bytes, as the number of client accounts grows.
+//!
+//! `write ACCOUNTS FILE whole|delta` writes the records that put a bundle in force and prints
+//! their sizes. `read FILE` folds them in a process of its own and prints the memory it took, since
+//! making the bundle would leave freed memory behind.
+
+#[path = "../tests/large/mod.rs"]
+mod large;
+
+use core::time::Duration;
+use std::fs;
+
+use base::Stamp;
+use bundle::{Fold, Record};
+use large::{change, keys, roll_out_text, text};
+
+/// The size of a page of memory, in bytes.
+const PAGE_BYTES: usize = 4_096;
+
+fn main() {
+    let words: Vec<String> = std::env::args().skip(1).collect();
+    let words: Vec<&str> = words.iter().map(String::as_str).collect();
+    match words[..] {
+        ["write", accounts, file, form] => {
+            write(accounts.parse().unwrap_or(7_800), file, form == "delta");
+        }
+        ["read", file] => read(file),
+        _ => eprintln!("write ACCOUNTS FILE whole|delta, or read FILE"),
+    }
+}
+
+fn write(accounts: usize, file: &str, delta: bool) {
+    let (first, next) = (text(accounts, 1, 0), text(accounts, 2, 1));
+    let mut fold = open();
+    let records = change(&fold, &first, delta);
+    let lines: Vec<String> = records.iter().map(Record::to_json).collect();
+    fs::write(file, lines.join("\n")).unwrap_or_else(|error| eprintln!("{file}: {error}"));
+    roll_out_text(&mut fold, &first, delta);
+    let bytes =
+        |records: &[Record]| -> usize { records.iter().map(|record| record.to_json().len()).sum() };
+    println!("{accounts} accounts");
+    println!("change as delta: {} B", bytes(&change(&fold, &next, true)));
+    println!("change as whole: {} B", bytes(&change(&fold, &next, false)));
+    if let Some(carry) = fold.carry(Stamp::default(), Duration::ZERO) {
+        println!("carry: {} B", bytes(&[Record::Carry(Box::new(carry))]));
+    }
+}
+
+fn read(file: &str) {
+    let before = resident();
+    let mut fold = open();
+    let mut longest = 0;
+    for line in fs::read_to_string(file).unwrap_or_default().lines() {
+        longest = longest.max(line.len());
+        fold.apply_text(fold.next(), line);
+    }
+    println!(
+        "in force: {:?}",
+        fold.position().map(|position| position.version)
+    );
+    println!(
+        "fold: {} KiB, of it up to {} KiB the text",
+        (resident() - before) / 1024,
+        longest / 1024
+    );
+    let before = resident();
+    let bundle = fold.sheet().map(|sheet| sheet.bundle());
+    println!("bundle read from it: {} KiB", (resident() - before) / 1024);
+    drop(bundle);
+}
+
+fn open() -> Fold {
+    let (author, steward) = keys();
+    Fold::open(vec![author.public(), steward.public()])
+}
+
+/// Returns the resident memory of this process, in bytes.
+fn resident() -> usize {
+    let text = fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages: Option<usize> = text.split(' ').nth(1).and_then(|word| word.parse().ok());
+    pages.unwrap_or_default() * PAGE_BYTES
+}
--- a/crates/bundle/src/record.rs
+++ b/crates/bundle/src/record.rs
@@ -54,7 +54,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Content {
-    /// What changes against the base.
+    /// What changes against the base, or against nothing for a first bundle.
     Delta(Delta),
     /// The whole bundle as TOML.
     Whole(String),
@@ -70,13 +70,10 @@
     ///
     /// # Errors
     ///
-    /// - The text is not TOML.
-    /// - There is no base to apply the changes to.
+    /// The text is not TOML.
     pub fn read(&self, base: Option<&Sheet>) -> Result<Sheet, Fault> {
         match self {
-            Self::Delta(delta) => base
-                .map(|base| delta.apply(base))
-                .ok_or(Fault::Content("changes without a base".to_owned())),
+            Self::Delta(delta) => Ok(delta.apply(base.unwrap_or(&Sheet::default()))),
             Self::Whole(text) => {
                 Sheet::from_toml(text).map_err(|error| Fault::Content(error.to_string()))
             }
--- a/crates/bundle/src/sheet.rs
+++ b/crates/bundle/src/sheet.rs
@@ -28,7 +28,7 @@
 /// assert_eq!(a.digest(), b.digest());
 /// assert_eq!(a.bundle().unwrap().version, 1);
 /// ```
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Sheet {
     /// The head as JSON with sorted keys.
     pub head: Name,
--- a/crates/bundle/tests/large/mod.rs
+++ b/crates/bundle/tests/large/mod.rs
@@ -67,9 +67,11 @@
     let sheet = Sheet::from_toml(text).unwrap();
     let (version, digest) = (sheet.head().unwrap().version, sheet.digest());
     let base = fold.position().map(|position| position.digest);
-    let content = match fold.sheet() {
-        Some(old) if delta => Content::Delta(Delta::between(old, &sheet)),
-        _ => Content::Whole(text.to_owned()),
+    let old = fold.sheet().map(|old| Sheet::clone(old));
+    let content = if delta {
+        Content::Delta(Delta::between(&old.unwrap_or_default(), &sheet))
+    } else {
+        Content::Whole(text.to_owned())
     };
     [
         Record::Publish(Publish {
--- a/crates/ctl/src/append.rs
+++ b/crates/ctl/src/append.rs
@@ -5,7 +5,7 @@
 use bundle::{Record, STREAM, event::Event};
 use platform::{Log, log};
 
-use crate::{Done, Error, Session, View};
+use crate::{Done, Error, Session, View, view::read_page};
 
 /// Looks for an own record after a lost answer.
 const LOOKS: u32 = 5;
@@ -57,7 +57,7 @@
 
 async fn look_once<L: Log>(log: &L, mut from: u64, body: &str) -> Option<u64> {
     loop {
-        let page = log.read(STREAM, from, PAGE).await.ok()?;
+        let page = read_page(log, from).await.ok()?;
         if let Some(record) = page.records.iter().find(|record| record.body == body) {
             return Some(record.offset);
         }
@@ -65,9 +65,6 @@
     }
 }
 
-/// Records read at once.
-const PAGE: usize = 200;
-
 async fn judge<L: Log>(session: &Session<'_, L>, offset: u64, done: Done) -> Result<Done, Error> {
     let view = View::read(session.log, &session.roots)
         .await
--- a/crates/ctl/src/publish.rs
+++ b/crates/ctl/src/publish.rs
@@ -12,6 +12,9 @@
 
 use crate::{Done, Error, Session, View, append::append, view::name_of};
 
+/// The largest bundle that is sent as TOML, in bytes.
+const WHOLE_BYTES: usize = 64 * 1024;
+
 /// Checks a bundle and proposes it in place of the one in force.
 ///
 /// # Errors
@@ -67,11 +70,13 @@
 }
 
 /// Returns the changes against the base, or the whole where that is smaller.
+///
+/// A large whole goes as changes too, since an instance needs far less memory to read them.
 fn smallest(base: Option<&Arc<Sheet>>, sheet: &Sheet, text: &str) -> Content {
+    let nothing = Sheet::default();
     let whole = Content::Whole(text.to_owned());
-    let Some(base) = base else { return whole };
-    let delta = Content::Delta(Delta::between(base, sheet));
-    if delta.bytes() < whole.bytes() {
+    let delta = Content::Delta(Delta::between(base.map_or(&nothing, AsRef::as_ref), sheet));
+    if delta.bytes() < whole.bytes() || text.len() > WHOLE_BYTES {
         delta
     } else {
         whole
--- a/crates/ctl/src/view.rs
+++ b/crates/ctl/src/view.rs
@@ -2,12 +2,16 @@
 
 use base::{Digest, Name};
 use bundle::{Fold, Record, STREAM, approval::Proposal, event::Event, sheet::Head, sign::Key};
-use platform::Log;
+use platform::{
+    Log,
+    log::{self, Page},
+};
 
 use crate::Error;
 
-/// Records read at once.
-const PAGE: usize = 200;
+/// Records read at once; fewer where an answer with so many doesn't come through, since whole
+/// bundles and carries can be larger than an answer may be.
+const PAGES: [usize; 3] = [200, 8, 1];
 
 /// The state of the configuration as the log tells it now.
 #[derive(Debug)]
@@ -28,8 +32,7 @@
         let mut fold = Fold::open(roots.to_vec());
         let mut events = Vec::new();
         loop {
-            let page = log
-                .read(STREAM, fold.next(), PAGE)
+            let page = read_page(log, fold.next())
                 .await
                 .map_err(|error| Error::Outage(error.to_string()))?;
             fold.seek(page.first);
@@ -83,6 +86,18 @@
     }
 }
 
+/// Reads records from an offset on, as many at once as come through.
+pub(crate) async fn read_page<L: Log>(log: &L, from: u64) -> Result<Page, log::Error> {
+    let mut result = Err(log::Error::Unanswered(String::new()));
+    for limit in PAGES {
+        result = log.read(STREAM, from, limit).await;
+        if result.is_ok() {
+            break;
+        }
+    }
+    result
+}
+
 /// Returns the name under which a key may sign.
 pub(crate) fn name_of(head: &Head, key: &Key) -> Result<Name, Error> {
     let public = key.public();
--- a/crates/ctl/tests/actions.rs
+++ b/crates/ctl/tests/actions.rs
@@ -215,3 +215,18 @@
     let view = View::read(&log, &session(&log).roots).await.unwrap();
     expect_that!(view.fold.position().unwrap().digest, eq(done.digest));
 }
+
+#[gtest]
+#[actix_web::test]
+async fn records_too_large_for_one_answer_are_read_one_by_one() {
+    let log = Memory::default();
+    let (author, steward) = keys();
+    roll_out_all(&log, COMPAS, &author, &steward).await.unwrap();
+    roll_out_all(&log, &version(2), &author, &steward)
+        .await
+        .unwrap();
+    let longest = log.records.borrow().iter().map(String::len).max().unwrap();
+    log.answer_bytes.set(longest);
+    let view = View::read(&log, &session(&log).roots).await.unwrap();
+    expect_that!(view.fold.position().unwrap().version, eq(2));
+}
--- a/crates/ctl/tests/common/mod.rs
+++ b/crates/ctl/tests/common/mod.rs
@@ -28,6 +28,8 @@
     pub(crate) ahead: RefCell<Option<String>>,
     /// Reads that still succeed; none for all.
     pub(crate) reads: Cell<Option<usize>>,
+    /// The most bytes that an answer may have; 0 for any number.
+    pub(crate) answer_bytes: Cell<usize>,
     /// The lowest offset kept.
     pub(crate) first: Cell<usize>,
 }
@@ -60,6 +62,11 @@
         let records = self.records.borrow();
         let from = self.first.get().max(from as usize);
         let kept = records.iter().enumerate().skip(from).take(limit);
+        let bytes: usize = kept.clone().map(|(_, body)| body.len()).sum();
+        let limit = self.answer_bytes.get();
+        if limit > 0 && bytes > limit {
+            return Err(Error::Unanswered("too long".into()));
+        }
         Ok(Page {
             first: self.first.get() as u64,
             end: records.len() as u64,
