--- a/crates/bundle/src/fold.rs
+++ b/crates/bundle/src/fold.rs
@@ -63,6 +63,23 @@
         }
     }
 
+    /// Returns a reader that goes on from a peer's proof instead of the head of the log.
+    ///
+    /// It reads from `as_of` on, so it costs one proof and not every record that the log keeps. Since
+    /// `as_of` isn't signed, a reader whose [`Self::next`] turns out to lie beyond the end of the log
+    /// was misled: open another one.
+    ///
+    /// # Errors
+    ///
+    /// The proof doesn't verify.
+    pub fn resume(roots: Vec<Digest>, proof: &Proof) -> Result<Self, Fault> {
+        let mut fold = Self::open(roots);
+        fold.start = proof.as_of;
+        fold.next = proof.as_of;
+        fold.settle(proof)?;
+        Ok(fold)
+    }
+
     /// Takes note of the lowest offset that the log still keeps; call it for every page read.
     ///
     /// If records were dropped unread, the reader waits for a `Carry` and keeps its bundle.
--- a/crates/bundle/tests/order.rs
+++ b/crates/bundle/tests/order.rs
@@ -34,6 +34,7 @@
         5 => (0..4u8, 1..9u8).prop_map(|(instance, records)| Step::Read { instance, records }),
         2 => (0..4u8, 0..4u8).prop_map(|(instance, peer)| Step::Adopt { instance, peer }),
         1 => (0..4u8).prop_map(|instance| Step::Restart { instance }),
+        2 => (0..4u8, 0..4u8).prop_map(|(instance, peer)| Step::Resume { instance, peer }),
         2 => (0..4u8, fate()).prop_map(|(instance, fate)| Step::Carry { instance, fate }),
         1 => (1..6u8).prop_map(|records| Step::Drop { records }),
     ]
@@ -204,3 +205,25 @@
     expect_that!(world.order.len(), eq(1));
     expect_that!(world.instances[1].pending().len(), eq(1));
 }
+
+#[gtest]
+fn a_replaced_instance_goes_on_from_a_peers_proof() {
+    let mut world = World::open(2);
+    advance(&mut world, 0);
+    world.step(Step::Read {
+        instance: 0,
+        records: 99,
+    });
+    world.step(Step::Resume {
+        instance: 1,
+        peer: 0,
+    });
+    expect_that!(world.instances[1].next(), eq(3));
+    advance(&mut world, 1);
+    world.read_all();
+    expect_that!(world.instances[1].known(), eq(true));
+    expect_that!(
+        world.instances[1].position(),
+        eq(world.order.last().copied())
+    );
+}
--- a/crates/bundle/tests/world/mod.rs
+++ b/crates/bundle/tests/world/mod.rs
@@ -113,6 +113,8 @@
     Adopt { instance: u8, peer: u8 },
     /// An instance is replaced and knows nothing.
     Restart { instance: u8 },
+    /// An instance is replaced and goes on from a peer's proof.
+    Resume { instance: u8, peer: u8 },
     /// An instance carries the state forward.
     Carry { instance: u8, fate: Fate },
     /// An operator changes the bundle from start to end.
@@ -228,6 +230,14 @@
                 self.instances[at] = Fold::open(roots());
                 self.reached[at] = None;
             }
+            Step::Resume { instance, peer } => {
+                let at = usize::from(instance) % self.instances.len();
+                let peer = usize::from(peer) % self.instances.len();
+                if let Some(proof) = self.instances[peer].proof() {
+                    self.instances[at] = Fold::resume(roots(), &proof).unwrap();
+                    self.reached[at] = None;
+                }
+            }
             Step::Carry { instance, fate } => {
                 let at = usize::from(instance) % self.instances.len();
                 let now = Stamp::from_millis(1);
