--- a/crates/ctl/src/cli.rs
+++ b/crates/ctl/src/cli.rs
@@ -19,6 +19,10 @@
     #[argh(option)]
     pub roots: Option<String>,
 
+    /// addresses of entry instances that `status` asks, separated by commas
+    #[argh(option)]
+    pub entries: Option<String>,
+
     /// file that holds the private key
     #[argh(option)]
     pub key: Option<String>,
--- a/crates/ctl/src/cli/run.rs
+++ b/crates/ctl/src/cli/run.rs
@@ -5,7 +5,9 @@
 use serde_json::{Value, json};
 
 use super::{Args, Command, Settings, settings::digest};
-use crate::{Done, Error, Session, View, publish, roll_out, sign_off};
+use crate::{
+    Done, Error, Session, View, publish, roll_out, sign_off, spread::Spread, status::Status,
+};
 
 /// Does what the command line says and returns the text to print.
 ///
@@ -35,7 +37,12 @@
             Ok(show_diff(settings, &view, &sheet))
         }
         Command::History(_) => Ok(show_history(settings, &view(settings).await?)),
-        Command::Status(_) => Ok(show_status(settings, &view(settings).await?)),
+        Command::Status(_) => {
+            let view = view(settings).await?;
+            let spread = Spread::read(&settings.entries()?, &view, settings.timeout).await;
+            let status = Status::of(&view, spread);
+            Ok(shown(settings, json!(status), status.to_string()))
+        }
         Command::Publish(args) => {
             let text = read_file(&args.file)?;
             let (log, key) = (open(settings)?, settings.key()?);
@@ -125,12 +132,12 @@
 }
 
 fn show_done(settings: &Settings, what: &str, done: &Done) -> String {
-    let place = match (done.offset, done.repeated) {
-        (None, _) => "in a dry run, nothing appended".to_owned(),
-        (Some(offset), false) => format!("at offset {offset}"),
-        (Some(offset), true) => format!("before the record at offset {offset}"),
+    let bundle = format!("version {} {}", done.version, done.digest);
+    let text = match (done.offset, done.repeated) {
+        (None, _) => format!("dry run: {bundle} would be {what}; nothing was appended"),
+        (Some(offset), false) => format!("{what} {bundle} at offset {offset}"),
+        (Some(offset), true) => format!("{what} {bundle} before the record at offset {offset}"),
     };
-    let text = format!("{what} version {} {} {place}", done.version, done.digest);
     shown(settings, json!(done), text)
 }
 
@@ -145,49 +152,6 @@
     shown(settings, json!(lines), lines.join("\n"))
 }
 
-fn show_status(settings: &Settings, view: &View) -> String {
-    let position = view.fold.position();
-    let mut lines = vec![match position {
-        Some(position) => format!(
-            "in force: version {} {} since offset {}",
-            position.version, position.digest, position.offset
-        ),
-        None => "in force: none".to_owned(),
-    }];
-    if !view.fold.known() {
-        lines.push("the log's head is gone and no record tells the state yet".to_owned());
-    }
-    let mut proposed = Vec::new();
-    for proposal in view.fold.pending() {
-        let approval = &proposal.approval;
-        let signers: Vec<&str> = approval
-            .sign_offs
-            .iter()
-            .map(|sign_off| sign_off.signer.as_str())
-            .collect();
-        lines.push(format!(
-            "proposed: version {} {} by {}, signed off by [{}]",
-            approval.version,
-            approval.digest,
-            approval.author,
-            signers.join(", ")
-        ));
-        proposed.push(json!({
-            "version": approval.version,
-            "digest": approval.digest,
-            "author": approval.author,
-            "signed_off_by": signers,
-        }));
-    }
-    let value = json!({
-        "in_force": position,
-        "known": view.fold.known(),
-        "next_offset": view.fold.next(),
-        "proposed": proposed,
-    });
-    shown(settings, value, lines.join("\n"))
-}
-
 fn shown(settings: &Settings, value: Value, text: String) -> String {
     if settings.json {
         value.to_string()
--- a/crates/ctl/src/cli/settings.rs
+++ b/crates/ctl/src/cli/settings.rs
@@ -1,4 +1,4 @@
-use core::time::Duration;
+use core::{net::SocketAddr, time::Duration};
 
 use base::Digest;
 use bundle::sign::Key;
@@ -15,6 +15,8 @@
     pub roots: Option<String>,
     /// File that holds the private key.
     pub key: Option<String>,
+    /// Entry instances to ask for what they have in force.
+    pub entries: Option<String>,
     /// The bundle that a roll-out replaces.
     pub base: Option<String>,
     /// Time limit for one call to the platform.
@@ -31,6 +33,7 @@
             platform: None,
             roots: None,
             key: None,
+            entries: None,
             base: None,
             timeout: Duration::from_secs(5),
             json: false,
@@ -70,6 +73,7 @@
             platform: text(&args.platform, "LIMPETSTEP_PLATFORM"),
             roots: text(&args.roots, "LIMPETSTEP_ROOTS"),
             key: text(&args.key, "LIMPETSTEP_KEY"),
+            entries: text(&args.entries, "LIMPETSTEP_ENTRIES"),
             base: variable("LIMPETSTEP_BASE"),
             timeout: timeout.map_or(default.timeout, Duration::from_millis),
             json: switch(args.json, "LIMPETSTEP_JSON")?,
@@ -98,6 +102,22 @@
             .collect()
     }
 
+    /// Returns the entry instances to ask; none unless they are set.
+    ///
+    /// # Errors
+    ///
+    /// An address is not an IP number with a port.
+    pub fn entries(&self) -> Result<Vec<SocketAddr>, Error> {
+        let Some(text) = &self.entries else {
+            return Ok(Vec::new());
+        };
+        let read = |text: &str| {
+            let wrong = |_| Error::Usage(format!("`{text}` is not an IP number with a port"));
+            text.trim().parse().map_err(wrong)
+        };
+        text.split(',').map(read).collect()
+    }
+
     /// Reads the private key from its file.
     ///
     /// # Errors
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -10,6 +10,8 @@
 pub mod publish;
 pub mod roll_out;
 pub mod sign_off;
+pub mod spread;
+pub mod status;
 pub mod view;
 
 pub use self::{
--- /dev/null
+++ b/crates/ctl/src/status.rs
@@ -0,0 +1,100 @@
+//! What is in force and what is proposed.
+
+use core::fmt;
+
+use base::{Digest, Name};
+use bundle::{Position, approval::Proposal};
+use serde::Serialize;
+
+use crate::{View, spread::Spread};
+
+/// What is in force and what is proposed.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Status {
+    /// The bundle in force by the log.
+    pub in_force: Option<Position>,
+    /// Whether the log still tells the state.
+    pub known: bool,
+    /// The offset that the next record will get.
+    pub next_offset: u64,
+    /// The open proposals.
+    pub proposed: Vec<Proposed>,
+    /// The entry instances that were asked.
+    pub spread: Spread,
+}
+
+/// An open proposal.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Proposed {
+    /// The version.
+    pub version: u64,
+    /// The digest.
+    pub digest: Digest,
+    /// The author.
+    pub author: Name,
+    /// Who signed it off.
+    pub signed_off_by: Vec<Name>,
+}
+
+impl Status {
+    /// Returns the status that a view shows.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use bundle::Fold;
+    /// use ctl::{View, spread::Spread, status::Status};
+    /// let view = View { fold: Fold::open(Vec::new()), events: Vec::new() };
+    /// assert_eq!(Status::of(&view, Spread::default()).to_string(), "in force: none");
+    /// ```
+    pub fn of(view: &View, spread: Spread) -> Self {
+        Self {
+            in_force: view.fold.position(),
+            known: view.fold.known(),
+            next_offset: view.fold.next(),
+            proposed: view.fold.pending().iter().map(Proposed::of).collect(),
+            spread,
+        }
+    }
+}
+
+impl Proposed {
+    fn of(proposal: &Proposal) -> Self {
+        let approval = &proposal.approval;
+        let signers = approval.sign_offs.iter();
+        Self {
+            version: approval.version,
+            digest: approval.digest,
+            author: approval.author.clone(),
+            signed_off_by: signers.map(|sign_off| sign_off.signer.clone()).collect(),
+        }
+    }
+}
+
+impl fmt::Display for Status {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.in_force {
+            Some(position) => write!(
+                f,
+                "in force: version {} {} since offset {}",
+                position.version, position.digest, position.offset
+            )?,
+            None => f.write_str("in force: none")?,
+        }
+        if !self.known {
+            f.write_str("\nthe log's head is gone and no record tells the state yet")?;
+        }
+        for proposed in &self.proposed {
+            let signers: Vec<&str> = proposed.signed_off_by.iter().map(Name::as_str).collect();
+            write!(
+                f,
+                "\nproposed: version {} {} by {}, signed off by [{}]",
+                proposed.version,
+                proposed.digest,
+                proposed.author,
+                signers.join(", ")
+            )?;
+        }
+        write!(f, "{}", self.spread)
+    }
+}
