Trust load reports for less long and look at more holders of a prefix

Change: half-life 0.15 s, four holders, one random candidate from each side beside holders; two where there is no prefix.

Conclusion: more candidates chosen on the same late reports herd; reports older than half a second do harm.

--- a/crates/route/src/choose.rs
+++ b/crates/route/src/choose.rs
@@ -24,8 +24,14 @@
         return Err(refuse(config, cx, until - cx.now));
     }
     let (local, remote) = usable(config, pool, cx, ask);
-    let mut candidates = sample(cx.rng, &local, config.choose.local);
-    candidates.extend(sample(cx.rng, &remote, config.choose.remote));
+    let settings = &config.choose;
+    let (near, far) = if ask.prefix.is_some() {
+        (settings.beside_holders, settings.beside_holders)
+    } else {
+        (settings.local, settings.remote)
+    };
+    let mut candidates = sample(cx.rng, &local, near);
+    candidates.extend(sample(cx.rng, &remote, far));
     candidates.extend(holders(config, pool, ask, &local, &remote));
     let home = home(pool, ask, &local, &remote);
     candidates.extend(home);
--- a/crates/route/src/configs/choose.rs
+++ b/crates/route/src/configs/choose.rs
@@ -9,6 +9,8 @@
     pub local: usize,
     /// Random candidates from other failure domains.
     pub remote: usize,
+    /// Random candidates from each of the two where a prefix brings its holders.
+    pub beside_holders: usize,
     /// Candidates that are believed to hold the prefix.
     pub holders: usize,
     /// What placing a prefix on its home server counts for, relative to a cache hit.
@@ -24,7 +26,8 @@
         Self {
             local: 2,
             remote: 2,
-            holders: 2,
+            beside_holders: 1,
+            holders: 4,
             home: 0.9,
             hop: Duration::from_millis(2),
             token: Duration::from_micros(100),
--- a/crates/route/src/configs/state.rs
+++ b/crates/route/src/configs/state.rs
@@ -16,7 +16,7 @@
 impl Default for Config {
     fn default() -> Self {
         Self {
-            half_life: Duration::from_secs(1),
+            half_life: Duration::from_millis(150),
             cold_flights: 2,
             batch_slowdown: 0.5,
         }
