Bound what a policy without sizes could answer, and count cache hits

The bound takes the smallest requests first, which no policy can that does not know sizes. A second figure counts each request at its mean, to tell how much of a gap is due to that.

--- a/crates/trial/src/bound.rs
+++ b/crates/trial/src/bound.rs
@@ -16,12 +16,31 @@
 /// The step of the spans, in microseconds.
 const STEP: u64 = 500_000;
 
+/// What the bound knows of each request's work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Sight {
+    /// Its work, so that the smallest are counted first: a bound for every policy.
+    Exact,
+    /// The mean only: what a policy that can't know sizes is near to.
+    Mean,
+}
+
 /// Returns the largest share of requests that could be answered.
-pub fn attainment(size: &Size, trace: &Trace) -> f64 {
+///
+/// # Examples
+///
+/// ```
+/// use trial::{Size, Trace, bound::{self, Sight}, trace::Kind};
+/// let size = Size::compas();
+/// let trace = Trace::new(&size, Kind::Burst, 1, 8.0);
+/// let exact = bound::attainment(&size, &trace, Sight::Exact);
+/// assert!(bound::attainment(&size, &trace, Sight::Mean) <= exact);
+/// ```
+pub fn attainment(size: &Size, trace: &Trace, sight: Sight) -> f64 {
     let asked = trace.requests.iter().filter(|request| !request.poison);
     let count = asked.count().max(1);
     let lost = (0..size.pools.len())
-        .map(|pool| lost(size, trace, pool))
+        .map(|pool| lost(size, trace, sight, pool))
         .max()
         .unwrap_or(0);
     1.0 - lost as f64 / count as f64
@@ -34,8 +53,8 @@
     work: f64,
 }
 
-fn lost(size: &Size, trace: &Trace, pool: usize) -> usize {
-    let mut demands = demands(size, trace, pool);
+fn lost(size: &Size, trace: &Trace, sight: Sight, pool: usize) -> usize {
+    let mut demands = demands(size, trace, sight, pool);
     demands.sort_by(|a, b| a.work.total_cmp(&b.work));
     let steps = demands.iter().map(|demand| demand.to).max().unwrap_or(0);
     let capacity = capacities(size, trace, pool, steps);
@@ -50,7 +69,7 @@
     best[steps]
 }
 
-fn demands(size: &Size, trace: &Trace, pool: usize) -> Vec<Demand> {
+fn demands(size: &Size, trace: &Trace, sight: Sight, pool: usize) -> Vec<Demand> {
     let last = trace.horizon + 20 * STEP;
     trace
         .requests
@@ -61,10 +80,14 @@
             let stage = stages.iter().position(|one| *one == pool)?;
             let settings = &size.pools[pool];
             let prefill = f64::from(settings.prefix_tokens) * TOKEN;
+            let work = match sight {
+                Sight::Exact => request.work[stage],
+                Sight::Mean => 1.0,
+            };
             Some(Demand {
                 from: (request.at / STEP) as usize,
                 to: request.deadline.div_ceil(STEP) as usize,
-                work: (settings.service - prefill) * request.work[stage],
+                work: (settings.service - prefill) * work,
             })
         })
         .collect()
--- a/crates/trial/src/main.rs
+++ b/crates/trial/src/main.rs
@@ -1,7 +1,11 @@
 //! `trial` compares decisions with plain baselines on seeded traces in virtual time.
 
 use argh::FromArgs;
-use trial::{Policy, Size, Tally, Trace, bound, trace::Kind};
+use trial::{
+    Policy, Size, Tally, Trace,
+    bound::{self, Sight},
+    trace::Kind,
+};
 
 /// compare decisions with plain baselines on seeded traces
 #[derive(FromArgs)]
@@ -46,10 +50,11 @@
 
 fn compare(args: &Args, size: &Size, kind: Kind) {
     let trace = Trace::new(size, kind, args.seed, args.seconds);
-    let bound = bound::attainment(size, &trace);
+    let bound = bound::attainment(size, &trace, Sight::Exact);
+    let unsized_bound = bound::attainment(size, &trace, Sight::Mean);
     if !args.json {
         println!(
-            "{} {} seed {} requests {} bound {bound:.4}",
+            "{} {} seed {} requests {} bound {bound:.4} without-sizes {unsized_bound:.4}",
             size.name,
             kind.as_str(),
             args.seed,
@@ -73,7 +78,7 @@
     }
     println!(
         "  {:18} attainment {:.4} of-bound {:.3} cost {:.3} wasted {:6.0} least {:.3} fair {:.3} \
-         before {:.3} during {:.3} after {:.3} recovery {:5.2} attempts {:.2} crashes {} \
+         before {:.3} during {:.3} after {:.3} recovery {:5.2} attempts {:.2} crashes {} hits {:.2} \
          messages {} refusals {:?}",
         tally.policy,
         tally.attainment(),
@@ -88,6 +93,7 @@
         tally.recovery,
         tally.attempts,
         tally.crashes,
+        tally.hits,
         tally.messages,
         tally.refusals,
     );
--- a/crates/trial/src/tally.rs
+++ b/crates/trial/src/tally.rs
@@ -59,6 +59,8 @@
     pub attempts: f64,
     /// The most servers that one harmful request crashed.
     pub crashes: u32,
+    /// The share of attempts at the main pool that found their prefix cached.
+    pub hits: f64,
     /// Load reports and cache events that reached instances.
     pub messages: u64,
     /// Their bytes.
@@ -109,6 +111,7 @@
             recovery: view.recovery(),
             attempts: view.attempts(),
             crashes: view.crashes(),
+            hits: 0.0,
             messages: 0,
             bytes: 0,
         }
--- a/crates/trial/src/world.rs
+++ b/crates/trial/src/world.rs
@@ -102,6 +102,9 @@
     flights: Vec<Flight>,
     jobs: Vec<Job>,
     work: Vec<f64>,
+    /// Attempts begun at the main pool, and how many of them found their prefix cached.
+    begun: u64,
+    hits: u64,
     messages: u64,
     bytes: u64,
 }
@@ -128,6 +131,8 @@
             flights: Vec::new(),
             jobs: vec![Job::default(); trace.requests.len()],
             work: vec![0.0; size.pools.len()],
+            begun: 0,
+            hits: 0,
             messages: 0,
             bytes: 0,
         };
@@ -148,6 +153,7 @@
         }
         let name = self.policy.name;
         let mut tally = Tally::new(self.size, self.trace, name, &self.jobs, self.work);
+        tally.hits = self.hits as f64 / (self.begun.max(1) as f64);
         tally.messages = self.messages;
         tally.bytes = self.bytes;
         tally
--- a/crates/trial/src/world/servers.rs
+++ b/crates/trial/src/world/servers.rs
@@ -38,6 +38,8 @@
         let (prefix, poison) = (request.prefix, request.poison);
         let hit = settings.prefix_tokens > 0 && self.touch(server, prefix);
         self.flights[flight].hit = hit;
+        self.begun += u64::from(self.servers[server].pool == self.size.main);
+        self.hits += u64::from(hit);
         let life = self.servers[server].life;
         if poison && self.servers[server].pool == self.size.main {
             return self.after(HARM, Event::Crash { server, life });
