--- /dev/null
+++ b/crates/entry/src/control.rs
@@ -0,0 +1,10 @@
+//! The control side: actors that follow the platform and the peers.
+//!
+//! It has a thread of its own, so that its processor time can be told from the serving side's.
+
+pub mod config;
+pub mod ledger;
+pub(crate) mod lines;
+pub(crate) mod peers;
+pub mod roster;
+pub mod work;
--- /dev/null
+++ b/crates/entry/src/shared.rs
@@ -0,0 +1,73 @@
+//! What every part of one instance shares.
+
+use std::sync::{
+    Arc, Mutex, MutexGuard, PoisonError,
+    atomic::{AtomicBool, AtomicUsize, Ordering},
+};
+
+use actix::Addr;
+use base::Incarnation;
+use burn::Book;
+use tokio::sync::{Notify, mpsc, watch};
+
+use crate::{
+    clock::Clock,
+    control::{
+        ledger::Ledger,
+        roster::Roster,
+        work::{Job, Work},
+    },
+    metrics::Metrics,
+    settings::Settings,
+    view::{Force, Servers},
+};
+
+/// Shared by the control side and the serving side.
+#[derive(Clone)]
+pub struct Shared {
+    /// What spent the error budgets.
+    pub book: Arc<Mutex<Book>>,
+    /// The clocks.
+    pub clock: Clock,
+    /// Requests and background records that an orderly stop waits for.
+    pub flights: Arc<AtomicUsize>,
+    /// The configuration in force.
+    pub force: watch::Receiver<Force>,
+    /// The name and the start of this instance.
+    pub incarnation: Incarnation,
+    /// The ledger's actor.
+    pub ledger: Addr<Ledger>,
+    /// Deferred requests that the serving side is to work on; taken once.
+    pub jobs: Arc<Mutex<Option<mpsc::UnboundedReceiver<Job>>>>,
+    /// Metrics.
+    pub metrics: Arc<Metrics>,
+    /// The actor of instances and backend servers.
+    pub(crate) roster: Addr<Roster>,
+    /// Backend servers.
+    pub servers: watch::Receiver<Servers>,
+    /// Settings.
+    pub settings: Arc<Settings>,
+    /// Wakes the stop.
+    pub stop: Arc<Notify>,
+    /// Set once the instance is to stop.
+    pub stopping: Arc<AtomicBool>,
+    /// The actor of deferred requests.
+    pub work: Addr<Work>,
+}
+
+impl Shared {
+    /// Lets an event into the book, or reads it.
+    pub fn book(&self) -> MutexGuard<'_, Book> {
+        self.book.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Tells whether the instance is to stop.
+    pub fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::Relaxed)
+    }
+
+    /// Tells whether the instance can serve: it has a configuration and is not stopping.
+    pub fn is_ready(&self) -> bool {
+        !self.is_stopping() && self.force.borrow().is_some()
+    }
+}
--- /dev/null
+++ b/crates/entry/src/view.rs
@@ -0,0 +1,61 @@
+//! What the control side publishes for the serving side.
+
+use core::net::SocketAddr;
+use std::sync::Arc;
+
+use base::{Incarnation, Name, Tick};
+use bundle::Bundle;
+
+/// The configuration in force, if there is one yet.
+pub type Force = Option<Arc<Bundle>>;
+
+/// The backend servers known, sorted by pool and incarnation.
+pub type Servers = Arc<Vec<Server>>;
+
+/// The live entry instances of the own failure domain, this one among them.
+pub type Members = Arc<Group>;
+
+/// Entry instances among which roles are assigned.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Group {
+    /// The instances, sorted.
+    pub names: Vec<Incarnation>,
+    /// Where each takes messages of its peers, in the same order.
+    pub addresses: Vec<Name>,
+}
+
+impl Group {
+    /// Returns where an instance takes messages of its peers.
+    pub fn address(&self, instance: &Incarnation) -> Option<&Name> {
+        let at = self.names.binary_search(instance).ok()?;
+        self.addresses.get(at)
+    }
+}
+
+/// The load that a backend server reported.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Load {
+    /// Calls that it works on.
+    pub running: u32,
+    /// Calls that wait in it.
+    pub waiting: u32,
+    /// When it was measured.
+    pub at: Tick,
+}
+
+/// One backend server.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Server {
+    /// The pool.
+    pub pool: Name,
+    /// The name and the start of this life.
+    pub incarnation: Incarnation,
+    /// The failure domain.
+    pub domain: Name,
+    /// Where it takes HTTP.
+    pub address: SocketAddr,
+    /// Whether it takes nothing new.
+    pub leaving: bool,
+    /// Its load, where it reports one.
+    pub load: Option<Load>,
+}
