--- a/crates/trial/src/agent.rs
+++ b/crates/trial/src/agent.rs
@@ -6,6 +6,7 @@
 use base::{Incarnation, Name, Tick};
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
+use retry::Budget;
 use route::Table;
 
 use crate::{
@@ -14,11 +15,6 @@
     size::Size,
 };
 
-/// What first attempts add to the retry budget.
-const RETRY_SHARE: f64 = 0.1;
-/// The most that the retry budget holds.
-const RETRY_BURST: f64 = 5.0;
-
 /// A server as a list names it.
 #[derive(Clone, Debug)]
 pub(crate) struct Member {
@@ -39,7 +35,7 @@
     /// Own attempts in flight, by server.
     flights: Vec<u32>,
     turns: Vec<usize>,
-    retries: f64,
+    retries: Budget,
 }
 
 /// What a pick may use.
@@ -61,7 +57,7 @@
             members: vec![Vec::new(); size.pools.len()],
             flights: vec![0; servers],
             turns: vec![domain_at; size.pools.len()],
-            retries: RETRY_BURST,
+            retries: Budget::open(retry::configs::budget::Budget::default()),
         };
         for pipeline in &size.pipelines {
             let pools: Vec<Name> = pipeline
@@ -114,17 +110,13 @@
     }
 
     /// Notes a first attempt, which adds to the retry budget.
-    pub(crate) fn first_attempt(&mut self) {
-        self.retries = (self.retries + RETRY_SHARE).min(RETRY_BURST);
+    pub(crate) fn first_attempt(&mut self, now: Tick, stage: &Name, account: &Name) {
+        self.retries.first(now, stage, account);
     }
 
     /// Takes a retry out of the budget, if there is one.
-    pub(crate) fn take_retry(&mut self) -> bool {
-        let left = self.retries >= 1.0;
-        if left {
-            self.retries -= 1.0;
-        }
-        left
+    pub(crate) fn take_retry(&mut self, now: Tick, stage: &Name, account: &Name) -> bool {
+        self.retries.again(now, stage, account).is_ok()
     }
 
     fn pick_by_table(
--- a/crates/trial/src/world/instances.rs
+++ b/crates/trial/src/world/instances.rs
@@ -161,10 +161,11 @@
         let prefix = self.size.pools[pool].prefix_tokens > 0;
         let prefix = prefix.then(|| self.trace.requests[job].prefix);
         let now = self.tick();
+        let (stage, account) = self.labels(call);
         let agent = &mut self.agents[instance];
         agent.sent(server);
         if number == 0 {
-            agent.first_attempt();
+            agent.first_attempt(now, &stage, &account);
         }
         let event = route::Event::Started {
             attempt,
@@ -269,7 +270,11 @@
             return self.refuse(call, Code::RequestHarmful, None);
         }
         let allowed = match self.policy.retries {
-            Retries::Budget => self.agents[instance].take_retry(),
+            Retries::Budget => {
+                let (stage, account) = self.labels(call);
+                let now = self.tick();
+                self.agents[instance].take_retry(now, &stage, &account)
+            }
             Retries::Fixed(most) => self.calls[call].attempts <= most,
             Retries::Unlimited => true,
         };
@@ -282,6 +287,15 @@
         self.pause(call, PAUSE);
     }
 
+    /// Names the present stage of a call, by its pool, and its account.
+    fn labels(&self, call: usize) -> (Name, Name) {
+        let request = &self.trace.requests[self.calls[call].job];
+        let stages = &self.size.pipelines[request.pipeline].stages;
+        let pool = &self.size.pools[stages[self.calls[call].stage]];
+        let account = &self.size.accounts[request.account];
+        (Name::from(pool.name), Name::from(account.name.as_str()))
+    }
+
     fn pause(&mut self, call: usize, span: u64) {
         self.calls[call].phase = Phase::Pausing;
         self.after(span, Event::Again { call });
