--- a/crates/member/src/roster.rs
+++ b/crates/member/src/roster.rs
@@ -277,16 +277,13 @@
         }
     }
 
-    /// Places a backend server, unless it is an ended one that nothing but an old list knows.
+    /// Places a backend server. Leaving ones are placed as well: their pollers find the next life.
     fn see(&mut self, now: Tick, server: &Server) {
         let name = &server.incarnation.name;
         let before = self
             .servers
             .get(name)
             .map(|known| known.incarnation.clone());
-        if before.is_none() && self.marks.holds(&server.incarnation) {
-            return;
-        }
         self.servers.place(now, server);
         let after = self.servers.get(name).map(|known| &known.incarnation);
         self.revision += u64::from(before.as_ref() != after);
--- a/crates/member/src/servers.rs
+++ b/crates/member/src/servers.rs
@@ -94,9 +94,9 @@
         self.remove(gone)
     }
 
-    /// Removes leaving ones that have fallen silent; their marks stay.
+    /// Removes leaving ones that are neither listed nor heard any more; their marks stay.
     pub fn ended(&mut self, now: Tick, marks: &Marks, silence: Duration) -> Vec<Name> {
-        self.remove(|known| marks.holds(&known.incarnation) && now - known.heard > silence)
+        self.remove(|known| marks.holds(&known.incarnation) && known.silent(now, silence))
     }
 
     fn remove(&mut self, gone: impl Fn(&Known) -> bool) -> Vec<Name> {
--- a/crates/member/tests/gossip.rs
+++ b/crates/member/tests/gossip.rs
@@ -131,3 +131,35 @@
     let view = world.nodes[0].roster.view(world.now);
     expect_that!(view.domains[0].age, le(SECOND * 20));
 }
+
+/// Found by chance: an instance that heard of a leaving server before it knew the server did not poll it,
+/// though the role was its own, and the server's next life stayed unknown.
+#[gtest]
+fn the_next_life_of_a_leaving_server_is_found_by_a_restarted_poller() {
+    let mut world = World::new(0, 1, 6, 12);
+    world.run(SECOND * 15);
+    world.restart(5);
+    world.backends[9].state = State::Leaving;
+    world.attempt(0, 9);
+    world.run(SECOND * 9);
+    world.sides = (0..6).map(|node| u8::from(node == 3)).collect();
+    world.nodes[0].up = false;
+    world.run(SECOND * 8);
+    world.renew(9);
+    world.list = world::List::Down;
+    world.sides = vec![0; 6];
+    world.run(SECOND * 25);
+    let incarnation = &world.backends[9].incarnation;
+    for node in world.nodes.iter().filter(|node| node.up) {
+        let view = node.roster.view(world.now);
+        let servers: Vec<_> = view.pools.iter().flat_map(|pool| &pool.servers).collect();
+        let server = servers
+            .iter()
+            .find(|server| server.incarnation.name == incarnation.name);
+        expect_that!(
+            server.map(|server| &server.incarnation),
+            some(eq(incarnation))
+        );
+        expect_that!(server.map(|server| server.state), some(eq(State::Live)));
+    }
+}
