Bound the time until leaving servers are known, with a fifth of the calls lost

30 servers leave, six at a time, in a domain of 20 instances with the list down and 20% of messages lost: all 20 instances know within 5 s.

--- a/crates/member/tests/gossip.rs
+++ b/crates/member/tests/gossip.rs
@@ -60,22 +60,28 @@
     expect_that!(told.len(), eq(20));
 }
 
+/// Time after which a leaving server gets nothing new from any instance of its failure domain.
+const LEAVING: Duration = Duration::from_secs(5);
+
 #[gtest]
-fn a_leaving_server_is_known_within_the_bound_though_calls_are_lost() {
+fn leaving_servers_are_known_within_the_bound_though_calls_are_lost() {
     let mut world = World::new(3, 1, 20, 40);
     world.run(SECOND * 20);
     world.loss = 20;
     world.list = world::List::Down;
-    world.backends[7].state = State::Leaving;
-    world.run(SECOND * 6);
-    let incarnation = world.backends[7].incarnation.clone();
-    expect_that!(
-        world
-            .nodes
-            .iter()
-            .all(|node| node.roster.left(&incarnation)),
-        eq(true)
-    );
+    for round in 0..5 {
+        for backend in &mut world.backends[round * 8..round * 8 + 6] {
+            backend.state = State::Leaving;
+        }
+        world.run(LEAVING);
+        for backend in &world.backends[round * 8..round * 8 + 6] {
+            let knows = world
+                .nodes
+                .iter()
+                .filter(|node| node.roster.left(&backend.incarnation));
+            expect_that!(knows.count(), eq(20));
+        }
+    }
 }
 
 #[gtest]
