--- /dev/null
+++ b/crates/admit/src/budget.rs
@@ -0,0 +1,144 @@
+//! Measured stage times and the budgets made of them.
+
+use core::time::Duration;
+
+use base::{Name, Tick};
+
+use crate::configs::budget::Config;
+
+/// A mean and a mean deviation, in seconds, that follow what is measured.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Estimate {
+    mean: f64,
+    deviation: f64,
+    samples: u32,
+}
+
+impl Estimate {
+    /// Takes a sample, in seconds.
+    pub fn sample(&mut self, weight: f64, seconds: f64) {
+        self.samples = self.samples.saturating_add(1);
+        let weight = weight.max(1.0 / f64::from(self.samples));
+        let error = seconds - self.mean;
+        self.mean += weight * error;
+        self.deviation += weight * (error.abs() - self.deviation);
+    }
+
+    /// Returns the mean, in seconds.
+    pub const fn mean(&self) -> f64 {
+        self.mean
+    }
+
+    /// Returns the margin that a budget holds above the mean, in seconds.
+    pub fn margin(&self, config: &Config) -> f64 {
+        config.deviations * self.deviation
+    }
+}
+
+/// A stage of a pipeline.
+#[derive(Clone, Debug)]
+pub struct Stage {
+    /// The pool that serves it.
+    pub pool: Name,
+    /// Its measured time of late.
+    pub time: Estimate,
+    /// Its measured time over long.
+    pub usual: Estimate,
+    /// When it was measured last.
+    at: Tick,
+}
+
+impl Stage {
+    /// Returns its expected time, in seconds; without new measurements it goes back to the usual
+    /// one, so that a stage held to be slow is tried again.
+    pub fn mean(&self, config: &Config, now: Tick) -> f64 {
+        let idle = (now - self.at).as_secs_f64() / config.half_life.as_secs_f64();
+        let usual = self.usual.mean();
+        usual + (self.time.mean() - usual) * (-idle).exp2()
+    }
+}
+
+/// A pipeline.
+#[derive(Clone, Debug)]
+pub struct Pipeline {
+    /// The name.
+    pub name: Name,
+    /// Its stages, in order.
+    pub stages: Vec<Stage>,
+    /// The measured cost of one request.
+    pub cost: Estimate,
+}
+
+impl Pipeline {
+    /// Starts out with nothing measured.
+    pub fn new(name: Name, pools: &[Name]) -> Self {
+        let stage = |pool: &Name| Stage {
+            pool: pool.clone(),
+            time: Estimate::default(),
+            usual: Estimate::default(),
+            at: Tick::default(),
+        };
+        Self {
+            name,
+            stages: pools.iter().map(stage).collect(),
+            cost: Estimate::default(),
+        }
+    }
+
+    /// Takes the names of the pools of its stages; what was measured of a stage stays.
+    pub fn set(&mut self, pools: &[Name]) {
+        let mut fresh = Self::new(self.name.clone(), pools);
+        for (new, old) in fresh.stages.iter_mut().zip(&self.stages) {
+            if new.pool == old.pool {
+                new.time = old.time;
+                new.usual = old.usual;
+                new.at = old.at;
+            }
+        }
+        self.stages = fresh.stages;
+    }
+
+    /// Returns the time that the stages from one on need, margin included.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use admit::{budget::Pipeline, configs::budget::Config};
+    /// use base::Tick;
+    /// use core::time::Duration;
+    ///
+    /// let mut pipeline = Pipeline::new("draft".into(), &["encoders".into(), "runners".into()]);
+    /// let now = Tick::from_millis(300);
+    /// pipeline.took(&Config::default(), now, 1, Duration::from_millis(300));
+    /// assert!(pipeline.need(&Config::default(), now, 0) >= Duration::from_millis(300));
+    /// ```
+    pub fn need(&self, config: &Config, now: Tick, from: usize) -> Duration {
+        let stages = self.stages.iter().skip(from);
+        let mean: f64 = stages.clone().map(|stage| stage.mean(config, now)).sum();
+        let margin: f64 = stages
+            .map(|stage| stage.time.margin(config))
+            .map(|margin| margin * margin)
+            .sum();
+        Duration::from_secs_f64(mean + margin.sqrt())
+    }
+
+    /// Returns the expected time of each stage, in seconds.
+    pub fn times(&self, config: &Config, now: Tick) -> Vec<f64> {
+        let mean = |stage: &Stage| stage.mean(config, now);
+        self.stages.iter().map(mean).collect()
+    }
+
+    /// Returns the time that the whole pipeline needs when nothing is out of the ordinary.
+    pub fn usual(&self) -> Duration {
+        Duration::from_secs_f64(self.stages.iter().map(|stage| stage.usual.mean()).sum())
+    }
+
+    /// Takes a measured stage time.
+    pub fn took(&mut self, config: &Config, now: Tick, stage: usize, took: Duration) {
+        if let Some(stage) = self.stages.get_mut(stage) {
+            stage.at = now;
+            stage.time.sample(config.weight, took.as_secs_f64());
+            stage.usual.sample(config.usual_weight, took.as_secs_f64());
+        }
+    }
+}
--- a/crates/bundle/src/content.rs
+++ b/crates/bundle/src/content.rs
@@ -117,6 +117,9 @@
     /// The client accounts that may use the pipeline; empty for all of them.
     #[serde(default)]
     pub accounts: Vec<Name>,
+    /// Whether requests are stored in the platform's log and answered later.
+    #[serde(default)]
+    pub deferred: bool,
     /// The share of requests to be answered within their deadline, from 0 to 1.
     #[serde(default = "Pipeline::default_objective")]
     pub objective: f64,
@@ -246,6 +249,9 @@
     /// The text is not TOML of the expected shape.
     #[error("{0}")]
     Syntax(#[from] toml::de::Error),
+    /// The text is not JSON of the expected shape.
+    #[error("{0}")]
+    Json(#[from] serde_json::Error),
 }
 
 impl Bundle {
@@ -261,6 +267,18 @@
         Ok(bundle)
     }
 
+    /// Reads a bundle from JSON and sorts its lists.
+    ///
+    /// # Errors
+    ///
+    /// - The text is not JSON.
+    /// - A field is unknown, missing or of the wrong type.
+    pub fn from_json(text: &str) -> Result<Self, Error> {
+        let mut bundle: Self = serde_json::from_str(text)?;
+        bundle.sort();
+        Ok(bundle)
+    }
+
     /// Finds the client account with a name.
     pub fn account(&self, name: &str) -> Option<&Account> {
         find(&self.accounts, |account| &account.name, name)
