--- a/crates/member/examples/gossip.rs
+++ b/crates/member/examples/gossip.rs
@@ -1,11 +1,15 @@
-//! Bytes, messages and processor time that membership takes at one instance, by size, and the time until a
-//! leaving mark is known everywhere in a failure domain.
+//! Bytes, messages, processor time and memory that membership takes at one instance, by size, and the time
+//! until a leaving mark is known everywhere in a failure domain.
 //!
 //! `cargo run --release -p member --example gossip`
 
 use std::time::Duration;
 
-use member::fact::State;
+use base::Digest;
+use member::{
+    Event, Fact,
+    fact::{Burn, Position, State},
+};
 
 #[path = "../tests/world/mod.rs"]
 mod world;
@@ -17,6 +21,12 @@
 const SETTLE: Duration = Duration::from_secs(40);
 /// Time over which traffic is counted.
 const SPAN: Duration = Duration::from_secs(60);
+/// Seconds between two reports of an instance's counters.
+const COUNTERS: u64 = 30;
+/// Pipelines whose counters are told.
+const PIPELINES: u64 = 11;
+/// Seconds between two changes of configuration, 3,400 a day.
+const CHANGES: u64 = 25;
 /// Leaving marks timed at each size.
 const MARKS: usize = 12;
 /// Framing of a message by HTTP/2, TCP and IP, in bytes: the mean of both sides in the example `framing` of
@@ -25,7 +35,7 @@
 
 fn main() {
     println!(
-        "domains nodes servers | B/s sent  calls/s  with framing  cpu of a core | load age p50 p99 | mark p50 max, with 20% loss p50 max"
+        "domains nodes servers | B/s sent  calls/s  with framing  with facts  cpu of a core  memory | load age p50 p99 | mark p50 max, with 20% loss p50 max"
     );
     for (domains, nodes, backends) in [
         (1, 8, 16),
@@ -40,8 +50,10 @@
 }
 
 fn measure(domains: usize, nodes: usize, backends: usize) {
+    let before = resident();
     let mut world = World::new(7, domains, nodes, backends);
     world.run(SETTLE);
+    let memory = resident().saturating_sub(before) / nodes as u64;
     world.reset();
     world.run(SPAN);
     let count = nodes as f64 * SPAN.as_secs_f64();
@@ -65,14 +77,64 @@
         / count;
     let framed = calls.mul_add(FRAMING, bytes);
     let (median, worst) = ages(&world);
+    let told = framed + told(&mut world) - bytes;
     let clean = marks(&mut world, 0, 0);
     let lossy = marks(&mut world, 20, MARKS);
     println!(
-        "{domains:7} {nodes:5} {backends:7} | {bytes:8.0} {calls:8.2} {framed:13.0} {:13.3}% | {median:7.1} {worst:4.1} s | {clean}, {lossy}",
+        "{domains:7} {nodes:5} {backends:7} | {bytes:8.0} {calls:8.2} {framed:13.0} {told:11.0} {:13.3}% {memory:5} KB | {median:7.1} {worst:4.1} s | {clean}, {lossy}",
         cpu * 100.0
     );
 }
 
+/// Returns the bytes a second while each instance tells its position at every change of configuration and
+/// the counters of its pipelines.
+fn told(world: &mut World) -> f64 {
+    world.reset();
+    let span = SPAN * 2;
+    for second in 0..span.as_secs() {
+        for node in 0..world.nodes.len() {
+            if (second + node as u64).is_multiple_of(COUNTERS) {
+                (0..PIPELINES).for_each(|pipeline| world.give(node, burn(pipeline, second)));
+            }
+            if second.is_multiple_of(CHANGES) {
+                world.give(node, position(second));
+            }
+        }
+        world.run(SECOND);
+    }
+    let bytes = world
+        .nodes
+        .iter()
+        .map(|node| node.bytes as f64)
+        .sum::<f64>();
+    bytes / world.nodes.len() as f64 / span.as_secs_f64()
+}
+
+fn burn(pipeline: u64, second: u64) -> Event {
+    Event::Tell(Fact::Burn(Burn {
+        pipeline: format!("pipeline-{pipeline}").into(),
+        good: second * 1_700 + 100_000,
+        late: second + 900,
+        refused: second + 400,
+        cost: second * 90_000 + 1_000_000,
+    }))
+}
+
+fn position(second: u64) -> Event {
+    Event::Tell(Fact::Position(Position {
+        offset: 1_000_000 + second,
+        digest: Digest::of(&second.to_be_bytes()),
+    }))
+}
+
+/// Returns the resident memory of this process, in KB; what the world itself keeps counts as well.
+fn resident() -> u64 {
+    let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let line = status.lines().find(|line| line.starts_with("VmRSS"));
+    let size = line.and_then(|line| line.split_whitespace().nth(1));
+    size.and_then(|size| size.parse().ok()).unwrap_or_default()
+}
+
 /// Returns the median and the 99th percentile of the age of the loads that instances see.
 fn ages(world: &World) -> (f64, f64) {
     let views = world.nodes.iter().map(|node| node.roster.view(world.now));
--- a/crates/member/src/roster/bridge.rs
+++ b/crates/member/src/roster/bridge.rs
@@ -10,9 +10,12 @@
     fact::{Burn, Domain, Fact, Id, Instance, Load, Pool, Position, State, Subject, Suspect},
     rendezvous,
     summary::Summary,
+    table::Origin,
     view,
 };
 
+/// Suspects that go to another failure domain at a time.
+const SUSPECTS: usize = 64;
 /// Entry instances that a failure domain names to the others.
 const NAMED: usize = 4;
 
@@ -51,11 +54,7 @@
     /// Builds what this failure domain says to another one.
     pub(super) fn abroad(&self, now: Tick) -> Summary {
         let mut facts = vec![Fact::Domain(self.summary(now))];
-        for (_, _, fact) in self.facts(now) {
-            if matches!(fact, Fact::Suspect(_)) && !facts.contains(fact) {
-                facts.push(fact.clone());
-            }
-        }
+        facts.extend(self.suspects());
         Summary {
             sender: Id::of(&self.own.incarnation),
             facts,
@@ -63,6 +62,22 @@
         }
     }
 
+    /// Returns the suspects that changed last, each once.
+    fn suspects(&self) -> Vec<Fact> {
+        let told = self.table.origins().iter().flat_map(Origin::facts);
+        let mut suspects: Vec<_> = told
+            .filter(|(_, fact)| matches!(fact, Fact::Suspect(_)))
+            .collect();
+        suspects.sort_by_key(|(age, _)| *age);
+        let mut facts: Vec<Fact> = Vec::new();
+        for (_, fact) in suspects {
+            if facts.len() < SUSPECTS && !facts.contains(fact) {
+                facts.push(fact.clone());
+            }
+        }
+        facts
+    }
+
     /// Takes in facts from another failure domain.
     pub(super) fn adopt(&mut self, context: &Context<'_>, summary: &Summary) -> Vec<Action> {
         let origin = summary.sender;
