--- /dev/null
+++ b/crates/entry/src/control/config.rs
@@ -0,0 +1,243 @@
+//! The actor that follows the configuration in the platform's log.
+
+use core::time::Duration;
+use std::sync::Arc;
+
+use actix::{
+    Actor, ActorFutureExt as _, Addr, AsyncContext as _, Context, Handler, Message, WrapFuture as _,
+};
+use base::{Digest, Name};
+use bundle::{Proof, Record, fold::Fold};
+use member::{Fact, fact};
+use platform::{Log as _, log::Page};
+use tokio::sync::watch;
+
+use crate::{
+    clock::Clock,
+    control::{
+        lines::Lines,
+        roster::{Roster, Tell},
+    },
+    metrics::Metrics,
+    view::Force,
+};
+
+/// The stream of the log that holds configuration.
+pub const STREAM: &str = "config";
+
+/// Records read from the log at once.
+const READ_RECORDS: usize = 100;
+
+/// The age of the last `Carry` at which another one is due; well below the log's retention.
+const CARRY_EVERY: Duration = Duration::from_secs(600);
+
+/// The time over which instances spread their looks at whether a `Carry` is due.
+const CARRY_SPREAD: Duration = Duration::from_secs(60);
+
+/// Follows the configuration.
+pub struct Config {
+    clock: Clock,
+    fetching: bool,
+    fold: Fold,
+    lines: Lines,
+    force: watch::Sender<Force>,
+    metrics: Arc<Metrics>,
+    platform: platform::Http,
+    poll: Duration,
+    published: Option<Digest>,
+    /// Told of the configuration in force, for the peers.
+    roster: Option<Addr<Roster>>,
+}
+
+impl Config {
+    /// Returns an actor that knows no configuration yet.
+    pub(crate) fn new(
+        clock: Clock,
+        lines: Lines,
+        root_keys: Vec<Digest>,
+        platform: platform::Http,
+        poll: Duration,
+        metrics: Arc<Metrics>,
+        force: watch::Sender<Force>,
+    ) -> Self {
+        Self {
+            clock,
+            fetching: false,
+            lines,
+            fold: Fold::open(root_keys),
+            force,
+            metrics,
+            platform,
+            poll,
+            published: None,
+            roster: None,
+        }
+    }
+
+    fn read(&self, context: &mut Context<Self>) {
+        let platform = self.platform.clone();
+        let from = self.fold.next();
+        let reading = async move { platform.read(STREAM, from, READ_RECORDS).await };
+        let done = reading.into_actor(self).map(|page, actor, context| {
+            let behind = match page {
+                Ok(page) => actor.take(&page),
+                Err(_) => {
+                    let failures = &actor.metrics.platform_failures;
+                    failures.with_label_values(&["config"]).inc();
+                    false
+                }
+            };
+            let wait = if behind { Duration::ZERO } else { actor.poll };
+            context.run_later(wait, |actor, context| actor.read(context));
+        });
+        context.spawn(done);
+    }
+
+    /// Takes in a page and tells whether the log has more.
+    fn take(&mut self, page: &Page) -> bool {
+        self.fold.seek(page.first);
+        for record in &page.records {
+            self.fold.apply_text(record.offset, &record.body);
+        }
+        self.publish();
+        !page.records.is_empty() && self.fold.next() < page.end
+    }
+
+    fn publish(&mut self) {
+        let Some(position) = self.fold.position() else {
+            return;
+        };
+        if self.published == Some(position.digest) {
+            return;
+        }
+        let Some(Ok(bundle)) = self.fold.sheet().map(|sheet| sheet.bundle()) else {
+            return;
+        };
+        log::info!(
+            "configuration in force: '{}' version {} at offset {}",
+            bundle.name,
+            bundle.version,
+            position.offset,
+        );
+        let offset = i64::try_from(position.offset).unwrap_or(i64::MAX);
+        self.metrics.bundle_offset.set(offset);
+        self.published = Some(position.digest);
+        if let Some(roster) = &self.roster {
+            roster.do_send(Tell(Fact::Position(fact::Position {
+                offset: position.offset,
+                digest: position.digest,
+            })));
+        }
+        self.force.send_replace(Some(Arc::new(bundle)));
+    }
+}
+
+impl Config {
+    /// Carries the configuration in force forward before the log drops its records.
+    ///
+    /// Each instance looks at a moment of its own, so that mostly one of them does it; doing it
+    /// twice is harmless.
+    fn schedule_carry(&self, context: &mut Context<Self>) {
+        let spread = rand::random_range(Duration::ZERO..CARRY_SPREAD);
+        context.run_later(spread, |actor, context| {
+            if let Some(carry) = actor.fold.carry(actor.clock.stamp(), CARRY_EVERY) {
+                actor.append(Record::Carry(Box::new(carry)), context);
+            }
+            actor.schedule_carry(context);
+        });
+    }
+
+    fn append(&self, record: Record, context: &mut Context<Self>) {
+        let platform = self.platform.clone();
+        let appending = async move { platform.append(STREAM, record.to_json()).await };
+        let done = appending.into_actor(self).map(|appended, actor, _| {
+            if appended.is_err() {
+                // The next look finds out whether it took effect.
+                let failures = &actor.metrics.platform_failures;
+                failures.with_label_values(&["config"]).inc();
+            }
+        });
+        context.spawn(done);
+    }
+}
+
+/// Asks for the proof of the configuration in force.
+#[derive(Message)]
+#[rtype(result = "Option<Proof>")]
+pub(crate) struct Prove;
+
+/// Names the actor that tells peers of the configuration in force.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub(crate) struct Report(pub(crate) Addr<Roster>);
+
+impl Handler<Report> for Config {
+    type Result = ();
+
+    fn handle(&mut self, message: Report, _: &mut Context<Self>) {
+        self.roster = Some(message.0);
+    }
+}
+
+/// Tells that a peer has a configuration in force at a place in the log.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub(crate) struct Heard {
+    /// Where the peer takes messages.
+    pub(crate) address: Name,
+    /// The place and digest of its configuration.
+    pub(crate) position: fact::Position,
+}
+
+impl Handler<Prove> for Config {
+    type Result = Option<Proof>;
+
+    fn handle(&mut self, _: Prove, _: &mut Context<Self>) -> Self::Result {
+        self.fold.proof()
+    }
+}
+
+impl Handler<Heard> for Config {
+    type Result = ();
+
+    /// Fetches a peer's configuration if it may be newer; the log is read anyway, so this matters
+    /// while the log cannot be.
+    fn handle(&mut self, message: Heard, context: &mut Context<Self>) {
+        let known = self.fold.position();
+        let newer = known.is_none_or(|known| {
+            message.position.offset > known.offset && message.position.digest != known.digest
+        });
+        if !newer || self.fetching {
+            return;
+        }
+        let Some(line) = self.lines.to(&message.address) else {
+            return;
+        };
+        self.fetching = true;
+        let fetching = async move { fetch(&line).await };
+        let done = fetching.into_actor(self).map(|proof, actor, _| {
+            actor.fetching = false;
+            // A proof is taken only if its signatures and its place in the order hold.
+            if let Some(proof) = proof
+                && actor.fold.adopt(&proof).is_ok()
+            {
+                actor.publish();
+            }
+        });
+        context.spawn(done);
+    }
+}
+
+async fn fetch(line: &peer::Client) -> Option<Proof> {
+    let proof = line.fetch(wire::Want::default()).await.ok()?;
+    serde_json::from_slice(&proof.content).ok()
+}
+
+impl Actor for Config {
+    type Context = Context<Self>;
+
+    fn started(&mut self, context: &mut Context<Self>) {
+        self.read(context);
+        self.schedule_carry(context);
+    }
+}
