ledger: judge calls that turn out not to have run; split the test worlds

The event that takes a written call back (connection never opened) came without a test. The interleavings, the exploration and the claim's own tests now have it: it may be written again or given up as not run, and comes too late once the caller was answered.

--- a/crates/ledger/tests/claim.rs
+++ b/crates/ledger/tests/claim.rs
@@ -322,3 +322,31 @@
         elements_are![eq(&code(Code::EarlierUnknown))]
     );
 }
+
+#[gtest]
+fn a_call_that_is_known_not_to_have_run_may_be_written_again_or_given_up() {
+    let mut claim = called();
+    expect_that!(claim.on(now(), Event::CallRefused), is_empty());
+    expect_that!(
+        claim.on(now(), Event::CallWritten),
+        elements_are![eq(&Action::Write)]
+    );
+    expect_that!(claim.on(now(), Event::CallRefused), is_empty());
+    expect_that!(
+        claim.on(now(), Event::GiveUp(Code::StageUnavailable)),
+        elements_are![
+            eq(&Action::Cancel),
+            eq(&code(Code::StageUnavailable)),
+            eq(&released())
+        ]
+    );
+    // Once given up, or answered as unknown, it is too late.
+    for mut claim in [claim, called()] {
+        claim.on(now(), Event::GiveUp(Code::DeadlinePassed));
+        claim.on(now(), Event::CallRefused);
+        expect_that!(
+            claim.on(now(), Event::CallWritten),
+            elements_are![eq(&Action::Cancel)]
+        );
+    }
+}
--- a/crates/ledger/tests/explorer/mod.rs
+++ b/crates/ledger/tests/explorer/mod.rs
@@ -3,22 +3,22 @@
 //! Claims, owners and folds are the real ones; windows and intervals are zero, so that time does
 //! not split states. Pauses need no move of their own: whoever is not moved is paused.
 
+mod actor;
+
 use core::time::Duration;
-use std::{
-    collections::{HashSet, VecDeque},
-    fmt,
-    rc::Rc,
-};
+use std::collections::{HashSet, VecDeque};
 
-use base::{Code, Digest, Incarnation, Key, Outcome, Stamp, Tick};
+use base::{Code, Digest, Key, Outcome, Stamp, Tick};
 use ledger::{
     Now, claim, configs,
     owner::{self, Owner, Verdict},
     partition,
-    record::{Answer, Record},
-    slot::{Nonce, Slot},
+    record::Answer,
+    slot::Slot,
 };
 
+use self::actor::{Actor, Part};
+
 const ISSUED: Stamp = Stamp::from_millis(1_000_000_000);
 const NOW: Now = Now {
     tick: Tick::from_millis(1),
@@ -46,32 +46,6 @@
     pub(crate) called: usize,
 }
 
-/// A part of the state that most moves leave alone, with its name.
-#[derive(Clone)]
-struct Part<T> {
-    value: Rc<T>,
-    key: Digest,
-}
-
-#[derive(Clone, Debug)]
-struct Actor {
-    claim: claim::Claim,
-    /// Requests to owners, in the order in which they were sent.
-    asks: Vec<Ask>,
-    lookups: u8,
-    is_prepared: bool,
-    is_called: bool,
-    is_dead: bool,
-    answer: Option<Code>,
-}
-
-#[derive(Clone, Debug)]
-struct Ask {
-    /// The record, or none for a look-up.
-    record: Option<Record>,
-    is_open: bool,
-}
-
 #[derive(Clone, Debug)]
 enum Read {
     Asked(u64),
@@ -117,6 +91,8 @@
     Write(usize),
     Answer(usize),
     Fail(usize),
+    /// The call turns out not to have run.
+    TakeBack(usize),
     GiveUp(usize),
     Kill(usize),
     Lookup(usize, usize),
@@ -250,6 +226,12 @@
                 let code = Code::StageUnavailable;
                 self.drive(actor, 0, claim::Event::CallFailed { written, code });
             }
+            Move::TakeBack(actor) => {
+                self.faults -= 1;
+                self.calls -= 1;
+                self.actors[actor].edit(Actor::take_back);
+                self.drive(actor, 0, claim::Event::CallRefused);
+            }
             Move::GiveUp(actor) => {
                 self.faults -= 1;
                 self.drive(actor, 0, claim::Event::GiveUp(Code::DeadlinePassed));
@@ -388,100 +370,6 @@
     }
 }
 
-impl<T: Clone + fmt::Debug> Part<T> {
-    fn open(value: T) -> Self {
-        let value = Rc::new(value);
-        let key = Digest::default();
-        let mut part = Self { value, key };
-        part.edit(|_| ());
-        part
-    }
-
-    fn edit<R>(&mut self, change: impl FnOnce(&mut T) -> R) -> R {
-        let result = change(Rc::make_mut(&mut self.value));
-        let mut text = format!("{:?}", self.value);
-        // Counts of what led to a state do not matter.
-        if let Some(from) = text.find("stats: Stats {") {
-            let to = from + text[from..].find('}').unwrap();
-            text.replace_range(from..=to, "");
-        }
-        self.key = Digest::of(text.as_bytes());
-        result
-    }
-}
-
-impl<T> fmt::Debug for Part<T> {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        fmt::Display::fmt(&self.key, f)
-    }
-}
-
-impl Actor {
-    fn open(slot: Slot, index: usize) -> Self {
-        let call = claim::Call {
-            slot,
-            nonce: Nonce::from_random(index as u128),
-            holder: Incarnation::new(format!("entry-{index}"), ISSUED),
-            body: Digest::of(b"registration"),
-            first: false,
-        };
-        let config = configs::Claim {
-            lookup_interval: Duration::ZERO,
-            ..configs::Claim::default()
-        };
-        Self {
-            claim: claim::Claim::open(config, call),
-            asks: Vec::new(),
-            lookups: 0,
-            is_prepared: false,
-            is_called: false,
-            is_dead: false,
-            answer: None,
-        }
-    }
-
-    fn moves(&self, index: usize, bounds: Bounds, has_fault: bool, moves: &mut Vec<Move>) {
-        if self.is_dead {
-            return;
-        }
-        if self.asks.is_empty() {
-            // Instances may differ about who owns the partition; the owners are alike, so that the
-            // first claim may go to the first of them.
-            let owners = if index == 0 { 1 } else { OWNERS };
-            moves.extend((0..owners).map(|owner| Move::Start(index, owner)));
-            return;
-        }
-        moves.extend(self.is_prepared.then_some(Move::Write(index)));
-        moves.extend(self.is_called.then_some(Move::Answer(index)));
-        if has_fault && self.answer.is_none() {
-            moves.extend([Move::GiveUp(index), Move::Kill(index)]);
-        }
-        if has_fault && (self.is_prepared || self.is_called) {
-            moves.push(Move::Fail(index));
-        }
-        if self.lookups < bounds.lookups && self.claim.wake().is_some() && self.answer.is_none() {
-            moves.extend((0..OWNERS).map(|owner| Move::Lookup(index, owner)));
-        }
-    }
-
-    fn call(&mut self) {
-        assert!(self.answer.is_none(), "called after its answer");
-        self.is_called = true;
-    }
-
-    fn tell(&mut self, code: Code) {
-        assert!(self.answer.is_none(), "answered twice");
-        self.answer = Some(code);
-    }
-
-    fn ask(&mut self, index: usize, record: Option<Record>) -> u64 {
-        let at = self.asks.len();
-        let is_open = true;
-        self.asks.push(Ask { record, is_open });
-        (index * 100 + at) as u64
-    }
-}
-
 impl Message {
     const fn id(&self) -> u64 {
         match self {
--- a/crates/ledger/tests/world/judge.rs
+++ b/crates/ledger/tests/world/judge.rs
@@ -54,6 +54,13 @@
         assert_eq!(seen.calls.len(), 1, "called twice: {driver:?}");
     }
 
+    /// Takes a call back that the service never had.
+    pub(super) fn take_back(&mut self, driver: &mut Driver) {
+        driver.has_called = false;
+        let seen = self.seen.get_mut(&driver.call.slot).unwrap();
+        seen.calls.pop();
+    }
+
     pub(super) fn result(&mut self, driver: &Driver) -> Answer {
         let seen = self.seen.get_mut(&driver.call.slot).unwrap();
         // A claim that was answered `unknown` before has recorded that.
