ledger: a second owner's refusal does not tell that the first took nothing

Whoever gets no answer from one owner may ask another or become one. If the second could not append, its 'unavailable' without 'may have landed' was taken at its word, the claim was not released, and the first owner's copy could land later and hold the slot for nobody. Verdict::after_resend says it; the interleavings now resend.

--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -12,12 +12,15 @@
 //! - For each call, the instance that serves the request runs one [`claim::Claim`] with a random
 //!   nonce. Its `Submit` and `Lookup` actions go to an owner of [`partition::of`] the slot, by a
 //!   message to a peer or to an owner of its own where no peer can be reached; a message that is
-//!   lost or times out counts as [`owner::Verdict::LOST`]. The transport must not send a message
+//!   lost or times out counts as [`owner::Verdict::LOST`]. Who asks another owner after the first
+//!   gave no answer passes its verdict through [`owner::Verdict::after_resend`]. The transport must not send a message
 //!   again by itself: a claim that arrives twice is safe, but may hold its slot for nobody.
 //!   The verdicts come back by [`claim::Event::of`] and [`claim::Event::Found`].
 //! - The driver reports [`claim::Event::CallWritten`] before the first byte of the call leaves,
 //!   and lets it leave only on [`claim::Action::Write`]. A library that cannot tell when it
 //!   writes is given the request only after that.
+//! - All actions of one event are carried out, an `Answer` without waiting for a `Submit` beside
+//!   it; the release or outcome in that `Submit` is submitted until it is recorded.
 //! - A claim is dropped once [`claim::Claim::is_ended`]; until then it is called again at
 //!   [`claim::Claim::wake`], also after its caller has been answered.
 //!
--- a/crates/ledger/src/owner.rs
+++ b/crates/ledger/src/owner.rs
@@ -117,6 +117,25 @@
     pub const LOST: Self = Self::Unavailable {
         may_have_landed: true,
     };
+
+    /// Returns what a verdict says where another owner was asked before and gave no answer: that
+    /// one may have taken the record, so that it may land although this one could not append it.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use ledger::owner::Verdict;
+    /// let refused = Verdict::Unavailable { may_have_landed: false };
+    /// assert_eq!(refused.after_resend(), Verdict::LOST);
+    /// assert_eq!(Verdict::Won.after_resend(), Verdict::Won);
+    /// ```
+    #[must_use]
+    pub fn after_resend(self) -> Self {
+        match self {
+            Self::Unavailable { .. } => Self::LOST,
+            verdict => verdict,
+        }
+    }
 }
 
 /// Counts since the owner was opened.
--- a/crates/ledger/tests/world/faults.rs
+++ b/crates/ledger/tests/world/faults.rs
@@ -125,6 +125,12 @@
         if instance.is_paused || asks.is_empty() {
             return;
         }
-        self.reply(index, asks[rest % asks.len()], Verdict::LOST);
+        let id = asks[rest % asks.len()];
+        if !(rest / asks.len()).is_multiple_of(2) {
+            self.reply(index, id, Verdict::LOST);
+        } else if let Some((at, pending)) = self.instances[index].take_ask(id) {
+            // Whoever gets no answer from one owner may ask another, or become one.
+            self.send_to(index, at, pending.ask, true);
+        }
     }
 }
--- a/crates/ledger/tests/world/instance.rs
+++ b/crates/ledger/tests/world/instance.rs
@@ -14,12 +14,21 @@
     Served(owner::Event),
 }
 
+/// What was asked of an owner and has no answer.
+#[derive(Clone, Debug)]
+pub(super) struct Pending {
+    pub(super) id: u64,
+    pub(super) ask: Ask,
+    /// Another owner was asked before, and may have taken it.
+    pub(super) is_resent: bool,
+}
+
 /// A claim and the service's side of it.
 #[derive(Debug)]
 pub(crate) struct Driver {
     pub(super) claim: claim::Claim,
     pub(super) call: claim::Call,
-    pub(super) asks: Vec<(u64, Ask)>,
+    pub(super) asks: Vec<Pending>,
     pub(super) is_prepared: bool,
     pub(super) is_called: bool,
     pub(super) has_called: bool,
@@ -80,10 +89,10 @@
         (to, id)
     }
 
-    pub(super) fn take_ask(&mut self, id: u64) -> Option<(usize, Ask)> {
+    pub(super) fn take_ask(&mut self, id: u64) -> Option<(usize, Pending)> {
         for (at, driver) in self.claims.iter_mut().enumerate() {
-            if let Some(ask) = driver.asks.iter().position(|(other, _)| *other == id) {
-                return Some((at, driver.asks.swap_remove(ask).1));
+            if let Some(ask) = driver.asks.iter().position(|ask| ask.id == id) {
+                return Some((at, driver.asks.swap_remove(ask)));
             }
         }
         None
@@ -91,7 +100,7 @@
 
     pub(super) fn asks(&self) -> Vec<u64> {
         let asks = self.claims.iter().flat_map(|driver| &driver.asks);
-        asks.map(|(id, _)| *id).collect()
+        asks.map(|ask| ask.id).collect()
     }
 
     pub(super) fn forget(&mut self) {
--- a/crates/ledger/tests/world/mod.rs
+++ b/crates/ledger/tests/world/mod.rs
@@ -17,7 +17,7 @@
 };
 
 use self::{
-    instance::{Driver, Instance, Read},
+    instance::{Driver, Instance, Pending, Read},
     judge::Judge,
     log::Log,
 };
@@ -212,8 +212,13 @@
 
     fn reply(&mut self, index: usize, id: u64, verdict: Verdict) {
         let found = self.instances[index].take_ask(id);
-        if let Some((at, ask)) = found {
-            self.drive(index, at, event_of(&ask, verdict));
+        if let Some((at, pending)) = found {
+            let verdict = if pending.is_resent {
+                verdict.after_resend()
+            } else {
+                verdict
+            };
+            self.drive(index, at, event_of(&pending.ask, verdict));
         }
     }
 
@@ -266,12 +271,19 @@
 
     /// Sends to one of the owners; which one depends on what each instance believes.
     fn send(&mut self, index: usize, at: usize, ask: Ask) {
+        self.send_to(index, at, ask, false);
+    }
+
+    fn send_to(&mut self, index: usize, at: usize, ask: Ask, is_resent: bool) {
         let id = self.fresh();
         let to = self.address(usize::try_from(id).unwrap() % self.instances.len().min(2));
         let from = self.address(index);
-        self.instances[index].claims[at]
-            .asks
-            .push((id, ask.clone()));
+        let pending = Pending {
+            id,
+            ask: ask.clone(),
+            is_resent,
+        };
+        self.instances[index].claims[at].asks.push(pending);
         self.wire.push((to, Message::Ask { from, id, ask }));
     }
 
