ledger: test the edge of the retention, say what an owner in each domain costs

Edge: horizon + 3 x clock error + longest pause = retention is refused. Seen failing with <= for < in configs/fold.rs.

--- a/crates/ledger/examples/slopes.rs
+++ b/crates/ledger/examples/slopes.rs
@@ -39,7 +39,7 @@
     let options: Options = argh::from_env();
     bytes(options.answer);
     memory(options.answer);
-    for factor in [0.01, 1.0, 4.0] {
+    for factor in [0.01, 0.125, 1.0, 4.0] {
         for window in [20, 50, 100, 150, 200] {
             appends(RATE * factor, Duration::from_millis(window), options.answer);
         }
--- a/crates/ledger/tests/fold.rs
+++ b/crates/ledger/tests/fold.rs
@@ -193,3 +193,16 @@
     }
     expect_that!(other.snapshot(), eq(&fold.snapshot()));
 }
+
+#[gtest]
+fn a_retention_that_just_covers_the_horizon_is_not_enough() {
+    let config = configs::Fold::default();
+    let needed = config.horizon + 3 * config.clock_error + config.longest_pause;
+    let with = |retention| configs::Fold {
+        retention,
+        ..config.clone()
+    };
+    expect_that!(with(needed).check(), err(anything()));
+    let above = needed + core::time::Duration::from_millis(1);
+    expect_that!(with(above).check(), ok(anything()));
+}
