--- a/crates/member/src/roster.rs
+++ b/crates/member/src/roster.rs
@@ -7,19 +7,20 @@
 use crate::{
     action::Action,
     configs,
-    event::{Context, Event, Listing, Role, Word},
-    fact::{Domain, Fact, Id, Instance, Load, Server, State, Subject},
+    event::{Context, Event},
+    fact::{Domain, Fact, Id, Instance, Load, State},
     mark::Marks,
     peers::{Peer, Peers},
     servers::Servers,
     summary::{Body, Summary},
-    table::{News, STEP, Table},
+    table::{STEP, Table},
     view::{self, View},
 };
 
 mod bridge;
 mod duty;
 mod round;
+mod source;
 
 /// The membership core of one instance.
 ///
@@ -222,181 +223,6 @@
         actions
     }
 
-    /// Takes in what a backend server said of itself.
-    fn heard(&mut self, context: &mut Context<'_>, word: &Word) -> Vec<Action> {
-        let now = context.now;
-        let Some(known) = self.servers.get(&word.incarnation.name) else {
-            return Vec::new();
-        };
-        let server = Server {
-            incarnation: word.incarnation.clone(),
-            domain: self.own.domain.clone(),
-            address: known.address.clone(),
-            pool: known.pool.clone(),
-            state: word.state,
-            load: word.load,
-        };
-        let renewed = word.incarnation > known.incarnation;
-        let Some(known) = self.servers.place(now, &server) else {
-            return Vec::new();
-        };
-        known.hear(now, word.load);
-        self.revision += u64::from(renewed);
-        self.report(context, &server);
-        match word.state {
-            State::Live => Vec::new(),
-            State::Leaving => self.leave(context, core::slice::from_ref(&word.incarnation)),
-        }
-    }
-
-    fn listed(&mut self, context: &mut Context<'_>, list: &[Listing]) -> Vec<Action> {
-        for listing in list {
-            self.place(context.now, listing);
-        }
-        let gone = self.servers.absent(context.now, &self.marks, &self.config);
-        self.drop(context, &gone);
-        let leaving = list
-            .iter()
-            .filter(|listing| listing.state == State::Leaving);
-        let leaving: Vec<_> = leaving.map(|listing| listing.incarnation.clone()).collect();
-        self.leave(context, &leaving)
-    }
-
-    fn place(&mut self, now: Tick, listing: &Listing) {
-        self.marks.name(now, &listing.incarnation.name);
-        match &listing.role {
-            Role::Backend(pool) if listing.domain == self.own.domain => {
-                let server = Server {
-                    incarnation: listing.incarnation.clone(),
-                    domain: listing.domain.clone(),
-                    address: listing.address.clone(),
-                    pool: pool.clone(),
-                    state: listing.state,
-                    load: None,
-                };
-                self.see(now, &server);
-                if let Some(known) = self.servers.get_mut(&listing.incarnation.name) {
-                    known.listed = now;
-                }
-            }
-            Role::Backend(_) => {}
-            Role::Entry if listing.incarnation.name == self.own.incarnation.name => {}
-            Role::Entry if listing.domain.as_str().is_empty() => self.seed(&listing.address),
-            Role::Entry => {
-                let instance = Instance {
-                    incarnation: listing.incarnation.clone(),
-                    domain: listing.domain.clone(),
-                    address: listing.address.clone(),
-                    state: self.state(&listing.incarnation),
-                };
-                self.peers.place(now, &instance);
-            }
-        }
-    }
-
-    fn seed(&mut self, address: &Name) {
-        if let Err(at) = self.seeds.binary_search(address) {
-            self.seeds.insert(at, address.clone());
-        }
-    }
-
-    /// Places a backend server. Leaving ones are placed as well: their pollers find the next life.
-    fn see(&mut self, now: Tick, server: &Server) {
-        let name = &server.incarnation.name;
-        let before = self
-            .servers
-            .get(name)
-            .map(|known| known.incarnation.clone());
-        self.servers.place(now, server);
-        let after = self.servers.get(name).map(|known| &known.incarnation);
-        self.revision += u64::from(before.as_ref() != after);
-    }
-
-    /// Marks incarnations on first-hand news and passes on those that were not marked.
-    fn leave(&mut self, context: &Context<'_>, leaving: &[Incarnation]) -> Vec<Action> {
-        let new = leaving
-            .iter()
-            .filter(|one| self.marks.add(context.now, one));
-        let leaving: Vec<Incarnation> = new.cloned().collect();
-        for incarnation in &leaving {
-            self.revision += 1;
-            self.peers.leave(incarnation);
-            self.tell_leaving(context, incarnation);
-        }
-        if leaving.is_empty() {
-            return Vec::new();
-        }
-        let notice = Summary {
-            leaving,
-            ..Summary::default()
-        };
-        self.notify(context.now, &notice)
-    }
-
-    fn tell_leaving(&mut self, context: &Context<'_>, incarnation: &Incarnation) {
-        let known = self.servers.get(&incarnation.name);
-        let Some(known) = known.filter(|known| known.incarnation == *incarnation) else {
-            return;
-        };
-        let server = Server {
-            incarnation: incarnation.clone(),
-            domain: self.own.domain.clone(),
-            address: known.address.clone(),
-            pool: known.pool.clone(),
-            state: State::Leaving,
-            load: None,
-        };
-        self.table
-            .tell(version(context.stamp), Fact::Server(server));
-    }
-
-    /// Takes over marks that a peer passed on.
-    fn learn(&mut self, context: &Context<'_>, leaving: &[Incarnation]) {
-        for incarnation in leaving {
-            if self.marks.add(context.now, incarnation) {
-                self.revision += 1;
-                self.peers.leave(incarnation);
-            }
-        }
-    }
-
-    /// Takes in facts that are new in the table.
-    fn absorb(&mut self, context: &Context<'_>, news: Vec<News>) -> Vec<Action> {
-        let mut learned = Vec::new();
-        for News { origin, age, fact } in news {
-            match fact {
-                Fact::Domain(domain) => self.hear(context.now, domain),
-                Fact::Instance(instance) => self.meet(context, &instance),
-                Fact::Server(server) => self.hear_server(context.now, &server, age),
-                Fact::Burn(_) | Fact::Demand(_) | Fact::Position(_) | Fact::Suspect(_) => {
-                    learned.push(Action::Learned { origin, fact });
-                }
-            }
-        }
-        learned
-    }
-
-    fn meet(&mut self, context: &Context<'_>, instance: &Instance) {
-        if instance.state == State::Leaving {
-            self.learn(context, core::slice::from_ref(&instance.incarnation));
-        }
-        self.peers.place(context.now, instance);
-        self.revision += 1;
-    }
-
-    fn hear_server(&mut self, now: Tick, server: &Server, age: Duration) {
-        if server.state == State::Leaving && self.marks.add(now, &server.incarnation) {
-            self.revision += 1;
-        }
-        self.see(now, server);
-        let held = Tick::from_micros(now.as_micros().saturating_sub(micros(age)));
-        if let Some(known) = self.servers.get_mut(&server.incarnation.name)
-            && known.incarnation == server.incarnation
-        {
-            known.hear(held, server.load);
-        }
-    }
-
     fn stop(&mut self, context: &mut Context<'_>) -> Vec<Action> {
         self.own.state = State::Leaving;
         self.table
@@ -420,14 +246,6 @@
         }
     }
 
-    fn drop(&mut self, context: &Context<'_>, names: &[Name]) {
-        for name in names {
-            self.revision += 1;
-            let subject = Subject::Server(name.clone());
-            self.table.withdraw(version(context.stamp), &subject);
-        }
-    }
-
     fn state(&self, incarnation: &Incarnation) -> State {
         match self.marks.holds(incarnation) {
             true => State::Leaving,
--- /dev/null
+++ b/crates/member/src/table/origin.rs
@@ -0,0 +1,198 @@
+//! What is held of one origin.
+
+use core::time::Duration;
+
+use base::Tick;
+
+use super::{News, STEP};
+use crate::{
+    fact::{Fact, Id, Subject},
+    summary::{Body, Delta, Row},
+};
+
+/// What is held of one origin.
+#[derive(Clone, Debug)]
+pub struct Origin {
+    /// The incarnation that tells the rows.
+    pub id: Id,
+    /// Everything up to this version is held.
+    pub version: u64,
+    /// When the version last grew.
+    pub heard: Tick,
+    /// Whether it counts among the origins that are compared.
+    pub counted: bool,
+    rows: Vec<Held>,
+}
+
+#[derive(Clone, Debug)]
+struct Held {
+    slot: u32,
+    version: u64,
+    /// Version at which anything but the load changed.
+    detailed: u64,
+    fact: Option<Fact>,
+}
+
+impl Origin {
+    pub(super) fn new(id: Id, now: Tick) -> Self {
+        Self {
+            id,
+            version: 0,
+            heard: now,
+            counted: true,
+            rows: Vec::new(),
+        }
+    }
+
+    /// Returns the facts that the origin tells, with their age when it last spoke.
+    pub fn facts(&self) -> impl Iterator<Item = (Duration, &Fact)> {
+        let age = |held: &Held| steps(self.version - held.version);
+        self.rows
+            .iter()
+            .filter_map(move |held| Some((age(held), held.fact.as_ref()?)))
+    }
+
+    /// Tells a fact as this origin; one equal to the fact told before changes nothing.
+    pub(super) fn tell(&mut self, version: u64, fact: Fact) {
+        let subject = fact.subject();
+        let same = |held: &Option<Fact>| held.as_ref().is_some_and(|one| one.subject() == subject);
+        let at = self.place(same);
+        if self.rows[at].fact.as_ref() == Some(&fact) {
+            return;
+        }
+        let version = self.advance(version);
+        let held = &mut self.rows[at];
+        let light = held
+            .fact
+            .as_ref()
+            .is_some_and(|old| same_but_load(old, &fact));
+        held.version = version;
+        if !light {
+            held.detailed = version;
+        }
+        held.fact = Some(fact);
+    }
+
+    /// Takes back what was told about a subject.
+    pub(super) fn withdraw(&mut self, version: u64, subject: &Subject) {
+        let told = |held: &Held| {
+            held.fact
+                .as_ref()
+                .is_some_and(|fact| fact.subject() == *subject)
+        };
+        let Some(at) = self.rows.iter().position(told) else {
+            return;
+        };
+        let version = self.advance(version);
+        let held = &mut self.rows[at];
+        held.version = version;
+        held.detailed = version;
+        held.fact = None;
+    }
+
+    fn advance(&mut self, version: u64) -> u64 {
+        self.version = version.max(self.version + 1);
+        self.version
+    }
+
+    /// Finds the row that matches, or a free one.
+    fn place(&mut self, matches: impl Fn(&Option<Fact>) -> bool) -> usize {
+        let found = self.rows.iter().position(|held| matches(&held.fact));
+        let free = || self.rows.iter().position(|held| held.fact.is_none());
+        if let Some(at) = found.or_else(free) {
+            return at;
+        }
+        let slot = u32::try_from(self.rows.len()).unwrap_or(u32::MAX);
+        self.rows.push(Held::empty(slot));
+        self.rows.len() - 1
+    }
+
+    /// Returns the rows that changed after a version.
+    pub(super) fn since(&self, origin: usize, version: u64) -> Delta {
+        let newer = self.rows.iter().filter(|held| held.version > version);
+        Delta {
+            origin,
+            rows: newer.map(|held| held.row(version)).collect(),
+        }
+    }
+
+    /// Takes a row in, and returns its fact where it is new.
+    pub(super) fn put(&mut self, row: &Row) -> Option<News> {
+        let at = match self.rows.binary_search_by_key(&row.slot, |held| held.slot) {
+            Ok(at) if row.version <= self.rows[at].version => return None,
+            Ok(at) => at,
+            Err(at) => {
+                self.rows.insert(at, Held::empty(row.slot));
+                at
+            }
+        };
+        let held = &mut self.rows[at];
+        held.version = row.version;
+        held.take(&row.body);
+        let news = |fact| News {
+            origin: self.id,
+            age: steps(self.version.saturating_sub(row.version)),
+            fact,
+        };
+        self.rows[at].fact.clone().map(news)
+    }
+}
+
+impl Held {
+    const fn empty(slot: u32) -> Self {
+        Self {
+            slot,
+            version: 0,
+            detailed: 0,
+            fact: None,
+        }
+    }
+
+    fn row(&self, known: u64) -> Row {
+        let body = match &self.fact {
+            None => Body::Withdrawn,
+            Some(Fact::Server(server)) if self.detailed <= known => {
+                Body::Load(server.load.unwrap_or_default())
+            }
+            Some(fact) => Body::Whole(fact.clone()),
+        };
+        Row {
+            slot: self.slot,
+            version: self.version,
+            body,
+        }
+    }
+
+    fn take(&mut self, body: &Body) {
+        match (body, &mut self.fact) {
+            (Body::Load(load), Some(Fact::Server(server))) => server.load = Some(*load),
+            (Body::Load(_), _) => {}
+            (Body::Whole(fact), _) => {
+                self.detailed = self.version;
+                self.fact = Some(fact.clone());
+            }
+            (Body::Withdrawn, _) => {
+                self.detailed = self.version;
+                self.fact = None;
+            }
+        }
+    }
+}
+
+fn steps(count: u64) -> Duration {
+    STEP.saturating_mul(u32::try_from(count).unwrap_or(u32::MAX))
+}
+
+fn same_but_load(old: &Fact, new: &Fact) -> bool {
+    match (old, new) {
+        (Fact::Server(old), Fact::Server(new)) => {
+            new.load.is_some()
+                && old.incarnation == new.incarnation
+                && old.address == new.address
+                && old.pool == new.pool
+                && old.domain == new.domain
+                && old.state == new.state
+        }
+        _ => false,
+    }
+}
