Seal one summary of each failure domain in a period and pass it on as it is

Screens have to agree on what they show, and any instance that was asked made a summary of its own under the same number. An answer that is older than what is known is no longer told in the own domain. The test of the failure domains compares what is held of a number on both sides.

--- a/crates/member/examples/gossip.rs
+++ b/crates/member/examples/gossip.rs
@@ -14,7 +14,7 @@
 #[path = "../tests/world/mod.rs"]
 mod world;
 
-use world::World;
+use world::{Node, World};
 
 const SECOND: Duration = Duration::from_secs(1);
 /// Time until every instance is known everywhere.
@@ -35,7 +35,7 @@
 
 fn main() {
     println!(
-        "domains nodes servers | B/s sent  calls/s  with framing  with facts  cpu of a core  memory | load age p50 p99 | mark p50 max, with 20% loss p50 max"
+        "domains nodes servers | B/s sent  calls/s  with framing  busiest  with facts  cpu of a core  memory | load age p50 p99 | mark p50 max, with 20% loss p50 max"
     );
     for (domains, nodes, backends) in [
         (1, 8, 16),
@@ -77,15 +77,21 @@
         / count;
     let framed = calls.mul_add(FRAMING, bytes);
     let (median, worst) = ages(&world);
+    let most = world.nodes.iter().map(sent).fold(0.0, f64::max) / SPAN.as_secs_f64();
     let told = framed + told(&mut world) - bytes;
     let clean = marks(&mut world, 0, 0);
     let lossy = marks(&mut world, 20, MARKS);
     println!(
-        "{domains:7} {nodes:5} {backends:7} | {bytes:8.0} {calls:8.2} {framed:13.0} {told:11.0} {:13.3}% {memory:5} KB | {median:7.1} {worst:4.1} s | {clean}, {lossy}",
+        "{domains:7} {nodes:5} {backends:7} | {bytes:8.0} {calls:8.2} {framed:13.0} {most:8.0} {told:11.0} {:13.3}% {memory:5} KB | {median:7.1} {worst:4.1} s | {clean}, {lossy}",
         cpu * 100.0
     );
 }
 
+/// Returns the bytes that an instance sent, with framing.
+fn sent(node: &Node) -> f64 {
+    (node.calls as f64).mul_add(FRAMING, node.bytes as f64)
+}
+
 /// Returns the bytes a second while each instance tells its position at every change of configuration and
 /// the counters of its pipelines.
 fn told(world: &mut World) -> f64 {
--- a/crates/member/src/configs/roster.rs
+++ b/crates/member/src/configs/roster.rs
@@ -5,7 +5,7 @@
 /// How often the roster acts and how long it waits.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Roster {
-    /// Time between exchanges with other failure domains, for the instance that holds that role.
+    /// Time between exchanges with other failure domains, and between the summaries that are exchanged.
     pub bridge: Duration,
     /// Peers asked in each round of exchanges.
     pub fanout: usize,
--- a/crates/member/src/fact.rs
+++ b/crates/member/src/fact.rs
@@ -98,7 +98,7 @@
 pub struct Domain {
     /// The name of the failure domain.
     pub name: Name,
-    /// Grows with each summary of this failure domain.
+    /// Number of the period of wall-clock time in which this was sealed.
     pub version: u64,
     /// Its pools, by name.
     pub pools: Vec<Pool>,
--- a/crates/member/src/roster.rs
+++ b/crates/member/src/roster.rs
@@ -34,6 +34,8 @@
     servers: Servers,
     peers: Peers,
     domains: Vec<Remote>,
+    /// The latest sealed summary of the own failure domain.
+    sealed: Option<Remote>,
     /// Addresses to ask while no instance of the own failure domain is heard.
     seeds: Vec<Name>,
     /// Whether the last summary came from an instance that knows the same origins.
@@ -44,7 +46,7 @@
     revision: u64,
 }
 
-/// Another failure domain and when news of it last came.
+/// What a failure domain says of itself, and when that came.
 #[derive(Clone, Debug)]
 struct Remote {
     domain: Domain,
@@ -84,6 +86,7 @@
             servers: Servers::default(),
             peers: Peers::default(),
             domains: Vec::new(),
+            sealed: None,
             seeds: Vec::new(),
             agreed: false,
             next: Next::default(),
@@ -151,6 +154,7 @@
         View {
             pools,
             peers,
+            own: self.sealed.as_ref().map(remote),
             domains: self.domains.iter().map(remote).collect(),
         }
     }
--- a/crates/member/src/roster/bridge.rs
+++ b/crates/member/src/roster/bridge.rs
@@ -51,9 +51,29 @@
         actions
     }
 
+    /// Seals the summary of the own failure domain once in each period, where this instance holds that role.
+    ///
+    /// What is sealed goes everywhere as it is, so that all who hold a version hold the same content.
+    pub(super) fn seal(&mut self, context: &Context<'_>, members: &[Incarnation]) {
+        let period = u64::try_from(self.config.bridge.as_millis()).unwrap_or(1);
+        let number = context.stamp.as_millis() / period.max(1);
+        let sealed = self.sealed.as_ref().map_or(0, |one| one.domain.version);
+        let owner = rendezvous::owner(members, b"summary");
+        if number <= sealed || owner != Some(&self.own.incarnation) {
+            return;
+        }
+        let domain = self.summary(context.now, number);
+        let fact = Fact::Domain(domain.clone());
+        self.table.tell(version(context.stamp), fact);
+        self.hear(context.now, domain);
+    }
+
     /// Builds what this failure domain says to another one.
     pub(super) fn abroad(&self, now: Tick) -> Summary {
-        let mut facts = vec![Fact::Domain(self.summary(now))];
+        let sealed = self.sealed.as_ref().map(|one| one.domain.clone());
+        // Nothing is sealed yet only right after a start.
+        let domain = sealed.unwrap_or_else(|| self.summary(now, 0));
+        let mut facts = vec![Fact::Domain(domain)];
         facts.extend(self.suspects());
         Summary {
             sender: Id::of(&self.own.incarnation),
@@ -100,7 +120,7 @@
     pub(super) fn carry(&mut self, context: &Context<'_>, summary: &Summary) {
         for fact in &summary.facts {
             let fact = match fact {
-                Fact::Domain(domain) if domain.name != self.own.domain => Some(fact.clone()),
+                Fact::Domain(domain) if self.latest(domain) => Some(fact.clone()),
                 Fact::Suspect(suspect) => self.suspect(context.now, suspect).map(Fact::Suspect),
                 _ => None,
             };
@@ -110,6 +130,11 @@
         }
     }
 
+    /// Tells whether a summary of another failure domain is the latest one known.
+    fn latest(&self, domain: &Domain) -> bool {
+        self.domains.iter().any(|one| one.domain == *domain)
+    }
+
     /// Joins news of a suspect content with what this failure domain knows; none where it knows that already.
     fn suspect(&self, now: Tick, news: &Suspect) -> Option<Suspect> {
         let mut known = Suspect {
@@ -126,9 +151,13 @@
         known.merge(news).then_some(known)
     }
 
-    /// Takes in what another failure domain says of itself, where it is newer.
+    /// Takes in what a failure domain says of itself, where it is newer.
     pub(super) fn hear(&mut self, now: Tick, domain: Domain) {
         if domain.name == self.own.domain {
+            let known = self.sealed.as_ref().map_or(0, |one| one.domain.version);
+            if domain.version > known {
+                self.sealed = Some(Remote { domain, heard: now });
+            }
             return;
         }
         for instance in &domain.instances {
@@ -146,7 +175,7 @@
         self.revision += 1;
     }
 
-    fn summary(&self, now: Tick) -> Domain {
+    fn summary(&self, now: Tick, number: u64) -> Domain {
         let view = self.view(now);
         let near: Vec<&view::Peer> = view
             .peers
@@ -160,15 +189,9 @@
         let total = count(instances.len());
         instances.retain(|one| one.state == State::Live);
         instances.truncate(NAMED);
-        let newest = self
-            .table
-            .origins()
-            .iter()
-            .map(|origin| origin.version)
-            .max();
         Domain {
             name: self.own.domain.clone(),
-            version: newest.unwrap_or_default(),
+            version: number,
             pools: view.pools.iter().map(sum).collect(),
             instances,
             count: total,
--- a/crates/member/src/view.rs
+++ b/crates/member/src/view.rs
@@ -15,6 +15,8 @@
     pub peers: Vec<Peer>,
     /// The other failure domains.
     pub domains: Vec<Domain>,
+    /// The own failure domain, as it says to the others.
+    pub own: Option<Domain>,
 }
 
 /// A pool and its backend servers, by name.
@@ -52,7 +54,7 @@
     pub heard: bool,
 }
 
-/// Another failure domain.
+/// A failure domain in short.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Domain {
     /// What it last said of itself.
--- a/crates/member/tests/gossip.rs
+++ b/crates/member/tests/gossip.rs
@@ -118,6 +118,16 @@
         expect_that!(view.domains.len(), eq(2));
         for domain in &view.domains {
             expect_that!(domain.summary.count, eq(4));
+            let there = world
+                .nodes
+                .iter()
+                .find(|node| node.own.domain == domain.summary.name);
+            let own = there
+                .and_then(|node| node.roster.view(world.now).own)
+                .expect("sealed");
+            let behind = own.summary.version - domain.summary.version;
+            expect_that!(behind, le(2));
+            expect_that!(behind > 0 || own.summary == domain.summary, eq(true));
             expect_that!(domain.age, le(SECOND * 20));
             let live: u32 = domain.summary.pools.iter().map(|pool| pool.live).sum();
             expect_that!(live, eq(8));
