Show numbered views that are the same wherever they carry the same number

A view is a pure function of what the failure domains sealed in one period, and its number ends in the digest of what it shows. A domain that did not tell its summary in time is marked as not heard, and no figure of it is shown.

--- a/crates/member/tests/world/mod.rs
+++ b/crates/member/tests/world/mod.rs
@@ -391,7 +391,7 @@
         nodes.chain(backends).collect()
     }
 
-    fn stamp(&self) -> Stamp {
+    pub fn stamp(&self) -> Stamp {
         Stamp::from_millis(EPOCH + self.now.as_micros() / 1_000)
     }
 }
--- /dev/null
+++ b/crates/screen/src/body.rs
@@ -0,0 +1,158 @@
+//! The content of a view as HTML, a pure function of the sealed summaries.
+
+use core::fmt::Write as _;
+
+use base::Name;
+use member::fact::{Burn, Domain, Pool, Position};
+
+use crate::view::Part;
+
+/// Returns the content: configuration, pipelines, failure domains.
+pub(crate) fn html(parts: &[Part<'_>]) -> String {
+    let mut out = String::new();
+    silent(&mut out, parts);
+    configuration(&mut out, parts);
+    pipelines(&mut out, parts);
+    for part in parts {
+        match part.sealed {
+            Some(sealed) => domain(&mut out, sealed),
+            None => unheard(&mut out, part.name),
+        }
+    }
+    out
+}
+
+fn heard<'a>(parts: &'a [Part<'a>]) -> impl Iterator<Item = &'a Domain> {
+    parts.iter().filter_map(|part| part.sealed)
+}
+
+/// Says at the top which failure domains no figure covers.
+fn silent(out: &mut String, parts: &[Part<'_>]) {
+    let names = parts.iter().filter(|part| part.sealed.is_none());
+    let names: Vec<String> = names.map(|part| escape(part.name)).collect();
+    if !names.is_empty() {
+        add(
+            out,
+            &format!("<p class=bad>Not heard: {}</p>", names.join(", ")),
+        );
+    }
+}
+
+fn configuration(out: &mut String, parts: &[Part<'_>]) {
+    let mut positions: Vec<Position> = heard(parts).flat_map(|one| one.positions.clone()).collect();
+    positions.sort_unstable_by_key(|one| (one.offset, one.digest));
+    positions.dedup();
+    let whole = heard(parts).count() == parts.len() && heard(parts).all(|one| one.unheard == 0);
+    add(out, "<section><h2>Configuration</h2>");
+    match positions.as_slice() {
+        [] => add(out, "<p class=bad>none in force</p>"),
+        [one] if whole => add(out, &format!("<p>{} in force everywhere</p>", named(one))),
+        [one] => add(
+            out,
+            &format!("<p class=bad>{} in force where heard</p>", named(one)),
+        ),
+        many => {
+            let names: Vec<String> = many.iter().map(named).collect();
+            add(
+                out,
+                &format!("<p class=bad>differs: {}</p>", names.join(", ")),
+            );
+        }
+    }
+    add(out, "</section>");
+}
+
+fn named(position: &Position) -> String {
+    let digest = position.digest.to_string();
+    format!("{} ({})", position.offset, &digest[..8])
+}
+
+fn pipelines(out: &mut String, parts: &[Part<'_>]) {
+    let mut sums: Vec<Burn> = Vec::new();
+    for burn in heard(parts).flat_map(|one| &one.burns) {
+        match sums.binary_search_by(|sum| sum.pipeline.cmp(&burn.pipeline)) {
+            Ok(at) => sums[at].add(burn),
+            Err(at) => sums.insert(at, burn.clone()),
+        }
+    }
+    add(
+        out,
+        "<section><h2>Pipelines</h2><table><tr><th>pipeline<th>in time<th>late<th>refused<th>cost",
+    );
+    for sum in &sums {
+        let name = escape(&sum.pipeline);
+        let share = share(sum);
+        add(
+            out,
+            &format!(
+                "<tr><td>{name}<td>{share}<td>{}<td>{}<td>{}",
+                sum.late, sum.refused, sum.cost
+            ),
+        );
+    }
+    add(out, "</table></section>");
+}
+
+/// Returns the share answered in time in hundredths of a per cent, rounded down, so that only all is 100.
+fn share(burn: &Burn) -> String {
+    let total = burn.good + burn.late + burn.refused;
+    match total {
+        0 => "no requests".to_owned(),
+        total => {
+            let parts = u128::from(burn.good) * 10_000 / u128::from(total);
+            format!("{}.{:02}%", parts / 100, parts % 100)
+        }
+    }
+}
+
+fn domain(out: &mut String, domain: &Domain) {
+    let name = escape(&domain.name);
+    add(out, &format!("<section><h2>{name}</h2>"));
+    add(out, &format!("<p>{} instances heard", domain.count));
+    if domain.unheard > 0 {
+        add(
+            out,
+            &format!(", <b class=bad>{} not heard</b>", domain.unheard),
+        );
+    }
+    add(
+        out,
+        "</p><table><tr><th>pool<th>live<th>leaving<th>running<th>waiting",
+    );
+    domain.pools.iter().for_each(|one| pool(out, one));
+    add(out, "</table></section>");
+}
+
+fn pool(out: &mut String, pool: &Pool) {
+    let class = if pool.live == 0 { " class=bad" } else { "" };
+    let name = escape(&pool.name);
+    let Pool {
+        live,
+        leaving,
+        running,
+        waiting,
+        ..
+    } = pool;
+    add(
+        out,
+        &format!("<tr{class}><td>{name}<td>{live}<td>{leaving}<td>{running}<td>{waiting}"),
+    );
+}
+
+fn unheard(out: &mut String, name: &Name) {
+    let name = escape(name);
+    add(
+        out,
+        &format!("<section class=unheard><h2>{name}</h2><p class=bad>NOT HEARD</p></section>"),
+    );
+}
+
+fn escape(name: &Name) -> String {
+    let text = name.as_str().replace('&', "&amp;");
+    text.replace('<', "&lt;").replace('>', "&gt;")
+}
+
+fn add(out: &mut String, text: &str) {
+    // Writing to a string cannot fail.
+    let _ = writeln!(out, "{text}");
+}
--- /dev/null
+++ b/crates/screen/src/configs.rs
@@ -0,0 +1,3 @@
+//! Configuration of screens.
+
+pub mod screen;
--- /dev/null
+++ b/crates/screen/src/view.rs
@@ -0,0 +1,157 @@
+//! The choice of a period, and what it shows.
+
+use core::{fmt, time::Duration};
+
+use base::{Digest, Name, Stamp};
+use member::fact::Domain;
+
+use crate::{body, configs};
+
+/// The sealed summaries of the latest periods, by failure domain.
+#[derive(Clone, Debug)]
+pub struct Screen {
+    config: configs::screen::Screen,
+    domains: Vec<Kept>,
+}
+
+#[derive(Clone, Debug)]
+struct Kept {
+    name: Name,
+    /// By number of the period.
+    sealed: Vec<Domain>,
+}
+
+/// What a screen shows of one period.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct View {
+    /// Its number.
+    pub number: Number,
+    /// When the period began, by the wall clock.
+    pub sealed: Stamp,
+    /// The content as HTML, without number and age.
+    pub body: String,
+}
+
+/// The number of a view: its period, and the head of the digest of its content.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Number {
+    /// The period.
+    pub period: u64,
+    /// The head of the digest.
+    pub code: u64,
+}
+
+/// One failure domain in a view.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Part<'a> {
+    pub(crate) name: &'a Name,
+    /// What it sealed in the period; none where that was not heard.
+    pub(crate) sealed: Option<&'a Domain>,
+}
+
+impl Screen {
+    /// Opens a screen that has heard nothing.
+    pub const fn open(config: configs::screen::Screen) -> Self {
+        Self {
+            config,
+            domains: Vec::new(),
+        }
+    }
+
+    /// Notes that a failure domain exists, so that its silence shows.
+    pub fn expect(&mut self, name: &Name) {
+        self.kept(name);
+    }
+
+    /// Takes in a sealed summary; the first one of a period counts.
+    pub fn take(&mut self, domain: &Domain) {
+        let most = self.config.kept;
+        let sealed = &mut self.kept(&domain.name).sealed;
+        if let Err(at) = sealed.binary_search_by_key(&domain.version, |one| one.version) {
+            sealed.insert(at, domain.clone());
+            let over = sealed.len().saturating_sub(most);
+            sealed.drain(..over);
+        }
+    }
+
+    /// Returns the view to show at a time, or none while no failure domain is known.
+    ///
+    /// It is of the latest period that all known failure domains have told. Where there is none within the
+    /// lag, it is of the period at the lag, and those that did not tell are marked as not heard: their
+    /// figures of earlier periods are not shown.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use base::Stamp;
+    /// use member::fact::Domain;
+    /// use screen::{Screen, configs};
+    /// let mut screen = Screen::open(configs::screen::Screen::default());
+    /// screen.take(&Domain { name: "accra-1".into(), version: 12, ..Domain::default() });
+    /// let view = screen.view(Stamp::from_millis(125_000)).unwrap();
+    /// assert_eq!(view.number.period, 12);
+    /// assert_eq!(view.age(Stamp::from_millis(125_000)).as_secs(), 5);
+    /// ```
+    pub fn view(&self, now: Stamp) -> Option<View> {
+        if self.domains.is_empty() {
+            return None;
+        }
+        let millis = u64::try_from(self.config.period.as_millis()).unwrap_or(u64::MAX);
+        let current = now.as_millis() / millis.max(1);
+        let last = current.saturating_sub(self.config.lag);
+        let whole = |period: &u64| self.parts(*period).iter().all(|part| part.sealed.is_some());
+        let period = (last..=current).rev().find(whole).unwrap_or(last);
+        let body = body::html(&self.parts(period));
+        let code = Digest::of(body.as_bytes()).prefix();
+        Some(View {
+            number: Number { period, code },
+            sealed: Stamp::from_millis(period * millis),
+            body,
+        })
+    }
+
+    fn parts(&self, period: u64) -> Vec<Part<'_>> {
+        self.domains.iter().map(|kept| kept.part(period)).collect()
+    }
+
+    fn kept(&mut self, name: &Name) -> &mut Kept {
+        let at = match self.domains.binary_search_by(|kept| kept.name.cmp(name)) {
+            Ok(at) => at,
+            Err(at) => {
+                self.domains.insert(at, Kept::new(name));
+                at
+            }
+        };
+        &mut self.domains[at]
+    }
+}
+
+impl Kept {
+    fn new(name: &Name) -> Self {
+        Self {
+            name: name.clone(),
+            sealed: Vec::new(),
+        }
+    }
+
+    fn part(&self, period: u64) -> Part<'_> {
+        let at = self.sealed.binary_search_by_key(&period, |one| one.version);
+        Part {
+            name: &self.name,
+            sealed: at.ok().map(|at| &self.sealed[at]),
+        }
+    }
+}
+
+impl View {
+    /// Returns how long ago the period began.
+    pub fn age(&self, now: Stamp) -> Duration {
+        now - self.sealed
+    }
+}
+
+impl fmt::Display for Number {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}-{:08x}", self.period, self.code >> 32)
+    }
+}
--- /dev/null
+++ b/crates/screen/tests/domains.rs
@@ -0,0 +1,93 @@
+//! Screens at instances of two failure domains, through a cut and its healing.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use base::Stamp;
+use googletest::prelude::*;
+use screen::{Screen, View, configs};
+
+#[path = "../../member/tests/world/mod.rs"]
+mod world;
+
+use world::World;
+
+const SECOND: Duration = Duration::from_secs(1);
+const DOMAINS: usize = 2;
+const NODES: usize = 6;
+
+/// A screen at each instance.
+struct Wall {
+    world: World,
+    screens: Vec<Screen>,
+    /// What was ever shown under each number.
+    shown: BTreeMap<String, String>,
+}
+
+impl Wall {
+    fn new() -> Self {
+        let screen = Screen::open(configs::screen::Screen::default());
+        Self {
+            world: World::new(3, DOMAINS, NODES, 12),
+            screens: vec![screen; NODES],
+            shown: BTreeMap::new(),
+        }
+    }
+
+    /// Runs for some seconds, and returns in how many all screens showed one number.
+    fn run(&mut self, seconds: u64) -> u64 {
+        let mut equal = 0;
+        for _ in 0..seconds {
+            self.world.run(SECOND);
+            let views: Vec<View> = (0..NODES).filter_map(|at| self.look(at)).collect();
+            for view in &views {
+                let body = self
+                    .shown
+                    .entry(view.number.to_string())
+                    .or_insert(view.body.clone());
+                expect_that!(body.as_str(), eq(view.body.as_str()));
+            }
+            let same = |view: &View| view.number == views[0].number;
+            equal += u64::from(views.len() == NODES && views.iter().all(same));
+        }
+        equal
+    }
+
+    fn look(&mut self, at: usize) -> Option<View> {
+        let seen = self.world.nodes[at].roster.view(self.world.now);
+        for domain in seen.own.iter().chain(&seen.domains) {
+            self.screens[at].take(&domain.summary);
+        }
+        self.screens[at].view(self.now())
+    }
+
+    fn now(&self) -> Stamp {
+        self.world.stamp()
+    }
+}
+
+#[gtest]
+fn screens_agree_through_a_cut_and_its_healing() {
+    let mut wall = Wall::new();
+    wall.run(60);
+    let before = wall.run(100);
+    expect_that!(before, ge(60));
+    wall.world.sides = wall
+        .world
+        .nodes
+        .iter()
+        .map(|node| u8::from(node.domain == 1))
+        .collect();
+    wall.run(60);
+    for (at, other) in [(0, "domain-1"), (1, "domain-0")] {
+        let view = wall.look(at).expect("a view");
+        let mark = format!("Not heard: {other}");
+        expect_that!(view.body, contains_substring(mark));
+    }
+    wall.world.sides = vec![0; NODES];
+    wall.run(40);
+    let after = wall.run(100);
+    expect_that!(after, ge(60));
+    println!(
+        "seconds of 100 in which all screens showed one number: {before} before, {after} after the cut"
+    );
+}
--- /dev/null
+++ b/crates/screen/tests/view.rs
@@ -0,0 +1,132 @@
+//! Equal numbers show equal things; silence shows.
+
+use base::{Digest, Stamp};
+use googletest::prelude::*;
+use member::fact::{Burn, Domain, Pool, Position};
+use proptest::{
+    prelude::{Just, ProptestConfig, Strategy as _, any, prop, proptest},
+    test_runner::RngSeed,
+};
+use screen::{Screen, View, configs};
+
+const NAMES: [&str; 3] = ["accra-1", "accra-2", "accra-3"];
+/// The current period.
+const NOW: u64 = 20;
+
+fn sealed(name: &str, version: u64) -> Domain {
+    let running = u32::try_from(version).unwrap_or_default() * 7;
+    Domain {
+        name: name.into(),
+        version,
+        pools: vec![Pool {
+            name: "brief-writer".into(),
+            live: 5,
+            running,
+            ..Pool::default()
+        }],
+        count: 2,
+        positions: vec![Position {
+            offset: 44,
+            digest: Digest::of(b"bundle"),
+        }],
+        burns: vec![Burn {
+            pipeline: "brief".into(),
+            good: version,
+            ..Burn::default()
+        }],
+        ..Domain::default()
+    }
+}
+
+fn open() -> Screen {
+    Screen::open(configs::screen::Screen::default())
+}
+
+fn view(screen: &Screen) -> View {
+    screen
+        .view(Stamp::from_millis(NOW * 10_000 + 1))
+        .expect("something is known")
+}
+
+#[gtest]
+fn the_latest_period_that_all_told_is_shown() {
+    let mut screen = open();
+    for name in NAMES {
+        screen.take(&sealed(name, NOW - 1));
+    }
+    screen.take(&sealed(NAMES[0], NOW));
+    expect_that!(view(&screen).number.period, eq(NOW - 1));
+    expect_that!(view(&screen).body, not(contains_substring("NOT HEARD")));
+    expect_that!(
+        view(&screen).body,
+        contains_substring("in force everywhere")
+    );
+}
+
+#[gtest]
+fn a_silent_domain_is_marked_and_its_old_figures_are_gone() {
+    let mut screen = open();
+    for period in NOW - 6..=NOW {
+        screen.take(&sealed(NAMES[0], period));
+    }
+    screen.take(&sealed(NAMES[1], NOW - 5));
+    let view = view(&screen);
+    expect_that!(view.number.period, eq(NOW - 4));
+    expect_that!(view.body.matches("NOT HEARD").count(), eq(1));
+    expect_that!(view.body, contains_substring("Not heard: accra-2"));
+    expect_that!(view.body.matches("brief-writer").count(), eq(1));
+    expect_that!(view.body, not(contains_substring("in force everywhere")));
+}
+
+#[gtest]
+fn a_domain_that_never_spoke_is_marked() {
+    let mut screen = open();
+    for period in NOW - 6..=NOW {
+        screen.take(&sealed(NAMES[0], period));
+    }
+    screen.expect(&NAMES[2].into());
+    expect_that!(view(&screen).body, contains_substring("Not heard: accra-3"));
+    expect_that!(view(&screen).body.matches("NOT HEARD").count(), eq(1));
+}
+
+#[gtest]
+fn names_cannot_bring_markup() {
+    let mut screen = open();
+    screen.take(&sealed("<script>", NOW));
+    expect_that!(view(&screen).body, not(contains_substring("<script>")));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(1),
+        ..ProptestConfig::default()
+    })]
+
+    /// Two screens hear parts of the same summaries, in their own orders and more than once.
+    #[test]
+    fn equal_numbers_show_equal_things(
+        heard in prop::collection::vec((0..3_usize, 10..=NOW, any::<bool>(), any::<bool>()), 0..60),
+        order in Just((0..60).collect::<Vec<usize>>()).prop_shuffle(),
+    ) {
+        let (mut one, mut two) = (open(), open());
+        for name in NAMES {
+            one.expect(&name.into());
+            two.expect(&name.into());
+        }
+        for (name, period, first, _) in &heard {
+            if *first {
+                one.take(&sealed(NAMES[*name], *period));
+            }
+        }
+        for at in order.into_iter().filter(|at| *at < heard.len()) {
+            let (name, period, _, second) = heard[at];
+            if second {
+                two.take(&sealed(NAMES[name], period));
+            }
+        }
+        let (one, two) = (view(&one), view(&two));
+        let equal = one.number.to_string() == two.number.to_string();
+        proptest::prop_assert_eq!(equal, one.body == two.body && one.sealed == two.sealed);
+    }
+}
