Let heartbeats grow with the monotonic clock

An instance whose wall clock was set back told no newer version until that clock had caught up, so its peers took it for dead (a_clock_that_jumps_keeps_its_instance: 7 of 8 members, seen failing; with polled servers their loads hid it). Versions now start from the wall clock and grow with the monotonic one. The interleavings cover clocks that jump by up to 67 minutes, and two failure domains.

--- a/crates/member/src/roster.rs
+++ b/crates/member/src/roster.rs
@@ -102,9 +102,8 @@
     /// - A later start under the same name supersedes an earlier one.
     /// - First-hand news of a leaving incarnation goes to every peer of the failure domain at once.
     pub fn on(&mut self, context: &mut Context<'_>, event: Event) -> Vec<Action> {
-        let version = version(context.stamp);
-        self.table.beat(context.now, version);
-        self.table.tell(version, Fact::Instance(self.own.clone()));
+        self.table.beat(context.now, version(context.stamp));
+        self.table.tell(Fact::Instance(self.own.clone()));
         match event {
             Event::Answered(summary) => self.answered(context, &summary),
             Event::Asked(summary) => self.asked(context, &summary),
@@ -114,7 +113,7 @@
             Event::Tell(fact) => self.tell(context, fact),
             Event::Tick => self.tick(context),
             Event::Withdraw(subject) => {
-                self.table.withdraw(version, &subject);
+                self.table.withdraw(&subject);
                 Vec::new()
             }
         }
@@ -229,15 +228,14 @@
 
     fn stop(&mut self, context: &mut Context<'_>) -> Vec<Action> {
         self.own.state = State::Leaving;
-        self.table
-            .tell(version(context.stamp), Fact::Instance(self.own.clone()));
+        self.table.tell(Fact::Instance(self.own.clone()));
         let own = self.own.incarnation.clone();
         self.leave(context, &[own])
     }
 
     fn tell(&mut self, context: &Context<'_>, fact: Fact) -> Vec<Action> {
         let urgent = matches!(fact, Fact::Suspect(_)).then(|| fact.clone());
-        self.table.tell(version(context.stamp), fact);
+        self.table.tell(fact);
         match urgent {
             Some(fact) => self.notify(
                 context.now,
--- a/crates/member/src/roster/bridge.rs
+++ b/crates/member/src/roster/bridge.rs
@@ -3,7 +3,7 @@
 use base::{Incarnation, Name, Tick};
 use rand::seq::IndexedRandom;
 
-use super::{Remote, Roster, version};
+use super::{Remote, Roster};
 use crate::{
     action::Action,
     event::Context,
@@ -39,7 +39,7 @@
         let mut actions = Vec::new();
         for name in domains.iter().filter(|name| !mine(name)) {
             let subject = Subject::Domain(name.clone());
-            self.table.withdraw(version(context.stamp), &subject);
+            self.table.withdraw(&subject);
         }
         for name in domains.iter().filter(mine) {
             let Some(address) = self.door(context, name) else {
@@ -64,7 +64,7 @@
         }
         let domain = self.summary(context.now, number);
         let fact = Fact::Domain(domain.clone());
-        self.table.tell(version(context.stamp), fact);
+        self.table.tell(fact);
         self.hear(context.now, domain);
     }
 
@@ -125,7 +125,7 @@
                 _ => None,
             };
             if let Some(fact) = fact {
-                self.table.tell(version(context.stamp), fact);
+                self.table.tell(fact);
             }
         }
     }
--- a/crates/member/src/roster/duty.rs
+++ b/crates/member/src/roster/duty.rs
@@ -4,7 +4,7 @@
 
 use base::{Incarnation, Name, Tick};
 
-use super::{Roster, version};
+use super::Roster;
 use crate::{
     action::Action,
     event::Context,
@@ -50,7 +50,7 @@
         context: &mut Context<'_>,
         members: &[Incarnation],
     ) -> Vec<Action> {
-        self.assign(context, members);
+        self.assign(members);
         let mut actions = Vec::new();
         for (name, rank) in self.roles.list.clone() {
             let period = match rank {
@@ -71,7 +71,7 @@
     }
 
     /// Assigns the roles anew where members or servers have changed.
-    fn assign(&mut self, context: &Context<'_>, members: &[Incarnation]) {
+    fn assign(&mut self, members: &[Incarnation]) {
         if self.roles.members == members && self.roles.revision == self.revision {
             return;
         }
@@ -80,7 +80,7 @@
             members: members.to_vec(),
             revision: self.revision,
         };
-        self.hand_over(context);
+        self.hand_over();
     }
 
     fn roles(&self, members: &[Incarnation]) -> Vec<(Name, Rank)> {
@@ -119,13 +119,12 @@
                 load: Some(load),
                 ..server.clone()
             };
-            self.table
-                .tell(version(context.stamp), Fact::Server(server));
+            self.table.tell(Fact::Server(server));
         }
     }
 
     /// Takes back the reports of backend servers that another instance polls now.
-    fn hand_over(&mut self, context: &Context<'_>) {
+    fn hand_over(&mut self) {
         let roles = &self.roles.list;
         let role = |poll: &Poll| {
             let at = roles
@@ -136,7 +135,7 @@
         for poll in &self.polls {
             if role(poll) != Some(Rank::Owner) && poll.told.is_some() {
                 let subject = Subject::Server(poll.name.clone());
-                self.table.withdraw(version(context.stamp), &subject);
+                self.table.withdraw(&subject);
             }
         }
         self.polls.retain(|poll| role(poll) == Some(poll.rank));
--- a/crates/member/src/roster/round.rs
+++ b/crates/member/src/roster/round.rs
@@ -35,7 +35,7 @@
         self.marks.forget(earlier(now, self.config.mark));
         self.peers.forget(earlier(now, self.config.mark));
         let ended = self.servers.ended(now, &self.marks, self.config.silence);
-        self.drop(context, &ended);
+        self.drop(&ended);
         let members = self.members(now);
         let mut actions = self.duties(context, &members);
         self.seal(context, &members);
--- a/crates/member/src/roster/source.rs
+++ b/crates/member/src/roster/source.rs
@@ -4,7 +4,7 @@
 
 use base::{Incarnation, Name, Tick};
 
-use super::{Roster, micros, version};
+use super::{Roster, micros};
 use crate::{
     action::Action,
     event::{Context, Listing, Role, Word},
@@ -46,7 +46,7 @@
             self.place(context.now, listing);
         }
         let gone = self.servers.absent(context.now, &self.marks, &self.config);
-        self.drop(context, &gone);
+        self.drop(&gone);
         let leaving = list
             .iter()
             .filter(|listing| listing.state == State::Leaving);
@@ -113,7 +113,7 @@
         for incarnation in &leaving {
             self.revision += 1;
             self.peers.leave(incarnation);
-            self.tell_leaving(context, incarnation);
+            self.tell_leaving(incarnation);
         }
         if leaving.is_empty() {
             return Vec::new();
@@ -125,7 +125,7 @@
         self.notify(context.now, &notice)
     }
 
-    fn tell_leaving(&mut self, context: &Context<'_>, incarnation: &Incarnation) {
+    fn tell_leaving(&mut self, incarnation: &Incarnation) {
         let known = self.servers.get(&incarnation.name);
         let Some(known) = known.filter(|known| known.incarnation == *incarnation) else {
             return;
@@ -138,8 +138,7 @@
             state: State::Leaving,
             load: None,
         };
-        self.table
-            .tell(version(context.stamp), Fact::Server(server));
+        self.table.tell(Fact::Server(server));
     }
 
     /// Takes over marks that a peer passed on.
@@ -189,11 +188,11 @@
         }
     }
 
-    pub(super) fn drop(&mut self, context: &Context<'_>, names: &[Name]) {
+    pub(super) fn drop(&mut self, names: &[Name]) {
         for name in names {
             self.revision += 1;
             let subject = Subject::Server(name.clone());
-            self.table.withdraw(version(context.stamp), &subject);
+            self.table.withdraw(&subject);
         }
     }
 }
--- a/crates/member/src/table.rs
+++ b/crates/member/src/table.rs
@@ -47,20 +47,27 @@
     /// Tells a fact under the holder's own name.
     ///
     /// A fact equal to the one told before changes nothing.
-    pub fn tell(&mut self, version: u64, fact: Fact) {
-        self.own_mut().tell(version, fact);
+    pub fn tell(&mut self, fact: Fact) {
+        self.own_mut().tell(fact);
     }
 
     /// Takes back what the holder told about a subject.
-    pub fn withdraw(&mut self, version: u64, subject: &Subject) {
-        self.own_mut().withdraw(version, subject);
+    pub fn withdraw(&mut self, subject: &Subject) {
+        self.own_mut().withdraw(subject);
     }
 
-    /// Lets the holder's own version grow, as a sign of life.
-    pub fn beat(&mut self, now: Tick, version: u64) {
+    /// Lets the holder's own version grow with the monotonic time, as a sign of life.
+    ///
+    /// The first version comes from the wall clock; that clock may jump afterwards.
+    pub fn beat(&mut self, now: Tick, first: u64) {
         let own = self.own_mut();
-        own.version = own.version.max(version);
-        own.heard = now;
+        if own.version == 0 {
+            own.version = first.max(1);
+        }
+        let steps = (now - own.heard).as_millis() / STEP.as_millis();
+        let steps = u32::try_from(steps).unwrap_or(u32::MAX);
+        own.version += u64::from(steps);
+        own.heard = own.heard + STEP * steps;
     }
 
     /// Returns the digest of the ids that are compared.
--- a/crates/member/src/table/origin.rs
+++ b/crates/member/src/table/origin.rs
@@ -53,14 +53,14 @@
     }
 
     /// Tells a fact as this origin; one equal to the fact told before changes nothing.
-    pub(super) fn tell(&mut self, version: u64, fact: Fact) {
+    pub(super) fn tell(&mut self, fact: Fact) {
         let subject = fact.subject();
         let same = |held: &Option<Fact>| held.as_ref().is_some_and(|one| one.subject() == subject);
         let at = self.place(same);
         if self.rows[at].fact.as_ref() == Some(&fact) {
             return;
         }
-        let version = self.advance(version);
+        let version = self.advance();
         let held = &mut self.rows[at];
         let light = held
             .fact
@@ -74,7 +74,7 @@
     }
 
     /// Takes back what was told about a subject.
-    pub(super) fn withdraw(&mut self, version: u64, subject: &Subject) {
+    pub(super) fn withdraw(&mut self, subject: &Subject) {
         let told = |held: &Held| {
             held.fact
                 .as_ref()
@@ -83,15 +83,15 @@
         let Some(at) = self.rows.iter().position(told) else {
             return;
         };
-        let version = self.advance(version);
+        let version = self.advance();
         let held = &mut self.rows[at];
         held.version = version;
         held.detailed = version;
         held.fact = None;
     }
 
-    fn advance(&mut self, version: u64) -> u64 {
-        self.version = version.max(self.version + 1);
+    const fn advance(&mut self) -> u64 {
+        self.version += 1;
         self.version
     }
 
--- a/crates/member/tests/gossip.rs
+++ b/crates/member/tests/gossip.rs
@@ -261,3 +261,17 @@
     let view = world.nodes[0].roster.view(world.now);
     expect_that!(view.peers.iter().filter(|peer| peer.heard).count(), eq(3));
 }
+
+#[gtest]
+fn a_clock_that_jumps_keeps_its_instance() {
+    let mut world = World::new(12, 1, 8, 0);
+    world.run(SECOND * 20);
+    world.nodes[3].ahead -= 3_600_000;
+    world.nodes[5].ahead += 3_600_000;
+    for _ in 0..30 {
+        world.run(SECOND * 2);
+        for node in &world.nodes {
+            expect_that!(node.roster.members(world.now).len(), eq(8));
+        }
+    }
+}
--- a/crates/member/tests/interleave.rs
+++ b/crates/member/tests/interleave.rs
@@ -25,6 +25,7 @@
     Attempt(usize, usize),
     Cut(u8),
     Heal,
+    Jump(usize, i64),
     Kill(usize),
     Leave(usize),
     List(List),
@@ -46,6 +47,7 @@
         2 => (0..NODES, 0..BACKENDS).prop_map(|(node, backend)| Step::Attempt(node, backend)),
         1 => (1..63_u8).prop_map(Step::Cut),
         1 => Just(Step::Heal),
+        1 => (0..NODES, -4_000_000..4_000_000_i64).prop_map(|(node, millis)| Step::Jump(node, millis)),
         1 => (0..NODES).prop_map(Step::Kill),
         3 => (0..BACKENDS).prop_map(Step::Leave),
         2 => list.prop_map(Step::List),
@@ -106,6 +108,7 @@
         Step::Attempt(..) => {}
         Step::Cut(mask) => world.sides = (0..NODES).map(|node| mask >> node & 1).collect(),
         Step::Heal => world.sides = vec![0; NODES],
+        Step::Jump(node, millis) => world.nodes[node].ahead = millis,
         Step::Kill(node) => world.nodes[node].up = false,
         Step::Leave(backend) => world.backends[backend].state = State::Leaving,
         Step::List(List::Frozen) => world.freeze(),
@@ -139,8 +142,8 @@
     /// At no moment does a leaving server become live again at an instance, nor is a live one dropped; and
     /// in the end each instance that knows a server knows whether its latest life is leaving.
     #[test]
-    fn leaving_stays_and_live_is_kept(seed in 0..1_000_u64, steps in steps()) {
-        let mut world = World::new(seed, 1, NODES, BACKENDS);
+    fn leaving_stays_and_live_is_kept(seed in 0..1_000_u64, domains in 1..3_usize, steps in steps()) {
+        let mut world = World::new(seed, domains, NODES, BACKENDS);
         world.run(SETTLE);
         let mut seen = Seen::default();
         seen.check(&world)?;
--- a/crates/member/tests/world/mod.rs
+++ b/crates/member/tests/world/mod.rs
@@ -54,6 +54,8 @@
     /// Calls started or answered.
     pub calls: u64,
     pub own: Instance,
+    /// How far its wall clock is ahead, in milliseconds.
+    pub ahead: i64,
     rng: ChaCha8Rng,
     life: u32,
 }
@@ -256,7 +258,7 @@
         let node = &mut self.nodes[at];
         let mut context = Context {
             now: self.now,
-            stamp,
+            stamp: Stamp::from_millis(stamp.as_millis().saturating_add_signed(node.ahead)),
             rng: &mut node.rng,
         };
         let began = Instant::now();
@@ -351,6 +353,7 @@
             bytes: 0,
             calls: 0,
             own,
+            ahead: 0,
             rng: ChaCha8Rng::seed_from_u64(self.rng.next_u64()),
             life: 0,
         }
@@ -391,6 +394,7 @@
         nodes.chain(backends).collect()
     }
 
+    /// Returns the wall-clock time that is right.
     pub fn stamp(&self) -> Stamp {
         Stamp::from_millis(EPOCH + self.now.as_micros() / 1_000)
     }
