Send a claim's release until the log has it, also after an outage

Cause: the holder of a claim that was told 'unavailable' submitted the release inline and dropped its verdict with the answer; if the log was still down, nobody sent the release again, and the key answered 'in progress' for ever. Ruled out: the fold (a late claim after its release stays void) and the pause itself.

Change: whatever ends the claiming hands its records to the background task that sends them until they are recorded. A repeat that had won and released a claim now takes a random nonce, since the claim may have used the next one itself.

--- a/crates/entry/src/plane/once.rs
+++ b/crates/entry/src/plane/once.rs
@@ -88,7 +88,8 @@
             _ => {
                 // Its holder released it meanwhile; begin again, now that it is free.
                 self.release(plane, Answer::refusal(Code::InProgress, ""));
-                let nonce = self.call.nonce.next();
+                // The claim went through nonces of its own, so the next attempt takes another one.
+                let nonce = nonce(plane.inner.borrow_mut().bits());
                 *self = Self::new(Call {
                     nonce,
                     ..self.call.clone()
@@ -104,24 +105,39 @@
         self.started = true;
         loop {
             let actions = self.claim.on(plane.shared.clock.now(), event);
-            event = claim::Event::Tick;
-            let mut idle = true;
-            for action in actions {
-                idle = false;
-                match action {
-                    Action::Submit(record) => event = submit(plane, record).await,
-                    Action::Lookup(slot) => {
-                        event = claim::Event::Found(lookup(plane, slot).await);
-                    }
-                    Action::Call => return Event::ClaimWon,
-                    Action::Answer(answer) => return told(&answer),
-                    Action::Cancel | Action::Write => {}
-                }
-            }
-            if idle {
-                tokio::time::sleep(PAUSE).await;
+            if let Some(told) = self.conclude(plane, &actions) {
+                return told;
             }
+            event = match actions.into_iter().next() {
+                Some(Action::Submit(record)) => submit(plane, record).await,
+                Some(Action::Lookup(slot)) => claim::Event::Found(lookup(plane, slot).await),
+                _ => {
+                    tokio::time::sleep(PAUSE).await;
+                    claim::Event::Tick
+                }
+            };
+        }
+    }
+
+    /// Ends the claiming, if an action says so; a record that goes with it is sent until the log
+    /// has it, whatever becomes of the request.
+    fn conclude(&self, plane: &Plane, actions: &[Action]) -> Option<Event> {
+        let told = actions.iter().find_map(|action| match action {
+            Action::Answer(answer) => Some(told(answer)),
+            Action::Call => Some(Event::ClaimWon),
+            Action::Cancel | Action::Lookup(_) | Action::Submit(_) | Action::Write => None,
+        })?;
+        let records: Vec<_> = actions
+            .iter()
+            .filter_map(|action| match action {
+                Action::Submit(record) => Some(record.clone()),
+                _ => None,
+            })
+            .collect();
+        if !records.is_empty() {
+            close(plane, self.claim.clone(), records);
         }
+        Some(told)
     }
 
     /// Lets the call leave, unless the claim was given up.
