--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -7,4 +7,5 @@
 pub(crate) mod lines;
 pub(crate) mod peers;
 pub mod roster;
+pub mod suspects;
 pub mod work;
--- a/crates/entry/src/control/peers.rs
+++ b/crates/entry/src/control/peers.rs
@@ -11,6 +11,7 @@
     config::{Config, Prove},
     ledger::{Ledger, LookupHere, SubmitHere},
     roster::{Exchange, Roster},
+    suspects::{Permit, Suspects},
 };
 
 /// Hands peers' calls to the actors.
@@ -18,6 +19,7 @@
     pub(crate) config: Addr<Config>,
     pub(crate) ledger: Addr<Ledger>,
     pub(crate) roster: Addr<Roster>,
+    pub(crate) suspects: Addr<Suspects>,
 }
 
 impl Handler for Peers {
@@ -52,8 +54,8 @@
         Ok(verdicts)
     }
 
-    async fn permit(&self, _: Trial) -> Result<Grant, Error> {
-        Err(Error::Refused("permits are not given here".into()))
+    async fn permit(&self, trial: Trial) -> Result<Grant, Error> {
+        self.suspects.send(Permit(trial)).await.map_err(gone)
     }
 }
 
--- a/crates/entry/src/control/roster.rs
+++ b/crates/entry/src/control/roster.rs
@@ -13,7 +13,7 @@
 use member::{
     Action, Event, Fact, Summary, configs,
     event::{self, Word},
-    fact::{self, Instance, State},
+    fact::{self, Instance, State, Subject},
 };
 use platform::list;
 use rand::SeedableRng as _;
@@ -25,6 +25,7 @@
     control::{
         config::{self, Config},
         lines::Lines,
+        suspects::{Learn, Suspects},
     },
     metrics::Metrics,
     view::{Members, Servers},
@@ -52,6 +53,7 @@
     poll: Duration,
     rng: ChaCha8Rng,
     servers: watch::Sender<Servers>,
+    suspects: Option<Addr<Suspects>>,
 }
 
 /// What the roster needs of its instance.
@@ -84,6 +86,16 @@
 #[rtype(result = "()")]
 pub(crate) struct Tell(pub(crate) Fact);
 
+/// A fact that is not told any more.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub(crate) struct Withdraw(pub(crate) Subject);
+
+/// Names the actor that is told of contents that peers suspect.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub(crate) struct Report(pub(crate) Addr<Suspects>);
+
 /// This instance is leaving.
 #[derive(Message)]
 #[rtype(result = "()")]
@@ -110,6 +122,7 @@
             poll: world.poll,
             rng: ChaCha8Rng::from_rng(&mut rand::rng()),
             servers: world.servers,
+            suspects: None,
         };
         let seeds = world.seeds.iter().map(listing::seed).collect();
         roster.handle_event(Event::Listed(seeds));
@@ -156,10 +169,18 @@
     }
 
     fn learn(&self, origin: fact::Id, fact: Fact) {
-        if let Fact::Position(position) = fact
-            && let Some(address) = self.address_of(origin)
-        {
-            self.config.do_send(config::Heard { address, position });
+        match fact {
+            Fact::Position(position) => {
+                if let Some(address) = self.address_of(origin) {
+                    self.config.do_send(config::Heard { address, position });
+                }
+            }
+            Fact::Suspect(suspect) => {
+                if let Some(suspects) = &self.suspects {
+                    suspects.do_send(Learn(suspect));
+                }
+            }
+            _ => {}
         }
     }
 
@@ -273,6 +294,22 @@
     }
 }
 
+impl Handler<Withdraw> for Roster {
+    type Result = ();
+
+    fn handle(&mut self, message: Withdraw, context: &mut Context<Self>) {
+        self.on(Event::Withdraw(message.0), context);
+    }
+}
+
+impl Handler<Report> for Roster {
+    type Result = ();
+
+    fn handle(&mut self, message: Report, _: &mut Context<Self>) {
+        self.suspects = Some(message.0);
+    }
+}
+
 impl Handler<Leave> for Roster {
     type Result = ();
 
--- a/crates/entry/src/instance.rs
+++ b/crates/entry/src/instance.rs
@@ -17,24 +17,26 @@
 use base::{Incarnation, Name};
 use burn::Book;
 use member::fact;
+use retry::Desk;
 use thiserror::Error;
 use tokio::sync::watch;
 
 use crate::{
     clock::Clock,
     control::{
-        config::{Config, Report},
+        config::{self, Config},
         ledger::Ledger,
         lines::Lines,
         peers::Peers,
-        roster::{Leave, Roster, World},
+        roster::{self, Leave, Roster, World},
+        suspects::Suspects,
         work::Work,
     },
     metrics::Metrics,
     plane::Plane,
     routes,
     settings::Settings,
-    shared::Shared,
+    shared::{Contents, Shared},
 };
 
 /// The longest time that a stop waits for what is in flight once nothing new is taken.
@@ -196,11 +198,12 @@
         lines.clone(),
     )
     .start();
-    let work = Work::new(clock, incarnation.clone(), &platform, members_read, jobs).start();
+    let work_members = members_read.clone();
+    let work = Work::new(clock, incarnation.clone(), &platform, work_members, jobs).start();
     let roster = Roster::new(World {
         clock,
         config: config.clone(),
-        lines,
+        lines: lines.clone(),
         members,
         metrics: Arc::clone(&metrics),
         own: fact::Instance {
@@ -215,17 +218,31 @@
         servers,
     })
     .start();
-    config.do_send(Report(roster.clone()));
+    config.do_send(config::Report(roster.clone()));
+    let contents = Arc::new(Contents::open());
+    let suspects = Suspects {
+        clock,
+        contents: Arc::clone(&contents),
+        desk: Desk::default(),
+        lines: lines.clone(),
+        members: members_read.clone(),
+        own: incarnation.clone(),
+        roster: roster.clone(),
+    }
+    .start();
+    roster.do_send(roster::Report(suspects.clone()));
     let service = Peers {
         config,
         ledger: ledger.clone(),
         roster: roster.clone(),
+        suspects: suspects.clone(),
     };
     let peers = peer::serve(listener, service, &peer::configs::peer::Peer::default())
         .map_err(|error| bind_error(settings.peer_address, error))?;
     let shared = Shared {
         book: Arc::new(Mutex::new(Book::open(incarnation.clone()))),
         clock,
+        contents,
         flights: Arc::new(AtomicUsize::new(0)),
         force: force_read,
         incarnation,
@@ -237,6 +254,7 @@
         settings: Arc::new(settings),
         stop: Arc::default(),
         stopping: Arc::new(AtomicBool::new(false)),
+        suspects,
         work,
     };
     Ok((shared, peers))
--- a/crates/entry/src/plane.rs
+++ b/crates/entry/src/plane.rs
@@ -3,7 +3,6 @@
 //! It runs on one thread; its decisions are the cores' (`admit`, `flow`, `ledger`, `retry`,
 //! `route`), and this module carries them out.
 
-mod budget;
 mod call;
 mod drive;
 mod inner;
@@ -14,6 +13,7 @@
 mod prefix;
 mod sink;
 mod status;
+mod suspect;
 
 use core::cell::RefCell;
 use std::{rc::Rc, sync::atomic::Ordering};
--- a/crates/entry/src/plane/call.rs
+++ b/crates/entry/src/plane/call.rs
@@ -4,10 +4,11 @@
 use std::rc::Rc;
 
 use backend::stream::Part;
-use base::{Incarnation, Name, Tick, attempt::Attempt};
+use base::{Digest, Incarnation, Name, Tick, attempt::Attempt};
 use bundle::content::{Kind, Pool};
 use flow::{Event, Failure};
 use member::fact::State;
+use retry::suspect::End as Ending;
 use serde_json::{Value, json};
 
 use crate::{
@@ -15,6 +16,7 @@
     plane::{
         Plane,
         sink::{Push, Sink, Text},
+        suspect,
     },
 };
 
@@ -24,6 +26,8 @@
 /// One call, ready to be made.
 pub(crate) struct Call<'a> {
     pub(crate) call: backend::Call,
+    /// Names the content of the request.
+    pub(crate) content: Digest,
     pub(crate) pipeline: &'a Name,
     pub(crate) pool: &'a Pool,
     /// The digest of the prompt's beginning, where the stage generates.
@@ -62,6 +66,9 @@
         Ok(Made::Gone) => Ended::Failed(route::Failure::Cancelled),
         Err(failure) => Ended::Failed(blame(failure)),
     };
+    if let Err(Failure::Disconnected) = &made {
+        suspect::check(plane, &call.server, call.call.address).await;
+    }
     watch.end(ended);
     if let Err(Failure::Leaving) = &made {
         leaving(plane, &call.server);
@@ -228,6 +235,7 @@
 /// Tells the routing that an attempt began, and how it ended even if its future is dropped.
 struct Watch {
     attempt: Attempt,
+    content: Digest,
     deadline: Tick,
     plane: Rc<Plane>,
     pool: Name,
@@ -246,8 +254,10 @@
             prefix: call.prefix,
         };
         plane.inner.borrow_mut().table.on(now, started);
+        suspect::start(plane, call.content, &server);
         Self {
             attempt,
+            content: call.content,
             deadline: now + call.call.deadline,
             plane: Rc::clone(plane),
             pool: call.pool.name.clone(),
@@ -266,6 +276,11 @@
         let (attempt, server) = (self.attempt, self.server.clone());
         let took = self.took();
         let now = self.plane.shared.clock.tick();
+        let end = match ended {
+            Ended::Finished => Ending::Completed,
+            Ended::Failed(_) => Ending::Other,
+        };
+        suspect::end(&self.plane, self.content, &server, end);
         let event = match ended {
             Ended::Finished => route::Event::Finished {
                 attempt,
--- a/crates/entry/src/plane/drive.rs
+++ b/crates/entry/src/plane/drive.rs
@@ -3,10 +3,11 @@
 use core::time::Duration;
 use std::rc::Rc;
 
-use base::{Code, Incarnation, Outcome, Tick, attempt::Attempt, request::Id};
+use base::{Code, Digest, Incarnation, Outcome, Tick, attempt::Attempt, request::Id};
 use bundle::content::Kind;
 use flow::{Action, Answer, Event, Request, request::Context};
 use front::Ask;
+use retry::suspect::Verdict;
 use serde_json::Value;
 use tokio::{sync::oneshot, time};
 
@@ -17,6 +18,7 @@
     once::{self, Once, Recall},
     prefix::{self, Prefix},
     sink::{Sink, Text},
+    suspect,
 };
 
 /// The wait advised to a caller whose request was given up on.
@@ -27,6 +29,8 @@
     ask: Ask,
     /// Whether the call that may not be repeated is under way.
     calling: bool,
+    /// Names the content of the request, whatever its key.
+    content: Digest,
     flight: Flight,
     id: Id,
     judged: Judged,
@@ -59,6 +63,7 @@
         Self {
             ask: ask.clone(),
             calling: false,
+            content: suspect::content(&judged.account, &judged.pipeline.name, &ask.body),
             flight: Flight::begin(&plane.shared),
             id,
             once,
@@ -97,6 +102,12 @@
             Ok(event) => event,
             Err(answer) => return Over::Answer(answer),
         };
+        if first == Event::Admitted
+            && suspect::verdict(&self.plane, &self.content) == Verdict::Refused
+        {
+            let answer = Answer::refusal(Code::RequestHarmful, Code::RequestHarmful.title());
+            return Over::Answer(answer.with_outcome(Outcome::NotRun));
+        }
         // What the ledger keeps for a repeat costs nothing to give.
         if first == Event::Admitted
             && let Err(answer) = self.admit().await
@@ -215,6 +226,7 @@
         let pool = self.request.stage().pool.clone();
         let prefix = self.find_prefix();
         let ask = route::Ask {
+            alone: suspect::verdict(&self.plane, &self.content) == Verdict::Alone,
             exclude,
             prefix: prefix.map(|prefix| prefix.digest),
             prefill_tokens: prefix.map_or(0, |prefix| prefix.tokens),
@@ -224,9 +236,9 @@
         let picked = self.plane.inner.borrow_mut().pick(own_domain, &ask);
         self.prefix = prefix;
         if exclude.is_empty() {
+            let now = self.plane.shared.clock.tick();
             let mut inner = self.plane.inner.borrow_mut();
-            let percent = inner.retry_percent();
-            inner.budget.earn(percent);
+            inner.budget.first(now, &pool, &self.judged.account);
         }
         match picked {
             Ok(pick) => {
@@ -264,6 +276,9 @@
         let Some((pick, pool)) = self.picked.take().zip(self.judged.pools.get(index)) else {
             return Next::Over(Over::Answer(internal("a call without a server")));
         };
+        if !suspect::permit(&self.plane, self.content, &server).await {
+            return Next::Event(Event::Harmful);
+        }
         if let Some(once) = self.once.as_mut().filter(|_| !idempotent)
             && !once.write(&self.plane)
         {
@@ -284,6 +299,7 @@
                 operation: self.request.stage().operation().clone(),
                 priority: self.judged.pipeline.priority,
             },
+            content: self.content,
             pipeline: &self.judged.pipeline.name,
             pool,
             prefix: self.prefix.map(|prefix| prefix.digest),
@@ -336,10 +352,12 @@
     }
 
     fn ask_retry(&self) -> Event {
-        if self.plane.inner.borrow_mut().budget.spend() {
-            Event::RetryGranted
-        } else {
-            Event::RetryDenied
+        let now = self.plane.shared.clock.tick();
+        let pool = &self.request.stage().pool;
+        let mut inner = self.plane.inner.borrow_mut();
+        match inner.budget.again(now, pool, &self.judged.account) {
+            Ok(()) => Event::RetryGranted,
+            Err(_) => Event::RetryDenied,
         }
     }
 
--- a/crates/entry/src/plane/inner.rs
+++ b/crates/entry/src/plane/inner.rs
@@ -11,12 +11,13 @@
 };
 use rand::Rng as _;
 use rand_chacha::ChaCha8Rng;
+use retry::{Budget, configs};
 use route::Table;
 use tokio::sync::{oneshot, watch};
 
 use crate::{
     clock::Clock,
-    plane::{Plane, budget::Budget, places},
+    plane::{Plane, places},
     shared::Shared,
     view::{Force, Server, Servers},
 };
@@ -40,6 +41,8 @@
     pub(crate) limits: Limits,
     /// The places that the gate was last told of, in the order of the bundle's pools.
     places: Vec<u32>,
+    /// The retries that the budget allows for each hundred first attempts.
+    retry_percent: u32,
     pub(crate) rng: ChaCha8Rng,
     servers: watch::Receiver<Servers>,
     pub(crate) table: Table,
@@ -55,7 +58,8 @@
         Self {
             accounts: Vec::new(),
             clock: shared.clock,
-            budget: Budget::default(),
+            budget: Budget::open(retry_config(0)),
+            retry_percent: 0,
             bundle: None,
             force,
             gate: Gate::default(),
@@ -113,6 +117,11 @@
                 .collect();
             self.gate.pipeline(&pipeline.name, &pools);
         }
+        let percent = bundle.limits.retry_percent;
+        if percent != self.retry_percent {
+            self.retry_percent = percent;
+            self.budget = Budget::open(retry_config(percent));
+        }
         shared.book().on(self.clock.stamp(), &in_force(bundle));
         self.bundle = force;
     }
@@ -180,12 +189,6 @@
             .map_or(BODY_BYTES, |bundle| bundle.limits.body_bytes)
     }
 
-    /// Returns the retries allowed for each hundred first attempts.
-    pub(crate) fn retry_percent(&self) -> u32 {
-        let bundle = self.bundle.as_ref();
-        bundle.map_or(0, |bundle| bundle.limits.retry_percent)
-    }
-
     /// Tells whether any pipeline is deferred.
     pub(crate) fn has_deferred(&self) -> bool {
         let bundle = self.bundle.as_ref();
@@ -279,6 +282,17 @@
     }
 }
 
+/// Returns the retry budget's settings for a number of retries for each hundred first attempts.
+///
+/// A part is kept back for the reserve that quiet accounts have.
+fn retry_config(percent: u32) -> configs::budget::Budget {
+    let default = configs::budget::Budget::default();
+    configs::budget::Budget {
+        stage: f64::from(percent) / 100.0 * 0.9,
+        ..default
+    }
+}
+
 /// Tells the book of the objectives of a bundle.
 fn in_force(bundle: &Bundle) -> burn::Event {
     let objective = |pipeline: &Pipeline| burn::event::Objective {
--- /dev/null
+++ b/crates/entry/src/plane/suspect.rs
@@ -0,0 +1,97 @@
+//! Keeps a content that crashed backend servers from crashing more.
+
+use core::{net::SocketAddr, time::Duration};
+
+use base::{Digest, Incarnation};
+use member::fact::Id;
+use retry::{
+    desk::Decision,
+    suspect::{self, End, Verdict},
+};
+use tokio::{net::TcpStream, time};
+
+use crate::{
+    control::suspects::{Act, Ask},
+    plane::Plane,
+};
+
+/// The time limit of finding out whether a server is still there.
+const PROBE: Duration = Duration::from_millis(500);
+
+/// Names the content of a request, whatever its key.
+pub(crate) fn content(account: &base::Name, pipeline: &base::Name, body: &Digest) -> Digest {
+    suspect::content(account, pipeline, body.as_bytes())
+}
+
+/// Tells how a content may run.
+pub(crate) fn verdict(plane: &Plane, content: &Digest) -> Verdict {
+    plane.shared.contents.register().verdict(content)
+}
+
+/// Waits until a content may run at a server, and tells whether it ever may.
+pub(crate) async fn permit(plane: &Plane, content: Digest, server: &Incarnation) -> bool {
+    loop {
+        match verdict(plane, &content) {
+            Verdict::Free => return true,
+            Verdict::Refused => return false,
+            Verdict::Alone => {}
+        }
+        let ask = Ask {
+            digest: content,
+            server: Id::of(server),
+        };
+        match plane.shared.suspects.send(ask).await {
+            Ok(Decision::Free | Decision::Granted(_)) => return true,
+            Ok(Decision::Refused) => return false,
+            Ok(Decision::Busy(wait)) => time::sleep(wait).await,
+            Err(_) => time::sleep(PROBE).await,
+        }
+    }
+}
+
+/// Takes note that an attempt at a content starts.
+pub(crate) fn start(plane: &Plane, content: Digest, server: &Incarnation) {
+    plane
+        .shared
+        .contents
+        .register()
+        .start(content, Id::of(server));
+}
+
+/// Takes note that an attempt ended while its server lived on.
+pub(crate) fn end(plane: &Plane, content: Digest, server: &Incarnation, end: End) {
+    let now = plane.shared.clock.tick();
+    let mut register = plane.shared.contents.register();
+    let actions = register.end(now, content, Id::of(server), end);
+    drop(register);
+    act(plane, actions);
+}
+
+/// Finds out whether a server died, and if so suspects every content that was in flight there.
+pub(crate) async fn check(plane: &Plane, server: &Incarnation, address: SocketAddr) {
+    if is_there(plane, server, address).await {
+        return;
+    }
+    let now = plane.shared.clock.tick();
+    let actions = plane.shared.contents.register().died(now, Id::of(server));
+    act(plane, actions);
+}
+
+/// Only a connection that is refused, or a later life that answers, shows that a server died: one
+/// that cannot be reached may live on.
+async fn is_there(plane: &Plane, server: &Incarnation, address: SocketAddr) -> bool {
+    match time::timeout(PROBE, TcpStream::connect(address)).await {
+        Ok(Err(error)) => error.kind() != std::io::ErrorKind::ConnectionRefused,
+        Ok(Ok(_)) => {
+            let report = backend::load::ask(&plane.client, address, PROBE).await;
+            report.is_none_or(|report| report.incarnation <= *server)
+        }
+        Err(_) => true,
+    }
+}
+
+fn act(plane: &Plane, actions: Vec<suspect::Action>) {
+    if !actions.is_empty() {
+        plane.shared.suspects.do_send(Act(actions));
+    }
+}
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -8,6 +8,7 @@
 use actix::Addr;
 use base::Incarnation;
 use burn::Book;
+use retry::{Register, configs};
 use tokio::sync::{Notify, mpsc, watch};
 
 use crate::{
@@ -15,6 +16,7 @@
     control::{
         ledger::Ledger,
         roster::Roster,
+        suspects::Suspects,
         work::{Job, Work},
     },
     metrics::Metrics,
@@ -29,6 +31,8 @@
     pub book: Arc<Mutex<Book>>,
     /// The clocks.
     pub clock: Clock,
+    /// Contents in flight and those that may crash backend servers.
+    pub(crate) contents: Arc<Contents>,
     /// Requests and background records that an orderly stop waits for.
     pub flights: Arc<AtomicUsize>,
     /// The configuration in force.
@@ -51,10 +55,29 @@
     pub stop: Arc<Notify>,
     /// Set once the instance is to stop.
     pub stopping: Arc<AtomicBool>,
+    /// The actor of contents that may crash backend servers.
+    pub(crate) suspects: Addr<Suspects>,
     /// The actor of deferred requests.
     pub work: Addr<Work>,
 }
 
+/// What the instance knows of contents, for both sides.
+pub(crate) struct Contents(Mutex<Register>);
+
+impl Contents {
+    /// Returns a register that knows no suspects.
+    pub(crate) fn open() -> Self {
+        Self(Mutex::new(Register::open(
+            configs::suspect::Suspect::default(),
+        )))
+    }
+
+    /// Lets an event into the register, or reads it.
+    pub(crate) fn register(&self) -> MutexGuard<'_, Register> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
 impl Shared {
     /// Lets an event into the book, or reads it.
     pub fn book(&self) -> MutexGuard<'_, Book> {
--- a/crates/flow/src/event.rs
+++ b/crates/flow/src/event.rs
@@ -39,6 +39,8 @@
         /// What the attempt cost.
         cost: f64,
     },
+    /// The call was not made, since its content crashed backend servers before.
+    Harmful,
     /// No backend server can take the stage.
     NoServer {
         /// When one may be there.
--- a/crates/flow/src/request.rs
+++ b/crates/flow/src/request.rs
@@ -143,6 +143,7 @@
                 failure,
                 cost,
             } if self.phase == Phase::Call(attempt) => self.fail(cx, failure, cost),
+            Event::Harmful if matches!(self.phase, Phase::Call(_)) => self.forgo(),
             Event::NoServer { retry_after } if self.phase == Phase::Pick => self.refuse(
                 Code::StageUnavailable,
                 "no backend server",
@@ -261,6 +262,14 @@
         })
     }
 
+    /// Gives up before the call was made.
+    fn forgo(&mut self) -> Action {
+        if !self.stage().idempotent {
+            self.ran.once = false;
+        }
+        self.refuse(Code::RequestHarmful, Code::RequestHarmful.title(), None)
+    }
+
     fn refuse_claim(&mut self, code: Code, detail: String) -> Action {
         self.phase = Phase::End;
         let outcome = match code.outcome() {
