--- a/crates/bundle/src/sheet.rs
+++ b/crates/bundle/src/sheet.rs
@@ -4,6 +4,8 @@
 //! different releases agree on it. It is built from a head (name, version, limits and signers)
 //! and the items of all other sections, so signatures can be checked with the head alone.
 
+use std::sync::OnceLock;
+
 use base::{Digest, Name};
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
@@ -45,8 +47,23 @@
     pub name: Name,
     /// The item as JSON with sorted keys.
     pub json: Name,
+    #[serde(skip)]
+    digest: Cache,
+}
+
+/// A digest computed once. Items of a new bundle are mostly those of its base, so they keep it.
+#[derive(Clone, Debug, Default)]
+struct Cache(OnceLock<Digest>);
+
+impl PartialEq for Cache {
+    /// Whether a digest was computed yet makes no difference.
+    fn eq(&self, _: &Self) -> bool {
+        true
+    }
 }
 
+impl Eq for Cache {}
+
 /// The part of a bundle that signatures are checked with.
 #[derive(Clone, Debug, PartialEq, Deserialize)]
 pub struct Head {
@@ -215,11 +232,8 @@
     }
 
     fn digest(&self) -> Digest {
-        Digest::of_parts(&[
-            self.section.as_str().as_bytes(),
-            self.name.as_str().as_bytes(),
-            self.json.as_str().as_bytes(),
-        ])
+        let parts = [&self.section, &self.name, &self.json].map(|part| part.as_str().as_bytes());
+        *self.digest.0.get_or_init(|| Digest::of_parts(&parts))
     }
 }
 
@@ -238,6 +252,7 @@
                     section: section.clone(),
                     name: named(item).unwrap_or_default(),
                     json: json_of(item),
+                    digest: Cache::default(),
                 })
                 .collect()
         }
@@ -245,6 +260,7 @@
             json: json_of(whole),
             name: Name::default(),
             section,
+            digest: Cache::default(),
         }],
     }
 }
