Find a pipeline's requests in a bucket by binary search, and measure the report

The report compared the pipeline of every row for each of some seventy windows. Rows are sorted by pipeline, so it now takes the pipeline's range.

--- /dev/null
+++ b/crates/burn/benches/book.rs
@@ -0,0 +1,88 @@
+//! What counting, merging and reporting cost.
+#![allow(missing_docs)] // The macros of criterion write undocumented items.
+
+use base::{Code, Incarnation, Name, Stamp};
+use burn::{Book, Event};
+use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
+
+/// Requests that an instance ends in a minute: 18 a second.
+const REQUESTS: usize = 1_080;
+
+/// Minutes that an instance has counted.
+const MINUTES: u64 = 180;
+
+fn minute(count: u64) -> Stamp {
+    Stamp::from_millis(count * 60_000)
+}
+
+/// Returns the ends of a minute's requests of 502 client accounts over 11 pipelines.
+fn events() -> Vec<Event> {
+    (0..REQUESTS)
+        .filter_map(|at| {
+            let account = match at % 4 {
+                0 | 1 => format!("large-{}", at % 2),
+                _ => format!("small-{}", at % 500),
+            };
+            let code = if at % 97 == 0 {
+                Code::Overloaded
+            } else {
+                Code::Answered
+            };
+            let pipeline = Name::from(format!("pipeline-{}", at % 11));
+            Event::ended(pipeline, account.into(), code, true, None)
+        })
+        .collect()
+}
+
+fn book(instance: usize, events: &[Event]) -> Book {
+    let mut book = Book::open(Incarnation::new(format!("entry-{instance}"), minute(0)));
+    for at in 0..MINUTES {
+        for event in events {
+            book.on(minute(at), event);
+        }
+    }
+    book.tidy(minute(MINUTES));
+    book
+}
+
+fn bench_count(criterion: &mut Criterion) {
+    let events = events();
+    criterion.bench_function("count_a_minute", |bencher| {
+        bencher.iter(|| {
+            let mut book = Book::open(Incarnation::new("entry", minute(0)));
+            for event in &events {
+                book.on(minute(0), event);
+            }
+            book.tidy(minute(1));
+            book
+        });
+    });
+}
+
+fn bench_report(criterion: &mut Criterion) {
+    let events = events();
+    let books: Vec<Book> = (0..32).map(|instance| book(instance, &events)).collect();
+    let bytes = serde_json::to_string(&books[0]).map_or(0, |json| json.len());
+    println!("the book of one instance: {bytes} B of JSON");
+    let mut group = criterion.benchmark_group("merge_and_report");
+    for instances in [2, 8, 32] {
+        let merged = || {
+            let mut reader = Book::open(Incarnation::new("reader", minute(0)));
+            for book in &books[..instances] {
+                reader.merge(book);
+            }
+            reader.report(minute(MINUTES))
+        };
+        group.bench_function(BenchmarkId::from_parameter(instances), |bencher| {
+            bencher.iter(merged);
+        });
+    }
+    group.finish();
+}
+
+criterion_group! {
+    name = benches;
+    config = Criterion::default().sample_size(10);
+    targets = bench_count, bench_report
+}
+criterion_main!(benches);
--- a/crates/burn/src/bucket.rs
+++ b/crates/burn/src/bucket.rs
@@ -119,6 +119,17 @@
         });
     }
 
+    /// Returns the requests of a pipeline.
+    pub fn requests_of(&self, pipeline: &Name) -> &[Requests] {
+        let start = self
+            .requests
+            .partition_point(|one| one.pipeline < *pipeline);
+        let end = self
+            .requests
+            .partition_point(|one| one.pipeline <= *pipeline);
+        &self.requests[start..end]
+    }
+
     /// Tells whether this bucket holds everything that another one holds.
     pub fn covers(&self, other: &Self) -> bool {
         let within = self.first <= other.first && other.last <= self.last;
--- a/crates/burn/src/report.rs
+++ b/crates/burn/src/report.rs
@@ -138,7 +138,7 @@
     config: &Config,
 ) -> Pipeline {
     let objective = objective(objectives, &name);
-    let over = |span| Window::over(span, now, buckets, objective, |one| one.pipeline == name);
+    let over = |span| Window::over(span, now, buckets, objective, &name);
     let alarms = config.alarms.iter().map(|alarm| {
         let (short, long) = (over(alarm.short), over(alarm.long));
         Alarm {
--- a/crates/burn/src/window.rs
+++ b/crates/burn/src/window.rs
@@ -23,17 +23,17 @@
 }
 
 impl Window {
-    /// Counts the requests of all buckets that reach into the last span.
+    /// Counts the requests of a pipeline in all buckets that reach into the last span.
     pub(crate) fn over(
         span: Duration,
         now: Stamp,
         buckets: &[Bucket],
         objective: f64,
-        counts: impl Fn(&Requests) -> bool,
+        pipeline: &Name,
     ) -> Self {
         let recent = buckets.iter().filter(|bucket| now - bucket.end < span);
-        let requests = recent.flat_map(|bucket| &bucket.requests);
-        Self::count(span, requests.filter(|one| counts(one)), objective)
+        let requests = recent.flat_map(|bucket| bucket.requests_of(pipeline));
+        Self::count(span, requests, objective)
     }
 
     /// Counts requests.
@@ -72,12 +72,8 @@
         .map(|minute| {
             let start = Stamp::from_millis(minute * 60_000);
             let within = buckets.iter().filter(|bucket| bucket.start == start);
-            let requests = within.flat_map(|bucket| &bucket.requests);
-            Window::count(
-                MINUTE,
-                requests.filter(|one| one.pipeline == *pipeline),
-                objective,
-            )
+            let requests = within.flat_map(|bucket| bucket.requests_of(pipeline));
+            Window::count(MINUTE, requests, objective)
         })
         .collect()
 }
