--- a/crates/ctl/tests/actions.rs
+++ b/crates/ctl/tests/actions.rs
@@ -50,6 +50,17 @@
     expect_that!(log.appends.get(), eq(1));
 }
 
+#[gtest]
+#[actix_web::test]
+async fn a_record_that_arrives_after_the_first_look_is_found() {
+    let log = Memory::default();
+    let (author, _) = keys();
+    log.mishap.set(Mishap::Late);
+    let done = publish(&session(&log), "compas", COMPAS, &author).await;
+    expect_that!(done.unwrap().offset, some(eq(0)));
+    expect_that!(log.appends.get(), eq(1));
+}
+
 #[gtest]
 #[actix_web::test]
 async fn a_record_that_is_not_found_is_unknown_and_not_appended_again() {
--- a/crates/ctl/tests/common/mod.rs
+++ b/crates/ctl/tests/common/mod.rs
@@ -12,6 +12,8 @@
     None,
     /// It takes effect and the answer is lost.
     AnswerLost,
+    /// There is no answer, and it takes effect after the next read.
+    Late,
     /// It never takes effect and there is no answer.
     Lost,
     /// It is refused.
@@ -26,6 +28,8 @@
     pub(crate) mishap: Cell<Mishap>,
     /// A record of another operator that gets in just before the next append.
     pub(crate) ahead: RefCell<Option<String>>,
+    /// A record that is on its way.
+    pub(crate) late: RefCell<Option<String>>,
     /// Reads that still succeed; none for all.
     pub(crate) reads: Cell<Option<usize>>,
     /// The most bytes that an answer may have; 0 for any number.
@@ -43,8 +47,10 @@
         }
         let mut records = self.records.borrow_mut();
         records.extend(self.ahead.take());
-        if mishap != Mishap::Lost {
-            records.push(body);
+        match mishap {
+            Mishap::Lost => {}
+            Mishap::Late => *self.late.borrow_mut() = Some(body),
+            _ => records.push(body),
         }
         match mishap {
             Mishap::None => Ok(records.len() as u64 - 1),
@@ -67,7 +73,7 @@
         if limit > 0 && bytes > limit {
             return Err(Error::Unanswered("too long".into()));
         }
-        Ok(Page {
+        let page = Page {
             first: self.first.get() as u64,
             end: records.len() as u64,
             records: kept
@@ -76,6 +82,9 @@
                     body: body.clone(),
                 })
                 .collect(),
-        })
+        };
+        drop(records);
+        self.records.borrow_mut().extend(self.late.take());
+        Ok(page)
     }
 }
