--- /dev/null
+++ b/crates/route/benches/pick.rs
@@ -0,0 +1,95 @@
+//! Time of one choice and its events, over pools of 98 and 780 servers.
+
+use core::{hint::black_box, time::Duration};
+
+use base::{Incarnation, Name, Stamp, Tick, attempt::Attempt, request::Id};
+use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
+use rand_chacha::{ChaCha8Rng, rand_core::SeedableRng};
+use route::{Ask, Context, Event, Server, Table, cache::Change};
+
+const POOL: &str = "runners";
+const PREFIXES: u64 = 48;
+
+fn table(servers: usize) -> Table {
+    let servers: Vec<Server> = (0..servers)
+        .map(|number| Server {
+            incarnation: Incarnation::new(format!("runner-{number:03}"), Stamp::from_millis(1)),
+            domain: Name::from(format!("domain-{}", number % 8)),
+            address: "127.0.0.1:9000".parse().expect("an address"),
+            concurrency: 8,
+            leaving: false,
+        })
+        .collect();
+    let mut table = Table::default();
+    table.set(POOL, &servers);
+    for (at, server) in servers.iter().enumerate() {
+        for seq in 0..PREFIXES {
+            let change = Change::Added(seq * 7 + at as u64);
+            let server = server.incarnation.clone();
+            table.on(
+                Tick::default(),
+                Event::Cache {
+                    server,
+                    seq,
+                    change,
+                },
+            );
+        }
+    }
+    table
+}
+
+fn cycle(table: &mut Table, rng: &mut ChaCha8Rng, domain: &Name, number: u64) {
+    let now = Tick::from_micros(number * 100);
+    let ask = Ask {
+        prefix: Some(number % 400),
+        prefill_tokens: 1_000,
+        ..Ask::any(POOL)
+    };
+    let mut cx = Context {
+        now,
+        rng,
+        own_domain: domain,
+    };
+    let pick = black_box(table.pick(&mut cx, &ask).expect("a server"));
+    let attempt = Attempt::new(Id::from_random(u128::from(number)), 0, 0);
+    let server = pick.incarnation.clone();
+    let prefix = ask.prefix;
+    table.on(
+        now,
+        Event::Started {
+            attempt,
+            server,
+            prefix,
+        },
+    );
+    let (server, took) = (pick.incarnation, Duration::from_millis(20));
+    table.on(
+        now,
+        Event::Finished {
+            attempt,
+            server,
+            took,
+        },
+    );
+}
+
+fn pick(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("pick");
+    for servers in [98, 780] {
+        group.bench_function(BenchmarkId::from_parameter(servers), |bencher| {
+            let mut table = table(servers);
+            let mut rng = ChaCha8Rng::seed_from_u64(1);
+            let domain = Name::from("domain-0");
+            let mut number = 0;
+            bencher.iter(|| {
+                number += 1;
+                cycle(&mut table, &mut rng, &domain, number);
+            });
+        });
+    }
+    group.finish();
+}
+
+criterion_group!(benches, pick);
+criterion_main!(benches);
--- /dev/null
+++ b/crates/trial/tests/policy.rs
@@ -0,0 +1,183 @@
+//! Decisions against baselines and stated targets, on fixed seeds.
+//!
+//! Every bound is a ratio or a count within one run.
+
+use googletest::prelude::*;
+use trial::{
+    Policy, Size, Tally, Trace,
+    bound::{self, Sight},
+    trace::Kind,
+};
+
+const SEED: u64 = 1;
+/// The length of traces, in seconds.
+const SECONDS: f64 = 40.0;
+/// Attempts for each request while a stage fails outright.
+const ATTEMPTS: f64 = 1.1;
+/// Cost of an answer, relative to the cheapest baseline.
+const COST: f64 = 1.05;
+/// Servers that one request may crash.
+const CRASHES: u32 = 2;
+/// The share of the earlier attainment to be back 5 s after a fault.
+const RECOVERED: f64 = 0.99;
+/// What of the attainment may be lost to chance where nearly every request is answered.
+const CHANCE: f64 = 0.001;
+
+fn sizes() -> Vec<Size> {
+    vec![Size::adinkra(), Size::compas()]
+}
+
+fn ours(size: &Size, kind: Kind, seconds: f64) -> Tally {
+    let trace = Trace::new(size, kind, SEED, seconds);
+    trial::run(size, &trace, Policy::ours(), SEED)
+}
+
+fn baselines(size: &Size, kind: Kind, seconds: f64) -> Vec<Tally> {
+    let trace = Trace::new(size, kind, SEED, seconds);
+    Policy::baselines()
+        .into_iter()
+        .map(|policy| trial::run(size, &trace, policy, SEED))
+        .collect()
+}
+
+fn best(tallies: &[Tally]) -> f64 {
+    tallies.iter().map(Tally::attainment).fold(0.0, f64::max)
+}
+
+/// Compares attainment with every baseline's.
+fn above_baselines(kind: Kind, seconds: f64) {
+    for size in sizes() {
+        let ours = ours(&size, kind, seconds);
+        let best = best(&baselines(&size, kind, seconds));
+        expect_that!(ours.attainment(), ge(best - CHANCE), "{}", size.name);
+    }
+}
+
+#[gtest]
+fn a_burst_is_answered_better_than_by_every_baseline() {
+    above_baselines(Kind::Burst, SECONDS);
+}
+
+#[gtest]
+fn a_burst_with_a_lost_domain_is_answered_better_than_by_every_baseline() {
+    above_baselines(Kind::Both, SECONDS);
+}
+
+#[gtest]
+fn a_stage_that_is_down_is_answered_better_than_by_every_baseline() {
+    above_baselines(Kind::Down, SECONDS);
+}
+
+#[gtest]
+fn a_lost_domain_is_answered_as_well_as_by_every_baseline() {
+    above_baselines(Kind::Domain, SECONDS);
+}
+
+#[gtest]
+fn a_hot_prefix_is_answered_as_well_as_by_every_baseline() {
+    above_baselines(Kind::Prefix, SECONDS);
+}
+
+#[gtest]
+fn steady_load_is_answered_as_well_as_by_every_baseline() {
+    above_baselines(Kind::Steady, SECONDS);
+}
+
+#[gtest]
+fn a_poison_request_is_answered_as_well_as_by_every_baseline() {
+    above_baselines(Kind::Poison, SECONDS);
+}
+
+#[gtest]
+fn a_hot_account_is_answered_as_well_as_by_every_baseline() {
+    above_baselines(Kind::Account, SECONDS);
+}
+
+#[gtest]
+fn a_stage_slow_for_long_is_answered_better_than_by_every_baseline() {
+    above_baselines(Kind::Slow, 3.0 * SECONDS);
+}
+
+#[gtest]
+fn no_policy_answers_more_than_the_bound() {
+    for size in sizes() {
+        for kind in [Kind::Burst, Kind::Slow, Kind::Down, Kind::Both] {
+            let trace = Trace::new(&size, kind, SEED, SECONDS);
+            let bound = bound::attainment(&size, &trace, Sight::Exact);
+            for policy in Policy::all() {
+                let tally = trial::run(&size, &trace, policy, SEED);
+                expect_that!(tally.attainment(), le(bound), "{}", policy.name);
+            }
+        }
+    }
+}
+
+#[gtest]
+fn a_stage_that_fails_outright_gets_few_attempts() {
+    for size in sizes() {
+        let tally = ours(&size, Kind::Down, SECONDS);
+        expect_that!(tally.attempts, le(ATTEMPTS), "{}", size.name);
+    }
+}
+
+#[gtest]
+fn an_answer_costs_no_more_than_the_cheapest_baselines() {
+    for size in sizes() {
+        for kind in [Kind::Steady, Kind::Domain, Kind::Prefix, Kind::Account] {
+            let ours = ours(&size, kind, SECONDS);
+            let cheapest = baselines(&size, kind, SECONDS)
+                .iter()
+                .map(Tally::cost)
+                .fold(f64::INFINITY, f64::min);
+            expect_that!(ours.cost(), le(COST * cheapest), "{}", size.name);
+        }
+    }
+}
+
+#[gtest]
+fn attainment_is_back_within_five_seconds_after_every_disturbance() {
+    for size in sizes() {
+        for kind in Kind::ALL {
+            let tally = ours(&size, *kind, SECONDS);
+            let want = RECOVERED * tally.before;
+            expect_that!(tally.after, ge(want), "{} {}", size.name, kind.as_str());
+        }
+    }
+}
+
+#[gtest]
+fn attainment_is_back_after_a_long_outage_and_a_long_slow_stage() {
+    for size in sizes() {
+        for kind in [Kind::Down, Kind::Slow] {
+            let tally = ours(&size, kind, 4.0 * SECONDS);
+            let want = RECOVERED * tally.before;
+            expect_that!(tally.after, ge(want), "{} {}", size.name, kind.as_str());
+        }
+    }
+}
+
+#[gtest]
+fn a_poison_request_crashes_no_more_servers_than_stated() {
+    for size in sizes() {
+        let tally = ours(&size, Kind::Poison, SECONDS);
+        expect_that!(tally.crashes, le(CRASHES), "{}", size.name);
+    }
+}
+
+#[gtest]
+fn a_hot_account_takes_nothing_from_the_others() {
+    for size in sizes() {
+        let tally = ours(&size, Kind::Account, SECONDS);
+        expect_that!(tally.least, ge(0.999), "{}", size.name);
+    }
+}
+
+#[gtest]
+fn the_same_seed_gives_the_same_run() {
+    let size = Size::compas();
+    let (first, second) = (ours(&size, Kind::Both, 10.0), ours(&size, Kind::Both, 10.0));
+    expect_that!(
+        (first.answered, first.messages, first.refusals),
+        eq(&(second.answered, second.messages, second.refusals))
+    );
+}
