--- a/crates/admit/benches/offer.rs
+++ b/crates/admit/benches/offer.rs
@@ -1,4 +1,4 @@
-//! Time of one admission and its end, with an empty and a long queue.
+//! Time of one admission and its end, by requests that wait and client accounts.
 
 use core::time::Duration;
 
@@ -7,12 +7,10 @@
 use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
 use rand_chacha::{ChaCha8Rng, rand_core::SeedableRng};
 
-const ACCOUNTS: u64 = 50;
-
-fn ask(number: u64, now: Tick, within: Duration) -> Ask {
+fn ask(number: u64, accounts: u64, now: Tick, within: Duration) -> Ask {
     Ask {
         request: Id::from_random(u128::from(number)),
-        account: Name::from(format!("account-{:02}", number % ACCOUNTS)),
+        account: Name::from(format!("account-{:03}", number % accounts)),
         pipeline: "draft".into(),
         priority: 0,
         deadline: now + within,
@@ -20,7 +18,7 @@
     }
 }
 
-fn gate(rng: &mut ChaCha8Rng, waiting: u64) -> Gate {
+fn gate(rng: &mut ChaCha8Rng, waiting: u64, accounts: u64) -> Gate {
     let mut gate = Gate::default();
     gate.pipeline(&"draft".into(), &["encoders".into(), "runners".into()]);
     let now = Tick::default();
@@ -36,23 +34,26 @@
         );
     }
     for number in 0..waiting {
-        gate.offer(&mut cx, ask(number, now, Duration::from_secs(600)));
+        gate.offer(
+            &mut cx,
+            ask(number, accounts, now, Duration::from_secs(600)),
+        );
     }
     gate
 }
 
 fn offer(criterion: &mut Criterion) {
     let mut group = criterion.benchmark_group("offer");
-    for waiting in [0, 900] {
-        group.bench_function(BenchmarkId::from_parameter(waiting), |bencher| {
+    for (waiting, accounts) in [(0, 50), (900, 50), (900, 900)] {
+        group.bench_function(BenchmarkId::new(waiting.to_string(), accounts), |bencher| {
             let mut rng = ChaCha8Rng::seed_from_u64(1);
-            let mut gate = gate(&mut rng, waiting);
+            let mut gate = gate(&mut rng, waiting, accounts);
             let mut number = 1_000_000;
             bencher.iter(|| {
                 number += 1;
                 let now = Tick::from_micros(number);
                 let mut cx = Context { now, rng: &mut rng };
-                let ask = ask(number, now, Duration::from_secs(600));
+                let ask = ask(number, accounts, now, Duration::from_secs(600));
                 let request = ask.request;
                 gate.offer(&mut cx, ask);
                 // One of the two applies: it waits or it runs.
--- a/crates/admit/src/gate.rs
+++ b/crates/admit/src/gate.rs
@@ -9,7 +9,7 @@
     budget::Pipeline,
     configs::Config,
     event::{Action, Ask, Context, Event, Refusal, Verdict},
-    line::{Entry, Kind, Line},
+    line::{Entry, Kind, Line, Place},
     pool::Pool,
     returns::Returns,
 };
@@ -326,29 +326,49 @@
 
     /// Finds the request that goes first, among those whose pools have room.
     fn first(&self, now: Tick) -> Option<(usize, usize)> {
-        let open = || (0..self.lines.len()).filter(|at| self.has_room(now, &self.lines[*at].kind));
+        let open = self.open(now);
         if let Some(patient) = self.turn_of_oldest() {
-            let sort = |patient| open().filter(move |at| self.lines[*at].kind.patient == patient);
+            let sort = |patient| {
+                let lines = open.iter().copied();
+                lines.filter(move |at| self.lines[*at].kind.patient == patient)
+            };
             let oldest = self.oldest(sort(patient));
             let oldest = oldest.or_else(|| self.oldest(sort(!patient)));
             if oldest.is_some() {
                 return oldest;
             }
         }
-        open()
-            .min_by(|a, b| {
-                let (a, b) = (&self.lines[*a], &self.lines[*b]);
-                a.kind
-                    .patient
-                    .cmp(&b.kind.patient)
-                    .then_with(|| self.rank(now, b).cmp(&self.rank(now, a)))
-                    .then_with(|| {
-                        let (a, b) = (&a.kind.account, &b.kind.account);
-                        self.accounts.served(a).total_cmp(&self.accounts.served(b))
-                    })
-                    .then_with(|| a.entries[0].due.cmp(&b.entries[0].due))
-            })
-            .map(|at| (at, 0))
+        open.into_iter()
+            .map(|at| (at, self.place(now, &self.lines[at])))
+            .min_by(|a, b| a.1.compare(&b.1))
+            .map(|(at, _)| (at, 0))
+    }
+
+    /// Returns the lines whose pools have room; lines are sorted by pipeline, so each is asked once.
+    fn open(&self, now: Tick) -> Vec<usize> {
+        let mut open = Vec::new();
+        let mut last: Option<(&Name, bool)> = None;
+        for (at, line) in self.lines.iter().enumerate() {
+            let pipeline = &line.kind.pipeline;
+            let room = match last {
+                Some((name, room)) if name == pipeline => room,
+                _ => self.has_room(now, &line.kind),
+            };
+            last = Some((pipeline, room));
+            if room {
+                open.push(at);
+            }
+        }
+        open
+    }
+
+    fn place(&self, now: Tick, line: &Line) -> Place {
+        Place {
+            patient: line.kind.patient,
+            rank: self.rank(now, line),
+            served: self.accounts.served(&line.kind.account),
+            due: line.entries[0].due,
+        }
     }
 
     /// Tells whether the next start goes to the oldest request, and if so, whether to a patient one.
--- a/crates/admit/src/line.rs
+++ b/crates/admit/src/line.rs
@@ -1,5 +1,7 @@
 //! Requests of one client account that wait for one pipeline at one priority.
 
+use core::cmp::Ordering;
+
 use base::{Name, Tick, request::Id};
 
 /// A request that waits.
@@ -28,6 +30,30 @@
     pub patient: bool,
 }
 
+/// The place of a line's first request among all lines'.
+#[derive(Clone, Copy, Debug)]
+pub struct Place {
+    /// Whether it gives way to all others.
+    pub patient: bool,
+    /// Its priority, raised by its wait.
+    pub rank: u128,
+    /// What its account was served, divided by its weight.
+    pub served: f64,
+    /// Its own place within the line.
+    pub due: Tick,
+}
+
+impl Place {
+    /// Compares two places; the lesser goes first.
+    pub fn compare(&self, other: &Self) -> Ordering {
+        self.patient
+            .cmp(&other.patient)
+            .then(other.rank.cmp(&self.rank))
+            .then(self.served.total_cmp(&other.served))
+            .then(self.due.cmp(&other.due))
+    }
+}
+
 /// Requests that wait, sorted by place.
 #[derive(Clone, Debug)]
 pub struct Line {
