--- a/crates/admit/src/gate.rs
+++ b/crates/admit/src/gate.rs
@@ -1,5 +1,8 @@
 //! The gate of one entry instance: which requests start, wait or are refused.
 
+mod judge;
+mod order;
+
 use core::time::Duration;
 
 use base::{Code, Name, Tick, request::Id};
@@ -8,8 +11,8 @@
     account::Accounts,
     budget::Pipeline,
     configs::Config,
-    event::{Action, Ask, Context, Event, Refusal, Verdict},
-    line::{Entry, Kind, Line, Place},
+    event::{Action, Ask, Context, Event, Verdict},
+    line::{Entry, Kind, Line},
     pool::Pool,
     returns::Returns,
 };
@@ -172,110 +175,6 @@
         }
     }
 
-    fn judge(
-        &mut self,
-        cx: &mut Context<'_>,
-        ask: &Ask,
-        kind: &Kind,
-        pipeline: usize,
-    ) -> Option<Refusal> {
-        if kind.patient {
-            return (self.waiting_patient >= self.config.gate.patient_queue).then(|| {
-                self.refuse(
-                    cx,
-                    Code::Overloaded,
-                    self.config.returns.most,
-                    None,
-                    Duration::ZERO,
-                )
-            });
-        }
-        let left = ask.deadline - cx.now;
-        let need = self.pipelines[pipeline].need(&self.config.budget, cx.now, 0);
-        let spare = left.saturating_sub(self.pipelines[pipeline].usual());
-        if let Some(back) = self.down(pipeline) {
-            return Some(self.refuse(cx, Code::StageUnavailable, back, None, spare));
-        }
-        let rate = self.rate(cx.now, pipeline);
-        let wait = self.wait(cx.now, ask, kind, rate);
-        if wait + need > left {
-            let over = wait + need - left;
-            return Some(self.refuse(cx, Code::DeadlineUnmeetable, over, rate, spare));
-        }
-        (self.waiting >= self.config.gate.queue)
-            .then(|| self.refuse(cx, Code::Overloaded, wait, rate, spare))
-    }
-
-    fn down(&self, pipeline: usize) -> Option<Duration> {
-        self.pipelines[pipeline]
-            .stages
-            .iter()
-            .filter_map(|stage| self.find_pool(&stage.pool).ok())
-            .map(|at| &self.pools[at])
-            .filter(|pool| pool.is_down())
-            .map(|pool| pool.retry_after)
-            .max()
-    }
-
-    /// Returns the requests a second that the narrowest pool of a pipeline serves.
-    fn rate(&self, now: Tick, pipeline: usize) -> Option<f64> {
-        let pipeline = &self.pipelines[pipeline];
-        let times = pipeline.times(&self.config.budget, now);
-        (0..pipeline.stages.len())
-            .filter_map(|stage| {
-                let at = self.find_pool(&pipeline.stages[stage].pool).ok()?;
-                self.pools[at].rate(&self.config.pool, &times, stage)
-            })
-            .min_by(f64::total_cmp)
-    }
-
-    /// Returns the expected time in the queue.
-    fn wait(&self, now: Tick, ask: &Ask, kind: &Kind, rate: Option<f64>) -> Duration {
-        let Some(rate) = rate else {
-            return Duration::ZERO;
-        };
-        let due = due(now, ask);
-        let own = self
-            .lines
-            .iter()
-            .find(|line| line.kind == *kind)
-            .map_or(0, |line| line.ahead(due));
-        let weight = self.accounts.weight(&kind.account);
-        let others: f64 = self
-            .lines
-            .iter()
-            .filter(|line| line.kind != *kind && !line.kind.patient)
-            .filter(|line| line.kind.pipeline == kind.pipeline)
-            .map(|line| {
-                let all = line.entries.len() as f64;
-                if line.kind.priority != kind.priority {
-                    return if line.kind.priority > kind.priority {
-                        all
-                    } else {
-                        0.0
-                    };
-                }
-                let share = self.accounts.weight(&line.kind.account) / weight;
-                all.min((own + 1) as f64 * share)
-            })
-            .sum();
-        Duration::from_secs_f64((own as f64 + others) / rate)
-    }
-
-    fn refuse(
-        &mut self,
-        cx: &mut Context<'_>,
-        code: Code,
-        wait: Duration,
-        rate: Option<f64>,
-        spare: Duration,
-    ) -> Refusal {
-        let retry_after = self
-            .returns
-            .after(&self.config.returns, cx, wait, rate, spare);
-        Refusal { code, retry_after }
-    }
-
     fn queue(&mut self, now: Tick, ask: &Ask, kind: Kind) {
         self.accounts.queued(&kind.account);
         if kind.patient {
@@ -285,7 +184,7 @@
         }
         let entry = Entry {
             request: ask.request,
-            due: due(now, ask),
+            due: judge::due(now, ask),
             deadline: ask.deadline,
             age_from: ask.age_from,
         };
@@ -324,91 +223,6 @@
         Some(self.start(line, entry))
     }
 
-    /// Finds the request that goes first, among those whose pools have room.
-    fn first(&self, now: Tick) -> Option<(usize, usize)> {
-        let open = self.open(now);
-        if let Some(patient) = self.turn_of_oldest() {
-            let sort = |patient| {
-                let lines = open.iter().copied();
-                lines.filter(move |at| self.lines[*at].kind.patient == patient)
-            };
-            let oldest = self.oldest(sort(patient));
-            let oldest = oldest.or_else(|| self.oldest(sort(!patient)));
-            if oldest.is_some() {
-                return oldest;
-            }
-        }
-        open.into_iter()
-            .map(|at| (at, self.place(now, &self.lines[at])))
-            .min_by(|a, b| a.1.compare(&b.1))
-            .map(|(at, _)| (at, 0))
-    }
-
-    /// Returns the lines whose pools have room; lines are sorted by pipeline, so each is asked once.
-    fn open(&self, now: Tick) -> Vec<usize> {
-        let mut open = Vec::new();
-        let mut last: Option<(&Name, bool)> = None;
-        for (at, line) in self.lines.iter().enumerate() {
-            let pipeline = &line.kind.pipeline;
-            let room = match last {
-                Some((name, room)) if name == pipeline => room,
-                _ => self.has_room(now, &line.kind),
-            };
-            last = Some((pipeline, room));
-            if room {
-                open.push(at);
-            }
-        }
-        open
-    }
-
-    fn place(&self, now: Tick, line: &Line) -> Place {
-        Place {
-            patient: line.kind.patient,
-            rank: self.rank(now, line),
-            served: self.accounts.served(&line.kind.account),
-            due: line.entries[0].due,
-        }
-    }
-
-    /// Tells whether the next start goes to the oldest request, and if so, whether to a patient one.
-    const fn turn_of_oldest(&self) -> Option<bool> {
-        let every = self.config.gate.oldest_every;
-        if self.starts % every == every - 1 {
-            return Some(self.starts / every % 2 == 1);
-        }
-        None
-    }
-
-    fn oldest(&self, lines: impl Iterator<Item = usize>) -> Option<(usize, usize)> {
-        lines
-            .filter_map(|at| {
-                let entries = &self.lines[at].entries;
-                let oldest = (0..entries.len()).min_by_key(|at| entries[*at].age_from)?;
-                Some((at, oldest))
-            })
-            .min_by_key(|(line, entry)| self.lines[*line].entries[*entry].age_from)
-    }
-
-    /// Returns the priority of a line, raised by the wait of its first request.
-    fn rank(&self, now: Tick, line: &Line) -> u128 {
-        let waited = now - line.entries[0].age_from;
-        let raised = waited.as_micros() / self.config.gate.aging.as_micros().max(1);
-        u128::from(line.kind.priority) + raised
-    }
-
-    fn has_room(&self, now: Tick, kind: &Kind) -> bool {
-        let Ok(at) = self.find_pipeline(&kind.pipeline) else {
-            return true;
-        };
-        let pipeline = &self.pipelines[at];
-        let times = pipeline.times(&self.config.budget, now);
-        (0..pipeline.stages.len()).all(|stage| {
-            self.find_pool(&pipeline.stages[stage].pool)
-                .is_ok_and(|at| self.pools[at].has_room(&self.config.pool, &times, stage))
-        })
-    }
-
     fn start(&mut self, line: usize, entry: usize) -> Id {
         let kind = self.lines[line].kind.clone();
         let request = self.remove(line, entry);
@@ -553,13 +367,3 @@
             .binary_search_by_key(&request, |running| running.request)
     }
 }
-
-/// Returns the place of a request: its deadline less the time already waited under its key.
-fn due(now: Tick, ask: &Ask) -> Tick {
-    let waited = now - ask.age_from;
-    Tick::from_micros(
-        (ask.deadline - Tick::default())
-            .saturating_sub(waited)
-            .as_micros() as u64,
-    )
-}
