--- a/crates/member/tests/gossip.rs
+++ b/crates/member/tests/gossip.rs
@@ -118,6 +118,16 @@
         expect_that!(view.domains.len(), eq(2));
         for domain in &view.domains {
             expect_that!(domain.summary.count, eq(4));
+            let there = world
+                .nodes
+                .iter()
+                .find(|node| node.own.domain == domain.summary.name);
+            let own = there
+                .and_then(|node| node.roster.view(world.now).own)
+                .expect("sealed");
+            let behind = own.summary.version - domain.summary.version;
+            expect_that!(behind, le(2));
+            expect_that!(behind > 0 || own.summary == domain.summary, eq(true));
             expect_that!(domain.age, le(SECOND * 20));
             let live: u32 = domain.summary.pools.iter().map(|pool| pool.live).sum();
             expect_that!(live, eq(8));
@@ -251,3 +261,17 @@
     let view = world.nodes[0].roster.view(world.now);
     expect_that!(view.peers.iter().filter(|peer| peer.heard).count(), eq(3));
 }
+
+#[gtest]
+fn a_clock_that_jumps_keeps_its_instance() {
+    let mut world = World::new(12, 1, 8, 0);
+    world.run(SECOND * 20);
+    world.nodes[3].ahead -= 3_600_000;
+    world.nodes[5].ahead += 3_600_000;
+    for _ in 0..30 {
+        world.run(SECOND * 2);
+        for node in &world.nodes {
+            expect_that!(node.roster.members(world.now).len(), eq(8));
+        }
+    }
+}
