Let the log overrule a peer's proof at the place it names, and not before

A peer's proof of a signed bundle that lost its race was overruled only once the log had the same version; a loser of a higher version stayed in force until then, also with a reader that had read the whole log. Now a reader drops it where the log reaches the place that the proof names, and refuses it if it has read beyond. While a reader replays the records after a carry, its place moves with them: it would otherwise drop a true proof and go back for a moment.

--- a/crates/bundle/src/event.rs
+++ b/crates/bundle/src/event.rs
@@ -18,12 +18,12 @@
         /// Who signed it off.
         signer: Name,
     },
-    /// A peer's proof and the log disagree over one version; the log holds.
+    /// A peer's proof and the log disagree over what was in force at a place; the log holds.
     Disagreed {
         /// What the peer's proof said.
         peer: Position,
         /// What the log says.
-        log: Position,
+        log: Option<Position>,
     },
     /// Another bundle is in force for this reader.
     InForce(Position),
@@ -87,11 +87,14 @@
                 digest,
                 signer,
             } => write!(f, "{offset}: {signer} signed {digest} off"),
-            Self::Disagreed { peer, log } => write!(
-                f,
-                "version {}: a peer had {}, the log has {}",
-                log.version, peer.digest, log.digest
-            ),
+            Self::Disagreed { peer, log } => {
+                let log = log.map_or_else(|| "none".to_owned(), |log| log.digest.to_string());
+                let (offset, digest) = (peer.offset, peer.digest);
+                write!(
+                    f,
+                    "{offset}: a peer had {digest} in force, the log has {log}"
+                )
+            }
             Self::InForce(position) => {
                 write!(
                     f,
--- a/crates/bundle/src/fold.rs
+++ b/crates/bundle/src/fold.rs
@@ -132,6 +132,7 @@
     ///
     /// - The proof doesn't verify.
     /// - It has another content for the version in force.
+    /// - It tells of a roll-out at a place where the log, read beyond it, has none that won.
     pub fn adopt(&mut self, proof: &Proof) -> Result<Vec<Event>, Fault> {
         let told = proof.position();
         let force = self.position();
@@ -147,6 +148,10 @@
         if force.is_some_and(|now| !told.follows(&now)) {
             return Ok(Vec::new());
         }
+        if self.known && told.offset < self.as_of {
+            // The log was read beyond that place and shows that this roll-out didn't win.
+            return Err(Fault::Offset);
+        }
         self.lead = Some(proof.clone());
         Ok(vec![Event::InForce(told)])
     }
@@ -248,14 +253,16 @@
         let before = self.position();
         self.state.restore(proof)?;
         self.known = true;
-        self.as_of = self.next;
+        self.as_of = proof.as_of;
         let mut events = vec![Event::Known];
         events.extend(self.announce(before));
         for (offset, record) in core::mem::take(&mut self.backlog) {
             if offset >= proof.as_of {
+                self.as_of = offset + 1;
                 events.extend(self.act(offset, &record));
             }
         }
+        self.as_of = self.next;
         Ok(events)
     }
 
@@ -280,12 +287,14 @@
     fn announce(&mut self, before: Option<Position>) -> Vec<Event> {
         let mut events = Vec::new();
         let log = self.log_chain().map(Chain::position);
+        let reached = |peer: &Position| {
+            peer.offset < self.as_of || log.is_some_and(|log| !peer.follows(&log))
+        };
         let peer = self.lead.as_ref().map(Proof::position);
-        if let (Some(log), Some(peer)) = (log, peer)
-            && !peer.follows(&log)
-        {
+        if let Some(peer) = peer.filter(reached) {
             self.lead = None;
-            if peer.version == log.version && peer.digest != log.digest {
+            let passed = log.is_some_and(|log| log.follows(&peer) || log.digest == peer.digest);
+            if !passed {
                 events.push(Event::Disagreed { peer, log });
             }
         }
--- a/crates/bundle/tests/forgery.rs
+++ b/crates/bundle/tests/forgery.rs
@@ -165,7 +165,7 @@
     let events = fold.apply(won.as_of, &carry(&won));
     let disagreed = Event::Disagreed {
         peer: lost.position(),
-        log: won.position(),
+        log: Some(won.position()),
     };
     expect_that!(events, contains(eq(&disagreed)));
     expect_that!(fold.position().unwrap().digest, eq(won.position().digest));
@@ -252,3 +252,68 @@
     expect_that!(reader.known(), eq(true));
     expect_that!(reader.pending(), len(eq(1)));
 }
+
+#[gtest]
+fn a_loser_of_a_higher_version_is_overruled_where_the_log_reaches_its_place() {
+    let mut winner = Fold::open(roots());
+    advance(&mut winner, 0);
+    let base = winner.clone();
+    // Two more versions that the log never had.
+    let mut loser = base.clone();
+    advance(&mut loser, 1);
+    let lost = advance(&mut loser, 2);
+    // A reader that is behind takes it, and is put right once it reads on.
+    let mut behind = base.clone();
+    behind.adopt(&lost).unwrap();
+    expect_that!(behind.position().unwrap().version, eq(3));
+    let mut events = Vec::new();
+    while behind.next() <= lost.position().offset {
+        expect_that!(events, is_empty());
+        let record = publish(&winner, "ana", behind.next(), false);
+        let told = behind.apply(behind.next(), &record);
+        events.extend(told.into_iter().filter(|event| event.offset().is_none()));
+        winner.apply(winner.next(), &record);
+    }
+    let disagreed = Event::Disagreed {
+        peer: lost.position(),
+        log: winner.position(),
+    };
+    expect_that!(events, contains(eq(&disagreed)));
+    expect_that!(behind.position(), eq(winner.position()));
+    // A reader that has read beyond that place refuses it.
+    expect_that!(behind.adopt(&lost), err(eq(&Fault::Offset)));
+}
+
+#[gtest]
+fn a_late_carry_behind_a_peers_proof_takes_nobody_back() {
+    let mut fold = Fold::open(roots());
+    let first = advance(&mut fold, 0);
+    let mut records = Vec::new();
+    let record = publish(&fold, "ana", 1, false);
+    records.push(record.clone());
+    fold.apply(fold.next(), &record);
+    let record = sign_off(&fold, "ben", 0).unwrap();
+    records.push(record.clone());
+    fold.apply(fold.next(), &record);
+    let record = roll_out(&fold, "eva", 0, 1).unwrap();
+    records.push(record.clone());
+    fold.apply(fold.next(), &record);
+    // The carry was written before the change and arrives after it.
+    records.push(carry(&first));
+    let mut reader = Fold::open(roots());
+    reader.seek(first.as_of);
+    reader.adopt(&fold.proof().unwrap()).unwrap();
+    let events: Vec<Event> = (first.as_of..)
+        .zip(&records)
+        .flat_map(|(offset, record)| reader.apply(offset, record))
+        .collect();
+    expect_that!(reader.known(), eq(true));
+    expect_that!(
+        events,
+        not(contains(any![
+            matches_pattern!(Event::Disagreed { .. }),
+            matches_pattern!(Event::InForce(_))
+        ]))
+    );
+    expect_that!(reader.position(), eq(fold.position()));
+}
--- a/crates/ctl/src/cli.rs
+++ b/crates/ctl/src/cli.rs
@@ -8,7 +8,7 @@
 use argh::FromArgs;
 
 /// Checks, signs, publishes and rolls out bundles. Every flag is also a variable
-/// LIMPETSTEP_<FLAG>; a flag goes first.
+/// `LIMPETSTEP_FLAG`; a flag goes first.
 #[derive(Clone, Debug, FromArgs)]
 pub struct Args {
     /// base URL of the platform's log service
--- a/crates/ctl/src/roll_out.rs
+++ b/crates/ctl/src/roll_out.rs
@@ -67,7 +67,7 @@
 ///
 /// # Errors
 ///
-/// As for [`crate::publish`], [`crate::sign_off`] and [`roll_out`].
+/// As for [`publish()`], [`sign_off()`] and [`roll_out`].
 ///
 /// # Examples
 ///
--- a/crates/report/src/cli.rs
+++ b/crates/report/src/cli.rs
@@ -5,7 +5,7 @@
 use crate::configs::Format;
 
 /// Reports attainment, burn and cost as the entry instances count them. Every flag is also a
-/// variable LIMPETSTEP_<FLAG>. Exit codes: 0, 1 an alarm is raised, 2 usage, 3 no answer.
+/// variable `LIMPETSTEP_FLAG`. Exit codes: 0, 1 an alarm is raised, 2 usage, 3 no answer.
 #[derive(Clone, Debug, FromArgs)]
 pub struct Args {
     /// addresses of entry instances, separated by commas
