--- a/crates/ctl/src/cli.rs
+++ b/crates/ctl/src/cli.rs
@@ -8,7 +8,7 @@
 use argh::FromArgs;
 
 /// Checks, signs, publishes and rolls out bundles. Every flag is also a variable
-/// LIMPETSTEP_<FLAG>; a flag goes first.
+/// `LIMPETSTEP_FLAG`; a flag goes first.
 #[derive(Clone, Debug, FromArgs)]
 pub struct Args {
     /// base URL of the platform's log service
@@ -19,6 +19,10 @@
     #[argh(option)]
     pub roots: Option<String>,
 
+    /// addresses of entry instances that `status` asks, separated by commas
+    #[argh(option)]
+    pub entries: Option<String>,
+
     /// file that holds the private key
     #[argh(option)]
     pub key: Option<String>,
