Give no permit for a content that the owner itself still runs

The owner learns of its own copies by a report that its driver has to carry; a driver that drops the actions of learn lost it. The desk now asks the register as well.

--- a/crates/retry/src/desk.rs
+++ b/crates/retry/src/desk.rs
@@ -96,7 +96,8 @@
         }
         let blocks = |permit: &Permit| permit.digest == digest || permit.server == trial.server;
         let held = register.held(&digest);
-        if now < held || self.permits.iter().any(blocks) {
+        let runs = register.blocks(&digest, trial.server);
+        if now < held || runs || self.permits.iter().any(blocks) {
             return Decision::Busy(register.config().busy.max(held - now));
         }
         let span = register.config().permit;
--- a/crates/retry/src/suspect.rs
+++ b/crates/retry/src/suspect.rs
@@ -243,6 +243,13 @@
         self.running(&fact.digest)
     }
 
+    /// Tells whether an attempt of this instance stands in the way of running a content alone at a server.
+    pub(crate) fn blocks(&self, digest: &Digest, server: Id) -> bool {
+        let suspect = |flight: &Flight| self.verdict(&flight.digest) != Verdict::Free;
+        let mut flights = self.flights.iter();
+        flights.any(|one| one.digest == *digest || one.server == server && suspect(one))
+    }
+
     /// Returns until when no permit may be given for a content.
     pub(crate) fn held(&self, digest: &Digest) -> Tick {
         let changed = self
--- a/crates/retry/tests/suspect.rs
+++ b/crates/retry/tests/suspect.rs
@@ -1,11 +1,17 @@
 //! Contents that crash servers are stopped, and others are not blamed for long.
 
+use base::{Digest, Tick};
 use googletest::prelude::*;
+use member::fact::{Id, Suspect};
 use proptest::{
     prelude::{ProptestConfig, Strategy, prop, proptest},
     test_runner::RngSeed,
 };
-use retry::suspect::{BOUND, Verdict};
+use retry::{
+    Desk, Register, configs,
+    desk::{Decision, Trial},
+    suspect::{BOUND, End, Verdict},
+};
 
 mod domain;
 
@@ -115,6 +121,32 @@
     expect_that!(domain.lost[POISON], eq(BOUND));
 }
 
+/// The owner's own copy counts also where nobody reported it to the owner.
+#[gtest]
+fn no_permit_is_given_while_the_owner_runs_a_copy() {
+    let mut register = Register::open(configs::suspect::Suspect::default());
+    let mut desk = Desk::default();
+    let digest = Digest::of(b"body");
+    let suspect = Suspect {
+        digest,
+        crashed: vec![Id(1)],
+        cleared: 0,
+    };
+    register.start(digest, Id(2));
+    register.learn(Tick::default(), &suspect);
+    let trial = Trial {
+        suspect,
+        holder: Id(9),
+        server: Id(3),
+    };
+    let later = Tick::from_millis(500);
+    let decision = desk.ask(later, &mut register, &trial);
+    expect_that!(matches!(decision, Decision::Busy(_)), eq(true));
+    register.end(later, digest, Id(2), End::Other);
+    let decision = desk.ask(later, &mut register, &trial);
+    expect_that!(matches!(decision, Decision::Granted(_)), eq(true));
+}
+
 proptest! {
     #![proptest_config(config())]
 
