Keep a content from crashing more than two backend servers

Change: both sides share a register of contents in flight; a server whose connection broke is probed, and if it is dead, what ran there is suspect and runs only alone, with a permit of the domain's owner. News of a suspect goes to one instance of each other failure domain at once, which passes it on. A dying process still accepts connections for a moment, so the probe asks up to three times.

--- a/crates/entry/src/plane/call.rs
+++ b/crates/entry/src/plane/call.rs
@@ -56,7 +56,7 @@
     sink: Option<&mut Sink>,
 ) -> End {
     let mut watch = Watch::begin(plane, &call);
-    let made = if call.pool.kind == Kind::Generate {
+    let mut made = if call.pool.kind == Kind::Generate {
         generate(plane, &call, text, sink).await
     } else {
         reply(plane, &call).await
@@ -66,8 +66,10 @@
         Ok(Made::Gone) => Ended::Failed(route::Failure::Cancelled),
         Err(failure) => Ended::Failed(blame(failure)),
     };
-    if let Err(Failure::Disconnected) = &made {
-        suspect::check(plane, &call.server, call.call.address).await;
+    if let Err(Failure::Disconnected) = &made
+        && suspect::check(plane, &call.server, call.call.address).await
+    {
+        made = Err(Failure::Died);
     }
     watch.end(ended);
     if let Err(Failure::Leaving) = &made {
@@ -205,7 +207,7 @@
 const fn blame(failure: &Failure) -> route::Failure {
     match failure {
         Failure::Busy { .. } | Failure::Leaving | Failure::Mismatched => route::Failure::Refused,
-        Failure::Disconnected => route::Failure::Crashed,
+        Failure::Died | Failure::Disconnected => route::Failure::Crashed,
         Failure::NotConnected => route::Failure::ConnectFailed,
         Failure::Refused { .. } => route::Failure::Cancelled,
         Failure::Silent => route::Failure::Slow,
@@ -218,6 +220,7 @@
         Ok(Made::Diverged) => "diverged",
         Ok(Made::Gone) => "caller_gone",
         Err(Failure::Busy { .. }) => "busy",
+        Err(Failure::Died) => "died",
         Err(Failure::Disconnected) => "disconnected",
         Err(Failure::Leaving) => "leaving",
         Err(Failure::Mismatched) => "mismatched",
--- a/crates/entry/src/plane/drive.rs
+++ b/crates/entry/src/plane/drive.rs
@@ -24,6 +24,9 @@
 /// The wait advised to a caller whose request was given up on.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
+/// The pace at which a suspect content looks for a server that has nothing else to do.
+const ALONE_PACE: Duration = Duration::from_millis(50);
+
 /// One request on its way.
 pub(crate) struct Drive {
     ask: Ask,
@@ -211,7 +214,7 @@
             Action::Nothing | Action::Settle { .. } => {
                 Next::Over(Over::Answer(internal("an event out of place")))
             }
-            Action::Pick { exclude } => Next::Event(self.pick(&exclude)),
+            Action::Pick { exclude } => Next::Event(self.pick(&exclude).await),
             Action::Release(answer) => {
                 let answer = match &mut self.once {
                     Some(once) => once.release(&self.plane, answer),
@@ -222,7 +225,19 @@
         }
     }
 
-    fn pick(&mut self, exclude: &[Incarnation]) -> Event {
+    /// Picks a server; a suspect content waits until one has nothing else to do.
+    async fn pick(&mut self, exclude: &[Incarnation]) -> Event {
+        loop {
+            let event = self.pick_now(exclude);
+            let alone = suspect::verdict(&self.plane, &self.content) == Verdict::Alone;
+            if !alone || !matches!(event, Event::NoServer { .. }) {
+                return event;
+            }
+            time::sleep(ALONE_PACE).await;
+        }
+    }
+
+    fn pick_now(&mut self, exclude: &[Incarnation]) -> Event {
         let pool = self.request.stage().pool.clone();
         let prefix = self.find_prefix();
         let ask = route::Ask {
--- a/crates/entry/src/plane/suspect.rs
+++ b/crates/entry/src/plane/suspect.rs
@@ -1,6 +1,7 @@
 //! Keeps a content that crashed backend servers from crashing more.
 
 use core::{net::SocketAddr, time::Duration};
+use std::io;
 
 use base::{Digest, Incarnation};
 use member::fact::Id;
@@ -18,6 +19,12 @@
 /// The time limit of finding out whether a server is still there.
 const PROBE: Duration = Duration::from_millis(500);
 
+/// How often a server that takes connections but does not answer is asked.
+const PROBES: usize = 3;
+
+/// The pause between two of these.
+const PROBE_PACE: Duration = Duration::from_millis(30);
+
 /// Names the content of a request, whatever its key.
 pub(crate) fn content(account: &base::Name, pipeline: &base::Name, body: &Digest) -> Digest {
     suspect::content(account, pipeline, body.as_bytes())
@@ -68,26 +75,32 @@
 }
 
 /// Finds out whether a server died, and if so suspects every content that was in flight there.
-pub(crate) async fn check(plane: &Plane, server: &Incarnation, address: SocketAddr) {
+pub(crate) async fn check(plane: &Plane, server: &Incarnation, address: SocketAddr) -> bool {
     if is_there(plane, server, address).await {
-        return;
+        return false;
     }
     let now = plane.shared.clock.tick();
     let actions = plane.shared.contents.register().died(now, Id::of(server));
     act(plane, actions);
+    true
 }
 
 /// Only a connection that is refused, or a later life that answers, shows that a server died: one
 /// that cannot be reached may live on.
 async fn is_there(plane: &Plane, server: &Incarnation, address: SocketAddr) -> bool {
-    match time::timeout(PROBE, TcpStream::connect(address)).await {
-        Ok(Err(error)) => error.kind() != std::io::ErrorKind::ConnectionRefused,
-        Ok(Ok(_)) => {
-            let report = backend::load::ask(&plane.client, address, PROBE).await;
-            report.is_none_or(|report| report.incarnation <= *server)
+    for _ in 0..PROBES {
+        match time::timeout(PROBE, TcpStream::connect(address)).await {
+            Ok(Err(error)) => return error.kind() != io::ErrorKind::ConnectionRefused,
+            Err(_) => return true,
+            Ok(Ok(_)) => {}
+        }
+        if let Some(report) = backend::load::ask(&plane.client, address, PROBE).await {
+            return report.incarnation <= *server;
         }
-        Err(_) => true,
+        // A process that is going down takes connections for a moment longer.
+        time::sleep(PROBE_PACE).await;
     }
+    true
 }
 
 fn act(plane: &Plane, actions: Vec<suspect::Action>) {
--- a/crates/flow/src/failure.rs
+++ b/crates/flow/src/failure.rs
@@ -10,7 +10,9 @@
         /// When the server expects to have room.
         retry_after: Option<Duration>,
     },
-    /// The connection ended after the call was written; the server may have died.
+    /// The connection ended after the call was written, and the server was found dead.
+    Died,
+    /// The connection ended after the call was written; whether the server lives is not known.
     Disconnected,
     /// The server is leaving and took nothing.
     Leaving,
@@ -40,7 +42,7 @@
     pub const fn may_have_run(&self) -> bool {
         match self {
             Self::Busy { .. } | Self::Leaving | Self::NotConnected | Self::Refused { .. } => false,
-            Self::Disconnected | Self::Mismatched | Self::Silent => true,
+            Self::Died | Self::Disconnected | Self::Mismatched | Self::Silent => true,
         }
     }
 }
--- a/crates/flow/src/request.rs
+++ b/crates/flow/src/request.rs
@@ -11,6 +11,9 @@
 /// The wait advised after a failure that says nothing about how long it will last.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
+/// Servers that may die under one request before its further attempts are paid for like any retry.
+const DEATHS: u16 = 2;
+
 /// What a request may see when it decides.
 #[derive(Clone, Copy, Debug)]
 pub struct Context {
@@ -30,6 +33,7 @@
     number: u16,
     since: Tick,
     spent: f64,
+    deaths: u16,
     exclude: Vec<Incarnation>,
     last: Option<Failure>,
     emitted: u64,
@@ -94,6 +98,7 @@
             number: 0,
             since: Tick::default(),
             spent: 0.0,
+            deaths: 0,
             exclude: Vec::new(),
             last: None,
             emitted: 0,
@@ -295,6 +300,12 @@
             let detail = detail.clone();
             return self.refuse(Code::StageRefused, &detail, None);
         }
+        // A server that dies takes all its requests with it; that is rare and bounded by the servers
+        // there are, so it need not wait for the budget, which is for attempts that fail.
+        if failure == Failure::Died && self.deaths < DEATHS {
+            self.deaths += 1;
+            return self.retry();
+        }
         self.last = Some(failure);
         self.phase = Phase::Budget;
         Action::AskRetry
--- a/crates/member/src/roster.rs
+++ b/crates/member/src/roster.rs
@@ -233,19 +233,19 @@
         self.leave(context, &[own])
     }
 
-    fn tell(&mut self, context: &Context<'_>, fact: Fact) -> Vec<Action> {
+    fn tell(&mut self, context: &mut Context<'_>, fact: Fact) -> Vec<Action> {
         let urgent = matches!(fact, Fact::Suspect(_)).then(|| fact.clone());
         self.table.tell(fact);
-        match urgent {
-            Some(fact) => self.notify(
-                context.now,
-                &Summary {
-                    facts: vec![fact],
-                    ..Summary::default()
-                },
-            ),
-            None => Vec::new(),
-        }
+        let Some(fact) = urgent else {
+            return Vec::new();
+        };
+        let notice = Summary {
+            facts: vec![fact.clone()],
+            ..Summary::default()
+        };
+        let mut actions = self.notify(context.now, &notice);
+        actions.extend(self.warn(context, &fact));
+        actions
     }
 
     fn state(&self, incarnation: &Incarnation) -> State {
--- a/crates/member/src/roster/bridge.rs
+++ b/crates/member/src/roster/bridge.rs
@@ -105,6 +105,13 @@
         for fact in &summary.facts {
             match fact {
                 Fact::Domain(domain) => self.hear(context.now, domain.clone()),
+                Fact::Suspect(news) if self.is_abroad(origin) => {
+                    learned.extend(self.pass_on(context.now, news));
+                    learned.push(Action::Learned {
+                        origin,
+                        fact: fact.clone(),
+                    });
+                }
                 fact => learned.push(Action::Learned {
                     origin,
                     fact: fact.clone(),
@@ -114,6 +121,44 @@
         learned
     }
 
+    /// Sends news of a suspect content to one instance of each other failure domain at once.
+    pub(super) fn warn(&self, context: &mut Context<'_>, suspect: &Fact) -> Vec<Action> {
+        let mut actions = Vec::new();
+        for name in &self.abroad_names() {
+            let Some(address) = self.door(context, name) else {
+                continue;
+            };
+            let summary = Summary {
+                sender: Id::of(&self.own.incarnation),
+                facts: vec![suspect.clone()],
+                ..Summary::default()
+            };
+            actions.push(Action::Exchange { address, summary });
+        }
+        actions
+    }
+
+    /// Passes news of a suspect content from another failure domain on to the own one.
+    fn pass_on(&mut self, now: Tick, news: &Suspect) -> Vec<Action> {
+        let Some(joined) = self.suspect(now, news) else {
+            return Vec::new();
+        };
+        let fact = Fact::Suspect(joined);
+        self.table.tell(fact.clone());
+        let notice = Summary {
+            facts: vec![fact],
+            ..Summary::default()
+        };
+        self.notify(now, &notice)
+    }
+
+    /// Tells whether an instance is known to be of another failure domain.
+    fn is_abroad(&self, origin: Id) -> bool {
+        self.peers
+            .iter()
+            .any(|peer| peer.id == origin && peer.instance.domain != self.own.domain)
+    }
+
     /// Tells the own failure domain what another one answered.
     ///
     /// Only the asking side does so: the other side asks by itself.
