Count a new server's places as few as it may be tried with

Cause: the gate was told a new server's whole batch while picking allowed it two attempts, so 18 of 24 requests sent at once to a fresh scene were let in and then refused with 303. Change: places of a server follow the same limit as picking.

--- a/crates/route/src/pool.rs
+++ b/crates/route/src/pool.rs
@@ -163,7 +163,7 @@
                 retry_after: until - now,
             };
         }
-        let places: u32 = live().map(|state| state.places(now)).sum();
+        let places: u32 = live().map(|state| state.places(config, now)).sum();
         let places = if self.outage.is_down() {
             places.min(1)
         } else {
--- a/crates/route/src/state.rs
+++ b/crates/route/src/state.rs
@@ -96,13 +96,17 @@
     }
 
     /// Returns the places that the server adds to its pool.
-    pub fn places(&self, now: Tick) -> u32 {
+    ///
+    /// A server that is new to this instance has only as many as it may be tried with, so that what
+    /// is let in does not find it closed.
+    pub fn places(&self, config: &Config, now: Tick) -> u32 {
         let free_of = |limit: usize| u32::try_from(limit).unwrap_or(u32::MAX);
+        let cold = free_of(self.cold_limit(&config.state));
         match (&self.health, self.health.allows(now)) {
             (_, Use::None(_)) => 0,
-            (_, Use::Free) => self.server.concurrency,
+            (_, Use::Free) => self.server.concurrency.min(cold),
             (Health::Returning { .. }, Use::Limited(limit)) => {
-                self.server.concurrency.min(free_of(limit))
+                self.server.concurrency.min(free_of(limit)).min(cold)
             }
             (_, Use::Limited(limit)) => free_of(limit.saturating_sub(self.in_flight())),
         }
