Tell a slow server by how long its attempts have been under way

A new trace makes one in five servers of the main pool eight times slower without failing. Their first answers come after seconds, and until then they looked idle.

Change: attempts in flight are half done on average at a usual server; how far theirs exceed that counts as the server's ratio.

--- a/crates/route/src/state.rs
+++ b/crates/route/src/state.rs
@@ -13,10 +13,15 @@
     server::Server,
 };
 
+/// Attempts in flight that the assumption of usual speed counts for.
+const LAG_PRIOR: f64 = 2.0;
+
 /// An own attempt in flight.
 #[derive(Clone, Debug)]
 struct Flight {
     attempt: Attempt,
+    /// When it was sent.
+    at: Tick,
     /// Requests for each place in the batch when the attempt was sent.
     depth: f64,
     prefix: Option<u64>,
@@ -118,11 +123,27 @@
         })
     }
 
+    /// Returns the expected service time, in seconds, by answers and by how long attempts in flight
+    /// have been under way.
+    fn service(&self, config: &Config, now: Tick, typical: f64) -> f64 {
+        let measured = self.pace.expected(&config.pace, now);
+        typical * measured.max(self.lag(now, typical))
+    }
+
+    /// Returns how much slower than typical the server must be, as its attempts in flight tell.
+    ///
+    /// At a server of usual speed they are half done on average; few of them tell little.
+    fn lag(&self, now: Tick, typical: f64) -> f64 {
+        let age = |flight: &Flight| (now - flight.at).as_secs_f64() / flight.depth.max(1.0);
+        let total: f64 = self.flights.iter().map(age).sum();
+        2.0 * total / (typical * (self.flights.len() as f64 + LAG_PRIOR))
+    }
+
     /// Returns the expected time in the server's queue, in seconds.
     pub fn wait(&self, config: &Config, now: Tick, typical: f64) -> f64 {
         let places = f64::from(self.server.concurrency.max(1));
         let ahead = self.outstanding(&config.state, now) + 1.0 - places;
-        let service = typical * self.pace.expected(&config.pace, now);
+        let service = self.service(config, now, typical);
         (ahead.max(0.0) / places) * service
     }
 
@@ -130,7 +151,7 @@
     pub fn expected(&self, config: &Config, now: Tick, typical: f64) -> f64 {
         let places = f64::from(self.server.concurrency.max(1));
         let full = (self.outstanding(&config.state, now) / places).min(1.0);
-        let service = typical * self.pace.expected(&config.pace, now);
+        let service = self.service(config, now, typical);
         let slowdown = 1.0 + config.state.batch_slowdown * full;
         self.wait(config, now, typical) + service * slowdown
     }
@@ -142,6 +163,7 @@
         if let Err(at) = self.find(attempt) {
             let flight = Flight {
                 attempt,
+                at: now,
                 depth,
                 prefix,
                 missed: false,
--- a/crates/route/tests/table.rs
+++ b/crates/route/tests/table.rs
@@ -341,3 +341,26 @@
     let picks = world.counts(&servers, 20);
     expect_that!(picks.iter().sum::<usize>(), eq(20));
 }
+
+#[gtest]
+fn a_server_whose_attempts_take_long_is_avoided_before_the_first_of_them_ends() {
+    let servers = vec![server(0, "a"), server(1, "a")];
+    let mut world = World::new(&servers);
+    world.warm(&servers, 20, |_| Duration::from_millis(20));
+    for server in &servers {
+        for _ in 0..3 {
+            world.start(&server.incarnation, None);
+        }
+    }
+    world.now = world.now + Duration::from_millis(200);
+    // The second one answered meanwhile and has newer attempts in flight.
+    let second = servers[1].incarnation.clone();
+    let pool = &world.table.pools()[0];
+    expect_that!(pool.servers[1].in_flight(), eq(3));
+    for attempt in 4..=6 {
+        let attempt = Attempt::new(Id::from_random(40 + attempt), 0, 0);
+        world.finish(&second, attempt, Duration::from_millis(20));
+        world.start(&second, None);
+    }
+    expect_that!(world.counts(&servers, 40)[0], eq(0));
+}
--- a/crates/trial/src/trace.rs
+++ b/crates/trial/src/trace.rs
@@ -19,6 +19,8 @@
     Domain,
     /// One stage is down and comes back.
     Down,
+    /// One in five servers of a stage is eight times slower.
+    Lame,
     /// Requests that crash the servers that run them.
     Poison,
     /// Most requests share one prompt prefix.
@@ -37,6 +39,7 @@
         Self::Slow,
         Self::Down,
         Self::Domain,
+        Self::Lame,
         Self::Account,
         Self::Prefix,
         Self::Poison,
@@ -51,6 +54,7 @@
             Self::Burst => "burst",
             Self::Domain => "domain",
             Self::Down => "down",
+            Self::Lame => "lame",
             Self::Poison => "poison",
             Self::Prefix => "prefix",
             Self::Slow => "slow",
@@ -109,6 +113,10 @@
 const PREFIXES: f64 = 400.0;
 /// How much slower the slow stage is.
 pub const SLOW: f64 = 4.0;
+/// How much slower a lame server is.
+pub const LAME: f64 = 8.0;
+/// One in so many servers is lame.
+pub const LAME_EVERY: usize = 5;
 /// The spread of work, as the standard deviation of its logarithm.
 const SPREAD: f64 = 0.4;
 
--- a/crates/trial/src/world/faults.rs
+++ b/crates/trial/src/world/faults.rs
@@ -5,7 +5,7 @@
 use super::{Event, SILENCE, World};
 use crate::{
     call::Phase,
-    trace::{Kind, SLOW},
+    trace::{Kind, LAME, LAME_EVERY, SLOW},
 };
 
 /// Time that a crashed server takes to start again, in microseconds.
@@ -15,6 +15,7 @@
     pub(super) fn fault(&mut self, begins: bool) {
         match self.trace.kind {
             Kind::Slow => self.slow(if begins { SLOW } else { 1.0 }),
+            Kind::Lame => self.lame(if begins { LAME } else { 1.0 }),
             Kind::Down => self.down(!begins),
             kind if kind.loses_domain() => self.lose_domain(begins),
             _ => {}
@@ -28,6 +29,14 @@
         }
     }
 
+    fn lame(&mut self, factor: f64) {
+        let main = self.size.main;
+        let pool = self.servers.iter_mut().filter(|one| one.pool == main);
+        for server in pool.step_by(LAME_EVERY) {
+            server.slow = factor;
+        }
+    }
+
     fn down(&mut self, up: bool) {
         for at in 0..self.servers.len() {
             if self.servers[at].pool != self.size.main {
--- a/crates/trial/tests/policy.rs
+++ b/crates/trial/tests/policy.rs
@@ -73,6 +73,11 @@
     above_baselines(Kind::Domain, SECONDS);
 }
 
+#[gtest]
+fn slow_servers_in_a_pool_are_avoided_better_than_by_every_baseline() {
+    above_baselines(Kind::Lame, SECONDS);
+}
+
 #[gtest]
 fn a_hot_prefix_is_answered_as_well_as_by_every_baseline() {
     above_baselines(Kind::Prefix, SECONDS);
