Check over random interleavings that the gate loses nothing

Offers, stages, ends, cancels, lost capacity and time in any order: each waiting request starts or is refused once, a patient one is never dropped, and nothing waits once pools have room.

--- /dev/null
+++ b/crates/admit/tests/interleavings.rs
@@ -0,0 +1,240 @@
+//! Invariants of the gate over random interleavings.
+
+use core::time::Duration;
+
+use admit::{Action, Ask, Context, Event, Gate, Verdict};
+use base::{Name, Tick, request::Id};
+use proptest::{collection::vec, prelude::*};
+use rand_chacha::{ChaCha8Rng, rand_core::SeedableRng};
+
+const PIPELINES: [&str; 2] = ["answer", "lookup"];
+const DAY: Duration = Duration::from_secs(86_400);
+
+#[derive(Clone, Debug)]
+enum Step {
+    Cancel(usize),
+    Capacity(usize, u8),
+    Finish(usize, u16),
+    Offer {
+        account: u8,
+        pipeline: usize,
+        priority: u8,
+        within: u16,
+        patient: bool,
+    },
+    Pass(u16),
+    Stage(usize, u16),
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum State {
+    Waiting,
+    Running(usize),
+    Over,
+}
+
+struct World {
+    gate: Gate,
+    rng: ChaCha8Rng,
+    now: Tick,
+    /// State, pipeline and whether patient, by number.
+    requests: Vec<(State, usize, bool)>,
+}
+
+impl World {
+    fn new() -> Self {
+        let mut gate = Gate::default();
+        gate.pipeline(&"answer".into(), &["encoders".into(), "runners".into()]);
+        gate.pipeline(&"lookup".into(), &["encoders".into()]);
+        Self {
+            gate,
+            rng: ChaCha8Rng::seed_from_u64(1),
+            now: Tick::from_millis(1_000_000_000),
+            requests: Vec::new(),
+        }
+    }
+
+    fn on(&mut self, event: Event) {
+        let mut cx = Context {
+            now: self.now,
+            rng: &mut self.rng,
+        };
+        let actions = self.gate.on(&mut cx, event);
+        self.act(actions);
+    }
+
+    fn tick(&mut self) {
+        let mut cx = Context {
+            now: self.now,
+            rng: &mut self.rng,
+        };
+        let actions = self.gate.tick(&mut cx);
+        self.act(actions);
+    }
+
+    /// Every action is about a request that waits.
+    fn act(&mut self, actions: Vec<Action>) {
+        for action in actions {
+            let (id, next) = match action {
+                Action::Start(id) => (id, State::Running(0)),
+                Action::Refuse(id, _) => (id, State::Over),
+            };
+            let at = (0..self.requests.len()).find(|at| name(*at) == id);
+            let request = &mut self.requests[at.expect("a known request")];
+            assert_eq!(
+                request.0,
+                State::Waiting,
+                "an action for one that does not wait"
+            );
+            assert!(
+                !request.2 || next != State::Over,
+                "a patient request was dropped"
+            );
+            request.0 = next;
+        }
+    }
+
+    fn step(&mut self, step: &Step) {
+        match *step {
+            Step::Offer {
+                account,
+                pipeline,
+                priority,
+                within,
+                patient,
+            } => self.offer(account, pipeline, priority, within, patient),
+            Step::Pass(millis) => {
+                self.now = self.now + Duration::from_millis(u64::from(millis));
+                self.tick();
+            }
+            Step::Capacity(pool, places) => self.on(Event::Capacity {
+                pool: Name::from(["encoders", "runners"][pool % 2]),
+                places: f64::from(places),
+                retry_after: Duration::from_millis(100),
+            }),
+            Step::Stage(pick, millis) => self.stage(pick, millis),
+            Step::Finish(pick, cost) => self.finish(pick, cost),
+            Step::Cancel(pick) => {
+                if let Some(at) = self.pick(pick, |state| state == State::Waiting) {
+                    self.requests[at].0 = State::Over;
+                    self.on(Event::Cancelled { request: name(at) });
+                }
+            }
+        }
+    }
+
+    fn offer(&mut self, account: u8, pipeline: usize, priority: u8, within: u16, patient: bool) {
+        let at = self.requests.len();
+        let within = Duration::from_millis(u64::from(within));
+        let ask = Ask {
+            request: name(at),
+            account: Name::from(format!("account-{}", account % 4)),
+            pipeline: PIPELINES[pipeline % 2].into(),
+            priority: priority % 3,
+            deadline: self.now + if patient { 3 * DAY } else { within },
+            age_from: self.now,
+        };
+        let mut cx = Context {
+            now: self.now,
+            rng: &mut self.rng,
+        };
+        let state = match self.gate.offer(&mut cx, ask) {
+            Verdict::Start => State::Running(0),
+            Verdict::Queued => State::Waiting,
+            Verdict::Refused(_) => State::Over,
+        };
+        self.requests.push((state, pipeline % 2, patient));
+    }
+
+    fn stage(&mut self, pick: usize, millis: u16) {
+        let Some(at) = self.pick(pick, |state| matches!(state, State::Running(_))) else {
+            return;
+        };
+        let State::Running(stage) = self.requests[at].0 else {
+            return;
+        };
+        let stages = [2, 1][self.requests[at].1];
+        if stage < stages {
+            self.requests[at].0 = State::Running(stage + 1);
+            let took = Duration::from_millis(u64::from(millis));
+            self.on(Event::StageTook {
+                request: name(at),
+                stage,
+                took,
+            });
+        }
+    }
+
+    fn finish(&mut self, pick: usize, cost: u16) {
+        if let Some(at) = self.pick(pick, |state| matches!(state, State::Running(_))) {
+            self.requests[at].0 = State::Over;
+            let cost = f64::from(cost);
+            self.on(Event::Finished {
+                request: name(at),
+                cost,
+            });
+        }
+    }
+
+    fn pick(&self, pick: usize, which: impl Fn(State) -> bool) -> Option<usize> {
+        let found: Vec<usize> = (0..self.requests.len())
+            .filter(|at| which(self.requests[*at].0))
+            .collect();
+        (!found.is_empty()).then(|| found[pick % found.len()])
+    }
+
+    fn count(&self, which: impl Fn(State) -> bool) -> usize {
+        let states = self.requests.iter().map(|request| request.0);
+        states.filter(|state| which(*state)).count()
+    }
+}
+
+fn name(at: usize) -> Id {
+    Id::from_random(at as u128)
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let offer = (any::<u8>(), any::<usize>(), any::<u8>(), 1..8_000_u16);
+    let offer = (offer, prop::bool::weighted(0.2)).prop_map(
+        |((account, pipeline, priority, within), patient)| Step::Offer {
+            account,
+            pipeline,
+            priority,
+            within,
+            patient,
+        },
+    );
+    prop_oneof![
+        6 => offer,
+        3 => (any::<usize>(), 1..3_000_u16).prop_map(|(pick, took)| Step::Stage(pick, took)),
+        3 => (any::<usize>(), any::<u16>()).prop_map(|(pick, cost)| Step::Finish(pick, cost)),
+        1 => any::<usize>().prop_map(Step::Cancel),
+        1 => (any::<usize>(), 0..6_u8).prop_map(|(pool, places)| Step::Capacity(pool, places)),
+        2 => (0..2_000_u16).prop_map(Step::Pass),
+    ]
+}
+
+proptest! {
+    /// Every request that waits starts, is refused or is cancelled, once; the gate's counts agree
+    /// with what it said; nothing waits for ever once pools have room.
+    #[test]
+    fn nothing_is_lost_doubled_or_stuck(steps in vec(step(), 1..200)) {
+        let mut world = World::new();
+        for step in &steps {
+            world.step(step);
+            prop_assert_eq!(world.gate.waiting(), world.count(|state| state == State::Waiting));
+            let running = world.count(|state| matches!(state, State::Running(_)));
+            prop_assert_eq!(world.gate.running(), running);
+        }
+        for pool in 0..2 {
+            world.step(&Step::Capacity(pool, 5));
+        }
+        let mut rounds = 0;
+        while world.count(|state| state != State::Over) > 0 {
+            world.step(&Step::Finish(0, 1));
+            world.step(&Step::Pass(10));
+            rounds += 1;
+            prop_assert!(rounds < 1_000, "requests are stuck: {:?}", world.requests);
+        }
+    }
+}
