Tell other failure domains at once of leaving servers and suspects

Instances may route to servers of other domains, and a server that was leaving was known there only from the list or its own answer; suspects took up to 10 s. Seen failing before: a_leaving_server_is_known_in_other_domains and a_suspect_is_heard_of_at_once_in_other_domains.

--- a/crates/member/src/roster.rs
+++ b/crates/member/src/roster.rs
@@ -194,7 +194,7 @@
 
     fn answered(&mut self, context: &Context<'_>, summary: &Summary) -> Vec<Action> {
         let told = self.take(context, summary, true);
-        self.carry(context, summary);
+        self.carry(summary);
         told
     }
 
@@ -221,8 +221,11 @@
         self.compare(summary);
         let news = self.table.merge(context.now, summary, answered);
         let mut actions = self.absorb(context, news);
-        self.learn(context, &summary.leaving);
+        let leaving = self.learn(context, &summary.leaving);
         actions.extend(self.adopt(context, summary));
+        if self.table.origin(summary.sender).is_none() {
+            actions.extend(self.pass_on(context.now, summary, leaving));
+        }
         actions
     }
 
@@ -233,19 +236,16 @@
         self.leave(context, &[own])
     }
 
-    fn tell(&mut self, context: &Context<'_>, fact: Fact) -> Vec<Action> {
-        let urgent = matches!(fact, Fact::Suspect(_)).then(|| fact.clone());
-        self.table.tell(fact);
-        match urgent {
-            Some(fact) => self.notify(
-                context.now,
-                &Summary {
-                    facts: vec![fact],
-                    ..Summary::default()
-                },
-            ),
-            None => Vec::new(),
+    fn tell(&mut self, context: &mut Context<'_>, fact: Fact) -> Vec<Action> {
+        self.table.tell(fact.clone());
+        if !matches!(fact, Fact::Suspect(_)) {
+            return Vec::new();
         }
+        let news = Summary {
+            facts: vec![fact],
+            ..Summary::default()
+        };
+        self.spread(context, &news)
     }
 
     fn state(&self, incarnation: &Incarnation) -> State {
@@ -285,3 +285,7 @@
 fn micros(span: Duration) -> u64 {
     u64::try_from(span.as_micros()).unwrap_or(u64::MAX)
 }
+
+fn earlier(now: Tick, span: Duration) -> Tick {
+    Tick::from_micros(now.as_micros().saturating_sub(micros(span)))
+}
--- a/crates/member/src/roster/bridge.rs
+++ b/crates/member/src/roster/bridge.rs
@@ -3,11 +3,11 @@
 use base::{Incarnation, Name, Tick};
 use rand::seq::IndexedRandom;
 
-use super::{Remote, Roster};
+use super::{Remote, Roster, earlier};
 use crate::{
     action::Action,
     event::Context,
-    fact::{Burn, Domain, Fact, Id, Instance, Load, Pool, Position, State, Subject, Suspect},
+    fact::{Burn, Domain, Fact, Instance, Load, Pool, Position, State, Subject, Suspect},
     rendezvous,
     summary::Summary,
     table::Origin,
@@ -16,6 +16,8 @@
 
 /// Suspects that go to another failure domain at a time.
 const SUSPECTS: usize = 64;
+/// Leaving marks that go to another failure domain at a time.
+const MARKS: usize = 64;
 /// Entry instances that a failure domain names to the others.
 const NAMED: usize = 4;
 
@@ -75,11 +77,14 @@
         let domain = sealed.unwrap_or_else(|| self.summary(now, 0));
         let mut facts = vec![Fact::Domain(domain)];
         facts.extend(self.suspects());
-        Summary {
-            sender: Id::of(&self.own.incarnation),
+        let leaving = self
+            .marks
+            .recent(earlier(now, self.config.bridge * 2), MARKS);
+        self.signed(&Summary {
+            leaving,
             facts,
             ..Summary::default()
-        }
+        })
     }
 
     /// Returns the suspects that changed last, each once.
@@ -114,22 +119,54 @@
         learned
     }
 
-    /// Tells the own failure domain what another one answered.
+    /// Tells the own failure domain what another one answered about itself.
     ///
     /// Only the asking side does so: the other side asks by itself.
-    pub(super) fn carry(&mut self, context: &Context<'_>, summary: &Summary) {
+    pub(super) fn carry(&mut self, summary: &Summary) {
         for fact in &summary.facts {
-            let fact = match fact {
-                Fact::Domain(domain) if self.latest(domain) => Some(fact.clone()),
-                Fact::Suspect(suspect) => self.suspect(context.now, suspect).map(Fact::Suspect),
-                _ => None,
-            };
-            if let Some(fact) = fact {
-                self.table.tell(fact);
+            if matches!(fact, Fact::Domain(domain) if self.latest(domain)) {
+                self.table.tell(fact.clone());
             }
         }
     }
 
+    /// Sends news to the own failure domain, and to one instance of each other one, which passes it on there.
+    pub(super) fn spread(&self, context: &mut Context<'_>, news: &Summary) -> Vec<Action> {
+        let mut actions = self.notify(context.now, news);
+        for name in self.abroad_names() {
+            let address = self.door(context, &name);
+            actions.extend(address.map(|address| Action::Exchange {
+                address,
+                summary: self.signed(news),
+            }));
+        }
+        actions
+    }
+
+    /// Passes on what came from another failure domain and is new in the own one.
+    pub(super) fn pass_on(
+        &mut self,
+        now: Tick,
+        summary: &Summary,
+        leaving: Vec<Incarnation>,
+    ) -> Vec<Action> {
+        let suspects = summary.facts.iter().filter_map(|fact| match fact {
+            Fact::Suspect(suspect) => self.suspect(now, suspect).map(Fact::Suspect),
+            _ => None,
+        });
+        let facts: Vec<Fact> = suspects.collect();
+        facts.iter().for_each(|fact| self.table.tell(fact.clone()));
+        if leaving.is_empty() && facts.is_empty() {
+            return Vec::new();
+        }
+        let news = Summary {
+            leaving,
+            facts,
+            ..Summary::default()
+        };
+        self.notify(now, &news)
+    }
+
     /// Tells whether a summary of another failure domain is the latest one known.
     fn latest(&self, domain: &Domain) -> bool {
         self.domains.iter().any(|one| one.domain == *domain)
--- a/crates/member/src/roster/round.rs
+++ b/crates/member/src/roster/round.rs
@@ -5,7 +5,7 @@
 use base::{Incarnation, Name, Tick};
 use rand::seq::IndexedRandom;
 
-use super::Roster;
+use super::{Roster, earlier};
 use crate::{
     action::Action,
     event::Context,
@@ -119,18 +119,18 @@
 
     /// Sends news to every peer of the failure domain at once.
     pub(super) fn notify(&self, now: Tick, news: &Summary) -> Vec<Action> {
-        let notice = Summary {
-            sender: Id::of(&self.own.incarnation),
-            ..news.clone()
-        };
         let notify = |peer: &Peer| Action::Exchange {
             address: peer.instance.address.clone(),
-            summary: notice.clone(),
+            summary: self.signed(news),
         };
         self.near(now).map(notify).collect()
     }
-}
 
-fn earlier(now: Tick, span: Duration) -> Tick {
-    Tick::from_micros(now.as_micros().saturating_sub(super::micros(span)))
+    /// Returns a summary with this instance as its sender.
+    pub(super) fn signed(&self, news: &Summary) -> Summary {
+        Summary {
+            sender: Id::of(&self.own.incarnation),
+            ..news.clone()
+        }
+    }
 }
--- a/crates/member/src/roster/source.rs
+++ b/crates/member/src/roster/source.rs
@@ -105,7 +105,11 @@
     }
 
     /// Marks incarnations on first-hand news and passes on those that were not marked.
-    pub(super) fn leave(&mut self, context: &Context<'_>, leaving: &[Incarnation]) -> Vec<Action> {
+    pub(super) fn leave(
+        &mut self,
+        context: &mut Context<'_>,
+        leaving: &[Incarnation],
+    ) -> Vec<Action> {
         let new = leaving
             .iter()
             .filter(|one| self.marks.add(context.now, one));
@@ -122,7 +126,7 @@
             leaving,
             ..Summary::default()
         };
-        self.notify(context.now, &notice)
+        self.spread(context, &notice)
     }
 
     fn tell_leaving(&mut self, incarnation: &Incarnation) {
@@ -141,14 +145,19 @@
         self.table.tell(Fact::Server(server));
     }
 
-    /// Takes over marks that a peer passed on.
-    pub(super) fn learn(&mut self, context: &Context<'_>, leaving: &[Incarnation]) {
-        for incarnation in leaving {
-            if self.marks.add(context.now, incarnation) {
-                self.revision += 1;
-                self.peers.leave(incarnation);
-            }
+    /// Takes over marks that a peer passed on, and returns those that were new.
+    pub(super) fn learn(
+        &mut self,
+        context: &Context<'_>,
+        leaving: &[Incarnation],
+    ) -> Vec<Incarnation> {
+        let mut new = leaving.to_vec();
+        new.retain(|one| self.marks.add(context.now, one));
+        for incarnation in &new {
+            self.revision += 1;
+            self.peers.leave(incarnation);
         }
+        new
     }
 
     /// Takes in facts that are new in the table.
--- a/crates/member/tests/gossip.rs
+++ b/crates/member/tests/gossip.rs
@@ -193,6 +193,12 @@
     })
 }
 
+/// Returns the instances that were told, the teller aside.
+fn told(world: &World) -> BTreeSet<usize> {
+    let nodes = world.learned.iter().map(|(node, _)| *node);
+    nodes.filter(|node| *node != 3).collect()
+}
+
 /// Permits wait 200 ms after a crash for this.
 #[gtest]
 fn a_suspect_is_heard_of_at_once() {
@@ -200,18 +206,53 @@
     world.run(SECOND * 20);
     world.give(3, Event::Tell(suspect()));
     world.run(Duration::from_millis(20));
-    let told: BTreeSet<usize> = world.learned.iter().map(|(node, _)| *node).collect();
+    let told = told(&world);
     expect_that!(told.len(), eq(19));
 }
 
 #[gtest]
-fn a_suspect_is_heard_of_in_other_domains() {
+fn a_suspect_is_heard_of_at_once_in_other_domains() {
     let mut world = World::new(9, 3, 12, 4);
     world.run(SECOND * 30);
     world.give(3, Event::Tell(suspect()));
+    world.run(Duration::from_millis(20));
+    let told = told(&world);
+    expect_that!(told.len(), eq(11));
+}
+
+#[gtest]
+fn a_suspect_is_heard_of_in_a_domain_that_was_cut_off() {
+    let mut world = World::new(9, 3, 12, 4);
+    world.run(SECOND * 30);
+    world.sides = world
+        .nodes
+        .iter()
+        .map(|node| u8::from(node.domain == 2))
+        .collect();
+    world.give(3, Event::Tell(suspect()));
     world.run(SECOND * 30);
-    let told: BTreeSet<usize> = world.learned.iter().map(|(node, _)| *node).collect();
-    expect_that!(told.len(), ge(11));
+    world.sides = vec![0; 12];
+    world.run(SECOND * 25);
+    let told = told(&world);
+    expect_that!(told.len(), eq(11));
+}
+
+#[gtest]
+fn a_leaving_server_is_known_in_other_domains() {
+    let mut world = World::new(13, 3, 12, 24);
+    world.run(SECOND * 30);
+    world.list = world::List::Down;
+    for backend in 0..12 {
+        world.backends[backend].state = State::Leaving;
+    }
+    world.run(LEAVING);
+    for backend in &world.backends[..12] {
+        let knows = world
+            .nodes
+            .iter()
+            .filter(|node| node.roster.left(&backend.incarnation));
+        expect_that!(knows.count(), eq(12));
+    }
 }
 
 /// Hands each instance the address of one, which is in domain 0, as settings would.
