--- a/crates/member/src/roster/bridge.rs
+++ b/crates/member/src/roster/bridge.rs
@@ -3,11 +3,11 @@
 use base::{Incarnation, Name, Tick};
 use rand::seq::IndexedRandom;
 
-use super::{Remote, Roster};
+use super::{Remote, Roster, earlier};
 use crate::{
     action::Action,
     event::Context,
-    fact::{Burn, Domain, Fact, Id, Instance, Load, Pool, Position, State, Subject, Suspect},
+    fact::{Burn, Domain, Fact, Instance, Load, Pool, Position, State, Subject, Suspect},
     rendezvous,
     summary::Summary,
     table::Origin,
@@ -16,6 +16,8 @@
 
 /// Suspects that go to another failure domain at a time.
 const SUSPECTS: usize = 64;
+/// Leaving marks that go to another failure domain at a time.
+const MARKS: usize = 64;
 /// Entry instances that a failure domain names to the others.
 const NAMED: usize = 4;
 
@@ -75,11 +77,14 @@
         let domain = sealed.unwrap_or_else(|| self.summary(now, 0));
         let mut facts = vec![Fact::Domain(domain)];
         facts.extend(self.suspects());
-        Summary {
-            sender: Id::of(&self.own.incarnation),
+        let leaving = self
+            .marks
+            .recent(earlier(now, self.config.bridge * 2), MARKS);
+        self.signed(&Summary {
+            leaving,
             facts,
             ..Summary::default()
-        }
+        })
     }
 
     /// Returns the suspects that changed last, each once.
@@ -105,13 +110,6 @@
         for fact in &summary.facts {
             match fact {
                 Fact::Domain(domain) => self.hear(context.now, domain.clone()),
-                Fact::Suspect(news) if self.is_abroad(origin) => {
-                    learned.extend(self.pass_on(context.now, news));
-                    learned.push(Action::Learned {
-                        origin,
-                        fact: fact.clone(),
-                    });
-                }
                 fact => learned.push(Action::Learned {
                     origin,
                     fact: fact.clone(),
@@ -121,58 +119,52 @@
         learned
     }
 
-    /// Sends news of a suspect content to one instance of each other failure domain at once.
-    pub(super) fn warn(&self, context: &mut Context<'_>, suspect: &Fact) -> Vec<Action> {
-        let mut actions = Vec::new();
-        for name in &self.abroad_names() {
-            let Some(address) = self.door(context, name) else {
-                continue;
-            };
-            let summary = Summary {
-                sender: Id::of(&self.own.incarnation),
-                facts: vec![suspect.clone()],
-                ..Summary::default()
-            };
-            actions.push(Action::Exchange { address, summary });
+    /// Tells the own failure domain what another one answered about itself.
+    ///
+    /// Only the asking side does so: the other side asks by itself.
+    pub(super) fn carry(&mut self, summary: &Summary) {
+        for fact in &summary.facts {
+            if matches!(fact, Fact::Domain(domain) if self.latest(domain)) {
+                self.table.tell(fact.clone());
+            }
+        }
+    }
+
+    /// Sends news to the own failure domain, and to one instance of each other one, which passes it on there.
+    pub(super) fn spread(&self, context: &mut Context<'_>, news: &Summary) -> Vec<Action> {
+        let mut actions = self.notify(context.now, news);
+        for name in self.abroad_names() {
+            let address = self.door(context, &name);
+            actions.extend(address.map(|address| Action::Exchange {
+                address,
+                summary: self.signed(news),
+            }));
         }
         actions
     }
 
-    /// Passes news of a suspect content from another failure domain on to the own one.
-    fn pass_on(&mut self, now: Tick, news: &Suspect) -> Vec<Action> {
-        let Some(joined) = self.suspect(now, news) else {
+    /// Passes on what came from another failure domain and is new in the own one.
+    pub(super) fn pass_on(
+        &mut self,
+        now: Tick,
+        summary: &Summary,
+        leaving: Vec<Incarnation>,
+    ) -> Vec<Action> {
+        let suspects = summary.facts.iter().filter_map(|fact| match fact {
+            Fact::Suspect(suspect) => self.suspect(now, suspect).map(Fact::Suspect),
+            _ => None,
+        });
+        let facts: Vec<Fact> = suspects.collect();
+        facts.iter().for_each(|fact| self.table.tell(fact.clone()));
+        if leaving.is_empty() && facts.is_empty() {
             return Vec::new();
-        };
-        let fact = Fact::Suspect(joined);
-        self.table.tell(fact.clone());
-        let notice = Summary {
-            facts: vec![fact],
+        }
+        let news = Summary {
+            leaving,
+            facts,
             ..Summary::default()
         };
-        self.notify(now, &notice)
-    }
-
-    /// Tells whether an instance is known to be of another failure domain.
-    fn is_abroad(&self, origin: Id) -> bool {
-        self.peers
-            .iter()
-            .any(|peer| peer.id == origin && peer.instance.domain != self.own.domain)
-    }
-
-    /// Tells the own failure domain what another one answered.
-    ///
-    /// Only the asking side does so: the other side asks by itself.
-    pub(super) fn carry(&mut self, context: &Context<'_>, summary: &Summary) {
-        for fact in &summary.facts {
-            let fact = match fact {
-                Fact::Domain(domain) if self.latest(domain) => Some(fact.clone()),
-                Fact::Suspect(suspect) => self.suspect(context.now, suspect).map(Fact::Suspect),
-                _ => None,
-            };
-            if let Some(fact) = fact {
-                self.table.tell(fact);
-            }
-        }
+        self.notify(now, &news)
     }
 
     /// Tells whether a summary of another failure domain is the latest one known.
