Find silent connections by what a pool usually does, and spare the server

Change: limits follow the usual times of the pool; silence on a connection that had answered before renews the connections and lets the same server be picked again, and only a new connection that is silent, too, counts against the server.

Also: an instance publishes no configuration before it has read to the log's end, asks for smaller pages where one is too much for an answer, tells its place at /v1/position, and carries the configuration every eight hours, since one carry is 1.8 MB at 7,800 accounts.

--- a/crates/backend/src/call.rs
+++ b/crates/backend/src/call.rs
@@ -15,8 +15,12 @@
     pub address: SocketAddr,
     /// Names the attempt; the answer has to name the same one.
     pub attempt: Attempt,
+    /// The longest wait between two parts of the answer.
+    pub between: Duration,
     /// The time left until the deadline.
     pub deadline: Duration,
+    /// The longest wait for the head of the answer.
+    pub first: Duration,
     /// The first token wanted, where the answer is a stream.
     pub from: u64,
     /// Whether the call may be repeated; if not, it takes a connection of its own.
--- a/crates/backend/src/client.rs
+++ b/crates/backend/src/client.rs
@@ -66,10 +66,10 @@
         let leaving = head::leaving(response.headers());
         let server = head::server(response.headers());
         let body = response.json::<Answer>().limit(self.config.answer_bytes);
-        let answer = match time::timeout(self.config.progress, body).await {
+        let answer = match time::timeout(call.between, body).await {
             Ok(Ok(answer)) => answer,
             Ok(Err(_)) => return Err(Failure::Disconnected),
-            Err(_) => return Err(self.silent(call.address)),
+            Err(_) => return Err(self.silent(call.address, call.idempotent)),
         };
         if Attempt::parse(&answer.attempt) != Some(call.attempt) {
             return Err(Failure::Mismatched);
@@ -93,12 +93,20 @@
     }
 
     /// Takes note that a connection went silent, so that its siblings are not used again.
-    pub(crate) fn silent(&self, address: SocketAddr) -> Failure {
+    pub(crate) fn silent(&self, address: SocketAddr, idempotent: bool) -> Failure {
+        let mut connections = self.connections.borrow_mut();
+        let fresh = match position(&connections, address) {
+            Ok(at) if idempotent => connections[at].renew(&self.config),
+            _ => true,
+        };
+        Failure::Silent { fresh }
+    }
+
+    fn prove(&self, address: SocketAddr) {
         let mut connections = self.connections.borrow_mut();
         if let Ok(at) = position(&connections, address) {
-            connections[at].renew(&self.config);
+            connections[at].prove();
         }
-        Failure::Silent
     }
 
     async fn send(&self, path: &str, call: &Call) -> Result<ClientResponse, Failure> {
@@ -106,11 +114,11 @@
         let url = format!("http://{}{path}", call.address);
         let request = head::write(client.post(url), call);
         let sending = request.send_json(&Body::of(call));
-        let limit = self.config.progress.min(call.deadline);
+        let limit = call.first.min(call.deadline);
         let response = match time::timeout(limit, sending).await {
             Ok(Ok(response)) => response,
             Ok(Err(error)) => return Err(head::failure(&error)),
-            Err(_) => return Err(self.silent(call.address)),
+            Err(_) => return Err(self.silent(call.address, call.idempotent)),
         };
         if let Some(failure) = head::refusal(response.status(), response.headers()) {
             return Err(failure);
@@ -118,6 +126,9 @@
         if !head::matches(response.headers(), &call.attempt) {
             return Err(Failure::Mismatched);
         }
+        if call.idempotent {
+            self.prove(call.address);
+        }
         Ok(response)
     }
 
--- a/crates/backend/src/configs.rs
+++ b/crates/backend/src/configs.rs
@@ -11,8 +11,6 @@
     pub connect: Duration,
     /// The time for which an idle connection is kept.
     pub idle: Duration,
-    /// The time from the call to the head of the answer, and between two parts of it.
-    pub progress: Duration,
 }
 
 impl Default for Config {
@@ -21,7 +19,6 @@
             answer_bytes: 8 * 1024 * 1024,
             connect: Duration::from_secs(1),
             idle: Duration::from_secs(15),
-            progress: Duration::from_secs(10),
         }
     }
 }
--- a/crates/backend/src/connection.rs
+++ b/crates/backend/src/connection.rs
@@ -13,6 +13,8 @@
 pub(crate) struct Connection {
     pub(crate) address: SocketAddr,
     kept: Client,
+    /// Whether an answer came over the kept connections, so that one of them may be old.
+    proven: bool,
     single: Client,
 }
 
@@ -22,6 +24,7 @@
         Self {
             address,
             kept: client(config),
+            proven: false,
             single: client(config),
         }
     }
@@ -31,9 +34,16 @@
         if idempotent { &self.kept } else { &self.single }
     }
 
-    /// Replaces the kept connections, since one of them went silent and its siblings may have.
-    pub(crate) fn renew(&mut self, config: &Config) {
+    /// Takes note that an answer came over a kept connection.
+    pub(crate) const fn prove(&mut self) {
+        self.proven = true;
+    }
+
+    /// Replaces the kept connections, since one of them went silent and its siblings may have, and
+    /// tells whether that one was new.
+    pub(crate) fn renew(&mut self, config: &Config) -> bool {
         self.kept = client(config);
+        !core::mem::take(&mut self.proven)
     }
 }
 
--- a/crates/backend/src/load.rs
+++ b/crates/backend/src/load.rs
@@ -45,7 +45,7 @@
         response.json::<Report>().await.ok()
     };
     let Ok(report) = time::timeout(limit, asking).await else {
-        client.silent(address);
+        client.silent(address, true);
         return None;
     };
     report
--- a/crates/backend/src/stream.rs
+++ b/crates/backend/src/stream.rs
@@ -70,7 +70,7 @@
             address: call.address,
             attempt: call.attempt,
             leaving: head::leaving(response.headers()),
-            limit: client.config.progress,
+            limit: call.between,
             client,
             next: call.from,
             events: response.eventsource(),
@@ -93,7 +93,7 @@
         match time::timeout(self.limit, self.events.next()).await {
             Ok(Some(Ok(event))) => self.take(&event),
             Ok(Some(Err(_)) | None) => Err(Failure::Disconnected),
-            Err(_) => Err(self.client.silent(self.address)),
+            Err(_) => Err(self.client.silent(self.address, true)),
         }
     }
 
--- a/crates/entry/src/control/config.rs
+++ b/crates/entry/src/control/config.rs
@@ -7,7 +7,7 @@
     Actor, ActorFutureExt as _, Addr, AsyncContext as _, Context, Handler, Message, WrapFuture as _,
 };
 use base::{Digest, Name};
-use bundle::{Proof, Record, fold::Fold};
+use bundle::{Position, Proof, Record, fold::Fold};
 use member::{Fact, fact};
 use platform::{Log as _, log::Page};
 use tokio::sync::watch;
@@ -29,65 +29,74 @@
 const READ_RECORDS: usize = 100;
 
 /// The age of the last `Carry` at which another one is due; well below the log's retention.
-const CARRY_EVERY: Duration = Duration::from_secs(600);
+const CARRY_EVERY: Duration = Duration::from_secs(8 * 3600);
 
 /// The time over which instances spread their looks at whether a `Carry` is due.
-const CARRY_SPREAD: Duration = Duration::from_secs(60);
+const CARRY_SPREAD: Duration = Duration::from_secs(600);
 
 /// Follows the configuration.
 pub struct Config {
-    clock: Clock,
     fetching: bool,
     fold: Fold,
-    lines: Lines,
-    force: watch::Sender<Force>,
-    metrics: Arc<Metrics>,
-    platform: platform::Http,
-    poll: Duration,
     published: Option<Digest>,
+    /// Records asked for at once.
+    records: usize,
     /// Told of the configuration in force, for the peers.
     roster: Option<Addr<Roster>>,
+    world: World,
+}
+
+/// What following the configuration needs of its instance.
+pub(crate) struct World {
+    pub(crate) clock: Clock,
+    /// Where to publish the configuration in force.
+    pub(crate) force: watch::Sender<Force>,
+    pub(crate) lines: Lines,
+    pub(crate) metrics: Arc<Metrics>,
+    pub(crate) platform: platform::Http,
+    pub(crate) poll: Duration,
+    /// Where to publish the place of the configuration in force.
+    pub(crate) position: watch::Sender<Option<Position>>,
+    pub(crate) root_keys: Vec<Digest>,
 }
 
 impl Config {
     /// Returns an actor that knows no configuration yet.
-    pub(crate) fn new(
-        clock: Clock,
-        lines: Lines,
-        root_keys: Vec<Digest>,
-        platform: platform::Http,
-        poll: Duration,
-        metrics: Arc<Metrics>,
-        force: watch::Sender<Force>,
-    ) -> Self {
+    pub(crate) fn new(world: World) -> Self {
         Self {
-            clock,
             fetching: false,
-            lines,
-            fold: Fold::open(root_keys),
-            force,
-            metrics,
-            platform,
-            poll,
+            fold: Fold::open(world.root_keys.clone()),
             published: None,
+            records: READ_RECORDS,
             roster: None,
+            world,
         }
     }
 
     fn read(&self, context: &mut Context<Self>) {
-        let platform = self.platform.clone();
+        let platform = self.world.platform.clone();
         let from = self.fold.next();
-        let reading = async move { platform.read(STREAM, from, READ_RECORDS).await };
+        let records = self.records;
+        let reading = async move { platform.read(STREAM, from, records).await };
         let done = reading.into_actor(self).map(|page, actor, context| {
             let behind = match page {
-                Ok(page) => actor.take(&page),
+                Ok(page) => {
+                    actor.records = READ_RECORDS;
+                    actor.take(&page)
+                }
                 Err(_) => {
-                    let failures = &actor.metrics.platform_failures;
+                    // A page of large records may be too much for one answer.
+                    actor.records = (actor.records / 2).max(1);
+                    let failures = &actor.world.metrics.platform_failures;
                     failures.with_label_values(&["config"]).inc();
                     false
                 }
             };
-            let wait = if behind { Duration::ZERO } else { actor.poll };
+            let wait = if behind {
+                Duration::ZERO
+            } else {
+                actor.world.poll
+            };
             context.run_later(wait, |actor, context| actor.read(context));
         });
         context.spawn(done);
@@ -99,8 +108,12 @@
         for record in &page.records {
             self.fold.apply_text(record.offset, &record.body);
         }
-        self.publish();
-        !page.records.is_empty() && self.fold.next() < page.end
+        let behind = !page.records.is_empty() && self.fold.next() < page.end;
+        // An instance that is still reading would serve with configurations that are over.
+        if !behind {
+            self.publish();
+        }
+        behind
     }
 
     fn publish(&mut self) {
@@ -110,8 +123,17 @@
         if self.published == Some(position.digest) {
             return;
         }
-        let Some(Ok(bundle)) = self.fold.sheet().map(|sheet| sheet.bundle()) else {
-            return;
+        let bundle = match self.fold.sheet().map(|sheet| sheet.bundle()) {
+            Some(Ok(bundle)) => bundle,
+            Some(Err(error)) => {
+                log::error!(
+                    "the configuration at offset {} cannot be read: {error}",
+                    position.offset
+                );
+                self.published = Some(position.digest);
+                return;
+            }
+            None => return,
         };
         log::info!(
             "configuration in force: '{}' version {} at offset {}",
@@ -120,7 +142,7 @@
             position.offset,
         );
         let offset = i64::try_from(position.offset).unwrap_or(i64::MAX);
-        self.metrics.bundle_offset.set(offset);
+        self.world.metrics.bundle_offset.set(offset);
         self.published = Some(position.digest);
         if let Some(roster) = &self.roster {
             roster.do_send(Tell(Fact::Position(fact::Position {
@@ -128,7 +150,8 @@
                 digest: position.digest,
             })));
         }
-        self.force.send_replace(Some(Arc::new(bundle)));
+        self.world.position.send_replace(Some(position));
+        self.world.force.send_replace(Some(Arc::new(bundle)));
     }
 }
 
@@ -140,7 +163,7 @@
     fn schedule_carry(&self, context: &mut Context<Self>) {
         let spread = rand::random_range(Duration::ZERO..CARRY_SPREAD);
         context.run_later(spread, |actor, context| {
-            if let Some(carry) = actor.fold.carry(actor.clock.stamp(), CARRY_EVERY) {
+            if let Some(carry) = actor.fold.carry(actor.world.clock.stamp(), CARRY_EVERY) {
                 actor.append(Record::Carry(Box::new(carry)), context);
             }
             actor.schedule_carry(context);
@@ -148,12 +171,12 @@
     }
 
     fn append(&self, record: Record, context: &mut Context<Self>) {
-        let platform = self.platform.clone();
+        let platform = self.world.platform.clone();
         let appending = async move { platform.append(STREAM, record.to_json()).await };
         let done = appending.into_actor(self).map(|appended, actor, _| {
             if appended.is_err() {
                 // The next look finds out whether it took effect.
-                let failures = &actor.metrics.platform_failures;
+                let failures = &actor.world.metrics.platform_failures;
                 failures.with_label_values(&["config"]).inc();
             }
         });
@@ -207,10 +230,11 @@
         let newer = known.is_none_or(|known| {
             message.position.offset > known.offset && message.position.digest != known.digest
         });
+        let newer = newer || !self.fold.known();
         if !newer || self.fetching {
             return;
         }
-        let Some(line) = self.lines.to(&message.address) else {
+        let Some(line) = self.world.lines.to(&message.address) else {
             return;
         };
         self.fetching = true;
--- a/crates/entry/src/control/ledger.rs
+++ b/crates/entry/src/control/ledger.rs
@@ -231,7 +231,8 @@
                 return verdict;
             }
             // Whether the owner took the record or not, its nonce lets it count once.
-            own.send(SubmitHere(record)).await.unwrap_or(Verdict::LOST)
+            let verdict = own.send(SubmitHere(record)).await;
+            verdict.map_or(Verdict::LOST, Verdict::after_resend)
         })
     }
 }
--- a/crates/entry/src/instance.rs
+++ b/crates/entry/src/instance.rs
@@ -172,6 +172,7 @@
     let platform = platform::Http::open(&settings.platform, settings.platform_limit);
     let incarnation = Incarnation::new(settings.name.clone(), clock.stamp());
     let (force, force_read) = watch::channel(None);
+    let (position, position_read) = watch::channel(None);
     let (servers, servers_read) = watch::channel(Arc::default());
     let (members, members_read) = watch::channel(Arc::default());
     let (jobs, jobs_read) = tokio::sync::mpsc::unbounded_channel();
@@ -179,15 +180,16 @@
     let listener = bind_peers(&settings)?;
     let peer_address = listener.local_addr().unwrap_or(settings.peer_address);
 
-    let config = Config::new(
+    let config = Config::new(config::World {
         clock,
-        lines.clone(),
-        settings.root_keys.clone(),
-        platform.clone(),
-        settings.poll,
-        Arc::clone(&metrics),
         force,
-    )
+        lines: lines.clone(),
+        metrics: Arc::clone(&metrics),
+        platform: platform.clone(),
+        poll: settings.poll,
+        position,
+        root_keys: settings.root_keys.clone(),
+    })
     .start();
     let ledger = Ledger::new(
         clock,
@@ -249,6 +251,7 @@
         jobs: Arc::new(Mutex::new(Some(jobs_read))),
         ledger,
         metrics,
+        position: position_read,
         roster,
         servers: servers_read,
         settings: Arc::new(settings),
--- a/crates/entry/src/plane.rs
+++ b/crates/entry/src/plane.rs
@@ -11,6 +11,7 @@
 mod once;
 mod places;
 mod prefix;
+mod progress;
 mod sink;
 mod status;
 mod suspect;
@@ -38,12 +39,8 @@
 impl Plane {
     /// Returns the serving side of an instance; it has to stay on the thread it was opened on.
     pub fn open(shared: Shared) -> Rc<Self> {
-        let config = backend::Config {
-            progress: shared.settings.progress,
-            ..backend::Config::default()
-        };
         let plane = Rc::new_cyclic(|this| Self {
-            client: backend::Client::open(config),
+            client: backend::Client::open(backend::Config::default()),
             inner: RefCell::new(Inner::new(&shared)),
             shared,
             this: this.clone(),
--- a/crates/entry/src/plane/call.rs
+++ b/crates/entry/src/plane/call.rs
@@ -8,7 +8,7 @@
 use bundle::content::{Kind, Pool};
 use flow::{Event, Failure};
 use member::fact::State;
-use retry::suspect::End as Ending;
+use retry::{silence::Progress, suspect::End as Ending};
 use serde_json::{Value, json};
 
 use crate::{
@@ -125,7 +125,10 @@
 }
 
 async fn reply(plane: &Plane, call: &Call<'_>) -> Result<Made, Failure> {
+    let begun = plane.shared.clock.tick();
     let reply = plane.client.call(&call.call).await?;
+    let took = plane.shared.clock.tick() - begun;
+    learn(plane, call, Progress::First(took));
     if reply.leaving {
         leaving(plane, &call.server);
     }
@@ -144,8 +147,19 @@
     if stream.leaving() {
         leaving(plane, &call.server);
     }
+    let mut last = plane.shared.clock.tick();
+    let mut first = true;
     loop {
-        match stream.part().await? {
+        let part = stream.part().await?;
+        let now = plane.shared.clock.tick();
+        let progress = if core::mem::take(&mut first) {
+            Progress::First(now - last)
+        } else {
+            Progress::Between(now - last)
+        };
+        last = now;
+        learn(plane, call, progress);
+        match part {
             Part::Token { text: token, .. } => {
                 text.push(&token);
                 let Some(sink) = sink.as_mut().filter(|_| call.last) else {
@@ -176,6 +190,11 @@
     }
 }
 
+fn learn(plane: &Plane, call: &Call<'_>, progress: Progress) {
+    let mut inner = plane.inner.borrow_mut();
+    inner.paces.learn(&call.pool.name, progress);
+}
+
 fn missed(plane: &Plane, call: &Call<'_>) {
     let Some(prefix) = call.prefix else {
         return;
@@ -210,7 +229,9 @@
         Failure::Died | Failure::Disconnected => route::Failure::Crashed,
         Failure::NotConnected => route::Failure::ConnectFailed,
         Failure::Refused { .. } => route::Failure::Cancelled,
-        Failure::Silent => route::Failure::Slow,
+        Failure::Silent { fresh: true } => route::Failure::Slow,
+        // An old connection is to blame, not the server.
+        Failure::Silent { fresh: false } => route::Failure::Cancelled,
     }
 }
 
@@ -226,7 +247,7 @@
         Err(Failure::Mismatched) => "mismatched",
         Err(Failure::NotConnected) => "not_connected",
         Err(Failure::Refused { .. }) => "refused",
-        Err(Failure::Silent) => "silent",
+        Err(Failure::Silent { .. }) => "silent",
     }
 }
 
--- a/crates/entry/src/plane/drive.rs
+++ b/crates/entry/src/plane/drive.rs
@@ -301,12 +301,16 @@
                 "a call after its claim was given up",
             )));
         }
+        let left = self.judged.deadline - self.plane.shared.clock.tick();
+        let limits = self.plane.inner.borrow().paces.limits(&pool.name, left);
         let call = Call {
             call: backend::Call {
                 account: self.judged.account.clone(),
                 address: pick.address,
                 attempt,
-                deadline: self.judged.deadline - self.plane.shared.clock.tick(),
+                between: limits.between,
+                deadline: left,
+                first: limits.first,
                 from,
                 idempotent,
                 input,
--- a/crates/entry/src/plane/inner.rs
+++ b/crates/entry/src/plane/inner.rs
@@ -17,7 +17,7 @@
 
 use crate::{
     clock::Clock,
-    plane::{Plane, places},
+    plane::{Plane, places, progress::Paces},
     shared::Shared,
     view::{Force, Server, Servers},
 };
@@ -39,6 +39,7 @@
     /// The servers that the routing was last told of.
     known: Servers,
     pub(crate) limits: Limits,
+    pub(crate) paces: Paces,
     /// The places that the gate was last told of, in the order of the bundle's pools.
     places: Vec<u32>,
     /// The retries that the budget allows for each hundred first attempts.
@@ -65,6 +66,7 @@
             gate: Gate::default(),
             known: Servers::default(),
             limits: Limits::default(),
+            paces: Paces::new(shared.settings.progress),
             places: Vec::new(),
             rng: rand::make_rng(),
             servers,
--- a/crates/entry/src/routes.rs
+++ b/crates/entry/src/routes.rs
@@ -9,6 +9,7 @@
 /// Adds the routes.
 ///
 /// - `GET /v1/burn`: what spent the error budgets, for `limpetstep-report`.
+/// - `GET /v1/position`: which configuration is in force here, for `limpetstep-ctl status`.
 /// - `GET /live`: the process runs.
 /// - `GET /ready`: the instance has a configuration in force and is not stopping.
 /// - `GET /metrics`: the metrics, for Prometheus.
@@ -16,6 +17,7 @@
     config
         .app_data(web::Data::new(Rc::new(shared)))
         .route("/v1/burn", web::get().to(burn))
+        .route("/v1/position", web::get().to(position))
         .route("/live", web::get().to(live))
         .route("/ready", web::get().to(ready))
         .route("/metrics", web::get().to(metrics));
@@ -27,6 +29,10 @@
     HttpResponse::Ok().json(&*book)
 }
 
+async fn position(shared: web::Data<Rc<Shared>>) -> HttpResponse {
+    HttpResponse::Ok().json(*shared.position.borrow())
+}
+
 async fn live() -> HttpResponse {
     HttpResponse::Ok().body("live\n")
 }
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -7,6 +7,7 @@
 
 use actix::Addr;
 use base::Incarnation;
+use bundle::Position;
 use burn::Book;
 use retry::{Register, configs};
 use tokio::sync::{Notify, mpsc, watch};
@@ -45,6 +46,8 @@
     pub jobs: Arc<Mutex<Option<mpsc::UnboundedReceiver<Job>>>>,
     /// Metrics.
     pub metrics: Arc<Metrics>,
+    /// The place in the log of the configuration in force.
+    pub position: watch::Receiver<Option<Position>>,
     /// The actor of instances and backend servers.
     pub(crate) roster: Addr<Roster>,
     /// Backend servers.
--- a/crates/flow/src/request.rs
+++ b/crates/flow/src/request.rs
@@ -300,6 +300,10 @@
             let detail = detail.clone();
             return self.refuse(Code::StageRefused, &detail, None);
         }
+        if matches!(failure, Failure::Silent { fresh: false }) {
+            // The server may be well, over a new connection.
+            self.exclude.pop();
+        }
         // A server that dies takes all its requests with it; that is rare and bounded by the servers
         // there are, so it need not wait for the budget, which is for attempts that fail.
         if failure == Failure::Died && self.deaths < DEATHS {
--- a/crates/proc/src/scene/start.rs
+++ b/crates/proc/src/scene/start.rs
@@ -103,6 +103,7 @@
                 self.builder.progress.as_millis().to_string(),
             ),
             ("--root-keys", roots.join(",")),
+            ("--peers", self.peers()),
         ];
         let args = args.map(|(flag, value)| [flag.to_owned(), value]).concat();
         let process = Process::spawn("limpetstep-entry", &args);
@@ -117,6 +118,15 @@
         self.entries.len() - 1
     }
 
+    /// Returns where the entry instances started so far take messages of peers.
+    fn peers(&self) -> String {
+        let peers = self
+            .entries
+            .iter()
+            .map(|entry| entry.process.address("peers "));
+        peers.collect::<Vec<_>>().join(",")
+    }
+
     /// Puts an entry instance into the platform's list, as the platform does by itself.
     fn list_entry(&self, domain: &str, process: &Process) {
         let incarnation = process.address("incarnation ");
