Let the same request and ending stand for readers that begin later in the log

Cause: the fold let the record read first stand. A reader whose log began after that record had been dropped saw a loser first: a second ending, or a request with another body or deadline, and went on with it. A copy of an ending that carried a place that such a reader knew, but others did not, was ignored by the others, so the ending was lost to them with the place they knew.

Change: an ending tells the offset of its first record, the lowest stands; a carried request outranks one that was not carried; a statement whose time was over before the one that stands was written is of an earlier use; names are known for a minute longer than promised; tasks whose records the log has dropped are forgotten, which also bounds the fold of readers that carry nothing.

--- a/crates/defer/src/configs.rs
+++ b/crates/defer/src/configs.rs
@@ -9,11 +9,11 @@
     pub retry_first: Duration,
     /// The longest wait between attempts.
     pub retry_most: Duration,
-    /// Tasks that one instance works on at once.
+    /// Tasks of one partition that an instance works on at once.
     pub running: usize,
     /// The age of a record at which it is written again, well below the log's retention.
     pub carry: Duration,
-    /// How long an outcome is kept after the task's deadline.
+    /// How long an outcome is kept after the task's deadline, at least the log's retention.
     pub keep: Duration,
 }
 
--- a/crates/defer/src/fold.rs
+++ b/crates/defer/src/fold.rs
@@ -6,6 +6,11 @@
 
 use crate::{Record, Task};
 
+/// How much longer than promised an outcome is known.
+///
+/// More than clocks differ and storing takes: a key is new to no instance before it may be new.
+const SPARE: Duration = Duration::from_secs(60);
+
 /// What is known of a task.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum State {
@@ -41,6 +46,34 @@
     pub deadline: Stamp,
     /// The offset of the ending's record.
     pub offset: u64,
+    /// The offset of the ending's first record.
+    pub origin: u64,
+}
+
+impl State {
+    /// Returns when the task's record was last written.
+    pub const fn at(&self) -> Stamp {
+        match self {
+            Self::Open(open) => open.at,
+            Self::Ended(ended) => ended.at,
+        }
+    }
+
+    /// Returns when the answer is no longer wanted.
+    pub const fn deadline(&self) -> Stamp {
+        match self {
+            Self::Open(open) => open.deadline,
+            Self::Ended(ended) => ended.deadline,
+        }
+    }
+
+    /// Returns the offset of the record that stands.
+    pub const fn offset(&self) -> u64 {
+        match self {
+            Self::Open(open) => open.offset,
+            Self::Ended(ended) => ended.offset,
+        }
+    }
 }
 
 /// The state of one partition.
@@ -74,9 +107,11 @@
 
     /// Takes note of the lowest offset that the log still keeps.
     ///
-    /// Records dropped before they were read were carried forward, or are of tasks that are over.
+    /// Tasks whose records the log has dropped were carried forward to where they are still to be
+    /// read, or are over; they are forgotten, as they are to a reader that begins here.
     pub fn begin(&mut self, first: u64) {
         self.next = self.next.max(first);
+        self.tasks.retain(|(_, state)| state.offset() >= first);
     }
 
     /// Returns the offset to read from.
@@ -97,81 +132,67 @@
 
     /// Takes in the text of the record at an offset; one that was taken in already does nothing.
     ///
-    /// - The first request under a name stands; a second one is the same record carried forward,
-    ///   or an attempt to use the name for another body, and changes nothing but where it is.
-    /// - The first ending of a task stands; later ones only carry it forward.
+    /// - The first request under a name stands; a later one changes nothing. A carried one was the
+    ///   first to an instance that read more of the log, so it stands whatever was read before it.
+    /// - A name may be used again when its earlier use was kept for long enough.
+    /// - The ending with the lowest first offset stands; its copies move where it is.
     pub fn apply(&mut self, offset: u64, text: &str) {
         if offset < self.next {
             return;
         }
         self.next = offset + 1;
         // A record of a later version is for later instances to understand.
-        let Ok(record) = Record::parse(text) else {
+        let Ok((record, carried)) = Record::parse_carried(text) else {
             return;
         };
-        match (self.find(&record.task()), &record) {
-            (Err(at), Record::Accepted(request)) => {
-                let open = Open {
-                    at: request.at,
-                    body: request.body,
-                    deadline: request.deadline,
-                    offset,
-                    pipeline: request.pipeline.clone(),
-                };
-                self.tasks.insert(at, (record.task(), State::Open(open)));
-            }
-            (Err(at), Record::Ended(ending)) => self.restore(at, offset, ending),
-            (Ok(at), Record::Accepted(request)) => self.carry(at, offset, request),
-            (Ok(at), Record::Ended(ending)) => self.end(at, offset, ending),
+        let task = record.task();
+        let state = match record {
+            Record::Accepted(request) => State::Open(Open {
+                at: request.at,
+                body: request.body,
+                deadline: request.deadline,
+                offset,
+                pipeline: request.pipeline,
+            }),
+            Record::Ended(ending) => State::Ended(Ended {
+                at: ending.at,
+                body: ending.body,
+                deadline: ending.deadline,
+                offset,
+                origin: ending.carries.unwrap_or(offset),
+            }),
+        };
+        match self.find(&task) {
+            Err(at) => self.tasks.insert(at, (task, state)),
+            Ok(at) if self.replaces(&self.tasks[at].1, &state, carried) => self.tasks[at].1 = state,
+            Ok(_) => {}
         }
     }
 
-    /// Forgets tasks whose outcome was kept for long enough.
+    /// Forgets tasks whose outcome was kept for long enough, and late copies of such tasks.
     pub fn expire(&mut self, now: Stamp) {
-        let keep = self.keep;
-        self.tasks.retain(|(_, state)| match state {
-            State::Open(_) => true,
-            State::Ended(ended) => now < ended.deadline + keep,
-        });
-    }
-
-    /// An ending whose request the log has dropped.
-    fn restore(&mut self, at: usize, offset: u64, ending: &crate::record::Ending) {
-        let ended = Ended {
-            at: ending.at,
-            body: ending.body,
-            deadline: ending.deadline,
-            offset,
-        };
-        self.tasks.insert(at, (ending.task, State::Ended(ended)));
+        let known = self.keep + SPARE;
+        self.tasks
+            .retain(|(_, state)| now < state.deadline() + known);
     }
 
-    fn carry(&mut self, at: usize, offset: u64, request: &crate::record::Request) {
-        if let State::Open(open) = &mut self.tasks[at].1
-            && open.body == request.body
-        {
-            open.offset = offset;
-            open.at = request.at;
+    /// Tells whether a statement read later takes the place of the one that stood.
+    fn replaces(&self, stood: &State, next: &State, carried: bool) -> bool {
+        if next.deadline() + self.keep <= stood.at() {
+            // A late copy from an earlier use of the name.
+            return false;
         }
-    }
-
-    fn end(&mut self, at: usize, offset: u64, ending: &crate::record::Ending) {
-        let state = &mut self.tasks[at].1;
-        match state {
-            State::Open(open) => {
-                *state = State::Ended(Ended {
-                    at: ending.at,
-                    body: open.body,
-                    deadline: open.deadline,
-                    offset,
-                });
-            }
-            // Only a copy of the ending that stands may move it, or a later one would replace it.
-            State::Ended(ended) if ending.carries == Some(ended.offset) => {
-                ended.offset = offset;
-                ended.at = ending.at;
+        match (stood, next) {
+            // All endings of one use tell the deadline of the request that stood.
+            (State::Ended(stood), State::Ended(next)) => {
+                let later = stood.deadline < next.deadline;
+                later || (stood.deadline == next.deadline && next.origin <= stood.origin)
             }
-            State::Ended(_) => {}
+            (State::Open(_), State::Ended(_)) => true,
+            (State::Open(_), State::Open(_)) if carried => true,
+            (State::Ended(stood), State::Open(next)) if carried => stood.deadline < next.deadline,
+            // Whoever stored it had forgotten the earlier use of the name.
+            (_, State::Open(next)) => stood.deadline() + self.keep <= next.at,
         }
     }
 
--- a/crates/defer/src/record.rs
+++ b/crates/defer/src/record.rs
@@ -46,7 +46,7 @@
     pub at: Stamp,
     /// The digest of pipeline and input.
     pub body: Digest,
-    /// The offset of the record that this one carries forward, if it does.
+    /// The offset of the first record of this ending, if this one carries it forward.
     pub carries: Option<u64>,
     /// The result code.
     pub code: Code,
@@ -71,10 +71,17 @@
     Version(u8),
 }
 
+/// A record that was read from the log and is written again.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Carried(Record);
+
 #[derive(Serialize, Deserialize)]
 struct Envelope<T> {
     version: u8,
     record: T,
+    /// Whether an instance that had read the whole stream wrote the record again.
+    #[serde(default)]
+    carried: bool,
 }
 
 impl Request {
@@ -94,16 +101,19 @@
     }
 
     /// Returns the record at an offset as of a later time, to be written before the log drops it.
+    ///
+    /// Only a record that stands may be carried, by an instance that has read the stream to its
+    /// end: to a reader whose log begins later, the copy outranks requests that lost to it.
     #[must_use]
-    pub fn carried(self, offset: u64, now: Stamp) -> Self {
-        match self {
+    pub fn carried(self, offset: u64, now: Stamp) -> Carried {
+        Carried(match self {
             Self::Accepted(request) => Self::Accepted(Request { at: now, ..request }),
             Self::Ended(ending) => Self::Ended(Ending {
                 at: now,
-                carries: Some(offset),
+                carries: ending.carries.or(Some(offset)),
                 ..ending
             }),
-        }
+        })
     }
 
     /// Writes the text of the record.
@@ -127,11 +137,7 @@
     /// assert_eq!(Record::parse(&record.to_json()).unwrap(), record);
     /// ```
     pub fn to_json(&self) -> String {
-        let envelope = Envelope {
-            version: VERSION,
-            record: self,
-        };
-        serde_json::to_string(&envelope).expect("records have only text keys")
+        self.text(false)
     }
 
     /// Reads a record from its text.
@@ -141,10 +147,31 @@
     /// - `Syntax`: the text is not a record.
     /// - `Version`: it was written by a later version.
     pub fn parse(text: &str) -> Result<Self, Error> {
+        Ok(Self::parse_carried(text)?.0)
+    }
+
+    /// Reads a record and whether it was carried.
+    pub(crate) fn parse_carried(text: &str) -> Result<(Self, bool), Error> {
         let envelope: Envelope<Value> = serde_json::from_str(text)?;
         if envelope.version != VERSION {
             return Err(Error::Version(envelope.version));
         }
-        Ok(serde_json::from_value(envelope.record)?)
+        Ok((serde_json::from_value(envelope.record)?, envelope.carried))
+    }
+
+    fn text(&self, carried: bool) -> String {
+        let envelope = Envelope {
+            version: VERSION,
+            record: self,
+            carried,
+        };
+        serde_json::to_string(&envelope).expect("records have only text keys")
+    }
+}
+
+impl Carried {
+    /// Writes the text of the record.
+    pub fn to_json(&self) -> String {
+        self.0.text(true)
     }
 }
--- a/crates/defer/src/shift.rs
+++ b/crates/defer/src/shift.rs
@@ -110,11 +110,8 @@
         }
         let mut ready = Vec::new();
         for (task, state) in fold.tasks() {
-            let (at, offset) = match state {
-                State::Open(open) => (open.at, open.offset),
-                State::Ended(ended) => (ended.at, ended.offset),
-            };
-            if cx.wall - at >= self.config.carry {
+            let offset = state.offset();
+            if cx.wall - state.at() >= self.config.carry {
                 actions.push(Action::Carry {
                     task: *task,
                     offset,
--- /dev/null
+++ b/crates/defer/tests/world/mod.rs
@@ -0,0 +1,377 @@
+//! A log with a retention, and instances that store and work on tasks through it.
+
+use core::time::Duration;
+
+use base::{Code, Digest, Incarnation, Key, Outcome, Stamp, Tick};
+use defer::{
+    Fold, Record, Shift, State, Task,
+    configs::Config,
+    fold::Ended,
+    record::{Ending, Request},
+    shift::{Action, Context},
+};
+
+pub(crate) const INSTANCES: usize = 3;
+
+/// Seconds between two looks.
+const LOOK: u64 = 5;
+/// Trouble ends here in each period; in the calm after it records are carried within the retention.
+const PERIOD: u64 = 120;
+const TROUBLE: u64 = 80;
+const RETENTION: u64 = 300;
+
+/// What becomes of an append.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Fate {
+    Doubled,
+    Late(u64),
+    Lost,
+    Whole,
+}
+
+struct Instance {
+    fold: Fold,
+    jobs: Vec<(u64, Request)>,
+    name: Incarnation,
+    shift: Shift,
+    sleeps: bool,
+    view: Option<u8>,
+}
+
+/// What a caller was told.
+struct Promise {
+    body: Digest,
+    deadline: Stamp,
+    ending: Option<(Code, String)>,
+    task: Task,
+}
+
+pub(crate) struct World {
+    instances: Vec<Instance>,
+    late: Vec<(u64, String)>,
+    log: Vec<(u64, u64, String)>,
+    next: u64,
+    now: u64,
+    promises: Vec<Promise>,
+    runs: u64,
+}
+
+fn config() -> Config {
+    Config {
+        retry_first: Duration::from_secs(LOOK),
+        retry_most: Duration::from_secs(4 * LOOK),
+        running: 2,
+        carry: Duration::from_secs(60),
+        keep: Duration::from_secs(400),
+    }
+}
+
+fn stamp(seconds: u64) -> Stamp {
+    Stamp::from_millis(1_000_000 + seconds * 1_000)
+}
+
+fn tick(seconds: u64) -> Tick {
+    Tick::from_millis(seconds * 1_000)
+}
+
+fn output(body: &Digest) -> String {
+    format!("output of {body:?}")
+}
+
+impl Instance {
+    fn open(at: usize, now: u64) -> Self {
+        Self {
+            fold: Fold::open(config().keep),
+            jobs: Vec::new(),
+            name: Incarnation::new(format!("entry-{at}").as_str(), stamp(now)),
+            shift: Shift::open(config()),
+            sleeps: false,
+            view: None,
+        }
+    }
+}
+
+impl World {
+    pub(crate) fn open() -> Self {
+        Self {
+            instances: (0..INSTANCES).map(|at| Instance::open(at, 0)).collect(),
+            late: Vec::new(),
+            log: Vec::new(),
+            next: 0,
+            now: 0,
+            promises: Vec::new(),
+            runs: 0,
+        }
+    }
+
+    /// Stores a request as an instance does: read, append, read back.
+    pub(crate) fn accept(&mut self, at: usize, key: u8, body: u8, left: u64, fate: Fate) {
+        if self.instances[at].sleeps {
+            return;
+        }
+        let request = Request {
+            account: "authors".into(),
+            at: stamp(self.now),
+            body: Digest::of(&[body]),
+            deadline: stamp(self.now + left),
+            input: body.into(),
+            key: Key::from_parts(stamp(0), u128::from(key)),
+            pipeline: "report".into(),
+        };
+        let task = request.task();
+        self.refresh(at);
+        if self.instances[at].fold.state(&task).is_none() {
+            self.append(Record::Accepted(request.clone()).to_json(), fate);
+            self.refresh(at);
+        }
+        if let Some(State::Open(open)) = self.instances[at].fold.state(&task)
+            && open.body == request.body
+        {
+            let now = stamp(self.now);
+            let over = |promise: &Promise| now >= promise.deadline + config().keep;
+            // A key is new again once its earlier use was kept for long enough.
+            self.promises
+                .retain(|promise| promise.task != task || !over(promise));
+            if self.promises.iter().any(|promise| promise.task == task) {
+                return;
+            }
+            let (body, deadline) = (open.body, open.deadline);
+            let ending = None;
+            self.promises.push(Promise {
+                body,
+                deadline,
+                ending,
+                task,
+            });
+        }
+    }
+
+    pub(crate) fn pass(&mut self, steps: u64, fate: Fate) {
+        for _ in 0..steps {
+            self.now += LOOK;
+            let calm = self.now % PERIOD >= TROUBLE;
+            if calm {
+                // The last instance may sleep for as long as the schedule has it.
+                for instance in &mut self.instances[..INSTANCES - 1] {
+                    instance.sleeps = false;
+                }
+                self.instances
+                    .iter_mut()
+                    .for_each(|instance| instance.view = None);
+            }
+            self.deliver();
+            for at in 0..INSTANCES {
+                if !self.instances[at].sleeps {
+                    self.look(at, if calm { Fate::Whole } else { fate });
+                }
+            }
+            self.check();
+        }
+    }
+
+    pub(crate) fn restart(&mut self, at: usize) {
+        self.instances[at] = Instance::open(at, self.now);
+    }
+
+    pub(crate) fn sleep(&mut self, at: usize) {
+        self.instances[at].sleeps = true;
+    }
+
+    pub(crate) fn wake(&mut self, at: usize) {
+        self.instances[at].sleeps = false;
+    }
+
+    pub(crate) fn view(&mut self, at: usize, mask: u8) {
+        self.instances[at].view = Some(mask);
+    }
+
+    /// Every reader that has read to the end agrees, and sees what callers were promised.
+    pub(crate) fn check(&mut self) {
+        let mut fresh = Fold::open(config().keep);
+        self.read(&mut fresh);
+        for at in 0..INSTANCES {
+            if self.instances[at].sleeps {
+                continue;
+            }
+            self.refresh(at);
+            assert_eq!(
+                self.instances[at].fold.tasks(),
+                fresh.tasks(),
+                "at {}",
+                self.now
+            );
+        }
+        for at in 0..self.promises.len() {
+            let promise = &self.promises[at];
+            if self.over(promise) {
+                continue;
+            }
+            match fresh.state(&promise.task) {
+                None => panic!("a stored task is lost at {}", self.now),
+                Some(State::Open(open)) => {
+                    assert_eq!((open.body, open.deadline), (promise.body, promise.deadline));
+                    assert!(promise.ending.is_none(), "an ended task is open");
+                }
+                Some(State::Ended(ended)) => {
+                    assert_eq!(
+                        (ended.body, ended.deadline),
+                        (promise.body, promise.deadline)
+                    );
+                    let ending = self.ending(ended);
+                    let first = promise.ending.clone().unwrap_or_else(|| ending.clone());
+                    assert_eq!(ending, first, "an outcome changed");
+                    self.promises[at].ending = Some(ending);
+                }
+            }
+        }
+    }
+
+    /// Leaves time to end everything, and checks that it did.
+    pub(crate) fn settle(&mut self) {
+        self.pass(60, Fate::Whole);
+        for promise in &self.promises {
+            assert!(promise.ending.is_some(), "a task did not end");
+        }
+    }
+
+    fn over(&self, promise: &Promise) -> bool {
+        stamp(self.now) >= promise.deadline + config().keep
+    }
+
+    /// Reads an ending from the log, and checks that it is true.
+    fn ending(&self, ended: &Ended) -> (Code, String) {
+        let text = self.log.iter().find(|record| record.0 == ended.offset);
+        let (_, _, text) = text.expect("the ending is in the log");
+        let Ok(Record::Ended(ending)) = Record::parse(text) else {
+            panic!("no ending at {}", ended.offset);
+        };
+        if ending.code == Code::Answered {
+            assert_eq!(ending.output, output(&ended.body));
+        } else {
+            assert!(ending.at >= ending.deadline, "ended before its deadline");
+        }
+        (ending.code, ending.output.to_string())
+    }
+
+    fn look(&mut self, at: usize, fate: Fate) {
+        self.refresh(at);
+        self.finish(at, fate);
+        let awake = (0..INSTANCES).filter(|at| !self.instances[*at].sleeps);
+        let mask = self.instances[at].view;
+        let mask = mask.unwrap_or_else(|| awake.fold(0, |mask, at| mask | 1 << at));
+        let mut members: Vec<Incarnation> = (0..INSTANCES)
+            .filter(|at| mask >> at & 1 == 1)
+            .map(|at| self.instances[at].name.clone())
+            .collect();
+        members.sort_unstable();
+        let own = self.instances[at].name.clone();
+        let cx = Context {
+            members: &members,
+            now: tick(self.now),
+            own: &own,
+            partition: 0,
+            wall: stamp(self.now),
+        };
+        let Instance { fold, shift, .. } = &mut self.instances[at];
+        for action in shift.look(cx, fold) {
+            self.act(at, action, fate);
+        }
+    }
+
+    fn act(&mut self, at: usize, action: Action, fate: Fate) {
+        let offset = match action {
+            Action::Carry { offset, .. }
+            | Action::Expire { offset, .. }
+            | Action::Start { offset, .. } => offset,
+        };
+        let text = self.log.iter().find(|record| record.0 == offset);
+        let (_, _, text) = text.expect("the record is in the log");
+        let record = Record::parse(text).expect("a record");
+        match (action, record) {
+            (Action::Carry { .. }, record) => {
+                self.append(record.carried(offset, stamp(self.now)).to_json(), fate);
+            }
+            (Action::Expire { .. }, Record::Accepted(request)) => {
+                self.end(&request, Code::DeadlinePassed, fate);
+            }
+            (Action::Start { .. }, Record::Accepted(request)) => {
+                self.runs += 1;
+                let until = self.now + self.runs % 4 * LOOK;
+                self.instances[at].jobs.push((until, request));
+            }
+            (_, Record::Ended(_)) => panic!("work on an ending"),
+        }
+    }
+
+    /// Ends the attempts that are due; every third one must be made again.
+    fn finish(&mut self, at: usize, fate: Fate) {
+        let now = self.now;
+        let jobs = &mut self.instances[at].jobs;
+        let due: Vec<_> = jobs.extract_if(.., |(until, _)| *until <= now).collect();
+        for (_, request) in due {
+            self.runs += 1;
+            if !self.runs.is_multiple_of(3) {
+                self.end(&request, Code::Answered, fate);
+            }
+            self.instances[at].shift.ended(tick(now), &request.task());
+        }
+    }
+
+    fn end(&mut self, request: &Request, code: Code, fate: Fate) {
+        let output = match code {
+            Code::Answered => output(&request.body).into(),
+            _ => serde_json::Value::Null,
+        };
+        let ending = Ending {
+            at: stamp(self.now),
+            body: request.body,
+            carries: None,
+            code,
+            deadline: request.deadline,
+            outcome: Outcome::Answered,
+            output,
+            task: request.task(),
+        };
+        self.append(Record::Ended(ending).to_json(), fate);
+    }
+
+    fn append(&mut self, text: String, fate: Fate) {
+        match fate {
+            Fate::Lost => {}
+            Fate::Late(by) => self.late.push((self.now + by, text)),
+            Fate::Doubled => {
+                self.write(text.clone());
+                self.write(text);
+            }
+            Fate::Whole => self.write(text),
+        }
+    }
+
+    fn deliver(&mut self) {
+        let now = self.now;
+        let due: Vec<_> = self.late.extract_if(.., |(at, _)| *at <= now).collect();
+        for (_, text) in due {
+            self.write(text);
+        }
+        self.log.retain(|(_, at, _)| now < at + RETENTION);
+    }
+
+    fn write(&mut self, text: String) {
+        self.log.push((self.next, self.now, text));
+        self.next += 1;
+    }
+
+    fn refresh(&mut self, at: usize) {
+        let mut fold = self.instances[at].fold.clone();
+        self.read(&mut fold);
+        self.instances[at].fold = fold;
+    }
+
+    fn read(&self, fold: &mut Fold) {
+        fold.begin(self.log.first().map_or(self.next, |record| record.0));
+        for (offset, _, text) in &self.log {
+            fold.apply(*offset, text);
+        }
+        fold.expire(stamp(self.now));
+    }
+}
