Replace servers by cold ones in a trace

One in four servers of the main pool dies and comes back after 2 s with an empty cache, three times slower for the rest of the disturbance.

--- a/crates/trial/src/bound.rs
+++ b/crates/trial/src/bound.rs
@@ -10,7 +10,7 @@
 use crate::{
     fake::{BATCH_SLOWDOWN, TOKEN},
     size::Size,
-    trace::{Kind, LAME, LAME_EVERY, SLOW, Trace},
+    trace::{COLD, COLD_EVERY, Kind, LAME, LAME_EVERY, SLOW, Trace},
 };
 
 /// The step of the spans, in microseconds.
@@ -110,6 +110,7 @@
     let places = f64::from(settings.concurrency) * settings.servers as f64;
     let full = places / (1.0 + BATCH_SLOWDOWN) * (STEP as f64 / 1e6);
     let kept = 1.0 - (settings.servers / size.domains) as f64 / settings.servers as f64;
+    let cold = settings.servers.div_ceil(COLD_EVERY) as f64 / settings.servers as f64;
     let lame = settings.servers.div_ceil(LAME_EVERY) as f64 / settings.servers as f64;
     (0..steps)
         .map(|step| {
@@ -118,6 +119,7 @@
             let within = at >= trace.begin && at + STEP <= trace.end;
             let factor = match trace.kind {
                 Kind::Slow if within && pool == size.main => 1.0 / SLOW,
+                Kind::Cold if within && pool == size.main => 1.0 - cold + cold / COLD,
                 Kind::Lame if within && pool == size.main => 1.0 - lame + lame / LAME,
                 Kind::Down if within && pool == size.main => 0.0,
                 Kind::Domain | Kind::Both if within => kept,
--- a/crates/trial/src/trace.rs
+++ b/crates/trial/src/trace.rs
@@ -15,6 +15,8 @@
     Both,
     /// Five times the requests.
     Burst,
+    /// One in four servers of a stage dies and comes back cold and slow for a while.
+    Cold,
     /// A failure domain is lost and comes back.
     Domain,
     /// One stage is down and comes back.
@@ -40,6 +42,7 @@
         Self::Down,
         Self::Domain,
         Self::Lame,
+        Self::Cold,
         Self::Account,
         Self::Prefix,
         Self::Poison,
@@ -52,6 +55,7 @@
             Self::Account => "account",
             Self::Both => "both",
             Self::Burst => "burst",
+            Self::Cold => "cold",
             Self::Domain => "domain",
             Self::Down => "down",
             Self::Lame => "lame",
@@ -113,6 +117,10 @@
 const PREFIXES: f64 = 400.0;
 /// How much slower the slow stage is.
 pub const SLOW: f64 = 4.0;
+/// How much slower a cold server is.
+pub const COLD: f64 = 3.0;
+/// One in so many servers is replaced by a cold one.
+pub const COLD_EVERY: usize = 4;
 /// How much slower a lame server is.
 pub const LAME: f64 = 8.0;
 /// One in so many servers is lame.
--- a/crates/trial/src/world/faults.rs
+++ b/crates/trial/src/world/faults.rs
@@ -5,7 +5,7 @@
 use super::{Event, SILENCE, World};
 use crate::{
     call::Phase,
-    trace::{Kind, LAME, LAME_EVERY, SLOW},
+    trace::{COLD, COLD_EVERY, Kind, LAME, LAME_EVERY, SLOW},
 };
 
 /// Time that a crashed server takes to start again, in microseconds.
@@ -15,6 +15,7 @@
     pub(super) fn fault(&mut self, begins: bool) {
         match self.trace.kind {
             Kind::Slow => self.slow(if begins { SLOW } else { 1.0 }),
+            Kind::Cold => self.replace(begins),
             Kind::Lame => self.lame(if begins { LAME } else { 1.0 }),
             Kind::Down => self.down(!begins),
             kind if kind.loses_domain() => self.lose_domain(begins),
@@ -29,6 +30,19 @@
         }
     }
 
+    fn replace(&mut self, begins: bool) {
+        let main = self.size.main;
+        let pool = (0..self.servers.len()).filter(|at| self.servers[*at].pool == main);
+        for server in pool.step_by(COLD_EVERY).collect::<Vec<_>>() {
+            self.servers[server].slow = if begins { COLD } else { 1.0 };
+            if begins {
+                self.stop(server, Failure::Crashed, 0);
+                let life = self.servers[server].life;
+                self.after(RESTART, Event::Restart { server, life });
+            }
+        }
+    }
+
     fn lame(&mut self, factor: f64) {
         let main = self.size.main;
         let pool = self.servers.iter_mut().filter(|one| one.pool == main);
--- a/crates/trial/tests/policy.rs
+++ b/crates/trial/tests/policy.rs
@@ -100,6 +100,11 @@
     above_baselines(Kind::Lame, SECONDS);
 }
 
+#[gtest]
+fn cold_servers_in_a_pool_are_used_better_than_by_every_baseline() {
+    above_baselines(Kind::Cold, SECONDS);
+}
+
 #[gtest]
 fn a_hot_prefix_is_answered_as_well_as_by_every_baseline() {
     above_baselines(Kind::Prefix, SECONDS);
