--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -8,12 +8,12 @@
 pub mod event;
 pub mod fact;
 pub mod mark;
-pub mod peers;
+mod peers;
 pub mod rendezvous;
 pub mod roster;
-pub mod servers;
+mod servers;
 pub mod summary;
-pub mod table;
+mod table;
 pub mod view;
 
 pub use self::{
--- a/crates/member/src/peers.rs
+++ b/crates/member/src/peers.rs
@@ -6,26 +6,26 @@
 
 /// Entry instances by name, the latest incarnation of each.
 #[derive(Clone, Debug, Default)]
-pub struct Peers(Vec<Peer>);
+pub(crate) struct Peers(Vec<Peer>);
 
 /// What is known of an entry instance.
 #[derive(Clone, Debug)]
-pub struct Peer {
+pub(crate) struct Peer {
     /// Its id.
-    pub id: Id,
+    pub(crate) id: Id,
     /// What it or the list says of it.
-    pub instance: Instance,
+    pub(crate) instance: Instance,
     /// When a source first named it.
-    pub since: Tick,
+    pub(crate) since: Tick,
     /// When any source last named it.
-    pub named: Tick,
+    pub(crate) named: Tick,
 }
 
 impl Peers {
     /// Takes in what a source says of an instance; a later start supersedes an earlier one.
     ///
     /// An incarnation once seen leaving stays so.
-    pub fn place(&mut self, now: Tick, instance: &Instance) {
+    pub(crate) fn place(&mut self, now: Tick, instance: &Instance) {
         let at = match self.find(&instance.incarnation.name) {
             Ok(at) => at,
             Err(at) => {
@@ -47,7 +47,7 @@
     }
 
     /// Marks an incarnation as leaving, and tells whether it is known as an entry instance.
-    pub fn leave(&mut self, incarnation: &Incarnation) -> bool {
+    pub(crate) fn leave(&mut self, incarnation: &Incarnation) -> bool {
         let Ok(at) = self.find(&incarnation.name) else {
             return false;
         };
@@ -59,12 +59,12 @@
     }
 
     /// Forgets those that no source has named since an instant.
-    pub fn forget(&mut self, since: Tick) {
+    pub(crate) fn forget(&mut self, since: Tick) {
         self.0.retain(|peer| peer.named >= since);
     }
 
     /// Returns the instances, by name.
-    pub fn iter(&self) -> core::slice::Iter<'_, Peer> {
+    pub(crate) fn iter(&self) -> core::slice::Iter<'_, Peer> {
         self.0.iter()
     }
 
--- a/crates/member/src/servers.rs
+++ b/crates/member/src/servers.rs
@@ -12,28 +12,28 @@
 
 /// Backend servers by name, the latest incarnation of each.
 #[derive(Clone, Debug, Default)]
-pub struct Servers(Vec<Known>);
+pub(crate) struct Servers(Vec<Known>);
 
 /// What is known of a backend server.
 #[derive(Clone, Debug)]
-pub struct Known {
+pub(crate) struct Known {
     /// Its latest incarnation.
-    pub incarnation: Incarnation,
+    pub(crate) incarnation: Incarnation,
     /// Where it is reached.
-    pub address: Name,
+    pub(crate) address: Name,
     /// Its pool.
-    pub pool: Name,
+    pub(crate) pool: Name,
     /// Its load and when that held.
-    pub load: Option<(Load, Tick)>,
+    pub(crate) load: Option<(Load, Tick)>,
     /// When it was last heard by any instance, or first known.
-    pub heard: Tick,
+    pub(crate) heard: Tick,
     /// When the platform's list last named it, or it was first known.
-    pub listed: Tick,
+    pub(crate) listed: Tick,
 }
 
 impl Servers {
     /// Takes in what a source says of a backend server; a later start supersedes an earlier one.
-    pub fn place(&mut self, now: Tick, server: &Server) -> Option<&mut Known> {
+    pub(crate) fn place(&mut self, now: Tick, server: &Server) -> Option<&mut Known> {
         let at = match self.find(&server.incarnation.name) {
             Ok(at) => at,
             Err(at) => {
@@ -54,19 +54,19 @@
     }
 
     /// Returns what is known under a name.
-    pub fn get_mut(&mut self, name: &Name) -> Option<&mut Known> {
+    pub(crate) fn get_mut(&mut self, name: &Name) -> Option<&mut Known> {
         let at = self.find(name).ok()?;
         Some(&mut self.0[at])
     }
 
     /// Returns what is known under a name.
-    pub fn get(&self, name: &Name) -> Option<&Known> {
+    pub(crate) fn get(&self, name: &Name) -> Option<&Known> {
         let at = self.find(name).ok()?;
         Some(&self.0[at])
     }
 
     /// Returns the backend servers, by name.
-    pub fn iter(&self) -> core::slice::Iter<'_, Known> {
+    pub(crate) fn iter(&self) -> core::slice::Iter<'_, Known> {
         self.0.iter()
     }
 
@@ -77,7 +77,7 @@
     /// - One that is listed, or was heard by any instance within `silence`, stays.
     /// - Where the list names no live server of a pool, the whole pool stays.
     /// - Where it names fewer than half of them, the others stay until `patience` has passed.
-    pub fn absent(
+    pub(crate) fn absent(
         &mut self,
         now: Tick,
         marks: &Marks,
@@ -95,7 +95,7 @@
     }
 
     /// Removes leaving ones that are neither listed nor heard any more; their marks stay.
-    pub fn ended(&mut self, now: Tick, marks: &Marks, silence: Duration) -> Vec<Name> {
+    pub(crate) fn ended(&mut self, now: Tick, marks: &Marks, silence: Duration) -> Vec<Name> {
         self.remove(|known| marks.holds(&known.incarnation) && known.silent(now, silence))
     }
 
@@ -145,7 +145,7 @@
     }
 
     /// Notes a sign of life and the load that came with it.
-    pub fn hear(&mut self, at: Tick, load: Option<Load>) {
+    pub(crate) fn hear(&mut self, at: Tick, load: Option<Load>) {
         self.heard = self.heard.max(at);
         let Some(load) = load else { return };
         let held = Tick::from_micros(at.as_micros().saturating_sub(micros(load.age)));
--- a/crates/member/src/table.rs
+++ b/crates/member/src/table.rs
@@ -11,14 +11,14 @@
     summary::{Delta, Row, Summary},
 };
 
-pub use self::origin::Origin;
+pub(crate) use self::origin::Origin;
 
 /// Length of one step of a version.
-pub const STEP: Duration = Duration::from_millis(100);
+pub(crate) const STEP: Duration = Duration::from_millis(100);
 
 /// What is held of every origin, the holder's own rows among them.
 #[derive(Clone, Debug)]
-pub struct Table {
+pub(crate) struct Table {
     own: Id,
     /// When the holder first spoke, and its version then.
     start: Option<(Tick, u64)>,
@@ -27,18 +27,18 @@
 
 /// A fact that an origin told, and how long before its latest word.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct News {
+pub(crate) struct News {
     /// The origin.
-    pub origin: Id,
+    pub(crate) origin: Id,
     /// How long the fact had stood when the origin last spoke.
-    pub age: Duration,
+    pub(crate) age: Duration,
     /// The fact.
-    pub fact: Fact,
+    pub(crate) fact: Fact,
 }
 
 impl Table {
     /// Builds a table that holds nothing yet, for one instance.
-    pub fn new(own: Id, now: Tick) -> Self {
+    pub(crate) fn new(own: Id, now: Tick) -> Self {
         let origin = Origin::new(own, now);
         Self {
             own,
@@ -50,19 +50,19 @@
     /// Tells a fact under the holder's own name.
     ///
     /// A fact equal to the one told before changes nothing.
-    pub fn tell(&mut self, fact: Fact) {
+    pub(crate) fn tell(&mut self, fact: Fact) {
         self.own_mut().tell(fact);
     }
 
     /// Takes back what the holder told about a subject.
-    pub fn withdraw(&mut self, subject: &Subject) {
+    pub(crate) fn withdraw(&mut self, subject: &Subject) {
         self.own_mut().withdraw(subject);
     }
 
     /// Lets the holder's own version grow with the monotonic time, as a sign of life.
     ///
     /// The first version comes from the wall clock; that clock may jump afterwards.
-    pub fn beat(&mut self, now: Tick, first: u64) {
+    pub(crate) fn beat(&mut self, now: Tick, first: u64) {
         let (began, first) = *self.start.get_or_insert((now, first));
         let steps = (now - began).as_millis() / STEP.as_millis();
         let steps = u64::try_from(steps).unwrap_or(u64::MAX);
@@ -72,7 +72,7 @@
     }
 
     /// Returns the digest of the ids that are compared.
-    pub fn roster(&self) -> u64 {
+    pub(crate) fn roster(&self) -> u64 {
         let bytes: Vec<u8> = self
             .counted()
             .flat_map(|one| one.id.0.to_be_bytes())
@@ -84,7 +84,7 @@
     ///
     /// Where the ids have to be spelt out, the holder's own rows go with them: the receiver may not know
     /// the holder at all.
-    pub fn request(&self, agreed: bool) -> Summary {
+    pub(crate) fn request(&self, agreed: bool) -> Summary {
         let mut summary = self.versions(!agreed);
         if !agreed {
             let own = self.counted().position(|one| one.id == self.own);
@@ -101,7 +101,7 @@
     /// Builds the answer to a request: rows that the asker lacks.
     ///
     /// The answer has no versions where the asker's cannot be told apart, as its roster is another.
-    pub fn answer(&self, request: &Summary) -> Summary {
+    pub(crate) fn answer(&self, request: &Summary) -> Summary {
         let roster = self.roster();
         let held = match (request.origins.is_empty(), request.roster == roster) {
             (true, false) => {
@@ -127,7 +127,7 @@
     ///
     /// Returns the facts that are new. Versions are taken over only for origins whose rows are complete: in an
     /// answer all of them, in a request the sender's own.
-    pub fn merge(&mut self, now: Tick, summary: &Summary, answered: bool) -> Vec<News> {
+    pub(crate) fn merge(&mut self, now: Tick, summary: &Summary, answered: bool) -> Vec<News> {
         let ids: Vec<Id> = match summary.origins.is_empty() {
             true if summary.roster == self.roster() => self.counted().map(|one| one.id).collect(),
             true => return Vec::new(),
@@ -150,7 +150,7 @@
     ///
     /// The rows of an origin that is no longer compared are kept for a while: an answer on its way
     /// may build on them.
-    pub fn sweep(&mut self, counted: Tick, kept: Tick) {
+    pub(crate) fn sweep(&mut self, counted: Tick, kept: Tick) {
         let own = self.own;
         for origin in &mut self.origins {
             origin.counted = origin.id == own || origin.heard >= counted;
@@ -160,12 +160,12 @@
     }
 
     /// Returns the origins, by id.
-    pub fn origins(&self) -> &[Origin] {
+    pub(crate) fn origins(&self) -> &[Origin] {
         &self.origins
     }
 
     /// Returns what is held of an origin.
-    pub fn origin(&self, id: Id) -> Option<&Origin> {
+    pub(crate) fn origin(&self, id: Id) -> Option<&Origin> {
         self.find(id).ok().map(|at| &self.origins[at])
     }
 
--- a/crates/member/src/table/origin.rs
+++ b/crates/member/src/table/origin.rs
@@ -12,15 +12,15 @@
 
 /// What is held of one origin.
 #[derive(Clone, Debug)]
-pub struct Origin {
+pub(crate) struct Origin {
     /// The incarnation that tells the rows.
-    pub id: Id,
+    pub(crate) id: Id,
     /// Everything up to this version is held.
-    pub version: u64,
+    pub(crate) version: u64,
     /// When the version last grew.
-    pub heard: Tick,
+    pub(crate) heard: Tick,
     /// Whether it counts among the origins that are compared.
-    pub counted: bool,
+    pub(crate) counted: bool,
     rows: Vec<Held>,
 }
 
@@ -45,7 +45,7 @@
     }
 
     /// Returns the facts that the origin tells, with their age when it last spoke.
-    pub fn facts(&self) -> impl Iterator<Item = (Duration, &Fact)> {
+    pub(crate) fn facts(&self) -> impl Iterator<Item = (Duration, &Fact)> {
         let age = |held: &Held| steps(self.version - held.version);
         self.rows
             .iter()
--- a/crates/peer/src/server.rs
+++ b/crates/peer/src/server.rs
@@ -92,6 +92,19 @@
 /// # Errors
 ///
 /// - The listener cannot be used without blocking.
+///
+/// # Examples
+///
+/// As for [`bind`], with the listener bound before the runtime starts:
+///
+/// ```
+/// let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+/// # fn start(listener: std::net::TcpListener, handler: impl peer::Handler) {
+/// let config = peer::configs::peer::Peer::default();
+/// let handle = peer::serve(listener, handler, &config).unwrap();
+/// # drop(handle);
+/// # }
+/// ```
 pub fn serve(
     listener: TcpListener,
     handler: impl Handler,
