Keep summaries of a domain going past a wrong clock

An instance that sealed with a clock an hour ahead stopped the summaries of its domain for that hour, as later ones were not newer (a_wrong_clock_does_not_stop_the_summaries_of_its_domain, seen failing: 359 periods off). Summaries from more than two periods ahead are not believed, and the second candidate seals after two periods without one.

--- a/crates/member/src/roster/bridge.rs
+++ b/crates/member/src/roster/bridge.rs
@@ -18,6 +18,10 @@
 const SUSPECTS: usize = 64;
 /// Leaving marks that go to another failure domain at a time.
 const MARKS: usize = 64;
+/// Periods by which a clock may be ahead; a summary from further on is not believed.
+const AHEAD: u64 = 2;
+/// Periods without a summary after which the second candidate seals one.
+const SEALER_LATE: u64 = 2;
 /// Entry instances that a failure domain names to the others.
 const NAMED: usize = 4;
 
@@ -55,19 +59,31 @@
 
     /// Seals the summary of the own failure domain once in each period, where this instance holds that role.
     ///
-    /// What is sealed goes everywhere as it is, so that all who hold a version hold the same content.
+    /// What is sealed goes everywhere as it is, so that all who hold a version hold the same content. The
+    /// second candidate for the role seals where the first has not done so for some periods.
     pub(super) fn seal(&mut self, context: &Context<'_>, members: &[Incarnation]) {
-        let period = u64::try_from(self.config.bridge.as_millis()).unwrap_or(1);
-        let number = context.stamp.as_millis() / period.max(1);
+        let number = self.period(context);
         let sealed = self.sealed.as_ref().map_or(0, |one| one.domain.version);
-        let owner = rendezvous::owner(members, b"summary");
-        if number <= sealed || owner != Some(&self.own.incarnation) {
-            return;
+        let candidates = rendezvous::candidates(members, b"summary", 2);
+        let rank = candidates
+            .iter()
+            .position(|one| **one == self.own.incarnation);
+        let Some(rank) = rank else {
+            let subject = Subject::Domain(self.own.domain.clone());
+            return self.table.withdraw(&subject);
+        };
+        let late = if rank == 0 { 0 } else { SEALER_LATE };
+        if number > sealed + late {
+            let domain = self.summary(context.now, number);
+            self.table.tell(Fact::Domain(domain.clone()));
+            self.hear(context, domain);
         }
-        let domain = self.summary(context.now, number);
-        let fact = Fact::Domain(domain.clone());
-        self.table.tell(fact);
-        self.hear(context.now, domain);
+    }
+
+    /// Returns the number of the present period.
+    fn period(&self, context: &Context<'_>) -> u64 {
+        let length = u64::try_from(self.config.bridge.as_millis()).unwrap_or(1);
+        context.stamp.as_millis() / length.max(1)
     }
 
     /// Builds what this failure domain says to another one.
@@ -109,7 +125,7 @@
         let mut learned = Vec::new();
         for fact in &summary.facts {
             match fact {
-                Fact::Domain(domain) => self.hear(context.now, domain.clone()),
+                Fact::Domain(domain) => self.hear(context, domain.clone()),
                 fact => learned.push(Action::Learned {
                     origin,
                     fact: fact.clone(),
@@ -188,24 +204,31 @@
         known.merge(news).then_some(known)
     }
 
-    /// Takes in what a failure domain says of itself, where it is newer.
-    pub(super) fn hear(&mut self, now: Tick, domain: Domain) {
-        if domain.name == self.own.domain {
+    /// Takes in what a failure domain says of itself, where it is newer and not of the future.
+    pub(super) fn hear(&mut self, context: &Context<'_>, domain: Domain) {
+        if domain.version > self.period(context) + AHEAD {
+            return;
+        }
+        let remote = Remote {
+            domain,
+            heard: context.now,
+        };
+        if remote.domain.name == self.own.domain {
             let known = self.sealed.as_ref().map_or(0, |one| one.domain.version);
-            if domain.version > known {
-                self.sealed = Some(Remote { domain, heard: now });
+            if remote.domain.version > known {
+                self.sealed = Some(remote);
             }
             return;
         }
-        for instance in &domain.instances {
-            self.peers.place(now, instance);
+        for instance in &remote.domain.instances {
+            self.peers.place(context.now, instance);
         }
-        let remote = Remote { domain, heard: now };
+        let name = &remote.domain.name;
         match self
             .domains
-            .binary_search_by(|one| one.domain.name.cmp(&remote.domain.name))
+            .binary_search_by(|one| one.domain.name.cmp(name))
         {
-            Ok(at) if self.domains[at].domain.version >= remote.domain.version => {}
+            Ok(at) if self.domains[at].domain.version >= remote.domain.version => return,
             Ok(at) => self.domains[at] = remote,
             Err(at) => self.domains.insert(at, remote),
         }
--- a/crates/member/src/roster/source.rs
+++ b/crates/member/src/roster/source.rs
@@ -165,7 +165,7 @@
         let mut learned = Vec::new();
         for News { origin, age, fact } in news {
             match fact {
-                Fact::Domain(domain) => self.hear(context.now, domain),
+                Fact::Domain(domain) => self.hear(context, domain),
                 Fact::Instance(instance) => self.meet(context, &instance),
                 Fact::Server(server) => self.hear_server(context.now, &server, age),
                 Fact::Burn(_) | Fact::Demand(_) | Fact::Position(_) | Fact::Suspect(_) => {
--- a/crates/member/tests/gossip.rs
+++ b/crates/member/tests/gossip.rs
@@ -316,3 +316,37 @@
         }
     }
 }
+
+/// Periods of 10 s by which the summary that an instance holds of its own domain is behind, or ahead.
+fn behind(world: &World, node: usize) -> u64 {
+    let own = world.nodes[node]
+        .roster
+        .view(world.now)
+        .own
+        .expect("sealed");
+    own.summary
+        .version
+        .abs_diff(world.stamp().as_millis() / 10_000)
+}
+
+#[gtest]
+fn a_wrong_clock_does_not_stop_the_summaries_of_its_domain() {
+    for ahead in [3_600_000, -3_600_000] {
+        let mut world = World::new(14, 2, 12, 24);
+        world.run(SECOND * 30);
+        let members = world.nodes[0].roster.members(world.now);
+        let sealer = member::rendezvous::owner(&members, b"summary").cloned();
+        let sealer = world
+            .nodes
+            .iter()
+            .position(|node| Some(&node.own.incarnation) == sealer.as_ref());
+        let sealer = sealer.expect("an instance");
+        world.nodes[sealer].ahead = ahead;
+        for _ in 0..10 {
+            world.run(SECOND * 10);
+            let others = (0..12).filter(|node| *node != sealer && node % 2 == 0);
+            let worst = others.map(|node| behind(&world, node)).max();
+            expect_that!(worst, some(le(5)));
+        }
+    }
+}
