--- a/crates/entry/src/control/roster.rs
+++ b/crates/entry/src/control/roster.rs
@@ -18,6 +18,7 @@
 use platform::list;
 use rand::SeedableRng as _;
 use rand_chacha::ChaCha8Rng;
+use screen::{Screen, View};
 use tokio::sync::watch;
 
 use crate::{
@@ -28,7 +29,7 @@
         suspects::{Learn, Suspects},
     },
     metrics::Metrics,
-    view::{Members, Servers},
+    view::{Members, Rivals, Servers},
 };
 
 /// How often the roster acts.
@@ -51,7 +52,10 @@
     own: Instance,
     platform: platform::Http,
     poll: Duration,
+    rivals: watch::Sender<Rivals>,
     rng: ChaCha8Rng,
+    screen: Screen,
+    screen_view: watch::Sender<Option<Arc<View>>>,
     servers: watch::Sender<Servers>,
     suspects: Option<Addr<Suspects>>,
 }
@@ -66,6 +70,8 @@
     pub(crate) own: Instance,
     pub(crate) platform: platform::Http,
     pub(crate) poll: Duration,
+    pub(crate) rivals: watch::Sender<Rivals>,
+    pub(crate) screen: watch::Sender<Option<Arc<View>>>,
     /// Peers to ask before the platform's list was read.
     pub(crate) seeds: Vec<Name>,
     pub(crate) servers: watch::Sender<Servers>,
@@ -120,7 +126,10 @@
             own: world.own,
             platform: world.platform,
             poll: world.poll,
+            rivals: world.rivals,
             rng: ChaCha8Rng::from_rng(&mut rand::rng()),
+            screen: Screen::open(screen::configs::screen::Screen::default()),
+            screen_view: world.screen,
             servers: world.servers,
             suspects: None,
         };
--- a/crates/entry/src/control/roster/publish.rs
+++ b/crates/entry/src/control/roster/publish.rs
@@ -2,10 +2,11 @@
 
 use std::sync::Arc;
 
+use admit::limit::{Demand, Peer};
 use base::{Incarnation, Name, Tick};
 use member::{
-    View,
-    fact::{Load, State},
+    Fact, View,
+    fact::{self, Id, Load, State},
     view,
 };
 use platform::list::{self, Instance};
@@ -19,11 +20,62 @@
     /// - Servers of the own failure domain come from the roster.
     /// - Servers of other failure domains come from the platform's list, as far as nothing says
     ///   that they are leaving.
-    pub(super) fn publish(&self) {
+    pub(super) fn publish(&mut self) {
         let now = self.clock.tick();
         let view = self.core.view(now);
         self.publish_servers(&view, now);
         self.publish_members(&view, now);
+        self.publish_rivals(&view, now);
+        self.publish_screen(&view);
+    }
+
+    /// Publishes the numbered view, from the summaries that failure domains have sealed.
+    fn publish_screen(&mut self, view: &View) {
+        for line in &self.listed {
+            self.screen.expect(&line.domain);
+        }
+        let domains = view.own.iter().chain(&view.domains);
+        for domain in domains {
+            self.screen.take(&domain.summary);
+        }
+        let shown = self.screen.view(self.clock.stamp()).map(Arc::new);
+        self.screen_view.send_replace(shown);
+    }
+
+    /// Publishes the other instances, among which client accounts' limits are shared.
+    ///
+    /// Demand is told within a failure domain. Another one counts as if nobody of it were heard, so
+    /// that it keeps a fixed share.
+    fn publish_rivals(&self, view: &View, now: Tick) {
+        let mut demands: Vec<(Id, Demand)> = self
+            .core
+            .facts(now)
+            .filter_map(|(origin, _, fact)| match fact {
+                Fact::Demand(demand) => Some((origin, told(demand))),
+                _ => None,
+            })
+            .collect();
+        demands.sort_by(|(a, one), (b, two)| (a, &one.account).cmp(&(b, &two.account)));
+        let rivals: Vec<Peer> = view
+            .peers
+            .iter()
+            .filter(|peer| peer.instance.state == State::Live)
+            .map(|peer| self.rival(peer, &demands))
+            .collect();
+        self.rivals.send_replace(Arc::new(rivals));
+    }
+
+    fn rival(&self, peer: &view::Peer, demands: &[(Id, Demand)]) -> Peer {
+        let id = Id::of(&peer.instance.incarnation);
+        let from = demands.partition_point(|(origin, _)| *origin < id);
+        let own = demands[from..]
+            .iter()
+            .take_while(|(origin, _)| *origin == id);
+        Peer {
+            domain: peer.instance.domain.clone(),
+            heard: peer.heard && peer.instance.domain == self.own.domain,
+            demands: own.map(|(_, demand)| demand.clone()).collect(),
+        }
     }
 
     fn publish_servers(&self, view: &View, now: Tick) {
@@ -97,6 +149,13 @@
     }
 }
 
+fn told(demand: &fact::Demand) -> Demand {
+    Demand {
+        account: demand.account.clone(),
+        rate: f64::from(demand.asked),
+    }
+}
+
 fn near(pool: &Name, domain: &Name, server: &view::Server, now: Tick) -> Option<Server> {
     Some(Server {
         pool: pool.clone(),
--- a/crates/entry/src/instance.rs
+++ b/crates/entry/src/instance.rs
@@ -175,6 +175,8 @@
     let (position, position_read) = watch::channel(None);
     let (servers, servers_read) = watch::channel(Arc::default());
     let (members, members_read) = watch::channel(Arc::default());
+    let (screen, screen_read) = watch::channel(None);
+    let (rivals, rivals_read) = watch::channel(Arc::default());
     let (jobs, jobs_read) = tokio::sync::mpsc::unbounded_channel();
     let lines = Lines::default();
     let listener = bind_peers(&settings)?;
@@ -216,6 +218,8 @@
         },
         platform,
         poll: settings.poll,
+        rivals,
+        screen,
         seeds: settings.peers.clone(),
         servers,
     })
@@ -252,7 +256,9 @@
         ledger,
         metrics,
         position: position_read,
+        rivals: rivals_read,
         roster,
+        screen: screen_read,
         servers: servers_read,
         settings: Arc::new(settings),
         stop: Arc::default(),
--- a/crates/entry/src/plane.rs
+++ b/crates/entry/src/plane.rs
@@ -4,10 +4,12 @@
 //! `route`), and this module carries them out.
 
 mod call;
+mod counters;
 mod drive;
 mod inner;
 mod jobs;
 mod judge;
+mod limits;
 mod once;
 mod places;
 mod prefix;
@@ -47,6 +49,8 @@
         });
         actix_web::rt::spawn(inner::tick(Rc::downgrade(&plane)));
         actix_web::rt::spawn(jobs::work(Rc::downgrade(&plane)));
+        actix_web::rt::spawn(limits::share(Rc::downgrade(&plane)));
+        actix_web::rt::spawn(counters::tell(Rc::downgrade(&plane)));
         plane
     }
 
--- a/crates/entry/src/plane/inner.rs
+++ b/crates/entry/src/plane/inner.rs
@@ -17,7 +17,7 @@
 
 use crate::{
     clock::Clock,
-    plane::{Plane, places, progress::Paces},
+    plane::{Plane, counters::Counters, places, progress::Paces},
     shared::Shared,
     view::{Force, Server, Servers},
 };
@@ -32,6 +32,7 @@
 pub(crate) struct Inner {
     accounts: Vec<(Digest, usize)>,
     clock: Clock,
+    pub(crate) counters: Counters,
     pub(crate) budget: Budget,
     pub(crate) bundle: Option<Arc<Bundle>>,
     force: watch::Receiver<Force>,
@@ -59,6 +60,7 @@
         Self {
             accounts: Vec::new(),
             clock: shared.clock,
+            counters: Counters::default(),
             budget: Budget::open(retry_config(0)),
             retry_percent: 0,
             bundle: None,
--- a/crates/entry/src/routes.rs
+++ b/crates/entry/src/routes.rs
@@ -10,6 +10,7 @@
 ///
 /// - `GET /v1/burn`: what spent the error budgets, for `limpetstep-report`.
 /// - `GET /v1/position`: which configuration is in force here, for `limpetstep-ctl status`.
+/// - `GET /screen`: the shared screen, a page that loads itself again.
 /// - `GET /live`: the process runs.
 /// - `GET /ready`: the instance has a configuration in force and is not stopping.
 /// - `GET /metrics`: the metrics, for Prometheus.
@@ -18,6 +19,7 @@
         .app_data(web::Data::new(Rc::new(shared)))
         .route("/v1/burn", web::get().to(burn))
         .route("/v1/position", web::get().to(position))
+        .route("/screen", web::get().to(show))
         .route("/live", web::get().to(live))
         .route("/ready", web::get().to(ready))
         .route("/metrics", web::get().to(metrics));
@@ -33,6 +35,18 @@
     HttpResponse::Ok().json(*shared.position.borrow())
 }
 
+async fn show(shared: web::Data<Rc<Shared>>) -> HttpResponse {
+    let Some(view) = shared.screen.borrow().clone() else {
+        return HttpResponse::ServiceUnavailable()
+            .insert_header(("Refresh", "5"))
+            .body("no failure domain has told its state yet\n");
+    };
+    let config = screen::configs::screen::Screen::default();
+    HttpResponse::Ok()
+        .content_type("text/html; charset=utf-8")
+        .body(screen::page::html(&view, shared.clock.stamp(), &config))
+}
+
 async fn live() -> HttpResponse {
     HttpResponse::Ok().body("live\n")
 }
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -22,7 +22,7 @@
     },
     metrics::Metrics,
     settings::Settings,
-    view::{Force, Servers},
+    view::{Force, Rivals, Servers},
 };
 
 /// Shared by the control side and the serving side.
@@ -48,8 +48,12 @@
     pub metrics: Arc<Metrics>,
     /// The place in the log of the configuration in force.
     pub position: watch::Receiver<Option<Position>>,
+    /// The other entry instances, by which limits are shared.
+    pub(crate) rivals: watch::Receiver<Rivals>,
     /// The actor of instances and backend servers.
     pub(crate) roster: Addr<Roster>,
+    /// The numbered view for shared screens.
+    pub(crate) screen: watch::Receiver<Option<Arc<screen::View>>>,
     /// Backend servers.
     pub servers: watch::Receiver<Servers>,
     /// Settings.
--- a/crates/entry/src/view.rs
+++ b/crates/entry/src/view.rs
@@ -15,6 +15,9 @@
 /// The live entry instances of the own failure domain, this one among them.
 pub type Members = Arc<Group>;
 
+/// The other entry instances, with what client accounts asked of them.
+pub type Rivals = Arc<Vec<admit::limit::Peer>>;
+
 /// Entry instances among which roles are assigned.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Group {
