--- a/crates/entry/src/control/roster.rs
+++ b/crates/entry/src/control/roster.rs
@@ -13,11 +13,12 @@
 use member::{
     Action, Event, Fact, Summary, configs,
     event::{self, Word},
-    fact::{self, Instance, State},
+    fact::{self, Instance, State, Subject},
 };
 use platform::list;
 use rand::SeedableRng as _;
 use rand_chacha::ChaCha8Rng;
+use screen::{Screen, View};
 use tokio::sync::watch;
 
 use crate::{
@@ -25,9 +26,10 @@
     control::{
         config::{self, Config},
         lines::Lines,
+        suspects::{Learn, Suspects},
     },
     metrics::Metrics,
-    view::{Members, Servers},
+    view::{Members, Rivals, Servers},
 };
 
 /// How often the roster acts.
@@ -50,8 +52,12 @@
     own: Instance,
     platform: platform::Http,
     poll: Duration,
+    rivals: watch::Sender<Rivals>,
     rng: ChaCha8Rng,
+    screen: Screen,
+    screen_view: watch::Sender<Option<Arc<View>>>,
     servers: watch::Sender<Servers>,
+    suspects: Option<Addr<Suspects>>,
 }
 
 /// What the roster needs of its instance.
@@ -64,6 +70,8 @@
     pub(crate) own: Instance,
     pub(crate) platform: platform::Http,
     pub(crate) poll: Duration,
+    pub(crate) rivals: watch::Sender<Rivals>,
+    pub(crate) screen: watch::Sender<Option<Arc<View>>>,
     /// Peers to ask before the platform's list was read.
     pub(crate) seeds: Vec<Name>,
     pub(crate) servers: watch::Sender<Servers>,
@@ -84,6 +92,16 @@
 #[rtype(result = "()")]
 pub(crate) struct Tell(pub(crate) Fact);
 
+/// A fact that is not told any more.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub(crate) struct Withdraw(pub(crate) Subject);
+
+/// Names the actor that is told of contents that peers suspect.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub(crate) struct Report(pub(crate) Addr<Suspects>);
+
 /// This instance is leaving.
 #[derive(Message)]
 #[rtype(result = "()")]
@@ -108,8 +126,12 @@
             own: world.own,
             platform: world.platform,
             poll: world.poll,
+            rivals: world.rivals,
             rng: ChaCha8Rng::from_rng(&mut rand::rng()),
+            screen: Screen::open(screen::configs::screen::Screen::default()),
+            screen_view: world.screen,
             servers: world.servers,
+            suspects: None,
         };
         let seeds = world.seeds.iter().map(listing::seed).collect();
         roster.handle_event(Event::Listed(seeds));
@@ -156,10 +178,18 @@
     }
 
     fn learn(&self, origin: fact::Id, fact: Fact) {
-        if let Fact::Position(position) = fact
-            && let Some(address) = self.address_of(origin)
-        {
-            self.config.do_send(config::Heard { address, position });
+        match fact {
+            Fact::Position(position) => {
+                if let Some(address) = self.address_of(origin) {
+                    self.config.do_send(config::Heard { address, position });
+                }
+            }
+            Fact::Suspect(suspect) => {
+                if let Some(suspects) = &self.suspects {
+                    suspects.do_send(Learn(suspect));
+                }
+            }
+            _ => {}
         }
     }
 
@@ -273,6 +303,22 @@
     }
 }
 
+impl Handler<Withdraw> for Roster {
+    type Result = ();
+
+    fn handle(&mut self, message: Withdraw, context: &mut Context<Self>) {
+        self.on(Event::Withdraw(message.0), context);
+    }
+}
+
+impl Handler<Report> for Roster {
+    type Result = ();
+
+    fn handle(&mut self, message: Report, _: &mut Context<Self>) {
+        self.suspects = Some(message.0);
+    }
+}
+
 impl Handler<Leave> for Roster {
     type Result = ();
 
--- a/crates/entry/src/instance.rs
+++ b/crates/entry/src/instance.rs
@@ -17,24 +17,26 @@
 use base::{Incarnation, Name};
 use burn::Book;
 use member::fact;
+use retry::Desk;
 use thiserror::Error;
 use tokio::sync::watch;
 
 use crate::{
     clock::Clock,
     control::{
-        config::{Config, Report},
+        config::{self, Config},
         ledger::Ledger,
         lines::Lines,
         peers::Peers,
-        roster::{Leave, Roster, World},
+        roster::{self, Leave, Roster, World},
+        suspects::Suspects,
         work::Work,
     },
     metrics::Metrics,
     plane::Plane,
     routes,
     settings::Settings,
-    shared::Shared,
+    shared::{Contents, Shared},
 };
 
 /// The longest time that a stop waits for what is in flight once nothing new is taken.
@@ -170,22 +172,26 @@
     let platform = platform::Http::open(&settings.platform, settings.platform_limit);
     let incarnation = Incarnation::new(settings.name.clone(), clock.stamp());
     let (force, force_read) = watch::channel(None);
+    let (position, position_read) = watch::channel(None);
     let (servers, servers_read) = watch::channel(Arc::default());
     let (members, members_read) = watch::channel(Arc::default());
+    let (screen, screen_read) = watch::channel(None);
+    let (rivals, rivals_read) = watch::channel(Arc::default());
     let (jobs, jobs_read) = tokio::sync::mpsc::unbounded_channel();
     let lines = Lines::default();
     let listener = bind_peers(&settings)?;
     let peer_address = listener.local_addr().unwrap_or(settings.peer_address);
 
-    let config = Config::new(
+    let config = Config::new(config::World {
         clock,
-        lines.clone(),
-        settings.root_keys.clone(),
-        platform.clone(),
-        settings.poll,
-        Arc::clone(&metrics),
         force,
-    )
+        lines: lines.clone(),
+        metrics: Arc::clone(&metrics),
+        platform: platform.clone(),
+        poll: settings.poll,
+        position,
+        root_keys: settings.root_keys.clone(),
+    })
     .start();
     let ledger = Ledger::new(
         clock,
@@ -196,11 +202,12 @@
         lines.clone(),
     )
     .start();
-    let work = Work::new(clock, incarnation.clone(), &platform, members_read, jobs).start();
+    let work_members = members_read.clone();
+    let work = Work::new(clock, incarnation.clone(), &platform, work_members, jobs).start();
     let roster = Roster::new(World {
         clock,
         config: config.clone(),
-        lines,
+        lines: lines.clone(),
         members,
         metrics: Arc::clone(&metrics),
         own: fact::Instance {
@@ -211,32 +218,52 @@
         },
         platform,
         poll: settings.poll,
+        rivals,
+        screen,
         seeds: settings.peers.clone(),
         servers,
     })
     .start();
-    config.do_send(Report(roster.clone()));
+    config.do_send(config::Report(roster.clone()));
+    let contents = Arc::new(Contents::open());
+    let suspects = Suspects {
+        clock,
+        contents: Arc::clone(&contents),
+        desk: Desk::default(),
+        lines: lines.clone(),
+        members: members_read.clone(),
+        own: incarnation.clone(),
+        roster: roster.clone(),
+    }
+    .start();
+    roster.do_send(roster::Report(suspects.clone()));
     let service = Peers {
         config,
         ledger: ledger.clone(),
         roster: roster.clone(),
+        suspects: suspects.clone(),
     };
     let peers = peer::serve(listener, service, &peer::configs::peer::Peer::default())
         .map_err(|error| bind_error(settings.peer_address, error))?;
     let shared = Shared {
         book: Arc::new(Mutex::new(Book::open(incarnation.clone()))),
         clock,
+        contents,
         flights: Arc::new(AtomicUsize::new(0)),
         force: force_read,
         incarnation,
         jobs: Arc::new(Mutex::new(Some(jobs_read))),
         ledger,
         metrics,
+        position: position_read,
+        rivals: rivals_read,
         roster,
+        screen: screen_read,
         servers: servers_read,
         settings: Arc::new(settings),
         stop: Arc::default(),
         stopping: Arc::new(AtomicBool::new(false)),
+        suspects,
         work,
     };
     Ok((shared, peers))
--- a/crates/entry/src/plane.rs
+++ b/crates/entry/src/plane.rs
@@ -3,17 +3,20 @@
 //! It runs on one thread; its decisions are the cores' (`admit`, `flow`, `ledger`, `retry`,
 //! `route`), and this module carries them out.
 
-mod budget;
 mod call;
+mod counters;
 mod drive;
 mod inner;
 mod jobs;
 mod judge;
+mod limits;
 mod once;
 mod places;
 mod prefix;
+mod progress;
 mod sink;
 mod status;
+mod suspect;
 
 use core::cell::RefCell;
 use std::{rc::Rc, sync::atomic::Ordering};
@@ -38,18 +41,16 @@
 impl Plane {
     /// Returns the serving side of an instance; it has to stay on the thread it was opened on.
     pub fn open(shared: Shared) -> Rc<Self> {
-        let config = backend::Config {
-            progress: shared.settings.progress,
-            ..backend::Config::default()
-        };
         let plane = Rc::new_cyclic(|this| Self {
-            client: backend::Client::open(config),
+            client: backend::Client::open(backend::Config::default()),
             inner: RefCell::new(Inner::new(&shared)),
             shared,
             this: this.clone(),
         });
         actix_web::rt::spawn(inner::tick(Rc::downgrade(&plane)));
         actix_web::rt::spawn(jobs::work(Rc::downgrade(&plane)));
+        actix_web::rt::spawn(limits::share(Rc::downgrade(&plane)));
+        actix_web::rt::spawn(counters::tell(Rc::downgrade(&plane)));
         plane
     }
 
--- a/crates/flow/src/failure.rs
+++ b/crates/flow/src/failure.rs
@@ -10,7 +10,9 @@
         /// When the server expects to have room.
         retry_after: Option<Duration>,
     },
-    /// The connection ended after the call was written; the server may have died.
+    /// The connection ended after the call was written, and the server was found dead.
+    Died,
+    /// The connection ended after the call was written; whether the server lives is not known.
     Disconnected,
     /// The server is leaving and took nothing.
     Leaving,
@@ -24,7 +26,11 @@
         detail: String,
     },
     /// No progress within the limit; the connection was closed.
-    Silent,
+    Silent {
+        /// Whether the connection was new, so that the server and not an old connection is to
+        /// blame.
+        fresh: bool,
+    },
 }
 
 impl Failure {
@@ -34,13 +40,13 @@
     ///
     /// ```
     /// use flow::Failure;
-    /// assert!(Failure::Silent.may_have_run());
+    /// assert!(Failure::Silent { fresh: true }.may_have_run());
     /// assert!(!Failure::NotConnected.may_have_run());
     /// ```
     pub const fn may_have_run(&self) -> bool {
         match self {
             Self::Busy { .. } | Self::Leaving | Self::NotConnected | Self::Refused { .. } => false,
-            Self::Disconnected | Self::Mismatched | Self::Silent => true,
+            Self::Died | Self::Disconnected | Self::Mismatched | Self::Silent { .. } => true,
         }
     }
 }
--- a/crates/member/src/roster/bridge.rs
+++ b/crates/member/src/roster/bridge.rs
@@ -3,21 +3,22 @@
 use base::{Incarnation, Name, Tick};
 use rand::seq::IndexedRandom;
 
-use super::{Remote, Roster, version};
+use super::{Remote, Roster, earlier};
 use crate::{
     action::Action,
     event::Context,
-    fact::{Burn, Domain, Fact, Id, Instance, Load, Pool, Position, State, Subject, Suspect},
+    fact::{Domain, Fact, State, Subject, Suspect},
     rendezvous,
     summary::Summary,
     table::Origin,
-    view,
 };
 
 /// Suspects that go to another failure domain at a time.
 const SUSPECTS: usize = 64;
-/// Entry instances that a failure domain names to the others.
-const NAMED: usize = 4;
+/// Leaving marks that go to another failure domain at a time.
+const MARKS: usize = 64;
+/// Periods by which a clock may be ahead; a summary from further on is not believed.
+const AHEAD: u64 = 2;
 
 impl Roster {
     /// Exchanges summaries with each other failure domain for which this instance holds the role.
@@ -39,7 +40,7 @@
         let mut actions = Vec::new();
         for name in domains.iter().filter(|name| !mine(name)) {
             let subject = Subject::Domain(name.clone());
-            self.table.withdraw(version(context.stamp), &subject);
+            self.table.withdraw(&subject);
         }
         for name in domains.iter().filter(mine) {
             let Some(address) = self.door(context, name) else {
@@ -53,13 +54,19 @@
 
     /// Builds what this failure domain says to another one.
     pub(super) fn abroad(&self, now: Tick) -> Summary {
-        let mut facts = vec![Fact::Domain(self.summary(now))];
+        let sealed = self.sealed.as_ref().map(|one| one.domain.clone());
+        // Nothing is sealed yet only right after a start.
+        let domain = sealed.unwrap_or_else(|| self.summary(now, 0));
+        let mut facts = vec![Fact::Domain(domain)];
         facts.extend(self.suspects());
-        Summary {
-            sender: Id::of(&self.own.incarnation),
+        let leaving = self
+            .marks
+            .recent(earlier(now, self.config.bridge * 2), MARKS);
+        self.signed(&Summary {
+            leaving,
             facts,
             ..Summary::default()
-        }
+        })
     }
 
     /// Returns the suspects that changed last, each once.
@@ -84,7 +91,7 @@
         let mut learned = Vec::new();
         for fact in &summary.facts {
             match fact {
-                Fact::Domain(domain) => self.hear(context.now, domain.clone()),
+                Fact::Domain(domain) => self.hear(context, domain.clone()),
                 fact => learned.push(Action::Learned {
                     origin,
                     fact: fact.clone(),
@@ -94,22 +101,59 @@
         learned
     }
 
-    /// Tells the own failure domain what another one answered.
+    /// Tells the own failure domain what another one answered about itself.
     ///
     /// Only the asking side does so: the other side asks by itself.
-    pub(super) fn carry(&mut self, context: &Context<'_>, summary: &Summary) {
+    pub(super) fn carry(&mut self, summary: &Summary) {
         for fact in &summary.facts {
-            let fact = match fact {
-                Fact::Domain(domain) if domain.name != self.own.domain => Some(fact.clone()),
-                Fact::Suspect(suspect) => self.suspect(context.now, suspect).map(Fact::Suspect),
-                _ => None,
-            };
-            if let Some(fact) = fact {
-                self.table.tell(version(context.stamp), fact);
+            if matches!(fact, Fact::Domain(domain) if self.latest(domain)) {
+                self.table.tell(fact.clone());
             }
         }
     }
 
+    /// Sends news to the own failure domain, and to one instance of each other one, which passes it on there.
+    pub(super) fn spread(&self, context: &mut Context<'_>, news: &Summary) -> Vec<Action> {
+        let mut actions = self.notify(context.now, news);
+        for name in self.abroad_names() {
+            let address = self.door(context, &name);
+            actions.extend(address.map(|address| Action::Exchange {
+                address,
+                summary: self.signed(news),
+            }));
+        }
+        actions
+    }
+
+    /// Passes on what came from another failure domain and is new in the own one.
+    pub(super) fn pass_on(
+        &mut self,
+        now: Tick,
+        summary: &Summary,
+        leaving: Vec<Incarnation>,
+    ) -> Vec<Action> {
+        let suspects = summary.facts.iter().filter_map(|fact| match fact {
+            Fact::Suspect(suspect) => self.suspect(now, suspect).map(Fact::Suspect),
+            _ => None,
+        });
+        let facts: Vec<Fact> = suspects.collect();
+        facts.iter().for_each(|fact| self.table.tell(fact.clone()));
+        if leaving.is_empty() && facts.is_empty() {
+            return Vec::new();
+        }
+        let news = Summary {
+            leaving,
+            facts,
+            ..Summary::default()
+        };
+        self.notify(now, &news)
+    }
+
+    /// Tells whether a summary of another failure domain is the latest one known.
+    fn latest(&self, domain: &Domain) -> bool {
+        self.domains.iter().any(|one| one.domain == *domain)
+    }
+
     /// Joins news of a suspect content with what this failure domain knows; none where it knows that already.
     fn suspect(&self, now: Tick, news: &Suspect) -> Option<Suspect> {
         let mut known = Suspect {
@@ -126,85 +170,37 @@
         known.merge(news).then_some(known)
     }
 
-    /// Takes in what another failure domain says of itself, where it is newer.
-    pub(super) fn hear(&mut self, now: Tick, domain: Domain) {
-        if domain.name == self.own.domain {
+    /// Takes in what a failure domain says of itself, where it is newer and not of the future.
+    pub(super) fn hear(&mut self, context: &Context<'_>, domain: Domain) {
+        if domain.version > self.period(context) + AHEAD {
+            return;
+        }
+        let remote = Remote {
+            domain,
+            heard: context.now,
+        };
+        if remote.domain.name == self.own.domain {
+            let known = self.sealed.as_ref().map_or(0, |one| one.domain.version);
+            if remote.domain.version > known {
+                self.sealed = Some(remote);
+            }
             return;
         }
-        for instance in &domain.instances {
-            self.peers.place(now, instance);
+        for instance in &remote.domain.instances {
+            self.peers.place(context.now, instance);
         }
-        let remote = Remote { domain, heard: now };
+        let name = &remote.domain.name;
         match self
             .domains
-            .binary_search_by(|one| one.domain.name.cmp(&remote.domain.name))
+            .binary_search_by(|one| one.domain.name.cmp(name))
         {
-            Ok(at) if self.domains[at].domain.version >= remote.domain.version => {}
+            Ok(at) if self.domains[at].domain.version >= remote.domain.version => return,
             Ok(at) => self.domains[at] = remote,
             Err(at) => self.domains.insert(at, remote),
         }
         self.revision += 1;
     }
 
-    fn summary(&self, now: Tick) -> Domain {
-        let view = self.view(now);
-        let near: Vec<&view::Peer> = view
-            .peers
-            .iter()
-            .filter(|peer| peer.instance.domain == self.own.domain)
-            .collect();
-        let heard = near.iter().filter(|peer| peer.heard);
-        let mut instances: Vec<Instance> = heard.map(|peer| peer.instance.clone()).collect();
-        let unheard = count(near.len() - instances.len());
-        instances.push(self.own.clone());
-        let total = count(instances.len());
-        instances.retain(|one| one.state == State::Live);
-        instances.truncate(NAMED);
-        let newest = self
-            .table
-            .origins()
-            .iter()
-            .map(|origin| origin.version)
-            .max();
-        Domain {
-            name: self.own.domain.clone(),
-            version: newest.unwrap_or_default(),
-            pools: view.pools.iter().map(sum).collect(),
-            instances,
-            count: total,
-            unheard,
-            positions: self.positions(now),
-            burns: self.burns(now),
-        }
-    }
-
-    fn positions(&self, now: Tick) -> Vec<Position> {
-        let told = self
-            .facts(now)
-            .filter(|(_, age, _)| *age <= self.config.lost);
-        let mut positions: Vec<Position> = told
-            .filter_map(|(_, _, fact)| match fact {
-                Fact::Position(position) => Some(*position),
-                _ => None,
-            })
-            .collect();
-        positions.sort_unstable_by_key(|one| (one.offset, one.digest));
-        positions.dedup();
-        positions
-    }
-
-    fn burns(&self, now: Tick) -> Vec<Burn> {
-        let mut sums: Vec<Burn> = Vec::new();
-        for (_, _, fact) in self.facts(now) {
-            let Fact::Burn(burn) = fact else { continue };
-            match sums.binary_search_by(|sum| sum.pipeline.cmp(&burn.pipeline)) {
-                Ok(at) => sums[at].add(burn),
-                Err(at) => sums.insert(at, burn.clone()),
-            }
-        }
-        sums
-    }
-
     fn abroad_names(&self) -> Vec<Name> {
         let listed = self.peers.iter().map(|peer| peer.instance.domain.clone());
         let told = self.domains.iter().map(|one| one.domain.name.clone());
@@ -229,19 +225,3 @@
             .map(|address| (*address).clone())
     }
 }
-
-fn sum(pool: &view::Pool) -> Pool {
-    let live = || pool.servers.iter().filter(|one| one.state == State::Live);
-    let total = |of: fn(&Load) -> u32| live().filter_map(|one| one.load.as_ref()).map(of).sum();
-    Pool {
-        name: pool.name.clone(),
-        live: count(live().count()),
-        leaving: count(pool.servers.len() - live().count()),
-        running: total(|load| load.running),
-        waiting: total(|load| load.waiting),
-    }
-}
-
-fn count(number: usize) -> u32 {
-    u32::try_from(number).unwrap_or(u32::MAX)
-}
--- a/crates/member/tests/gossip.rs
+++ b/crates/member/tests/gossip.rs
@@ -118,6 +118,16 @@
         expect_that!(view.domains.len(), eq(2));
         for domain in &view.domains {
             expect_that!(domain.summary.count, eq(4));
+            let there = world
+                .nodes
+                .iter()
+                .find(|node| node.own.domain == domain.summary.name);
+            let own = there
+                .and_then(|node| node.roster.view(world.now).own)
+                .expect("sealed");
+            let behind = own.summary.version - domain.summary.version;
+            expect_that!(behind, le(2));
+            expect_that!(behind > 0 || own.summary == domain.summary, eq(true));
             expect_that!(domain.age, le(SECOND * 20));
             let live: u32 = domain.summary.pools.iter().map(|pool| pool.live).sum();
             expect_that!(live, eq(8));
@@ -183,6 +193,12 @@
     })
 }
 
+/// Returns the instances that were told, the teller aside.
+fn told(world: &World) -> BTreeSet<usize> {
+    let nodes = world.learned.iter().map(|(node, _)| *node);
+    nodes.filter(|node| *node != 3).collect()
+}
+
 /// Permits wait 200 ms after a crash for this.
 #[gtest]
 fn a_suspect_is_heard_of_at_once() {
@@ -190,18 +206,53 @@
     world.run(SECOND * 20);
     world.give(3, Event::Tell(suspect()));
     world.run(Duration::from_millis(20));
-    let told: BTreeSet<usize> = world.learned.iter().map(|(node, _)| *node).collect();
+    let told = told(&world);
     expect_that!(told.len(), eq(19));
 }
 
 #[gtest]
-fn a_suspect_is_heard_of_in_other_domains() {
+fn a_suspect_is_heard_of_at_once_in_other_domains() {
     let mut world = World::new(9, 3, 12, 4);
     world.run(SECOND * 30);
     world.give(3, Event::Tell(suspect()));
+    world.run(Duration::from_millis(20));
+    let told = told(&world);
+    expect_that!(told.len(), eq(11));
+}
+
+#[gtest]
+fn a_suspect_is_heard_of_in_a_domain_that_was_cut_off() {
+    let mut world = World::new(9, 3, 12, 4);
+    world.run(SECOND * 30);
+    world.sides = world
+        .nodes
+        .iter()
+        .map(|node| u8::from(node.domain == 2))
+        .collect();
+    world.give(3, Event::Tell(suspect()));
+    world.run(SECOND * 30);
+    world.sides = vec![0; 12];
+    world.run(SECOND * 25);
+    let told = told(&world);
+    expect_that!(told.len(), eq(11));
+}
+
+#[gtest]
+fn a_leaving_server_is_known_in_other_domains() {
+    let mut world = World::new(13, 3, 12, 24);
     world.run(SECOND * 30);
-    let told: BTreeSet<usize> = world.learned.iter().map(|(node, _)| *node).collect();
-    expect_that!(told.len(), ge(11));
+    world.list = world::List::Down;
+    for backend in 0..12 {
+        world.backends[backend].state = State::Leaving;
+    }
+    world.run(LEAVING);
+    for backend in &world.backends[..12] {
+        let knows = world
+            .nodes
+            .iter()
+            .filter(|node| node.roster.left(&backend.incarnation));
+        expect_that!(knows.count(), eq(12));
+    }
 }
 
 /// Hands each instance the address of one, which is in domain 0, as settings would.
@@ -251,3 +302,51 @@
     let view = world.nodes[0].roster.view(world.now);
     expect_that!(view.peers.iter().filter(|peer| peer.heard).count(), eq(3));
 }
+
+#[gtest]
+fn a_clock_that_jumps_keeps_its_instance() {
+    let mut world = World::new(12, 1, 8, 0);
+    world.run(SECOND * 20);
+    world.nodes[3].ahead -= 3_600_000;
+    world.nodes[5].ahead += 3_600_000;
+    for _ in 0..30 {
+        world.run(SECOND * 2);
+        for node in &world.nodes {
+            expect_that!(node.roster.members(world.now).len(), eq(8));
+        }
+    }
+}
+
+/// Periods of 10 s by which the summary that an instance holds of its own domain is behind, or ahead.
+fn behind(world: &World, node: usize) -> u64 {
+    let own = world.nodes[node]
+        .roster
+        .view(world.now)
+        .own
+        .expect("sealed");
+    own.summary
+        .version
+        .abs_diff(world.stamp().as_millis() / 10_000)
+}
+
+#[gtest]
+fn a_wrong_clock_does_not_stop_the_summaries_of_its_domain() {
+    for ahead in [3_600_000, -3_600_000] {
+        let mut world = World::new(14, 2, 12, 24);
+        world.run(SECOND * 30);
+        let members = world.nodes[0].roster.members(world.now);
+        let sealer = member::rendezvous::owner(&members, b"summary").cloned();
+        let sealer = world
+            .nodes
+            .iter()
+            .position(|node| Some(&node.own.incarnation) == sealer.as_ref());
+        let sealer = sealer.expect("an instance");
+        world.nodes[sealer].ahead = ahead;
+        for _ in 0..10 {
+            world.run(SECOND * 10);
+            let others = (0..12).filter(|node| *node != sealer && node % 2 == 0);
+            let worst = others.map(|node| behind(&world, node)).max();
+            expect_that!(worst, some(le(5)));
+        }
+    }
+}
