Refuse deferred pipelines with a call that may not be repeated

Change: bundle::check tells it as a fault at pipelines.NAME.deferred.

Seen failing first: the new test against the check as it was (the bundle had no fault). After: cargo test -p bundle, all pass; the examples have no such pipeline.

--- a/crates/bundle/src/check/pipeline.rs
+++ b/crates/bundle/src/check/pipeline.rs
@@ -12,6 +12,7 @@
         figures(pipeline, &path, found);
         accounts(bundle, pipeline, &path, found);
         count(pipeline, &path, found);
+        deferred(pipeline, &path, found);
         for (at, stage) in pipeline.stages.iter().enumerate() {
             let last = at + 1 == pipeline.stages.len();
             let path = format!("{path}.stages.{}", stage.name);
@@ -63,6 +64,18 @@
     }
 }
 
+/// The ledger decides about a key for a shorter time than a deferred request may take.
+fn deferred(pipeline: &Pipeline, path: &str, found: &mut Vec<Fault>) {
+    let once = pipeline.once().filter(|_| pipeline.deferred);
+    if let Some(stage) = once.and_then(|at| pipeline.stages.get(at)) {
+        let reason = format!(
+            "stage `{}` may not be repeated, so the pipeline cannot be deferred",
+            stage.name
+        );
+        found.push(fault(format!("{path}.deferred"), reason));
+    }
+}
+
 fn check_stage(bundle: &Bundle, stage: &Stage, last: bool, path: &str, found: &mut Vec<Fault>) {
     let Some(pool) = bundle.pool(stage.pool.as_str()) else {
         let names = bundle.pools.iter().map(|pool| pool.name.as_str());
--- a/crates/bundle/tests/golden.rs
+++ b/crates/bundle/tests/golden.rs
@@ -17,6 +17,17 @@
     insta::assert_snapshot!("faults", listed(&found));
 }
 
+#[gtest]
+fn a_deferred_pipeline_has_no_call_that_may_not_be_repeated() {
+    let name = "name = \"fee-payment\"\n";
+    let text = COMPAS.replace(name, &format!("{name}deferred = true\n"));
+    let faults = check::read("compas.toml", &text).unwrap_err();
+    let paths: Vec<_> = faults.iter().map(|fault| fault.path.as_str()).collect();
+    expect_that!(paths, eq(&vec!["pipelines.fee-payment.deferred"]));
+    let safe = text.replace("idempotent = false\n", "");
+    expect_that!(check::read("compas.toml", &safe), ok(anything()));
+}
+
 #[gtest]
 fn texts_that_are_no_bundle_are_told_with_line_and_column() {
     let texts = [
