Look at any holders of a prefix, not always the first

Holders were ordered by own attempts in flight; with none in flight every instance took the same four, the first by name, and 48 instances herded on them.

Change: four holders at random.

--- a/crates/route/src/choose.rs
+++ b/crates/route/src/choose.rs
@@ -32,7 +32,7 @@
     };
     let mut candidates = sample(cx.rng, &local, near);
     candidates.extend(sample(cx.rng, &remote, far));
-    candidates.extend(holders(config, pool, ask, &local, &remote));
+    candidates.extend(holders(config, cx.rng, pool, ask, &local, &remote));
     let home = home(pool, ask, &local, &remote);
     candidates.extend(home);
     let best = candidates
@@ -72,6 +72,7 @@
 
 fn holders(
     config: &Config,
+    rng: &mut dyn rand::Rng,
     pool: &Pool,
     ask: &Ask<'_>,
     local: &[usize],
@@ -80,15 +81,14 @@
     let Some(prefix) = ask.prefix else {
         return Vec::new();
     };
-    let mut held: Vec<usize> = local
+    let held: Vec<usize> = local
         .iter()
         .chain(remote)
         .copied()
         .filter(|at| pool.servers[*at].index.holds(prefix))
         .collect();
-    held.sort_by_key(|at| pool.servers[*at].in_flight());
-    held.truncate(config.choose.holders);
-    held
+    // Any of them: with a fixed order, every instance would go to the same few.
+    sample(rng, &held, config.choose.holders)
 }
 
 /// Finds the server that every instance would place the prefix on: the highest hash of the two.
