--- a/crates/ctl/tests/actions.rs
+++ b/crates/ctl/tests/actions.rs
@@ -50,6 +50,17 @@
     expect_that!(log.appends.get(), eq(1));
 }
 
+#[gtest]
+#[actix_web::test]
+async fn a_record_that_arrives_after_the_first_look_is_found() {
+    let log = Memory::default();
+    let (author, _) = keys();
+    log.mishap.set(Mishap::Late);
+    let done = publish(&session(&log), "compas", COMPAS, &author).await;
+    expect_that!(done.unwrap().offset, some(eq(0)));
+    expect_that!(log.appends.get(), eq(1));
+}
+
 #[gtest]
 #[actix_web::test]
 async fn a_record_that_is_not_found_is_unknown_and_not_appended_again() {
@@ -215,3 +226,18 @@
     let view = View::read(&log, &session(&log).roots).await.unwrap();
     expect_that!(view.fold.position().unwrap().digest, eq(done.digest));
 }
+
+#[gtest]
+#[actix_web::test]
+async fn records_too_large_for_one_answer_are_read_one_by_one() {
+    let log = Memory::default();
+    let (author, steward) = keys();
+    roll_out_all(&log, COMPAS, &author, &steward).await.unwrap();
+    roll_out_all(&log, &version(2), &author, &steward)
+        .await
+        .unwrap();
+    let longest = log.records.borrow().iter().map(String::len).max().unwrap();
+    log.answer_bytes.set(longest);
+    let view = View::read(&log, &session(&log).roots).await.unwrap();
+    expect_that!(view.fold.position().unwrap().version, eq(2));
+}
--- a/crates/entry/src/plane/call.rs
+++ b/crates/entry/src/plane/call.rs
@@ -4,10 +4,11 @@
 use std::rc::Rc;
 
 use backend::stream::Part;
-use base::{Incarnation, Name, Tick, attempt::Attempt};
+use base::{Digest, Incarnation, Name, Tick, attempt::Attempt};
 use bundle::content::{Kind, Pool};
 use flow::{Event, Failure};
 use member::fact::State;
+use retry::{silence::Progress, suspect::End as Ending};
 use serde_json::{Value, json};
 
 use crate::{
@@ -15,6 +16,7 @@
     plane::{
         Plane,
         sink::{Push, Sink, Text},
+        suspect,
     },
 };
 
@@ -24,6 +26,8 @@
 /// One call, ready to be made.
 pub(crate) struct Call<'a> {
     pub(crate) call: backend::Call,
+    /// Names the content of the request.
+    pub(crate) content: Digest,
     pub(crate) pipeline: &'a Name,
     pub(crate) pool: &'a Pool,
     /// The digest of the prompt's beginning, where the stage generates.
@@ -52,7 +56,7 @@
     sink: Option<&mut Sink>,
 ) -> End {
     let mut watch = Watch::begin(plane, &call);
-    let made = if call.pool.kind == Kind::Generate {
+    let mut made = if call.pool.kind == Kind::Generate {
         generate(plane, &call, text, sink).await
     } else {
         reply(plane, &call).await
@@ -62,6 +66,11 @@
         Ok(Made::Gone) => Ended::Failed(route::Failure::Cancelled),
         Err(failure) => Ended::Failed(blame(failure)),
     };
+    if let Err(Failure::Disconnected) = &made
+        && suspect::check(plane, &call.server, call.call.address).await
+    {
+        made = Err(Failure::Died);
+    }
     watch.end(ended);
     if let Err(Failure::Leaving) = &made {
         leaving(plane, &call.server);
@@ -116,7 +125,10 @@
 }
 
 async fn reply(plane: &Plane, call: &Call<'_>) -> Result<Made, Failure> {
+    let begun = plane.shared.clock.tick();
     let reply = plane.client.call(&call.call).await?;
+    let took = plane.shared.clock.tick() - begun;
+    learn(plane, call, Progress::First(took));
     if reply.leaving {
         leaving(plane, &call.server);
     }
@@ -135,8 +147,19 @@
     if stream.leaving() {
         leaving(plane, &call.server);
     }
+    let mut last = plane.shared.clock.tick();
+    let mut first = true;
     loop {
-        match stream.part().await? {
+        let part = stream.part().await?;
+        let now = plane.shared.clock.tick();
+        let progress = if core::mem::take(&mut first) {
+            Progress::First(now - last)
+        } else {
+            Progress::Between(now - last)
+        };
+        last = now;
+        learn(plane, call, progress);
+        match part {
             Part::Token { text: token, .. } => {
                 text.push(&token);
                 let Some(sink) = sink.as_mut().filter(|_| call.last) else {
@@ -167,6 +190,11 @@
     }
 }
 
+fn learn(plane: &Plane, call: &Call<'_>, progress: Progress) {
+    let mut inner = plane.inner.borrow_mut();
+    inner.paces.learn(&call.pool.name, progress);
+}
+
 fn missed(plane: &Plane, call: &Call<'_>) {
     let Some(prefix) = call.prefix else {
         return;
@@ -198,10 +226,12 @@
 const fn blame(failure: &Failure) -> route::Failure {
     match failure {
         Failure::Busy { .. } | Failure::Leaving | Failure::Mismatched => route::Failure::Refused,
-        Failure::Disconnected => route::Failure::Crashed,
+        Failure::Died | Failure::Disconnected => route::Failure::Crashed,
         Failure::NotConnected => route::Failure::ConnectFailed,
         Failure::Refused { .. } => route::Failure::Cancelled,
-        Failure::Silent => route::Failure::Slow,
+        Failure::Silent { fresh: true } => route::Failure::Slow,
+        // An old connection is to blame, not the server.
+        Failure::Silent { fresh: false } => route::Failure::Cancelled,
     }
 }
 
@@ -211,12 +241,13 @@
         Ok(Made::Diverged) => "diverged",
         Ok(Made::Gone) => "caller_gone",
         Err(Failure::Busy { .. }) => "busy",
+        Err(Failure::Died) => "died",
         Err(Failure::Disconnected) => "disconnected",
         Err(Failure::Leaving) => "leaving",
         Err(Failure::Mismatched) => "mismatched",
         Err(Failure::NotConnected) => "not_connected",
         Err(Failure::Refused { .. }) => "refused",
-        Err(Failure::Silent) => "silent",
+        Err(Failure::Silent { .. }) => "silent",
     }
 }
 
@@ -228,6 +259,7 @@
 /// Tells the routing that an attempt began, and how it ended even if its future is dropped.
 struct Watch {
     attempt: Attempt,
+    content: Digest,
     deadline: Tick,
     plane: Rc<Plane>,
     pool: Name,
@@ -246,8 +278,10 @@
             prefix: call.prefix,
         };
         plane.inner.borrow_mut().table.on(now, started);
+        suspect::start(plane, call.content, &server);
         Self {
             attempt,
+            content: call.content,
             deadline: now + call.call.deadline,
             plane: Rc::clone(plane),
             pool: call.pool.name.clone(),
@@ -266,6 +300,11 @@
         let (attempt, server) = (self.attempt, self.server.clone());
         let took = self.took();
         let now = self.plane.shared.clock.tick();
+        let end = match ended {
+            Ended::Finished => Ending::Completed,
+            Ended::Failed(_) => Ending::Other,
+        };
+        suspect::end(&self.plane, self.content, &server, end);
         let event = match ended {
             Ended::Finished => route::Event::Finished {
                 attempt,
--- a/crates/entry/src/plane/drive.rs
+++ b/crates/entry/src/plane/drive.rs
@@ -3,10 +3,11 @@
 use core::time::Duration;
 use std::rc::Rc;
 
-use base::{Code, Incarnation, Outcome, Tick, attempt::Attempt, request::Id};
+use base::{Code, Digest, Incarnation, Outcome, Tick, attempt::Attempt, request::Id};
 use bundle::content::Kind;
 use flow::{Action, Answer, Event, Request, request::Context};
 use front::Ask;
+use retry::suspect::Verdict;
 use serde_json::Value;
 use tokio::{sync::oneshot, time};
 
@@ -17,16 +18,22 @@
     once::{self, Once, Recall},
     prefix::{self, Prefix},
     sink::{Sink, Text},
+    suspect,
 };
 
 /// The wait advised to a caller whose request was given up on.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
+/// The pace at which a suspect content looks for a server that has nothing else to do.
+const ALONE_PACE: Duration = Duration::from_millis(50);
+
 /// One request on its way.
 pub(crate) struct Drive {
     ask: Ask,
     /// Whether the call that may not be repeated is under way.
     calling: bool,
+    /// Names the content of the request, whatever its key.
+    content: Digest,
     flight: Flight,
     id: Id,
     judged: Judged,
@@ -59,6 +66,7 @@
         Self {
             ask: ask.clone(),
             calling: false,
+            content: suspect::content(&judged.account, &judged.pipeline.name, &ask.body),
             flight: Flight::begin(&plane.shared),
             id,
             once,
@@ -97,6 +105,12 @@
             Ok(event) => event,
             Err(answer) => return Over::Answer(answer),
         };
+        if first == Event::Admitted
+            && suspect::verdict(&self.plane, &self.content) == Verdict::Refused
+        {
+            let answer = Answer::refusal(Code::RequestHarmful, Code::RequestHarmful.title());
+            return Over::Answer(answer.with_outcome(Outcome::NotRun));
+        }
         // What the ledger keeps for a repeat costs nothing to give.
         if first == Event::Admitted
             && let Err(answer) = self.admit().await
@@ -200,7 +214,7 @@
             Action::Nothing | Action::Settle { .. } => {
                 Next::Over(Over::Answer(internal("an event out of place")))
             }
-            Action::Pick { exclude } => Next::Event(self.pick(&exclude)),
+            Action::Pick { exclude } => Next::Event(self.pick(&exclude).await),
             Action::Release(answer) => {
                 let answer = match &mut self.once {
                     Some(once) => once.release(&self.plane, answer),
@@ -211,10 +225,23 @@
         }
     }
 
-    fn pick(&mut self, exclude: &[Incarnation]) -> Event {
+    /// Picks a server; a suspect content waits until one has nothing else to do.
+    async fn pick(&mut self, exclude: &[Incarnation]) -> Event {
+        loop {
+            let event = self.pick_now(exclude);
+            let alone = suspect::verdict(&self.plane, &self.content) == Verdict::Alone;
+            if !alone || !matches!(event, Event::NoServer { .. }) {
+                return event;
+            }
+            time::sleep(ALONE_PACE).await;
+        }
+    }
+
+    fn pick_now(&mut self, exclude: &[Incarnation]) -> Event {
         let pool = self.request.stage().pool.clone();
         let prefix = self.find_prefix();
         let ask = route::Ask {
+            alone: suspect::verdict(&self.plane, &self.content) == Verdict::Alone,
             exclude,
             prefix: prefix.map(|prefix| prefix.digest),
             prefill_tokens: prefix.map_or(0, |prefix| prefix.tokens),
@@ -224,9 +251,9 @@
         let picked = self.plane.inner.borrow_mut().pick(own_domain, &ask);
         self.prefix = prefix;
         if exclude.is_empty() {
+            let now = self.plane.shared.clock.tick();
             let mut inner = self.plane.inner.borrow_mut();
-            let percent = inner.retry_percent();
-            inner.budget.earn(percent);
+            inner.budget.first(now, &pool, &self.judged.account);
         }
         match picked {
             Ok(pick) => {
@@ -264,6 +291,9 @@
         let Some((pick, pool)) = self.picked.take().zip(self.judged.pools.get(index)) else {
             return Next::Over(Over::Answer(internal("a call without a server")));
         };
+        if !suspect::permit(&self.plane, self.content, &server).await {
+            return Next::Event(Event::Harmful);
+        }
         if let Some(once) = self.once.as_mut().filter(|_| !idempotent)
             && !once.write(&self.plane)
         {
@@ -271,12 +301,16 @@
                 "a call after its claim was given up",
             )));
         }
+        let left = self.judged.deadline - self.plane.shared.clock.tick();
+        let limits = self.plane.inner.borrow().paces.limits(&pool.name, left);
         let call = Call {
             call: backend::Call {
                 account: self.judged.account.clone(),
                 address: pick.address,
                 attempt,
-                deadline: self.judged.deadline - self.plane.shared.clock.tick(),
+                between: limits.between,
+                deadline: left,
+                first: limits.first,
                 from,
                 idempotent,
                 input,
@@ -284,6 +318,7 @@
                 operation: self.request.stage().operation().clone(),
                 priority: self.judged.pipeline.priority,
             },
+            content: self.content,
             pipeline: &self.judged.pipeline.name,
             pool,
             prefix: self.prefix.map(|prefix| prefix.digest),
@@ -336,10 +371,12 @@
     }
 
     fn ask_retry(&self) -> Event {
-        if self.plane.inner.borrow_mut().budget.spend() {
-            Event::RetryGranted
-        } else {
-            Event::RetryDenied
+        let now = self.plane.shared.clock.tick();
+        let pool = &self.request.stage().pool;
+        let mut inner = self.plane.inner.borrow_mut();
+        match inner.budget.again(now, pool, &self.judged.account) {
+            Ok(()) => Event::RetryGranted,
+            Err(_) => Event::RetryDenied,
         }
     }
 
@@ -401,6 +438,13 @@
         let in_time = shared.clock.tick() <= self.judged.deadline;
         let stage = (answer.code != Code::Answered).then(|| self.request.stage().name.clone());
         let pipeline = self.judged.pipeline.name.clone();
+        if burn::cause::Verdict::of(answer.code) != burn::cause::Verdict::Apart {
+            let cost: f64 = answer.stages.iter().map(|stage| stage.cost).sum();
+            let mut inner = self.plane.inner.borrow_mut();
+            inner
+                .counters
+                .count(&pipeline, answer.code, in_time, milli(cost));
+        }
         let account = self.judged.account.clone();
         let ended = burn::Event::ended(pipeline, account, answer.code, in_time, stage);
         if let Some(ended) = ended {
--- a/crates/entry/src/plane/inner.rs
+++ b/crates/entry/src/plane/inner.rs
@@ -11,12 +11,13 @@
 };
 use rand::Rng as _;
 use rand_chacha::ChaCha8Rng;
+use retry::{Budget, configs};
 use route::Table;
 use tokio::sync::{oneshot, watch};
 
 use crate::{
     clock::Clock,
-    plane::{Plane, budget::Budget, places},
+    plane::{Plane, counters::Counters, places, progress::Paces},
     shared::Shared,
     view::{Force, Server, Servers},
 };
@@ -31,6 +32,7 @@
 pub(crate) struct Inner {
     accounts: Vec<(Digest, usize)>,
     clock: Clock,
+    pub(crate) counters: Counters,
     pub(crate) budget: Budget,
     pub(crate) bundle: Option<Arc<Bundle>>,
     force: watch::Receiver<Force>,
@@ -38,8 +40,11 @@
     /// The servers that the routing was last told of.
     known: Servers,
     pub(crate) limits: Limits,
+    pub(crate) paces: Paces,
     /// The places that the gate was last told of, in the order of the bundle's pools.
     places: Vec<u32>,
+    /// The retries that the budget allows for each hundred first attempts.
+    retry_percent: u32,
     pub(crate) rng: ChaCha8Rng,
     servers: watch::Receiver<Servers>,
     pub(crate) table: Table,
@@ -55,12 +60,15 @@
         Self {
             accounts: Vec::new(),
             clock: shared.clock,
-            budget: Budget::default(),
+            counters: Counters::default(),
+            budget: Budget::open(retry_config(0)),
+            retry_percent: 0,
             bundle: None,
             force,
             gate: Gate::default(),
             known: Servers::default(),
             limits: Limits::default(),
+            paces: Paces::new(shared.settings.progress),
             places: Vec::new(),
             rng: rand::make_rng(),
             servers,
@@ -113,6 +121,11 @@
                 .collect();
             self.gate.pipeline(&pipeline.name, &pools);
         }
+        let percent = bundle.limits.retry_percent;
+        if percent != self.retry_percent {
+            self.retry_percent = percent;
+            self.budget = Budget::open(retry_config(percent));
+        }
         shared.book().on(self.clock.stamp(), &in_force(bundle));
         self.bundle = force;
     }
@@ -180,12 +193,6 @@
             .map_or(BODY_BYTES, |bundle| bundle.limits.body_bytes)
     }
 
-    /// Returns the retries allowed for each hundred first attempts.
-    pub(crate) fn retry_percent(&self) -> u32 {
-        let bundle = self.bundle.as_ref();
-        bundle.map_or(0, |bundle| bundle.limits.retry_percent)
-    }
-
     /// Tells whether any pipeline is deferred.
     pub(crate) fn has_deferred(&self) -> bool {
         let bundle = self.bundle.as_ref();
@@ -279,6 +286,17 @@
     }
 }
 
+/// Returns the retry budget's settings for a number of retries for each hundred first attempts.
+///
+/// A part is kept back for the reserve that quiet accounts have.
+fn retry_config(percent: u32) -> configs::budget::Budget {
+    let default = configs::budget::Budget::default();
+    configs::budget::Budget {
+        stage: f64::from(percent) / 100.0 * 0.9,
+        ..default
+    }
+}
+
 /// Tells the book of the objectives of a bundle.
 fn in_force(bundle: &Bundle) -> burn::Event {
     let objective = |pipeline: &Pipeline| burn::event::Objective {
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -12,12 +12,15 @@
 //! - For each call, the instance that serves the request runs one [`claim::Claim`] with a random
 //!   nonce. Its `Submit` and `Lookup` actions go to an owner of [`partition::of`] the slot, by a
 //!   message to a peer or to an owner of its own where no peer can be reached; a message that is
-//!   lost or times out counts as [`owner::Verdict::LOST`]. The transport must not send a message
+//!   lost or times out counts as [`owner::Verdict::LOST`]. Who asks another owner after the first
+//!   gave no answer passes its verdict through [`owner::Verdict::after_resend`]. The transport must not send a message
 //!   again by itself: a claim that arrives twice is safe, but may hold its slot for nobody.
 //!   The verdicts come back by [`claim::Event::of`] and [`claim::Event::Found`].
 //! - The driver reports [`claim::Event::CallWritten`] before the first byte of the call leaves,
 //!   and lets it leave only on [`claim::Action::Write`]. A library that cannot tell when it
 //!   writes is given the request only after that.
+//! - All actions of one event are carried out, an `Answer` without waiting for a `Submit` beside
+//!   it; the release or outcome in that `Submit` is submitted until it is recorded.
 //! - A claim is dropped once [`claim::Claim::is_ended`]; until then it is called again at
 //!   [`claim::Claim::wake`], also after its caller has been answered.
 //!
@@ -42,23 +45,22 @@
 //!     },
 //! );
 //!
-//! // The claim asks for a record; the owner appends it after its batch window.
+//! // The claim asks for a record; the owner, which has read the log, appends it.
+//! owner.on(now, owner::Event::Tick);
+//! owner.on(now, owner::Event::Page { first: 0, end: 0, records: Vec::new() });
 //! let submit = claim.on(now, claim::Event::Start);
 //! let [claim::Action::Submit(record)] = submit.as_slice() else { panic!() };
 //! owner.on(now, owner::Event::Submit { token: 1, record: record.clone() });
-//! owner.on(now, owner::Event::Page { first: 0, end: 0, records: Vec::new() });
-//! let later = Now { tick: Tick::from_millis(1_000), wall: issued };
-//! owner.on(later, owner::Event::Tick);
-//! let replies = owner.on(later, owner::Event::Appended { offset: 0 });
+//! let replies = owner.on(now, owner::Event::Appended { offset: 0 });
 //! let [owner::Action::Reply { verdict, .. }] = replies.as_slice() else { panic!() };
 //! assert_eq!(*verdict, owner::Verdict::Won);
 //!
 //! // The winner calls, once.
 //! let event = claim::Event::of(record, verdict.clone());
-//! assert_eq!(claim.on(later, event), [claim::Action::Call]);
-//! assert_eq!(claim.on(later, claim::Event::CallWritten), [claim::Action::Write]);
+//! assert_eq!(claim.on(now, event), [claim::Action::Call]);
+//! assert_eq!(claim.on(now, claim::Event::CallWritten), [claim::Action::Write]);
 //! let answer = Answer::new(Code::Answered, "released", 3).unwrap();
-//! let ended = claim.on(later, claim::Event::CallAnswered(answer.clone()));
+//! let ended = claim.on(now, claim::Event::CallAnswered(answer.clone()));
 //! assert_eq!(ended[0], claim::Action::Answer(answer));
 //! ```
 
--- a/crates/member/src/roster/round.rs
+++ b/crates/member/src/roster/round.rs
@@ -5,7 +5,7 @@
 use base::{Incarnation, Name, Tick};
 use rand::seq::IndexedRandom;
 
-use super::Roster;
+use super::{Roster, earlier};
 use crate::{
     action::Action,
     event::Context,
@@ -35,9 +35,10 @@
         self.marks.forget(earlier(now, self.config.mark));
         self.peers.forget(earlier(now, self.config.mark));
         let ended = self.servers.ended(now, &self.marks, self.config.silence);
-        self.drop(context, &ended);
+        self.drop(&ended);
         let members = self.members(now);
         let mut actions = self.duties(context, &members);
+        self.seal(context, &members);
         actions.extend(self.bridges(context, &members));
         actions.extend(self.round(context));
         actions
@@ -76,10 +77,17 @@
         } else {
             STRAY
         };
-        let stray = heard.is_empty() || context.rng.next_u32().is_multiple_of(share);
+        let heard_none = heard.is_empty();
+        let stray = heard_none || context.rng.next_u32().is_multiple_of(share);
         let pick = if stray { near } else { heard };
-        let peer = pick.choose(&mut *context.rng)?;
-        Some(peer.instance.address.clone())
+        let peer = pick.choose(&mut *context.rng);
+        if peer.is_none() || heard_none && context.rng.next_u32().is_multiple_of(STRAY_NEW) {
+            let seed = self.seeds.choose(&mut *context.rng);
+            return seed
+                .cloned()
+                .or_else(|| Some(peer?.instance.address.clone()));
+        }
+        Some(peer?.instance.address.clone())
     }
 
     /// Answers an exchange.
@@ -111,18 +119,18 @@
 
     /// Sends news to every peer of the failure domain at once.
     pub(super) fn notify(&self, now: Tick, news: &Summary) -> Vec<Action> {
-        let notice = Summary {
-            sender: Id::of(&self.own.incarnation),
-            ..news.clone()
-        };
         let notify = |peer: &Peer| Action::Exchange {
             address: peer.instance.address.clone(),
-            summary: notice.clone(),
+            summary: self.signed(news),
         };
         self.near(now).map(notify).collect()
     }
-}
 
-fn earlier(now: Tick, span: Duration) -> Tick {
-    Tick::from_micros(now.as_micros().saturating_sub(super::micros(span)))
+    /// Returns a summary with this instance as its sender.
+    pub(super) fn signed(&self, news: &Summary) -> Summary {
+        Summary {
+            sender: Id::of(&self.own.incarnation),
+            ..news.clone()
+        }
+    }
 }
--- a/crates/member/tests/world/mod.rs
+++ b/crates/member/tests/world/mod.rs
@@ -10,7 +10,7 @@
 
 use base::{Incarnation, Name, Stamp, Tick};
 use member::{
-    Action, Context, Event, Roster, Summary, configs,
+    Action, Context, Event, Fact, Roster, Summary, configs,
     event::{Listing, Role, Word},
     fact::{Instance, Load, State},
 };
@@ -54,6 +54,8 @@
     /// Calls started or answered.
     pub calls: u64,
     pub own: Instance,
+    /// How far its wall clock is ahead, in milliseconds.
+    pub ahead: i64,
     rng: ChaCha8Rng,
     life: u32,
 }
@@ -102,6 +104,8 @@
     pub nodes: Vec<Node>,
     pub backends: Vec<Backend>,
     pub list: List,
+    /// Facts that instances were told and do not use themselves.
+    pub learned: Vec<(usize, Fact)>,
     /// Share of messages lost, in hundredths.
     pub loss: u32,
     /// Sides of a cut by node; instances on different sides do not reach each other.
@@ -124,6 +128,7 @@
                 .map(|at| Backend::new(at, at % domains))
                 .collect(),
             list: List::Live,
+            learned: Vec::new(),
             loss: 0,
             sides: vec![0; nodes],
             config,
@@ -253,7 +258,7 @@
         let node = &mut self.nodes[at];
         let mut context = Context {
             now: self.now,
-            stamp,
+            stamp: Stamp::from_millis(stamp.as_millis().saturating_add_signed(node.ahead)),
             rng: &mut node.rng,
         };
         let began = Instant::now();
@@ -266,7 +271,8 @@
         let life = self.nodes[at].life;
         for action in actions {
             match action {
-                Action::Answer(_) | Action::Learned { .. } => {}
+                Action::Answer(_) => {}
+                Action::Learned { fact, .. } => self.learned.push((at, fact)),
                 Action::Exchange { address, summary } => {
                     let message = self.encode(at, &summary);
                     let to = index(&address);
@@ -347,6 +353,7 @@
             bytes: 0,
             calls: 0,
             own,
+            ahead: 0,
             rng: ChaCha8Rng::seed_from_u64(self.rng.next_u64()),
             life: 0,
         }
@@ -387,7 +394,8 @@
         nodes.chain(backends).collect()
     }
 
-    fn stamp(&self) -> Stamp {
+    /// Returns the wall-clock time that is right.
+    pub fn stamp(&self) -> Stamp {
         Stamp::from_millis(EPOCH + self.now.as_micros() / 1_000)
     }
 }
