Put a lost append answer and an outage together

The holder's claim is in the log, its answer lost, and the platform goes down before the holder can release it. Once the platform is back the key has to get a final outcome.

--- a/crates/proc/tests/once.rs
+++ b/crates/proc/tests/once.rs
@@ -116,6 +116,23 @@
     }
 }
 
+#[gtest]
+#[actix_web::test]
+async fn an_append_is_in_doubt_when_the_platform_goes_down() {
+    let scene = scene().await;
+    let payment = Payment::new(&scene);
+    platform(&scene, json!({"hang_appends": 1})).await;
+    let outage = async {
+        payment.await_lost_append().await;
+        platform(&scene, json!({"down": true})).await;
+    };
+    let (first, ()) = futures_util::join!(payment.send(0), outage);
+    expect_truth(&first.unwrap(), payment.runs().await, "down");
+    platform(&scene, json!({"down": false})).await;
+    let (last, runs) = payment.settle(&[1, 0]).await;
+    expect_truth(&last, runs, "back");
+}
+
 #[gtest]
 #[actix_web::test]
 async fn many_instances_get_one_key_at_once() {
