--- a/crates/member/src/roster/bridge.rs
+++ b/crates/member/src/roster/bridge.rs
@@ -7,19 +7,18 @@
 use crate::{
     action::Action,
     event::Context,
-    fact::{Burn, Domain, Fact, Instance, Load, Pool, Position, State, Subject, Suspect},
+    fact::{Domain, Fact, State, Subject, Suspect},
     rendezvous,
     summary::Summary,
     table::Origin,
-    view,
 };
 
 /// Suspects that go to another failure domain at a time.
 const SUSPECTS: usize = 64;
 /// Leaving marks that go to another failure domain at a time.
 const MARKS: usize = 64;
-/// Entry instances that a failure domain names to the others.
-const NAMED: usize = 4;
+/// Periods by which a clock may be ahead; a summary from further on is not believed.
+const AHEAD: u64 = 2;
 
 impl Roster {
     /// Exchanges summaries with each other failure domain for which this instance holds the role.
@@ -53,23 +52,6 @@
         actions
     }
 
-    /// Seals the summary of the own failure domain once in each period, where this instance holds that role.
-    ///
-    /// What is sealed goes everywhere as it is, so that all who hold a version hold the same content.
-    pub(super) fn seal(&mut self, context: &Context<'_>, members: &[Incarnation]) {
-        let period = u64::try_from(self.config.bridge.as_millis()).unwrap_or(1);
-        let number = context.stamp.as_millis() / period.max(1);
-        let sealed = self.sealed.as_ref().map_or(0, |one| one.domain.version);
-        let owner = rendezvous::owner(members, b"summary");
-        if number <= sealed || owner != Some(&self.own.incarnation) {
-            return;
-        }
-        let domain = self.summary(context.now, number);
-        let fact = Fact::Domain(domain.clone());
-        self.table.tell(fact);
-        self.hear(context.now, domain);
-    }
-
     /// Builds what this failure domain says to another one.
     pub(super) fn abroad(&self, now: Tick) -> Summary {
         let sealed = self.sealed.as_ref().map(|one| one.domain.clone());
@@ -109,7 +91,7 @@
         let mut learned = Vec::new();
         for fact in &summary.facts {
             match fact {
-                Fact::Domain(domain) => self.hear(context.now, domain.clone()),
+                Fact::Domain(domain) => self.hear(context, domain.clone()),
                 fact => learned.push(Action::Learned {
                     origin,
                     fact: fact.clone(),
@@ -188,83 +170,37 @@
         known.merge(news).then_some(known)
     }
 
-    /// Takes in what a failure domain says of itself, where it is newer.
-    pub(super) fn hear(&mut self, now: Tick, domain: Domain) {
-        if domain.name == self.own.domain {
+    /// Takes in what a failure domain says of itself, where it is newer and not of the future.
+    pub(super) fn hear(&mut self, context: &Context<'_>, domain: Domain) {
+        if domain.version > self.period(context) + AHEAD {
+            return;
+        }
+        let remote = Remote {
+            domain,
+            heard: context.now,
+        };
+        if remote.domain.name == self.own.domain {
             let known = self.sealed.as_ref().map_or(0, |one| one.domain.version);
-            if domain.version > known {
-                self.sealed = Some(Remote { domain, heard: now });
+            if remote.domain.version > known {
+                self.sealed = Some(remote);
             }
             return;
         }
-        for instance in &domain.instances {
-            self.peers.place(now, instance);
+        for instance in &remote.domain.instances {
+            self.peers.place(context.now, instance);
         }
-        let remote = Remote { domain, heard: now };
+        let name = &remote.domain.name;
         match self
             .domains
-            .binary_search_by(|one| one.domain.name.cmp(&remote.domain.name))
+            .binary_search_by(|one| one.domain.name.cmp(name))
         {
-            Ok(at) if self.domains[at].domain.version >= remote.domain.version => {}
+            Ok(at) if self.domains[at].domain.version >= remote.domain.version => return,
             Ok(at) => self.domains[at] = remote,
             Err(at) => self.domains.insert(at, remote),
         }
         self.revision += 1;
     }
 
-    fn summary(&self, now: Tick, number: u64) -> Domain {
-        let view = self.view(now);
-        let near: Vec<&view::Peer> = view
-            .peers
-            .iter()
-            .filter(|peer| peer.instance.domain == self.own.domain)
-            .collect();
-        let heard = near.iter().filter(|peer| peer.heard);
-        let mut instances: Vec<Instance> = heard.map(|peer| peer.instance.clone()).collect();
-        let unheard = count(near.len() - instances.len());
-        instances.push(self.own.clone());
-        let total = count(instances.len());
-        instances.retain(|one| one.state == State::Live);
-        instances.truncate(NAMED);
-        Domain {
-            name: self.own.domain.clone(),
-            version: number,
-            pools: view.pools.iter().map(sum).collect(),
-            instances,
-            count: total,
-            unheard,
-            positions: self.positions(now),
-            burns: self.burns(now),
-        }
-    }
-
-    fn positions(&self, now: Tick) -> Vec<Position> {
-        let told = self
-            .facts(now)
-            .filter(|(_, age, _)| *age <= self.config.lost);
-        let mut positions: Vec<Position> = told
-            .filter_map(|(_, _, fact)| match fact {
-                Fact::Position(position) => Some(*position),
-                _ => None,
-            })
-            .collect();
-        positions.sort_unstable_by_key(|one| (one.offset, one.digest));
-        positions.dedup();
-        positions
-    }
-
-    fn burns(&self, now: Tick) -> Vec<Burn> {
-        let mut sums: Vec<Burn> = Vec::new();
-        for (_, _, fact) in self.facts(now) {
-            let Fact::Burn(burn) = fact else { continue };
-            match sums.binary_search_by(|sum| sum.pipeline.cmp(&burn.pipeline)) {
-                Ok(at) => sums[at].add(burn),
-                Err(at) => sums.insert(at, burn.clone()),
-            }
-        }
-        sums
-    }
-
     fn abroad_names(&self) -> Vec<Name> {
         let listed = self.peers.iter().map(|peer| peer.instance.domain.clone());
         let told = self.domains.iter().map(|one| one.domain.name.clone());
@@ -289,19 +225,3 @@
             .map(|address| (*address).clone())
     }
 }
-
-fn sum(pool: &view::Pool) -> Pool {
-    let live = || pool.servers.iter().filter(|one| one.state == State::Live);
-    let total = |of: fn(&Load) -> u32| live().filter_map(|one| one.load.as_ref()).map(of).sum();
-    Pool {
-        name: pool.name.clone(),
-        live: count(live().count()),
-        leaving: count(pool.servers.len() - live().count()),
-        running: total(|load| load.running),
-        waiting: total(|load| load.waiting),
-    }
-}
-
-fn count(number: usize) -> u32 {
-    u32::try_from(number).unwrap_or(u32::MAX)
-}
