--- a/crates/entry/src/control/suspects.rs
+++ b/crates/entry/src/control/suspects.rs
@@ -35,6 +35,9 @@
 /// How often old permits and contents are looked through.
 const SWEEP: Duration = Duration::from_secs(1);
 
+/// How often a report is sent until the owner takes it; a report taken twice counts once.
+const REPORTS: usize = 3;
+
 /// When to ask again where the owner of suspects gave no answer.
 const UNANSWERED: Duration = Duration::from_millis(200);
 
@@ -100,9 +103,13 @@
 
     fn decide(&mut self, trial: &Trial) -> Decision {
         let now = self.clock.tick();
-        let mut register = self.contents.register();
-        register.learn(now, &trial.suspect);
-        self.desk.ask(now, &mut register, trial)
+        let (actions, decision) = {
+            let mut register = self.contents.register();
+            let actions = register.learn(now, &trial.suspect);
+            (actions, self.desk.ask(now, &mut register, trial))
+        };
+        self.act(actions);
+        decision
     }
 
     fn report(&mut self, trial: &Trial, step: Step) {
@@ -140,11 +147,12 @@
             return self.report(&trial, step);
         };
         actix_web::rt::spawn(async move {
-            let told = line.permit(codec::trial(&trial, Some(step))).await;
-            if told.is_err() {
-                // A permit that is not reported counts as a crash, which is on the safe side.
-                log::debug!("the owner of suspects did not take a report");
+            for _ in 0..REPORTS {
+                if line.permit(codec::trial(&trial, Some(step))).await.is_ok() {
+                    return;
+                }
             }
+            log::warn!("the owner of suspects takes no reports");
         });
     }
 
--- a/crates/entry/src/plane/once.rs
+++ b/crates/entry/src/plane/once.rs
@@ -64,12 +64,16 @@
     pub(crate) async fn recall(&mut self, plane: &Plane) -> Recall {
         match lookup(plane, self.call.slot).await {
             Verdict::Found(State::Free) => return Recall::Free,
-            Verdict::Found(State::Done { body, .. } | State::InProgress { body, .. })
-                if body != self.call.body =>
-            {
+            Verdict::Found(State::Done { body, .. }) if body != self.call.body => {
                 let answer = Answer::refusal(Code::KeyReused, "another body came with this key");
                 return Recall::End(answer);
             }
+            // Its holder may release it yet, and then this body may run.
+            Verdict::Found(State::InProgress { body, .. }) if body != self.call.body => {
+                let detail = "another body is in progress under this key";
+                let answer = Answer::refusal(Code::EarlierUnknown, detail);
+                return Recall::End(answer.after(RETRY_AFTER));
+            }
             Verdict::Found(State::Done { answer, .. }) => return recalled(told(&answer)),
             Verdict::Found(State::InProgress { .. }) => {}
             Verdict::Expired => {
@@ -82,7 +86,7 @@
                 return Recall::End(answer.after(plane.shared.settings.platform_limit));
             }
         }
-        // A claim of a slot that is taken costs no append, and waits for its holder.
+        // The claim waits for the holder's outcome, and takes its place if it releases the slot.
         match self.claim(plane).await {
             event @ (Event::ClaimDone { .. } | Event::ClaimRefused { .. }) => recalled(event),
             _ => {
--- a/crates/flow/src/request.rs
+++ b/crates/flow/src/request.rs
@@ -34,7 +34,10 @@
     since: Tick,
     spent: f64,
     deaths: u16,
+    /// Servers that failed the present stage.
     exclude: Vec<Incarnation>,
+    /// Those of them that may be well over a new connection.
+    spare: Vec<Incarnation>,
     last: Option<Failure>,
     emitted: u64,
     done: Vec<answer::Stage>,
@@ -100,6 +103,7 @@
             spent: 0.0,
             deaths: 0,
             exclude: Vec::new(),
+            spare: Vec::new(),
             last: None,
             emitted: 0,
             done: Vec::new(),
@@ -149,11 +153,9 @@
                 cost,
             } if self.phase == Phase::Call(attempt) => self.fail(cx, failure, cost),
             Event::Harmful if matches!(self.phase, Phase::Call(_)) => self.forgo(),
-            Event::NoServer { retry_after } if self.phase == Phase::Pick => self.refuse(
-                Code::StageUnavailable,
-                "no backend server",
-                Some(retry_after),
-            ),
+            Event::NoServer { retry_after } if self.phase == Phase::Pick => {
+                self.lack_server(retry_after)
+            }
             Event::Picked { server } if self.phase == Phase::Pick => self.call(server),
             Event::Progressed { count } => {
                 self.emitted = self.emitted.max(count);
@@ -189,6 +191,7 @@
         self.number = 0;
         self.spent = 0.0;
         self.exclude.clear();
+        self.spare.clear();
         if self.stage().idempotent {
             return self.pick();
         }
@@ -267,6 +270,17 @@
         })
     }
 
+    /// Takes servers again that only an old connection did not reach, before it gives up.
+    fn lack_server(&mut self, retry_after: Duration) -> Action {
+        if self.spare.is_empty() {
+            let detail = "no backend server can take the stage";
+            return self.refuse(Code::StageUnavailable, detail, Some(retry_after));
+        }
+        let spare = core::mem::take(&mut self.spare);
+        self.exclude.retain(|server| !spare.contains(server));
+        self.pick()
+    }
+
     /// Gives up before the call was made.
     fn forgo(&mut self) -> Action {
         if !self.stage().idempotent {
@@ -301,8 +315,7 @@
             return self.refuse(Code::StageRefused, &detail, None);
         }
         if matches!(failure, Failure::Silent { fresh: false }) {
-            // The server may be well, over a new connection.
-            self.exclude.pop();
+            self.spare.extend(self.exclude.last().cloned());
         }
         // A server that dies takes all its requests with it; that is rare and bounded by the servers
         // there are, so it need not wait for the budget, which is for attempts that fail.
--- a/crates/route/src/choose.rs
+++ b/crates/route/src/choose.rs
@@ -23,7 +23,11 @@
     if let Some(until) = pool.down_until(cx.now) {
         return Err(refuse(config, cx, until - cx.now));
     }
-    let (local, remote) = usable(config, pool, cx, ask);
+    let (mut local, mut remote) = usable(pool, cx, ask, |state| state.usable(config, cx.now));
+    if local.is_empty() && remote.is_empty() {
+        // Where every server is new, what the gate let in has nowhere else to go.
+        (local, remote) = usable(pool, cx, ask, |state| state.allowed(cx.now));
+    }
     let settings = &config.choose;
     let (near, far) = if ask.prefix.is_some() {
         (settings.beside_holders, settings.beside_holders)
@@ -46,15 +50,15 @@
 }
 
 fn usable(
-    config: &Config,
     pool: &Pool,
     cx: &Context<'_>,
     ask: &Ask<'_>,
+    may: impl Fn(&State) -> bool,
 ) -> (Vec<usize>, Vec<usize>) {
     (0..pool.servers.len())
         .filter(|at| {
             let state = &pool.servers[*at];
-            state.usable(config, cx.now)
+            may(state)
                 && !ask.exclude.contains(&state.server.incarnation)
                 && (!ask.alone || state.in_flight() == 0)
         })
--- a/crates/route/src/state.rs
+++ b/crates/route/src/state.rs
@@ -88,18 +88,29 @@
         self.flights.len()
     }
 
-    /// Tells whether the server may get one more attempt.
+    /// Tells whether the server should get one more attempt.
     pub fn usable(&self, config: &Config, now: Tick) -> bool {
+        self.allowed(now) && !self.is_overtried(config, now)
+    }
+
+    /// Tells whether the server may get one more attempt, though it may be too new for more.
+    pub fn allowed(&self, now: Tick) -> bool {
         if !self.present || self.server.leaving {
             return false;
         }
         match self.health.allows(now) {
-            Use::Free => self.in_flight() < self.cold_limit(&config.state),
+            Use::Free => true,
             Use::Limited(limit) => self.in_flight() < limit,
             Use::None(_) => false,
         }
     }
 
+    /// Tells whether a new server has as many attempts as it should be tried with.
+    fn is_overtried(&self, config: &Config, now: Tick) -> bool {
+        let free = matches!(self.health.allows(now), Use::Free);
+        free && self.in_flight() >= self.cold_limit(&config.state)
+    }
+
     /// Returns the places that the server adds to its pool.
     ///
     /// A server that is new to this instance has only as many as it may be tried with, so that what
