Carry the bundle forward in the test that ages records out

The test waited up to 90 s for an instance to carry the bundle, but instances now spread that over 600 s, so it failed without a fault.

--- a/crates/proc/src/caller.rs
+++ b/crates/proc/src/caller.rs
@@ -265,7 +265,8 @@
     Key::from_parts(now(), uuid::Uuid::new_v4().as_u128())
 }
 
-fn now() -> Stamp {
+/// Returns the wall-clock time.
+pub fn now() -> Stamp {
     let passed = SystemTime::now()
         .duration_since(UNIX_EPOCH)
         .unwrap_or_default();
--- a/crates/proc/src/scene/start.rs
+++ b/crates/proc/src/scene/start.rs
@@ -5,13 +5,13 @@
 
 use awc::Client;
 use base::{Incarnation, Stamp};
-use bundle::{Bundle, sign::Key};
-use platform::Http;
+use bundle::{Bundle, Record, STREAM, sign::Key};
+use platform::{Http, Log as _};
 use serde_json::json;
 
 use super::{Builder, Entry, ONE_AT_A_TIME, Scene, Server};
 use crate::{
-    caller::{Ask, Caller},
+    caller::{Ask, Caller, now},
     expect,
     link::Link,
     poll,
@@ -200,6 +200,25 @@
         roll_out(&self.platform.url, &(text + &added)).await;
     }
 
+    /// Carries the bundle in force forward in the log, as an instance does once in a while.
+    ///
+    /// # Panics
+    ///
+    /// The log cannot be read or appended to.
+    pub async fn carry(&self) {
+        let log = Http::open(&self.platform.url, PLATFORM_LIMIT);
+        let roots = ["author", "steward"].map(|role| Key::example(role).public());
+        let view = ctl::View::read(&log, &roots)
+            .await
+            .expect("the log is read");
+        let carry = view
+            .fold
+            .carry(now(), Duration::ZERO)
+            .expect("a bundle in force");
+        let record = Record::Carry(Box::new(carry)).to_json();
+        log.append(STREAM, record).await.expect("an append");
+    }
+
     /// Waits until every entry instance answers each pipeline that has no consequences.
     ///
     /// # Panics
