--- a/crates/defer/src/shift.rs
+++ b/crates/defer/src/shift.rs
@@ -122,8 +122,14 @@
             }
         }
         ready.sort_unstable();
+        let mut free = self.config.running.saturating_sub(self.running());
         for (deadline, task, offset) in ready {
-            self.consider(cx, deadline, task, offset, &mut actions);
+            let expired = deadline <= cx.wall;
+            if (expired || free > 0) && self.is_due(cx.now, &task) {
+                let action = self.begin(cx.now, task, offset, expired);
+                free -= usize::from(!expired);
+                actions.push(action);
+            }
         }
         actions
     }
@@ -139,36 +145,31 @@
         work.wait = (work.wait * 2).min(self.config.retry_most);
     }
 
-    fn consider(
-        &mut self,
-        cx: Context<'_>,
-        deadline: Stamp,
-        task: Task,
-        offset: u64,
-        actions: &mut Vec<Action>,
-    ) {
-        let busy = self.running() >= self.config.running;
+    fn is_due(&self, now: Tick, task: &Task) -> bool {
+        let Ok(at) = self.find(task) else {
+            return true;
+        };
+        !self.works[at].running && self.works[at].after <= now
+    }
+
+    fn begin(&mut self, now: Tick, task: Task, offset: u64, expired: bool) -> Action {
         let at = self.find(&task).unwrap_or_else(|at| {
             let work = Work {
                 task,
                 running: false,
-                after: cx.now,
+                after: now,
                 wait: self.config.retry_first,
             };
             self.works.insert(at, work);
             at
         });
         let work = &mut self.works[at];
-        if work.running || cx.now < work.after {
-            return;
-        }
-        if deadline <= cx.wall {
-            work.after = cx.now + work.wait;
-            actions.push(Action::Expire { task, offset });
-        } else if !busy {
-            work.running = true;
-            actions.push(Action::Start { task, offset });
+        if expired {
+            work.after = now + work.wait;
+            return Action::Expire { task, offset };
         }
+        work.running = true;
+        Action::Start { task, offset }
     }
 
     fn find(&self, task: &Task) -> Result<usize, usize> {
