--- a/crates/route/src/choose.rs
+++ b/crates/route/src/choose.rs
@@ -23,7 +23,11 @@
     if let Some(until) = pool.down_until(cx.now) {
         return Err(refuse(config, cx, until - cx.now));
     }
-    let (local, remote) = usable(config, pool, cx, ask);
+    let (mut local, mut remote) = usable(pool, cx, ask, |state| state.usable(config, cx.now));
+    if local.is_empty() && remote.is_empty() {
+        // Where every server is new, what the gate let in has nowhere else to go.
+        (local, remote) = usable(pool, cx, ask, |state| state.allowed(cx.now));
+    }
     let settings = &config.choose;
     let (near, far) = if ask.prefix.is_some() {
         (settings.beside_holders, settings.beside_holders)
@@ -32,7 +36,7 @@
     };
     let mut candidates = sample(cx.rng, &local, near);
     candidates.extend(sample(cx.rng, &remote, far));
-    candidates.extend(holders(config, pool, ask, &local, &remote));
+    candidates.extend(holders(config, cx.rng, pool, ask, &local, &remote));
     let home = home(pool, ask, &local, &remote);
     candidates.extend(home);
     let best = candidates
@@ -46,15 +50,15 @@
 }
 
 fn usable(
-    config: &Config,
     pool: &Pool,
     cx: &Context<'_>,
     ask: &Ask<'_>,
+    may: impl Fn(&State) -> bool,
 ) -> (Vec<usize>, Vec<usize>) {
     (0..pool.servers.len())
         .filter(|at| {
             let state = &pool.servers[*at];
-            state.usable(config, cx.now)
+            may(state)
                 && !ask.exclude.contains(&state.server.incarnation)
                 && (!ask.alone || state.in_flight() == 0)
         })
@@ -72,6 +76,7 @@
 
 fn holders(
     config: &Config,
+    rng: &mut dyn rand::Rng,
     pool: &Pool,
     ask: &Ask<'_>,
     local: &[usize],
@@ -80,15 +85,14 @@
     let Some(prefix) = ask.prefix else {
         return Vec::new();
     };
-    let mut held: Vec<usize> = local
+    let held: Vec<usize> = local
         .iter()
         .chain(remote)
         .copied()
         .filter(|at| pool.servers[*at].index.holds(prefix))
         .collect();
-    held.sort_by_key(|at| pool.servers[*at].in_flight());
-    held.truncate(config.choose.holders);
-    held
+    // Any of them: with a fixed order, every instance would go to the same few.
+    sample(rng, &held, config.choose.holders)
 }
 
 /// Finds the server that every instance would place the prefix on: the highest hash of the two.
