--- a/crates/entry/src/plane/drive.rs
+++ b/crates/entry/src/plane/drive.rs
@@ -456,15 +456,17 @@
         let request = self.id;
         let actions = {
             let mut inner = self.plane.inner.borrow_mut();
+            let mut actions = Vec::new();
             for (stage, done) in answer.stages.iter().enumerate() {
                 let took = Duration::from_secs_f64(done.took_ms.max(0.0) / 1_000.0);
-                inner.tell(admit::Event::StageTook {
+                actions.extend(inner.tell(admit::Event::StageTook {
                     request,
                     stage,
                     took,
-                });
+                }));
             }
-            inner.tell(admit::Event::Finished { request, cost })
+            actions.extend(inner.tell(admit::Event::Finished { request, cost }));
+            actions
         };
         self.plane.dispatch(actions);
     }
--- a/crates/entry/src/plane/inner.rs
+++ b/crates/entry/src/plane/inner.rs
@@ -226,7 +226,8 @@
         self.gate.offer(&mut cx, ask)
     }
 
-    /// Tells the gate of an event.
+    /// Tells the gate of an event; what it decides has to reach those who wait.
+    #[must_use]
     pub(crate) fn tell(&mut self, event: admit::Event) -> Vec<admit::Action> {
         let mut cx = admit::Context {
             now: self.clock.tick(),
