--- a/crates/entry/src/plane/drive.rs
+++ b/crates/entry/src/plane/drive.rs
@@ -1,5 +1,8 @@
 //! Carries one request through its pipeline: the core decides, this does.
 
+mod admission;
+mod tally;
+
 use core::time::Duration;
 use std::rc::Rc;
 
@@ -137,44 +140,6 @@
         }
     }
 
-    /// Waits until the gate lets the request start.
-    async fn admit(&self) -> Result<(), Answer> {
-        let now = self.plane.shared.clock.tick();
-        let account = &self.judged.account;
-        let waiting = {
-            let mut inner = self.plane.inner.borrow_mut();
-            inner
-                .limits
-                .take(now, account)
-                .map_err(|wait| limited(account.as_str(), wait))?;
-            let age_from = match self.ask.key {
-                Some(key) => inner.tick_of(key.issued()).min(now),
-                None => now,
-            };
-            let waiting = inner.wait(self.id);
-            let verdict = inner.offer(admit::Ask {
-                request: self.id,
-                account: account.clone(),
-                pipeline: self.judged.pipeline.name.clone(),
-                priority: self.judged.pipeline.priority,
-                deadline: self.judged.deadline,
-                age_from,
-            });
-            if verdict != admit::Verdict::Queued {
-                inner.take_waiter(self.id);
-                return admitted(verdict);
-            }
-            waiting
-        };
-        let mut place = Place {
-            drive: self,
-            kept: true,
-        };
-        let verdict = waiting.await;
-        place.kept = false;
-        verdict.map_or_else(|_| Err(stopped()), admitted)
-    }
-
     async fn advance(&mut self, first: Event) -> Over {
         let mut event = first;
         loop {
@@ -399,78 +364,6 @@
         drop(self.flight);
     }
 
-    fn measure(&self, answer: &Answer) {
-        let plane = &self.plane;
-        let metrics = &plane.shared.metrics;
-        let pipeline = self.judged.pipeline.name.as_str();
-        let took = plane.shared.clock.tick() - self.started;
-        let code = answer.code.number().to_string();
-        let labels = [pipeline, code.as_str(), answer.outcome.as_str()];
-        metrics.requests.with_label_values(&labels).inc();
-        metrics
-            .request_seconds
-            .with_label_values(&[pipeline])
-            .observe(took.as_secs_f64());
-        metrics
-            .tokens
-            .with_label_values(&[pipeline])
-            .inc_by(self.text.count);
-        let mut cost = 0.0;
-        for stage in &answer.stages {
-            cost += stage.cost;
-            let labels = [pipeline, stage.name.as_str()];
-            let seconds = stage.took_ms / 1_000.0;
-            metrics
-                .stage_seconds
-                .with_label_values(&labels)
-                .observe(seconds);
-            metrics
-                .cost
-                .with_label_values(&labels)
-                .inc_by(milli(stage.cost));
-        }
-        self.tell_book(answer);
-        self.tell_gate(answer, cost);
-    }
-
-    fn tell_book(&self, answer: &Answer) {
-        let shared = &self.plane.shared;
-        let in_time = shared.clock.tick() <= self.judged.deadline;
-        let stage = (answer.code != Code::Answered).then(|| self.request.stage().name.clone());
-        let pipeline = self.judged.pipeline.name.clone();
-        if burn::cause::Verdict::of(answer.code) != burn::cause::Verdict::Apart {
-            let cost: f64 = answer.stages.iter().map(|stage| stage.cost).sum();
-            let mut inner = self.plane.inner.borrow_mut();
-            inner
-                .counters
-                .count(&pipeline, answer.code, in_time, milli(cost));
-        }
-        let account = self.judged.account.clone();
-        let ended = burn::Event::ended(pipeline, account, answer.code, in_time, stage);
-        if let Some(ended) = ended {
-            shared.book().on(shared.clock.stamp(), &ended);
-        }
-    }
-
-    fn tell_gate(&self, answer: &Answer, cost: f64) {
-        let request = self.id;
-        let actions = {
-            let mut inner = self.plane.inner.borrow_mut();
-            let mut actions = Vec::new();
-            for (stage, done) in answer.stages.iter().enumerate() {
-                let took = Duration::from_secs_f64(done.took_ms.max(0.0) / 1_000.0);
-                actions.extend(inner.tell(admit::Event::StageTook {
-                    request,
-                    stage,
-                    took,
-                }));
-            }
-            actions.extend(inner.tell(admit::Event::Finished { request, cost }));
-            actions
-        };
-        self.plane.dispatch(actions);
-    }
-
     fn cx(&self) -> Context {
         Context {
             now: self.plane.shared.clock.tick(),
@@ -484,28 +377,6 @@
     Over(Over),
 }
 
-/// A place in the gate's queue, given back if the request is dropped while it waits.
-struct Place<'a> {
-    drive: &'a Drive,
-    kept: bool,
-}
-
-impl Drop for Place<'_> {
-    fn drop(&mut self) {
-        if !self.kept {
-            return;
-        }
-        let request = self.drive.id;
-        let plane = &self.drive.plane;
-        let actions = {
-            let mut inner = plane.inner.borrow_mut();
-            inner.take_waiter(request);
-            inner.tell(admit::Event::Cancelled { request })
-        };
-        plane.dispatch(actions);
-    }
-}
-
 fn prepare_once(plane: &Plane, ask: &Ask, judged: &Judged) -> Option<Once> {
     judged.pipeline.once()?;
     let key = ask.key?;
@@ -519,30 +390,6 @@
     }))
 }
 
-fn admitted(verdict: admit::Verdict) -> Result<(), Answer> {
-    match verdict {
-        admit::Verdict::Refused(refusal) => {
-            Err(Answer::refusal(refusal.code, refusal.code.title()).after(refusal.retry_after))
-        }
-        admit::Verdict::Queued | admit::Verdict::Start => Ok(()),
-    }
-}
-
-fn limited(account: &str, wait: Duration) -> Answer {
-    let detail = format!("'{account}' is over its requests a second");
-    Answer::refusal(Code::AccountLimited, detail).after(wait)
-}
-
-fn stopped() -> Answer {
-    Answer::refusal(Code::Stopping, Code::Stopping.title()).after(RETRY_AFTER)
-}
-
 fn internal(detail: &str) -> Answer {
     Answer::refusal(Code::Internal, detail).with_outcome(Outcome::Unknown)
 }
-
-#[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-fn milli(cost: f64) -> u64 {
-    // Costs are small and never negative, so nothing is lost that anyone would miss.
-    (cost * 1_000.0).round().max(0.0) as u64
-}
