Let an instance that has just started retry, and carry in small portions

Ruled out: a larger share, which would raise the amplification for good. Change: the entry starts a stage with the ten tokens and an account with the five that the budget's stated bound allows for anyway. A look at deferred requests writes at most 32 records again, so that tasks start in between.

--- a/crates/entry/src/control/work.rs
+++ b/crates/entry/src/control/work.rs
@@ -22,6 +22,9 @@
 /// How often an instance looks for tasks.
 const LOOK: Duration = Duration::from_secs(1);
 
+/// Records carried forward in one look.
+const CARRIES: usize = 32;
+
 /// A task for the serving side.
 pub struct Job {
     /// The stored request.
@@ -172,8 +175,13 @@
             partition: partition.number,
             wall: world.clock.stamp(),
         });
+        let mut carries = 0;
         for action in actions {
-            act(&world, partition, action).await;
+            // Carries that are left wait for the next look, so that starts come in between.
+            carries += usize::from(matches!(action, shift::Action::Carry { .. }));
+            if carries <= CARRIES || !matches!(action, shift::Action::Carry { .. }) {
+                act(&world, partition, action).await;
+            }
         }
     }
     partition.end_look();
--- a/crates/entry/src/plane/inner.rs
+++ b/crates/entry/src/plane/inner.rs
@@ -294,6 +294,8 @@
     let default = configs::budget::Budget::default();
     configs::budget::Budget {
         stage: f64::from(percent) / 100.0 * 0.9,
+        stage_start: default.stage_most,
+        account_start: default.account_most,
         ..default
     }
 }
--- a/crates/retry/src/budget.rs
+++ b/crates/retry/src/budget.rs
@@ -107,7 +107,8 @@
         let at = match self.stages.binary_search_by(|one| one.name.cmp(stage)) {
             Ok(at) => at,
             Err(at) => {
-                self.stages.insert(at, Stage::new(now, stage));
+                let bucket = Bucket::new(now, self.config.stage_start);
+                self.stages.insert(at, Stage::new(stage, bucket));
                 at
             }
         };
@@ -115,7 +116,8 @@
         let at = match stage.accounts.binary_search_by(|one| one.name.cmp(account)) {
             Ok(at) => at,
             Err(at) => {
-                stage.accounts.insert(at, Account::new(now, account));
+                let bucket = Bucket::new(now, self.config.account_start);
+                stage.accounts.insert(at, Account::new(account, bucket));
                 at
             }
         };
@@ -127,28 +129,28 @@
 }
 
 impl Stage {
-    fn new(now: Tick, name: &Name) -> Self {
+    fn new(name: &Name, bucket: Bucket) -> Self {
         Self {
             name: name.clone(),
-            bucket: Bucket::new(now),
+            bucket,
             accounts: Vec::new(),
         }
     }
 }
 
 impl Account {
-    fn new(now: Tick, name: &Name) -> Self {
+    fn new(name: &Name, bucket: Bucket) -> Self {
         Self {
             name: name.clone(),
-            bucket: Bucket::new(now),
+            bucket,
         }
     }
 }
 
 impl Bucket {
-    const fn new(now: Tick) -> Self {
+    const fn new(now: Tick, tokens: f64) -> Self {
         Self {
-            tokens: 1.0,
+            tokens,
             touched: now,
         }
     }
--- a/crates/retry/src/configs/budget.rs
+++ b/crates/retry/src/configs/budget.rs
@@ -9,6 +9,11 @@
     pub stage: f64,
     /// Tokens that a first attempt adds to its client account at the stage.
     pub account: f64,
+    /// Tokens that a stage holds when it is first heard of, so that an instance that has just
+    /// started can retry.
+    pub stage_start: f64,
+    /// Tokens that a client account holds at a stage when it is first heard of there.
+    pub account_start: f64,
     /// Most tokens that a stage holds.
     pub stage_most: f64,
     /// Most tokens that a client account holds at a stage.
@@ -24,6 +29,8 @@
         Self {
             stage: 0.09,
             account: 0.2,
+            stage_start: 1.0,
+            account_start: 1.0,
             stage_most: 10.0,
             account_most: 5.0,
             reserve: Duration::from_secs(10),
--- a/crates/retry/tests/budget.rs
+++ b/crates/retry/tests/budget.rs
@@ -81,6 +81,26 @@
     }
 }
 
+#[gtest]
+fn a_start_level_is_given_once() {
+    let default = configs::budget::Budget::default();
+    let mut budget = Budget::open(configs::budget::Budget {
+        stage_start: default.stage_most,
+        account_start: default.account_most,
+        ..default
+    });
+    let stage = Name::from("encode");
+    let mut taken = |account: &str| {
+        let account = Name::from(account);
+        let again = |_: &usize| budget.again(Tick::default(), &stage, &account).is_ok();
+        (0..100).filter(again).count()
+    };
+    expect_that!(taken("adinkra"), eq(5));
+    expect_that!(taken("compas"), eq(5));
+    expect_that!(taken("third"), eq(0));
+    expect_that!(taken("adinkra"), eq(0));
+}
+
 #[gtest]
 fn the_time_to_wait_is_told_and_true() {
     let mut budget = open();
