--- /dev/null
+++ b/crates/proc/tests/screens.rs
@@ -0,0 +1,98 @@
+//! Shared screens of instances in two failure domains.
+
+use core::time::Duration;
+use std::collections::BTreeMap;
+
+use actix_web::rt::time::sleep;
+use awc::Client;
+use googletest::prelude::*;
+use proc::{
+    process::Signal,
+    scene::{Builder, Scene},
+};
+
+/// How long the screens are compared in each state, a few of their periods of 10 s.
+const WATCH: Duration = Duration::from_secs(50);
+const PACE: Duration = Duration::from_millis(500);
+
+/// What the screens have shown: the content by number, and how often their numbers agreed.
+#[derive(Default)]
+struct Seen {
+    contents: BTreeMap<String, String>,
+    agreed: usize,
+}
+
+impl Seen {
+    /// Looks at every screen again and again; one number never stands for two contents.
+    async fn watch(&mut self, urls: &[String]) {
+        let looks = WATCH.as_millis() / PACE.as_millis();
+        for _ in 0..looks {
+            let mut numbers = Vec::new();
+            for url in urls {
+                if let Some((number, content)) = look(url).await {
+                    let known = self
+                        .contents
+                        .entry(number.clone())
+                        .or_insert_with(|| content.clone());
+                    assert_that!(*known, eq(&content), "view {number}");
+                    numbers.push(number);
+                }
+            }
+            let same = numbers.windows(2).all(|pair| pair[0] == pair[1]);
+            self.agreed += usize::from(same && numbers.len() == urls.len());
+            sleep(PACE).await;
+        }
+    }
+}
+
+/// Returns the number and the content of a screen; nothing before its first view.
+async fn look(url: &str) -> Option<(String, String)> {
+    let mut response = Client::default()
+        .get(format!("{url}/screen"))
+        .send()
+        .await
+        .ok()?;
+    let body = response.body().await.ok()?;
+    let page = String::from_utf8_lossy(&body).into_owned();
+    let number = page
+        .split_once("<h1>View ")?
+        .1
+        .split_once('<')?
+        .0
+        .to_owned();
+    let content = page
+        .split_once("<main>")?
+        .1
+        .split_once("</main>")?
+        .0
+        .to_owned();
+    Some((number, content))
+}
+
+fn urls(scene: &Scene) -> Vec<String> {
+    scene
+        .entries
+        .iter()
+        .map(|entry| entry.url.clone())
+        .collect()
+}
+
+#[gtest]
+#[actix_web::test]
+async fn one_number_shows_one_thing_and_a_silent_domain_is_marked() {
+    let scene = Builder::new("compas").domains(2).entries(1).start().await;
+    let urls = urls(&scene);
+    let mut seen = Seen::default();
+    seen.watch(&urls).await;
+    expect_that!(seen.agreed, gt(0));
+
+    scene.entries[1].process.signal(Signal::Stop);
+    seen.watch(&urls[..1]).await;
+    let (_, content) = look(&urls[0]).await.expect("a view");
+    expect_that!(content, contains_substring("NOT HEARD"));
+
+    scene.entries[1].process.signal(Signal::Continue);
+    let before = seen.agreed;
+    seen.watch(&urls).await;
+    expect_that!(seen.agreed, gt(before));
+}
