--- a/crates/entry/src/plane/call.rs
+++ b/crates/entry/src/plane/call.rs
@@ -61,16 +61,17 @@
     } else {
         reply(plane, &call).await
     };
-    let ended = match &made {
-        Ok(Made::Output(..) | Made::Diverged) => Ended::Finished,
-        Ok(Made::Gone) => Ended::Failed(route::Failure::Cancelled),
-        Err(failure) => Ended::Failed(blame(failure)),
-    };
     if let Err(Failure::Disconnected) = &made
         && suspect::check(plane, &call.server, call.call.address).await
     {
         made = Err(Failure::Died);
     }
+    let ended = match &made {
+        Ok(Made::Output(..) | Made::Diverged) => Ended::Finished,
+        Ok(Made::Gone) => Ended::Failed(route::Failure::Cancelled),
+        Err(Failure::Died) => Ended::Failed(mourn(plane, &call.server)),
+        Err(failure) => Ended::Failed(blame(failure)),
+    };
     watch.end(ended);
     if let Err(Failure::Leaving) = &made {
         leaving(plane, &call.server);
@@ -223,6 +224,16 @@
     took.as_secs_f64() * pool.cost_per_second
 }
 
+/// Counts the death of a server once, however many attempts it took along: the rest of its pool may
+/// be well.
+fn mourn(plane: &Plane, server: &Incarnation) -> route::Failure {
+    if plane.inner.borrow_mut().bury(server) {
+        route::Failure::Crashed
+    } else {
+        route::Failure::Cancelled
+    }
+}
+
 const fn blame(failure: &Failure) -> route::Failure {
     match failure {
         Failure::Busy { .. } | Failure::Leaving | Failure::Mismatched => route::Failure::Refused,
--- a/crates/entry/src/plane/inner.rs
+++ b/crates/entry/src/plane/inner.rs
@@ -4,7 +4,7 @@
 use std::{rc::Weak, sync::Arc};
 
 use admit::{Gate, limit::Limits};
-use base::{Digest, Name, Stamp, Tick, request::Id};
+use base::{Digest, Incarnation, Name, Stamp, Tick, request::Id};
 use bundle::{
     Bundle,
     content::{Account, Pipeline},
@@ -35,6 +35,8 @@
     pub(crate) counters: Counters,
     pub(crate) budget: Budget,
     pub(crate) bundle: Option<Arc<Bundle>>,
+    /// Servers found dead that the list still has, sorted.
+    dead: Vec<Incarnation>,
     force: watch::Receiver<Force>,
     pub(crate) gate: Gate,
     /// The servers that the routing was last told of.
@@ -64,6 +66,7 @@
             budget: Budget::open(retry_config(0)),
             retry_percent: 0,
             bundle: None,
+            dead: Vec::new(),
             force,
             gate: Gate::default(),
             known: Servers::default(),
@@ -139,6 +142,8 @@
             let members = places::members(&servers, pool);
             self.table.set(pool.name.as_str(), &members);
         }
+        self.dead
+            .retain(|dead| servers.iter().any(|server| server.incarnation == *dead));
         self.take_loads(&servers);
         self.known = servers;
     }
@@ -226,6 +231,15 @@
         self.gate.offer(&mut cx, ask)
     }
 
+    /// Takes note that a server is dead, and tells whether that was news.
+    pub(crate) fn bury(&mut self, server: &Incarnation) -> bool {
+        let Err(at) = self.dead.binary_search(server) else {
+            return false;
+        };
+        self.dead.insert(at, server.clone());
+        true
+    }
+
     /// Tells the gate of an event; what it decides has to reach those who wait.
     #[must_use]
     pub(crate) fn tell(&mut self, event: admit::Event) -> Vec<admit::Action> {
--- a/crates/flow/src/request.rs
+++ b/crates/flow/src/request.rs
@@ -11,7 +11,7 @@
 /// The wait advised after a failure that says nothing about how long it will last.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
-/// Servers that may die under one request before its further attempts are paid for like any retry.
+/// Servers that one request may find dead before its further attempts are paid for like any retry.
 const DEATHS: u16 = 2;
 
 /// What a request may see when it decides.
@@ -317,9 +317,11 @@
         if matches!(failure, Failure::Silent { fresh: false }) {
             self.spare.extend(self.exclude.last().cloned());
         }
-        // A server that dies takes all its requests with it; that is rare and bounded by the servers
-        // there are, so it need not wait for the budget, which is for attempts that fail.
-        if failure == Failure::Died && self.deaths < DEATHS {
+        // A server that dies takes all its requests with it, and some more find it gone before that is
+        // known; that is rare and bounded by the servers there are, so it need not wait for the budget,
+        // which is for attempts that fail.
+        let gone = matches!(failure, Failure::Died | Failure::NotConnected);
+        if gone && self.deaths < DEATHS {
             self.deaths += 1;
             return self.retry();
         }
