Let a stream that got on go on without asking the retry budget

Ruled out: a larger budget, which would also pay for attempts that repeat work. Change: an attempt that delivered tokens before it failed is continued from the next token, at most eight times a request; one that delivered none asks as before.

--- a/crates/flow/src/request.rs
+++ b/crates/flow/src/request.rs
@@ -14,6 +14,9 @@
 /// Servers that one request may find dead before its further attempts are paid for like any retry.
 const DEATHS: u16 = 2;
 
+/// Times that a streamed answer may go on at another server without asking the retry budget.
+const CONTINUATIONS: u16 = 8;
+
 /// What a request may see when it decides.
 #[derive(Clone, Copy, Debug)]
 pub struct Context {
@@ -33,6 +36,7 @@
     number: u16,
     since: Tick,
     spent: f64,
+    continuations: u16,
     deaths: u16,
     /// Servers that failed the present stage.
     exclude: Vec<Incarnation>,
@@ -40,6 +44,8 @@
     spare: Vec<Incarnation>,
     last: Option<Failure>,
     emitted: u64,
+    /// The tokens that had gone out when the present attempt began.
+    begun_at: u64,
     done: Vec<answer::Stage>,
     ran: Ran,
 }
@@ -101,11 +107,13 @@
             number: 0,
             since: Tick::default(),
             spent: 0.0,
+            continuations: 0,
             deaths: 0,
             exclude: Vec::new(),
             spare: Vec::new(),
             last: None,
             emitted: 0,
+            begun_at: 0,
             done: Vec::new(),
             ran: Ran::default(),
         }
@@ -211,6 +219,7 @@
         let attempt = Attempt::new(self.id, stage, self.number);
         let idempotent = self.stage().idempotent;
         self.phase = Phase::Call(attempt);
+        self.begun_at = self.emitted;
         self.exclude.push(server.clone());
         if idempotent {
             self.ran.idempotent = true;
@@ -325,6 +334,12 @@
             self.deaths += 1;
             return self.retry();
         }
+        // A stream that got on before it was cut goes on from there. It repeats no token, so it adds
+        // little to the load, whereas giving it up would waste what was generated.
+        if self.emitted > self.begun_at && self.continuations < CONTINUATIONS {
+            self.continuations += 1;
+            return self.retry();
+        }
         self.last = Some(failure);
         self.phase = Phase::Budget;
         Action::AskRetry
--- a/crates/flow/tests/request.rs
+++ b/crates/flow/tests/request.rs
@@ -230,6 +230,32 @@
     );
 }
 
+#[gtest]
+fn a_stream_that_got_on_goes_on_without_the_budget_and_one_that_did_not_asks() {
+    let mut request = request();
+    request.on(cx(), Event::Admitted);
+    let cut = |request: &mut Request, name: &str, count: u64| {
+        let server = Incarnation::new(name, Stamp::default());
+        let Action::Call { attempt, from, .. } = request.on(cx(), Event::Picked { server }) else {
+            panic!("a call was due");
+        };
+        request.on(cx(), Event::Progressed { count });
+        let failure = Failure::Disconnected;
+        let failed = Event::Failed {
+            attempt,
+            failure,
+            cost: 0.0,
+        };
+        (from, request.on(cx(), failed))
+    };
+    let (from, action) = cut(&mut request, "a", 7);
+    expect_that!(from, eq(0));
+    expect_that!(matches!(action, Action::Pick { .. }), eq(true));
+    let (from, action) = cut(&mut request, "b", 7);
+    expect_that!(from, eq(7));
+    expect_that!(action, eq(&Action::AskRetry));
+}
+
 #[gtest]
 fn a_harmful_content_gives_its_claim_back() {
     let mut request = request();
