Take a reset connection for no sign that a server lives

The lines of a red run show the poison's own attempts ended as 'disconnected' within 2 ms while every bystander's on the same server ended as 'died': the new connection that looks for the server was reset by the ending process, and any error but a refusal counted as a server that lives. So the content was not suspected and ran again, free.

Ruled out: the owner of suspects and its permits (no permit was asked for), the progress limits (no attempt was silent).

Change: backend::presence tells refused, unreachable and unsettled apart; what is unsettled is looked at again for up to 1.5 s. A server of another name at the address is another life, too.

--- a/crates/entry/src/plane/suspect.rs
+++ b/crates/entry/src/plane/suspect.rs
@@ -1,15 +1,15 @@
 //! Keeps a content that crashed backend servers from crashing more.
 
 use core::{net::SocketAddr, time::Duration};
-use std::io;
 
+use backend::presence::{self, Presence};
 use base::{Digest, Incarnation};
 use member::fact::Id;
 use retry::{
     desk::Decision,
     suspect::{self, End, Verdict},
 };
-use tokio::{net::TcpStream, time};
+use tokio::time;
 
 use crate::{
     control::suspects::{Act, Ask},
@@ -19,12 +19,12 @@
 /// The time limit of finding out whether a server is still there.
 const PROBE: Duration = Duration::from_millis(500);
 
-/// How often a server that takes connections but does not answer is asked.
-const PROBES: usize = 3;
-
-/// The pause between two of these.
+/// The pause between two looks at a server that takes connections but does not answer.
 const PROBE_PACE: Duration = Duration::from_millis(30);
 
+/// How long such a server is looked at again, before it counts as one that lives.
+const SETTLING: Duration = Duration::from_millis(1_500);
+
 /// Names the content of a request, whatever its key.
 pub(crate) fn content(account: &base::Name, pipeline: &base::Name, body: &Digest) -> Digest {
     suspect::content(account, pipeline, body.as_bytes())
@@ -85,24 +85,26 @@
     true
 }
 
-/// Only a connection that is refused, or a later life that answers, shows that a server died: one
-/// that cannot be reached may live on.
+/// Only a refused connection, or another life that answers, shows that a server died: one that cannot be
+/// reached may live on, and one that is going down takes or resets connections for a moment longer.
 async fn is_there(plane: &Plane, server: &Incarnation, address: SocketAddr) -> bool {
-    for _ in 0..PROBES {
-        match time::timeout(PROBE, TcpStream::connect(address)).await {
-            Ok(Err(error)) => return error.kind() != io::ErrorKind::ConnectionRefused,
-            Err(_) => return true,
-            Ok(Ok(_)) => {}
-        }
-        if let Some(report) = backend::load::ask(&plane.client, address, PROBE).await {
-            return report.incarnation <= *server;
+    let until = plane.shared.clock.tick() + SETTLING;
+    while plane.shared.clock.tick() < until {
+        match presence::look(&plane.client, address, PROBE).await {
+            Presence::Answered(report) => return is_life(&report.incarnation, server),
+            Presence::Refused => return false,
+            Presence::Unreachable => return true,
+            Presence::Unsettled => time::sleep(PROBE_PACE).await,
         }
-        // A process that is going down takes connections for a moment longer.
-        time::sleep(PROBE_PACE).await;
     }
     true
 }
 
+/// Tells whether the one that answers is the server called, or an earlier life that a late list names.
+fn is_life(answering: &Incarnation, called: &Incarnation) -> bool {
+    answering.name == called.name && answering.start <= called.start
+}
+
 fn act(plane: &Plane, actions: Vec<suspect::Action>) {
     if !actions.is_empty() {
         plane.shared.suspects.do_send(Act(actions));
