Hold a content to account for servers that hang before they die of it

Cause: a content was suspected only where it was in flight at the moment its server was found dead.

Weighed: holding every retry back until the silent server has shown itself (a single silent server would cost the deadline); counting silence as a crash (an innocent would be refused after two silent connections).

While two servers hang so, no third one runs the content. A server that cannot be reached shows nothing, so that a lost failure domain holds nothing up. The stand-in hangs for crash_after_ms.

--- a/crates/entry/src/control/suspects.rs
+++ b/crates/entry/src/control/suspects.rs
@@ -101,6 +101,13 @@
         }
     }
 
+    /// Returns when to ask again, where an attempt of this instance stands in the way.
+    fn held_up(&self, ask: &Ask) -> Option<Duration> {
+        let register = self.contents.register();
+        let blocked = register.blocks(&ask.digest, ask.server);
+        blocked.then(|| register.config().busy)
+    }
+
     fn decide(&mut self, trial: &Trial) -> Decision {
         let now = self.clock.tick();
         let (actions, decision) = {
@@ -180,6 +187,10 @@
     type Result = ResponseFuture<Decision>;
 
     fn handle(&mut self, message: Ask, _: &mut Context<Self>) -> Self::Result {
+        // The owner may not have heard of attempts whose server has not answered yet.
+        if let Some(wait) = self.held_up(&message) {
+            return Box::pin(async move { Decision::Busy(wait) });
+        }
         let trial = self.trial(message.digest, message.server);
         let Some(line) = self.owner() else {
             let decision = self.decide(&trial);
--- a/crates/entry/src/plane.rs
+++ b/crates/entry/src/plane.rs
@@ -5,6 +5,7 @@
 
 mod call;
 mod counters;
+mod doubt;
 mod drive;
 mod inner;
 mod jobs;
--- a/crates/entry/src/plane/call.rs
+++ b/crates/entry/src/plane/call.rs
@@ -1,6 +1,6 @@
 //! One call of a backend server, with what the routing learns from it.
 
-use core::time::Duration;
+use core::{net::SocketAddr, time::Duration};
 use std::rc::Rc;
 
 use backend::stream::Part;
@@ -14,7 +14,7 @@
 use crate::{
     control::roster::Heard,
     plane::{
-        Plane,
+        Plane, doubt,
         sink::{Push, Sink, Text},
         suspect,
     },
@@ -70,6 +70,7 @@
         Ok(Made::Output(..) | Made::Diverged) => Ended::Finished,
         Ok(Made::Gone) => Ended::Failed(route::Failure::Cancelled),
         Err(Failure::Died) => Ended::Failed(mourn(plane, &call.server)),
+        Err(failure @ Failure::Silent { .. }) => Ended::Silent(blame(failure)),
         Err(failure) => Ended::Failed(blame(failure)),
     };
     watch.end(ended);
@@ -265,10 +266,13 @@
 enum Ended {
     Finished,
     Failed(route::Failure),
+    /// Nothing came from the server any more.
+    Silent(route::Failure),
 }
 
 /// Tells the routing that an attempt began, and how it ended even if its future is dropped.
 struct Watch {
+    address: SocketAddr,
     attempt: Attempt,
     content: Digest,
     deadline: Tick,
@@ -291,6 +295,7 @@
         plane.inner.borrow_mut().table.on(now, started);
         suspect::start(plane, call.content, &server);
         Self {
+            address: call.call.address,
             attempt,
             content: call.content,
             deadline: now + call.call.deadline,
@@ -311,18 +316,18 @@
         let (attempt, server) = (self.attempt, self.server.clone());
         let took = self.took();
         let now = self.plane.shared.clock.tick();
-        let end = match ended {
-            Ended::Finished => Ending::Completed,
-            Ended::Failed(_) => Ending::Other,
-        };
-        suspect::end(&self.plane, self.content, &server, end);
+        match ended {
+            Ended::Finished => self.note(Ending::Completed),
+            Ended::Failed(_) => self.note(Ending::Other),
+            Ended::Silent(_) => doubt::follow(&self.plane, self.content, &server, self.address),
+        }
         let event = match ended {
             Ended::Finished => route::Event::Finished {
                 attempt,
                 server,
                 took,
             },
-            Ended::Failed(kind) => route::Event::Failed {
+            Ended::Failed(kind) | Ended::Silent(kind) => route::Event::Failed {
                 attempt,
                 server,
                 kind,
@@ -330,6 +335,10 @@
         };
         self.plane.inner.borrow_mut().table.on(now, event);
     }
+
+    fn note(&self, end: Ending) {
+        suspect::end(&self.plane, self.content, &self.server, end);
+    }
 }
 
 impl Drop for Watch {
@@ -343,7 +352,7 @@
         } else {
             (route::Failure::Cancelled, "cancelled")
         };
-        self.end(Ended::Failed(kind));
+        self.end(Ended::Silent(kind));
         let attempts = &self.plane.shared.metrics.attempts;
         attempts
             .with_label_values(&[self.pool.as_str(), label])
--- a/crates/entry/src/plane/inner.rs
+++ b/crates/entry/src/plane/inner.rs
@@ -17,7 +17,7 @@
 
 use crate::{
     clock::Clock,
-    plane::{Plane, counters::Counters, places, progress::Paces},
+    plane::{Plane, counters::Counters, doubt::Doubts, places, progress::Paces},
     shared::Shared,
     view::{Force, Server, Servers},
 };
@@ -37,6 +37,7 @@
     pub(crate) bundle: Option<Arc<Bundle>>,
     /// Servers found dead that the list still has, sorted.
     dead: Vec<Incarnation>,
+    pub(crate) doubts: Doubts,
     force: watch::Receiver<Force>,
     pub(crate) gate: Gate,
     /// The servers that the routing was last told of.
@@ -67,6 +68,7 @@
             retry_percent: 0,
             bundle: None,
             dead: Vec::new(),
+            doubts: Doubts::default(),
             force,
             gate: Gate::default(),
             known: Servers::default(),
--- a/crates/entry/src/plane/suspect.rs
+++ b/crates/entry/src/plane/suspect.rs
@@ -74,15 +74,26 @@
     act(plane, actions);
 }
 
+/// Takes note that an attempt got no answer while its server may be about to die of it.
+pub(crate) fn doubt(plane: &Plane, content: Digest, server: &Incarnation) {
+    let mut register = plane.shared.contents.register();
+    register.doubt(content, Id::of(server));
+}
+
 /// Finds out whether a server died, and if so suspects every content that was in flight there.
 pub(crate) async fn check(plane: &Plane, server: &Incarnation, address: SocketAddr) -> bool {
     if is_there(plane, server, address).await {
         return false;
     }
+    died(plane, server);
+    true
+}
+
+/// Suspects every content that was in flight at a server that died.
+pub(crate) fn died(plane: &Plane, server: &Incarnation) {
     let now = plane.shared.clock.tick();
     let actions = plane.shared.contents.register().died(now, Id::of(server));
     act(plane, actions);
-    true
 }
 
 /// Only a refused connection, or another life that answers, shows that a server died: one that cannot be
@@ -101,7 +112,7 @@
 }
 
 /// Tells whether the one that answers is the server called, or an earlier life that a late list names.
-fn is_life(answering: &Incarnation, called: &Incarnation) -> bool {
+pub(crate) fn is_life(answering: &Incarnation, called: &Incarnation) -> bool {
     answering.name == called.name && answering.start <= called.start
 }
 
--- a/crates/fake/src/server/call.rs
+++ b/crates/fake/src/server/call.rs
@@ -122,6 +122,8 @@
         socket::silence::<()>().await;
     }
     if contains(bytes, faults.crash_on.as_deref()) {
+        // The thread of all connections is held up: a server that hangs answers nobody.
+        std::thread::sleep(Duration::from_millis(faults.crash_after_ms));
         state.crash();
         socket::close::<()>(request).await;
     }
--- a/crates/fake/src/server/faults.rs
+++ b/crates/fake/src/server/faults.rs
@@ -34,6 +34,8 @@
     pub stall_stream_after: Option<u64>,
     /// A call whose body contains this text crashes the server.
     pub crash_on: Option<String>,
+    /// How long a server hangs before it crashes, in milliseconds.
+    pub crash_after_ms: u64,
     /// A call whose body contains this text is refused with 422.
     pub refuse_on: Option<String>,
     /// Answers name another attempt.
@@ -57,6 +59,7 @@
             cut_stream_after: None,
             stall_stream_after: None,
             crash_on: None,
+            crash_after_ms: 0,
             refuse_on: None,
             cross_answers: false,
         }
--- a/crates/proc/tests/poison.rs
+++ b/crates/proc/tests/poison.rs
@@ -10,7 +10,7 @@
     poll,
     scene::{Builder, Scene},
 };
-use serde_json::json;
+use serde_json::{Value, json};
 
 const LIMIT: Duration = Duration::from_secs(10);
 
@@ -20,7 +20,11 @@
 const POOL: &str = "roster-sync";
 
 async fn scene(domains: usize, servers: usize) -> Scene {
-    let faults = json!({"crash_on": "poison"}).to_string();
+    faulty(domains, servers, &json!({"crash_on": "poison"})).await
+}
+
+async fn faulty(domains: usize, servers: usize, faults: &Value) -> Scene {
+    let faults = faults.to_string();
     let builder = Builder::new("compas")
         .domains(domains)
         .servers(servers)
@@ -57,6 +61,29 @@
     expect_that!(crashed(&mut scene), le(CRASHES));
 }
 
+#[gtest]
+#[actix_web::test]
+async fn servers_that_hang_before_they_crash_count_as_well() {
+    // Longer than an attempt waits for its first byte, so nobody is connected at the crash.
+    let faults = json!({"crash_on": "poison", "crash_after_ms": 3_000});
+    let mut scene = faulty(1, 5, &faults).await;
+    let caller = Caller::open("adjudicators");
+    let urls = scene.entries.iter().map(|entry| entry.url.clone());
+    let urls: Vec<_> = urls.collect();
+    let refused = poll::until(LIMIT * 6, async || {
+        for url in &urls {
+            let reply = caller.send(url, &check("poison")).await.ok()?;
+            expect_that!(reply.code(), not(eq(100)));
+            if reply.code() != 306 {
+                return None;
+            }
+        }
+        Some(())
+    });
+    expect_that!(refused.await, some(anything()));
+    expect_that!(crashed(&mut scene), le(CRASHES));
+}
+
 #[gtest]
 #[actix_web::test]
 async fn bystanders_are_answered() {
--- a/crates/retry/src/suspect.rs
+++ b/crates/retry/src/suspect.rs
@@ -35,6 +35,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct Flight {
     digest: Digest,
+    /// Whether the server stopped answering and may be about to die of it.
+    doubtful: bool,
     server: Id,
     /// Whether the owner of suspects knows of it.
     reported: bool,
@@ -138,6 +140,9 @@
 
     /// Tells how a content may run.
     ///
+    /// - Servers that stopped answering while they ran it count towards the bound: it waits until it is
+    ///   known what became of them.
+    ///
     /// # Examples
     ///
     /// ```
@@ -155,12 +160,24 @@
     /// ```
     pub fn verdict(&self, digest: &Digest) -> Verdict {
         match self.get(digest).map_or(0, |fact| fact.crashed.len()) {
-            0 => Verdict::Free,
+            0 if self.doubtful(digest) < BOUND => Verdict::Free,
             crashed if crashed < BOUND => Verdict::Alone,
             _ => Verdict::Refused,
         }
     }
 
+    /// Returns the number of servers that stopped answering while they ran a content.
+    fn doubtful(&self, digest: &Digest) -> usize {
+        let flights = self.flights.iter();
+        let mut servers: Vec<Id> = flights
+            .filter(|flight| flight.doubtful && flight.digest == *digest)
+            .map(|flight| flight.server)
+            .collect();
+        servers.sort_unstable();
+        servers.dedup();
+        servers.len()
+    }
+
     /// Returns what is known of a content.
     pub fn get(&self, digest: &Digest) -> Option<&Suspect> {
         let at = self.find(digest).ok()?;
@@ -172,11 +189,42 @@
         let reported = self.verdict(&digest) != Verdict::Free;
         self.flights.push(Flight {
             digest,
+            doubtful: false,
             server,
             reported,
         });
     }
 
+    /// Notes that an attempt got no answer while its server may be about to die of it.
+    ///
+    /// It counts as in flight until [`Register::end`] or [`Register::died`] is told.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use base::{Digest, Tick};
+    /// use member::fact::Id;
+    /// use retry::{Register, configs, suspect::{End, Verdict}};
+    /// let mut register = Register::open(configs::suspect::Suspect::default());
+    /// let digest = Digest::of(b"body");
+    /// for server in [Id(1), Id(2)] {
+    ///     register.start(digest, server);
+    ///     register.doubt(digest, server);
+    /// }
+    /// assert_eq!(register.verdict(&digest), Verdict::Alone);
+    /// register.end(Tick::default(), digest, Id(1), End::Other);
+    /// assert_eq!(register.verdict(&digest), Verdict::Free);
+    /// ```
+    pub fn doubt(&mut self, digest: Digest, server: Id) {
+        let mut flights = self.flights.iter_mut();
+        let this = |flight: &&mut Flight| {
+            flight.digest == digest && flight.server == server && !flight.doubtful
+        };
+        if let Some(flight) = flights.find(this) {
+            flight.doubtful = true;
+        }
+    }
+
     /// Notes that an attempt ended while its server lived on; completing clears a suspect.
     pub fn end(&mut self, now: Tick, digest: Digest, server: Id, end: End) -> Vec<Action> {
         let this = |flight: &Flight| flight.digest == digest && flight.server == server;
@@ -244,7 +292,7 @@
     }
 
     /// Tells whether an attempt of this instance stands in the way of running a content alone at a server.
-    pub(crate) fn blocks(&self, digest: &Digest, server: Id) -> bool {
+    pub fn blocks(&self, digest: &Digest, server: Id) -> bool {
         let suspect = |flight: &Flight| self.verdict(&flight.digest) != Verdict::Free;
         let mut flights = self.flights.iter();
         flights.any(|one| one.digest == *digest || one.server == server && suspect(one))
@@ -310,7 +358,8 @@
         entry.fact.clone()
     }
 
-    pub(crate) const fn config(&self) -> &configs::suspect::Suspect {
+    /// Returns the bounds that it works by.
+    pub const fn config(&self) -> &configs::suspect::Suspect {
         &self.config
     }
 
