Let operators sign requests, and note who appends a record and when

An administration interface needs to know who asks, and its audit trail who did what and when. The signed records have who and what, but no time. A signed time would change every signature, and a second record of each act could be lost on its own; so the envelope of a record gets an unsigned note of when and by whom it was appended. Earlier readers pass over it.

Viewers are a new list of the bundle, so that roles are reviewed and signed off like anything else. Result codes 600 to 612 are for operators.

--- a/crates/base/src/code.rs
+++ b/crates/base/src/code.rs
@@ -152,6 +152,32 @@
     AnswerNotKept = 404, 410, Unknown, final_;
     /// A fault of the system itself.
     Internal = 500, 500, Unknown, again;
+    /// No operator's credential signs the request, or its signature does not verify.
+    OperatorUnknown = 600, 401, NotRun, final_;
+    /// The operator's request was signed too long ago or in the future.
+    OperatorStale = 601, 401, NotRun, final_;
+    /// The operator may not do this.
+    OperatorForbidden = 602, 403, NotRun, final_;
+    /// No route of the administration interface has this path.
+    RouteUnknown = 603, 404, NotRun, final_;
+    /// The route does not take this method.
+    MethodUnknown = 604, 405, NotRun, final_;
+    /// The query of the path is malformed.
+    QueryInvalid = 605, 400, NotRun, final_;
+    /// The body is not a signed record of the kind that the route takes.
+    RecordInvalid = 606, 400, NotRun, final_;
+    /// The bundle has faults.
+    BundleFaulty = 607, 422, NotRun, final_;
+    /// The record would count for nothing, or counts for nothing at its place in the log.
+    RecordRefused = 608, 409, NotRun, final_;
+    /// Another bundle got in force first.
+    RaceLost = 609, 409, NotRun, final_;
+    /// The platform's log cannot be reached; nothing was changed.
+    ConfigUnavailable = 610, 503, NotRun, again;
+    /// The log no longer keeps the records that tell the state, until an instance carries it forward.
+    ConfigCut = 611, 503, NotRun, again;
+    /// The record may be in the log; the audit trail tells once the log can be read.
+    AppendUnknown = 612, 504, Unknown, again;
 }
 
 impl Code {
--- a/crates/bundle/src/check.rs
+++ b/crates/bundle/src/check.rs
@@ -8,6 +8,7 @@
 mod pool;
 mod priority;
 mod signer;
+mod viewer;
 
 use core::fmt;
 
@@ -52,6 +53,7 @@
     pool::check(bundle, &mut found);
     priority::check(bundle, &mut found);
     signer::check(bundle, &mut found);
+    viewer::check(bundle, &mut found);
     found.sort();
     found.dedup();
     found
--- a/crates/bundle/src/check/name.rs
+++ b/crates/bundle/src/check/name.rs
@@ -26,6 +26,11 @@
         bundle.signers.iter().map(|item| &item.name),
         found,
     );
+    list(
+        "viewers",
+        bundle.viewers.iter().map(|item| &item.name),
+        found,
+    );
     for pipeline in &bundle.pipelines {
         let path = format!("pipelines.{}.stages", pipeline.name);
         let mut names: Vec<_> = pipeline.stages.iter().map(|stage| &stage.name).collect();
--- a/crates/bundle/src/content.rs
+++ b/crates/bundle/src/content.rs
@@ -43,6 +43,10 @@
     /// Who may sign bundles off, sorted by name.
     #[serde(default)]
     pub signers: Vec<Signer>,
+    /// Who may look at the administration interface and change nothing, sorted by name; signers
+    /// may look too.
+    #[serde(default)]
+    pub viewers: Vec<Viewer>,
 }
 
 /// Limits that hold for every pipeline.
@@ -243,6 +247,16 @@
     pub public_key: Digest,
 }
 
+/// Someone who may look and change nothing.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Viewer {
+    /// The name.
+    pub name: Name,
+    /// The ed25519 public key, as 64 hexadecimal digits.
+    pub public_key: Digest,
+}
+
 /// Why a text is not a bundle.
 #[derive(Debug, Error)]
 pub enum Error {
@@ -304,6 +318,7 @@
         self.pipelines.sort_by(|a, b| a.name.cmp(&b.name));
         self.pools.sort_by(|a, b| a.name.cmp(&b.name));
         self.signers.sort_by(|a, b| a.name.cmp(&b.name));
+        self.viewers.sort_by(|a, b| a.name.cmp(&b.name));
     }
 }
 
--- a/crates/bundle/src/record.rs
+++ b/crates/bundle/src/record.rs
@@ -127,9 +127,20 @@
     Syntax(#[from] serde_json::Error),
 }
 
+/// Who appended a record and when, for the audit trail. It is not signed and decides nothing.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Note {
+    /// When it was appended, by the clock of the one who did.
+    pub at: Stamp,
+    /// The program or the instance that appended it.
+    pub by: Name,
+}
+
 #[derive(Serialize)]
 struct Written<'a> {
     layout: u32,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    note: Option<&'a Note>,
     #[serde(flatten)]
     record: &'a Record,
 }
@@ -137,13 +148,41 @@
 #[derive(Deserialize)]
 struct Envelope {
     layout: u32,
+    #[serde(default)]
+    note: Option<Note>,
+}
+
+impl Note {
+    /// Reads the note of a record, if it has one.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use bundle::{Record, record::{Note, SignOff}, sign::{Key, Message}};
+    /// let digest = base::Digest::of(b"bundle");
+    /// let signature = Key::example("steward").sign(&Message::sign_off(1, None, digest));
+    /// let record = Record::SignOff(SignOff { digest, signer: "steward".into(), signature });
+    /// let note = Note { at: base::Stamp::from_millis(7), by: "entry-1".into() };
+    /// let text = record.to_json_with(Some(&note));
+    /// assert_eq!(Note::parse(&text), Some(note));
+    /// assert_eq!(Record::parse(&text).unwrap(), record);
+    /// ```
+    pub fn parse(text: &str) -> Option<Self> {
+        serde_json::from_str::<Envelope>(text).ok()?.note
+    }
 }
 
 impl Record {
     /// Writes the record as JSON.
     pub fn to_json(&self) -> String {
+        self.to_json_with(None)
+    }
+
+    /// Writes the record as JSON, with a note of who appends it and when.
+    pub fn to_json_with(&self, note: Option<&Note>) -> String {
         let written = Written {
             layout: LAYOUT,
+            note,
             record: self,
         };
         // Every map has text keys and there are no floats, so nothing here can fail.
--- a/crates/bundle/src/sign.rs
+++ b/crates/bundle/src/sign.rs
@@ -4,7 +4,7 @@
 
 use core::fmt;
 
-use base::Digest;
+use base::{Digest, Stamp};
 use ed25519_dalek::{Signer as _, SigningKey, VerifyingKey};
 use serde::{Deserialize, Deserializer, Serialize, Serializer, de};
 
@@ -89,6 +89,15 @@
             written(base)
         ))
     }
+
+    /// An operator's request to an instance: the method, the path with its query, the operator's
+    /// time in milliseconds since the Unix epoch, and the digest of the body.
+    pub fn request(method: &str, target: &str, at: Stamp, body: Digest) -> Self {
+        let at = at.as_millis();
+        Self(format!(
+            "limpetstep request 1\n{method}\n{target}\n{at}\n{body}\n"
+        ))
+    }
 }
 
 fn written(base: Option<Digest>) -> String {
@@ -104,7 +113,29 @@
 #[derive(Clone, Copy, PartialEq, Eq)]
 pub struct Signature([u8; 64]);
 
+impl fmt::Display for Signature {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&hex::encode(self.0))
+    }
+}
+
 impl Signature {
+    /// Reads a signature from its 128 hexadecimal digits.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use bundle::sign::Signature;
+    /// let text = "07".repeat(64);
+    /// assert_eq!(Signature::parse(&text).unwrap().to_string(), text);
+    /// assert!(Signature::parse("07").is_none());
+    /// ```
+    pub fn parse(text: &str) -> Option<Self> {
+        let mut bytes = [0; 64];
+        hex::decode_to_slice(text, &mut bytes).ok()?;
+        Some(Self(bytes))
+    }
+
     /// Tells whether the holder of a public key signed a message.
     pub fn verifies(&self, message: &Message, public: &Digest) -> bool {
         let Ok(key) = VerifyingKey::from_bytes(public.as_bytes()) else {
@@ -124,16 +155,13 @@
 
 impl Serialize for Signature {
     fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
-        serializer.serialize_str(&hex::encode(self.0))
+        serializer.collect_str(self)
     }
 }
 
 impl<'de> Deserialize<'de> for Signature {
     fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
         let text = String::deserialize(deserializer)?;
-        let mut bytes = [0; 64];
-        hex::decode_to_slice(&text, &mut bytes)
-            .map_err(|_| de::Error::custom("expected 128 hexadecimal digits"))?;
-        Ok(Self(bytes))
+        Self::parse(&text).ok_or_else(|| de::Error::custom("expected 128 hexadecimal digits"))
     }
 }
--- a/crates/burn/src/cause.rs
+++ b/crates/burn/src/cause.rs
@@ -109,7 +109,20 @@
             | Code::KeyExpired
             | Code::DeadlineInvalid
             | Code::RequestUnknown
-            | Code::ResumeInvalid => return Self::Apart,
+            | Code::ResumeInvalid
+            | Code::OperatorUnknown
+            | Code::OperatorStale
+            | Code::OperatorForbidden
+            | Code::RouteUnknown
+            | Code::MethodUnknown
+            | Code::QueryInvalid
+            | Code::RecordInvalid
+            | Code::BundleFaulty
+            | Code::RecordRefused
+            | Code::RaceLost
+            | Code::ConfigUnavailable
+            | Code::ConfigCut
+            | Code::AppendUnknown => return Self::Apart,
             Code::DeadlineUnmeetable => Cause::RefusedEarly,
             Code::AccountLimited => Cause::AccountLimit,
             Code::Overloaded => Cause::Overload,
--- a/crates/ctl/src/append.rs
+++ b/crates/ctl/src/append.rs
@@ -1,8 +1,10 @@
 //! One append, and what became of it.
 
 use core::time::Duration;
+use std::time::SystemTime;
 
-use bundle::{Record, STREAM, event::Event};
+use base::Stamp;
+use bundle::{STREAM, event::Event, record::Note};
 use platform::{Log, log};
 
 use crate::{Done, Error, Session, View, view::read_page};
@@ -23,13 +25,16 @@
 pub(crate) async fn append<L: Log>(
     session: &Session<'_, L>,
     before: &View,
-    record: &Record,
     done: Done,
 ) -> Result<Done, Error> {
     if session.dry_run {
         return Ok(done);
     }
-    let body = record.to_json();
+    let note = Note {
+        at: now(),
+        by: session.by.clone(),
+    };
+    let body = done.record.to_json_with(Some(&note));
     let offset = match session.log.append(STREAM, body.clone()).await {
         Ok(offset) => offset,
         Err(log::Error::Refused(reason)) => return Err(Error::Outage(reason)),
@@ -65,6 +70,13 @@
     }
 }
 
+/// Returns the wall-clock time.
+pub(crate) fn now() -> Stamp {
+    let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    let millis = since.unwrap_or_default().as_millis();
+    Stamp::from_millis(u64::try_from(millis).unwrap_or(u64::MAX))
+}
+
 async fn judge<L: Log>(session: &Session<'_, L>, offset: u64, done: Done) -> Result<Done, Error> {
     let view = View::read(session.log, &session.roots)
         .await
--- a/crates/ctl/src/cli.rs
+++ b/crates/ctl/src/cli.rs
@@ -39,6 +39,10 @@
     #[argh(switch)]
     pub dry_run: bool,
 
+    /// print the signed record in place of appending it, for the administration interface
+    #[argh(switch)]
+    pub record: bool,
+
     /// what to do
     #[argh(subcommand)]
     pub command: Command,
@@ -58,6 +62,8 @@
     Keygen(Keygen),
     /// Proposes a bundle.
     Publish(Publish),
+    /// Signs a request to the administration interface.
+    Request(Request),
     /// Puts a bundle in force.
     RollOut(RollOut),
     /// Signs a proposed bundle off.
@@ -107,6 +113,23 @@
     pub file: String,
 }
 
+/// sign a request to the administration interface and print its header
+#[derive(Clone, Debug, FromArgs)]
+#[argh(subcommand, name = "request")]
+pub struct Request {
+    /// method, such as GET
+    #[argh(positional)]
+    pub method: String,
+
+    /// path with its query, such as /admin/v1/pools
+    #[argh(positional)]
+    pub target: String,
+
+    /// file of the body; none for an empty one
+    #[argh(option)]
+    pub body: Option<String>,
+}
+
 /// put a bundle in force
 #[derive(Clone, Debug, FromArgs)]
 #[argh(subcommand, name = "roll-out")]
--- a/crates/ctl/src/cli/run.rs
+++ b/crates/ctl/src/cli/run.rs
@@ -6,7 +6,8 @@
 
 use super::{Args, Command, Settings, settings::digest};
 use crate::{
-    Done, Error, Session, View, publish, roll_out, sign_off, spread::Spread, status::Status,
+    Done, Error, Session, View, append::now, publish, request, roll_out, sign_off, spread::Spread,
+    status::Status,
 };
 
 /// Does what the command line says and returns the text to print.
@@ -55,6 +56,12 @@
             let done = sign_off(&session(settings, &log)?, digest, &key).await?;
             Ok(show_done(settings, "signed off", &done))
         }
+        Command::Request(args) => {
+            let body = args.body.as_ref().map(|file| read_file(file)).transpose()?;
+            let body = body.unwrap_or_default();
+            let header = request::sign(&settings.key()?, &args.method, &args.target, &body, now());
+            Ok(format!("Authorization: {header}"))
+        }
         Command::RollOut(args) => {
             let (log, key) = (open(settings)?, settings.key()?);
             let digest = digest(&args.digest)?;
@@ -91,9 +98,10 @@
 
 fn session<'a>(settings: &Settings, log: &'a Http) -> Result<Session<'a, Http>, Error> {
     Ok(Session {
+        by: "limpetstep-ctl".into(),
         log,
         roots: settings.roots()?,
-        dry_run: settings.dry_run,
+        dry_run: settings.dry_run || settings.record,
     })
 }
 
@@ -132,6 +140,9 @@
 }
 
 fn show_done(settings: &Settings, what: &str, done: &Done) -> String {
+    if settings.record {
+        return done.record.to_json();
+    }
     let bundle = format!("version {} {}", done.version, done.digest);
     let text = match (done.offset, done.repeated) {
         (None, _) => format!("dry run: {bundle} would be {what}; nothing was appended"),
--- a/crates/ctl/src/cli/settings.rs
+++ b/crates/ctl/src/cli/settings.rs
@@ -25,6 +25,8 @@
     pub json: bool,
     /// Whether to stop before anything is appended.
     pub dry_run: bool,
+    /// Whether to print the signed record in place of appending it.
+    pub record: bool,
 }
 
 impl Default for Settings {
@@ -38,6 +40,7 @@
             timeout: Duration::from_secs(5),
             json: false,
             dry_run: false,
+            record: false,
         }
     }
 }
@@ -78,6 +81,7 @@
             timeout: timeout.map_or(default.timeout, Duration::from_millis),
             json: switch(args.json, "LIMPETSTEP_JSON")?,
             dry_run: switch(args.dry_run, "LIMPETSTEP_DRY_RUN")?,
+            record: switch(args.record, "LIMPETSTEP_RECORD")?,
         })
     }
 
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -5,13 +5,16 @@
 //! again.
 
 mod append;
+pub mod audit;
 pub mod cli;
 mod error;
 pub mod publish;
+pub mod request;
 pub mod roll_out;
 pub mod sign_off;
 pub mod spread;
 pub mod status;
+pub mod submit;
 pub mod view;
 
 pub use self::{
@@ -19,10 +22,12 @@
     publish::publish,
     roll_out::{roll_out, roll_out_all},
     sign_off::sign_off,
+    submit::submit,
     view::View,
 };
 
-use base::Digest;
+use base::{Digest, Name};
+use bundle::Record;
 use serde::Serialize;
 
 /// What every action needs.
@@ -34,6 +39,8 @@
     pub roots: Vec<Digest>,
     /// Whether to stop before the append.
     pub dry_run: bool,
+    /// The program or the instance that appends, for the audit trail.
+    pub by: Name,
 }
 
 /// What an action did.
@@ -47,4 +54,7 @@
     pub offset: Option<u64>,
     /// Whether the log said the same before this record.
     pub repeated: bool,
+    /// The signed record.
+    #[serde(skip)]
+    pub record: Record,
 }
--- a/crates/ctl/src/publish.rs
+++ b/crates/ctl/src/publish.rs
@@ -10,7 +10,7 @@
 };
 use platform::Log;
 
-use crate::{Done, Error, Session, View, append::append, view::name_of};
+use crate::{Done, Error, Session, View, submit, view::name_of};
 
 /// The largest bundle that is sent as TOML, in bytes.
 const WHOLE_BYTES: usize = 64 * 1024;
@@ -31,7 +31,7 @@
 /// # async fn run(log: platform::Http, text: &str) -> Result<(), ctl::Error> {
 /// use bundle::sign::Key;
 /// let key = Key::example("author");
-/// let session = ctl::Session { log: &log, roots: vec![key.public()], dry_run: false };
+/// let session = ctl::Session { log: &log, roots: vec![key.public()], dry_run: false, by: "example".into() };
 /// let done = ctl::publish(&session, "compas.toml", text, &key).await?;
 /// println!("{}", done.digest);
 /// # Ok(()) }
@@ -59,14 +59,7 @@
         content: smallest(view.fold.sheet(), &sheet, text),
         signature: key.sign(&Message::publish(bundle.version, base, digest)),
     });
-    let done = Done {
-        digest,
-        version: bundle.version,
-        offset: None,
-        repeated: false,
-    };
-    view.try_out(&record)?;
-    append(session, &view, &record, done).await
+    submit(session, &view, record).await
 }
 
 /// Returns the changes against the base, or the whole where that is smaller.
--- a/crates/ctl/src/roll_out.rs
+++ b/crates/ctl/src/roll_out.rs
@@ -8,7 +8,7 @@
 };
 use platform::Log;
 
-use crate::{Done, Error, Session, View, append::append, publish, sign_off, view::name_of};
+use crate::{Done, Error, Session, View, publish, sign_off, submit, view::name_of};
 
 /// Puts a signed-off bundle in force, if the base is in force at that place in the log.
 ///
@@ -51,14 +51,7 @@
         nonce,
         signature: key.sign(&Message::roll_out(base, digest, nonce)),
     });
-    let done = Done {
-        digest,
-        version: proposal.approval.version,
-        offset: None,
-        repeated: false,
-    };
-    view.try_out(&record)?;
-    append(session, &view, &record, done).await
+    submit(session, &view, record).await
 }
 
 /// Publishes, signs off and rolls out a bundle at once, for demos and tests.
@@ -84,6 +77,7 @@
     steward: &Key,
 ) -> Result<Done, Error> {
     let session = Session {
+        by: "example".into(),
         log,
         roots: vec![author.public(), steward.public()],
         dry_run: false,
--- a/crates/ctl/src/sign_off.rs
+++ b/crates/ctl/src/sign_off.rs
@@ -8,7 +8,7 @@
 };
 use platform::Log;
 
-use crate::{Done, Error, Session, View, append::append, view::name_of};
+use crate::{Done, Error, Session, View, submit, view::name_of};
 
 /// Signs a proposed bundle off.
 ///
@@ -43,12 +43,5 @@
         signer: name_of(&view.authority(proposal)?, key)?,
         signature: key.sign(&Message::sign_off(version, base, digest)),
     });
-    let done = Done {
-        digest,
-        version,
-        offset: None,
-        repeated: false,
-    };
-    view.try_out(&record)?;
-    append(session, &view, &record, done).await
+    submit(session, &view, record).await
 }
--- a/crates/ctl/src/status.rs
+++ b/crates/ctl/src/status.rs
@@ -8,9 +8,19 @@
 
 use crate::{View, spread::Spread};
 
-/// What is in force and what is proposed.
+/// What is in force and what is proposed, and how far it has spread.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 pub struct Status {
+    /// What the log tells.
+    #[serde(flatten)]
+    pub standing: Standing,
+    /// The entry instances that were asked.
+    pub spread: Spread,
+}
+
+/// What is in force and what is proposed, as the log tells.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Standing {
     /// The bundle in force by the log.
     pub in_force: Option<Position>,
     /// Whether the log still tells the state.
@@ -19,8 +29,6 @@
     pub next_offset: u64,
     /// The open proposals.
     pub proposed: Vec<Proposed>,
-    /// The entry instances that were asked.
-    pub spread: Spread,
 }
 
 /// An open proposal.
@@ -30,6 +38,8 @@
     pub version: u64,
     /// The digest.
     pub digest: Digest,
+    /// The bundle that it is meant to replace.
+    pub base: Option<Digest>,
     /// The author.
     pub author: Name,
     /// Who signed it off.
@@ -48,12 +58,21 @@
     /// assert_eq!(Status::of(&view, Spread::default()).to_string(), "in force: none");
     /// ```
     pub fn of(view: &View, spread: Spread) -> Self {
+        Self {
+            standing: Standing::of(view),
+            spread,
+        }
+    }
+}
+
+impl Standing {
+    /// Returns what a view shows.
+    pub fn of(view: &View) -> Self {
         Self {
             in_force: view.fold.position(),
             known: view.fold.known(),
             next_offset: view.fold.next(),
             proposed: view.fold.pending().iter().map(Proposed::of).collect(),
-            spread,
         }
     }
 }
@@ -65,6 +84,7 @@
         Self {
             version: approval.version,
             digest: approval.digest,
+            base: approval.base,
             author: approval.author.clone(),
             signed_off_by: signers.map(|sign_off| sign_off.signer.clone()).collect(),
         }
@@ -73,7 +93,7 @@
 
 impl fmt::Display for Status {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self.in_force {
+        match self.standing.in_force {
             Some(position) => write!(
                 f,
                 "in force: version {} {} since offset {}",
@@ -81,10 +101,10 @@
             )?,
             None => f.write_str("in force: none")?,
         }
-        if !self.known {
+        if !self.standing.known {
             f.write_str("\nthe log's head is gone and no record tells the state yet")?;
         }
-        for proposed in &self.proposed {
+        for proposed in &self.standing.proposed {
             let signers: Vec<&str> = proposed.signed_off_by.iter().map(Name::as_str).collect();
             write!(
                 f,
--- /dev/null
+++ b/crates/ctl/src/submit.rs
@@ -0,0 +1,64 @@
+//! Appends a signed record.
+
+use base::Digest;
+use bundle::{Record, approval};
+use platform::Log;
+
+use crate::{Done, Error, Session, View, append::append};
+
+/// Appends a signed record, unless a view of the log shows that it would count for nothing.
+///
+/// # Errors
+///
+/// - `Outage`: nothing was changed.
+/// - `Refused`: the record counts for nothing, or would.
+/// - `Unknown`: the record may be in the log.
+///
+/// # Examples
+///
+/// ```no_run
+/// # async fn run(session: ctl::Session<'_, platform::Http>, record: bundle::Record) -> Result<(), ctl::Error> {
+/// let view = ctl::View::read(session.log, &session.roots).await?.known()?;
+/// let done = ctl::submit(&session, &view, record).await?;
+/// println!("{:?}", done.offset);
+/// # Ok(()) }
+/// ```
+pub async fn submit<L: Log>(
+    session: &Session<'_, L>,
+    view: &View,
+    record: Record,
+) -> Result<Done, Error> {
+    let (digest, version) = subject(view, &record)?;
+    view.try_out(&record)?;
+    let done = Done {
+        digest,
+        version,
+        offset: None,
+        repeated: false,
+        record,
+    };
+    append(session, view, done).await
+}
+
+/// Returns the digest and the version of the bundle that a record is about.
+fn subject(view: &View, record: &Record) -> Result<(Digest, u64), Error> {
+    match record {
+        Record::Publish(publish) => Ok((publish.digest, publish.version)),
+        Record::SignOff(sign_off) => version_of(view, sign_off.digest),
+        Record::RollOut(order) => version_of(view, order.digest),
+        Record::Carry(carry) => {
+            let position = carry.proof.position();
+            Ok((position.digest, position.version))
+        }
+    }
+}
+
+fn version_of(view: &View, digest: Digest) -> Result<(Digest, u64), Error> {
+    let open = view.fold.proposal(&digest);
+    let version = open.map(|proposal| proposal.approval.version);
+    let force = view.fold.position().filter(|now| now.digest == digest);
+    version
+        .or(force.map(|now| now.version))
+        .map(|version| (digest, version))
+        .ok_or_else(|| approval::Fault::Proposal(digest).into())
+}
--- a/crates/ctl/src/view.rs
+++ b/crates/ctl/src/view.rs
@@ -29,6 +29,19 @@
     ///
     /// A read failed.
     pub async fn read<L: Log>(log: &L, roots: &[Digest]) -> Result<Self, Error> {
+        Self::read_with(log, roots, |_, _| ()).await
+    }
+
+    /// Reads the log to its end and shows each record with what it did.
+    ///
+    /// # Errors
+    ///
+    /// A read failed.
+    pub async fn read_with<L: Log>(
+        log: &L,
+        roots: &[Digest],
+        mut show: impl FnMut(&log::Record, &[Event]),
+    ) -> Result<Self, Error> {
         let mut fold = Fold::open(roots.to_vec());
         let mut events = Vec::new();
         loop {
@@ -37,7 +50,9 @@
                 .map_err(|error| Error::Outage(error.to_string()))?;
             fold.seek(page.first);
             for record in &page.records {
-                events.extend(fold.apply_text(record.offset, &record.body));
+                let done = fold.apply_text(record.offset, &record.body);
+                show(record, &done);
+                events.extend(done);
             }
             if page.records.is_empty() || fold.next() >= page.end {
                 return Ok(Self { fold, events });
@@ -59,11 +74,15 @@
     }
 
     /// Tells what a record would do if it were the next one.
-    pub(crate) fn try_out(&self, record: &Record) -> Result<(), Error> {
+    ///
+    /// # Errors
+    ///
+    /// It would count for nothing.
+    pub fn try_out(&self, record: &Record) -> Result<Option<Event>, Error> {
         let mut trial = self.fold.clone();
         match trial.apply(trial.next(), record).into_iter().next() {
             Some(Event::Refused { fault, .. }) => Err(Error::Refused(fault)),
-            _ => Ok(()),
+            event => Ok(event),
         }
     }
 
--- a/crates/ctl/tests/actions.rs
+++ b/crates/ctl/tests/actions.rs
@@ -16,6 +16,7 @@
 fn session(log: &Memory) -> Session<'_, Memory> {
     let (author, steward) = keys();
     Session {
+        by: "tests".into(),
         log,
         roots: vec![author.public(), steward.public()],
         dry_run: false,
