Serve an administration interface from every entry instance

Routes, roles, read views, acts, audit trail and an OpenAPI description come from one table, so a route can't be served without being described; tests compare what is answered with the schemas field by field. Views work without the platform and say of which instance they are, its failure domain, the bundle in force there and how long ago the log was read.

--- /dev/null
+++ b/crates/admin/src/act.rs
@@ -0,0 +1,128 @@
+//! Acts: each appends one record that the operator signed.
+
+use base::Code;
+use bundle::{Event, Record, approval::Fault, check, sign::Message};
+use ctl::{Done, Error, Session, View, submit};
+use flow::Answer;
+use platform::Log;
+use serde_json::{Value, json};
+
+use crate::{Service, configs::admin::Admin, operator::Operator, problem, route::Call};
+
+/// Appends a signed record and tells what it did in the log.
+pub(crate) async fn append<S: Service>(
+    service: &S,
+    config: &Admin,
+    operator: &Operator,
+    call: Call,
+    body: &[u8],
+) -> Result<Value, Answer> {
+    let record = read(call, body)?;
+    let mut session = Session {
+        log: service.log(),
+        roots: service.root_keys(),
+        dry_run: false,
+        by: service.instance(),
+    };
+    let view = View::read(session.log, &session.roots).await;
+    let view = view
+        .and_then(View::known)
+        .map_err(|error| problem::of(&error, config))?;
+    check_sender(operator, &record, &view)?;
+    let done = match view.try_out(&record) {
+        Ok(event) => {
+            check_content(&view, &record)?;
+            let repeated = matches!(event, Some(Event::Repeated { .. }));
+            // Nothing is appended for what the log says already.
+            session.dry_run = repeated;
+            let done = submit(&session, &view, record).await;
+            done.map(|done| Done {
+                repeated: done.repeated || repeated,
+                ..done
+            })
+        }
+        Err(error) => Err(error),
+    };
+    match done {
+        Ok(done) => Ok(answer(&session, &done)),
+        Err(error) => Err(refuse(&session, config, &error).await),
+    }
+}
+
+fn answer<L>(session: &Session<'_, L>, done: &Done) -> Value {
+    let mut answer = json!(done);
+    answer["instance"] = json!(session.by);
+    answer
+}
+
+/// Reads a record of the kind that the route takes.
+fn read(call: Call, body: &[u8]) -> Result<Record, Answer> {
+    let refuse = |detail: String| Answer::refusal(Code::RecordInvalid, detail);
+    let text = core::str::from_utf8(body).map_err(|error| refuse(error.to_string()))?;
+    let record = Record::parse(text).map_err(|error| refuse(error.to_string()))?;
+    match (call, &record) {
+        (Call::Publish, Record::Publish(_))
+        | (Call::RollOut, Record::RollOut(_))
+        | (Call::SignOff, Record::SignOff(_)) => Ok(record),
+        _ => Err(refuse("the record is of another kind".to_owned())),
+    }
+}
+
+/// Checks that the one who sends a record signed it, so that the log names everyone who acted.
+fn check_sender(operator: &Operator, record: &Record, view: &View) -> Result<(), Answer> {
+    let (message, signature) = match record {
+        Record::Publish(one) => {
+            let message = Message::publish(one.version, one.base, one.digest);
+            (message, one.signature)
+        }
+        Record::RollOut(one) => {
+            let message = Message::roll_out(one.base, one.digest, one.nonce);
+            (message, one.signature)
+        }
+        Record::SignOff(one) => {
+            let Some(proposal) = view.fold.proposal(&one.digest) else {
+                // What the record would do in the log is judged next, and refused.
+                return Ok(());
+            };
+            let approval = &proposal.approval;
+            let message = Message::sign_off(approval.version, approval.base, one.digest);
+            (message, one.signature)
+        }
+        Record::Carry(_) => return Ok(()),
+    };
+    if signature.verifies(&message, &operator.key) {
+        return Ok(());
+    }
+    let detail = format!(
+        "the record is not signed by {}, who sends it",
+        operator.name
+    );
+    Err(Answer::refusal(Code::OperatorForbidden, detail))
+}
+
+/// Checks what a proposal says, as `limpetstep-ctl publish` does.
+fn check_content(view: &View, record: &Record) -> Result<(), Answer> {
+    let Record::Publish(publish) = record else {
+        return Ok(());
+    };
+    let refuse = |detail: String| Answer::refusal(Code::BundleFaulty, detail);
+    let sheet = publish.content.read(view.fold.sheet().map(AsRef::as_ref));
+    let sheet = sheet.map_err(|fault| refuse(fault.to_string()))?;
+    let bundle = sheet.bundle().map_err(|error| refuse(error.to_string()))?;
+    let faults = check::faults(&bundle);
+    if faults.is_empty() {
+        return Ok(());
+    }
+    Err(refuse(Error::Faults(faults).to_string()))
+}
+
+/// Returns the refusal for an error; where a race was lost, it names the winner.
+async fn refuse<L: Log>(session: &Session<'_, L>, config: &Admin, error: &Error) -> Answer {
+    let mut answer = problem::of(error, config);
+    if let Error::Refused(Fault::Base { .. }) = error
+        && let Ok(view) = View::read(session.log, &session.roots).await
+    {
+        answer.detail += &problem::winner(&view);
+    }
+    answer
+}
--- /dev/null
+++ b/crates/admin/src/configs.rs
@@ -0,0 +1,3 @@
+//! Configuration of the administration interface.
+
+pub mod admin;
--- /dev/null
+++ b/crates/admin/src/operator.rs
@@ -0,0 +1,110 @@
+//! Who asks, and what they may do.
+
+use core::time::Duration;
+
+use base::{Code, Digest, Name, Stamp};
+use bundle::Bundle;
+use ctl::request::Credential;
+use flow::Answer;
+
+/// What an operator may do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Role {
+    /// Look, and change nothing.
+    View,
+    /// Look, and append signed records.
+    Act,
+}
+
+/// An operator, found by their public key.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Operator {
+    /// The name in the bundle in force; `root` before there is one.
+    pub name: Name,
+    /// The public key.
+    pub key: Digest,
+    /// What they may do.
+    pub role: Role,
+}
+
+/// Whom an instance trusts.
+#[derive(Clone, Copy, Debug)]
+pub struct Trust<'a> {
+    /// The bundle in force, whose signers may act and whose viewers may look.
+    pub bundle: Option<&'a Bundle>,
+    /// Those who may act while no bundle is in force.
+    pub root_keys: &'a [Digest],
+    /// The instance's time.
+    pub now: Stamp,
+    /// How far the time of a request may lie from it, either way.
+    pub window: Duration,
+}
+
+impl Operator {
+    /// Finds the operator of a credential and checks that they may do what they ask for.
+    ///
+    /// The signature itself is checked once the body was read, by [`Credential::verifies`].
+    ///
+    /// # Errors
+    ///
+    /// - `OperatorUnknown`: nobody has the key.
+    /// - `OperatorStale`: the request was signed too long ago or in the future.
+    /// - `OperatorForbidden`: the operator may only look.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use core::time::Duration;
+    /// use admin::operator::{Operator, Role, Trust};
+    /// use base::Stamp;
+    /// use bundle::sign::Key;
+    /// let key = Key::example("author");
+    /// let roots = [key.public()];
+    /// let now = Stamp::from_millis(1_000_000);
+    /// let trust = Trust { bundle: None, root_keys: &roots, now, window: Duration::from_secs(60) };
+    /// let credential = ctl::request::sign(&key, "GET", "/admin/v1/pools", "", now);
+    /// assert_eq!(Operator::find(&credential, trust, Role::Act).unwrap().name.as_str(), "root");
+    /// ```
+    pub fn find(credential: &Credential, trust: Trust<'_>, needed: Role) -> Result<Self, Answer> {
+        let key = credential.key;
+        let operator = match trust.bundle {
+            Some(bundle) => listed(bundle, key),
+            None => root(trust.root_keys, key),
+        };
+        let operator = operator
+            .ok_or_else(|| Answer::refusal(Code::OperatorUnknown, "nobody has this public key"))?;
+        let (at, now) = (credential.at, trust.now);
+        if at - now > trust.window || now - at > trust.window {
+            let limit = trust.window.as_secs();
+            let detail = format!(
+                "signed at {}, but it is {} here; the limit is {limit} s",
+                at.as_millis(),
+                now.as_millis()
+            );
+            return Err(Answer::refusal(Code::OperatorStale, detail));
+        }
+        if operator.role < needed {
+            let detail = format!("{} may only look", operator.name);
+            return Err(Answer::refusal(Code::OperatorForbidden, detail));
+        }
+        Ok(operator)
+    }
+}
+
+fn listed(bundle: &Bundle, key: Digest) -> Option<Operator> {
+    let signers = bundle.signers.iter();
+    let signers = signers.map(|signer| (&signer.name, signer.public_key, Role::Act));
+    let viewers = bundle.viewers.iter();
+    let viewers = viewers.map(|viewer| (&viewer.name, viewer.public_key, Role::View));
+    let (name, key, role) = signers.chain(viewers).find(|(_, known, _)| *known == key)?;
+    let name = name.clone();
+    Some(Operator { name, key, role })
+}
+
+fn root(keys: &[Digest], key: Digest) -> Option<Operator> {
+    keys.contains(&key).then(|| Operator {
+        name: Name::from("root"),
+        key,
+        role: Role::Act,
+    })
+}
--- /dev/null
+++ b/crates/admin/src/routes.rs
@@ -0,0 +1,131 @@
+//! Serves the table of routes.
+
+use std::rc::Rc;
+
+use actix_web::{HttpRequest, HttpResponse, http::Method, web};
+use base::Code;
+use ctl::request::Credential;
+use flow::Answer;
+use serde_json::Value;
+
+use crate::{
+    Service, act,
+    configs::admin::Admin,
+    openapi,
+    operator::{Operator, Role, Trust},
+    problem, read,
+    route::{self, Body, Call, Route},
+};
+
+/// Adds the routes for operators, served by an instance.
+pub fn configure<S: Service>(config: &mut web::ServiceConfig, service: Rc<S>, bounds: Admin) {
+    let state = web::Data::new((service, bounds));
+    let mut scope = web::scope(route::ROOT).app_data(state);
+    for route in route::ALL {
+        let method = match route.body.method() {
+            "POST" => Method::POST,
+            _ => Method::GET,
+        };
+        let handle = move |state: State<S>, head, payload| handle(state, route, head, payload);
+        let resource = web::resource(route.path)
+            .route(web::method(method).to(handle))
+            .default_service(web::to(|state: State<S>| {
+                refuse(state, Code::MethodUnknown)
+            }));
+        scope = scope.service(resource);
+    }
+    let unknown = web::to(|state: State<S>| refuse(state, Code::RouteUnknown));
+    config.service(scope.default_service(unknown));
+}
+
+type State<S> = web::Data<(Rc<S>, Admin)>;
+
+async fn refuse<S: Service>(state: State<S>, code: Code) -> HttpResponse {
+    let answer = Answer::refusal(code, code.title());
+    front::problem::respond(&answer, state.0.id(), None)
+}
+
+async fn handle<S: Service>(
+    state: State<S>,
+    route: &'static Route,
+    head: HttpRequest,
+    payload: web::Payload,
+) -> HttpResponse {
+    let (service, config) = (&*state.0, &state.1);
+    let id = service.id();
+    match answer(service, config, route, &head, payload).await {
+        Ok(body) => HttpResponse::Ok()
+            .insert_header(("Cache-Control", "no-store"))
+            .json(body),
+        Err(answer) => front::problem::respond(&problem::spread(answer, id), id, None),
+    }
+}
+
+async fn answer<S: Service>(
+    service: &S,
+    config: &Admin,
+    route: &Route,
+    head: &HttpRequest,
+    payload: web::Payload,
+) -> Result<Value, Answer> {
+    if route.call == Call::OpenApi {
+        return Ok(openapi::describe());
+    }
+    let credential = credential(head)?;
+    // Whoever may not ask is refused before their body is read.
+    let operator = find(service, config, route, &credential)?;
+    let body = front::read_body(payload, config.body_bytes).await?;
+    let target = head.uri().to_string();
+    if !credential.verifies(head.method().as_str(), &target, &body) {
+        let detail =
+            "the signature does not fit the method, the path with its query, the time and the body";
+        return Err(Answer::refusal(Code::OperatorUnknown, detail));
+    }
+    if route.body != Body::Page && !head.query_string().is_empty() {
+        let detail = "the route takes no query";
+        return Err(Answer::refusal(Code::QueryInvalid, detail));
+    }
+    match route.call {
+        Call::Accounts => Ok(read::accounts(service)),
+        Call::Audit => read::audit(service, config, head.query_string()).await,
+        Call::Check => Ok(read::check(&body)),
+        Call::Diff => read::diff(service, config, &body).await,
+        Call::History => read::history(service, config).await,
+        Call::InFlight => Ok(read::in_flight(service)),
+        Call::Limits => Ok(read::limits(service)),
+        Call::OpenApi => Ok(openapi::describe()),
+        Call::Pipelines => Ok(read::pipelines(service)),
+        Call::Pools => Ok(read::pools(service)),
+        Call::Publish | Call::RollOut | Call::SignOff => {
+            act::append(service, config, &operator, route.call, &body).await
+        }
+        Call::Status => read::status(service, config).await,
+        Call::Suspects => Ok(read::suspects(service)),
+    }
+}
+
+fn credential(head: &HttpRequest) -> Result<Credential, Answer> {
+    let refuse = |detail: &str| Answer::refusal(Code::OperatorUnknown, detail);
+    let header = head.headers().get("Authorization");
+    let header = header.ok_or_else(|| refuse("the Authorization header is missing"))?;
+    let text = header.to_str().unwrap_or_default();
+    Credential::parse(text)
+        .ok_or_else(|| refuse("not `Limpetstep key=…,at=…,signature=…` as ctl request prints it"))
+}
+
+fn find<S: Service>(
+    service: &S,
+    config: &Admin,
+    route: &Route,
+    credential: &Credential,
+) -> Result<Operator, Answer> {
+    let (bundle, root_keys) = (service.bundle(), service.root_keys());
+    let trust = Trust {
+        bundle: bundle.as_deref(),
+        root_keys: &root_keys,
+        now: service.now(),
+        window: config.window,
+    };
+    let needed = route.role.unwrap_or(Role::View);
+    Operator::find(credential, trust, needed)
+}
--- a/crates/entry/src/control/config.rs
+++ b/crates/entry/src/control/config.rs
@@ -6,7 +6,7 @@
 use actix::{
     Actor, ActorFutureExt as _, Addr, AsyncContext as _, Context, Handler, Message, WrapFuture as _,
 };
-use base::{Digest, Name};
+use base::{Digest, Name, Tick};
 use bundle::{Position, Proof, Record, fold::Fold};
 use member::{Fact, fact};
 use platform::{Log as _, log::Page};
@@ -57,6 +57,8 @@
     pub(crate) poll: Duration,
     /// Where to publish the place of the configuration in force.
     pub(crate) position: watch::Sender<Option<Position>>,
+    /// Where to publish when the log was last read to its end.
+    pub(crate) read: watch::Sender<Option<Tick>>,
     pub(crate) root_keys: Vec<Digest>,
 }
 
@@ -111,6 +113,7 @@
         let behind = !page.records.is_empty() && self.fold.next() < page.end;
         // An instance that is still reading would serve with configurations that are over.
         if !behind {
+            self.world.read.send_replace(Some(self.world.clock.tick()));
             self.publish();
         }
         behind
--- a/crates/entry/src/instance.rs
+++ b/crates/entry/src/instance.rs
@@ -4,6 +4,7 @@
 use std::{
     io,
     net::TcpListener,
+    rc::Rc,
     sync::{
         Arc, Mutex,
         atomic::{AtomicBool, AtomicUsize, Ordering},
@@ -14,6 +15,7 @@
 
 use actix::Actor as _;
 use actix_web::{App, HttpServer, dev::ServerHandle, rt::System, web};
+use admin::configs::admin::Admin;
 use base::{Incarnation, Name};
 use burn::Book;
 use member::fact;
@@ -23,6 +25,7 @@
 
 use crate::{
     clock::Clock,
+    console::Console,
     control::{
         config::{self, Config},
         ledger::Ledger,
@@ -173,6 +176,7 @@
     let incarnation = Incarnation::new(settings.name.clone(), clock.stamp());
     let (force, force_read) = watch::channel(None);
     let (position, position_read) = watch::channel(None);
+    let (read, read_read) = watch::channel(None);
     let (servers, servers_read) = watch::channel(Arc::default());
     let (members, members_read) = watch::channel(Arc::default());
     let (screen, screen_read) = watch::channel(None);
@@ -190,6 +194,7 @@
         platform: platform.clone(),
         poll: settings.poll,
         position,
+        read,
         root_keys: settings.root_keys.clone(),
     })
     .start();
@@ -256,6 +261,7 @@
         ledger,
         metrics,
         position: position_read,
+        read: read_read,
         rivals: rivals_read,
         roster,
         screen: screen_read,
@@ -285,8 +291,10 @@
     let server = HttpServer::new(move || {
         let shared = serving.clone();
         let plane = Plane::open(shared.clone());
+        let console = Rc::new(Console::open(shared.clone()));
         App::new()
             .configure(move |config| front::configure(config, plane))
+            .configure(move |config| admin::configure(config, console, Admin::default()))
             .configure(move |config| routes::configure(config, shared))
             .default_service(web::to(actix_web::HttpResponse::NotFound))
     })
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -5,6 +5,7 @@
 //! - [`instance`] starts and stops both.
 
 pub mod clock;
+mod console;
 pub mod control;
 pub mod instance;
 pub mod logs;
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -6,7 +6,7 @@
 };
 
 use actix::Addr;
-use base::Incarnation;
+use base::{Incarnation, Tick};
 use bundle::Position;
 use burn::Book;
 use retry::{Register, configs};
@@ -48,6 +48,8 @@
     pub metrics: Arc<Metrics>,
     /// The place in the log of the configuration in force.
     pub position: watch::Receiver<Option<Position>>,
+    /// When the log's configuration was last read to its end.
+    pub(crate) read: watch::Receiver<Option<Tick>>,
     /// The other entry instances, by which limits are shared.
     pub(crate) rivals: watch::Receiver<Rivals>,
     /// The actor of instances and backend servers.
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -15,6 +15,6 @@
     ask::Ask,
     frame::Frame,
     resume::Resume,
-    routes::configure,
+    routes::{configure, read_body},
     service::{Reply, Service},
 };
--- a/crates/front/src/routes.rs
+++ b/crates/front/src/routes.rs
@@ -63,7 +63,13 @@
     Ask::read(head, pipeline, &body, service.now())
 }
 
-async fn read_body(mut payload: web::Payload, limit: usize) -> Result<BytesMut, Answer> {
+/// Reads a body of at most `limit` bytes.
+///
+/// # Errors
+///
+/// - `BodyInvalid`: the body ended early.
+/// - `BodyTooLarge`: it is over the limit.
+pub async fn read_body(mut payload: web::Payload, limit: usize) -> Result<BytesMut, Answer> {
     let mut body = BytesMut::new();
     while let Some(chunk) = payload.next().await {
         let chunk = chunk.map_err(|error| broken(&error))?;
