--- a/crates/admin/src/schema.rs
+++ b/crates/admin/src/schema.rs
@@ -110,7 +110,7 @@
             "act",
             one_of(&["publish", "roll_out", "sign_off", "unreadable"]),
         ),
-        ("at", nullable(&count())),
+        ("at_ms", nullable(&count())),
         ("by", nullable(&text())),
         ("detail", text()),
         ("digest", nullable(&text())),
--- a/crates/admin/tests/world/mod.rs
+++ b/crates/admin/tests/world/mod.rs
@@ -2,7 +2,9 @@
 
 #[path = "../../../ctl/tests/common/mod.rs"]
 #[allow(dead_code, reason = "each test program uses a part")]
-mod common;
+pub(crate) mod common;
+
+pub(crate) mod fit;
 
 use std::{cell::Cell, rc::Rc, sync::Arc};
 
@@ -15,7 +17,7 @@
 use bundle::{Bundle, Position, sign::Key};
 use serde_json::Value;
 
-pub(crate) use common::{Memory, Mishap};
+pub(crate) use common::Memory;
 
 pub(crate) const COMPAS: &str = include_str!("../../../../examples/compas.toml");
 
--- a/crates/ctl/src/audit.rs
+++ b/crates/ctl/src/audit.rs
@@ -13,7 +13,7 @@
     /// The offset of the record.
     pub offset: u64,
     /// When it was appended, by the clock of the one who did; none if the record doesn't say.
-    pub at: Option<Stamp>,
+    pub at_ms: Option<Stamp>,
     /// The program or the instance that appended it; none if the record doesn't say.
     pub by: Option<Name>,
     /// Who signed the record; proved by the signature unless it was refused.
@@ -121,7 +121,7 @@
     let note = Note::parse(&line.body);
     Some(Entry {
         offset: line.offset,
-        at: note.as_ref().map(|note| note.at),
+        at_ms: note.as_ref().map(|note| note.at),
         by: note.map(|note| note.by),
         who,
         act,
