--- a/crates/admin/tests/acts.rs
+++ b/crates/admin/tests/acts.rs
@@ -94,6 +94,9 @@
         let reply = act(&instance, role, "/roll-out", &record).await;
         expect_that!(reply.code(), eq(code), "{role}");
     }
+    // A viewer is told so before their record is read.
+    let reply = send(&instance, &Ask::post("viewer", "/publish", "{}")).await;
+    expect_that!(reply.code(), eq(602));
     expect_that!(instance.log.appends.get(), eq(0));
 }
 
--- a/crates/admin/tests/views.rs
+++ b/crates/admin/tests/views.rs
@@ -175,12 +175,18 @@
 #[actix_web::test]
 async fn before_a_bundle_is_in_force_the_root_keys_may_ask() {
     let instance = Instance::empty();
-    for (role, code) in [("author", 0), ("viewer", 600)] {
+    for (role, code) in [("author", 0), ("founder", 0), ("viewer", 600)] {
         let reply = send(&instance, &Ask::get(role, "/pipelines")).await;
         expect_that!(reply.code(), eq(code));
     }
     let status = send(&instance, &Ask::get("author", "/status")).await.body;
     expect_that!(status["in_force"], eq(&json!(null)));
+    // From then on only the bundle says who may.
+    let instance = Instance::open().await;
+    for (role, code) in [("author", 0), ("founder", 600), ("viewer", 0)] {
+        let reply = send(&instance, &Ask::get(role, "/pipelines")).await;
+        expect_that!(reply.code(), eq(code), "{role}");
+    }
 }
 
 #[gtest]
--- a/crates/admin/tests/world/mod.rs
+++ b/crates/admin/tests/world/mod.rs
@@ -244,7 +244,9 @@
 }
 
 fn roots() -> Vec<Digest> {
-    ["author", "steward"].map(|role| key(role).public()).into()
+    ["author", "founder", "steward"]
+        .map(|role| key(role).public())
+        .into()
 }
 
 /// Returns a version of the example with one viewer.
