--- a/crates/bundle/tests/examples.rs
+++ b/crates/bundle/tests/examples.rs
@@ -39,3 +39,27 @@
         }
     }
 }
+
+#[gtest]
+fn nobody_is_viewer_twice_or_viewer_and_signer() {
+    let viewer = |name: &str, key: &str| {
+        format!("\n[[viewers]]\nname = \"{name}\"\npublic_key = \"{key}\"\n")
+    };
+    let [door, author] = ["door", "author"].map(|role| Key::example(role).public().to_string());
+    let good = format!("{COMPAS}{}", viewer("door", &door));
+    expect_that!(check::read("compas.toml", &good), ok(anything()));
+    for (path, added) in [
+        ("viewers.boss.public_key", viewer("boss", &author)),
+        ("viewers.gate.public_key", viewer("gate", &door)),
+        // All zeros are a weak key.
+        ("viewers.gate.public_key", viewer("gate", &"0".repeat(64))),
+        (
+            "viewers.door",
+            viewer("door", &Key::example("gate").public().to_string()),
+        ),
+    ] {
+        let faults = check::read("compas.toml", &(good.clone() + &added)).unwrap_err();
+        let paths: Vec<_> = faults.iter().map(|fault| fault.path.as_str()).collect();
+        expect_that!(paths, elements_are![eq(&path)], "{added}");
+    }
+}
