--- a/crates/ctl/tests/actions.rs
+++ b/crates/ctl/tests/actions.rs
@@ -2,6 +2,7 @@
 
 mod common;
 
+use base::Digest;
 use bundle::{approval::Fault, sign::Key};
 use common::{Memory, Mishap};
 use ctl::{Error, Session, View, publish, roll_out, roll_out_all, sign_off};
@@ -23,6 +24,46 @@
     }
 }
 
+/// Two proposals on one base, of which the first is in force.
+struct Race {
+    base: Digest,
+    loser: Digest,
+    winner: Digest,
+}
+
+async fn race(session: &Session<'_, Memory>) -> Race {
+    let (author, steward) = keys();
+    let first = roll_out_all(session.log, COMPAS, &author, &steward).await;
+    let two = publish(session, "two", &version(2), &author).await;
+    let three = publish(session, "three", &version(3), &steward).await;
+    let race = Race {
+        base: first.unwrap().digest,
+        loser: three.unwrap().digest,
+        winner: two.unwrap().digest,
+    };
+    sign_off(session, race.winner, &steward).await.unwrap();
+    sign_off(session, race.loser, &author).await.unwrap();
+    let won = roll_out(session, race.winner, Some(race.base), &author, 1).await;
+    won.unwrap();
+    race
+}
+
+impl Race {
+    async fn expect_lost(&self, session: &Session<'_, Memory>) {
+        let (_, steward) = keys();
+        let base = Some(self.base);
+        let error = roll_out(session, self.loser, base, &steward, 2).await;
+        let fault = Fault::Base {
+            named: base,
+            force: Some(self.winner),
+        };
+        expect_that!(
+            error.unwrap_err(),
+            matches_pattern!(Error::Refused(eq(&fault)))
+        );
+    }
+}
+
 fn version(number: u64) -> String {
     COMPAS.replace("version = 1", &format!("version = {number}"))
 }
@@ -87,30 +128,9 @@
 #[actix_web::test]
 async fn the_loser_of_a_race_is_told_so() {
     let log = Memory::default();
-    let (author, steward) = keys();
-    let first = roll_out_all(&log, COMPAS, &author, &steward).await.unwrap();
     let session = session(&log);
-    let two = publish(&session, "two", &version(2), &author)
-        .await
-        .unwrap();
-    let three = publish(&session, "three", &version(3), &steward)
-        .await
-        .unwrap();
-    sign_off(&session, two.digest, &steward).await.unwrap();
-    sign_off(&session, three.digest, &author).await.unwrap();
-    let base = Some(first.digest);
-    roll_out(&session, two.digest, base, &author, 1)
-        .await
-        .unwrap();
-    let error = roll_out(&session, three.digest, base, &steward, 2).await;
-    let fault = Fault::Base {
-        named: base,
-        force: Some(two.digest),
-    };
-    expect_that!(
-        error.unwrap_err(),
-        matches_pattern!(Error::Refused(eq(&fault)))
-    );
+    let race = race(&session).await;
+    race.expect_lost(&session).await;
 }
 
 #[gtest]
@@ -131,32 +151,11 @@
 #[actix_web::test]
 async fn a_roll_out_that_is_overtaken_between_read_and_append_is_told_lost() {
     let log = Memory::default();
-    let (author, steward) = keys();
-    let first = roll_out_all(&log, COMPAS, &author, &steward).await.unwrap();
     let session = session(&log);
-    let two = publish(&session, "two", &version(2), &author)
-        .await
-        .unwrap();
-    let three = publish(&session, "three", &version(3), &steward)
-        .await
-        .unwrap();
-    sign_off(&session, two.digest, &steward).await.unwrap();
-    sign_off(&session, three.digest, &author).await.unwrap();
-    let base = Some(first.digest);
-    roll_out(&session, two.digest, base, &author, 1)
-        .await
-        .unwrap();
+    let race = race(&session).await;
     let winner = log.records.borrow_mut().pop();
     log.ahead.replace(winner);
-    let error = roll_out(&session, three.digest, base, &steward, 2).await;
-    let fault = Fault::Base {
-        named: base,
-        force: Some(two.digest),
-    };
-    expect_that!(
-        error.unwrap_err(),
-        matches_pattern!(Error::Refused(eq(&fault)))
-    );
+    race.expect_lost(&session).await;
 }
 
 #[gtest]
