Share the facts told at full size between test and example

The budget test and the gossip example told the same counters and changes of configuration with code that stood twice. It is the module world::told now.

--- a/crates/member/examples/gossip.rs
+++ b/crates/member/examples/gossip.rs
@@ -5,28 +5,18 @@
 
 use std::time::Duration;
 
-use base::Digest;
-use member::{
-    Event, Fact,
-    fact::{Burn, Position, State},
-};
+use member::fact::State;
 
 #[path = "../tests/world/mod.rs"]
 mod world;
 
-use world::{Node, World};
+use world::{Node, World, told};
 
 const SECOND: Duration = Duration::from_secs(1);
 /// Time until every instance is known everywhere.
 const SETTLE: Duration = Duration::from_secs(40);
 /// Time over which traffic is counted.
 const SPAN: Duration = Duration::from_secs(60);
-/// Seconds between two reports of an instance's counters.
-const COUNTERS: u64 = 40;
-/// Pipelines whose counters are told.
-const PIPELINES: u64 = 11;
-/// Seconds between two changes of configuration, 3,400 a day.
-const CHANGES: u64 = 25;
 /// Leaving marks timed at each size.
 const MARKS: usize = 12;
 /// Bytes of a line of the platform's list, as the stand-in writes it.
@@ -103,17 +93,7 @@
 fn told(world: &mut World) -> f64 {
     world.reset();
     let span = SPAN * 2;
-    for second in 0..span.as_secs() {
-        for node in 0..world.nodes.len() {
-            if (second + node as u64).is_multiple_of(COUNTERS) {
-                (0..PIPELINES).for_each(|pipeline| world.give(node, burn(pipeline, second)));
-            }
-            if second.is_multiple_of(CHANGES) {
-                world.give(node, position(second));
-            }
-        }
-        world.run(SECOND);
-    }
+    told::tell(world, span.as_secs());
     let bytes = world
         .nodes
         .iter()
@@ -122,23 +102,6 @@
     bytes / world.nodes.len() as f64 / span.as_secs_f64()
 }
 
-fn burn(pipeline: u64, second: u64) -> Event {
-    Event::Tell(Fact::Burn(Burn {
-        pipeline: format!("pipeline-{pipeline}").into(),
-        good: second * 1_700 + 100_000,
-        late: second + 900,
-        refused: second + 400,
-        cost: second * 90_000 + 1_000_000,
-    }))
-}
-
-fn position(second: u64) -> Event {
-    Event::Tell(Fact::Position(Position {
-        offset: 1_000_000 + second,
-        digest: Digest::of(&second.to_be_bytes()),
-    }))
-}
-
 /// Returns the resident memory of this process, in KB; what the world itself keeps counts as well.
 fn resident() -> u64 {
     let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
--- a/crates/member/tests/world/mod.rs
+++ b/crates/member/tests/world/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, unreachable_pub, reason = "each test uses a part of it")]
 
+pub mod told;
+
 use std::{
     cmp::Reverse,
     collections::BinaryHeap,
