Mark leaving instances and servers on the shared screens

The page told how many servers of a pool are leaving without marking them, and nothing of entry instances that leave. A failure domain's summary now counts its leaving instances; the page says so in its section, and marks the row of a pool with leaving servers.

--- a/crates/member/src/fact.rs
+++ b/crates/member/src/fact.rs
@@ -108,6 +108,8 @@
     pub instances: Vec<Instance>,
     /// How many entry instances it has heard lately.
     pub count: u32,
+    /// How many of those are leaving.
+    pub leaving: u32,
     /// How many entry instances it knows but has not heard lately.
     pub unheard: u32,
     /// The configurations in force at its instances, each once.
--- a/crates/member/src/roster/seal.rs
+++ b/crates/member/src/roster/seal.rs
@@ -57,6 +57,7 @@
         instances.push(self.own.clone());
         let total = count(instances.len());
         instances.retain(|one| one.state == State::Live);
+        let leaving = total - count(instances.len());
         instances.truncate(NAMED);
         Domain {
             name: self.own.domain.clone(),
@@ -64,6 +65,7 @@
             pools: view.pools.iter().map(sum).collect(),
             instances,
             count: total,
+            leaving,
             unheard,
             positions: self.positions(now),
             burns: self.burns(now),
--- a/crates/member/tests/gossip.rs
+++ b/crates/member/tests/gossip.rs
@@ -135,6 +135,18 @@
     }
 }
 
+#[gtest]
+fn a_leaving_instance_is_counted_in_the_summary_of_its_domain() {
+    let mut world = World::new(5, 2, 8, 4);
+    world.run(SECOND * 30);
+    world.give(2, Event::Stop);
+    world.run(SECOND * 25);
+    for node in world.nodes.iter().filter(|node| node.domain == 1) {
+        let there = &node.roster.view(world.now).domains[0].summary;
+        expect_that!((there.count, there.leaving), eq((4, 1)));
+    }
+}
+
 #[gtest]
 fn a_cut_off_domain_shows_its_age() {
     let mut world = World::new(6, 2, 8, 16);
--- a/crates/peer/src/codec.rs
+++ b/crates/peer/src/codec.rs
@@ -1,15 +1,17 @@
 //! Summaries as protocol buffers.
 
+mod listed;
+
 use core::time::Duration;
 
 use base::{Digest, Incarnation, Name, Stamp};
 use member::{
-    event::{Listing, Role},
     fact::{self, Fact, Id},
     summary::{self, Body},
 };
 use wire::row;
 
+use self::listed::{listed_in, listed_out};
 use crate::Error;
 
 /// Encodes a summary; versions become lags behind the newest one.
@@ -208,34 +210,6 @@
     }
 }
 
-fn listed_out(line: &Listing) -> wire::Listed {
-    wire::Listed {
-        name: line.incarnation.name.to_string(),
-        start: line.incarnation.start.as_millis(),
-        domain: line.domain.to_string(),
-        address: line.address.to_string(),
-        pool: match &line.role {
-            Role::Backend(pool) => pool.to_string(),
-            Role::Entry => String::new(),
-        },
-        state: state_out(line.state).into(),
-    }
-}
-
-fn listed_in(line: wire::Listed) -> Listing {
-    let state = state_in(line.state());
-    Listing {
-        incarnation: incarnation(line.name, line.start),
-        domain: line.domain.into(),
-        address: line.address.into(),
-        role: match line.pool.as_str() {
-            "" => Role::Entry,
-            pool => Role::Backend(pool.into()),
-        },
-        state,
-    }
-}
-
 fn server_out(server: &fact::Server) -> wire::Server {
     wire::Server {
         name: server.incarnation.name.to_string(),
@@ -299,6 +273,7 @@
         pools: domain.pools.iter().map(pool_out).collect(),
         instances: domain.instances.iter().map(instance_out).collect(),
         count: domain.count,
+        leaving: domain.leaving,
         unheard: domain.unheard,
         positions: domain.positions.iter().map(position_out).collect(),
         burns: domain.burns.iter().map(burn_out).collect(),
@@ -312,6 +287,7 @@
         pools: domain.pools.into_iter().map(pool_in).collect(),
         instances: domain.instances.into_iter().map(instance_in).collect(),
         count: domain.count,
+        leaving: domain.leaving,
         unheard: domain.unheard,
         positions: all(domain.positions, position_in)?,
         burns: domain.burns.into_iter().map(burn_in).collect(),
--- a/crates/peer/tests/codec.rs
+++ b/crates/peer/tests/codec.rs
@@ -67,6 +67,7 @@
         pools: vec![pool],
         instances: vec![instance.clone()],
         count: 4,
+        leaving: 2,
         unheard: 1,
         positions: vec![position],
         burns: vec![burn.clone()],
--- a/crates/screen/src/body.rs
+++ b/crates/screen/src/body.rs
@@ -109,6 +109,12 @@
     let name = escape(&domain.name);
     add(out, &format!("<section><h2>{name}</h2>"));
     add(out, &format!("<p>{} instances heard", domain.count));
+    if domain.leaving > 0 {
+        add(
+            out,
+            &format!(", <b class=leaving>{} leaving</b>", domain.leaving),
+        );
+    }
     if domain.unheard > 0 {
         add(
             out,
@@ -124,7 +130,11 @@
 }
 
 fn pool(out: &mut String, pool: &Pool) {
-    let class = if pool.live == 0 { " class=bad" } else { "" };
+    let class = match (pool.live, pool.leaving) {
+        (0, _) => " class=bad",
+        (_, 0) => "",
+        _ => " class=leaving",
+    };
     let name = escape(&pool.name);
     let Pool {
         live,
--- a/crates/screen/src/page.rs
+++ b/crates/screen/src/page.rs
@@ -18,6 +18,7 @@
 table { border-collapse: collapse; width: 100% }
 td, th { text-align: right; padding: .1em .4em } td:first-child, th:first-child { text-align: left }
 .bad { color: #fff; background: #a00; padding: 0 .3em } .unheard { border-style: dashed }
+.leaving { color: #000; background: #fb0; padding: 0 .3em }
 .old { background: #a00 }
 ";
 
