Let screens agree by settled periods and exchanges in mid-period

A failure domain asked another one at a moment left to chance; near the start of a period it got now the last summary, now the next but one, and the one between was never shown. And a new whole period was shown by each instance as soon as it had it.

Domains now ask in the middle of a period by the wall clock, and a screen shows the latest whole period that is two periods old; a newer one only where none is. The price: figures are 20 to 40 s old, 10 to 40 s before.

The test runs over seeds 0 to 7 and asks for 90 of 100 s, where it asked for 60 of one seed.

--- a/crates/member/src/roster/bridge.rs
+++ b/crates/member/src/roster/bridge.rs
@@ -1,5 +1,7 @@
 //! Summaries between failure domains, carried by one instance of each.
 
+use core::time::Duration;
+
 use base::{Incarnation, Name, Tick};
 use rand::seq::IndexedRandom;
 
@@ -30,7 +32,7 @@
         if context.now < self.next.bridge {
             return Vec::new();
         }
-        self.next.bridge = context.now + self.config.bridge;
+        self.next.bridge = context.now + self.until_bridge(context);
         let domains = self.abroad_names();
         let own = Some(&self.own.incarnation);
         let mine = |name: &&Name| {
@@ -52,6 +54,17 @@
         actions
     }
 
+    /// Returns the time until the middle of the next period, when its summaries are known in their domains.
+    ///
+    /// An exchange near the start of the periods would get now the last summary, now the next but one.
+    fn until_bridge(&self, context: &Context<'_>) -> Duration {
+        let length = u64::try_from(self.config.bridge.as_millis())
+            .unwrap_or(1)
+            .max(1);
+        let past = (context.stamp.as_millis() + length / 2) % length;
+        Duration::from_millis(length - past)
+    }
+
     /// Builds what this failure domain says to another one.
     pub(super) fn abroad(&self, now: Tick) -> Summary {
         let sealed = self.sealed.as_ref().map(|one| one.domain.clone());
--- a/crates/screen/src/configs/screen.rs
+++ b/crates/screen/src/configs/screen.rs
@@ -13,6 +13,8 @@
     pub old: Duration,
     /// The period in which failure domains seal their summaries.
     pub period: Duration,
+    /// Periods after which every instance has the summaries of one as a rule.
+    pub settle: u64,
 }
 
 impl Default for Screen {
@@ -22,6 +24,7 @@
             kept: 8,
             old: Duration::from_secs(60),
             period: Duration::from_secs(10),
+            settle: 2,
         }
     }
 }
--- a/crates/screen/src/view.rs
+++ b/crates/screen/src/view.rs
@@ -76,8 +76,9 @@
 
     /// Returns the view to show at a time, or none while no failure domain is known.
     ///
-    /// It is of the latest period that all known failure domains have told. Where there is none within the
-    /// lag, it is of the period at the lag, and those that did not tell are marked as not heard: their
+    /// It is of the latest period that all known failure domains have told and that has settled: newer ones are
+    /// known to some instances before others, whose screens would differ. They are shown only where no
+    /// settled one is whole, as after a start. Where there is none within the lag, it is of the period at the lag, and those that did not tell are marked as not heard: their
     /// figures of earlier periods are not shown.
     ///
     /// # Examples
@@ -100,7 +101,10 @@
         let current = now.as_millis() / millis.max(1);
         let last = current.saturating_sub(self.config.lag);
         let whole = |period: &u64| self.parts(*period).iter().all(|part| part.sealed.is_some());
-        let period = (last..=current).rev().find(whole).unwrap_or(last);
+        let settled = current.saturating_sub(self.config.settle);
+        let mut newer = settled + 1..=current;
+        let period = (last..=settled).rev().find(whole);
+        let period = period.or_else(|| newer.find(whole)).unwrap_or(last);
         let body = body::html(&self.parts(period));
         let code = Digest::of(body.as_bytes()).prefix();
         Some(View {
--- a/crates/screen/tests/domains.rs
+++ b/crates/screen/tests/domains.rs
@@ -14,6 +14,10 @@
 const SECOND: Duration = Duration::from_secs(1);
 const DOMAINS: usize = 2;
 const NODES: usize = 6;
+/// Runs with other moments at which instances act.
+const SEEDS: u64 = 8;
+/// Seconds of 100 in which all screens have to show one number.
+const AGREED: u64 = 90;
 
 /// A screen at each instance.
 struct Wall {
@@ -24,10 +28,10 @@
 }
 
 impl Wall {
-    fn new() -> Self {
+    fn new(seed: u64) -> Self {
         let screen = Screen::open(configs::screen::Screen::default());
         Self {
-            world: World::new(3, DOMAINS, NODES, 12),
+            world: World::new(seed, DOMAINS, NODES, 12),
             screens: vec![screen; NODES],
             shown: BTreeMap::new(),
         }
@@ -67,10 +71,14 @@
 
 #[gtest]
 fn screens_agree_through_a_cut_and_its_healing() {
-    let mut wall = Wall::new();
+    (0..SEEDS).for_each(agree);
+}
+
+fn agree(seed: u64) {
+    let mut wall = Wall::new(seed);
     wall.run(60);
     let before = wall.run(100);
-    expect_that!(before, ge(60));
+    expect_that!(before, ge(AGREED), "seed {seed}");
     wall.world.sides = wall
         .world
         .nodes
@@ -86,8 +94,8 @@
     wall.world.sides = vec![0; NODES];
     wall.run(40);
     let after = wall.run(100);
-    expect_that!(after, ge(60));
+    expect_that!(after, ge(AGREED), "seed {seed}");
     println!(
-        "seconds of 100 in which all screens showed one number: {before} before, {after} after the cut"
+        "seed {seed}, seconds of 100 in which all screens showed one number: {before} before, {after} after the cut"
     );
 }
--- a/crates/screen/tests/view.rs
+++ b/crates/screen/tests/view.rs
@@ -63,6 +63,18 @@
     );
 }
 
+/// Another instance may not have heard the newest summaries yet, and would show another number.
+#[gtest]
+fn a_settled_period_goes_before_a_newer_one() {
+    let mut screen = open();
+    for period in NOW - 3..=NOW {
+        for name in NAMES {
+            screen.take(&sealed(name, period));
+        }
+    }
+    expect_that!(view(&screen).number.period, eq(NOW - 2));
+}
+
 #[gtest]
 fn a_silent_domain_is_marked_and_its_old_figures_are_gone() {
     let mut screen = open();
@@ -89,6 +101,25 @@
     expect_that!(view(&screen).body.matches("NOT HEARD").count(), eq(1));
 }
 
+#[gtest]
+fn leaving_instances_and_servers_are_marked() {
+    let mut screen = open();
+    let mut domain = sealed(NAMES[0], NOW);
+    screen.take(&domain);
+    expect_that!(view(&screen).body, not(contains_substring("class=leaving")));
+    domain.name = NAMES[1].into();
+    domain.leaving = 1;
+    domain.pools[0].leaving = 3;
+    screen.take(&domain);
+    let body = view(&screen).body;
+    expect_that!(body, contains_substring("<b class=leaving>1 leaving</b>"));
+    expect_that!(
+        body,
+        contains_substring("<tr class=leaving><td>brief-writer")
+    );
+    expect_that!(body.matches("class=leaving").count(), eq(2));
+}
+
 #[gtest]
 fn names_cannot_bring_markup() {
     let mut screen = open();
