--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -43,7 +43,7 @@
     /// the time limit of one call of the platform: milliseconds, 10 to 60000 (default 1000)
     #[argh(option)]
     pub platform_limit_ms: Option<String>,
-    /// how often to read configuration and the instance list: milliseconds, 10 to 15000 (default 500)
+    /// how often to read configuration; the instance list is read at four times this: milliseconds, 10 to 15000 (default 500)
     #[argh(option)]
     pub poll_ms: Option<String>,
     /// the longest wait for a backend server's next sign of progress: milliseconds, 10 to 600000 (default 10000)
@@ -87,7 +87,7 @@
     pub platform: String,
     /// The time limit of one call of the platform.
     pub platform_limit: Duration,
-    /// How often to read configuration and the instance list.
+    /// How often to read configuration; the reader of the instance list takes four times this.
     pub poll: Duration,
     /// The longest wait for a backend server's next sign of progress.
     pub progress: Duration,
