--- a/crates/member/examples/gossip.rs
+++ b/crates/member/examples/gossip.rs
@@ -5,37 +5,29 @@
 
 use std::time::Duration;
 
-use base::Digest;
-use member::{
-    Event, Fact,
-    fact::{Burn, Position, State},
-};
+use member::fact::State;
 
 #[path = "../tests/world/mod.rs"]
 mod world;
 
-use world::{Node, World};
+use world::{Node, World, told};
 
 const SECOND: Duration = Duration::from_secs(1);
 /// Time until every instance is known everywhere.
 const SETTLE: Duration = Duration::from_secs(40);
 /// Time over which traffic is counted.
 const SPAN: Duration = Duration::from_secs(60);
-/// Seconds between two reports of an instance's counters.
-const COUNTERS: u64 = 30;
-/// Pipelines whose counters are told.
-const PIPELINES: u64 = 11;
-/// Seconds between two changes of configuration, 3,400 a day.
-const CHANGES: u64 = 25;
 /// Leaving marks timed at each size.
 const MARKS: usize = 12;
+/// Bytes of a line of the platform's list, as the stand-in writes it.
+const LINE: f64 = 150.0;
 /// Framing of a message by HTTP/2, TCP and IP, in bytes: the mean of both sides in the example `framing` of
 /// the peer crate, with two segments of 52 bytes each.
 const FRAMING: f64 = 154.0;
 
 fn main() {
     println!(
-        "domains nodes servers | B/s sent  calls/s  with framing  busiest  with facts  cpu of a core  memory | load age p50 p99 | mark p50 max, with 20% loss p50 max"
+        "domains nodes servers | B/s sent  calls/s  with framing  busiest  with facts  cpu of a core  memory | load age p50 p99 | mark p50 max, with 20% loss p50 max | platform's list read, mean and its reader"
     );
     for (domains, nodes, backends) in [
         (1, 8, 16),
@@ -75,6 +67,10 @@
         .map(|node| node.cpu.as_secs_f64())
         .sum::<f64>()
         / count;
+    let reads: Vec<f64> = world.nodes.iter().map(|node| node.reads as f64).collect();
+    let line = (nodes + backends) as f64 * LINE / SPAN.as_secs_f64() / 1_000.0;
+    let list = reads.iter().sum::<f64>() * line / nodes as f64;
+    let reader = reads.iter().copied().fold(0.0, f64::max) * line;
     let framed = calls.mul_add(FRAMING, bytes);
     let (median, worst) = ages(&world);
     let most = world.nodes.iter().map(sent).fold(0.0, f64::max) / SPAN.as_secs_f64();
@@ -82,7 +78,7 @@
     let clean = marks(&mut world, 0, 0);
     let lossy = marks(&mut world, 20, MARKS);
     println!(
-        "{domains:7} {nodes:5} {backends:7} | {bytes:8.0} {calls:8.2} {framed:13.0} {most:8.0} {told:11.0} {:13.3}% {memory:5} KB | {median:7.1} {worst:4.1} s | {clean}, {lossy}",
+        "{domains:7} {nodes:5} {backends:7} | {bytes:8.0} {calls:8.2} {framed:13.0} {most:8.0} {told:11.0} {:13.3}% {memory:5} KB | {median:7.1} {worst:4.1} s | {clean}, {lossy} | list {list:.2} KB/s, reader {reader:.0} KB/s",
         cpu * 100.0
     );
 }
@@ -97,17 +93,7 @@
 fn told(world: &mut World) -> f64 {
     world.reset();
     let span = SPAN * 2;
-    for second in 0..span.as_secs() {
-        for node in 0..world.nodes.len() {
-            if (second + node as u64).is_multiple_of(COUNTERS) {
-                (0..PIPELINES).for_each(|pipeline| world.give(node, burn(pipeline, second)));
-            }
-            if second.is_multiple_of(CHANGES) {
-                world.give(node, position(second));
-            }
-        }
-        world.run(SECOND);
-    }
+    told::tell(world, span.as_secs());
     let bytes = world
         .nodes
         .iter()
@@ -116,23 +102,6 @@
     bytes / world.nodes.len() as f64 / span.as_secs_f64()
 }
 
-fn burn(pipeline: u64, second: u64) -> Event {
-    Event::Tell(Fact::Burn(Burn {
-        pipeline: format!("pipeline-{pipeline}").into(),
-        good: second * 1_700 + 100_000,
-        late: second + 900,
-        refused: second + 400,
-        cost: second * 90_000 + 1_000_000,
-    }))
-}
-
-fn position(second: u64) -> Event {
-    Event::Tell(Fact::Position(Position {
-        offset: 1_000_000 + second,
-        digest: Digest::of(&second.to_be_bytes()),
-    }))
-}
-
 /// Returns the resident memory of this process, in KB; what the world itself keeps counts as well.
 fn resident() -> u64 {
     let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
--- a/crates/member/src/configs/roster.rs
+++ b/crates/member/src/configs/roster.rs
@@ -9,6 +9,8 @@
     pub bridge: Duration,
     /// Peers asked in each round of exchanges.
     pub fanout: usize,
+    /// Time between reads of the platform's list by the instance that holds that role.
+    pub list: Duration,
     /// An instance unheard for this long holds no role.
     pub lost: Duration,
     /// How long an unnamed leaving mark is kept.
@@ -26,6 +28,8 @@
     pub round: Duration,
     /// A backend server that is neither listed nor heard for this long is removed.
     pub silence: Duration,
+    /// A load that moved is told again no sooner than this.
+    pub spacing: Duration,
     /// Time between polls of a backend server by the second candidate for that role.
     pub standby: Duration,
 }
@@ -35,6 +39,7 @@
         Self {
             bridge: Duration::from_secs(10),
             fanout: 1,
+            list: Duration::from_secs(2),
             lost: Duration::from_secs(8),
             mark: Duration::from_secs(24 * 60 * 60),
             patience: Duration::from_secs(600),
@@ -43,6 +48,7 @@
             repeat: Duration::from_secs(10),
             round: Duration::from_millis(500),
             silence: Duration::from_secs(30),
+            spacing: Duration::from_secs(4),
             standby: Duration::from_secs(6),
         }
     }
--- a/crates/peer/src/codec.rs
+++ b/crates/peer/src/codec.rs
@@ -1,5 +1,7 @@
 //! Summaries as protocol buffers.
 
+mod listed;
+
 use core::time::Duration;
 
 use base::{Digest, Incarnation, Name, Stamp};
@@ -9,6 +11,7 @@
 };
 use wire::row;
 
+use self::listed::{listed_in, listed_out};
 use crate::Error;
 
 /// Encodes a summary; versions become lags behind the newest one.
@@ -24,7 +27,7 @@
 /// assert_eq!(peer::codec::decode(message), Ok(summary));
 /// ```
 pub fn encode(summary: &summary::Summary) -> wire::Summary {
-    let base = summary.versions.iter().copied().max().unwrap_or_default();
+    let base = newest(summary);
     wire::Summary {
         sender: summary.sender.0,
         roster: summary.roster,
@@ -45,6 +48,14 @@
     }
 }
 
+/// Returns the newest version in a summary; an introduction has rows that are newer than what it vouches for.
+fn newest(summary: &summary::Summary) -> u64 {
+    let rows = summary.deltas.iter().flat_map(|delta| &delta.rows);
+    let versions = summary.versions.iter().copied();
+    let newest = versions.chain(rows.map(|row| row.version)).max();
+    newest.unwrap_or_default()
+}
+
 /// Decodes a summary.
 ///
 /// # Errors
@@ -135,7 +146,9 @@
         }),
         Fact::Domain(domain) => row::Body::Domain(domain_out(domain)),
         Fact::Instance(instance) => row::Body::Instance(instance_out(instance)),
+        Fact::Listed(line) => row::Body::Listed(listed_out(line)),
         Fact::Position(position) => row::Body::Position(position_out(position)),
+        Fact::Reading(count) => row::Body::Reading(wire::Reading { count: *count }),
         Fact::Server(server) => row::Body::Server(server_out(server)),
         Fact::Suspect(suspect) => row::Body::Suspect(suspect_out(suspect)),
     }
@@ -153,7 +166,9 @@
         }),
         Some(row::Body::Domain(domain)) => Fact::Domain(domain_in(domain)?),
         Some(row::Body::Instance(instance)) => Fact::Instance(instance_in(instance)),
+        Some(row::Body::Listed(line)) => Fact::Listed(listed_in(line)),
         Some(row::Body::Position(position)) => Fact::Position(position_in(position)?),
+        Some(row::Body::Reading(reading)) => Fact::Reading(reading.count),
         Some(row::Body::Server(server)) => Fact::Server(server_in(server)),
         Some(row::Body::Suspect(suspect)) => Fact::Suspect(suspect_in(suspect)?),
     };
@@ -258,6 +273,7 @@
         pools: domain.pools.iter().map(pool_out).collect(),
         instances: domain.instances.iter().map(instance_out).collect(),
         count: domain.count,
+        leaving: domain.leaving,
         unheard: domain.unheard,
         positions: domain.positions.iter().map(position_out).collect(),
         burns: domain.burns.iter().map(burn_out).collect(),
@@ -271,6 +287,7 @@
         pools: domain.pools.into_iter().map(pool_in).collect(),
         instances: domain.instances.into_iter().map(instance_in).collect(),
         count: domain.count,
+        leaving: domain.leaving,
         unheard: domain.unheard,
         positions: all(domain.positions, position_in)?,
         burns: domain.burns.into_iter().map(burn_in).collect(),
