Send news of a suspect to two instances of each other failure domain

Cause: the news went to one instance of each other domain, chosen from those that the list has as live. Where that one is gone unnoticed, the domain heard of the suspect with the next exchange, up to 10 s later, and could lose two servers of its own until then.

Ruled out: sending again after a lost exchange (its limit is 1 s; by then the servers are lost); telling every instance (50 messages for each crash and domain).

Change: two instances, drawn without repetition; they pass on what is new.

--- a/crates/member/src/roster/bridge.rs
+++ b/crates/member/src/roster/bridge.rs
@@ -19,6 +19,8 @@
 const SUSPECTS: usize = 64;
 /// Leaving marks that go to another failure domain at a time.
 const MARKS: usize = 64;
+/// Instances of another failure domain that news goes to, as one of them may be gone unnoticed.
+const DOORS: usize = 2;
 /// Periods by which a clock may be ahead; a summary from further on is not believed.
 const AHEAD: u64 = 2;
 
@@ -45,11 +47,12 @@
             self.table.withdraw(&subject);
         }
         for name in domains.iter().filter(mine) {
-            let Some(address) = self.door(context, name) else {
-                continue;
-            };
             let summary = self.abroad(context.now);
-            actions.push(Action::Exchange { address, summary });
+            let doors = self.doors(context, name, 1).into_iter();
+            actions.extend(doors.map(|address| Action::Exchange {
+                address,
+                summary: summary.clone(),
+            }));
         }
         actions
     }
@@ -125,12 +128,12 @@
         }
     }
 
-    /// Sends news to the own failure domain, and to one instance of each other one, which passes it on there.
+    /// Sends news to the own failure domain, and to some instances of each other one, which pass it on there.
     pub(super) fn spread(&self, context: &mut Context<'_>, news: &Summary) -> Vec<Action> {
         let mut actions = self.notify(context.now, news);
         for name in self.abroad_names() {
-            let address = self.door(context, &name);
-            actions.extend(address.map(|address| Action::Exchange {
+            let doors = self.doors(context, &name, DOORS);
+            actions.extend(doors.into_iter().map(|address| Action::Exchange {
                 address,
                 summary: self.signed(news),
             }));
@@ -226,15 +229,15 @@
         names
     }
 
-    fn door(&self, context: &mut Context<'_>, domain: &Name) -> Option<Name> {
+    /// Chooses instances of another failure domain, each once.
+    fn doors(&self, context: &mut Context<'_>, domain: &Name, count: usize) -> Vec<Name> {
         let there = self
             .peers
             .iter()
             .filter(|peer| peer.instance.domain == *domain);
         let live = there.filter(|peer| peer.instance.state == State::Live);
-        let doors: Vec<&Name> = live.map(|peer| &peer.instance.address).collect();
-        doors
-            .choose(&mut *context.rng)
-            .map(|address| (*address).clone())
+        let all: Vec<&Name> = live.map(|peer| &peer.instance.address).collect();
+        let chosen = all.sample(&mut *context.rng, count);
+        chosen.map(|address| (*address).clone()).collect()
     }
 }
--- a/crates/member/tests/gossip.rs
+++ b/crates/member/tests/gossip.rs
@@ -232,6 +232,25 @@
     expect_that!(told.len(), eq(11));
 }
 
+#[gtest]
+fn a_suspect_is_heard_of_at_once_past_an_instance_that_is_gone_unnoticed() {
+    for seed in 0..8 {
+        let mut world = World::new(seed, 3, 12, 4);
+        world.run(SECOND * 30);
+        let teller = world.nodes[3].domain;
+        let mut gone: BTreeSet<usize> = BTreeSet::new();
+        for domain in (0..3).filter(|domain| *domain != teller) {
+            gone.extend(world.nodes.iter().position(|node| node.domain == domain));
+        }
+        for at in &gone {
+            world.sides[*at] = 1;
+        }
+        world.give(3, Event::Tell(suspect()));
+        world.run(Duration::from_millis(20));
+        expect_that!(told(&world).len(), eq(11 - gone.len()), "seed {seed}");
+    }
+}
+
 #[gtest]
 fn a_suspect_is_heard_of_in_a_domain_that_was_cut_off() {
     let mut world = World::new(9, 3, 12, 4);
