Let a bundle state which model a stage needs and what fits into a server

Cause: pools list models, but nothing said which stage needs which, how large they are or how many fit, so orders could not be planned from the bundle.

Change: stages name a model (empty by default), pools state memory_bytes (0 by default: everything fits and nothing is ordered) and the size of each model. Digests cover the text and not the fields, so bundles of today keep theirs.

Ruled out: deriving the model from the operation; operations and models have different names in both examples.

--- a/crates/bundle/src/check/pipeline.rs
+++ b/crates/bundle/src/check/pipeline.rs
@@ -95,6 +95,14 @@
             ),
         ));
     }
+    let model = stage.model.as_str();
+    if !model.is_empty() && !pool.models.contains(&stage.model) {
+        found.push(Fault {
+            path: format!("{path}.model"),
+            reason: format!("pool `{}` has no model `{model}`", pool.name),
+            nearest: nearest::of(model, pool.models.iter().map(base::Name::as_str)),
+        });
+    }
     if pool.kind == Kind::Generate && !last {
         found.push(fault(
             path.to_owned(),
--- a/crates/bundle/src/content.rs
+++ b/crates/bundle/src/content.rs
@@ -165,6 +165,9 @@
     /// The operation asked of the backend server; the stage's name where it is empty.
     #[serde(default)]
     pub operation: Name,
+    /// The model that the stage needs, one of the pool's; empty where any server of the pool will do.
+    #[serde(default)]
+    pub model: Name,
 }
 
 impl Stage {
@@ -221,6 +224,23 @@
     /// The models that the servers may hold.
     #[serde(default)]
     pub models: Vec<Name>,
+    /// The bytes of weights that one server can hold; 0 where every server holds all models, so that
+    /// none is ever ordered to load one.
+    #[serde(default)]
+    pub memory_bytes: u64,
+    /// The sizes of the models, sorted by model.
+    #[serde(default)]
+    pub weights: Vec<Weight>,
+}
+
+/// The size of one model.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Weight {
+    /// The model.
+    pub model: Name,
+    /// The bytes of its weights.
+    pub bytes: u64,
 }
 
 impl Pool {
@@ -231,6 +251,16 @@
     const fn default_cost() -> f64 {
         1.0
     }
+
+    /// Tells whether the servers are ordered which models to hold.
+    pub const fn is_placed(&self) -> bool {
+        self.memory_bytes > 0
+    }
+
+    /// Returns the bytes of a model's weights, where they are stated.
+    pub fn weight(&self, model: &str) -> Option<u64> {
+        find(&self.weights, |weight| &weight.model, model).map(|weight| weight.bytes)
+    }
 }
 
 /// Someone who may author or sign off bundles.
@@ -303,6 +333,9 @@
         self.accounts.sort_by(|a, b| a.name.cmp(&b.name));
         self.pipelines.sort_by(|a, b| a.name.cmp(&b.name));
         self.pools.sort_by(|a, b| a.name.cmp(&b.name));
+        for pool in &mut self.pools {
+            pool.weights.sort_by(|a, b| a.model.cmp(&b.model));
+        }
         self.signers.sort_by(|a, b| a.name.cmp(&b.name));
     }
 }
