Ask engines what they hold and send them orders

The stand-in now fetches ordered models from the weight store at its rate, so that what it holds follows what it was ordered with a delay; it drops at once what is no longer wanted. Its load report names what it holds in place of what was ordered.

--- a/crates/backend/src/lib.rs
+++ b/crates/backend/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod client;
 
 pub mod load;
+pub mod orders;
 pub mod stream;
 
 mod configs;
--- /dev/null
+++ b/crates/backend/src/orders.rs
@@ -0,0 +1,102 @@
+//! Orders to engines: what they hold, and what they are to hold.
+
+use core::{net::SocketAddr, time::Duration};
+
+use base::Name;
+use serde::{Deserialize, Serialize};
+use tokio::time;
+
+use crate::Client;
+
+/// The state that an order wants.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Want {
+    /// All models that the engine is to hold; it drops every other.
+    pub models: Vec<Name>,
+    /// All adapters that it is to hold.
+    pub adapters: Vec<Name>,
+    /// The role that it is to take.
+    pub role: Option<Name>,
+}
+
+/// One order.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Order {
+    /// The fencing number.
+    pub fence: u64,
+    /// The state wanted.
+    pub want: Want,
+}
+
+/// What an engine says of itself.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+pub struct Holding {
+    /// The models whose weights it holds.
+    pub held: Vec<Name>,
+    /// The state that the last order wanted.
+    pub want: Want,
+}
+
+/// What became of an order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    /// The engine took it.
+    Taken,
+    /// The engine has seen a higher fencing number.
+    Refused,
+    /// Nobody knows whether the engine took it.
+    Unanswered,
+}
+
+/// Asks an engine what it holds; gives nothing when it does not answer in time.
+///
+/// # Examples
+///
+/// ```no_run
+/// # async fn run(client: &backend::Client) {
+/// use core::time::Duration;
+/// let address = "127.0.0.1:9001".parse().unwrap();
+/// let holding = backend::orders::ask(client, address, Duration::from_millis(500)).await;
+/// # }
+/// ```
+pub async fn ask(client: &Client, address: SocketAddr, limit: Duration) -> Option<Holding> {
+    let request = client.connection(address, true).get(url(address));
+    let asking = async { request.send().await.ok()?.json::<Holding>().await.ok() };
+    let Ok(holding) = time::timeout(limit, asking).await else {
+        client.silent(address, true);
+        return None;
+    };
+    holding
+}
+
+/// Sends an order, once.
+///
+/// # Examples
+///
+/// ```no_run
+/// # async fn run(client: &backend::Client) {
+/// use backend::orders::{self, Order, Want};
+/// use core::time::Duration;
+/// let address = "127.0.0.1:9001".parse().unwrap();
+/// let want = Want { models: vec!["brief".into()], ..Want::default() };
+/// let order = Order { fence: 7, want };
+/// let end = orders::send(client, address, &order, Duration::from_secs(5)).await;
+/// # }
+/// ```
+pub async fn send(client: &Client, address: SocketAddr, order: &Order, limit: Duration) -> End {
+    let request = client.connection(address, true).post(url(address));
+    let Ok(sent) = time::timeout(limit, request.send_json(order)).await else {
+        client.silent(address, true);
+        return End::Unanswered;
+    };
+    match sent.map(|response| response.status().as_u16()) {
+        Ok(200) => End::Taken,
+        Ok(409) => End::Refused,
+        _ => End::Unanswered,
+    }
+}
+
+fn url(address: SocketAddr) -> String {
+    format!("http://{address}/v1/orders")
+}
--- a/crates/fake/src/server/http.rs
+++ b/crates/fake/src/server/http.rs
@@ -8,7 +8,7 @@
 use serde::Deserialize;
 use serde_json::{Value, json};
 
-use super::{Faults, Kind, State, cache::BLOCK_TOKENS, call, generate, orders::Order};
+use super::{Faults, Kind, State, cache::BLOCK_TOKENS, call, generate, orders};
 use crate::{merge::merge, socket};
 
 /// The largest call taken, in bytes.
@@ -75,7 +75,7 @@
         "kv_used": sample.kv_used,
         "kv_total": state.config.cache_blocks,
         "leaving": inner.faults.leaving,
-        "models": inner.orders.want.models,
+        "models": inner.orders.held,
     }))
 }
 
@@ -105,16 +105,17 @@
     HttpResponse::Ok().json(&state.lock().orders)
 }
 
-async fn post_order(state: web::Data<State>, order: web::Json<Order>) -> HttpResponse {
-    let mut inner = state.lock();
-    let taken = inner
-        .orders
-        .take(order.into_inner(), state.config.checks_fencing);
+async fn post_order(state: web::Data<State>, order: web::Json<orders::Order>) -> HttpResponse {
+    let checks_fencing = state.config.checks_fencing;
+    let taken = state.lock().orders.take(order.into_inner(), checks_fencing);
+    if taken {
+        orders::load(&state);
+    }
     let mut response = match taken {
         true => HttpResponse::Ok(),
         false => HttpResponse::Conflict(),
     };
-    response.json(&inner.orders)
+    response.json(&state.lock().orders)
 }
 
 async fn runs(state: web::Data<State>) -> HttpResponse {
