Drive placement from the running instance

Cause: the planner was a core with tests, and no instance drove it.

Change: an actor of the control side opens a desk for each pool that states memory_bytes. The instance that rendezvous hashing names for the pool takes its lease by records in the stream place-DOMAIN-POOL, asks engines of its own failure domain what they hold, and orders what the plan wants, with the lease checked right before each order. Demand is this instance's own rate of requests by pipeline, times the live instances of the failure domain; peers tell demand by client account and not by pipeline. Term and order limit are settings. Pools of today's examples state no memory, so nothing of this runs for them.

Ruled out: one lease for all pools of a failure domain; the planner forgets orders to engines that are not in the view it is given, and a lease for each pool spreads the work over instances.

--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -6,6 +6,7 @@
 pub mod ledger;
 pub(crate) mod lines;
 pub(crate) mod peers;
+pub(crate) mod placement;
 pub mod roster;
 pub mod suspects;
 pub mod work;
--- /dev/null
+++ b/crates/entry/src/control/placement/demand.rs
@@ -0,0 +1,131 @@
+//! The demand for models, from this instance's own counters.
+
+use core::time::Duration;
+
+use base::{Name, Tick};
+use bundle::{
+    Bundle,
+    content::{Pipeline, Pool},
+};
+use place::plan::Model;
+
+use crate::metrics::Metrics;
+
+/// The time over which demand is averaged.
+const WINDOW: Duration = Duration::from_secs(60);
+
+/// The time of a stage that was not measured yet, in seconds.
+const STAGE_SECONDS: f64 = 1.0;
+
+/// Requests a second by pipeline, as this instance sees them.
+pub(super) struct Demand {
+    measured: Tick,
+    /// Sorted by pipeline.
+    rates: Vec<Rate>,
+}
+
+struct Rate {
+    pipeline: Name,
+    count: u64,
+    per_second: f64,
+}
+
+impl Demand {
+    pub(super) const fn open(now: Tick) -> Self {
+        Self {
+            measured: now,
+            rates: Vec::new(),
+        }
+    }
+
+    /// Takes the counters of the pipelines that need models.
+    pub(super) fn measure(&mut self, now: Tick, bundle: &Bundle, metrics: &Metrics) {
+        let passed = (now - self.measured).as_secs_f64();
+        if passed <= 0.0 {
+            return;
+        }
+        self.measured = now;
+        let old = core::mem::take(&mut self.rates);
+        let part = 1.0 - (-passed / WINDOW.as_secs_f64()).exp();
+        for pipeline in bundle.pipelines.iter().filter(|pipeline| needs(pipeline)) {
+            let seconds = &metrics.request_seconds;
+            let histogram = seconds.with_label_values(&[pipeline.name.as_str()]);
+            let count = histogram.get_sample_count();
+            let found = old.binary_search_by(|rate| rate.pipeline.cmp(&pipeline.name));
+            let (before, rate) = found.map_or((0, 0.0), |at| (old[at].count, old[at].per_second));
+            let recent = count.saturating_sub(before) as f64 / passed;
+            self.rates.push(Rate {
+                pipeline: pipeline.name.clone(),
+                count,
+                per_second: rate + part * (recent - rate),
+            });
+        }
+    }
+
+    /// Returns the models of a pool, sorted by name.
+    ///
+    /// Callers come through a balancer, so each of the domain's instances is taken to see as much.
+    pub(super) fn models(
+        &self,
+        bundle: &Bundle,
+        pool: &Pool,
+        instances: usize,
+        metrics: &Metrics,
+    ) -> Vec<Model> {
+        let weights = pool.weights.iter();
+        let models = weights.map(|weight| {
+            let usage = self.usage_of(bundle, pool, &weight.model, metrics);
+            Model {
+                name: weight.model.clone(),
+                bytes: weight.bytes,
+                demand: usage.per_second * instances as f64,
+                rate: f64::from(pool.concurrency) / usage.stage_seconds(),
+            }
+        });
+        models.collect()
+    }
+
+    fn usage_of(&self, bundle: &Bundle, pool: &Pool, model: &Name, metrics: &Metrics) -> Usage {
+        let mut total = Usage::default();
+        for pipeline in &bundle.pipelines {
+            let stages = pipeline.stages.iter();
+            for stage in stages.filter(|stage| stage.pool == pool.name && stage.model == *model) {
+                let labels = [pipeline.name.as_str(), stage.name.as_str()];
+                let histogram = metrics.stage_seconds.with_label_values(&labels);
+                total.per_second += self.rate(&pipeline.name);
+                total.count += histogram.get_sample_count();
+                total.seconds += histogram.get_sample_sum();
+            }
+        }
+        total
+    }
+
+    fn rate(&self, pipeline: &Name) -> f64 {
+        let found = self
+            .rates
+            .binary_search_by(|rate| rate.pipeline.cmp(pipeline));
+        found.map_or(0.0, |at| self.rates[at].per_second)
+    }
+}
+
+/// What asks for one model.
+#[derive(Default)]
+struct Usage {
+    per_second: f64,
+    count: u64,
+    seconds: f64,
+}
+
+impl Usage {
+    fn stage_seconds(&self) -> f64 {
+        if self.count == 0 || self.seconds <= 0.0 {
+            return STAGE_SECONDS;
+        }
+        self.seconds / self.count as f64
+    }
+}
+
+fn needs(pipeline: &Pipeline) -> bool {
+    let mut stages = pipeline.stages.iter();
+    stages.any(|stage| !stage.model.as_str().is_empty())
+}
--- /dev/null
+++ b/crates/entry/src/control/placement/desk.rs
@@ -0,0 +1,168 @@
+//! One pool's planner, and what its engines said they hold.
+
+use core::net::SocketAddr;
+
+use backend::orders::{Holding, Want};
+use base::{Incarnation, Name, Tick};
+use bundle::content;
+use place::{
+    configs,
+    lease::{Event, Lease},
+    order::{Engine, Order},
+    plan::Model,
+    planner::{Domain, Planner},
+    survey::Survey,
+};
+use platform::log;
+
+use super::World;
+use crate::view::Server;
+
+/// Bytes a second that the weight store gives to one load. Plans compare loads with one another, so
+/// that any rate gives the same ones.
+const STORE_RATE: f64 = 1e6;
+
+/// One placed pool.
+pub(super) struct Desk {
+    pub(super) planner: Planner,
+    pub(super) pool: Name,
+    pub(super) stream: String,
+    effects: u64,
+    is_held: bool,
+    is_wanted: bool,
+    polls: usize,
+    survey: Survey,
+    /// What each engine was last wanted to hold, sorted by server.
+    wants: Vec<(Incarnation, Want)>,
+}
+
+impl Desk {
+    pub(super) fn open(world: &World, pool: &Name) -> Self {
+        let lease = Lease::open(world.lease.clone(), world.own.clone(), false);
+        let config = configs::Planner::default();
+        Self {
+            effects: 0,
+            is_held: false,
+            is_wanted: false,
+            polls: config.polls,
+            planner: Planner::open(config, lease),
+            pool: pool.clone(),
+            stream: format!("place-{}-{pool}", world.domain),
+            survey: Survey::default(),
+            wants: Vec::new(),
+        }
+    }
+
+    /// Says whether this instance is to hold the lease.
+    pub(super) const fn want(&mut self, is_wanted: bool) {
+        self.is_wanted = is_wanted;
+        self.planner.lease().want(is_wanted);
+    }
+
+    /// Tells whether the lease is held now, where that has changed.
+    pub(super) fn turn(&mut self, now: Tick) -> Option<bool> {
+        let is_held = self.is_wanted && self.planner.permit(now).is_some();
+        if is_held == self.is_held {
+            return None;
+        }
+        self.is_held = is_held;
+        self.survey.restart();
+        Some(is_held)
+    }
+
+    /// Returns the engines to ask now, with their addresses.
+    pub(super) fn survey(
+        &mut self,
+        now: Tick,
+        servers: &[Server],
+        domain: &Name,
+    ) -> Vec<(Incarnation, SocketAddr)> {
+        if !self.is_held {
+            return Vec::new();
+        }
+        let is_own = |server: &&Server| {
+            server.pool == self.pool && server.domain == *domain && !server.leaving
+        };
+        let mut own: Vec<(Incarnation, SocketAddr)> = servers
+            .iter()
+            .filter(is_own)
+            .map(|server| (server.incarnation.clone(), server.address))
+            .collect();
+        own.sort();
+        let names: Vec<Incarnation> = own.iter().map(|(name, _)| name.clone()).collect();
+        self.survey.list(&names);
+        self.wants
+            .retain(|(server, _)| names.binary_search(server).is_ok());
+        let chosen = self.survey.ask(now, &self.planner.busy(), self.polls);
+        own.retain(|(name, _)| chosen.contains(name));
+        own
+    }
+
+    /// Takes an engine's answer, or that there was none.
+    pub(super) fn answer(
+        &mut self,
+        asked: Tick,
+        server: &Incarnation,
+        holding: Option<Holding>,
+        pool: &content::Pool,
+    ) {
+        let Some(mut holding) = holding else {
+            return self.survey.answer(server, None);
+        };
+        holding.held.sort();
+        holding.want.models.sort();
+        self.planner.wanted(asked, server, &holding.want.models);
+        let engine = Engine {
+            server: server.clone(),
+            models: holding.held,
+            memory: pool.memory_bytes,
+            is_fenced: pool.checks_fencing,
+        };
+        self.survey.answer(server, Some(engine));
+        let found = self.wants.binary_search_by(|(known, _)| known.cmp(server));
+        match found {
+            Ok(at) => self.wants[at].1 = holding.want,
+            Err(at) => self.wants.insert(at, (server.clone(), holding.want)),
+        }
+    }
+
+    /// Returns the orders to send now; none before each engine was asked.
+    pub(super) fn orders(&mut self, now: Tick, models: &[Model]) -> Vec<Order> {
+        if !self.is_held || !self.survey.is_whole() {
+            return Vec::new();
+        }
+        let domain = Domain {
+            models,
+            engines: &self.survey.engines(),
+            store_rate: STORE_RATE,
+        };
+        self.planner.orders(now, &domain)
+    }
+
+    /// Returns how many orders were newly seen to have had their effect.
+    pub(super) fn take_effects(&mut self) -> u64 {
+        let before = core::mem::replace(&mut self.effects, self.planner.effects());
+        self.effects - before
+    }
+
+    /// Returns the state that an order wants; adapters and role stay as the engine has them.
+    pub(super) fn want_of(&self, order: &Order) -> Want {
+        let server = &order.server;
+        let found = self.wants.binary_search_by(|(known, _)| known.cmp(server));
+        let kept = found.map(|at| self.wants[at].1.clone());
+        Want {
+            models: order.models.clone(),
+            ..kept.unwrap_or_default()
+        }
+    }
+}
+
+/// Returns the lease's event for a page of its stream.
+pub(super) fn event(page: log::Page) -> Event {
+    let records = page.records.into_iter();
+    Event::Page {
+        first: page.first,
+        end: page.end,
+        records: records.map(|record| (record.offset, record.body)).collect(),
+    }
+}
--- a/crates/entry/src/instance.rs
+++ b/crates/entry/src/instance.rs
@@ -28,6 +28,7 @@
         ledger::Ledger,
         lines::Lines,
         peers::Peers,
+        placement::{self, Placement},
         roster::{self, Leave, Roster, World},
         suspects::Suspects,
         work::Work,
@@ -204,6 +205,18 @@
     .start();
     let work_members = members_read.clone();
     let work = Work::new(clock, incarnation.clone(), &platform, work_members, jobs).start();
+    Placement::new(placement::World {
+        clock,
+        domain: settings.domain.clone(),
+        force: force_read.clone(),
+        lease: place::configs::Lease::of(settings.lease_term, settings.order_limit),
+        members: members_read.clone(),
+        metrics: Arc::clone(&metrics),
+        own: incarnation.clone(),
+        platform: platform.clone(),
+        servers: servers_read.clone(),
+    })
+    .start();
     let roster = Roster::new(World {
         clock,
         config: config.clone(),
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -1,8 +1,8 @@
 //! Counters, gauges and histograms, in the form that Prometheus reads.
 
 use prometheus::{
-    Encoder as _, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
-    TextEncoder, exponential_buckets,
+    Encoder as _, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec,
+    Opts, Registry, TextEncoder, exponential_buckets,
 };
 
 /// The shortest time that the histograms tell apart, in seconds.
@@ -25,6 +25,10 @@
     pub ledger_reads: IntCounter,
     /// Messages between instances, by kind and result.
     pub peer_messages: IntCounterVec,
+    /// Records, polls and orders of placement, by pool and event.
+    pub placement: IntCounterVec,
+    /// Whether this instance holds the lease of a pool's placement.
+    pub placement_lease: IntGaugeVec,
     /// Failed calls of the platform, by service.
     pub platform_failures: IntCounterVec,
     /// Requests ended, by pipeline, result code and outcome.
@@ -66,6 +70,12 @@
             register(&registry, &gauge);
             gauge
         };
+        let gauges = |name: &str, help: &str, labels: &[&str]| {
+            let opts = Opts::new(format!("limpetstep_{name}"), help);
+            let gauges = IntGaugeVec::new(opts, labels).expect("a valid metric");
+            register(&registry, &gauges);
+            gauges
+        };
         let seconds = |name: &str, help: &str, labels: &[&str]| {
             let buckets =
                 exponential_buckets(FIRST_BUCKET_SECONDS, 2.0, 16).expect("valid buckets");
@@ -90,6 +100,12 @@
             ledger_appends: counter("ledger_appends_total", "Appends to the ledger"),
             ledger_reads: counter("ledger_reads_total", "Reads of the ledger"),
             peer_messages: counters("peer_messages_total", "Messages to peers", &["kind", "end"]),
+            placement: counters("placement_total", "Events of placement", &["pool", "event"]),
+            placement_lease: gauges(
+                "placement_lease",
+                "Whether the lease of a pool's placement is held",
+                &["pool"],
+            ),
             platform_failures: counters("platform_failures_total", "Failed calls", &["service"]),
             requests: counters(
                 "requests_total",
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -22,6 +22,9 @@
     /// after a stop signal, how long to go on accepting while the balancer lags: milliseconds, 0 to 600000 (default 5000)
     #[argh(option)]
     pub drain_ms: Option<String>,
+    /// how long the lease of a pool's placement lasts: milliseconds, 300 to 600000 (default 30000)
+    #[argh(option)]
+    pub lease_term_ms: Option<String>,
     /// the form of log lines: text or json (default text)
     #[argh(option)]
     pub log_format: Option<String>,
@@ -31,6 +34,9 @@
     /// the name of this instance, unique in the deployment (default entry)
     #[argh(option)]
     pub name: Option<String>,
+    /// the longest time until an order to an engine has its effect or never will: milliseconds, 10 to 60000 (default 5000)
+    #[argh(option)]
+    pub order_limit_ms: Option<String>,
     /// where peers connect: IP:PORT (default 127.0.0.1:0, which takes a free port)
     #[argh(option)]
     pub peer_address: Option<String>,
@@ -73,12 +79,16 @@
     pub domain: Name,
     /// How long to go on accepting after a stop signal.
     pub drain: Duration,
+    /// How long the lease of a pool's placement lasts.
+    pub lease_term: Duration,
     /// The form of log lines.
     pub log_format: Format,
     /// The least severe log lines written.
     pub log_level: log::LevelFilter,
     /// The name of this instance.
     pub name: Name,
+    /// The longest time until an order to an engine has its effect or never will.
+    pub order_limit: Duration,
     /// Where peers connect.
     pub peer_address: SocketAddr,
     /// Peers to ask before the platform's list was read.
@@ -148,9 +158,11 @@
             address: reader.parse("address", &flags.address, "127.0.0.1:8080", ADDRESS),
             domain: Name::from(reader.text("domain", &flags.domain, "local")),
             drain: reader.millis("drain-ms", &flags.drain_ms, "5000", 0, 600_000),
+            lease_term: reader.millis("lease-term-ms", &flags.lease_term_ms, "30000", 300, 600_000),
             log_format: reader.format(&flags.log_format),
             log_level: reader.parse("log-level", &flags.log_level, "info", LEVELS),
             name: Name::from(reader.text("name", &flags.name, "entry")),
+            order_limit: reader.millis("order-limit-ms", &flags.order_limit_ms, "5000", 10, 60_000),
             peer_address: reader.parse("peer-address", &flags.peer_address, "127.0.0.1:0", ADDRESS),
             peers: reader.peers(&flags.peers),
             platform: reader.platform(&flags.platform),
--- a/crates/proc/src/scene.rs
+++ b/crates/proc/src/scene.rs
@@ -32,7 +32,9 @@
     domains: usize,
     drain: Duration,
     entries: usize,
+    entry_args: Vec<String>,
     example: String,
+    extra: String,
     pools: Option<Vec<String>>,
     progress: Duration,
     server_args: Vec<(String, Vec<String>)>,
@@ -88,7 +90,9 @@
             domains: 1,
             drain: Duration::from_millis(500),
             entries: 2,
+            entry_args: Vec::new(),
             example: example.to_owned(),
+            extra: String::new(),
             pools: None,
             progress: Duration::from_secs(2),
             server_args: Vec::new(),
@@ -133,6 +137,19 @@
         self
     }
 
+    /// Adds arguments for the entry instances.
+    pub fn entry_args(mut self, args: &[&str]) -> Self {
+        self.entry_args
+            .extend(args.iter().map(|arg| (*arg).to_owned()));
+        self
+    }
+
+    /// Adds pools and pipelines to the example's bundle.
+    pub fn extra(mut self, text: &str) -> Self {
+        self.extra.push_str(text);
+        self
+    }
+
     /// Adds arguments for the servers of one pool.
     pub fn server_args(mut self, pool: &str, args: &[&str]) -> Self {
         let args = args.iter().map(|arg| (*arg).to_owned()).collect();
--- a/crates/proc/src/scene/start.rs
+++ b/crates/proc/src/scene/start.rs
@@ -35,7 +35,7 @@
     /// Something does not start or does not serve in time.
     pub async fn start(self) -> Scene {
         let turn = ONE_AT_A_TIME.lock().await;
-        let mut text = example(&self.example);
+        let mut text = example(&self.example) + &self.extra;
         if self.unlimited {
             text = without_limits(&text);
         }
@@ -105,7 +105,8 @@
             ("--root-keys", roots.join(",")),
             ("--peers", self.peers()),
         ];
-        let args = args.map(|(flag, value)| [flag.to_owned(), value]).concat();
+        let mut args = args.map(|(flag, value)| [flag.to_owned(), value]).concat();
+        args.extend(self.builder.entry_args.iter().cloned());
         let process = Process::spawn("limpetstep-entry", &args);
         let url = format!("http://{}", process.address("listening "));
         self.list_entry(domain, &process);
