--- a/crates/backend/src/lib.rs
+++ b/crates/backend/src/lib.rs
@@ -5,8 +5,8 @@
 
 pub mod call;
 pub mod client;
-
 pub mod load;
+pub mod orders;
 pub mod presence;
 pub mod stream;
 
