Prove that leaving told by the list alone gets through its reader

A server that only the list says to be leaving is known to all instances of its domain within 5 s with a fifth of all messages lost, and stays so when list and server say otherwise.

Both tests were seen failing with leaving entries of the list not heeded.

--- a/crates/member/tests/list.rs
+++ b/crates/member/tests/list.rs
@@ -14,6 +14,9 @@
 const SETTLE: Duration = Duration::from_secs(40);
 /// Time after which a change of the list is known though its reader was just lost.
 const CHANGE: Duration = Duration::from_secs(20);
+/// The same where the list is the only source: the time after which the reader counts as lost, the rest of a period
+/// of those that read for themselves, and a notice.
+const READER_LOST: Duration = Duration::from_secs(13);
 /// Reads of the reader, one each 2 s, and one more at an edge of the time looked at.
 const READS: u64 = 11;
 
@@ -69,6 +72,34 @@
     }
 }
 
+/// Time after which a leaving server gets nothing new.
+const LEAVING: Duration = Duration::from_secs(5);
+
+#[gtest]
+fn a_server_that_only_the_list_says_to_be_leaving_is_known_by_all() {
+    let mut world = domain(38);
+    world.loss = 20;
+    world.backends[5].listed = State::Leaving;
+    world.run(LEAVING);
+    expect_that!(showing(&world, 5), eq(0));
+    // Its own word and a list that contradicts do not bring it back.
+    world.backends[5].listed = State::Live;
+    world.run(SETTLE);
+    expect_that!(showing(&world, 5), eq(0));
+    expect_that!(showing(&world, 6), eq(20));
+}
+
+/// The reader dies with the news that it alone had read.
+#[gtest]
+fn a_server_that_only_the_list_says_to_be_leaving_is_known_though_the_reader_is_lost() {
+    let mut world = domain(39);
+    let reader = readers(&mut world)[0];
+    world.nodes[reader].up = false;
+    world.backends[5].listed = State::Leaving;
+    world.run(READER_LOST);
+    expect_that!(showing(&world, 5), eq(0));
+}
+
 #[gtest]
 fn a_lost_reader_is_replaced() {
     let mut world = domain(33);
--- a/crates/member/tests/world/mod.rs
+++ b/crates/member/tests/world/mod.rs
@@ -70,6 +70,8 @@
     pub domain: usize,
     pub up: bool,
     pub state: State,
+    /// What the platform's list says of it.
+    pub listed: State,
     address: Name,
     pool: Name,
 }
@@ -416,6 +418,7 @@
             domain,
             up: true,
             state: State::Live,
+            listed: State::Live,
             address: format!("10.2.{}.{}:{at}", at / 256, at % 256).into(),
             pool: format!("pool-{}", at / 8 % 12).into(),
         }
@@ -427,7 +430,7 @@
             domain: format!("domain-{}", self.domain).into(),
             address: self.address.clone(),
             role: Role::Backend(self.pool.clone()),
-            state: State::Live,
+            state: self.listed,
         }
     }
 
