Show attainment, burn and refusals by pipeline and load and cost by stage on screens

The shared screen showed counters since the start, by pipeline and without objective: no burn, no windows, nothing of stages, and a sum that lost what replaced instances had counted and kept what silent ones had.

Instances now tell windows of 5 min and 1 h by pipeline with the objective in force, and load and cost of each stage over 1 h, worked out from their burn books as the report does. The instance that seals a failure domain's summary also seals a tally of both once a minute, over the instances heard lately. A view shows the tallies of one minute alone; domains and instances that the sums lack are named.

The test of the budget tells what instances tell now, over a whole period of it, after sums have their full size; its bounds stand.

The test of a changed sealer found that a sealer just started sealed empty sums for a minute; it now waits for a minute that it has known from its start.

--- a/crates/burn/src/book.rs
+++ b/crates/burn/src/book.rs
@@ -135,6 +135,13 @@
         Report::of(now, &self.buckets, &self.objectives, &self.config)
     }
 
+    /// Returns the buckets of this instance's own life that reach into the last span.
+    pub(crate) fn own(&self, now: Stamp, span: Duration) -> impl Iterator<Item = &Bucket> {
+        self.buckets[self.range_of(&self.origin)]
+            .iter()
+            .filter(move |bucket| now - bucket.end < span)
+    }
+
     fn take(&mut self, objectives: &Objectives) {
         if objectives.version > self.objectives.version {
             self.objectives = objectives.clone();
--- a/crates/burn/src/bucket.rs
+++ b/crates/burn/src/bucket.rs
@@ -204,11 +204,11 @@
 }
 
 impl Cost {
-    fn key(&self) -> (&Name, &Name) {
+    pub(crate) fn key(&self) -> (&Name, &Name) {
         (&self.pipeline, &self.stage)
     }
 
-    fn add(&mut self, more: &Self) {
+    pub(crate) fn add(&mut self, more: &Self) {
         self.calls += more.calls;
         self.repeats += more.repeats;
         self.wasted_calls += more.wasted_calls;
--- a/crates/entry/src/control/roster/publish.rs
+++ b/crates/entry/src/control/roster/publish.rs
@@ -39,6 +39,9 @@
         for domain in domains {
             self.screen.take(&domain.summary);
         }
+        for tally in &view.tallies {
+            self.screen.take_tally(tally);
+        }
         let shown = self.screen.view(self.clock.stamp()).map(Arc::new);
         self.screen_view.send_replace(shown);
     }
--- a/crates/entry/src/plane/drive/tally.rs
+++ b/crates/entry/src/plane/drive/tally.rs
@@ -3,7 +3,6 @@
 use core::time::Duration;
 
 use base::Code;
-use burn::cause::Verdict;
 use flow::Answer;
 
 use super::Drive;
@@ -48,13 +47,6 @@
         let in_time = shared.clock.tick() <= self.judged.deadline;
         let stage = (answer.code != Code::Answered).then(|| self.request.stage().name.clone());
         let pipeline = self.judged.pipeline.name.clone();
-        if Verdict::of(answer.code) != Verdict::Apart {
-            let cost: f64 = answer.stages.iter().map(|stage| stage.cost).sum();
-            let mut inner = self.plane.inner.borrow_mut();
-            inner
-                .counters
-                .count(&pipeline, answer.code, in_time, milli(cost));
-        }
         let account = self.judged.account.clone();
         let ended = burn::Event::ended(pipeline, account, answer.code, in_time, stage);
         if let Some(ended) = ended {
--- a/crates/entry/src/plane/inner.rs
+++ b/crates/entry/src/plane/inner.rs
@@ -17,7 +17,7 @@
 
 use crate::{
     clock::Clock,
-    plane::{Plane, counters::Counters, doubt::Doubts, places, progress::Paces},
+    plane::{Plane, doubt::Doubts, places, progress::Paces},
     shared::Shared,
     view::{Force, Server, Servers},
 };
@@ -32,7 +32,6 @@
 pub(crate) struct Inner {
     accounts: Vec<(Digest, usize)>,
     clock: Clock,
-    pub(crate) counters: Counters,
     pub(crate) budget: Budget,
     pub(crate) bundle: Option<Arc<Bundle>>,
     /// Servers found dead that the list still has, sorted.
@@ -63,7 +62,6 @@
         Self {
             accounts: Vec::new(),
             clock: shared.clock,
-            counters: Counters::default(),
             budget: Budget::open(retry_config(0)),
             retry_percent: 0,
             bundle: None,
--- a/crates/member/examples/gossip.rs
+++ b/crates/member/examples/gossip.rs
@@ -89,10 +89,12 @@
 }
 
 /// Returns the bytes a second while each instance tells its position at every change of configuration and
-/// the counters of its pipelines.
+/// requests and stages of its pipelines.
 fn told(world: &mut World) -> f64 {
+    told::start(world);
+    world.run(SECOND * 10);
     world.reset();
-    let span = SPAN * 2;
+    let span = Duration::from_secs(told::COUNTERS);
     told::tell(world, span.as_secs());
     let bytes = world
         .nodes
--- a/crates/member/src/fact.rs
+++ b/crates/member/src/fact.rs
@@ -1,9 +1,12 @@
 //! What instances tell each other, one fact at a time.
 
+mod burn;
+
 use core::time::Duration;
 
 use base::{Digest, Incarnation, Name};
 
+pub use self::burn::{Burn, Count, Stage, Stages, Tally};
 use crate::event::Listing;
 
 /// Short id of an incarnation: the head of the digest of its name and start.
@@ -114,8 +117,6 @@
     pub unheard: u32,
     /// The configurations in force at its instances, each once.
     pub positions: Vec<Position>,
-    /// Counters by pipeline, summed over its instances.
-    pub burns: Vec<Burn>,
 }
 
 /// The place in the log of the configuration in force.
@@ -149,21 +150,6 @@
     pub admitted: u32,
 }
 
-/// Counters of one pipeline at an instance since its start.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Burn {
-    /// The pipeline.
-    pub pipeline: Name,
-    /// Requests answered in time.
-    pub good: u64,
-    /// Requests answered late.
-    pub late: u64,
-    /// Requests refused.
-    pub refused: u64,
-    /// Cost units spent.
-    pub cost: u64,
-}
-
 impl Suspect {
     /// Takes in what another instance knows of the same content, and tells whether that was news.
     ///
@@ -200,30 +186,13 @@
     }
 }
 
-impl Burn {
-    /// Adds the counters of another instance for the same pipeline.
-    ///
-    /// # Examples
-    ///
-    /// ```
-    /// use member::fact::Burn;
-    /// let mut sum = Burn { good: 1, ..Burn::default() };
-    /// sum.add(&Burn { good: 2, late: 1, ..Burn::default() });
-    /// assert_eq!((sum.good, sum.late), (3, 1));
-    /// ```
-    pub const fn add(&mut self, other: &Self) {
-        self.good += other.good;
-        self.late += other.late;
-        self.refused += other.refused;
-        self.cost += other.cost;
-    }
-}
-
 /// One thing that an instance tells its peers.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Fact {
-    /// Counters of a pipeline.
+    /// Requests of a pipeline.
     Burn(Burn),
+    /// Pipelines and their stages, summed over a failure domain.
+    Tally(Tally),
     /// Demand of a client account.
     Demand(Demand),
     /// A failure domain in short.
@@ -238,6 +207,8 @@
     Reading(u64),
     /// A backend server.
     Server(Server),
+    /// What the stages of a pipeline took.
+    Stages(Stages),
     /// A content that may crash backend servers.
     Suspect(Suspect),
 }
@@ -245,8 +216,10 @@
 /// What a fact is about; an instance tells at most one fact about each subject.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Subject {
-    /// A pipeline.
+    /// Requests of a pipeline.
     Burn(Name),
+    /// The sums of a failure domain.
+    Tally(Name),
     /// A client account.
     Demand(Name),
     /// A failure domain.
@@ -261,6 +234,8 @@
     Reading,
     /// A backend server, by name.
     Server(Name),
+    /// The stages of a pipeline.
+    Stages(Name),
     /// A content.
     Suspect(Digest),
 }
@@ -288,6 +263,7 @@
     pub fn subject(&self) -> Subject {
         match self {
             Self::Burn(burn) => Subject::Burn(burn.pipeline.clone()),
+            Self::Tally(tally) => Subject::Tally(tally.domain.clone()),
             Self::Demand(demand) => Subject::Demand(demand.account.clone()),
             Self::Domain(domain) => Subject::Domain(domain.name.clone()),
             Self::Instance(_) => Subject::Instance,
@@ -295,6 +271,7 @@
             Self::Position(_) => Subject::Position,
             Self::Reading(_) => Subject::Reading,
             Self::Server(server) => Subject::Server(server.incarnation.name.clone()),
+            Self::Stages(stages) => Subject::Stages(stages.pipeline.clone()),
             Self::Suspect(suspect) => Subject::Suspect(suspect.digest),
         }
     }
--- a/crates/member/src/roster.rs
+++ b/crates/member/src/roster.rs
@@ -8,7 +8,7 @@
     action::Action,
     configs,
     event::{Context, Event, Listing},
-    fact::{Domain, Fact, Id, Instance, Load, State},
+    fact::{Domain, Fact, Id, Instance, Load, State, Tally},
     mark::Marks,
     peers::{Peer, Peers},
     servers::Servers,
@@ -35,7 +35,11 @@
     marks: Marks,
     servers: Servers,
     peers: Peers,
+    /// The sums of each failure domain, by its name.
+    tallies: Vec<Tally>,
     domains: Vec<Remote>,
+    /// The period in which this instance started.
+    began: Option<u64>,
     /// The latest sealed summary of the own failure domain.
     sealed: Option<Remote>,
     /// Addresses to ask while no instance of the own failure domain is heard.
@@ -88,7 +92,9 @@
             marks: Marks::default(),
             servers: Servers::default(),
             peers: Peers::default(),
+            tallies: Vec::new(),
             domains: Vec::new(),
+            began: None,
             sealed: None,
             seeds: Vec::new(),
             agreed: false,
@@ -159,6 +165,7 @@
             peers,
             own: self.sealed.as_ref().map(remote),
             domains: self.domains.iter().map(remote).collect(),
+            tallies: self.tallies.clone(),
         }
     }
 
--- a/crates/member/src/roster/bridge.rs
+++ b/crates/member/src/roster/bridge.rs
@@ -9,7 +9,7 @@
 use crate::{
     action::Action,
     event::Context,
-    fact::{Domain, Fact, State, Subject, Suspect},
+    fact::{Domain, Fact, State, Subject, Suspect, Tally},
     rendezvous,
     summary::Summary,
     table::Origin,
@@ -43,8 +43,8 @@
         };
         let mut actions = Vec::new();
         for name in domains.iter().filter(|name| !mine(name)) {
-            let subject = Subject::Domain(name.clone());
-            self.table.withdraw(&subject);
+            self.table.withdraw(&Subject::Domain(name.clone()));
+            self.table.withdraw(&Subject::Tally(name.clone()));
         }
         for name in domains.iter().filter(mine) {
             let summary = self.abroad(context.now);
@@ -74,6 +74,7 @@
         // Nothing is sealed yet only right after a start.
         let domain = sealed.unwrap_or_else(|| self.summary(now, 0));
         let mut facts = vec![Fact::Domain(domain)];
+        facts.extend(self.tally(&self.own.domain).cloned().map(Fact::Tally));
         facts.extend(self.suspects());
         let leaving = self
             .marks
@@ -107,6 +108,7 @@
         let mut learned = Vec::new();
         for fact in &summary.facts {
             match fact {
+                Fact::Tally(tally) => self.hear_tally(context, tally.clone()),
                 Fact::Domain(domain) => self.hear(context, domain.clone()),
                 fact => learned.push(Action::Learned {
                     origin,
@@ -122,7 +124,12 @@
     /// Only the asking side does so: the other side asks by itself.
     pub(super) fn carry(&mut self, summary: &Summary) {
         for fact in &summary.facts {
-            if matches!(fact, Fact::Domain(domain) if self.latest(domain)) {
+            let latest = match fact {
+                Fact::Tally(tally) => self.tally(&tally.domain) == Some(tally),
+                Fact::Domain(domain) => self.latest(domain),
+                _ => false,
+            };
+            if latest {
                 self.table.tell(fact.clone());
             }
         }
@@ -217,6 +224,28 @@
         self.revision += 1;
     }
 
+    /// Takes in the sums of a failure domain, where they are newer and not of the future.
+    pub(super) fn hear_tally(&mut self, context: &Context<'_>, tally: Tally) {
+        if tally.version > self.period(context) + AHEAD {
+            return;
+        }
+        match self
+            .tallies
+            .binary_search_by(|one| one.domain.cmp(&tally.domain))
+        {
+            Ok(at) if self.tallies[at].version >= tally.version => return,
+            Ok(at) => self.tallies[at] = tally,
+            Err(at) => self.tallies.insert(at, tally),
+        }
+        self.revision += 1;
+    }
+
+    /// Returns the sums of a failure domain, as last heard.
+    pub(super) fn tally(&self, domain: &Name) -> Option<&Tally> {
+        let at = self.tallies.binary_search_by(|one| one.domain.cmp(domain));
+        at.ok().map(|at| &self.tallies[at])
+    }
+
     fn abroad_names(&self) -> Vec<Name> {
         let listed = self.peers.iter().map(|peer| peer.instance.domain.clone());
         let told = self.domains.iter().map(|one| one.domain.name.clone());
--- a/crates/member/src/roster/round.rs
+++ b/crates/member/src/roster/round.rs
@@ -105,7 +105,7 @@
         answer
     }
 
-    /// Returns the leaving marks that go with every exchange, so that a lost notice costs one round.
+    /// Returns the leaving marks that go with every exchange, so that a lost notice tally one round.
     fn recent(&self, now: Tick) -> Vec<Incarnation> {
         self.marks
             .recent(earlier(now, self.config.repeat), REPEATED)
--- a/crates/member/src/roster/seal.rs
+++ b/crates/member/src/roster/seal.rs
@@ -5,12 +5,14 @@
 use super::Roster;
 use crate::{
     event::Context,
-    fact::{Burn, Domain, Fact, Instance, Load, Pool, Position, State, Subject},
+    fact::{Burn, Domain, Fact, Instance, Load, Pool, Position, Stages, State, Subject, Tally},
     rendezvous, view,
 };
 
 /// Periods without a summary after which the second candidate seals one.
 const SEALER_LATE: u64 = 2;
+/// Periods after its start from which an instance knows enough of its failure domain to seal sums.
+const KNOWING: u64 = 2;
 /// Entry instances that a failure domain names to the others.
 const NAMED: usize = 4;
 
@@ -21,23 +23,47 @@
     /// second candidate for the role seals where the first has not done so for some periods.
     pub(super) fn seal(&mut self, context: &Context<'_>, members: &[Incarnation]) {
         let number = self.period(context);
+        let began = *self.began.get_or_insert(number);
         let sealed = self.sealed.as_ref().map_or(0, |one| one.domain.version);
         let candidates = rendezvous::candidates(members, b"summary", 2);
         let rank = candidates
             .iter()
             .position(|one| **one == self.own.incarnation);
         let Some(rank) = rank else {
-            let subject = Subject::Domain(self.own.domain.clone());
-            return self.table.withdraw(&subject);
+            let name = &self.own.domain;
+            self.table.withdraw(&Subject::Domain(name.clone()));
+            return self.table.withdraw(&Subject::Tally(name.clone()));
         };
         let late = if rank == 0 { 0 } else { SEALER_LATE };
         if number > sealed + late {
             let domain = self.summary(context.now, number);
             self.table.tell(Fact::Domain(domain.clone()));
             self.hear(context, domain);
+            self.seal_tally(context, number, began + KNOWING);
         }
     }
 
+    /// Seals the sums over pipelines and stages, where that is due, and goes on telling it after the sealer has changed.
+    fn seal_tally(&mut self, context: &Context<'_>, number: u64, knowing: u64) {
+        let version = Tally::version_at(number);
+        let own = self.own.domain.clone();
+        let known = self.tally(&own);
+        let sealed = match known.filter(|known| known.version >= version) {
+            Some(known) => known.clone(),
+            // Right after a start the sums would lack nearly all instances, and stand for a minute.
+            None if version < knowing => return,
+            None => Tally {
+                burns: self.burns(context.now),
+                stages: self.stages(context.now),
+                unheard: self.unheard(context.now),
+                domain: own,
+                version,
+            },
+        };
+        self.table.tell(Fact::Tally(sealed.clone()));
+        self.hear_tally(context, sealed);
+    }
+
     /// Returns the number of the present period.
     pub(super) fn period(&self, context: &Context<'_>) -> u64 {
         let length = u64::try_from(self.config.bridge.as_millis()).unwrap_or(1);
@@ -53,7 +79,6 @@
             .collect();
         let heard = near.iter().filter(|peer| peer.heard);
         let mut instances: Vec<Instance> = heard.map(|peer| peer.instance.clone()).collect();
-        let unheard = count(near.len() - instances.len());
         instances.push(self.own.clone());
         let total = count(instances.len());
         instances.retain(|one| one.state == State::Live);
@@ -66,18 +91,15 @@
             instances,
             count: total,
             leaving,
-            unheard,
+            unheard: self.unheard(now),
             positions: self.positions(now),
-            burns: self.burns(now),
         }
     }
 
     fn positions(&self, now: Tick) -> Vec<Position> {
-        let told = self
-            .facts(now)
-            .filter(|(_, age, _)| *age <= self.config.lost);
+        let told = self.heard_lately(now);
         let mut positions: Vec<Position> = told
-            .filter_map(|(_, _, fact)| match fact {
+            .filter_map(|fact| match fact {
                 Fact::Position(position) => Some(*position),
                 _ => None,
             })
@@ -87,17 +109,37 @@
         positions
     }
 
+    fn unheard(&self, now: Tick) -> u32 {
+        let near = self
+            .peers
+            .iter()
+            .filter(|peer| peer.instance.domain == self.own.domain);
+        count(near.count() - self.near(now).count())
+    }
+
     fn burns(&self, now: Tick) -> Vec<Burn> {
-        let mut sums: Vec<Burn> = Vec::new();
-        for (_, _, fact) in self.facts(now) {
-            let Fact::Burn(burn) = fact else { continue };
-            match sums.binary_search_by(|sum| sum.pipeline.cmp(&burn.pipeline)) {
-                Ok(at) => sums[at].add(burn),
-                Err(at) => sums.insert(at, burn.clone()),
-            }
-        }
+        let told = self.heard_lately(now).filter_map(|fact| match fact {
+            Fact::Burn(burn) => Some(burn),
+            _ => None,
+        });
+        let mut sums = Burn::sum(told);
+        sums.retain(|sum| sum.long.total() > 0);
         sums
     }
+
+    fn stages(&self, now: Tick) -> Vec<Stages> {
+        Stages::sum(self.heard_lately(now).filter_map(|fact| match fact {
+            Fact::Stages(stages) => Some(stages),
+            _ => None,
+        }))
+    }
+
+    /// Returns the facts of instances that were heard lately; what others counted is of another window.
+    fn heard_lately(&self, now: Tick) -> impl Iterator<Item = &Fact> {
+        let told = self.facts(now);
+        told.filter(|(_, age, _)| *age <= self.config.lost)
+            .map(|(_, _, fact)| fact)
+    }
 }
 
 fn sum(pool: &view::Pool) -> Pool {
--- a/crates/member/src/roster/source.rs
+++ b/crates/member/src/roster/source.rs
@@ -168,9 +168,14 @@
                 Fact::Domain(domain) => self.hear(context, domain),
                 Fact::Instance(instance) => self.meet(context, &instance),
                 Fact::Server(server) => self.hear_server(context.now, &server, age),
+                Fact::Tally(tally) => self.hear_tally(context, tally),
                 Fact::Listed(_) => {}
                 Fact::Reading(_) => learned.extend(self.take_over(context, origin, age)),
-                Fact::Burn(_) | Fact::Demand(_) | Fact::Position(_) | Fact::Suspect(_) => {
+                Fact::Burn(_)
+                | Fact::Demand(_)
+                | Fact::Position(_)
+                | Fact::Stages(_)
+                | Fact::Suspect(_) => {
                     learned.push(Action::Learned { origin, fact });
                 }
             }
--- a/crates/member/src/view.rs
+++ b/crates/member/src/view.rs
@@ -4,7 +4,7 @@
 
 use base::{Incarnation, Name};
 
-use crate::fact::{self, Instance, Load, State};
+use crate::fact::{self, Instance, Load, State, Tally};
 
 /// Backend servers by pool, entry instances and other failure domains, each list sorted by name.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -17,6 +17,8 @@
     pub domains: Vec<Domain>,
     /// The own failure domain, as it says to the others.
     pub own: Option<Domain>,
+    /// The sums over pipelines and stages of each failure domain, by its name.
+    pub tallies: Vec<Tally>,
 }
 
 /// A pool and its backend servers, by name.
--- a/crates/member/tests/budget.rs
+++ b/crates/member/tests/budget.rs
@@ -28,7 +28,9 @@
 fn control_stays_within_its_bytes_with_every_fact_told() {
     let (domains, nodes, backends) = SIZE;
     let mut world = World::new(41, domains, nodes, backends);
-    world.run(SECOND * 25);
+    world.run(SECOND * 15);
+    told::start(&mut world);
+    world.run(SECOND * 10);
     world.reset();
     told::tell(&mut world, SPAN);
     let bytes: u64 = world.nodes.iter().map(|node| node.bytes).sum();
--- a/crates/peer/src/codec.rs
+++ b/crates/peer/src/codec.rs
@@ -1,5 +1,6 @@
 //! Summaries as protocol buffers.
 
+mod burn;
 mod listed;
 
 use core::time::Duration;
@@ -11,7 +12,10 @@
 };
 use wire::row;
 
-use self::listed::{listed_in, listed_out};
+use self::{
+    burn::{burn_in, burn_out, stages_in, stages_out, tally_in, tally_out},
+    listed::{listed_in, listed_out},
+};
 use crate::Error;
 
 /// Encodes a summary; versions become lags behind the newest one.
@@ -139,6 +143,7 @@
 fn fact_out(fact: &Fact) -> row::Body {
     match fact {
         Fact::Burn(burn) => row::Body::Burn(burn_out(burn)),
+        Fact::Tally(tally) => row::Body::Tally(tally_out(tally)),
         Fact::Demand(demand) => row::Body::Demand(wire::Demand {
             account: demand.account.to_string(),
             asked: demand.asked,
@@ -150,6 +155,7 @@
         Fact::Position(position) => row::Body::Position(position_out(position)),
         Fact::Reading(count) => row::Body::Reading(wire::Reading { count: *count }),
         Fact::Server(server) => row::Body::Server(server_out(server)),
+        Fact::Stages(stages) => row::Body::Stages(stages_out(stages)),
         Fact::Suspect(suspect) => row::Body::Suspect(suspect_out(suspect)),
     }
 }
@@ -159,6 +165,7 @@
         None => return Ok(Body::Withdrawn),
         Some(row::Body::Load(load)) => return Ok(Body::Load(load_in(load))),
         Some(row::Body::Burn(burn)) => Fact::Burn(burn_in(burn)),
+        Some(row::Body::Tally(tally)) => Fact::Tally(tally_in(tally)),
         Some(row::Body::Demand(demand)) => Fact::Demand(fact::Demand {
             account: demand.account.into(),
             asked: demand.asked,
@@ -170,6 +177,7 @@
         Some(row::Body::Position(position)) => Fact::Position(position_in(position)?),
         Some(row::Body::Reading(reading)) => Fact::Reading(reading.count),
         Some(row::Body::Server(server)) => Fact::Server(server_in(server)),
+        Some(row::Body::Stages(stages)) => Fact::Stages(stages_in(stages)),
         Some(row::Body::Suspect(suspect)) => Fact::Suspect(suspect_in(suspect)?),
     };
     Ok(Body::Whole(fact))
@@ -276,7 +284,6 @@
         leaving: domain.leaving,
         unheard: domain.unheard,
         positions: domain.positions.iter().map(position_out).collect(),
-        burns: domain.burns.iter().map(burn_out).collect(),
     }
 }
 
@@ -290,7 +297,6 @@
         leaving: domain.leaving,
         unheard: domain.unheard,
         positions: all(domain.positions, position_in)?,
-        burns: domain.burns.into_iter().map(burn_in).collect(),
     })
 }
 
@@ -350,26 +356,6 @@
     })
 }
 
-fn burn_out(burn: &fact::Burn) -> wire::Burn {
-    wire::Burn {
-        pipeline: burn.pipeline.to_string(),
-        good: burn.good,
-        late: burn.late,
-        refused: burn.refused,
-        cost: burn.cost,
-    }
-}
-
-fn burn_in(burn: wire::Burn) -> fact::Burn {
-    fact::Burn {
-        pipeline: burn.pipeline.into(),
-        good: burn.good,
-        late: burn.late,
-        refused: burn.refused,
-        cost: burn.cost,
-    }
-}
-
 fn digest(bytes: &[u8]) -> Result<Digest, Error> {
     let bytes =
         <[u8; 32]>::try_from(bytes).map_err(|_| Error::Malformed("a digest of another length"))?;
--- a/crates/peer/tests/codec.rs
+++ b/crates/peer/tests/codec.rs
@@ -7,7 +7,10 @@
 use member::{
     Fact, Summary,
     event::{Listing, Role},
-    fact::{Burn, Demand, Domain, Id, Instance, Load, Pool, Position, Server, State, Suspect},
+    fact::{
+        Burn, Count, Demand, Domain, Id, Instance, Load, Pool, Position, Server, Stage, Stages,
+        State, Suspect, Tally,
+    },
     summary::{Body, Delta, Row},
 };
 use peer::codec;
@@ -56,10 +59,32 @@
     };
     let burn = Burn {
         pipeline: "brief".into(),
-        good: 1,
-        late: 2,
-        refused: 3,
-        cost: 4,
+        allowed: 10_000,
+        short: Count {
+            good: 1,
+            late: 2,
+            refused: 3,
+        },
+        long: Count {
+            good: 4,
+            late: 5,
+            refused: 6,
+        },
+    };
+    let stages = Stages {
+        pipeline: "brief".into(),
+        stages: vec![Stage {
+            name: "write".into(),
+            busy: 7,
+            cost: 8,
+        }],
+    };
+    let tally = Tally {
+        domain: "accra-2".into(),
+        version: NOW,
+        burns: vec![burn.clone()],
+        stages: vec![stages.clone()],
+        unheard: 1,
     };
     let domain = Domain {
         name: "accra-2".into(),
@@ -70,7 +95,6 @@
         leaving: 2,
         unheard: 1,
         positions: vec![position],
-        burns: vec![burn.clone()],
     };
     let demand = Demand {
         account: "adinkra".into(),
@@ -84,6 +108,7 @@
     };
     vec![
         Fact::Burn(burn),
+        Fact::Tally(tally),
         Fact::Demand(demand),
         Fact::Domain(domain),
         Fact::Instance(instance),
@@ -95,6 +120,7 @@
         Fact::Position(position),
         Fact::Reading(7),
         Fact::Server(server),
+        Fact::Stages(stages),
         Fact::Suspect(suspect),
     ]
 }
--- a/crates/proc/tests/screens.rs
+++ b/crates/proc/tests/screens.rs
@@ -7,14 +7,20 @@
 use awc::Client;
 use googletest::prelude::*;
 use proc::{
+    caller::{self, Ask, Caller},
+    poll,
     process::Signal,
     scene::{Builder, Scene},
 };
+use serde_json::json;
 
 /// How long the screens are compared in each state, a few of their periods of 10 s.
 const WATCH: Duration = Duration::from_secs(50);
 const PACE: Duration = Duration::from_millis(500);
 
+/// A minute until an instance tells what it counted, one until that is summed, and the settling.
+const COUNTED: Duration = Duration::from_secs(150);
+
 /// What the screens have shown: the content by number, and how often their numbers agreed.
 #[derive(Default)]
 struct Seen {
@@ -77,11 +83,31 @@
         .collect()
 }
 
+/// Has each entry instance serve a request, and returns how a screen names pipeline and first stage.
+async fn serve(scene: &Scene) -> (String, String) {
+    let mut pipelines = scene.bundle.pipelines.iter();
+    let pipeline = pipelines
+        .find(|one| !one.deferred && one.once().is_none())
+        .expect("a pipeline");
+    let account = pipeline.accounts.first();
+    let account = account.unwrap_or(&scene.bundle.accounts[0].name);
+    let name = pipeline.name.as_str();
+    for entry in &scene.entries {
+        let ask = Ask::new(name, json!({ "text": "a word" })).key(caller::key());
+        let reply = Caller::open(account.as_str()).send(&entry.url, &ask).await;
+        expect_that!(reply.expect("a reply").code(), eq(100));
+    }
+    let stage = pipeline.stages[0].name.as_str();
+    let burn = format!("<tr><td>{name}<td>{:.2}%<td>", pipeline.objective * 100.0);
+    (burn, format!("<tr><td>{name}<td>{stage}<td>"))
+}
+
 #[gtest]
 #[actix_web::test]
 async fn one_number_shows_one_thing_and_a_silent_domain_is_marked() {
     let scene = Builder::new("compas").domains(2).entries(1).start().await;
     let urls = urls(&scene);
+    let (burn, stage) = serve(&scene).await;
     let mut seen = Seen::default();
     seen.watch(&urls).await;
     expect_that!(seen.agreed, gt(0));
@@ -95,4 +121,13 @@
     let before = seen.agreed;
     seen.watch(&urls).await;
     expect_that!(seen.agreed, gt(before));
+
+    for url in &urls {
+        let shown = poll::until(COUNTED, async || {
+            let (_, content) = look(url).await?;
+            let whole = content.contains(&burn) && content.contains(&stage);
+            whole.then_some(())
+        });
+        expect_that!(shown.await, some(anything()), "{burn} and {stage} at {url}");
+    }
 }
--- a/crates/screen/src/body.rs
+++ b/crates/screen/src/body.rs
@@ -1,18 +1,21 @@
 //! The content of a view as HTML, a pure function of the sealed summaries.
 
+mod flow;
+
 use core::fmt::Write as _;
 
 use base::Name;
-use member::fact::{Burn, Domain, Pool, Position};
+use member::fact::{Domain, Pool, Position};
 
 use crate::view::Part;
 
-/// Returns the content: configuration, pipelines, failure domains.
+/// Returns the content: configuration, pipelines, their stages, failure domains.
 pub(crate) fn html(parts: &[Part<'_>]) -> String {
     let mut out = String::new();
     silent(&mut out, parts);
     configuration(&mut out, parts);
-    pipelines(&mut out, parts);
+    flow::pipelines(&mut out, parts);
+    flow::stages(&mut out, parts);
     for part in parts {
         match part.sealed {
             Some(sealed) => domain(&mut out, sealed),
@@ -67,44 +70,6 @@
     format!("{} ({})", position.offset, &digest[..8])
 }
 
-fn pipelines(out: &mut String, parts: &[Part<'_>]) {
-    let mut sums: Vec<Burn> = Vec::new();
-    for burn in heard(parts).flat_map(|one| &one.burns) {
-        match sums.binary_search_by(|sum| sum.pipeline.cmp(&burn.pipeline)) {
-            Ok(at) => sums[at].add(burn),
-            Err(at) => sums.insert(at, burn.clone()),
-        }
-    }
-    add(
-        out,
-        "<section><h2>Pipelines</h2><table><tr><th>pipeline<th>in time<th>late<th>refused<th>cost",
-    );
-    for sum in &sums {
-        let name = escape(&sum.pipeline);
-        let share = share(sum);
-        add(
-            out,
-            &format!(
-                "<tr><td>{name}<td>{share}<td>{}<td>{}<td>{}",
-                sum.late, sum.refused, sum.cost
-            ),
-        );
-    }
-    add(out, "</table></section>");
-}
-
-/// Returns the share answered in time in hundredths of a per cent, rounded down, so that only all is 100.
-fn share(burn: &Burn) -> String {
-    let total = burn.good + burn.late + burn.refused;
-    match total {
-        0 => "no requests".to_owned(),
-        total => {
-            let parts = u128::from(burn.good) * 10_000 / u128::from(total);
-            format!("{}.{:02}%", parts / 100, parts % 100)
-        }
-    }
-}
-
 fn domain(out: &mut String, domain: &Domain) {
     let name = escape(&domain.name);
     add(out, &format!("<section><h2>{name}</h2>"));
--- a/crates/screen/src/page.rs
+++ b/crates/screen/src/page.rs
@@ -13,6 +13,7 @@
 header { display: flex; flex-wrap: wrap; gap: 0 2rem; align-items: baseline }
 h1 { font-size: 2em; margin: 0 } h2 { margin: 0 0 .3em }
 main { display: grid; gap: 1rem; grid-template-columns: repeat(auto-fit, minmax(min(24rem, 100%), 1fr)) }
+main > .wide { grid-column: 1 / -1 }
 main > p { grid-column: 1 / -1; font-size: 1.5em; margin: 0 }
 section { border: 2px solid #555; padding: .6rem; overflow-x: auto }
 table { border-collapse: collapse; width: 100% }
--- a/crates/screen/src/view.rs
+++ b/crates/screen/src/view.rs
@@ -3,7 +3,7 @@
 use core::{fmt, time::Duration};
 
 use base::{Digest, Name, Stamp};
-use member::fact::Domain;
+use member::fact::{Domain, Tally};
 
 use crate::{body, configs};
 
@@ -19,6 +19,8 @@
     name: Name,
     /// By number of the period.
     sealed: Vec<Domain>,
+    /// Its sums over pipelines and stages, by number of the period.
+    tallies: Vec<Tally>,
 }
 
 /// What a screen shows of one period.
@@ -47,6 +49,8 @@
     pub(crate) name: &'a Name,
     /// What it sealed in the period; none where that was not heard.
     pub(crate) sealed: Option<&'a Domain>,
+    /// Its sums over pipelines and stages, sealed for the period or the last one before it for which that is done.
+    pub(crate) tally: Option<&'a Tally>,
 }
 
 impl Screen {
@@ -74,6 +78,17 @@
         }
     }
 
+    /// Takes in the sums of a failure domain; the first ones of a period count.
+    pub fn take_tally(&mut self, tally: &Tally) {
+        let most = self.config.kept;
+        let kept = &mut self.kept(&tally.domain).tallies;
+        if let Err(at) = kept.binary_search_by_key(&tally.version, |one| one.version) {
+            kept.insert(at, tally.clone());
+            let over = kept.len().saturating_sub(most);
+            kept.drain(..over);
+        }
+    }
+
     /// Returns the view to show at a time, or none while no failure domain is known.
     ///
     /// It is of the latest period that all known failure domains have told and that has settled: newer ones are
@@ -135,14 +150,20 @@
         Self {
             name: name.clone(),
             sealed: Vec::new(),
+            tallies: Vec::new(),
         }
     }
 
     fn part(&self, period: u64) -> Part<'_> {
         let at = self.sealed.binary_search_by_key(&period, |one| one.version);
+        let version = Tally::version_at(period);
+        let tally = self
+            .tallies
+            .binary_search_by_key(&version, |one| one.version);
         Part {
             name: &self.name,
             sealed: at.ok().map(|at| &self.sealed[at]),
+            tally: tally.ok().map(|at| &self.tallies[at]),
         }
     }
 }
--- a/crates/screen/tests/domains.rs
+++ b/crates/screen/tests/domains.rs
@@ -4,6 +4,10 @@
 
 use base::Stamp;
 use googletest::prelude::*;
+use member::{
+    Event, Fact,
+    fact::{Stage, Stages},
+};
 use screen::{Screen, View, configs};
 
 #[path = "../../member/tests/world/mod.rs"]
@@ -19,6 +23,18 @@
 /// Seconds of 100 in which all screens have to show one number.
 const AGREED: u64 = 90;
 
+fn stages(node: u64) -> Event {
+    let stage = Stage {
+        name: "write".into(),
+        busy: node * 36,
+        cost: node,
+    };
+    Event::Tell(Fact::Stages(Stages {
+        pipeline: "brief".into(),
+        stages: vec![stage],
+    }))
+}
+
 /// A screen at each instance.
 struct Wall {
     world: World,
@@ -30,8 +46,12 @@
 impl Wall {
     fn new(seed: u64) -> Self {
         let screen = Screen::open(configs::screen::Screen::default());
+        let mut world = World::new(seed, DOMAINS, NODES, 12);
+        for node in 0..NODES {
+            world.give(node, stages(node as u64));
+        }
         Self {
-            world: World::new(seed, DOMAINS, NODES, 12),
+            world,
             screens: vec![screen; NODES],
             shown: BTreeMap::new(),
         }
@@ -61,6 +81,9 @@
         for domain in seen.own.iter().chain(&seen.domains) {
             self.screens[at].take(&domain.summary);
         }
+        for tally in &seen.tallies {
+            self.screens[at].take_tally(tally);
+        }
         self.screens[at].view(self.now())
     }
 
@@ -90,10 +113,15 @@
         let view = wall.look(at).expect("a view");
         let mark = format!("Not heard: {other}");
         expect_that!(view.body, contains_substring(mark));
+        let without = format!("<p class=bad>Without {other}</p>");
+        expect_that!(view.body.matches(&without).count(), eq(2));
     }
     wall.world.sides = vec![0; NODES];
     wall.run(40);
     let after = wall.run(100);
+    let whole = "<td>brief<td>write<td>0.15<td>0.01";
+    let view = wall.look(0).expect("a view");
+    expect_that!(view.body, contains_substring(whole), "seed {seed}");
     expect_that!(after, ge(AGREED), "seed {seed}");
     println!(
         "seed {seed}, seconds of 100 in which all screens showed one number: {before} before, {after} after the cut"
--- a/crates/screen/tests/view.rs
+++ b/crates/screen/tests/view.rs
@@ -2,7 +2,7 @@
 
 use base::{Digest, Stamp};
 use googletest::prelude::*;
-use member::fact::{Burn, Domain, Pool, Position};
+use member::fact::{Burn, Count, Domain, Pool, Position, Stage, Stages, Tally};
 use proptest::{
     prelude::{Just, ProptestConfig, Strategy as _, any, prop, proptest},
     test_runner::RngSeed,
@@ -29,12 +29,32 @@
             offset: 44,
             digest: Digest::of(b"bundle"),
         }],
+        ..Domain::default()
+    }
+}
+
+fn tally(name: &str, period: u64) -> Tally {
+    let version = Tally::version_at(period);
+    Tally {
+        domain: name.into(),
+        version,
         burns: vec![Burn {
             pipeline: "brief".into(),
-            good: version,
+            short: Count {
+                good: version,
+                ..Count::default()
+            },
             ..Burn::default()
         }],
-        ..Domain::default()
+        stages: vec![Stages {
+            pipeline: "brief".into(),
+            stages: vec![Stage {
+                name: "write".into(),
+                busy: version * 36,
+                cost: version,
+            }],
+        }],
+        unheard: 0,
     }
 }
 
@@ -148,12 +168,14 @@
         for (name, period, first, _) in &heard {
             if *first {
                 one.take(&sealed(NAMES[*name], *period));
+                one.take_tally(&tally(NAMES[*name], *period));
             }
         }
         for at in order.into_iter().filter(|at| *at < heard.len()) {
             let (name, period, _, second) = heard[at];
             if second {
                 two.take(&sealed(NAMES[name], period));
+                two.take_tally(&tally(NAMES[name], period));
             }
         }
         let (one, two) = (view(&one), view(&two));
