Report over sums of failure domains in place of whole books

A report over 400 instances read every whole book, 236 MB. With `--domains` it reads one sum a failure domain: the instance asked has each instance of its domain condense its book over a peer call that nothing else uses, waits 1.5 s, sums the parts and names those that gave none.

A part holds the windows by pipeline, 128 client accounts by name, what spent the budget and cost by stage. Parts merge in any order; of two of one instance the later one counts. Up to 128 client accounts the report equals that over all books, in the core and between processes.

--- a/crates/burn/src/book.rs
+++ b/crates/burn/src/book.rs
@@ -135,9 +135,18 @@
         Report::of(now, &self.buckets, &self.objectives, &self.config)
     }
 
+    /// Returns the buckets of this instance's own life.
+    pub(crate) fn own_buckets(&self) -> &[Bucket] {
+        &self.buckets[self.range_of(&self.origin)]
+    }
+
+    pub(crate) const fn config(&self) -> &Config {
+        &self.config
+    }
+
     /// Returns the buckets of this instance's own life that reach into the last span.
     pub(crate) fn own(&self, now: Stamp, span: Duration) -> impl Iterator<Item = &Bucket> {
-        self.buckets[self.range_of(&self.origin)]
+        self.own_buckets()
             .iter()
             .filter(move |bucket| now - bucket.end < span)
     }
--- a/crates/burn/src/configs/burn.rs
+++ b/crates/burn/src/configs/burn.rs
@@ -7,6 +7,8 @@
 pub struct Config {
     /// Client accounts that a closed bucket counts by name, those with the most requests.
     pub accounts: usize,
+    /// Client accounts that a part for a report counts by name, those with the most requests.
+    pub part_accounts: usize,
     /// How long buckets of a minute are kept before their origin joins them by the hour.
     pub minutes_kept: Duration,
     /// How long anything is kept.
@@ -36,6 +38,7 @@
     fn default() -> Self {
         Self {
             accounts: 32,
+            part_accounts: 128,
             minutes_kept: minutes(70),
             kept: minutes(3 * 24 * 60),
             alarms: vec![
--- a/crates/burn/src/lib.rs
+++ b/crates/burn/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod cause;
 pub mod configs;
 pub mod event;
+pub mod part;
 pub mod recent;
 pub mod report;
 pub mod window;
--- a/crates/burn/src/report.rs
+++ b/crates/burn/src/report.rs
@@ -102,7 +102,7 @@
         let requests = || buckets.iter().flat_map(|bucket| &bucket.requests);
         let known = objectives.pipelines.iter().map(|one| &one.pipeline);
         let pipelines = names(requests().map(|one| &one.pipeline).chain(known));
-        Self {
+        let mut report = Self {
             at: now,
             accounts: accounts(now, buckets, objectives, config),
             blames: blames(now, buckets, config),
@@ -112,7 +112,9 @@
                 .into_iter()
                 .map(|name| pipeline(name, now, buckets, objectives, config))
                 .collect(),
-        }
+        };
+        rank(&mut report);
+        report
     }
 
     /// Tells whether any alarm is raised.
@@ -123,7 +125,53 @@
     }
 }
 
-fn objective(objectives: &Objectives, pipeline: &Name) -> f64 {
+impl Alarm {
+    /// Returns the alarm of two windows.
+    pub(crate) fn of(rate: f64, short: Window, long: Window) -> Self {
+        Self {
+            short,
+            long,
+            rate,
+            raised: short.burn >= rate && long.burn >= rate,
+        }
+    }
+}
+
+impl Pipeline {
+    /// Returns what a pipeline's windows say.
+    pub(crate) fn of(
+        name: Name,
+        objective: f64,
+        budget: Window,
+        alarms: Vec<Alarm>,
+        minutes: Vec<Window>,
+    ) -> Self {
+        Self {
+            name,
+            objective,
+            budget,
+            left: 1.0 - budget.burn,
+            alarms,
+            minutes,
+        }
+    }
+}
+
+impl Spent {
+    pub(crate) fn key(&self) -> (Name, Blame) {
+        (self.pipeline.clone(), self.blame.clone())
+    }
+}
+
+/// Puts accounts and blames that are sorted by name in the order of a report, the worst first.
+pub(crate) fn rank(report: &mut Report) {
+    let accounts = &mut report.accounts;
+    accounts.sort_by(|a, b| b.budget.burn.total_cmp(&a.budget.burn));
+    let blames = &mut report.blames;
+    blames.sort_by_key(|one| core::cmp::Reverse(one.count));
+}
+
+pub(crate) fn objective(objectives: &Objectives, pipeline: &Name) -> f64 {
     objectives
         .pipelines
         .binary_search_by(|one| one.pipeline.cmp(pipeline))
@@ -139,24 +187,13 @@
 ) -> Pipeline {
     let objective = objective(objectives, &name);
     let over = |span| Window::over(span, now, buckets, objective, &name);
-    let alarms = config.alarms.iter().map(|alarm| {
-        let (short, long) = (over(alarm.short), over(alarm.long));
-        Alarm {
-            short,
-            long,
-            rate: alarm.rate,
-            raised: short.burn >= alarm.rate && long.burn >= alarm.rate,
-        }
-    });
-    let budget = over(config.budget);
-    Pipeline {
-        objective,
-        left: 1.0 - budget.burn,
-        alarms: alarms.collect(),
-        minutes: crate::window::minutes(now, buckets, objective, &name),
-        budget,
-        name,
-    }
+    let alarms = config
+        .alarms
+        .iter()
+        .map(|alarm| Alarm::of(alarm.rate, over(alarm.short), over(alarm.long)));
+    let minutes = crate::window::minutes(now, buckets, objective, &name);
+    let (budget, alarms) = (over(config.budget), alarms.collect());
+    Pipeline::of(name, objective, budget, alarms, minutes)
 }
 
 fn accounts(
@@ -173,7 +210,7 @@
         }
     }
     let requests = joined.map_or_else(Vec::new, |bucket| bucket.requests);
-    let mut accounts: Vec<Account> = requests
+    requests
         .chunk_by(|a, b| (&a.pipeline, &a.account) == (&b.pipeline, &b.account))
         .map(|group| Account {
             account: group[0].account.clone(),
@@ -184,9 +221,7 @@
                 objective(objectives, &group[0].pipeline),
             ),
         })
-        .collect();
-    accounts.sort_by(|a, b| b.budget.burn.total_cmp(&a.budget.burn));
-    accounts
+        .collect()
 }
 
 fn blames(now: Stamp, buckets: &[Bucket], config: &Config) -> Vec<Spent> {
@@ -208,7 +243,6 @@
             ),
         }
     }
-    spent.sort_by_key(|one| core::cmp::Reverse(one.count));
     spent
 }
 
--- a/crates/burn/src/window.rs
+++ b/crates/burn/src/window.rs
@@ -47,9 +47,14 @@
             total += one.count;
             within += if one.blame.is_none() { one.count } else { 0 };
         }
+        Self::of(span.as_secs(), total, within, objective)
+    }
+
+    /// Returns the window of a number of requests.
+    pub(crate) fn of(seconds: u64, total: u64, within: u64, objective: f64) -> Self {
         let attainment = share(within, total);
         Self {
-            seconds: span.as_secs(),
+            seconds,
             total,
             within,
             attainment,
--- a/crates/entry/src/control/peers.rs
+++ b/crates/entry/src/control/peers.rs
@@ -1,21 +1,26 @@
 //! What this instance does for its peers.
 
+use std::sync::{Arc, Mutex};
+
 use actix::{Addr, MailboxError};
+use base::Stamp;
+use burn::Book;
 use ledger::owner::Verdict;
 use member::Summary;
 use peer::{Error, Handler};
 use serde::{Serialize, de::DeserializeOwned};
-use wire::{Batch, Grant, Proof, Slots, Trial, Verdicts, Want};
+use wire::{Batch, Grant, Moment, Part, Proof, Slots, Trial, Verdicts, Want};
 
 use crate::control::{
     config::{Config, Prove},
     ledger::{Ledger, LookupHere, SubmitHere},
-    roster::{Exchange, Roster},
+    roster::{Exchange, Roster, gather},
     suspects::{Permit, Suspects},
 };
 
 /// Hands peers' calls to the actors.
 pub(crate) struct Peers {
+    pub(crate) book: Arc<Mutex<Book>>,
     pub(crate) config: Addr<Config>,
     pub(crate) ledger: Addr<Ledger>,
     pub(crate) roster: Addr<Roster>,
@@ -57,6 +62,12 @@
     async fn permit(&self, trial: Trial) -> Result<Grant, Error> {
         self.suspects.send(Permit(trial)).await.map_err(gone)
     }
+
+    async fn condense(&self, moment: Moment) -> Result<Part, Error> {
+        let at = Stamp::from_millis(moment.at);
+        let part = gather::condense(&self.book, at);
+        Ok(Part { json: json(&part)? })
+    }
 }
 
 /// Writes something as JSON, for a message.
--- a/crates/entry/src/control/roster.rs
+++ b/crates/entry/src/control/roster.rs
@@ -1,5 +1,6 @@
 //! The actor that follows which instances and backend servers are there.
 
+pub(crate) mod gather;
 mod listing;
 mod publish;
 
--- a/crates/entry/src/instance.rs
+++ b/crates/entry/src/instance.rs
@@ -255,7 +255,9 @@
     }
     .start();
     roster.do_send(roster::Report(suspects.clone()));
+    let book = Arc::new(Mutex::new(Book::open(incarnation.clone())));
     let service = Peers {
+        book: book.clone(),
         config,
         ledger: ledger.clone(),
         roster: roster.clone(),
@@ -264,7 +266,7 @@
     let peers = peer::serve(listener, service, &peer::configs::peer::Peer::default())
         .map_err(|error| bind_error(settings.peer_address, error))?;
     let shared = Shared {
-        book: Arc::new(Mutex::new(Book::open(incarnation.clone()))),
+        book,
         clock,
         contents,
         flights: Arc::new(AtomicUsize::new(0)),
--- a/crates/entry/src/routes.rs
+++ b/crates/entry/src/routes.rs
@@ -3,12 +3,15 @@
 use std::rc::Rc;
 
 use actix_web::{HttpResponse, web};
+use base::Stamp;
+use serde::Deserialize;
 
-use crate::shared::Shared;
+use crate::{control::roster::gather::Gather, shared::Shared};
 
 /// Adds the routes.
 ///
 /// - `GET /v1/burn`: what spent the error budgets, for `limpetstep-report`.
+/// - `GET /v1/burn/domain?at=MILLIS`: the same of all instances of the failure domain, condensed for a report at a time.
 /// - `GET /v1/position`: which configuration is in force here, for `limpetstep-ctl status`.
 /// - `GET /screen`: the shared screen, a page that loads itself again.
 /// - `GET /live`: the process runs.
@@ -18,6 +21,7 @@
     config
         .app_data(web::Data::new(Rc::new(shared)))
         .route("/v1/burn", web::get().to(burn))
+        .route("/v1/burn/domain", web::get().to(domain))
         .route("/v1/position", web::get().to(position))
         .route("/screen", web::get().to(show))
         .route("/live", web::get().to(live))
@@ -31,6 +35,25 @@
     HttpResponse::Ok().json(&*book)
 }
 
+/// The time of a report, in milliseconds; now where it is left out.
+#[derive(Deserialize)]
+struct Moment {
+    at: Option<u64>,
+}
+
+async fn domain(shared: web::Data<Rc<Shared>>, moment: web::Query<Moment>) -> HttpResponse {
+    let now = shared.clock.stamp();
+    shared.book().tidy(now);
+    let gather = Gather {
+        at: moment.at.map_or(now, Stamp::from_millis),
+        book: shared.book.clone(),
+    };
+    match shared.roster.send(gather).await {
+        Ok(domain) => HttpResponse::Ok().json(domain),
+        Err(error) => HttpResponse::ServiceUnavailable().body(format!("{error}\n")),
+    }
+}
+
 async fn position(shared: web::Data<Rc<Shared>>) -> HttpResponse {
     HttpResponse::Ok().json(*shared.position.borrow())
 }
--- a/crates/peer/examples/framing.rs
+++ b/crates/peer/examples/framing.rs
@@ -7,7 +7,7 @@
 use actix_web::rt;
 use member::Summary;
 use peer::{Client, Error, Handler, codec, configs};
-use wire::{Batch, Grant, Message as _, Proof, Slots, Trial, Verdicts, Want};
+use wire::{Batch, Grant, Message as _, Moment, Part, Proof, Slots, Trial, Verdicts, Want};
 
 #[path = "../tests/relay/mod.rs"]
 mod relay;
@@ -39,6 +39,10 @@
     async fn permit(&self, _: Trial) -> Result<Grant, Error> {
         Ok(Grant::default())
     }
+
+    async fn condense(&self, _: Moment) -> Result<Part, Error> {
+        Ok(Part::default())
+    }
 }
 
 fn main() {
--- a/crates/peer/src/client.rs
+++ b/crates/peer/src/client.rs
@@ -9,7 +9,9 @@
     Response, Status,
     transport::{Channel, Endpoint},
 };
-use wire::{Batch, Grant, Proof, Slots, Trial, Verdicts, Want, peer_client::PeerClient};
+use wire::{
+    Batch, Grant, Moment, Part, Proof, Slots, Trial, Verdicts, Want, peer_client::PeerClient,
+};
 
 use crate::{Error, codec, configs};
 
@@ -116,6 +118,16 @@
         self.call(self.config.permit, call).await
     }
 
+    /// Asks for what the instance counted, condensed for a report at a time.
+    ///
+    /// # Errors
+    ///
+    /// - As [`Error`] lists, within the deadline for parts.
+    pub async fn condense(&self, moment: Moment) -> Result<Part, Error> {
+        let call = |mut peer: PeerClient<Channel>| async move { peer.condense(moment).await };
+        self.call(self.config.condense, call).await
+    }
+
     async fn call<T, F>(
         &self,
         deadline: Duration,
--- a/crates/peer/src/configs/peer.rs
+++ b/crates/peer/src/configs/peer.rs
@@ -5,6 +5,8 @@
 /// How long calls may take and how large messages may be.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Peer {
+    /// Deadline of a part for a report.
+    pub condense: Duration,
     /// Deadline for opening a connection.
     pub connect: Duration,
     /// Deadline of an exchange, and of the discovery that its connection is silent.
@@ -26,6 +28,7 @@
 impl Default for Peer {
     fn default() -> Self {
         Self {
+            condense: Duration::from_millis(1_500),
             connect: Duration::from_millis(500),
             exchange: Duration::from_secs(1),
             fetch: Duration::from_secs(5),
--- a/crates/peer/src/server.rs
+++ b/crates/peer/src/server.rs
@@ -12,7 +12,7 @@
 use tokio::sync::oneshot;
 use tokio_stream::wrappers::TcpListenerStream;
 use tonic::{Request, Response, Status, transport};
-use wire::{Batch, Grant, Proof, Slots, Trial, Verdicts, Want, peer_server};
+use wire::{Batch, Grant, Moment, Part, Proof, Slots, Trial, Verdicts, Want, peer_server};
 
 use crate::{Error, codec, configs};
 
@@ -34,6 +34,9 @@
 
     /// Decides on a trial of a suspect content that this instance owns.
     fn permit(&self, trial: Trial) -> impl Future<Output = Result<Grant, Error>> + Send;
+
+    /// Condenses what this instance counted, for a report.
+    fn condense(&self, moment: Moment) -> impl Future<Output = Result<Part, Error>> + Send;
 }
 
 /// A running server; it goes on when the handle is dropped.
@@ -58,7 +61,7 @@
 /// ```
 /// use member::Summary;
 /// use peer::{Error, Handler};
-/// use wire::{Batch, Grant, Proof, Slots, Trial, Verdicts, Want};
+/// use wire::{Batch, Grant, Moment, Part, Proof, Slots, Trial, Verdicts, Want};
 ///
 /// struct Echo;
 /// impl Handler for Echo {
@@ -67,6 +70,7 @@
 ///     async fn submit(&self, _: Batch) -> Result<Verdicts, Error> { Ok(Verdicts::default()) }
 ///     async fn lookup(&self, _: Slots) -> Result<Verdicts, Error> { Ok(Verdicts::default()) }
 ///     async fn permit(&self, _: Trial) -> Result<Grant, Error> { Ok(Grant::default()) }
+///     async fn condense(&self, _: Moment) -> Result<Part, Error> { Ok(Part::default()) }
 /// }
 ///
 /// actix_web::rt::System::new().block_on(async {
@@ -183,4 +187,8 @@
     async fn permit(&self, request: Request<Trial>) -> Result<Response<Grant>, Status> {
         Ok(Response::new(self.0.permit(request.into_inner()).await?))
     }
+
+    async fn condense(&self, request: Request<Moment>) -> Result<Response<Part>, Status> {
+        Ok(Response::new(self.0.condense(request.into_inner()).await?))
+    }
 }
--- a/crates/peer/tests/loopback.rs
+++ b/crates/peer/tests/loopback.rs
@@ -10,7 +10,7 @@
 use googletest::prelude::*;
 use member::Summary;
 use peer::{Client, Error, Handle, Handler, configs};
-use wire::{Batch, Grant, Proof, Record, Slots, Trial, Verdict, Verdicts, Want};
+use wire::{Batch, Grant, Moment, Part, Proof, Record, Slots, Trial, Verdict, Verdicts, Want};
 
 mod relay;
 
@@ -53,6 +53,10 @@
     async fn permit(&self, _: Trial) -> std::result::Result<Grant, Error> {
         Ok(Grant::default())
     }
+
+    async fn condense(&self, _: Moment) -> std::result::Result<Part, Error> {
+        Ok(Part::default())
+    }
 }
 
 fn config() -> configs::peer::Peer {
--- /dev/null
+++ b/crates/proc/tests/report.rs
@@ -0,0 +1,104 @@
+//! Reports over failure domains, each told by one of its instances.
+
+use core::time::Duration;
+use std::net::SocketAddr;
+
+use base::Stamp;
+use googletest::prelude::*;
+use proc::{
+    caller::{self, Ask, Caller},
+    poll,
+    process::Signal,
+    scene::{Builder, Scene},
+};
+use report::{Config, Reading, fetch};
+use serde_json::json;
+
+/// Until instances have heard of each other and requests have been counted.
+const LIMIT: Duration = Duration::from_secs(30);
+const DOMAINS: usize = 2;
+const ENTRIES: usize = 2;
+
+/// Has each entry instance serve a number of requests of its own.
+async fn serve(scene: &Scene) {
+    let pipelines = &scene.bundle.pipelines;
+    let pipeline = pipelines.iter().find(|one| !one.deferred);
+    let pipeline = pipeline.expect("a pipeline");
+    let account = pipeline.accounts.first();
+    let account = account.unwrap_or(&scene.bundle.accounts[0].name);
+    let caller = Caller::open(account.as_str());
+    for (at, entry) in scene.entries.iter().enumerate() {
+        for _ in 0..=at {
+            let ask = Ask::new(pipeline.name.as_str(), json!({ "text": "a word" }));
+            let reply = caller.send(&entry.url, &ask.key(caller::key())).await;
+            expect_that!(reply.expect("a reply").code(), eq(100));
+        }
+    }
+}
+
+fn address(url: &str) -> SocketAddr {
+    let number = url.trim_start_matches("http://").parse();
+    number.expect("an IP number with a port")
+}
+
+async fn read(urls: &[&str], domains: bool, now: Stamp) -> Reading {
+    let config = Config {
+        domains,
+        entries: urls.iter().copied().map(address).collect(),
+        ..Config::default()
+    };
+    fetch::read(&config, now).await.expect("an answer")
+}
+
+fn total(reading: &Reading) -> u64 {
+    let pipelines = reading.report.pipelines.iter();
+    pipelines.map(|one| one.budget.total).sum()
+}
+
+#[gtest]
+#[actix_web::test]
+async fn the_report_over_domains_is_that_over_books_and_names_who_is_silent() {
+    let scene = Builder::new("compas").domains(DOMAINS).entries(ENTRIES);
+    let scene = scene.start().await;
+    let all: Vec<&str> = scene.entries.iter().map(|one| one.url.as_str()).collect();
+    // The start has sent some requests already.
+    let before = total(&read(&all, false, caller::now()).await);
+    serve(&scene).await;
+    let is_first = |at: &usize| {
+        let domain = &scene.entries[*at].domain;
+        scene.entries[..*at].iter().all(|one| one.domain != *domain)
+    };
+    let firsts: Vec<usize> = (0..all.len()).filter(is_first).collect();
+    expect_that!(firsts.len(), eq(DOMAINS));
+    let one_each: Vec<&str> = firsts.iter().map(|at| all[*at]).collect();
+    let equal = poll::until(LIMIT, async || {
+        let now = caller::now();
+        let books = read(&all, false, now).await;
+        let domains = read(&one_each, true, now).await;
+        let whole = books.report.origins.len() == all.len();
+        (whole && domains == books).then_some(books)
+    });
+    let books = equal.await.expect("the same report both ways");
+    expect_that!(total(&books) - before, eq(10));
+    // Both instances of a domain asked: it counts once.
+    let now = caller::now();
+    expect_that!(
+        read(&all, true, now).await,
+        eq(&read(&all, false, now).await)
+    );
+
+    let silent = (0..all.len())
+        .find(|at| !is_first(at))
+        .expect("a second one");
+    scene.entries[silent].process.signal(Signal::Stop);
+    let now = caller::now();
+    let rest: Vec<&str> = (0..all.len())
+        .filter(|at| *at != silent)
+        .map(|at| all[at])
+        .collect();
+    let domains = read(&one_each, true, now).await;
+    expect_that!(domains.report, eq(&read(&rest, false, now).await.report));
+    expect_that!(domains.silent.len(), eq(1));
+    expect_that!(domains.silent[0].reason, contains_substring("no part"));
+    scene.entries[silent].process.signal(Signal::Continue);
+}
--- a/crates/report/src/cli.rs
+++ b/crates/report/src/cli.rs
@@ -12,6 +12,10 @@
     #[argh(option)]
     pub entries: Option<String>,
 
+    /// read the sums of failure domains, from one instance of each
+    #[argh(switch)]
+    pub domains: bool,
+
     /// html, json or text
     #[argh(option)]
     pub format: Option<Format>,
--- a/crates/report/src/configs/report.rs
+++ b/crates/report/src/configs/report.rs
@@ -32,6 +32,8 @@
 /// Settings from flags and environment variables.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Config {
+    /// Whether each entry instance is asked for the sum of its failure domain, not for its own book.
+    pub domains: bool,
     /// Where the entry instances take HTTP.
     pub entries: Vec<SocketAddr>,
     /// What the report is printed as.
@@ -43,6 +45,7 @@
 impl Default for Config {
     fn default() -> Self {
         Self {
+            domains: false,
             entries: Vec::new(),
             format: Format::Text,
             timeout: Duration::from_secs(3),
@@ -80,7 +83,9 @@
             Some(format) => Some(format),
             None => parse("LIMPETSTEP_FORMAT", variable)?,
         };
+        let domains = parse("LIMPETSTEP_DOMAINS", variable)?;
         Ok(Self {
+            domains: args.domains || domains.unwrap_or(default.domains),
             entries: entries.split(',').map(address).collect::<Result<_, _>>()?,
             format: format.unwrap_or(default.format),
             timeout: millis.map_or(default.timeout, Duration::from_millis),
--- a/crates/report/src/fetch.rs
+++ b/crates/report/src/fetch.rs
@@ -1,12 +1,15 @@
-//! Reads and merges the books of entry instances.
+//! Reads and merges the books of entry instances, or the sums of failure domains.
 
 use core::net::SocketAddr;
 
 use awc::Client;
 use base::{Incarnation, Stamp};
-use burn::{Book, Report};
+use burn::{
+    Book, Report,
+    part::{Domain, Parts},
+};
 use futures_util::future::join_all;
-use serde::Serialize;
+use serde::{Serialize, de::DeserializeOwned};
 
 use crate::{configs::Config, error::Error};
 
@@ -31,7 +34,7 @@
     pub reason: String,
 }
 
-/// Reads the books of all entry instances at once and merges them.
+/// Reads the books of all entry instances at once and merges them, or the sums of their failure domains.
 ///
 /// # Errors
 ///
@@ -52,39 +55,82 @@
         .disable_redirects()
         .timeout(config.timeout)
         .finish();
+    if config.domains {
+        let path = format!("/v1/burn/domain?at={}", now.as_millis());
+        let (domains, silent) = read_all(&client, config, &path).await?;
+        return Ok(sum(domains, silent));
+    }
+    let (books, silent): (Vec<(SocketAddr, Book)>, _) =
+        read_all(&client, config, "/v1/burn").await?;
+    let mut book = Book::open(Incarnation::new("report", now));
+    books.iter().for_each(|(_, other)| book.merge(other));
+    Ok(Reading {
+        report: book.report(now),
+        silent,
+    })
+}
+
+/// Sums what failure domains told, each counted once, however many of its instances were asked.
+fn sum(domains: Vec<(SocketAddr, Domain)>, mut silent: Vec<Silent>) -> Reading {
+    let mut parts = Parts::default();
+    for (at, domain) in domains {
+        let name = &domain.part.name;
+        for missing in domain.silent {
+            let reason = format!("gave {name} no part: {}", missing.reason);
+            // Peers have addresses of numbers; where not, the one that asked stands for the other.
+            silent.push(Silent {
+                address: missing.address.as_str().parse().unwrap_or(at),
+                reason,
+            });
+        }
+        parts.take(domain.part);
+    }
+    silent.sort_by(|a, b| (a.address, &a.reason).cmp(&(b.address, &b.reason)));
+    silent.dedup();
+    let config = burn::Config::default();
+    let whole = parts.sum("all".into(), &config);
+    Reading {
+        report: whole.report(&config),
+        silent,
+    }
+}
+
+/// Reads the same path of all entry instances at once, and returns those answers that came.
+async fn read_all<T: DeserializeOwned>(
+    client: &Client,
+    config: &Config,
+    path: &str,
+) -> Result<(Vec<(SocketAddr, T)>, Vec<Silent>), Error> {
     let asked = config
         .entries
         .iter()
-        .map(|at| read_one(&client, config, *at));
-    let mut book = Book::open(Incarnation::new("report", now));
-    let mut silent = Vec::new();
-    let mut heard = 0;
-    for answer in join_all(asked).await {
+        .map(|at| read_one(client, config, path, *at));
+    let (mut heard, mut silent) = (Vec::new(), Vec::new());
+    for (at, answer) in config.entries.iter().zip(join_all(asked).await) {
         match answer {
-            Ok(other) => {
-                book.merge(&other);
-                heard += 1;
-            }
+            Ok(answer) => heard.push((*at, answer)),
             Err(missing) => silent.push(missing),
         }
     }
-    if heard == 0 {
+    if heard.is_empty() {
         let reasons: Vec<String> = silent.iter().map(Silent::line).collect();
         return Err(Error::Silent(reasons.join("; ")));
     }
-    Ok(Reading {
-        report: book.report(now),
-        silent,
-    })
+    Ok((heard, silent))
 }
 
-async fn read_one(client: &Client, config: &Config, at: SocketAddr) -> Result<Book, Silent> {
+async fn read_one<T: DeserializeOwned>(
+    client: &Client,
+    config: &Config,
+    path: &str,
+    at: SocketAddr,
+) -> Result<T, Silent> {
     let missing = |reason: String| Silent {
         address: at,
         reason,
     };
     let asked = async {
-        let sent = client.get(format!("http://{at}/v1/burn")).send().await;
+        let sent = client.get(format!("http://{at}{path}")).send().await;
         let mut response = sent.map_err(|error| missing(error.to_string()))?;
         if !response.status().is_success() {
             return Err(missing(response.status().to_string()));
