--- a/crates/entry/src/control/config.rs
+++ b/crates/entry/src/control/config.rs
@@ -28,11 +28,8 @@
 /// Records read from the log at once.
 const READ_RECORDS: usize = 100;
 
-/// The age of the last `Carry` at which another one is due; well below the log's retention.
-const CARRY_EVERY: Duration = Duration::from_secs(8 * 3600);
-
-/// The time over which instances spread their looks at whether a `Carry` is due.
-const CARRY_SPREAD: Duration = Duration::from_secs(600);
+/// Instances spread their looks at whether a `Carry` is due over this part of its age.
+const CARRY_LOOKS: u32 = 48;
 
 /// Follows the configuration.
 pub struct Config {
@@ -48,6 +45,8 @@
 
 /// What following the configuration needs of its instance.
 pub(crate) struct World {
+    /// The age of the last `Carry` at which another one is due; well below the log's retention.
+    pub(crate) carry: Duration,
     pub(crate) clock: Clock,
     /// Where to publish the configuration in force.
     pub(crate) force: watch::Sender<Force>,
@@ -161,9 +160,12 @@
     /// Each instance looks at a moment of its own, so that mostly one of them does it; doing it
     /// twice is harmless.
     fn schedule_carry(&self, context: &mut Context<Self>) {
-        let spread = rand::random_range(Duration::ZERO..CARRY_SPREAD);
+        let spread = rand::random_range(Duration::ZERO..self.world.carry / CARRY_LOOKS);
         context.run_later(spread, |actor, context| {
-            if let Some(carry) = actor.fold.carry(actor.world.clock.stamp(), CARRY_EVERY) {
+            if let Some(carry) = actor
+                .fold
+                .carry(actor.world.clock.stamp(), actor.world.carry)
+            {
                 actor.append(Record::Carry(Box::new(carry)), context);
             }
             actor.schedule_carry(context);
--- a/crates/entry/src/control/roster/publish.rs
+++ b/crates/entry/src/control/roster/publish.rs
@@ -5,14 +5,14 @@
 use admit::limit::{Demand, Peer};
 use base::{Incarnation, Name, Tick};
 use member::{
-    Fact, View,
+    Fact, View, configs,
     fact::{self, Id, Load, State},
     view,
 };
 use platform::list::{self, Instance};
 
 use super::{Roster, listing::ENTRY};
-use crate::view::{self as shared, Group, Server};
+use crate::view::{self as shared, Group, Known, Server};
 
 impl Roster {
     /// Publishes instances and backend servers, where they have changed.
@@ -127,15 +127,21 @@
             peer.map_or_else(Name::default, |peer| peer.instance.address.clone())
         };
         let addresses = names.iter().map(address).collect();
-        let group = Group { names, addresses };
+        let group = Group {
+            names,
+            addresses,
+            known: self.known(view, now),
+        };
         self.members.send_if_modified(|known| {
             if **known == group {
                 return false;
             }
-            log::info!(
-                "entry instances of the failure domain: {}",
-                group.names.len()
-            );
+            if known.names.len() != group.names.len() {
+                log::info!(
+                    "entry instances of the failure domain: {}",
+                    group.names.len()
+                );
+            }
             *known = Arc::new(group);
             true
         });
@@ -147,6 +153,38 @@
         addresses.sort_unstable();
         self.lines.retain(&addresses);
     }
+
+    /// Returns the latest life of every entry instance, and whether it was lost.
+    ///
+    /// Only instances of the own failure domain are heard, so one of another is never lost.
+    fn known(&self, view: &View, now: Tick) -> Vec<Known> {
+        let patience = configs::roster::Roster::default().lost;
+        let own = Known {
+            incarnation: self.own.incarnation.clone(),
+            lost: false,
+        };
+        let stamp = self.clock.stamp();
+        // One that was never heard may just have started, or this one has.
+        let new = |peer: &view::Peer| {
+            let age = stamp - peer.instance.incarnation.start;
+            peer.age.is_none() && (now < Tick::default() + patience || age < patience)
+        };
+        let peers = view.peers.iter().map(|peer| Known {
+            incarnation: peer.instance.incarnation.clone(),
+            lost: peer.instance.domain == self.own.domain && !peer.heard && !new(peer),
+        });
+        let mut known: Vec<Known> = peers.chain([own]).collect();
+        known.sort_by(|a, b| a.incarnation.cmp(&b.incarnation));
+        // The own name is this life's, whatever a list still says.
+        known.dedup_by(|later, earlier| {
+            let same = later.incarnation.name == earlier.incarnation.name;
+            if same {
+                *earlier = later.clone();
+            }
+            same
+        });
+        known
+    }
 }
 
 fn told(demand: &fact::Demand) -> Demand {
--- a/crates/entry/src/instance.rs
+++ b/crates/entry/src/instance.rs
@@ -19,7 +19,7 @@
 use member::fact;
 use retry::Desk;
 use thiserror::Error;
-use tokio::sync::watch;
+use tokio::{net::TcpSocket, sync::watch};
 
 use crate::{
     clock::Clock,
@@ -42,6 +42,16 @@
 /// The longest time that a stop waits for what is in flight once nothing new is taken.
 const STOP_LIMIT: Duration = Duration::from_secs(600);
 
+/// How long a stop waits for connections once no request is in flight: what is left to write goes
+/// out, and a silent connection holds nothing up.
+const STOP_SILENCE: Duration = Duration::from_secs(5);
+
+/// Bytes written to a caller that the system keeps; a caller that takes nothing is noticed sooner.
+const SEND_BYTES: u32 = 32 * 1024;
+
+/// Connections that may wait to be accepted.
+const BACKLOG: u32 = 1024;
+
 /// The pace at which a stop looks for what is still in flight.
 const STOP_PACE: Duration = Duration::from_millis(20);
 
@@ -159,8 +169,9 @@
     };
     let handle = server.handle();
     let serving = actix_web::rt::spawn(server);
-    stop(&shared, &handle).await;
-    let _ended = serving.await;
+    if stop(&shared, &handle).await == Stop::Whole {
+        let _ended = serving.await;
+    }
     peers.stop().await;
     log::info!("{} has stopped", shared.incarnation);
 }
@@ -183,6 +194,7 @@
     let peer_address = listener.local_addr().unwrap_or(settings.peer_address);
 
     let config = Config::new(config::World {
+        carry: settings.carry,
         clock,
         force,
         lines: lines.clone(),
@@ -254,6 +266,7 @@
         incarnation,
         jobs: Arc::new(Mutex::new(Some(jobs_read))),
         ledger,
+        members: members_read,
         metrics,
         position: position_read,
         rivals: rivals_read,
@@ -293,20 +306,65 @@
     .workers(1)
     .disable_signals()
     .shutdown_timeout(STOP_LIMIT.as_secs())
-    .bind(address)
+    .listen(bind(address).map_err(fail)?)
     .map_err(fail)?;
     let bound = server.addrs().first().copied().unwrap_or(address);
     Ok((bound, server.run()))
 }
 
+/// Takes an address, with little memory for what callers do not take.
+fn bind(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4(),
+        SocketAddr::V6(_) => TcpSocket::new_v6(),
+    }?;
+    socket.set_reuseaddr(true)?;
+    socket.set_send_buffer_size(SEND_BYTES)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)?.into_std()
+}
+
+/// How a stop ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Stop {
+    /// Every connection was closed.
+    Whole,
+    /// Silent connections were left behind.
+    Silent,
+}
+
 /// Waits for a stop to be asked for and carries it out.
-async fn stop(shared: &Shared, server: &ServerHandle) {
+async fn stop(shared: &Shared, server: &ServerHandle) -> Stop {
     shared.stop.notified().await;
     shared.roster.do_send(Leave);
     tokio::time::sleep(shared.settings.drain).await;
-    server.stop(true).await;
+    tokio::select! {
+        () = server.stop(true) => {
+            land(shared).await;
+            Stop::Whole
+        }
+        () = fall_silent(shared) => {
+            log::warn!("stopping with silent connections");
+            Stop::Silent
+        }
+    }
+}
+
+/// Waits until no request and no background record is in flight.
+async fn land(shared: &Shared) {
     let limit = shared.clock.tick() + STOP_LIMIT;
     while shared.flights.load(Ordering::SeqCst) > 0 && shared.clock.tick() < limit {
         tokio::time::sleep(STOP_PACE).await;
     }
 }
+
+/// Waits until nothing has been in flight for longer than a connection may be silent.
+async fn fall_silent(shared: &Shared) {
+    let mut quiet = shared.clock.tick();
+    while shared.clock.tick() < quiet + STOP_SILENCE {
+        tokio::time::sleep(STOP_PACE).await;
+        if shared.flights.load(Ordering::SeqCst) > 0 {
+            quiet = shared.clock.tick();
+        }
+    }
+}
--- a/crates/entry/src/plane/once.rs
+++ b/crates/entry/src/plane/once.rs
@@ -2,7 +2,7 @@
 
 use core::time::Duration;
 
-use base::{Code, Name, Outcome};
+use base::{Code, Incarnation, Name, Outcome};
 use flow::{Answer, Event};
 use ledger::{
     claim::{self, Action, Call, Claim},
@@ -75,6 +75,9 @@
                 return Recall::End(answer.after(RETRY_AFTER));
             }
             Verdict::Found(State::Done { answer, .. }) => return recalled(told(&answer)),
+            Verdict::Found(State::InProgress { holder, .. }) if is_gone(plane, &holder) => {
+                return Recall::End(unknown(&holder));
+            }
             Verdict::Found(State::InProgress { .. }) => {}
             Verdict::Expired => {
                 let answer = Answer::refusal(Code::KeyExpired, "the key is too old")
@@ -112,9 +115,11 @@
             if let Some(told) = self.conclude(plane, &actions) {
                 return told;
             }
-            event = match actions.into_iter().next() {
-                Some(Action::Submit(record)) => submit(plane, record).await,
-                Some(Action::Lookup(slot)) => claim::Event::Found(lookup(plane, slot).await),
+            let lost = self.claim.awaits().filter(|holder| is_gone(plane, holder));
+            event = match (actions.into_iter().next(), lost) {
+                (Some(Action::Submit(record)), _) => submit(plane, record).await,
+                (_, Some(holder)) => claim::Event::HolderLost(holder.clone()),
+                (Some(Action::Lookup(slot)), _) => claim::Event::Found(lookup(plane, slot).await),
                 _ => {
                     tokio::time::sleep(PAUSE).await;
                     claim::Event::Tick
@@ -215,6 +220,17 @@
     }
 }
 
+/// Tells whether the holder of a claim is known to be gone; its claim stays its own all the same.
+pub(crate) fn is_gone(plane: &Plane, holder: &Incarnation) -> bool {
+    plane.shared.members.borrow().is_gone(holder)
+}
+
+/// Answers for a call whose holder is gone.
+pub(crate) fn unknown(holder: &Incarnation) -> Answer {
+    let detail = format!("claimed by {holder}, which is gone");
+    Answer::refusal(Code::CallUnknown, detail)
+}
+
 /// Turns what the ledger keeps into an answer for a caller.
 pub(crate) fn answer(kept: &record::Answer) -> Answer {
     let output = output(kept);
--- a/crates/entry/src/plane/sink.rs
+++ b/crates/entry/src/plane/sink.rs
@@ -1,20 +1,28 @@
 //! Where the tokens of a streamed answer go.
 
+use core::time::Duration;
+
 use base::Code;
 use flow::Answer;
 use front::{Frame, Resume};
 use sha2::{Digest as _, Sha256};
-use tokio::sync::{mpsc, oneshot};
+use tokio::{
+    sync::{mpsc, oneshot},
+    time,
+};
 
 /// Tokens that may wait for a slow caller.
 const FRAMES: usize = 64;
 
+/// A caller that takes nothing for so long is gone; it can come back with its place.
+const SILENCE: Duration = Duration::from_secs(5);
+
 /// What a token meets on its way out.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Push {
     /// It went out, or the caller has it already.
     Taken,
-    /// The caller is gone.
+    /// The caller is gone, or its connection is silent.
     Gone,
     /// The text differs from what the caller has already.
     Diverged,
@@ -91,8 +99,9 @@
     }
 
     async fn send(&mut self, frame: Frame) -> Push {
-        if self.frames.send(frame).await.is_err() {
-            return Push::Gone;
+        match time::timeout(SILENCE, self.frames.send(frame)).await {
+            Ok(Ok(())) => {}
+            Ok(Err(_)) | Err(_) => return Push::Gone,
         }
         if let Some(opened) = self.opened.take() {
             // The handler may have gone with its caller.
--- a/crates/entry/src/plane/status.rs
+++ b/crates/entry/src/plane/status.rs
@@ -31,6 +31,9 @@
     let asked = plane.shared.ledger.send(Lookup(slot)).await;
     match asked.unwrap_or(Verdict::LOST) {
         Verdict::Found(State::Done { answer, .. }) => once::answer(&answer),
+        Verdict::Found(State::InProgress { holder, .. }) if once::is_gone(plane, &holder) => {
+            once::unknown(&holder)
+        }
         Verdict::Found(State::InProgress { holder, .. }) => {
             let detail = format!("claimed by {holder}");
             Answer::refusal(Code::InProgress, detail).after(plane.shared.settings.poll)
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -13,6 +13,9 @@
     /// where callers connect: IP:PORT (default 127.0.0.1:8080; port 0 takes a free one)
     #[argh(option)]
     pub address: Option<String>,
+    /// the age of the configuration's last record at which it is carried forward: milliseconds, 1000 to 2592000000 (default 28800000)
+    #[argh(option)]
+    pub carry_ms: Option<String>,
     /// check the settings, print them and exit
     #[argh(switch)]
     pub check: bool,
@@ -69,6 +72,8 @@
 pub struct Settings {
     /// Where callers connect.
     pub address: SocketAddr,
+    /// The age of the configuration's last record at which it is carried forward.
+    pub carry: Duration,
     /// The failure domain of this instance.
     pub domain: Name,
     /// How long to go on accepting after a stop signal.
@@ -146,6 +151,13 @@
         };
         let settings = Self {
             address: reader.parse("address", &flags.address, "127.0.0.1:8080", ADDRESS),
+            carry: reader.millis(
+                "carry-ms",
+                &flags.carry_ms,
+                "28800000",
+                1_000,
+                2_592_000_000,
+            ),
             domain: Name::from(reader.text("domain", &flags.domain, "local")),
             drain: reader.millis("drain-ms", &flags.drain_ms, "5000", 0, 600_000),
             log_format: reader.format(&flags.log_format),
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -22,7 +22,7 @@
     },
     metrics::Metrics,
     settings::Settings,
-    view::{Force, Rivals, Servers},
+    view::{Force, Members, Rivals, Servers},
 };
 
 /// Shared by the control side and the serving side.
@@ -44,6 +44,8 @@
     pub ledger: Addr<Ledger>,
     /// Deferred requests that the serving side is to work on; taken once.
     pub jobs: Arc<Mutex<Option<mpsc::UnboundedReceiver<Job>>>>,
+    /// The entry instances known.
+    pub members: watch::Receiver<Members>,
     /// Metrics.
     pub metrics: Arc<Metrics>,
     /// The place in the log of the configuration in force.
--- a/crates/entry/src/view.rs
+++ b/crates/entry/src/view.rs
@@ -25,6 +25,17 @@
     pub names: Vec<Incarnation>,
     /// Where each takes messages of its peers, in the same order.
     pub addresses: Vec<Name>,
+    /// Entry instances of every failure domain, this one among them, sorted by name.
+    pub known: Vec<Known>,
+}
+
+/// The latest life known of an entry instance.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Known {
+    /// The name and the start of that life.
+    pub incarnation: Incarnation,
+    /// Whether nobody of its failure domain, which is this one's, has heard it for too long.
+    pub lost: bool,
 }
 
 impl Group {
@@ -33,6 +44,29 @@
         let at = self.names.binary_search(instance).ok()?;
         self.addresses.get(at)
     }
+
+    /// Tells whether an instance has a later life, or has not been heard for too long.
+    ///
+    /// It may be paused or cut off, so nothing that it holds may pass to another one.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use base::{Incarnation, Stamp};
+    /// use entry::view::{Group, Known};
+    /// let life = |start| Incarnation::new("entry-1", Stamp::from_millis(start));
+    /// let known = vec![Known { incarnation: life(2), lost: false }];
+    /// let group = Group { known, ..Group::default() };
+    /// assert!(group.is_gone(&life(1)) && !group.is_gone(&life(2)));
+    /// ```
+    pub fn is_gone(&self, instance: &Incarnation) -> bool {
+        let named = |known: &Known| known.incarnation.name.cmp(&instance.name);
+        let found = self.known.binary_search_by(named);
+        found.is_ok_and(|at| {
+            let known = &self.known[at];
+            known.incarnation > *instance || known.incarnation == *instance && known.lost
+        })
+    }
 }
 
 /// The load that a backend server reported.
--- a/crates/fake/src/server/call.rs
+++ b/crates/fake/src/server/call.rs
@@ -90,9 +90,13 @@
         (inner.faults.clone(), inner.silent_before)
     };
     socket::silence_before(request, silent_before).await;
+    let reused = socket::is_reused(request);
     before_run(request, state, &faults, bytes).await;
-    let head = Head::read(request)
+    let mut head = Head::read(request)
         .ok_or_else(|| respond(state, StatusCode::BAD_REQUEST, None).body("no attempt"))?;
+    if faults.cross_reused && reused {
+        head.attempt = crossed(head.attempt);
+    }
     let refuse = |status| respond(state, status, Some(head.attempt));
     if faults.leaving {
         state.lock().stats.refused_leaving += 1;
@@ -216,9 +220,14 @@
 
 /// Returns the attempt that an answer names.
 pub(super) fn shown(faults: &Faults, attempt: Attempt) -> Attempt {
-    if !faults.cross_answers {
-        return attempt;
+    if faults.cross_answers {
+        return crossed(attempt);
     }
+    attempt
+}
+
+/// Returns another attempt of the same request.
+pub(super) fn crossed(attempt: Attempt) -> Attempt {
     Attempt {
         number: attempt.number.wrapping_add(CROSSED),
         ..attempt
--- a/crates/fake/src/server/faults.rs
+++ b/crates/fake/src/server/faults.rs
@@ -38,6 +38,10 @@
     pub refuse_on: Option<String>,
     /// Answers name another attempt.
     pub cross_answers: bool,
+    /// Events of a stream after this many tokens name another attempt; its head does not.
+    pub cross_stream_after: Option<u64>,
+    /// Answers on connections that carried a call before name another attempt.
+    pub cross_reused: bool,
 }
 
 impl Default for Faults {
@@ -59,6 +63,8 @@
             crash_on: None,
             refuse_on: None,
             cross_answers: false,
+            cross_stream_after: None,
+            cross_reused: false,
         }
     }
 }
--- a/crates/fake/src/server/generate.rs
+++ b/crates/fake/src/server/generate.rs
@@ -11,7 +11,7 @@
 use super::{
     State,
     cache::{BLOCK_TOKENS, Prefill},
-    call::{Admitted, Place, admit, note_load, respond, shown},
+    call::{Admitted, Place, admit, crossed, note_load, respond, shown},
     output,
 };
 use crate::socket;
@@ -153,7 +153,12 @@
     }
 
     fn shown(&self) -> String {
-        shown(&self.state.lock().faults, self.attempt).to_string()
+        let faults = &self.state.lock().faults;
+        let limit = faults.cross_stream_after;
+        if limit.is_some_and(|limit| self.sent > limit) {
+            return crossed(self.attempt).to_string();
+        }
+        shown(faults, self.attempt).to_string()
     }
 }
 
--- a/crates/fake/src/socket.rs
+++ b/crates/fake/src/socket.rs
@@ -15,6 +15,7 @@
 static ACCEPTED: AtomicU64 = AtomicU64::new(0);
 
 pub(crate) struct Socket {
+    calls: AtomicU64,
     number: u64,
     stream: TcpStream,
 }
@@ -33,6 +34,7 @@
     let _ = stream.set_nodelay(true);
     if let Ok(copy) = stream.as_fd().try_clone_to_owned() {
         data.insert(Socket {
+            calls: AtomicU64::default(),
             number: ACCEPTED.fetch_add(1, Ordering::Relaxed),
             stream: TcpStream::from(copy),
         });
@@ -55,6 +57,12 @@
     }
 }
 
+/// Counts a call on its connection, and tells whether the connection carried one before.
+pub(crate) fn is_reused(request: &HttpRequest) -> bool {
+    let socket = request.conn_data::<Socket>();
+    socket.is_some_and(|socket| socket.calls.fetch_add(1, Ordering::Relaxed) > 0)
+}
+
 /// Never answers.
 pub(crate) async fn silence<T>() -> T {
     core::future::pending().await
--- a/crates/ledger/src/claim.rs
+++ b/crates/ledger/src/claim.rs
@@ -175,6 +175,14 @@
         attached.into_iter().chain(closing).min()
     }
 
+    /// Returns the instance whose outcome the claim waits for, while it waits for one.
+    pub const fn awaits(&self) -> Option<&Incarnation> {
+        match &self.phase {
+            Phase::Attached { holder, .. } => Some(holder),
+            _ => None,
+        }
+    }
+
     /// Tells whether the caller has its answer and nothing is left to record.
     pub fn is_ended(&self) -> bool {
         self.phase == Phase::Ended && self.closing.is_none()
--- a/crates/proc/src/link.rs
+++ b/crates/proc/src/link.rs
@@ -8,7 +8,10 @@
     net::{TcpListener, TcpStream},
     spawn,
 };
-use tokio::{io::copy_bidirectional, sync::watch};
+use tokio::{io::copy_bidirectional, net::TcpSocket, sync::watch};
+
+/// What a path holds of what its target sends, so that silence is soon felt.
+const BUFFER_BYTES: u32 = 16 * 1024;
 
 /// What a path does with connections.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -24,7 +27,8 @@
 /// A path to one address.
 pub struct Link {
     address: SocketAddr,
-    state: watch::Sender<State>,
+    /// None where something else decides for the path.
+    state: Option<watch::Sender<State>>,
 }
 
 impl Link {
@@ -43,11 +47,32 @@
     /// # });
     /// ```
     pub async fn open(target: SocketAddr) -> io::Result<Self> {
+        let (state, states) = watch::channel(State::Open);
+        let link = Self::follow(target, states).await?;
+        Ok(Self {
+            state: Some(state),
+            ..link
+        })
+    }
+
+    /// Opens a path that does as it is told from elsewhere.
+    ///
+    /// # Errors
+    ///
+    /// No port is free.
+    pub async fn follow(target: SocketAddr, states: watch::Receiver<State>) -> io::Result<Self> {
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let address = listener.local_addr()?;
-        let (state, states) = watch::channel(State::Open);
         spawn(accept(listener, target, states));
-        Ok(Self { address, state })
+        Ok(Self {
+            address,
+            state: None,
+        })
+    }
+
+    /// Returns the address by which the target is reached over the path.
+    pub const fn address(&self) -> SocketAddr {
+        self.address
     }
 
     /// Returns the base URL by which the target is reached over the path.
@@ -57,7 +82,9 @@
 
     /// Changes what the path does, also with the connections that it has.
     pub fn set(&self, state: State) {
-        self.state.send_replace(state);
+        if let Some(sender) = &self.state {
+            sender.send_replace(state);
+        }
     }
 }
 
@@ -78,14 +105,23 @@
 
 async fn carry(mut near: TcpStream, target: SocketAddr, mut states: watch::Receiver<State>) {
     let state = *states.borrow_and_update();
+    let mut far = None;
     if state == State::Open
-        && let Ok(mut far) = TcpStream::connect(target).await
+        && let Ok(connected) = connect(target).await
     {
+        let far = far.insert(connected);
         tokio::select! {
-            _ = copy_bidirectional(&mut near, &mut far) => return,
+            _ = copy_bidirectional(&mut near, far) => return,
             _ = states.wait_for(|state| *state != State::Open) => {}
         }
     }
-    // A silent connection stays as it is until the path is cut.
+    // A silent connection stays as it is, at both ends, until the path is cut.
     let _cut = states.wait_for(|state| *state == State::Cut).await;
+    drop(far);
+}
+
+async fn connect(target: SocketAddr) -> io::Result<TcpStream> {
+    let socket = TcpSocket::new_v4()?;
+    socket.set_recv_buffer_size(BUFFER_BYTES)?;
+    socket.connect(target).await
 }
--- a/crates/proc/src/scene.rs
+++ b/crates/proc/src/scene.rs
@@ -12,6 +12,7 @@
     judge,
     link::Link,
     process::Process,
+    seen::Seen,
 };
 
 /// Scenes of one test program run one after another, to bound processes and load.
@@ -29,11 +30,13 @@
 /// ```
 #[derive(Clone, Debug)]
 pub struct Builder {
+    carry: Option<Duration>,
     domains: usize,
     drain: Duration,
     entries: usize,
     example: String,
     pools: Option<Vec<String>>,
+    parted: bool,
     progress: Duration,
     server_args: Vec<(String, Vec<String>)>,
     servers: usize,
@@ -48,6 +51,8 @@
     pub entries: Vec<Entry>,
     /// The way of each domain's entry instances to the platform.
     pub links: Vec<Link>,
+    /// What each domain sees of the others, if they can be cut off from each other.
+    pub seen: Vec<Seen>,
     /// The platform.
     pub platform: Server,
     /// Backend servers, domain by domain.
@@ -85,11 +90,13 @@
     /// Returns a scene of one domain, with two entry instances and a server for each pool.
     pub fn new(example: &str) -> Self {
         Self {
+            carry: None,
             domains: 1,
             drain: Duration::from_millis(500),
             entries: 2,
             example: example.to_owned(),
             pools: None,
+            parted: false,
             progress: Duration::from_secs(2),
             server_args: Vec::new(),
             servers: 1,
@@ -121,12 +128,24 @@
         self
     }
 
+    /// Sets the age of the configuration's last record at which it is carried forward.
+    pub fn carry(mut self, age: Duration) -> Self {
+        self.carry = Some(age);
+        self
+    }
+
     /// Sets the longest wait for a server's next sign of progress.
     pub fn progress(mut self, progress: Duration) -> Self {
         self.progress = progress;
         self
     }
 
+    /// Lets failure domains be cut off from each other.
+    pub fn parted(mut self) -> Self {
+        self.parted = true;
+        self
+    }
+
     /// Takes the limits off client accounts, for tests that send many requests.
     pub fn unlimited(mut self) -> Self {
         self.unlimited = true;
--- a/crates/proc/src/scene/start.rs
+++ b/crates/proc/src/scene/start.rs
@@ -4,7 +4,7 @@
 use std::{fs, path::Path};
 
 use awc::Client;
-use base::{Incarnation, Stamp};
+use base::{Digest, Incarnation, Stamp};
 use bundle::{Bundle, Record, STREAM, sign::Key};
 use platform::{Http, Log as _};
 use serde_json::json;
@@ -16,6 +16,7 @@
     link::Link,
     poll,
     process::Process,
+    seen::Seen,
 };
 
 /// How long a scene may take until every entry instance serves.
@@ -50,12 +51,13 @@
             entries: Vec::new(),
             links: Vec::new(),
             platform,
+            seen: Vec::new(),
             servers: Vec::new(),
             builder: self,
             _turn: turn,
         };
         for domain in &domains {
-            scene.start_link().await;
+            scene.start_link(domain).await;
             scene.start_servers(domain);
             for number in 1..=scene.builder.entries {
                 scene.start_entry(domain, &format!("{domain}-entry-{number}"));
@@ -78,9 +80,14 @@
 }
 
 impl Scene {
-    async fn start_link(&mut self) {
+    async fn start_link(&mut self, domain: &str) {
         let address = self.platform.process.address("listening ");
-        let address = address.parse().expect("an address");
+        let mut address = address.parse().expect("an address");
+        if self.builder.parted {
+            let seen = Seen::open(address, domain).expect("a free port");
+            address = seen.address();
+            self.seen.push(seen);
+        }
         self.links
             .push(Link::open(address).await.expect("a free port"));
     }
@@ -103,9 +110,12 @@
                 self.builder.progress.as_millis().to_string(),
             ),
             ("--root-keys", roots.join(",")),
-            ("--peers", self.peers()),
+            ("--peers", self.peers(domain)),
         ];
-        let args = args.map(|(flag, value)| [flag.to_owned(), value]).concat();
+        let mut args = args.map(|(flag, value)| [flag.to_owned(), value]).concat();
+        if let Some(age) = self.builder.carry {
+            args.extend(["--carry-ms".to_owned(), age.as_millis().to_string()]);
+        }
         let process = Process::spawn("limpetstep-entry", &args);
         let url = format!("http://{}", process.address("listening "));
         self.list_entry(domain, &process);
@@ -119,10 +129,14 @@
     }
 
     /// Returns where the entry instances started so far take messages of peers.
-    fn peers(&self) -> String {
+    ///
+    /// Where domains can be cut off from each other, only those of the own one.
+    fn peers(&self, domain: &str) -> String {
+        let parted = self.builder.parted;
         let peers = self
             .entries
             .iter()
+            .filter(|entry| !parted || entry.domain == domain)
             .map(|entry| entry.process.address("peers "));
         peers.collect::<Vec<_>>().join(",")
     }
@@ -191,13 +205,40 @@
     ///
     /// It is not rolled out.
     pub async fn roll_out(&self, version: u64, pipeline: &str, pool: &str) {
+        let text = self.version(version, pipeline, pool);
+        roll_out(&self.platform.url, &text).await;
+    }
+
+    /// Publishes and signs off a new version of the example, with one more pipeline of one stage,
+    /// and returns its digest.
+    ///
+    /// # Panics
+    ///
+    /// It is not signed off.
+    pub async fn propose(&self, version: u64, pipeline: &str, pool: &str) -> Digest {
+        let text = self.version(version, pipeline, pool);
+        let log = Http::open(&self.platform.url, PLATFORM_LIMIT);
+        let (author, steward) = (Key::example("author"), Key::example("steward"));
+        let session = ctl::Session {
+            log: &log,
+            roots: vec![author.public(), steward.public()],
+            dry_run: false,
+        };
+        let published = ctl::publish(&session, pipeline, &text, &author).await;
+        let digest = published.expect("the bundle is published").digest;
+        let signed = ctl::sign_off(&session, digest, &steward).await;
+        signed.expect("the bundle is signed off");
+        digest
+    }
+
+    fn version(&self, version: u64, pipeline: &str, pool: &str) -> String {
         let text = example(&self.builder.example);
         let text = text.replace("\nversion = 1\n", &format!("\nversion = {version}\n"));
         let added = format!(
             "\n[[pipelines]]\nname = \"{pipeline}\"\ndeadline_ms = 5000\n\
              [[pipelines.stages]]\nname = \"status\"\npool = \"{pool}\"\n"
         );
-        roll_out(&self.platform.url, &(text + &added)).await;
+        text + &added
     }
 
     /// Carries the bundle in force forward in the log, as an instance does once in a while.
@@ -225,17 +266,27 @@
     ///
     /// One does not in time.
     pub async fn ready(&self) {
-        for entry in &self.entries {
-            for pipeline in self.probes() {
-                let caller = Caller::open(self.bundle.accounts[0].name.as_str());
-                let ask = Ask::new(&pipeline, json!({ "probe": entry.name, "max_tokens": 1 }));
-                let served = poll::until(READY, async || {
-                    let reply = caller.send(&entry.url, &ask).await.ok()?;
-                    (reply.code() == 100).then_some(())
-                });
-                let lines = || entry.process.lines();
-                assert!(served.await.is_some(), "{}: {:#?}", entry.name, lines());
-            }
+        for at in 0..self.entries.len() {
+            self.ready_at(at).await;
+        }
+    }
+
+    /// Waits until one entry instance answers each pipeline that has no consequences.
+    ///
+    /// # Panics
+    ///
+    /// It does not in time.
+    pub async fn ready_at(&self, at: usize) {
+        let entry = &self.entries[at];
+        for pipeline in self.probes() {
+            let caller = Caller::open(self.bundle.accounts[0].name.as_str());
+            let ask = Ask::new(&pipeline, json!({ "probe": entry.name, "max_tokens": 1 }));
+            let served = poll::until(READY, async || {
+                let reply = caller.send(&entry.url, &ask).await.ok()?;
+                (reply.code() == 100).then_some(())
+            });
+            let lines = || entry.process.lines();
+            assert!(served.await.is_some(), "{}: {:#?}", entry.name, lines());
         }
     }
 
--- /dev/null
+++ b/crates/proc/src/seen.rs
@@ -0,0 +1,158 @@
+//! The platform as one failure domain sees it: what other domains have is listed at paths that can
+//! be cut.
+
+use core::{cell::RefCell, net::SocketAddr};
+use std::{io, rc::Rc};
+
+use actix_web::{
+    App, HttpRequest, HttpResponse, HttpServer, dev::ServerHandle, http::StatusCode, rt::spawn, web,
+};
+use awc::Client;
+use platform::Instance;
+use serde::{Deserialize, Serialize};
+use tokio::sync::watch;
+
+use crate::link::{Link, State};
+
+/// The largest request or answer passed on, in bytes.
+const BYTES: usize = 16 * 1024 * 1024;
+
+/// One failure domain's view of the platform; dropping it ends it.
+pub struct Seen {
+    address: SocketAddr,
+    server: ServerHandle,
+    state: watch::Sender<State>,
+}
+
+/// What one view passes on, and how.
+struct Passage {
+    client: Client,
+    domain: String,
+    links: RefCell<Vec<(SocketAddr, Link)>>,
+    platform: SocketAddr,
+    states: watch::Receiver<State>,
+}
+
+#[derive(Deserialize, Serialize)]
+struct Listing {
+    instances: Vec<Instance>,
+}
+
+impl Seen {
+    /// Opens the view that a failure domain has of a platform.
+    ///
+    /// # Errors
+    ///
+    /// No port is free.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// # actix_web::rt::System::new().block_on(async {
+    /// let platform = "127.0.0.1:9".parse().unwrap();
+    /// let seen = proc::seen::Seen::open(platform, "domain-1").unwrap();
+    /// seen.set(proc::link::State::Cut);
+    /// # });
+    /// ```
+    pub fn open(platform: SocketAddr, domain: &str) -> io::Result<Self> {
+        let (state, states) = watch::channel(State::Open);
+        let domain = domain.to_owned();
+        let server = HttpServer::new(move || {
+            let passage = Rc::new(Passage {
+                client: Client::new(),
+                domain: domain.clone(),
+                links: RefCell::default(),
+                platform,
+                states: states.clone(),
+            });
+            App::new()
+                .app_data(web::PayloadConfig::new(BYTES))
+                .app_data(passage)
+                .default_service(web::to(pass))
+        });
+        let server = server.workers(1).disable_signals().bind("127.0.0.1:0")?;
+        let address = server.addrs()[0];
+        let server = server.run();
+        let handle = server.handle();
+        spawn(server);
+        Ok(Self {
+            address,
+            server: handle,
+            state,
+        })
+    }
+
+    /// Returns where the view is.
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Changes what every path to other failure domains does.
+    pub fn set(&self, state: State) {
+        self.state.send_replace(state);
+    }
+}
+
+impl Drop for Seen {
+    fn drop(&mut self) {
+        // Nobody waits for the end of the server.
+        drop(self.server.stop(false));
+    }
+}
+
+async fn pass(request: HttpRequest, body: web::Bytes) -> HttpResponse {
+    let passage: Rc<Passage> = Rc::clone(request.app_data().expect("a passage"));
+    let url = format!("http://{}{}", passage.platform, request.uri());
+    let sent = passage.client.request(request.method().clone(), url);
+    let sent = sent.content_type("application/json").send_body(body).await;
+    let Ok(mut response) = sent else {
+        return HttpResponse::new(StatusCode::BAD_GATEWAY);
+    };
+    let mut answer = HttpResponse::build(response.status());
+    for header in response
+        .headers()
+        .iter()
+        .filter(|(name, _)| *name == "retry-after")
+    {
+        answer.insert_header(header);
+    }
+    if request.path() == "/instances"
+        && let Ok(listing) = response.json().limit(BYTES).await
+    {
+        return answer.json(passage.relocate(listing).await);
+    }
+    match response.body().limit(BYTES).await {
+        Ok(body) => answer.content_type("application/json").body(body),
+        Err(_) => HttpResponse::new(StatusCode::BAD_GATEWAY),
+    }
+}
+
+impl Passage {
+    async fn relocate(&self, mut listing: Listing) -> Listing {
+        for instance in &mut listing.instances {
+            if instance.domain.as_str() != self.domain {
+                instance.address = self.path_to(instance.address).await;
+            }
+        }
+        listing
+    }
+
+    async fn path_to(&self, target: SocketAddr) -> SocketAddr {
+        let known = |links: &[(SocketAddr, Link)]| {
+            let at = links.binary_search_by_key(&target, |(target, _)| *target);
+            at.map(|at| links[at].1.address())
+        };
+        if let Ok(address) = known(&self.links.borrow()) {
+            return address;
+        }
+        let link = Link::follow(target, self.states.clone()).await;
+        let link = link.expect("a free port");
+        let mut links = self.links.borrow_mut();
+        // Another request may have opened one meanwhile.
+        known(&links).unwrap_or_else(|at| {
+            let address = link.address();
+            links.insert(at, (target, link));
+            address
+        })
+    }
+}
--- /dev/null
+++ b/crates/proc/tests/apart.rs
@@ -0,0 +1,130 @@
+//! Failure domains cut off from each other, with and without the platform.
+
+use core::time::Duration;
+
+use futures_util::future::join_all;
+use googletest::prelude::*;
+use proc::{
+    caller::{self, Ask, Caller, Reply},
+    judge,
+    link::State,
+    poll,
+    scene::{Builder, Scene},
+    settle,
+};
+use serde_json::json;
+
+const LIMIT: Duration = Duration::from_secs(20);
+const POOL: &str = "entries-api";
+
+/// Keys sent to both sides of a cut.
+const KEYS: usize = 8;
+
+async fn scene() -> Scene {
+    let builder = Builder::new("compas").domains(2).entries(1).servers(1);
+    let builder = builder.progress(Duration::from_millis(500)).parted();
+    let pools = [POOL, "roster-sync"];
+    builder.unlimited().pools(&pools).start().await
+}
+
+fn pay() -> Ask {
+    let ask = Ask::new("fee-payment", json!({"band": "Quetzal"}));
+    ask.key(caller::key()).within(Duration::from_secs(6))
+}
+
+async fn runs(scene: &Scene, ask: &Ask) -> u64 {
+    judge::runs(&scene.urls(POOL), ask.key.unwrap()).await
+}
+
+fn urls(scene: &Scene) -> Vec<&str> {
+    let urls = scene.entries.iter().map(|entry| entry.url.as_str());
+    urls.collect()
+}
+
+/// Takes the first domain's servers of the pool down or up.
+async fn set_down(scene: &Scene, down: bool) {
+    judge::faults(&scene.urls(POOL)[0], json!({"down": down})).await;
+}
+
+/// Waits until the first domain, whose servers are down, uses the other's or cannot.
+async fn await_far(scene: &Scene, wanted: bool) {
+    let caller = Caller::open("contest-office");
+    let ask = Ask::new("status", json!({"band": "Quetzal"})).within(Duration::from_secs(2));
+    set_down(scene, true).await;
+    let reached = poll::until(LIMIT, async || {
+        let reply = caller.send(&scene.entries[0].url, &ask).await.ok()?;
+        ((reply.code() == 100) == wanted).then_some(())
+    });
+    expect_that!(reached.await, some(anything()), "reached: {wanted}");
+    set_down(scene, false).await;
+    let restored = poll::until(LIMIT, async || {
+        let reply = caller.send(&scene.entries[0].url, &ask).await.ok()?;
+        (reply.code() == 100).then_some(())
+    });
+    expect_that!(restored.await, some(anything()));
+}
+
+fn cut(scene: &Scene, state: State) {
+    for seen in &scene.seen {
+        seen.set(state);
+    }
+}
+
+/// Sends one key to both sides at once.
+async fn send_to_both(scene: &Scene, ask: &Ask) -> Vec<Reply> {
+    let caller = Caller::open("contest-office");
+    let sent = urls(scene).into_iter().map(|url| caller.send(url, ask));
+    join_all(sent).await.into_iter().flatten().collect()
+}
+
+/// Sends keys to both sides of a cut, heals it, and counts again.
+///
+/// A path that is cut takes a connection and closes it, so that a call over it may have run; such a
+/// key ends as unknown on both sides.
+async fn expect_at_most_one_run(scene: &Scene, platform: State) {
+    let caller = Caller::open("contest-office");
+    let mut asks = Vec::new();
+    for _ in 0..KEYS {
+        let ask = pay();
+        let replies = send_to_both(scene, &ask).await;
+        let ran = runs(scene, &ask).await;
+        expect_that!(ran, le(1), "{replies:#?}");
+        for reply in replies {
+            let sure = matches!(reply.outcome(), "not_run" | "incomplete");
+            expect_that!(sure && ran > 0, eq(false), "{:#}", reply.body);
+        }
+        asks.push((ask, ran));
+    }
+    scene.links[0].set(State::Open);
+    cut(scene, State::Open);
+    let mut answered = 0;
+    for (ask, ran) in asks {
+        let mut codes = Vec::new();
+        for url in urls(scene) {
+            let last = settle::until_final(&caller, &[url], &ask).await;
+            codes.push(last.code());
+        }
+        expect_that!(codes[0], eq(codes[1]), "{platform:?}");
+        let after = runs(scene, &ask).await;
+        expect_that!(after, all!(ge(ran), le(1)), "{platform:?}");
+        if codes[0] == 100 {
+            expect_that!(after, eq(1), "{platform:?}");
+            answered += 1;
+        }
+    }
+    expect_that!(answered, gt(0), "{platform:?}");
+}
+
+#[gtest]
+#[actix_web::test]
+async fn two_domains_cut_off_from_each_other_run_a_key_once() {
+    let scene = scene().await;
+    await_far(&scene, true).await;
+    for platform in [State::Open, State::Cut] {
+        cut(&scene, State::Cut);
+        await_far(&scene, false).await;
+        scene.links[0].set(platform);
+        expect_at_most_one_run(&scene, platform).await;
+        await_far(&scene, true).await;
+    }
+}
--- /dev/null
+++ b/crates/proc/tests/crossed.rs
@@ -0,0 +1,122 @@
+//! Answers that carry another attempt's number, within streams and on reused connections.
+
+use core::time::Duration;
+
+use futures_util::future::join_all;
+use googletest::prelude::*;
+use proc::{
+    caller::{Ask, Caller, Events},
+    judge, metrics, poll,
+    scene::{Builder, Scene},
+};
+use serde_json::{Value, json};
+
+const POOL: &str = "limpet-pool";
+
+const LIMIT: Duration = Duration::from_secs(30);
+
+const SERVICE: &str = "entries-api";
+
+const TOKENS: u64 = 40;
+
+/// Answers before a test, so that every server has connections that carried one.
+const WARM_UP: usize = 16;
+
+async fn scene() -> Scene {
+    let builder = Builder::new("compas").entries(1).servers(2).unlimited();
+    let pools = [POOL, SERVICE, "draw-board", "notify-bands", "roster-sync"];
+    builder.pools(&pools).start().await
+}
+
+fn summary(tokens: u64) -> Ask {
+    let input = json!({"band": "Quetzal", "max_tokens": tokens});
+    Ask::new("scoring-summary", input).within(Duration::from_secs(20))
+}
+
+async fn read(scene: &Scene, ask: &Ask) -> Events {
+    let caller = Caller::open("adjudicators");
+    let events = caller.stream(&scene.entries[0].url, ask, usize::MAX).await;
+    events.unwrap_or_else(|problem| panic!("{problem:#?}"))
+}
+
+async fn mismatched(scene: &Scene, pool: &str) -> u64 {
+    let labels = format!("end=\"mismatched\",pool=\"{pool}\"");
+    metrics::read(&scene.entries[0].url, "attempts_total", &labels).await
+}
+
+fn expect_whole(events: &Events, whole: &Events) {
+    expect_that!(events.texts, eq(&whole.texts));
+    let field = |events: &Events, name: &str| {
+        let end = events.end.as_ref();
+        end.map_or(Value::Null, |(_, data)| data[name].clone())
+    };
+    expect_that!(events.is_whole(), eq(true), "{:?}", events.end);
+    for name in ["count", "digest"] {
+        expect_that!(field(events, name), eq(&field(whole, name)));
+    }
+}
+
+/// Returns the server that the same prompt goes to, as its cache has it.
+async fn preferred(scene: &Scene, whole: &Events) -> String {
+    let found = poll::until(LIMIT, async || {
+        let before = tokens(scene).await;
+        expect_whole(&read(scene, &summary(TOKENS)).await, whole);
+        let after = tokens(scene).await;
+        let at = (0..after.len()).find(|at| after[*at] - before[*at] == TOKENS)?;
+        Some(scene.urls(POOL)[at].clone())
+    });
+    found.await.expect("a server that answers alone")
+}
+
+async fn tokens(scene: &Scene) -> Vec<u64> {
+    let urls = scene.urls(POOL);
+    join_all(urls.iter().map(|url| judge::count(url, "tokens"))).await
+}
+
+/// Breaks the server that the prompt goes to, until one of its attempts was dropped; each answer has
+/// to be whole.
+async fn expect_drop(scene: &Scene, whole: &Events, after: u64) {
+    let dropped = poll::until(LIMIT, async || {
+        let broken = preferred(scene, whole).await;
+        let before = mismatched(scene, POOL).await;
+        judge::faults(&broken, json!({"cross_stream_after": after})).await;
+        expect_whole(&read(scene, &summary(TOKENS)).await, whole);
+        judge::faults(&broken, json!({"cross_stream_after": null})).await;
+        (mismatched(scene, POOL).await > before).then_some(())
+    });
+    expect_that!(dropped.await, some(anything()), "after {after}");
+}
+
+#[gtest]
+#[actix_web::test]
+async fn events_of_another_attempt_are_dropped_and_the_answer_is_whole() {
+    let scene = scene().await;
+    let whole = read(&scene, &summary(TOKENS)).await;
+    assert_that!(whole.is_whole(), eq(true));
+    for after in [0, 7, TOKENS - 1] {
+        expect_drop(&scene, &whole, after).await;
+    }
+}
+
+#[gtest]
+#[actix_web::test]
+async fn answers_of_another_attempt_on_reused_connections_are_dropped() {
+    let scene = scene().await;
+    let caller = Caller::open("stewards");
+    let url = &scene.entries[0].url;
+    let ask = Ask::new("status", json!({"band": "Quetzal"})).within(LIMIT);
+    let whole = caller.send(url, &ask).await.unwrap();
+    assert_that!(whole.code(), eq(100));
+    scene
+        .warm_up("stewards", core::slice::from_ref(&ask), WARM_UP)
+        .await;
+    let broken = &scene.urls(SERVICE)[0];
+    judge::faults(broken, json!({"cross_reused": true})).await;
+    let before = mismatched(&scene, SERVICE).await;
+    let dropped = poll::until(LIMIT, async || {
+        let reply = caller.send(url, &ask).await.ok()?;
+        expect_that!(reply.body["output"], eq(&whole.body["output"]));
+        (mismatched(&scene, SERVICE).await > before).then_some(())
+    });
+    expect_that!(dropped.await, some(anything()));
+}
--- /dev/null
+++ b/crates/proc/tests/holder.rs
@@ -0,0 +1,116 @@
+//! Holders of claims that are gone before the log has the outcome of their calls.
+
+use core::time::Duration;
+
+use actix_web::rt::spawn;
+use base::{Incarnation, Key, Stamp};
+use googletest::prelude::*;
+use ledger::{partition, slot::Slot};
+use member::rendezvous;
+use proc::{
+    caller::{self, Ask, Caller, Reply},
+    judge, poll,
+    process::Signal,
+    scene::{Builder, Scene},
+};
+use serde_json::json;
+
+const ACCOUNT: &str = "contest-office";
+
+/// Longer than an instance may be unheard.
+const LIMIT: Duration = Duration::from_secs(40);
+
+const POOL: &str = "entries-api";
+
+/// More appends than a test makes.
+const ALL: u64 = 10_000;
+
+async fn scene(domains: usize, entries: usize) -> Scene {
+    let builder = Builder::new("compas").domains(domains).entries(entries);
+    let builder = builder.servers(2).unlimited();
+    builder.pools(&[POOL, "roster-sync"]).start().await
+}
+
+fn pay(key: Key, within: Duration) -> Ask {
+    let ask = Ask::new("fee-payment", json!({"band": "Quetzal"}));
+    ask.key(key).within(within)
+}
+
+fn incarnation(scene: &Scene, entry: usize) -> Incarnation {
+    let text = scene.entries[entry].process.address("incarnation ");
+    let (name, start) = text.rsplit_once('@').expect("name and start");
+    Incarnation::new(name, Stamp::from_millis(start.parse().expect("a start")))
+}
+
+/// Returns a key whose records an instance hands to the log itself, so that they end with it.
+fn key_owned_by(scene: &Scene, owner: usize) -> Key {
+    let mut names: Vec<_> = (0..scene.entries.len())
+        .filter(|at| scene.entries[*at].domain == scene.entries[owner].domain)
+        .map(|at| incarnation(scene, at))
+        .collect();
+    names.sort();
+    let wanted = incarnation(scene, owner);
+    let owned = |key: &Key| {
+        let stream = partition::stream(partition::of(&Slot::new(ACCOUNT, key, "")));
+        rendezvous::owner(&names, stream.as_bytes()) == Some(&wanted)
+    };
+    core::iter::repeat_with(caller::key)
+        .find(owned)
+        .expect("a key")
+}
+
+async fn runs(scene: &Scene, key: Key) -> u64 {
+    judge::runs(&scene.urls(POOL), key).await
+}
+
+/// Kills the first instance once its caller has the answer of a call whose record the log lacks.
+async fn kill_unrecorded(scene: &Scene) -> (Key, Reply) {
+    let key = key_owned_by(scene, 0);
+    scene.faults(POOL, json!({"slow_ms": 400})).await;
+    let (url, ask) = (scene.entries[0].url.clone(), pay(key, LIMIT));
+    let sent = spawn(async move { Caller::open(ACCOUNT).send(&url, &ask).await.ok() });
+    let ran = poll::until(LIMIT, async || (runs(scene, key).await == 1).then_some(()));
+    assert_that!(ran.await, some(anything()));
+    // The claim is in the log, or nothing would have run; the outcome is not to get there.
+    judge::faults(&scene.platform.url, json!({"hang_appends_before": ALL})).await;
+    let first = sent.await.unwrap().expect("an answer");
+    scene.entries[0].process.signal(Signal::Kill);
+    judge::faults(&scene.platform.url, json!({"hang_appends_before": 0})).await;
+    scene.faults(POOL, json!({"slow_ms": 0})).await;
+    (key, first)
+}
+
+/// Repeats the request until its outcome is final, and then with far more time than it may take.
+async fn expect_unknown(scene: &Scene, entry: usize, key: Key) {
+    let url = &scene.entries[entry].url;
+    let caller = Caller::open(ACCOUNT);
+    let known = poll::until(LIMIT, async || {
+        let asked = caller.send(url, &pay(key, Duration::from_secs(2))).await;
+        let reply = asked.ok()?;
+        expect_that!(reply.outcome(), not(eq("not_run")), "{:#}", reply.body);
+        (reply.code() == 400).then_some(())
+    });
+    assert_that!(known.await, some(anything()), "entry {entry}");
+    for within in [Duration::from_secs(2), LIMIT] {
+        let reply = caller.send(url, &pay(key, within)).await.unwrap();
+        // A request that waited for its deadline would be told another code.
+        expect_that!(reply.code(), eq(400), "entry {entry}: {:#}", reply.body);
+    }
+    let reply = caller.status(url, key).await.unwrap();
+    expect_that!(reply.code(), eq(400), "{:#}", reply.body);
+}
+
+#[gtest]
+#[actix_web::test]
+async fn the_holder_is_killed_between_its_answer_and_the_record() {
+    let mut scene = scene(1, 2).await;
+    let (key, first) = kill_unrecorded(&scene).await;
+    expect_that!(first.code(), eq(100), "{:#}", first.body);
+    expect_unknown(&scene, 1, key).await;
+    let name = scene.entries[0].name.clone();
+    let again = scene.start_entry("domain-1", &name);
+    scene.ready_at(again).await;
+    expect_unknown(&scene, again, key).await;
+    expect_unknown(&scene, 1, key).await;
+    expect_that!(runs(&scene, key).await, eq(1));
+}
--- /dev/null
+++ b/crates/proc/tests/operators.rs
@@ -0,0 +1,169 @@
+//! Operators that roll out at once, as separate processes, through lost answers.
+
+use core::{cell::Cell, time::Duration};
+use std::{fs, path::PathBuf, rc::Rc};
+
+use actix_web::rt::{spawn, task::JoinHandle, time::sleep};
+use base::Digest;
+use bundle::sign::Key;
+use googletest::prelude::*;
+use proc::{
+    judge, poll,
+    process::Process,
+    scene::{Builder, Scene},
+};
+use serde_json::json;
+
+const LIMIT: Duration = Duration::from_secs(30);
+
+/// How often the configuration in force is looked at.
+const PACE: Duration = Duration::from_millis(10);
+
+const POOL: &str = "entries-api";
+
+/// The pairs of roll-outs, each on the bundle that won before.
+const RACES: u64 = 3;
+
+/// What an operator's process said.
+struct Said {
+    code: Option<i32>,
+    text: String,
+}
+
+/// Follows what one instance has in force.
+struct Watch {
+    seen: JoinHandle<Vec<Digest>>,
+    over: Rc<Cell<bool>>,
+}
+
+async fn in_force(url: &str) -> Option<Digest> {
+    let position = judge::get(&format!("{url}/v1/position")).await;
+    serde_json::from_value(position["digest"].clone()).ok()
+}
+
+fn watch(url: &str) -> Watch {
+    let (over, url) = (Rc::new(Cell::new(false)), url.to_owned());
+    let ended = Rc::clone(&over);
+    let seen = spawn(async move {
+        let mut seen: Vec<Digest> = Vec::new();
+        loop {
+            // The last look comes after the end of the races.
+            let last = ended.get();
+            let digest = in_force(&url).await;
+            seen.extend(digest.filter(|digest| seen.last() != Some(digest)));
+            if last {
+                return seen;
+            }
+            sleep(PACE).await;
+        }
+    });
+    Watch { seen, over }
+}
+
+/// Writes an example's key to a file that lies with the test's programs.
+fn key_file(role: &str) -> PathBuf {
+    let name = format!("limpetstep-{role}-{}.key", std::process::id());
+    let path = std::env::temp_dir().join(name);
+    fs::write(&path, Key::example(role).secret()).expect("a file");
+    path
+}
+
+/// Starts an operator who rolls a bundle out.
+fn operator(scene: &Scene, key: &str, digest: Digest, base: Digest) -> Process {
+    let roots = ["author", "steward"].map(|role| Key::example(role).public().to_string());
+    let args = [
+        "--platform",
+        &scene.platform.url,
+        "--roots",
+        &roots.join(","),
+        "--key",
+        key,
+        "--timeout-ms",
+        "1000",
+        "roll-out",
+        &digest.to_string(),
+        "--base",
+        &base.to_string(),
+    ];
+    Process::spawn("limpetstep-ctl", &args.map(str::to_owned))
+}
+
+async fn outcome(mut process: Process) -> Said {
+    let code = process.end(LIMIT).await.and_then(|exit| exit.code());
+    // Its last words may still be in the pipe.
+    let said = poll::until(LIMIT, async || {
+        let lines = process.lines();
+        (!lines.is_empty()).then(|| lines.join("\n"))
+    });
+    Said {
+        code,
+        text: said.await.unwrap_or_default(),
+    }
+}
+
+fn is_subsequence(part: &[Digest], whole: &[Digest]) -> bool {
+    let mut rest = whole.iter();
+    part.iter().all(|one| rest.any(|other| other == one))
+}
+
+#[gtest]
+#[actix_web::test]
+async fn two_operators_roll_out_at_once_and_one_wins_everywhere() {
+    let builder = Builder::new("compas").domains(2).entries(2);
+    let scene = builder.pools(&[POOL]).start().await;
+    let (file, url) = (key_file("author"), &scene.entries[0].url);
+    let key = file.to_str().expect("a path");
+    let watches: Vec<Watch> = scene.entries.iter().map(|one| watch(&one.url)).collect();
+    let mut order = vec![in_force(url).await.expect("a bundle in force")];
+    for race in 1..=RACES {
+        let base = *order.last().expect("a base");
+        let mut rivals = Vec::new();
+        for version in [2 * race, 2 * race + 1] {
+            rivals.push(scene.propose(version, &format!("v{version}"), POOL).await);
+        }
+        let faults = json!({"slow_ms": 20, "lose_answers": race % 3});
+        judge::faults(&scene.platform.url, faults).await;
+        let operators: Vec<Process> = rivals
+            .iter()
+            .map(|digest| operator(&scene, key, *digest, base))
+            .collect();
+        let mut said = Vec::new();
+        for operator in operators {
+            said.push(outcome(operator).await);
+        }
+        judge::faults(
+            &scene.platform.url,
+            json!({"slow_ms": 0, "lose_answers": 0}),
+        )
+        .await;
+        let codes: Vec<_> = said.iter().map(|said| said.code).collect();
+        let texts: Vec<_> = said.iter().map(|said| &said.text).collect();
+        expect_that!(
+            codes,
+            unordered_elements_are![some(eq(&0)), some(eq(&1))],
+            "{texts:#?}"
+        );
+        let winner = usize::from(codes[0] != Some(0));
+        expect_that!(*texts[winner], contains_substring("rolled out"));
+        let lost = format!("{} is in force", rivals[winner]);
+        expect_that!(*texts[1 - winner], contains_substring(lost));
+        order.push(rivals[winner]);
+        for entry in &scene.entries {
+            let reached = poll::until(LIMIT, async || {
+                (in_force(&entry.url).await? == rivals[winner]).then_some(())
+            });
+            expect_that!(reached.await, some(anything()), "{}", entry.name);
+        }
+    }
+    for watch in watches {
+        watch.over.set(true);
+        let seen = watch.seen.await.expect("what was seen");
+        expect_that!(
+            is_subsequence(&seen, &order),
+            eq(true),
+            "{seen:?} {order:?}"
+        );
+        expect_that!(seen.last(), eq(order.last()));
+    }
+    fs::remove_file(file).expect("the key's file");
+}
