--- a/crates/proc/tests/config.rs
+++ b/crates/proc/tests/config.rs
@@ -2,7 +2,9 @@
 
 use core::time::Duration;
 
+use bundle::{Record, STREAM};
 use googletest::prelude::*;
+use platform::{Http, Log as _};
 use proc::{
     caller::{Ask, Caller},
     judge, poll,
@@ -14,6 +16,12 @@
 /// A change is in force everywhere after this long.
 const IN_FORCE: Duration = Duration::from_secs(15);
 
+/// The age at which the configuration is carried, where a test makes it short.
+const CARRY: Duration = Duration::from_secs(2);
+
+/// Carried records that may come between a look at the log and what follows.
+const CARRIES: u64 = 4;
+
 const POOL: &str = "entries-api";
 
 async fn scene() -> Scene {
@@ -108,6 +116,44 @@
     expect_that!(served.await, some(anything()));
 }
 
+/// Returns how few records the log has to keep for a carried one to hold, once these go back to
+/// nothing but carried ones.
+async fn kept(log: &Http) -> Option<u64> {
+    let page = log.read(STREAM, 0, usize::MAX).await.ok()?;
+    let mut written = 0;
+    let mut as_of = None;
+    for record in &page.records {
+        match Record::parse(&record.body).ok()? {
+            Record::Carry(carry) => as_of = Some(carry.proof.as_of),
+            _ => written = record.offset,
+        }
+    }
+    let kept = page.end - as_of? + CARRIES;
+    (page.end > written + 1 + kept).then_some(kept)
+}
+
+#[gtest]
+#[actix_web::test]
+async fn an_instance_carries_the_bundle_before_the_log_drops_it() {
+    let builder = Builder::new("compas").pools(&[POOL]);
+    let mut scene = builder.carry(CARRY).start().await;
+    scene.roll_out(2, &pipeline(2), POOL).await;
+    for entry in [0, 1] {
+        expect_in_force(&scene, entry, 2).await;
+    }
+    // Nobody but the instances carries here.
+    let log = Http::open(&scene.platform.url, IN_FORCE);
+    let kept = poll::until(IN_FORCE, async || kept(&log).await).await;
+    assert_that!(kept, some(anything()));
+    let kept = kept.unwrap_or_default();
+    judge::faults(&scene.platform.url, json!({"keep_records": kept})).await;
+    for entry in &scene.entries {
+        entry.process.signal(Signal::Kill);
+    }
+    let late = scene.start_entry("domain-1", "late");
+    expect_in_force(&scene, late, 2).await;
+}
+
 #[gtest]
 #[actix_web::test]
 async fn an_instance_that_starts_in_an_outage_gets_the_bundle_from_a_peer() {
