--- a/crates/admin/src/schema.rs
+++ b/crates/admin/src/schema.rs
@@ -135,6 +135,7 @@
             "stages",
             list(&object(&[
                 ("idempotent", flag()),
+                ("model", text()),
                 ("name", text()),
                 ("operation", text()),
                 ("pool", text()),
@@ -156,6 +157,8 @@
             "kind",
             one_of(&["encode", "generate", "rerank", "retrieve", "service"]),
         ),
+        ("memory_bytes", count()),
+        ("models", list(&text())),
         ("name", text()),
         ("reports_load", flag()),
         (
--- a/crates/admin/src/view.rs
+++ b/crates/admin/src/view.rs
@@ -82,6 +82,10 @@
     pub concurrency: u32,
     /// Whether the servers refuse an order that carries an old fencing number.
     pub checks_fencing: bool,
+    /// The bytes of weights that one server can hold; 0 where each holds every model.
+    pub memory_bytes: u64,
+    /// The models that the servers may hold, sorted.
+    pub models: Vec<Name>,
     /// Whether the servers report their load.
     pub reports_load: bool,
     /// The servers known here.
@@ -97,6 +101,8 @@
             kind: pool.kind,
             concurrency: pool.concurrency,
             checks_fencing: pool.checks_fencing,
+            memory_bytes: pool.memory_bytes,
+            models: pool.models.clone(),
             reports_load: pool.reports_load,
             servers: own.cloned().collect(),
         }
