--- a/crates/trial/src/main.rs
+++ b/crates/trial/src/main.rs
@@ -25,6 +25,9 @@
     /// the length of the trace in seconds (default: 40)
     #[argh(option, default = "40.0")]
     seconds: f64,
+    /// print the main pool and the gates at each second
+    #[argh(switch)]
+    samples: bool,
     /// print one JSON object a line
     #[argh(switch)]
     json: bool,
@@ -98,4 +101,12 @@
         tally.messages,
         tally.refusals,
     );
+    if args.samples {
+        for one in &tally.samples {
+            println!(
+                "    {:3} s busy {:.3} queued {:4} waiting {:5}",
+                one.at, one.busy, one.queued, one.waiting
+            );
+        }
+    }
 }
--- a/crates/trial/src/tally.rs
+++ b/crates/trial/src/tally.rs
@@ -26,6 +26,19 @@
     pub code: Option<Code>,
 }
 
+/// The main pool and the gates at an instant.
+#[derive(Clone, Copy, Debug, Serialize)]
+pub struct Sample {
+    /// The second.
+    pub at: u64,
+    /// The share of the places of the main pool's batches that is in use.
+    pub busy: f64,
+    /// Attempts in the queues of its servers.
+    pub queued: usize,
+    /// Requests that wait at the gates.
+    pub waiting: usize,
+}
+
 /// What a run came to.
 #[derive(Clone, Debug, Serialize)]
 pub struct Tally {
@@ -69,6 +82,8 @@
     pub messages: u64,
     /// Their bytes.
     pub bytes: u64,
+    /// Samples of the main pool, each second.
+    pub samples: Vec<Sample>,
 }
 
 impl Tally {
@@ -119,6 +134,7 @@
             hits: 0.0,
             messages: 0,
             bytes: 0,
+            samples: Vec::new(),
         }
     }
 }
--- a/crates/trial/src/world.rs
+++ b/crates/trial/src/world.rs
@@ -4,6 +4,7 @@
 mod control;
 mod faults;
 mod instances;
+mod sample;
 mod servers;
 
 use std::{cmp::Reverse, collections::BinaryHeap};
@@ -17,7 +18,7 @@
     fake::Server,
     policy::Policy,
     size::Size,
-    tally::{Job, Tally},
+    tally::{Job, Sample, Tally},
     trace::Trace,
 };
 
@@ -69,6 +70,8 @@
     List,
     /// Servers report their load.
     Report,
+    /// A second's sample of the main pool is taken.
+    Sample,
     /// A load report reaches the instances.
     Load {
         server: usize,
@@ -107,6 +110,7 @@
     hits: u64,
     messages: u64,
     bytes: u64,
+    samples: Vec<Sample>,
 }
 
 impl<'a> World<'a> {
@@ -135,6 +139,7 @@
             hits: 0,
             messages: 0,
             bytes: 0,
+            samples: Vec::new(),
         };
         world.begin();
         world
@@ -156,6 +161,7 @@
         tally.hits = self.hits as f64 / (self.begun.max(1) as f64);
         tally.messages = self.messages;
         tally.bytes = self.bytes;
+        tally.samples = self.samples;
         tally
     }
 
@@ -170,6 +176,7 @@
         self.at(0, Event::Step);
         self.at(0, Event::List);
         self.at(0, Event::Report);
+        self.at(0, Event::Sample);
     }
 
     fn on(&mut self, event: Event) {
@@ -192,6 +199,7 @@
             Event::Step => self.step(),
             Event::List => self.refresh_list(),
             Event::Report => self.report(),
+            Event::Sample => self.sample(),
             Event::Load {
                 server,
                 incarnation,
