--- a/crates/admit/src/budget.rs
+++ b/crates/admit/src/budget.rs
@@ -6,7 +6,10 @@
 
 use crate::configs::budget::Config;
 
-/// A mean and a mean deviation, in seconds, that follow what is measured.
+/// Samples after which an estimate no longer counts each of them alike.
+const SETTLED: u32 = 50;
+
+/// A mean and a mean deviation that follow what is measured: seconds, or times relative to usual ones.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Estimate {
     mean: f64,
@@ -15,15 +18,53 @@
 }
 
 impl Estimate {
+    /// Starts out with an assumed mean; the first sample replaces it.
+    pub const fn new(mean: f64) -> Self {
+        Self {
+            mean,
+            deviation: 0.0,
+            samples: 0,
+        }
+    }
+
     /// Takes a sample, in seconds.
     pub fn sample(&mut self, weight: f64, seconds: f64) {
         self.samples = self.samples.saturating_add(1);
-        let weight = weight.max(1.0 / f64::from(self.samples));
+        let weight = if self.samples <= SETTLED {
+            weight.max(1.0 / f64::from(self.samples))
+        } else {
+            weight
+        };
         let error = seconds - self.mean;
         self.mean += weight * error;
         self.deviation += weight * (error.abs() - self.deviation);
     }
 
+    /// Takes a time relative to the usual one. While the mean is far above one, a sample far below
+    /// the mean tells that the pool has got faster, so it counts for more, and the deviation
+    /// shrinks with the mean.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use admit::{budget::Estimate, configs::budget::Config};
+    /// let config = Config::default();
+    /// let mut time = Estimate::default();
+    /// for pace in [4.0, 4.0, 4.0, 0.9, 0.9] {
+    ///     time.follow(&config, pace);
+    /// }
+    /// assert!(time.mean() < 2.0);
+    /// ```
+    pub fn follow(&mut self, config: &Config, pace: f64) {
+        if self.mean < config.slow || pace >= config.faster * self.mean {
+            return self.sample(config.weight, pace);
+        }
+        self.samples = self.samples.saturating_add(1);
+        let before = self.mean;
+        self.mean += config.faster_weight * (pace - self.mean);
+        self.deviation *= self.mean / before;
+    }
+
     /// Returns the mean, in seconds.
     pub const fn mean(&self) -> f64 {
         self.mean
@@ -40,13 +81,13 @@
 pub struct Stage {
     /// The pool that serves it.
     pub pool: Name,
-    /// Its measured time of late.
-    pub time: Estimate,
     /// Its measured time over long.
     pub usual: Estimate,
+    /// Times at its pool of late, each relative to the usual one of its stage.
+    pub pace: Estimate,
     /// Requests that were started and have not passed the stage yet.
     pub ahead: usize,
-    /// When it was measured last.
+    /// When its pool was measured last.
     at: Tick,
 }
 
@@ -54,9 +95,40 @@
     /// Returns its expected time, in seconds; without new measurements it goes back to the usual
     /// one, so that a stage held to be slow is tried again.
     pub fn mean(&self, config: &Config, now: Tick) -> f64 {
+        let pace = 1.0 + (self.pace.mean() - 1.0) * self.believed(config, now);
+        self.usual.mean() * pace
+    }
+
+    /// Returns its expected time, in seconds, if it is no slower than usual from now on.
+    pub fn mean_at_best(&self, config: &Config, now: Tick) -> f64 {
+        if self.is_slow(config) {
+            return self.mean(config, now).min(self.usual.mean());
+        }
+        self.mean(config, now)
+    }
+
+    fn margin(&self, config: &Config, now: Tick) -> f64 {
+        let usual = self.usual.margin(config);
+        let late = self.usual.mean() * self.pace.margin(config);
+        usual + (late - usual) * self.believed(config, now)
+    }
+
+    fn margin_at_best(&self, config: &Config, now: Tick) -> f64 {
+        if self.is_slow(config) {
+            return self.margin(config, now).min(self.usual.margin(config));
+        }
+        self.margin(config, now)
+    }
+
+    /// Tells whether its pool is slower than load alone explains.
+    fn is_slow(&self, config: &Config) -> bool {
+        self.pace.mean() >= config.slow
+    }
+
+    /// Returns how far the times of late are believed, from 0 to 1.
+    fn believed(&self, config: &Config, now: Tick) -> f64 {
         let idle = (now - self.at).as_secs_f64() / config.half_life.as_secs_f64();
-        let usual = self.usual.mean();
-        usual + (self.time.mean() - usual) * (-idle).exp2()
+        (-idle).exp2()
     }
 }
 
@@ -76,8 +148,8 @@
     pub fn new(name: Name, pools: &[Name]) -> Self {
         let stage = |pool: &Name| Stage {
             pool: pool.clone(),
-            time: Estimate::default(),
             usual: Estimate::default(),
+            pace: Estimate::new(1.0),
             ahead: 0,
             at: Tick::default(),
         };
@@ -93,8 +165,8 @@
         let mut fresh = Self::new(self.name.clone(), pools);
         for (new, old) in fresh.stages.iter_mut().zip(&self.stages) {
             if new.pool == old.pool {
-                new.time = old.time;
                 new.usual = old.usual;
+                new.pace = old.pace;
                 new.ahead = old.ahead;
                 new.at = old.at;
             }
@@ -113,19 +185,40 @@
     ///
     /// let mut pipeline = Pipeline::new("draft".into(), &["encoders".into(), "runners".into()]);
     /// let now = Tick::from_millis(300);
-    /// pipeline.took(&Config::default(), now, 1, Duration::from_millis(300));
+    /// let config = Config::default();
+    /// let pace = pipeline.took(&config, 1, Duration::from_millis(300));
+    /// assert_eq!(pace, Some(1.0));
     /// assert!(pipeline.need(&Config::default(), now, 0) >= Duration::from_millis(300));
     /// ```
     pub fn need(&self, config: &Config, now: Tick, from: usize) -> Duration {
         let stages = self.stages.iter().skip(from);
         let mean: f64 = stages.clone().map(|stage| stage.mean(config, now)).sum();
         let margin: f64 = stages
-            .map(|stage| stage.time.margin(config))
+            .map(|stage| stage.margin(config, now))
             .map(|margin| margin * margin)
             .sum();
         Duration::from_secs_f64(mean + margin.sqrt())
     }
 
+    /// Returns the time that the whole pipeline needs if its stages are no slower than usual from
+    /// now on, margin included.
+    pub fn need_at_best(&self, config: &Config, now: Tick) -> Duration {
+        let mean = |stage: &Stage| stage.mean_at_best(config, now);
+        let means: f64 = self.stages.iter().map(mean).sum();
+        let margins = self
+            .stages
+            .iter()
+            .map(|stage| stage.margin_at_best(config, now));
+        let margin: f64 = margins.map(|margin| margin * margin).sum();
+        Duration::from_secs_f64(means + margin.sqrt())
+    }
+
+    /// Returns the expected time of each stage, in seconds, if it is no slower than usual from now on.
+    pub fn times_at_best(&self, config: &Config, now: Tick) -> Vec<f64> {
+        let mean = |stage: &Stage| stage.mean_at_best(config, now);
+        self.stages.iter().map(mean).collect()
+    }
+
     /// Returns the expected time of each stage, in seconds.
     pub fn times(&self, config: &Config, now: Tick) -> Vec<f64> {
         let mean = |stage: &Stage| stage.mean(config, now);
@@ -137,12 +230,18 @@
         Duration::from_secs_f64(self.stages.iter().map(|stage| stage.usual.mean()).sum())
     }
 
-    /// Takes a measured stage time.
-    pub fn took(&mut self, config: &Config, now: Tick, stage: usize, took: Duration) {
-        if let Some(stage) = self.stages.get_mut(stage) {
+    /// Takes a measured stage time; returns it relative to the usual one.
+    pub fn took(&mut self, config: &Config, stage: usize, took: Duration) -> Option<f64> {
+        let usual = &mut self.stages.get_mut(stage)?.usual;
+        usual.sample(config.usual_weight, took.as_secs_f64());
+        (usual.mean() > 0.0).then(|| took.as_secs_f64() / usual.mean())
+    }
+
+    /// Takes a time measured at a pool, by any pipeline, relative to the usual one.
+    pub fn paced(&mut self, config: &Config, now: Tick, pool: &Name, pace: f64) {
+        for stage in self.stages.iter_mut().filter(|stage| stage.pool == *pool) {
             stage.at = now;
-            stage.time.sample(config.weight, took.as_secs_f64());
-            stage.usual.sample(config.usual_weight, took.as_secs_f64());
+            stage.pace.follow(config, pace);
         }
     }
 }
--- a/crates/admit/src/configs/budget.rs
+++ b/crates/admit/src/configs/budget.rs
@@ -11,6 +11,12 @@
     pub usual_weight: f64,
     /// Time without measurements after which half of a stage's slowness is disbelieved.
     pub half_life: Duration,
+    /// A pool this many times slower than usual is watched for a sudden return.
+    pub slow: f64,
+    /// A stage time below this share of a slow pool's mean tells that the pool has got faster.
+    pub faster: f64,
+    /// Weight of such a stage time.
+    pub faster_weight: f64,
     /// Mean deviations above the mean that a budget holds.
     pub deviations: f64,
 }
@@ -21,6 +27,9 @@
             weight: 0.1,
             usual_weight: 0.001,
             half_life: Duration::from_secs(2),
+            slow: 2.0,
+            faster: 0.4,
+            faster_weight: 0.5,
             deviations: 1.0,
         }
     }
--- a/crates/admit/src/gate.rs
+++ b/crates/admit/src/gate.rs
@@ -265,7 +265,7 @@
             let Ok(at) = self.find_pipeline(&self.lines[line].kind.pipeline) else {
                 continue;
             };
-            let need = self.pipelines[at].need(&self.config.budget, cx.now, 0);
+            let need = self.pipelines[at].need_at_best(&self.config.budget, cx.now);
             let rate = self.rate(cx.now, at);
             for entry in (0..self.lines[line].entries.len()).rev() {
                 if cx.now + need <= self.lines[line].entries[entry].deadline {
@@ -287,7 +287,7 @@
         };
         let name = self.running[at].pipeline.clone();
         if let Ok(at) = self.find_pipeline(&name) {
-            self.pipelines[at].took(&self.config.budget, now, stage, took);
+            self.took(now, at, stage, took);
         }
         if stage == self.running[at].stage {
             self.running[at].stage += 1;
@@ -295,6 +295,18 @@
         }
     }
 
+    /// Takes a measured stage time; each pipeline with a stage at the pool learns by it.
+    fn took(&mut self, now: Tick, pipeline: usize, stage: usize, took: Duration) {
+        let config = &self.config.budget;
+        let Some(pace) = self.pipelines[pipeline].took(config, stage, took) else {
+            return;
+        };
+        let pool = self.pipelines[pipeline].stages[stage].pool.clone();
+        for pipeline in &mut self.pipelines {
+            pipeline.paced(config, now, &pool, pace);
+        }
+    }
+
     fn finished(&mut self, request: Id, cost: f64) {
         let Ok(at) = self.find_running(request) else {
             return;
