Refuse at once what a slow pool cannot make at its present speed

Under a fault that outlasts them they would be refused near their deadlines; a request that is likely to be refused is to be told so while its caller has time left.

Change: the queue is judged at the present speed again.

--- a/crates/admit/src/budget.rs
+++ b/crates/admit/src/budget.rs
@@ -99,32 +99,12 @@
         self.usual.mean() * pace
     }
 
-    /// Returns its expected time, in seconds, if it is no slower than usual from now on.
-    pub fn mean_at_best(&self, config: &Config, now: Tick) -> f64 {
-        if self.is_slow(config) {
-            return self.mean(config, now).min(self.usual.mean());
-        }
-        self.mean(config, now)
-    }
-
     fn margin(&self, config: &Config, now: Tick) -> f64 {
         let usual = self.usual.margin(config);
         let late = self.usual.mean() * self.pace.margin(config);
         usual + (late - usual) * self.believed(config, now)
     }
 
-    fn margin_at_best(&self, config: &Config, now: Tick) -> f64 {
-        if self.is_slow(config) {
-            return self.margin(config, now).min(self.usual.margin(config));
-        }
-        self.margin(config, now)
-    }
-
-    /// Tells whether its pool is slower than load alone explains.
-    fn is_slow(&self, config: &Config) -> bool {
-        self.pace.mean() >= config.slow
-    }
-
     /// Returns how far the times of late are believed, from 0 to 1.
     fn believed(&self, config: &Config, now: Tick) -> f64 {
         let idle = (now - self.at).as_secs_f64() / config.half_life.as_secs_f64();
@@ -200,25 +180,6 @@
         Duration::from_secs_f64(mean + margin.sqrt())
     }
 
-    /// Returns the time that the whole pipeline needs if its stages are no slower than usual from
-    /// now on, margin included.
-    pub fn need_at_best(&self, config: &Config, now: Tick) -> Duration {
-        let mean = |stage: &Stage| stage.mean_at_best(config, now);
-        let means: f64 = self.stages.iter().map(mean).sum();
-        let margins = self
-            .stages
-            .iter()
-            .map(|stage| stage.margin_at_best(config, now));
-        let margin: f64 = margins.map(|margin| margin * margin).sum();
-        Duration::from_secs_f64(means + margin.sqrt())
-    }
-
-    /// Returns the expected time of each stage, in seconds, if it is no slower than usual from now on.
-    pub fn times_at_best(&self, config: &Config, now: Tick) -> Vec<f64> {
-        let mean = |stage: &Stage| stage.mean_at_best(config, now);
-        self.stages.iter().map(mean).collect()
-    }
-
     /// Returns the expected time of each stage, in seconds.
     pub fn times(&self, config: &Config, now: Tick) -> Vec<f64> {
         let mean = |stage: &Stage| stage.mean(config, now);
--- a/crates/admit/src/gate.rs
+++ b/crates/admit/src/gate.rs
@@ -265,7 +265,7 @@
             let Ok(at) = self.find_pipeline(&self.lines[line].kind.pipeline) else {
                 continue;
             };
-            let need = self.pipelines[at].need_at_best(&self.config.budget, cx.now);
+            let need = self.pipelines[at].need(&self.config.budget, cx.now, 0);
             let rate = self.rate(cx.now, at);
             for entry in (0..self.lines[line].entries.len()).rev() {
                 if cx.now + need <= self.lines[line].entries[entry].deadline {
--- a/crates/admit/src/gate/order.rs
+++ b/crates/admit/src/gate/order.rs
@@ -15,7 +15,7 @@
         if let Some(patient) = self.turn_of_oldest() {
             let sort = |patient| {
                 let lines = open.iter().copied();
-                lines.filter(move |(at, _)| self.lines[*at].kind.patient == patient)
+                lines.filter(move |at| self.lines[*at].kind.patient == patient)
             };
             let oldest = self.oldest(sort(patient));
             let oldest = oldest.or_else(|| self.oldest(sort(!patient)));
@@ -24,24 +24,13 @@
             }
         }
         open.into_iter()
-            .map(|(at, entry)| ((at, entry), self.place(now, &self.lines[at], entry)))
+            .map(|at| (at, self.place(now, &self.lines[at])))
             .min_by(|a, b| a.1.compare(&b.1))
-            .map(|(at, _)| at)
+            .map(|(at, _)| (at, 0))
     }
 
-    /// Finds a line's first request that can be answered in time at the present speed.
-    fn likely(&self, now: Tick, line: &Line) -> Option<usize> {
-        if line.kind.patient {
-            return Some(0);
-        }
-        let at = self.find_pipeline(&line.kind.pipeline).ok()?;
-        let due = now + self.pipelines[at].need(&self.config.budget, now, 0);
-        line.entries.iter().position(|entry| entry.deadline >= due)
-    }
-
-    /// Returns the lines whose pools have room, each with its first likely request; lines are sorted
-    /// by pipeline, so each is asked once.
-    fn open(&self, now: Tick) -> Vec<(usize, usize)> {
+    /// Returns the lines whose pools have room; lines are sorted by pipeline, so each is asked once.
+    fn open(&self, now: Tick) -> Vec<usize> {
         let loads = self.loads(now);
         let mut open = Vec::new();
         let mut last: Option<(&Name, bool)> = None;
@@ -52,19 +41,19 @@
                 _ => self.has_room(now, &loads, &line.kind),
             };
             last = Some((pipeline, room));
-            if room && let Some(entry) = self.likely(now, line) {
-                open.push((at, entry));
+            if room {
+                open.push(at);
             }
         }
         open
     }
 
-    fn place(&self, now: Tick, line: &Line, entry: usize) -> Place {
+    fn place(&self, now: Tick, line: &Line) -> Place {
         Place {
             patient: line.kind.patient,
-            rank: self.rank(now, line, entry),
+            rank: self.rank(now, line),
             served: self.accounts.served(&line.kind.account),
-            due: line.entries[entry].due,
+            due: line.entries[0].due,
         }
     }
 
@@ -77,20 +66,19 @@
         None
     }
 
-    /// Finds the oldest request of lines, each given with its first likely request.
-    fn oldest(&self, lines: impl Iterator<Item = (usize, usize)>) -> Option<(usize, usize)> {
+    fn oldest(&self, lines: impl Iterator<Item = usize>) -> Option<(usize, usize)> {
         lines
-            .filter_map(|(at, first)| {
+            .filter_map(|at| {
                 let entries = &self.lines[at].entries;
-                let oldest = (first..entries.len()).min_by_key(|at| entries[*at].age_from)?;
+                let oldest = (0..entries.len()).min_by_key(|at| entries[*at].age_from)?;
                 Some((at, oldest))
             })
             .min_by_key(|(line, entry)| self.lines[*line].entries[*entry].age_from)
     }
 
     /// Returns the priority of a line, raised by the wait of its first request.
-    fn rank(&self, now: Tick, line: &Line, entry: usize) -> u128 {
-        let waited = now - line.entries[entry].age_from;
+    fn rank(&self, now: Tick, line: &Line) -> u128 {
+        let waited = now - line.entries[0].age_from;
         let raised = waited.as_micros() / self.config.gate.aging.as_micros().max(1);
         u128::from(line.kind.priority) + raised
     }
