--- a/crates/proc/tests/placement.rs
+++ b/crates/proc/tests/placement.rs
@@ -43,6 +43,10 @@
 }
 
 async fn scene(checks_fencing: bool) -> Scene {
+    builder(checks_fencing).start().await
+}
+
+fn builder(checks_fencing: bool) -> Builder {
     let term = TERM.as_millis().to_string();
     let args = ["--lease-term-ms", &term, "--order-limit-ms", "300"];
     Builder::new("compas")
@@ -51,8 +55,6 @@
         .pools(&[POOL])
         .servers(2)
         .unlimited()
-        .start()
-        .await
 }
 
 async fn orders(url: &str) -> Value {
@@ -251,3 +253,36 @@
     judge::faults(&scene.platform.url, json!({"down": false})).await;
     expect_that!(converged(&urls).await, some(anything()));
 }
+
+/// Reads of the log over which the holder's polls and appends are counted.
+const READS: u64 = 200;
+
+#[gtest]
+#[actix_web::test]
+async fn polls_and_appends_do_not_grow_with_the_engines() {
+    let mut rates = Vec::new();
+    for engines in [2, 8] {
+        let scene = builder(true).entries(1).servers(engines).start().await;
+        let entry = &scene.entries[0];
+        holder(&scene, &[0]).await;
+        let events = ["\"read\"", "\"poll\"", "\"append\""];
+        let mut before = [0; 3];
+        for (count, event) in before.iter_mut().zip(events) {
+            *count = figure(entry, event).await;
+        }
+        let enough = poll::until(LIMIT, async || {
+            (figure(entry, events[0]).await >= before[0] + READS).then_some(())
+        });
+        assert_that!(enough.await, some(anything()));
+        let mut counts = [0; 3];
+        for at in 0..3 {
+            counts[at] = figure(entry, events[at]).await - before[at];
+        }
+        let [reads, polls, appends] = counts;
+        println!("{engines} engines: {reads} reads, {polls} polls, {appends} appends");
+        // A record each two thirds of a term, which are 20 rounds.
+        expect_that!(appends, le(reads / 10), "{engines}");
+        rates.push(polls as f64 / reads as f64);
+    }
+    expect_that!(rates[1], le(1.25 * rates[0]));
+}
