Say unknown where another attempt may have run since the ledger was asked

Cause: a request with a call that may not be repeated, refused before its claim, was told not_run (303) when the ledger had found its key free, while the other side of a cut ran the key.

Ruled out: a run that was not one (the service's own count said 1); not_run from a holder, which stays.

Change: without a claim, and unless the caller says that the key is new, such a refusal is unknown, as one without a ledger was already.

--- a/crates/entry/src/plane/drive.rs
+++ b/crates/entry/src/plane/drive.rs
@@ -17,7 +17,7 @@
 use crate::plane::{
     Flight, Plane,
     call::{self, Call, End},
-    judge::Judged,
+    judge::{self, Judged},
     once::{self, Once, Recall},
     prefix::{self, Prefix},
     sink::{Sink, Text},
@@ -355,6 +355,11 @@
                 internal("the caller has gone")
             }
         };
+        // Without the claim, another attempt under the key may have run since the ledger was asked.
+        let answer = match &self.once {
+            Some(once) if !once.is_started() => judge::unsure(&self.ask, answer),
+            _ => answer,
+        };
         self.measure(&answer);
         if let Some(sink) = &mut self.sink {
             sink.end(answer.clone(), &self.text).await;
--- a/crates/entry/src/plane/once.rs
+++ b/crates/entry/src/plane/once.rs
@@ -149,6 +149,11 @@
         Some(told)
     }
 
+    /// Tells whether a claim was ever submitted.
+    pub(crate) const fn is_started(&self) -> bool {
+        self.started
+    }
+
     /// Lets the call leave, unless the claim was given up.
     pub(crate) fn write(&mut self, plane: &Plane) -> bool {
         let actions = self
