Be ready only once a server of every pool is known

Cause: the demo's first requests were refused with 303, and it ended with exit 1. An instance was ready as soon as a configuration was in force. Its first read of the platform's list may come before the servers are in it, and since one instance reads for all, the next read is seconds and not half a second away. No test ran the demo.

Ruled out: reading the list more often (bytes); a wait in the demo alone (an instance behind the balancer has the same gap after its start).

--- a/crates/entry/src/routes.rs
+++ b/crates/entry/src/routes.rs
@@ -4,7 +4,7 @@
 
 use actix_web::{HttpResponse, web};
 
-use crate::shared::Shared;
+use crate::shared::{Readiness, Shared};
 
 /// Adds the routes.
 ///
@@ -12,7 +12,7 @@
 /// - `GET /v1/position`: which configuration is in force here, for `limpetstep-ctl status`.
 /// - `GET /screen`: the shared screen, a page that loads itself again.
 /// - `GET /live`: the process runs.
-/// - `GET /ready`: the instance has a configuration in force and is not stopping.
+/// - `GET /ready`: the instance has a configuration in force, knows servers and is not stopping.
 /// - `GET /metrics`: the metrics, for Prometheus.
 pub(crate) fn configure(config: &mut web::ServiceConfig, shared: Shared) {
     config
@@ -52,13 +52,11 @@
 }
 
 async fn ready(shared: web::Data<Rc<Shared>>) -> HttpResponse {
-    if shared.is_ready() {
-        return HttpResponse::Ok().body("ready\n");
-    }
-    let reason = if shared.is_stopping() {
-        "stopping\n"
-    } else {
-        "no configuration is in force yet\n"
+    let reason = match shared.readiness() {
+        Readiness::Ready => return HttpResponse::Ok().body("ready\n"),
+        Readiness::Bundle => "no configuration is in force yet\n",
+        Readiness::Servers => "a pool has no server that is known yet\n",
+        Readiness::Stopping => "stopping\n",
     };
     HttpResponse::ServiceUnavailable().body(reason)
 }
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -1,5 +1,6 @@
 //! What every part of one instance shares.
 
+use core::time::Duration;
 use std::sync::{
     Arc, Mutex, MutexGuard, PoisonError,
     atomic::{AtomicBool, AtomicUsize, Ordering},
@@ -7,7 +8,7 @@
 
 use actix::Addr;
 use base::{Incarnation, Tick};
-use bundle::Position;
+use bundle::{Bundle, Position};
 use burn::Book;
 use retry::{Register, configs};
 use tokio::sync::{Notify, mpsc, watch};
@@ -25,6 +26,22 @@
     view::{Force, Members, Rivals, Servers},
 };
 
+/// The longest time after the start in which an instance waits for a server of every pool.
+const SERVERS_LIMIT: Duration = Duration::from_secs(3);
+
+/// Whether an instance can serve.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Readiness {
+    /// No configuration is in force yet.
+    Bundle,
+    /// It can.
+    Ready,
+    /// It has just started and knows no server of some pool yet.
+    Servers,
+    /// It is stopping.
+    Stopping,
+}
+
 /// Shared by the control side and the serving side.
 #[derive(Clone)]
 pub struct Shared {
@@ -100,8 +117,25 @@
         self.stopping.load(Ordering::Relaxed)
     }
 
-    /// Tells whether the instance can serve: it has a configuration and is not stopping.
-    pub fn is_ready(&self) -> bool {
-        !self.is_stopping() && self.force.borrow().is_some()
+    /// Tells whether the instance can serve, and if not why.
+    ///
+    /// A pool without any server does not keep it from getting ready for long.
+    pub fn readiness(&self) -> Readiness {
+        if self.is_stopping() {
+            return Readiness::Stopping;
+        }
+        match self.force.borrow().as_ref() {
+            None => Readiness::Bundle,
+            Some(bundle) if self.lacks_servers(bundle) => Readiness::Servers,
+            Some(_) => Readiness::Ready,
+        }
+    }
+
+    fn lacks_servers(&self, bundle: &Bundle) -> bool {
+        let servers = self.servers.borrow();
+        let known = |pool: &str| servers.iter().any(|server| server.pool.as_str() == pool);
+        let mut pools = bundle.pools.iter();
+        self.clock.tick() < Tick::default() + SERVERS_LIMIT
+            && pools.any(|pool| !known(pool.name.as_str()))
     }
 }
--- a/crates/proc/src/programs.rs
+++ b/crates/proc/src/programs.rs
@@ -8,7 +8,7 @@
 };
 
 /// The packages whose programs a scene runs.
-const PACKAGES: [&str; 3] = ["ctl", "entry", "fake"];
+const PACKAGES: [&str; 4] = ["ctl", "demo", "entry", "fake"];
 
 /// Returns the path of a program, built from the present source.
 ///
