Tell the gate of new servers before the next request

Servers that the control side had published reached the routing with the next request, but the gate only with the next tick, up to 20 ms later; until then it held the pool to be down.

Change: taking in what was published measures the pools at once, and what the gate decides on it goes to those who wait.

--- a/crates/entry/src/plane.rs
+++ b/crates/entry/src/plane.rs
@@ -60,6 +60,15 @@
         self.shared.metrics.in_flight.get()
     }
 
+    /// Takes in what the control side has published.
+    pub(crate) fn refresh(&self) {
+        let actions = {
+            let mut inner = self.inner.borrow_mut();
+            inner.refresh(&self.client, &self.shared)
+        };
+        self.dispatch(actions);
+    }
+
     /// Carries out what the gate decided about waiting requests.
     fn dispatch(&self, actions: Vec<Action>) {
         for action in actions {
@@ -110,11 +119,8 @@
     }
 
     async fn serve(&self, id: Id, ask: Ask) -> Reply {
-        let judged = {
-            let mut inner = self.inner.borrow_mut();
-            inner.refresh(&self.client, &self.shared);
-            judge::judge(&inner, &self.shared, &ask)
-        };
+        self.refresh();
+        let judged = judge::judge(&self.inner.borrow(), &self.shared, &ask);
         let judged = match judged {
             Ok(judged) => judged,
             Err(answer) => return Reply::Whole(answer),
--- a/crates/entry/src/plane/inner.rs
+++ b/crates/entry/src/plane/inner.rs
@@ -82,8 +82,16 @@
         }
     }
 
-    /// Takes in what the control side has published since the last call.
-    pub(crate) fn refresh(&mut self, client: &backend::Client, shared: &Shared) {
+    /// Takes in what the control side has published since the last call; what the gate decides on it has
+    /// to reach those who wait.
+    ///
+    /// The gate hears of servers before the next request, or it would refuse that for want of them.
+    #[must_use]
+    pub(crate) fn refresh(
+        &mut self,
+        client: &backend::Client,
+        shared: &Shared,
+    ) -> Vec<admit::Action> {
         let force_changed = self.force.has_changed().unwrap_or(false);
         let servers_changed = self.servers.has_changed().unwrap_or(false);
         if force_changed {
@@ -97,9 +105,11 @@
             addresses.sort_unstable();
             client.retain(&addresses);
         }
-        if force_changed || servers_changed {
-            self.take_servers();
+        if !force_changed && !servers_changed {
+            return Vec::new();
         }
+        self.take_servers();
+        self.measure()
     }
 
     fn take_bundle(&mut self, force: Force, shared: &Shared) {
@@ -336,11 +346,8 @@
         let Some(plane) = plane.upgrade() else {
             return;
         };
-        let actions = {
-            let mut inner = plane.inner.borrow_mut();
-            inner.refresh(&plane.client, &plane.shared);
-            inner.tick()
-        };
+        plane.refresh();
+        let actions = plane.inner.borrow_mut().tick();
         plane.dispatch(actions);
     }
 }
--- a/crates/entry/src/plane/jobs.rs
+++ b/crates/entry/src/plane/jobs.rs
@@ -67,11 +67,8 @@
 
 fn start(plane: &Rc<Plane>, job: Job) {
     let Job { request, answer } = job;
-    let judged = {
-        let mut inner = plane.inner.borrow_mut();
-        inner.refresh(&plane.client, &plane.shared);
-        judge(plane, &inner, &request)
-    };
+    plane.refresh();
+    let judged = judge(plane, &plane.inner.borrow(), &request);
     match judged {
         Ok(judged) => {
             let id = plane.inner.borrow_mut().id();
--- a/crates/entry/src/plane/status.rs
+++ b/crates/entry/src/plane/status.rs
@@ -12,9 +12,9 @@
 
 /// Tells what the ledger knows of the call made under a key.
 pub(crate) async fn ask(plane: &Plane, credential: Digest, key: Key) -> Answer {
+    plane.refresh();
     let account = {
-        let mut inner = plane.inner.borrow_mut();
-        inner.refresh(&plane.client, &plane.shared);
+        let inner = plane.inner.borrow();
         inner
             .account(credential)
             .map(|account| account.name.clone())
