--- a/crates/admit/src/gate.rs
+++ b/crates/admit/src/gate.rs
@@ -287,7 +287,7 @@
         };
         let name = self.running[at].pipeline.clone();
         if let Ok(at) = self.find_pipeline(&name) {
-            self.pipelines[at].took(&self.config.budget, now, stage, took);
+            self.took(now, at, stage, took);
         }
         if stage == self.running[at].stage {
             self.running[at].stage += 1;
@@ -295,6 +295,18 @@
         }
     }
 
+    /// Takes a measured stage time; each pipeline with a stage at the pool learns by it.
+    fn took(&mut self, now: Tick, pipeline: usize, stage: usize, took: Duration) {
+        let config = &self.config.budget;
+        let Some(pace) = self.pipelines[pipeline].took(config, stage, took) else {
+            return;
+        };
+        let pool = self.pipelines[pipeline].stages[stage].pool.clone();
+        for pipeline in &mut self.pipelines {
+            pipeline.paced(config, now, &pool, pace);
+        }
+    }
+
     fn finished(&mut self, request: Id, cost: f64) {
         let Ok(at) = self.find_running(request) else {
             return;
