Let the ledger's own word on a key stand

The rule that a refusal before the claim says no more than unknown was applied to what the ledger itself had told of the key as well.

Ruled out: a new golden file; the request with the other body has not run and never will.

Change: answers made from the look-up itself are left as they are.

--- a/crates/entry/src/plane/drive.rs
+++ b/crates/entry/src/plane/drive.rs
@@ -44,6 +44,8 @@
     picked: Option<route::Pick>,
     prefix: Option<Prefix>,
     plane: Rc<Plane>,
+    /// Whether the answer is what the ledger knows of the key.
+    recalled: bool,
     request: Request,
     sink: Option<Sink>,
     started: Tick,
@@ -75,6 +77,7 @@
             once,
             picked: None,
             prefix: None,
+            recalled: false,
             request: Request::new(id, judged.pipeline.clone(), ask.input.clone()),
             sink,
             started: plane.shared.clock.tick(),
@@ -106,7 +109,10 @@
     async fn serve(&mut self) -> Over {
         let first = match self.recall().await {
             Ok(event) => event,
-            Err(answer) => return Over::Answer(answer),
+            Err(answer) => {
+                self.recalled = true;
+                return Over::Answer(answer);
+            }
         };
         if first == Event::Admitted
             && suspect::verdict(&self.plane, &self.content) == Verdict::Refused
@@ -355,9 +361,10 @@
                 internal("the caller has gone")
             }
         };
-        // Without the claim, another attempt under the key may have run since the ledger was asked.
+        // Without the claim, another attempt under the key may have run since the ledger was asked; its
+        // own word on the key stands.
         let answer = match &self.once {
-            Some(once) if !once.is_started() => judge::unsure(&self.ask, answer),
+            Some(once) if !once.is_started() && !self.recalled => judge::unsure(&self.ask, answer),
             _ => answer,
         };
         self.measure(&answer);
