--- a/crates/bundle/tests/order.rs
+++ b/crates/bundle/tests/order.rs
@@ -132,16 +132,21 @@
     );
 }
 
-#[gtest]
-fn a_reader_of_a_log_without_its_head_knows_the_state_by_a_carry_and_not_before() {
-    let mut world = World::open(2);
-    advance(&mut world, 0);
-    world.read_all();
+/// Drops the records that put the first bundle in force, and restarts an instance that had read them.
+fn drop_head(world: &mut World) {
     for operator in 0..3 {
         world.step(Step::Look { operator });
     }
     world.step(Step::Drop { records: 3 });
     world.step(Step::Restart { instance: 1 });
+}
+
+#[gtest]
+fn a_reader_of_a_log_without_its_head_knows_the_state_by_a_carry_and_not_before() {
+    let mut world = World::open(2);
+    advance(&mut world, 0);
+    world.read_all();
+    drop_head(&mut world);
     advance(&mut world, 1);
     world.step(Step::Read {
         instance: 1,
@@ -171,11 +176,7 @@
     let mut world = World::open(2);
     advance(&mut world, 0);
     world.read_all();
-    for operator in 0..3 {
-        world.step(Step::Look { operator });
-    }
-    world.step(Step::Drop { records: 3 });
-    world.step(Step::Restart { instance: 1 });
+    drop_head(&mut world);
     // The roll-out comes too early and loses; the sign-off comes after it.
     let (fate, operator) = (Fate::Now, 0);
     world.step(Step::Look { operator });
--- a/crates/proc/tests/once.rs
+++ b/crates/proc/tests/once.rs
@@ -75,6 +75,26 @@
         assert_that!(lost.await, some(anything()));
     }
 
+    /// Asks again while the holder is gone: never told `not_run`, and the count of runs stays.
+    async fn expect_kept(&self, runs: u64) {
+        for _ in 0..3 {
+            let reply = self.send(1).await.unwrap();
+            expect_that!(reply.outcome(), not(eq("not_run")), "{:#}", reply.body);
+            expect_that!(self.runs().await, eq(runs));
+        }
+    }
+
+    /// Pauses the holder, asks elsewhere, resumes it, and waits for the outcome.
+    async fn outlast_pause(&self) -> (Reply, u64) {
+        let holder = &self.scene.entries[0].process;
+        holder.signal(Signal::Stop);
+        let other = self.send(1).await.unwrap();
+        expect_that!(other.outcome(), not(eq("not_run")), "{:#}", other.body);
+        sleep(PAUSE).await;
+        holder.signal(Signal::Continue);
+        self.settle(&[1, 0]).await
+    }
+
     /// Asks on some instances until the outcome is final, and counts the runs.
     async fn settle(&self, entries: &[usize]) -> (Reply, u64) {
         let url = |at: &usize| self.scene.entries[*at].url.as_str();
@@ -156,12 +176,7 @@
     platform(&scene, json!({"hang_appends": 1})).await;
     payment.begin(0);
     payment.await_lost_append().await;
-    scene.entries[0].process.signal(Signal::Stop);
-    let other = payment.send(1).await.unwrap();
-    expect_that!(other.outcome(), not(eq("not_run")), "{:#}", other.body);
-    sleep(PAUSE).await;
-    scene.entries[0].process.signal(Signal::Continue);
-    let (last, runs) = payment.settle(&[1, 0]).await;
+    let (last, runs) = payment.outlast_pause().await;
     expect_truth(&last, runs, "resumed");
     sleep(Duration::from_secs(1)).await;
     expect_that!(payment.runs().await, eq(runs));
@@ -175,12 +190,7 @@
     scene.faults(POOL, json!({"slow_ms": 500})).await;
     payment.begin(0);
     payment.await_run().await;
-    scene.entries[0].process.signal(Signal::Stop);
-    let other = payment.send(1).await.unwrap();
-    expect_that!(other.outcome(), not(eq("not_run")), "{:#}", other.body);
-    sleep(PAUSE).await;
-    scene.entries[0].process.signal(Signal::Continue);
-    let (last, runs) = payment.settle(&[1, 0]).await;
+    let (last, runs) = payment.outlast_pause().await;
     expect_that!(runs, eq(1), "{:#}", last.body);
 }
 
@@ -193,11 +203,7 @@
     payment.begin(0);
     payment.await_lost_append().await;
     scene.entries[0].process.signal(Signal::Kill);
-    for _ in 0..3 {
-        let reply = payment.send(1).await.unwrap();
-        expect_that!(reply.outcome(), not(eq("not_run")), "{:#}", reply.body);
-        expect_that!(payment.runs().await, eq(0));
-    }
+    payment.expect_kept(0).await;
 }
 
 #[gtest]
@@ -209,11 +215,7 @@
     payment.begin(0);
     payment.await_run().await;
     scene.entries[0].process.signal(Signal::Kill);
-    for _ in 0..3 {
-        let reply = payment.send(1).await.unwrap();
-        expect_that!(reply.outcome(), not(eq("not_run")), "{:#}", reply.body);
-        expect_that!(payment.runs().await, eq(1));
-    }
+    payment.expect_kept(1).await;
 }
 
 #[gtest]
