Serve the users' platform through an adapter, first whole path

Cause: limpetstep spoke only its own interface. The platform's requests are opaque, its stages are pieces that share calls, and its configuration and list of servers lie in the platform's store.

--- /dev/null
+++ b/crates/batch/src/piece.rs
@@ -0,0 +1,70 @@
+//! One piece of a stage.
+
+use core::net::SocketAddr;
+
+use base::{Name, Tick};
+
+/// A piece that waits for its call.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Piece {
+    /// Names the piece towards whoever waits for its result.
+    pub ticket: u64,
+    /// The request it belongs to.
+    pub request: Name,
+    /// The request's stage.
+    pub stage: usize,
+    /// The piece's number within the stage, from 0.
+    pub number: u32,
+    /// What it is made from.
+    pub source: Source,
+    /// When its result is needed for the request to be on time.
+    pub due: Tick,
+    /// When its result is of no use any more.
+    pub deadline: Tick,
+    /// The size of its result in bytes, about.
+    pub bytes: u64,
+    /// The failure domain where its result will be read, where that is known.
+    pub domain: Option<Name>,
+    /// How often it was in a call before.
+    pub tries: u32,
+}
+
+/// What a piece is made from.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Source {
+    /// The key that the caller gave.
+    Key(Name),
+    /// Handles of the results of earlier stages.
+    Results(Vec<Handle>),
+}
+
+/// Names a result that lies at its maker.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Handle {
+    /// Where the maker listens.
+    pub maker: SocketAddr,
+    /// The handle as the maker wrote it.
+    pub text: Name,
+}
+
+/// What became of a piece.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Made {
+    /// The result lies at its maker under this handle.
+    Result(Handle),
+    /// It was not made.
+    Failed(Reason),
+}
+
+/// Why a piece was not made.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reason {
+    /// The server failed.
+    Error,
+    /// One of the results it is made from no longer exists.
+    Gone,
+    /// Its time had run out when its call's turn came.
+    Late,
+    /// The server had no memory for the result.
+    Room,
+}
--- /dev/null
+++ b/crates/pick/src/configs.rs
@@ -0,0 +1,51 @@
+//! Settings of the choice of a backend server.
+
+use core::time::Duration;
+
+/// Every setting with its default.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Config {
+    /// The share of the newest answer in a server's usual time; 0.3 follows a change within some five answers.
+    pub gain: f64,
+    /// The time after which what was seen of a server counts half, so that a slow one is tried again.
+    pub half_life: Duration,
+    /// The first time for which a server that can't be reached gets nothing; doubles with each failure.
+    pub block: Duration,
+    /// The longest such time; the platform's servers are back some seconds after a crash.
+    pub block_most: Duration,
+    /// What one recent failure adds to a server's cost, in milliseconds of waiting.
+    pub failure_ms: f64,
+    /// What leaving the own failure domain adds to the cost, in milliseconds of waiting.
+    pub domain_ms: f64,
+    /// The cost of a server of which nothing is known yet, in milliseconds.
+    pub unknown_ms: f64,
+    /// The share of the cost that chance may change, so that instances don't choose alike.
+    pub jitter: f64,
+    /// Prompt tokens that an engine reads in a millisecond, until it is seen; the sites' engines read 43 to 51.
+    pub tokens_per_ms: f64,
+    /// How many times its own line an instance takes the line at an engine to be.
+    pub line_factor: f64,
+    /// How long a part of a prompt is taken to stay in an engine's memory.
+    pub part_memory: Duration,
+    /// The most parts that are remembered.
+    pub parts_most: usize,
+}
+
+impl Default for Config {
+    fn default() -> Self {
+        Self {
+            gain: 0.3,
+            half_life: Duration::from_secs(3),
+            block: Duration::from_millis(500),
+            block_most: Duration::from_secs(4),
+            failure_ms: 120.0,
+            domain_ms: 2.0,
+            unknown_ms: 30.0,
+            jitter: 0.3,
+            tokens_per_ms: 45.0,
+            line_factor: 2.0,
+            part_memory: Duration::from_secs(20),
+            parts_most: 4_096,
+        }
+    }
+}
--- /dev/null
+++ b/crates/pick/src/fleet.rs
@@ -0,0 +1,184 @@
+//! What an instance saw of each backend server.
+
+use core::time::Duration;
+
+use base::{Name, Tick};
+
+use crate::configs::Config;
+
+/// What an instance saw of all backend servers.
+#[derive(Clone, Debug, Default)]
+pub struct Fleet {
+    pub(crate) config: Config,
+    servers: Vec<Seen>,
+    pub(crate) parts: Vec<crate::engine::Held>,
+}
+
+/// What was seen of one server.
+#[derive(Clone, Debug)]
+pub(crate) struct Seen {
+    id: Name,
+    touched: Tick,
+    /// Own calls under way.
+    pub(crate) running: u32,
+    /// Prompt tokens of own calls that have not answered yet.
+    pub(crate) line: u64,
+    /// Recent failures; halves with each half-life.
+    pub(crate) failures: f64,
+    /// The usual time to the head of an answer in milliseconds, and how much is known of it.
+    usual_ms: f64,
+    weight: f64,
+    blocked_until: Tick,
+    strikes: u32,
+}
+
+/// How a call ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    /// It was answered, `head` after it was sent.
+    Answered {
+        /// The time to the head of the answer.
+        head: Duration,
+    },
+    /// The server failed it.
+    Failed,
+    /// The instance gave it up itself.
+    Left,
+    /// The server stated that it is full.
+    Full,
+    /// The server can't be reached.
+    Unreachable,
+}
+
+impl Fleet {
+    /// Makes a fleet of which nothing is known.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use base::Tick;
+    /// use pick::{Fleet, configs::Config, fleet::End};
+    /// let mut fleet = Fleet::new(Config::default());
+    /// let (id, now) = ("i-1".into(), Tick::default());
+    /// fleet.begin(now, &id, 0);
+    /// fleet.end(now, &id, End::Unreachable);
+    /// assert!(fleet.is_blocked(now, &id));
+    /// ```
+    pub fn new(config: Config) -> Self {
+        Self {
+            config,
+            ..Self::default()
+        }
+    }
+
+    /// Takes note of a call that is sent, with the prompt tokens it brings.
+    pub fn begin(&mut self, now: Tick, id: &Name, tokens: u64) {
+        let seen = self.seen(now, id);
+        seen.running += 1;
+        seen.line += tokens;
+    }
+
+    /// Takes note that the prompt of a call was read.
+    pub fn read(&mut self, now: Tick, id: &Name, tokens: u64) {
+        let seen = self.seen(now, id);
+        seen.line = seen.line.saturating_sub(tokens);
+    }
+
+    /// Takes note of the end of a call.
+    pub fn end(&mut self, now: Tick, id: &Name, end: End) {
+        let config = self.config.clone();
+        let seen = self.seen(now, id);
+        seen.running = seen.running.saturating_sub(1);
+        match end {
+            End::Answered { head } => {
+                let ms = head.as_secs_f64() * 1e3;
+                let gain = config.gain.max(1.0 - seen.weight);
+                seen.usual_ms += gain * (ms - seen.usual_ms);
+                seen.weight = 1.0;
+                seen.strikes = 0;
+            }
+            End::Failed => seen.failures += 1.0,
+            End::Full => seen.failures += 0.3,
+            End::Left => {}
+            End::Unreachable => {
+                let span = config.block * 2_u32.pow(seen.strikes.min(6));
+                seen.blocked_until = now + span.min(config.block_most);
+                seen.strikes += 1;
+                seen.failures += 1.0;
+            }
+        }
+    }
+
+    /// Tells whether a server gets nothing for now.
+    pub fn is_blocked(&self, now: Tick, id: &Name) -> bool {
+        self.find(id)
+            .is_ok_and(|at| now < self.servers[at].blocked_until)
+    }
+
+    /// Returns the calls of this instance that are under way at a server.
+    pub fn running(&self, id: &Name) -> u32 {
+        self.find(id).map_or(0, |at| self.servers[at].running)
+    }
+
+    /// Forgets servers that were not used for long and have nothing under way.
+    pub fn sweep(&mut self, now: Tick, idle: Duration) {
+        self.servers
+            .retain(|seen| seen.running > 0 || now - seen.touched < idle);
+    }
+
+    pub(crate) fn get(&self, id: &Name) -> Option<&Seen> {
+        self.find(id).ok().map(|at| &self.servers[at])
+    }
+
+    fn seen(&mut self, now: Tick, id: &Name) -> &mut Seen {
+        let half_life = self.config.half_life;
+        let at = match self.find(id) {
+            Ok(at) => at,
+            Err(at) => {
+                self.servers.insert(at, Seen::new(id, now));
+                at
+            }
+        };
+        let seen = &mut self.servers[at];
+        let fade = fade(now - seen.touched, half_life);
+        seen.failures *= fade;
+        seen.weight *= fade;
+        seen.touched = now;
+        seen
+    }
+
+    fn find(&self, id: &Name) -> Result<usize, usize> {
+        self.servers.binary_search_by(|seen| seen.id.cmp(id))
+    }
+}
+
+impl Seen {
+    fn new(id: &Name, now: Tick) -> Self {
+        Self {
+            id: id.clone(),
+            touched: now,
+            running: 0,
+            line: 0,
+            failures: 0.0,
+            usual_ms: 0.0,
+            weight: 0.0,
+            blocked_until: Tick::default(),
+            strikes: 0,
+        }
+    }
+
+    /// Returns the usual time of an answer, drawn towards `unknown_ms` as it ages.
+    pub(crate) fn usual_ms(&self, now: Tick, config: &Config) -> f64 {
+        let weight = self.weight * fade(now - self.touched, config.half_life);
+        weight * self.usual_ms + (1.0 - weight) * config.unknown_ms
+    }
+
+    /// Returns the recent failures, faded to the present.
+    pub(crate) fn failures(&self, now: Tick, config: &Config) -> f64 {
+        self.failures * fade(now - self.touched, config.half_life)
+    }
+}
+
+fn fade(age: Duration, half_life: Duration) -> f64 {
+    0.5_f64.powf(age.div_duration_f64(half_life))
+}
--- /dev/null
+++ b/crates/relay/src/ask.rs
@@ -0,0 +1,61 @@
+//! A request as its caller sent it.
+
+use core::time::Duration;
+use std::rc::Rc;
+
+use base::{Name, Tick};
+use pick::engine::Prompt;
+use site::Route;
+
+/// A request that is admitted, with what the edge needs to pass it on.
+#[derive(Clone, Debug)]
+pub struct Ask<R> {
+    /// The id that the caller gave this attempt.
+    pub id: Name,
+    /// The route that takes it.
+    pub route: Rc<Route>,
+    /// The version of the configuration that chose the route.
+    pub version: u64,
+    /// The client account that sent it.
+    pub account: Option<Name>,
+    /// Its rank; 0 goes first.
+    pub rank: u8,
+    /// When it arrived.
+    pub arrived: Tick,
+    /// When its caller stops waiting.
+    pub deadline: Tick,
+    /// A digest of account, path and body.
+    pub digest: u64,
+    /// The prompt, where it has one.
+    pub prompt: Option<Prompt>,
+    /// The number of pieces of each stage.
+    pub pieces: Vec<u32>,
+    /// What the first stages make their pieces from.
+    pub piece_key: Name,
+    /// The last event that the caller has, where it resumes a stream.
+    pub after: Option<u64>,
+    /// The request itself.
+    pub request: Rc<R>,
+}
+
+impl<R> Ask<R> {
+    /// Returns when the request gets its final answer at the latest.
+    pub fn limit(&self) -> Tick {
+        self.deadline.min(self.arrived + self.route.timeout)
+    }
+
+    /// Returns when the request is due to be on time.
+    pub fn due(&self) -> Tick {
+        self.arrived + self.route.objective
+    }
+
+    /// Returns the time left.
+    pub fn left(&self, now: Tick) -> Duration {
+        self.limit() - now
+    }
+
+    /// Returns the urgency from 0 to 9 that its rank gives; 0 goes first.
+    pub fn urgency(&self) -> u8 {
+        self.rank.saturating_mul(2).saturating_add(1).min(9)
+    }
+}
--- /dev/null
+++ b/crates/relay/src/hub.rs
@@ -0,0 +1,365 @@
+//! What all requests of an instance share.
+
+use core::{cell::RefCell, time::Duration};
+use std::rc::Rc;
+
+use base::{Name, Tick};
+use batch::{
+    Desk, Piece,
+    desk::{Context, Order},
+    piece::{Handle, Made, Reason},
+};
+use pick::{Fleet, fleet::End};
+use rand::{SeedableRng, rngs::SmallRng};
+use retry::{Crashes, Window, window::Bound};
+use site::{Config, Roster, pool::Work, roster::Server};
+use tokio::{sync::mpsc, task};
+
+use crate::{Edge, Failure, call::Worked, configs};
+
+/// What all requests of an instance share.
+pub struct Hub<E> {
+    /// How calls reach servers.
+    pub edge: E,
+    /// The failure domain of the instance.
+    pub domain: Name,
+    /// Settings.
+    pub settings: configs::Config,
+    state: RefCell<State>,
+}
+
+/// What an instance believes, and what waits.
+pub struct State {
+    /// The configuration in force, none until one is known.
+    pub config: Option<Rc<Config>>,
+    /// The servers that are listed.
+    pub roster: Roster,
+    /// What was seen of them.
+    pub fleet: Fleet,
+    /// Pieces of stages that wait.
+    pub desk: Desk,
+    /// The bound on repeats.
+    pub window: Window,
+    /// Contents that crashed servers.
+    pub crashes: Crashes,
+    /// The instances that are taken to live, this one included.
+    pub instances: usize,
+    /// The source of chance.
+    pub rng: SmallRng,
+    tickets: Vec<Ticket>,
+    next_ticket: u64,
+}
+
+/// Who waits for a piece.
+struct Ticket {
+    number: u64,
+    to: mpsc::UnboundedSender<Delivery>,
+}
+
+/// What became of a piece that someone waits for.
+pub(crate) struct Delivery {
+    pub(crate) piece: Piece,
+    pub(crate) made: Made,
+}
+
+impl<E: Edge> Hub<E> {
+    /// Opens a hub that knows nothing of the deployment yet.
+    pub fn open(
+        edge: E,
+        domain: Name,
+        bound: Bound,
+        settings: configs::Config,
+        seed: u64,
+    ) -> Rc<Self> {
+        Rc::new(Self {
+            edge,
+            domain,
+            settings,
+            state: RefCell::new(State {
+                config: None,
+                roster: Roster::default(),
+                fleet: Fleet::default(),
+                desk: Desk::default(),
+                window: Window::open(bound),
+                crashes: Crashes::default(),
+                instances: 1,
+                rng: SmallRng::seed_from_u64(seed),
+                tickets: Vec::new(),
+                next_ticket: 0,
+            }),
+        })
+    }
+
+    /// Lets a decision see and change the shared state.
+    pub fn with<T>(&self, decide: impl FnOnce(&mut State) -> T) -> T {
+        decide(&mut self.state.borrow_mut())
+    }
+
+    /// Offers pieces and starts the calls that can start.
+    pub(crate) fn offer(
+        self: &Rc<Self>,
+        pool: &Name,
+        pieces: Vec<Piece>,
+        to: &mpsc::UnboundedSender<Delivery>,
+    ) {
+        let now = self.edge.now();
+        self.with(|state| {
+            for mut piece in pieces {
+                piece.ticket = state.next_ticket;
+                state.next_ticket += 1;
+                state.tickets.push(Ticket {
+                    number: piece.ticket,
+                    to: to.clone(),
+                });
+                state.desk.offer(now, pool, piece);
+            }
+        });
+        self.pump();
+    }
+
+    /// Drops the pieces of a request that wait, and what still comes for it.
+    pub(crate) fn withdraw(&self, request: &Name, to: &mpsc::UnboundedSender<Delivery>) {
+        self.with(|state| {
+            state.desk.withdraw(request);
+            state.tickets.retain(|ticket| !ticket.to.same_channel(to));
+        });
+    }
+
+    /// Gives up results in the background.
+    pub fn free(self: &Rc<Self>, handles: Vec<Handle>) {
+        if handles.is_empty() {
+            return;
+        }
+        let hub = self.clone();
+        task::spawn_local(async move { hub.edge.free(handles).await });
+    }
+
+    /// Starts every call that can start.
+    pub fn pump(self: &Rc<Self>) {
+        let now = self.edge.now();
+        let orders = self.with(|state| {
+            let Some(config) = state.config.clone() else {
+                return Vec::new();
+            };
+            let cx = Context {
+                now,
+                config: &config,
+                roster: &state.roster,
+                fleet: &state.fleet,
+                instances: state.instances,
+            };
+            let orders = state.desk.next(cx);
+            for order in &orders {
+                state.fleet.begin(now, &order.server.id, 0);
+            }
+            orders
+        });
+        for order in orders {
+            let hub = self.clone();
+            task::spawn_local(async move { hub.work(order).await });
+        }
+    }
+
+    async fn work(self: Rc<Self>, order: Order) {
+        let pool = self.with(|state| state.config.clone()?.pool(&order.pool).cloned());
+        let Some(Work::Pieces(work)) = pool.map(|pool| pool.work) else {
+            return;
+        };
+        let count = u32::try_from(order.pieces.len()).unwrap_or(u32::MAX);
+        let expected = work.call + work.piece * count;
+        let limit = expected * self.settings.call_factor + work.call * 2;
+        let sent = self.edge.now();
+        let worked = self.edge.work(&order.server, &order.pieces, limit).await;
+        let now = self.edge.now();
+        log::debug!(
+            target: "stages", pool:% = order.pool, server:% = order.server.id, pieces = count,
+            took_ms = (now - sent).as_millis(), outcome:% = outcome(&worked); "stage call ended"
+        );
+        match worked {
+            Ok(worked) => self.worked(now, now - sent, order, worked, &work),
+            Err(failure) => self.not_worked(now, order, failure, &work),
+        }
+        self.pump();
+    }
+
+    fn worked(
+        self: &Rc<Self>,
+        now: Tick,
+        took: Duration,
+        order: Order,
+        worked: Worked,
+        work: &site::pool::Pieces,
+    ) {
+        let server = &order.server;
+        self.with(|state| {
+            state.fleet.end(now, &server.id, End::Answered { head: took });
+            state.desk.done(now, &order.pool, &server.id, worked.load, work);
+        });
+        let mut made = worked.made.into_iter();
+        for piece in order.pieces {
+            let made = made.next().unwrap_or(Made::Failed(Reason::Error));
+            match made {
+                Made::Failed(Reason::Error | Reason::Room) => {
+                    self.again(now, &order.pool, piece, made, &server.id);
+                }
+                Made::Failed(_) | Made::Result(_) => self.deliver(piece, made),
+            }
+        }
+    }
+
+    fn not_worked(
+        self: &Rc<Self>,
+        now: Tick,
+        order: Order,
+        failure: Failure,
+        work: &site::pool::Pieces,
+    ) {
+        let server = &order.server;
+        log::info!(
+            target: "stages", pool:% = order.pool, server:% = server.id,
+            requests:% = requests(&order.pieces), cause:% = failure; "stage call failed"
+        );
+        self.with(|state| {
+            state.fleet.end(now, &server.id, end_of(failure));
+            match failure {
+                Failure::Full => state.desk.full(now, &order.pool, &server.id, work),
+                _ => state.desk.done(now, &order.pool, &server.id, None, work),
+            }
+            if failure == Failure::Moved {
+                state.roster.left(now, &server.id);
+            }
+        });
+        for piece in order.pieces {
+            if failure == Failure::Unreachable {
+                self.with(|state| state.desk.offer(now, &order.pool, piece));
+            } else {
+                self.again(now, &order.pool, piece, Made::Failed(Reason::Error), &server.id);
+            }
+        }
+    }
+
+    /// Puts a piece back in line where its tries and the retry budget allow it.
+    fn again(self: &Rc<Self>, now: Tick, pool: &Name, mut piece: Piece, made: Made, server: &Name) {
+        piece.tries += 1;
+        let tries = self.settings.piece_tries;
+        let is_allowed = self.with(|state| {
+            piece.tries < tries && state.window.again(now, pool, state.instances)
+        });
+        log::info!(
+            target: "stages", request:% = piece.request, stage = piece.stage, piece = piece.number,
+            server:% = server, tries = piece.tries, repeated = is_allowed; "piece was not made"
+        );
+        if is_allowed {
+            self.with(|state| state.desk.offer(now, pool, piece));
+        } else {
+            self.deliver(piece, made);
+        }
+    }
+
+    fn deliver(self: &Rc<Self>, piece: Piece, made: Made) {
+        let to = self.with(|state| {
+            let find = |ticket: &Ticket| ticket.number.cmp(&piece.ticket);
+            let at = state.tickets.binary_search_by(find).ok()?;
+            Some(state.tickets.remove(at).to)
+        });
+        let lost = match to {
+            Some(to) => match to.send(Delivery { piece, made }) {
+                Ok(()) => None,
+                Err(mpsc::error::SendError(delivery)) => Some(delivery.made),
+            },
+            None => Some(made),
+        };
+        // The request ended meanwhile, so its result is given up.
+        if let Some(Made::Result(handle)) = lost {
+            self.free(vec![handle]);
+        }
+    }
+
+    /// Returns the failure domain of the server that made a result.
+    pub(crate) fn domain_of(&self, maker: core::net::SocketAddr) -> Option<Name> {
+        self.with(|state| {
+            let mut servers = state.roster.all();
+            let server = servers.find(|server| server.address == maker);
+            server.map(|server| server.domain.clone())
+        })
+    }
+}
+
+/// Returns what a failure says of the server.
+pub(crate) const fn end_of(failure: Failure) -> End {
+    match failure {
+        Failure::Broken | Failure::Mismatched | Failure::Silent => End::Failed,
+        Failure::Full => End::Full,
+        Failure::InputGone | Failure::Rejected => End::Left,
+        Failure::Moved | Failure::Unreachable => End::Unreachable,
+    }
+}
+
+fn outcome(worked: &Result<Worked, Failure>) -> String {
+    match worked {
+        Ok(_) => "worked".to_owned(),
+        Err(failure) => failure.to_string(),
+    }
+}
+
+fn requests(pieces: &[Piece]) -> String {
+    let mut ids: Vec<_> = pieces.iter().map(|piece| piece.request.as_str()).collect();
+    ids.dedup();
+    ids.join(",")
+}
+
+/// A call under way, counted at its server until it ends.
+pub(crate) struct Lease<E: Edge> {
+    hub: Rc<Hub<E>>,
+    pub(crate) server: Rc<Server>,
+    tokens: u64,
+    sent: Tick,
+    is_over: bool,
+}
+
+impl<E: Edge> Lease<E> {
+    pub(crate) fn begin(hub: &Rc<Hub<E>>, server: &Rc<Server>, tokens: u64) -> Self {
+        let now = hub.edge.now();
+        hub.with(|state| state.fleet.begin(now, &server.id, tokens));
+        Self {
+            hub: hub.clone(),
+            server: server.clone(),
+            tokens,
+            sent: now,
+            is_over: false,
+        }
+    }
+
+    /// Takes note that the server has read the prompt.
+    pub(crate) fn read(&mut self) {
+        let now = self.hub.edge.now();
+        let tokens = core::mem::take(&mut self.tokens);
+        self.hub
+            .with(|state| state.fleet.read(now, &self.server.id, tokens));
+    }
+
+    /// Returns the time since the call was sent.
+    pub(crate) fn age(&self) -> Duration {
+        self.hub.edge.now() - self.sent
+    }
+
+    pub(crate) fn end(mut self, end: End) {
+        self.finish(end);
+    }
+
+    fn finish(&mut self, end: End) {
+        self.read();
+        self.is_over = true;
+        let now = self.hub.edge.now();
+        self.hub
+            .with(|state| state.fleet.end(now, &self.server.id, end));
+    }
+}
+
+impl<E: Edge> Drop for Lease<E> {
+    fn drop(&mut self) {
+        if !self.is_over {
+            self.finish(End::Left);
+        }
+    }
+}
--- /dev/null
+++ b/crates/relay/src/serve.rs
@@ -0,0 +1,386 @@
+//! Takes a request through its stages to a backend server.
+
+use core::time::Duration;
+use std::rc::Rc;
+
+use base::{Code, Name, Tick};
+use bytes::{Bytes, BytesMut};
+use pick::{engine, fleet::End, plain};
+use rand::RngExt;
+use site::{pool::Work, route::Kind};
+use tokio::time;
+
+use crate::{
+    Ask, Body, Call, Edge, Failure, Hub, Reply,
+    hub::{Lease, end_of},
+    judge::{self, Next},
+    stages::{self, Inputs},
+};
+
+/// The answer of a backend server.
+pub enum Answer<E: Edge> {
+    /// It is here as a whole.
+    Whole {
+        /// Its head.
+        reply: E::Reply,
+        /// Its body.
+        body: Bytes,
+    },
+    /// It is a stream of events that goes on.
+    Stream {
+        /// The head of the first attempt.
+        head: Head<E>,
+        /// The events.
+        body: Body<E>,
+    },
+}
+
+/// What an edge keeps of an answer's head while the body goes on.
+pub type Head<E> = <<E as Edge>::Reply as Reply>::Head;
+
+/// A request that gets no answer of a backend server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Refusal {
+    /// What the caller is told.
+    pub code: Code,
+    /// When the caller may return, where that can help.
+    pub retry_after: Option<Duration>,
+}
+
+/// An attempt whose head has arrived.
+pub(crate) struct Attempt<E: Edge> {
+    pub(crate) reply: E::Reply,
+    pub(crate) lease: Lease<E>,
+    pub(crate) inputs: Option<Inputs<E>>,
+}
+
+/// What a request remembers of its attempts.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Trail {
+    tried: Vec<Name>,
+    sent: u32,
+    unreached: usize,
+    ran: bool,
+    pub(crate) begun: bool,
+}
+
+/// Takes a request through its stages to a backend server.
+///
+/// # Errors
+///
+/// - A refusal whose code says "not run" only if no server may have run the request.
+pub async fn serve<E: Edge>(
+    hub: &Rc<Hub<E>>,
+    ask: Rc<Ask<E::Request>>,
+) -> Result<Answer<E>, Refusal> {
+    if hub.with(|state| state.crashes.is_harmful(ask.digest)) {
+        log::warn!(target: "relay", request:% = ask.id, digest = ask.digest; "content crashed servers; refused");
+        return Err(Refusal {
+            code: Code::Overloaded,
+            retry_after: None,
+        });
+    }
+    let mut trail = Trail::default();
+    let left = ask.left(hub.edge.now());
+    let attempt = time::timeout(left, attempt(hub, &ask, &mut trail, ask.after)).await;
+    let attempt = match attempt {
+        Ok(attempt) => attempt,
+        Err(_) => Err(Code::DeadlinePassed),
+    };
+    let mut attempt = match attempt {
+        Ok(attempt) => attempt,
+        Err(code) => return Err(refuse(hub, &ask, &trail, code)),
+    };
+    let is_stream = ask.route.kind == Kind::Streaming && attempt.reply.status() == 200;
+    if is_stream {
+        let head = attempt.reply.head();
+        return Ok(Answer::Stream {
+            head,
+            body: Body::new(hub, ask, attempt, trail),
+        });
+    }
+    loop {
+        let limit = ask.left(hub.edge.now());
+        let most = hub.settings.answer_bytes;
+        let whole = time::timeout(limit, whole(&mut attempt.reply, most)).await;
+        let failure = match whole {
+            Ok(Ok(body)) => {
+                let head = attempt.lease.age();
+                attempt.lease.end(End::Answered { head });
+                sample(hub, &ask, &attempt.reply);
+                return Ok(Answer::Whole {
+                    reply: attempt.reply,
+                    body,
+                });
+            }
+            Ok(Err(failure)) => failure,
+            Err(_) => return Err(refuse(hub, &ask, &trail, Code::DeadlinePassed)),
+        };
+        let server = attempt.lease.server.clone();
+        attempt.lease.end(end_of(failure));
+        log::info!(target: "relay", request:% = ask.id, server:% = server.id, cause:% = failure; "answer broke off");
+        trail.ran = true;
+        if let Err(code) = trail.next(hub, &ask, failure) {
+            return Err(refuse(hub, &ask, &trail, code));
+        }
+        let left = ask.left(hub.edge.now());
+        let again = time::timeout(left, self::attempt(hub, &ask, &mut trail, ask.after)).await;
+        attempt = match again {
+            Ok(Ok(attempt)) => attempt,
+            Ok(Err(code)) => return Err(refuse(hub, &ask, &trail, code)),
+            Err(_) => return Err(refuse(hub, &ask, &trail, Code::DeadlinePassed)),
+        };
+    }
+}
+
+/// Sends a request until the head of an answer arrives, and returns it.
+///
+/// # Errors
+///
+/// - The code with which the request ends.
+pub(crate) async fn attempt<E: Edge>(
+    hub: &Rc<Hub<E>>,
+    ask: &Ask<E::Request>,
+    trail: &mut Trail,
+    after: Option<u64>,
+) -> Result<Attempt<E>, Code> {
+    let pool = pool(hub, ask)?;
+    let preferred = prefer(hub, ask, &pool);
+    let mut inputs = stages::run(hub, ask, preferred).await?;
+    loop {
+        let Some(choice) = choose(hub, ask, &pool, &inputs, trail) else {
+            return Err(judge::end(trail.ran, Code::StageUnavailable));
+        };
+        let server = choice.server.clone();
+        let once = !ask.route.is_repeatable();
+        let connections = hub.with(|state| {
+            let config = state.config.as_ref()?;
+            config.pool(&server.pool).map(|pool| pool.connections)
+        });
+        let call = Call {
+            server: server.clone(),
+            left: ask.left(hub.edge.now()),
+            urgency: ask.urgency(),
+            account: ask.account.clone(),
+            inputs: inputs.handles.clone(),
+            fetch: choice.fetch,
+            after,
+            once,
+            connections: connections.unwrap_or(usize::MAX),
+        };
+        let lease = Lease::begin(hub, &server, choice.tokens);
+        if trail.sent == 0 {
+            let now = hub.edge.now();
+            hub.with(|state| state.window.first(now, &server.pool));
+        }
+        // A server that is silent is left only where another one may be asked.
+        let limit = if !once && trail.sent + 1 < ask.route.attempts {
+            ask.route.objective.max(hub.settings.silence_least)
+        } else {
+            ask.left(hub.edge.now())
+        };
+        trail.tried.push(server.id.clone());
+        let sent = time::timeout(limit, hub.edge.send(&ask.request, call)).await;
+        let failure = match sent {
+            Ok(Ok(reply)) => {
+                trail.sent += 1;
+                if reply.is_leaving() {
+                    left(hub, &server.id);
+                }
+                return Ok(Attempt {
+                    reply,
+                    lease,
+                    inputs: Some(inputs),
+                });
+            }
+            Ok(Err(failure)) => failure,
+            Err(_) => Failure::Silent,
+        };
+        log::info!(
+            target: "relay", request:% = ask.id, route:% = ask.route.name, server:% = server.id,
+            attempt = trail.sent + 1, age_ms = lease.age().as_millis(), cause:% = failure;
+            "attempt failed"
+        );
+        lease.end(end_of(failure));
+        if failure == Failure::Moved {
+            left(hub, &server.id);
+        }
+        if failure == Failure::Broken {
+            crashed(hub, ask, &server.id);
+        }
+        if failure != Failure::Unreachable {
+            trail.sent += 1;
+        }
+        trail.next(hub, ask, failure)?;
+        if failure == Failure::InputGone {
+            inputs = stages::run(hub, ask, inputs.domain()).await?;
+        }
+    }
+}
+
+impl Trail {
+    /// Decides what follows a failure, and takes the leave for a repeat.
+    pub(crate) fn next<E: Edge>(
+        &mut self,
+        hub: &Rc<Hub<E>>,
+        ask: &Ask<E::Request>,
+        failure: Failure,
+    ) -> Result<(), Code> {
+        self.unreached += usize::from(matches!(failure, Failure::Unreachable | Failure::Moved));
+        let cx = judge::Context {
+            route: &ask.route,
+            sent: self.sent,
+            unreached: self.unreached,
+            connects: hub.settings.connects,
+            ran: self.ran,
+            begun: self.begun,
+        };
+        let next = judge::after(cx, failure);
+        self.ran |= failure.may_have_run();
+        match next {
+            Next::Answer(code) => Err(code),
+            Next::Again { counts: false } => Ok(()),
+            Next::Again { counts: true } => {
+                if hub.with(|state| state.crashes.is_harmful(ask.digest)) {
+                    return Err(judge::end(self.ran, Code::StageUnavailable));
+                }
+                let Ok(pool) = pool(hub, ask) else {
+                    return Err(judge::end(self.ran, Code::BundleMissing));
+                };
+                let now = hub.edge.now();
+                let is_allowed =
+                    hub.with(|state| state.window.again(now, &pool, state.instances));
+                if is_allowed {
+                    Ok(())
+                } else {
+                    Err(judge::end(self.ran, Code::Overloaded))
+                }
+            }
+        }
+    }
+}
+
+/// What was chosen for an attempt.
+struct Choice {
+    server: Rc<site::roster::Server>,
+    tokens: u64,
+    fetch: Option<core::net::SocketAddr>,
+}
+
+fn choose<E: Edge>(
+    hub: &Rc<Hub<E>>,
+    ask: &Ask<E::Request>,
+    pool: &Name,
+    inputs: &Inputs<E>,
+    trail: &Trail,
+) -> Option<Choice> {
+    let now = hub.edge.now();
+    let domain = inputs.domain();
+    hub.with(|state| {
+        let mut cx = plain::Context {
+            now,
+            domain: &hub.domain,
+            tried: &trail.tried,
+            rng: &mut state.rng,
+        };
+        let servers: Vec<_> = state.roster.usable(now, pool).collect();
+        if let Some(prompt) = &ask.prompt {
+            let pull = engine::Pull {
+                domain: domain.as_ref(),
+                ms: hub.settings.result_pull_ms,
+            };
+            let choice = engine::choose(&state.fleet, &mut cx, prompt, pull, &servers)?;
+            return Some(Choice {
+                server: choice.server.clone(),
+                tokens: choice.tokens,
+                fetch: choice.fetch,
+            });
+        }
+        let server = plain::choose(&state.fleet, &mut cx, servers.into_iter())?;
+        Some(Choice {
+            server: server.clone(),
+            tokens: 0,
+            fetch: None,
+        })
+    })
+}
+
+/// Returns the failure domain of the engine that would be chosen now, for results to be made near it.
+fn prefer<E: Edge>(hub: &Rc<Hub<E>>, ask: &Ask<E::Request>, pool: &Name) -> Option<Name> {
+    ask.prompt.as_ref()?;
+    let none = Inputs::none(hub);
+    choose(hub, ask, pool, &none, &Trail::default()).map(|choice| choice.server.domain.clone())
+}
+
+/// Returns the pool that serves a request; all its attempts draw the same one.
+fn pool<E: Edge>(hub: &Rc<Hub<E>>, ask: &Ask<E::Request>) -> Result<Name, Code> {
+    let draw = (ask.digest >> 11) as f64 / (1_u64 << 53) as f64;
+    let pool = ask.route.pool(draw).ok_or(Code::StageUnavailable)?;
+    let is_known = hub.with(|state| {
+        let config = state.config.as_ref()?;
+        config.pool(pool).map(|pool| !matches!(pool.work, Work::Pieces(_)))
+    });
+    match is_known {
+        Some(_) => Ok(pool.clone()),
+        None => Err(Code::StageUnavailable),
+    }
+}
+
+async fn whole<R: Reply>(reply: &mut R, most: usize) -> Result<Bytes, Failure> {
+    let mut body = BytesMut::new();
+    while let Some(chunk) = reply.chunk().await? {
+        if body.len() + chunk.len() > most {
+            return Err(Failure::Broken);
+        }
+        body.extend_from_slice(&chunk);
+    }
+    Ok(body.freeze())
+}
+
+/// Takes note that a server said that it leaves.
+pub(crate) fn left<E: Edge>(hub: &Rc<Hub<E>>, server: &Name) {
+    let now = hub.edge.now();
+    log::info!(target: "servers", server:% = server, source = "answer"; "server leaves");
+    hub.with(|state| state.roster.left(now, server));
+}
+
+/// Takes note that a connection broke while a server ran a request.
+pub(crate) fn crashed<E: Edge>(hub: &Rc<Hub<E>>, ask: &Ask<E::Request>, server: &Name) {
+    let now = hub.edge.now();
+    let is_new = hub.with(|state| state.crashes.add(now, ask.digest, server));
+    if is_new {
+        hub.edge.crashed(ask.digest, server);
+    }
+}
+
+fn refuse<E: Edge>(
+    hub: &Rc<Hub<E>>,
+    ask: &Ask<E::Request>,
+    trail: &Trail,
+    code: Code,
+) -> Refusal {
+    let now: Tick = hub.edge.now();
+    let retry_after = code.again().then(|| {
+        let spread = hub.settings.return_spread;
+        let draw = hub.with(|state| state.rng.random::<f64>());
+        hub.settings.return_least + spread.mul_f64(draw)
+    });
+    let version = ask.version;
+    log::warn!(
+        target: "relay", request:% = ask.id, route:% = ask.route.name, code = code.number(),
+        cause = code.title(), attempts = trail.sent, ran = trail.ran, config = version,
+        age_ms = (now - ask.arrived).as_millis(), left_ms = ask.left(now).as_millis();
+        "request refused"
+    );
+    Refusal { code, retry_after }
+}
+
+fn sample<E: Edge>(hub: &Rc<Hub<E>>, ask: &Ask<E::Request>, reply: &E::Reply) {
+    if ask.digest % hub.settings.sample == 0 {
+        let took = hub.edge.now() - ask.arrived;
+        log::info!(
+            target: "relay", request:% = ask.id, route:% = ask.route.name,
+            status = reply.status(), took_ms = took.as_millis(); "request answered"
+        );
+    }
+}
--- /dev/null
+++ b/crates/site/src/config.rs
@@ -0,0 +1,133 @@
+//! The operator's configuration in one version.
+
+use core::time::Duration;
+use std::rc::Rc;
+
+use base::Name;
+
+use crate::{Pool, Route};
+
+/// A configuration in full.
+#[derive(Clone, Debug, Default)]
+pub struct Config {
+    /// Increases with each change, in uneven steps.
+    pub version: u64,
+    /// Bounds on what callers may send.
+    pub limits: Limits,
+    routes: Vec<Rc<Route>>,
+    pools: Vec<Pool>,
+    keys: Vec<Key>,
+    open: bool,
+}
+
+/// Bounds on what callers may send.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// The longest body, in bytes.
+    pub body: usize,
+    /// How long a connection may stay idle.
+    pub idle: Duration,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            body: 4 * 1024 * 1024,
+            idle: Duration::from_secs(15),
+        }
+    }
+}
+
+/// A client account, as one of its keys shows it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Account {
+    /// The account's name.
+    pub name: Name,
+    /// Its rank, where it has one of its own; 0 goes first.
+    pub priority: Option<u8>,
+}
+
+#[derive(Clone, Debug)]
+struct Key {
+    text: Name,
+    account: Account,
+}
+
+impl Config {
+    /// Builds a configuration.
+    ///
+    /// Every request needs a key of some account unless `keys` is `None` or its route is public.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use site::{Config, Route};
+    /// let route = Route { host: "a.example".into(), prefix: "/x/".into(), ..Route::default() };
+    /// let config = Config::new(7, vec![route], Vec::new(), None);
+    /// assert!(config.route("a.example", "/x/1").is_some());
+    /// assert!(config.route("a.example", "/y").is_none());
+    /// ```
+    pub fn new(
+        version: u64,
+        routes: Vec<Route>,
+        mut pools: Vec<Pool>,
+        keys: Option<Vec<(Name, Account)>>,
+    ) -> Self {
+        let mut routes: Vec<_> = routes.into_iter().map(Rc::new).collect();
+        routes.sort_by(|a, b| (&a.host, &a.prefix).cmp(&(&b.host, &b.prefix)));
+        pools.sort_by(|a, b| a.name.cmp(&b.name));
+        let open = keys.is_none();
+        let mut keys: Vec<_> = keys
+            .into_iter()
+            .flatten()
+            .map(|(text, account)| Key { text, account })
+            .collect();
+        keys.sort_by(|a, b| a.text.cmp(&b.text));
+        Self {
+            version,
+            limits: Limits::default(),
+            routes,
+            pools,
+            keys,
+            open,
+        }
+    }
+
+    /// Returns the route with the longest prefix that begins a path.
+    pub fn route(&self, host: &str, path: &str) -> Option<&Rc<Route>> {
+        let ends = path.rmatch_indices('/').map(|(at, _)| at + 1);
+        ends.map(|end| &path[..end]).find_map(|prefix| {
+            let at = self.routes.binary_search_by(|route| {
+                (route.host.as_str(), route.prefix.as_str()).cmp(&(host, prefix))
+            });
+            at.ok().map(|at| &self.routes[at])
+        })
+    }
+
+    /// Returns the account that holds a key.
+    pub fn account(&self, key: &str) -> Option<&Account> {
+        let at = self.keys.binary_search_by(|one| one.text.as_str().cmp(key));
+        at.ok().map(|at| &self.keys[at].account)
+    }
+
+    /// Tells whether requests need no key.
+    pub const fn is_open(&self) -> bool {
+        self.open
+    }
+
+    /// Returns a pool by its name.
+    pub fn pool(&self, name: &Name) -> Option<&Pool> {
+        let at = self.pools.binary_search_by(|pool| pool.name.cmp(name));
+        at.ok().map(|at| &self.pools[at])
+    }
+
+    /// Returns every pool, sorted by name.
+    pub fn pools(&self) -> &[Pool] {
+        &self.pools
+    }
+
+    /// Returns the number of routes.
+    pub const fn routes(&self) -> usize {
+        self.routes.len()
+    }
+}
--- /dev/null
+++ b/crates/site/src/pool.rs
@@ -0,0 +1,56 @@
+//! One pool of backend servers.
+
+use core::time::Duration;
+
+use base::Name;
+
+/// A pool of backend servers that do the same work.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Pool {
+    /// The pool's name.
+    pub name: Name,
+    /// The most connections that one server accepts from all instances.
+    pub connections: usize,
+    /// What its servers do.
+    pub work: Work,
+}
+
+/// What the servers of a pool do.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub enum Work {
+    /// Runs models over prompts that are kept in memory.
+    Engine(Engine),
+    /// Works on pieces of stages, several in one call.
+    Pieces(Pieces),
+    /// Answers requests.
+    #[default]
+    Plain,
+}
+
+/// An engine, as the operator states it.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Engine {
+    /// Requests that run at the same time.
+    pub slots: u32,
+    /// Tokens that fit into memory.
+    pub tokens: u64,
+}
+
+/// A server of stages, as the operator states it.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Pieces {
+    /// Calls that are worked on at the same time.
+    pub slots: u32,
+    /// Calls that may wait.
+    pub queue: u32,
+    /// The most pieces of one call.
+    pub batch: usize,
+    /// The time that each call takes.
+    pub call: Duration,
+    /// The time that each piece adds, about.
+    pub piece: Duration,
+    /// The bytes of results that fit into memory.
+    pub memory: u64,
+    /// How long a result is kept after its call.
+    pub keep: Duration,
+}
