--- a/crates/entry/src/control/placement/desk.rs
+++ b/crates/entry/src/control/placement/desk.rs
@@ -70,14 +70,16 @@
         Some(is_held)
     }
 
-    /// Returns the engines to ask now, with their addresses.
+    /// Returns the engines to ask now, with their addresses; without the lease just those whose orders
+    /// were not seen to have their effect.
     pub(super) fn survey(
         &mut self,
         now: Tick,
         servers: &[Server],
         domain: &Name,
     ) -> Vec<(Incarnation, SocketAddr)> {
-        if !self.is_held {
+        let busy = self.planner.busy();
+        if !self.is_held && busy.is_empty() {
             return Vec::new();
         }
         let is_own = |server: &&Server| {
@@ -93,7 +95,8 @@
         self.survey.list(&names);
         self.wants
             .retain(|(server, _)| names.binary_search(server).is_ok());
-        let chosen = self.survey.ask(now, &self.planner.busy(), self.polls);
+        let polls = if self.is_held { self.polls } else { 0 };
+        let chosen = self.survey.ask(now, &busy, polls);
         own.retain(|(name, _)| chosen.contains(name));
         own
     }
@@ -128,7 +131,11 @@
 
     /// Returns the orders to send now; none before each engine was asked.
     pub(super) fn orders(&mut self, now: Tick, models: &[Model]) -> Vec<Order> {
-        if !self.is_held || !self.survey.is_whole() {
+        if !self.is_held {
+            self.planner.settle(now, &self.survey.engines());
+            return Vec::new();
+        }
+        if !self.survey.is_whole() {
             return Vec::new();
         }
         let domain = Domain {
--- a/crates/place/src/planner.rs
+++ b/crates/place/src/planner.rs
@@ -129,7 +129,9 @@
     }
 
     /// Forgets the orders whose effect was seen, or whose effect is not waited for any longer.
-    fn settle(&mut self, now: Tick, engines: &[Engine]) {
+    ///
+    /// A planner that lost its lease settles what it ordered before, as nobody else counts that.
+    pub fn settle(&mut self, now: Tick, engines: &[Engine]) {
         let limit = self.config.settle_limit;
         let effects = &mut self.effects;
         self.sent.retain(|sent| {
