Make pieces near what they read, and plan each pool by due time and rank

Lines behind a burst were served by due time alone, so that all were just late.

Change: a piece waits for a server in the domain of what it reads while it keeps a full call of slack; results of one stage stay together; the desk puts off the lowest rank where not all can be on time, and gives up at once what can't be answered; large results count against their maker's memory; a stage with a longer row beside it begins when that has caught up.

--- a/crates/batch/src/configs.rs
+++ b/crates/batch/src/configs.rs
@@ -3,22 +3,37 @@
 use core::time::Duration;
 
 /// Every setting with its default.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Config {
-    /// How long a piece waits for a server in the domain where its result is needed.
-    pub stay: Duration,
-    /// The size from which a result is kept in its domain, in bytes.
+    /// The size from which a result counts against its maker's memory, in bytes.
     pub heavy: u64,
-    /// Calls of one instance under way at one server.
-    pub calls: u32,
+    /// The bytes from which a piece waits for a server in its domain.
+    pub pull: u64,
+    /// The slack that a piece keeps when it waits for a server in its domain, in full calls.
+    pub slack: u32,
+    /// How long a result is taken to lie at its maker: a call's end, the way to an engine, its first token.
+    pub lies: Duration,
+    /// How often its expected time a server's calls may take before it gets trial calls only.
+    pub slow: f64,
+    /// The pause between trial calls to a slow server.
+    pub trial: Duration,
+    /// The share of the newest call in a server's pace.
+    pub gain: f64,
+    /// The least time in which a server that can't be reached may be back; pieces that have less are given up.
+    pub back: Duration,
 }
 
 impl Default for Config {
     fn default() -> Self {
         Self {
-            stay: Duration::from_millis(120),
             heavy: 500_000,
-            calls: 1,
+            pull: 100_000,
+            slack: 1,
+            lies: Duration::from_millis(500),
+            slow: 2.0,
+            trial: Duration::from_secs(1),
+            gain: 0.5,
+            back: Duration::from_millis(400),
         }
     }
 }
--- a/crates/batch/src/desk.rs
+++ b/crates/batch/src/desk.rs
@@ -1,11 +1,20 @@
-//! Which pieces the next call to each server takes.
+//! Which pieces the next call to each server takes, and which can't be made in time.
+
+mod line;
+mod plan;
 
 use std::rc::Rc;
 
 use base::{Name, Tick};
+use core::time::Duration;
 use pick::Fleet;
-use site::{Config, Roster, pool::Pieces, pool::Work, roster::Server};
+use site::{
+    Config, Roster,
+    pool::{Pieces, Work},
+    roster::Server,
+};
 
+use self::line::Line;
 use crate::{Piece, configs};
 
 /// What a decision may see.
@@ -28,6 +37,15 @@
     lines: Vec<Line>,
 }
 
+/// What to do now.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Action {
+    /// Send a call.
+    Send(Order),
+    /// Tell whoever waits that a piece can't be made in time.
+    Late(Piece),
+}
+
 /// A call to send.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Order {
@@ -37,6 +55,8 @@
     pub server: Rc<Server>,
     /// What the call holds.
     pub pieces: Vec<Piece>,
+    /// When the call is given up.
+    pub limit: Duration,
 }
 
 /// What a server tells of its load in an answer.
@@ -48,33 +68,36 @@
     pub waiting: u32,
 }
 
-#[derive(Clone, Debug, Default)]
-struct Line {
-    pool: Name,
-    waiting: Vec<(Tick, Piece)>,
-    feeds: Vec<Feed>,
-}
-
-/// One server, as this instance feeds it.
-#[derive(Clone, Debug)]
-struct Feed {
-    server: Name,
-    calls: u32,
-    /// Until when calls of other instances are taken to keep it busy.
-    taken_until: Tick,
-    last: Tick,
+/// How a call ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    /// It was answered.
+    Worked {
+        /// The time it took.
+        took: Duration,
+        /// Its pieces.
+        pieces: usize,
+        /// What the server told of its load.
+        load: Option<Load>,
+        /// Whether pieces were not made for lack of memory.
+        is_out_of_room: bool,
+    },
+    /// The server was full.
+    Full,
+    /// It was not answered.
+    Failed,
 }
 
 impl Desk {
     /// Makes a desk on which nothing waits.
-    pub fn new(config: configs::Config) -> Self {
+    pub const fn new(config: configs::Config) -> Self {
         Self {
             config,
             lines: Vec::new(),
         }
     }
 
-    /// Adds a piece for a pool.
+    /// Adds pieces of one stage of a request for a pool.
     ///
     /// # Examples
     ///
@@ -87,85 +110,59 @@
     ///     stage: 0,
     ///     number: 0,
     ///     source: Source::Key("k".into()),
+    ///     rank: 0,
     ///     due: Tick::from_millis(100),
     ///     deadline: Tick::from_millis(900),
     ///     bytes: 8_000,
     ///     domain: None,
+    ///     pull: 0,
     ///     tries: 0,
     /// };
     /// let mut desk = Desk::default();
-    /// desk.offer(Tick::default(), &"board".into(), piece);
+    /// desk.offer(&"board".into(), vec![piece]);
     /// assert_eq!(desk.waiting(&"board".into()), 1);
     /// ```
-    pub fn offer(&mut self, now: Tick, pool: &Name, piece: Piece) {
-        self.line(pool).waiting.push((now, piece));
+    pub fn offer(&mut self, pool: &Name, pieces: Vec<Piece>) {
+        self.line(pool).offer(pieces);
     }
 
     /// Drops pieces that wait, by their tickets.
-    pub fn withdraw(&mut self, tickets: core::ops::Range<u64>) {
+    pub fn withdraw(&mut self, tickets: &core::ops::Range<u64>) {
         for line in &mut self.lines {
-            line.waiting
-                .retain(|(_, piece)| !tickets.contains(&piece.ticket));
+            line.withdraw(tickets);
         }
     }
 
     /// Returns the number of pieces that wait for a pool.
     pub fn waiting(&self, pool: &Name) -> usize {
-        self.find(pool).map_or(0, |at| self.lines[at].waiting.len())
+        self.find(pool).map_or(0, |at| self.lines[at].waiting())
     }
 
-    /// Takes note that a call ended, and of the load that its answer told.
-    pub fn done(
-        &mut self,
-        now: Tick,
-        pool: &Name,
-        server: &Name,
-        load: Option<Load>,
-        work: &Pieces,
-    ) {
-        let line = self.line(pool);
-        let Some(feed) = line.feeds.iter_mut().find(|feed| feed.server == *server) else {
-            return;
-        };
-        feed.calls = feed.calls.saturating_sub(1);
-        let others = load.map_or(0, |load| load.running + load.waiting);
-        feed.taken_until = now + usual(work) * others;
-    }
-
-    /// Takes note that a server has no place for a call now.
-    pub fn full(&mut self, now: Tick, pool: &Name, server: &Name, work: &Pieces) {
-        let line = self.line(pool);
-        if let Some(feed) = line.feeds.iter_mut().find(|feed| feed.server == *server) {
-            feed.calls = feed.calls.saturating_sub(1);
-            feed.taken_until = now + usual(work);
-        }
+    /// Takes note that a call ended.
+    pub fn ended(&mut self, now: Tick, pool: &Name, server: &Name, work: &Pieces, end: End) {
+        let config = self.config.clone();
+        self.line(pool).ended(now, server, &config, work, end);
     }
 
-    /// Returns the calls to send now.
-    pub fn next(&mut self, cx: Context<'_>) -> Vec<Order> {
-        let mut orders = Vec::new();
-        let config = self.config.clone();
+    /// Returns the calls to send now, and the pieces that can't be made in time any more.
+    pub fn next(&mut self, cx: Context<'_>) -> Vec<Action> {
+        let mut actions = Vec::new();
         for line in &mut self.lines {
-            let Some(Work::Pieces(work)) = cx.config.pool(&line.pool).map(|pool| pool.work) else {
-                continue;
-            };
-            line.waiting.retain(|(_, piece)| cx.now < piece.deadline);
-            while let Some(order) = line.next(cx, &config, &work) {
-                orders.push(order);
+            let pool = cx.config.pool(&line.pool);
+            match pool.map(|pool| pool.work) {
+                Some(Work::Pieces(work)) => line.next(cx, &self.config, &work, &mut actions),
+                // The pool is no longer configured.
+                _ => actions.extend(line.clear().into_iter().map(Action::Late)),
             }
         }
-        orders
+        actions
     }
 
     fn line(&mut self, pool: &Name) -> &mut Line {
         let at = match self.find(pool) {
             Ok(at) => at,
             Err(at) => {
-                let line = Line {
-                    pool: pool.clone(),
-                    ..Line::default()
-                };
-                self.lines.insert(at, line);
+                self.lines.insert(at, Line::new(pool));
                 at
             }
         };
@@ -176,94 +173,3 @@
         self.lines.binary_search_by(|line| line.pool.cmp(pool))
     }
 }
-
-impl Line {
-    /// Returns the next call, none if no server is free for what waits.
-    fn next(&mut self, cx: Context<'_>, config: &configs::Config, work: &Pieces) -> Option<Order> {
-        if self.waiting.is_empty() {
-            return None;
-        }
-        let servers: Vec<_> = cx.roster.usable(cx.now, &self.pool).collect();
-        self.feeds
-            .retain(|feed| feed.calls > 0 || servers.iter().any(|one| one.id == feed.server));
-        let free = servers.into_iter().filter(|server| {
-            let calls = self.feed(&server.id).map_or(0, |feed| feed.calls);
-            calls < config.calls && !cx.fleet.is_blocked(cx.now, &server.id)
-        });
-        let server = free.min_by_key(|server| self.rank(cx, server))?.clone();
-        let pieces = self.take(cx, config, work, &server);
-        if pieces.is_empty() {
-            return None;
-        }
-        match self.feeds.iter_mut().find(|feed| feed.server == server.id) {
-            Some(feed) => {
-                feed.calls += 1;
-                feed.last = cx.now;
-            }
-            None => self.feeds.push(Feed {
-                server: server.id.clone(),
-                calls: 1,
-                taken_until: Tick::default(),
-                last: cx.now,
-            }),
-        }
-        Some(Order {
-            pool: self.pool.clone(),
-            server,
-            pieces,
-        })
-    }
-
-    /// Orders servers: the soonest free first, among those the last used.
-    fn rank(
-        &self,
-        cx: Context<'_>,
-        server: &Server,
-    ) -> (core::time::Duration, core::cmp::Reverse<Tick>) {
-        let feed = self.feed(&server.id);
-        let taken = feed.map_or(core::time::Duration::ZERO, |feed| feed.taken_until - cx.now);
-        let last = feed.map_or(Tick::default(), |feed| feed.last);
-        (taken, core::cmp::Reverse(last))
-    }
-
-    /// Takes what a call to a server holds: what can be on time goes first, then what is due first.
-    fn take(
-        &mut self,
-        cx: Context<'_>,
-        config: &configs::Config,
-        work: &Pieces,
-        server: &Server,
-    ) -> Vec<Piece> {
-        let stays = |since: Tick, piece: &Piece| {
-            piece.bytes >= config.heavy
-                && piece
-                    .domain
-                    .as_ref()
-                    .is_some_and(|domain| *domain != server.domain)
-                && cx.now - since < config.stay
-        };
-        self.waiting.sort_by_key(|(since, piece)| {
-            (
-                stays(*since, piece),
-                piece.due < cx.now,
-                piece.due,
-                piece.ticket,
-            )
-        });
-        let fit = self.waiting.iter().take(work.batch.max(1));
-        let count = fit
-            .take_while(|(since, piece)| !stays(*since, piece))
-            .count();
-        let taken = self.waiting.drain(..count);
-        taken.map(|(_, piece)| piece).collect()
-    }
-
-    fn feed(&self, server: &Name) -> Option<&Feed> {
-        self.feeds.iter().find(|feed| feed.server == *server)
-    }
-}
-
-/// Returns the time of a call of usual size.
-fn usual(work: &Pieces) -> core::time::Duration {
-    work.call + work.piece * (u32::try_from(work.batch).unwrap_or(1) / 3)
-}
--- /dev/null
+++ b/crates/batch/src/desk/line.rs
@@ -0,0 +1,328 @@
+//! The line of pieces for one pool, and the servers that work on it.
+
+use core::time::Duration;
+use std::rc::Rc;
+
+use base::{Name, Tick};
+use site::{pool::Pieces, roster::Server};
+
+use super::{
+    Action, Context, End, Order,
+    plan::{Group, Plan, Speed, plan, span},
+};
+use crate::{Piece, configs::Config};
+
+/// How much longer than expected a call may take before it is given up.
+const PATIENCE: f64 = 3.0;
+
+#[derive(Clone, Debug, Default)]
+pub(super) struct Line {
+    pub(super) pool: Name,
+    groups: Vec<Group>,
+    feeds: Vec<Feed>,
+}
+
+/// One server, as this instance feeds it.
+#[derive(Clone, Debug)]
+struct Feed {
+    server: Name,
+    calls: u32,
+    /// Until when the call under way, or calls of others, keep it busy.
+    busy_until: Tick,
+    /// The time of its calls, as a multiple of what is expected.
+    pace: f64,
+    tried: Tick,
+    /// When results are taken to be given up, and their size.
+    results: Vec<(Tick, u64)>,
+    /// Until when it makes no large results.
+    full_until: Tick,
+}
+
+impl Line {
+    pub(super) fn new(pool: &Name) -> Self {
+        Self {
+            pool: pool.clone(),
+            ..Self::default()
+        }
+    }
+
+    pub(super) fn offer(&mut self, pieces: Vec<Piece>) {
+        let Some(first) = pieces.first() else {
+            return;
+        };
+        self.groups.push(Group {
+            rank: first.rank,
+            due: first.due,
+            deadline: first.deadline,
+            bytes: first.bytes,
+            domain: first.domain.clone(),
+            pull: first.pull,
+            pieces,
+        });
+    }
+
+    pub(super) fn withdraw(&mut self, tickets: &core::ops::Range<u64>) {
+        for group in &mut self.groups {
+            group
+                .pieces
+                .retain(|piece| !tickets.contains(&piece.ticket));
+        }
+        self.groups.retain(|group| !group.pieces.is_empty());
+    }
+
+    pub(super) fn waiting(&self) -> usize {
+        self.groups.iter().map(|group| group.pieces.len()).sum()
+    }
+
+    pub(super) fn clear(&mut self) -> Vec<Piece> {
+        let groups = self.groups.drain(..);
+        groups.flat_map(|group| group.pieces).collect()
+    }
+
+    pub(super) fn ended(
+        &mut self,
+        now: Tick,
+        server: &Name,
+        config: &Config,
+        work: &Pieces,
+        end: End,
+    ) {
+        let Some(feed) = self.feeds.iter_mut().find(|feed| feed.server == *server) else {
+            return;
+        };
+        feed.calls = feed.calls.saturating_sub(1);
+        let usual = span(work, work.batch / 2);
+        match end {
+            End::Worked {
+                took,
+                pieces,
+                load,
+                is_out_of_room,
+            } => {
+                let others = load.map_or(0, |load| load.running + load.waiting);
+                let pace = took.div_duration_f64(span(work, pieces).max(Duration::from_millis(1)));
+                feed.pace += config.gain * (pace - feed.pace);
+                feed.busy_until = now + usual * others;
+                if is_out_of_room {
+                    feed.full_until = now + config.lies / 2;
+                }
+            }
+            End::Full => feed.busy_until = now + usual,
+            End::Failed => {
+                feed.busy_until = now;
+                feed.pace = feed.pace.max(config.slow * 1.5);
+            }
+        }
+    }
+
+    /// Sends what can be sent, and gives up what can't be made in time.
+    pub(super) fn next(
+        &mut self,
+        cx: Context<'_>,
+        config: &Config,
+        work: &Pieces,
+        actions: &mut Vec<Action>,
+    ) {
+        let listed: Vec<_> = cx.roster.usable(cx.now, &self.pool).cloned().collect();
+        self.feeds
+            .retain(|feed| feed.calls > 0 || listed.iter().any(|one| one.id == feed.server));
+        if self.groups.is_empty() {
+            return;
+        }
+        let reached = listed.iter();
+        let reached = reached.filter(|server| !cx.fleet.is_blocked(cx.now, &server.id));
+        let servers: Vec<_> = reached.cloned().collect();
+        if servers.is_empty() {
+            self.give_up(cx, config, listed.is_empty(), actions);
+            return;
+        }
+        for server in &servers {
+            self.feed(&server.id);
+        }
+        let speed = self.speed(cx, config, &servers);
+        let mut planned = plan(core::mem::take(&mut self.groups), speed, work);
+        let lost = planned.lost.drain(..).flat_map(|group| group.pieces);
+        actions.extend(lost.map(Action::Late));
+        let mut free: Vec<_> = servers
+            .iter()
+            .filter(|server| self.is_free(cx, config, &server.id))
+            .collect();
+        free.sort_by_key(|server| self.get(&server.id).map(|feed| feed.busy_until));
+        for server in free {
+            let pieces = self.take(cx, config, work, server, &servers, &mut planned);
+            if !pieces.is_empty() {
+                actions.push(Action::Send(self.order(cx, config, work, server, pieces)));
+            }
+        }
+        self.groups = planned.on_time;
+        self.groups.append(&mut planned.late);
+    }
+
+    /// Gives up what no server can be expected to make.
+    fn give_up(
+        &mut self,
+        cx: Context<'_>,
+        config: &Config,
+        is_nobody: bool,
+        actions: &mut Vec<Action>,
+    ) {
+        let groups = core::mem::take(&mut self.groups);
+        let (kept, lost): (Vec<_>, Vec<_>) = groups
+            .into_iter()
+            .partition(|group| !is_nobody && cx.now + config.back < group.deadline);
+        self.groups = kept;
+        let lost = lost.into_iter().flat_map(|group| group.pieces);
+        actions.extend(lost.map(Action::Late));
+    }
+
+    fn speed(&self, cx: Context<'_>, config: &Config, servers: &[Rc<Server>]) -> Speed {
+        let feeds = servers.iter().filter_map(|server| self.get(&server.id));
+        let swift: Vec<_> = feeds.filter(|feed| feed.pace < config.slow).collect();
+        let from = swift.iter().map(|feed| feed.busy_until.max(cx.now)).min();
+        Speed {
+            from: from.unwrap_or(cx.now),
+            servers: swift.len().max(1),
+        }
+    }
+
+    fn is_free(&self, cx: Context<'_>, config: &Config, server: &Name) -> bool {
+        let Some(feed) = self.get(server) else {
+            return false;
+        };
+        let is_trial = feed.tried + config.trial <= cx.now;
+        feed.calls == 0 && (feed.pace < config.slow || is_trial)
+    }
+
+    /// Takes what the next call to a server holds.
+    fn take(
+        &self,
+        cx: Context<'_>,
+        config: &Config,
+        work: &Pieces,
+        server: &Server,
+        servers: &[Rc<Server>],
+        planned: &mut Plan,
+    ) -> Vec<Piece> {
+        let Some(feed) = self.get(&server.id) else {
+            return Vec::new();
+        };
+        let is_trial = feed.pace >= config.slow;
+        let most = if is_trial { 1 } else { work.batch.max(1) };
+        let mut room = feed.room(cx.now, work);
+        let mut taken: Vec<Piece> = Vec::new();
+        for groups in [&mut planned.on_time, &mut planned.late] {
+            for group in groups.iter_mut() {
+                if taken.len() >= most {
+                    break;
+                }
+                if self.stays(cx, config, work, server, servers, group) {
+                    continue;
+                }
+                // Results of one stage lie together, so that whatever reads them finds them in one place.
+                let is_split = group.pieces.len() > most - taken.len();
+                if is_split && !taken.is_empty() {
+                    continue;
+                }
+                let mut count = group.pieces.len().min(most - taken.len());
+                if group.bytes >= config.heavy {
+                    let fit = usize::try_from(room / group.bytes.max(1)).unwrap_or(usize::MAX);
+                    count = count.min(fit);
+                    room -= group.bytes * count as u64;
+                }
+                taken.extend(group.pieces.drain(..count));
+            }
+            groups.retain(|group| !group.pieces.is_empty());
+        }
+        taken
+    }
+
+    /// Tells whether a group waits for a server in the domain where its results are needed.
+    fn stays(
+        &self,
+        cx: Context<'_>,
+        config: &Config,
+        work: &Pieces,
+        server: &Server,
+        servers: &[Rc<Server>],
+        group: &Group,
+    ) -> bool {
+        let Some(domain) = &group.domain else {
+            return false;
+        };
+        if group.pull < config.pull || *domain == server.domain {
+            return false;
+        }
+        let near = servers.iter().filter(|one| one.domain == *domain);
+        let near = near.filter_map(|one| self.get(&one.id));
+        let near = near.filter(|feed| feed.pace < config.slow);
+        let free = near.map(|feed| feed.busy_until.max(cx.now)).min();
+        let calls = 1 + config.slack;
+        free.is_some_and(|free| free + span(work, work.batch) * calls <= group.due)
+    }
+
+    fn order(
+        &mut self,
+        cx: Context<'_>,
+        config: &Config,
+        work: &Pieces,
+        server: &Rc<Server>,
+        pieces: Vec<Piece>,
+    ) -> Order {
+        let expected = span(work, pieces.len());
+        let feed = self.feed(&server.id);
+        let paced = expected.mul_f64(feed.pace.clamp(1.0, 10.0));
+        feed.calls += 1;
+        feed.tried = cx.now;
+        feed.busy_until = cx.now + paced;
+        let until = feed.busy_until + config.lies;
+        let heavy = pieces.iter().filter(|piece| piece.bytes >= config.heavy);
+        feed.results.extend(heavy.map(|piece| (until, piece.bytes)));
+        feed.results.retain(|(until, _)| cx.now < *until);
+        Order {
+            pool: self.pool.clone(),
+            server: server.clone(),
+            pieces,
+            limit: paced.mul_f64(PATIENCE) + work.call,
+        }
+    }
+
+    fn feed(&mut self, server: &Name) -> &mut Feed {
+        let at = match self.feeds.binary_search_by(|feed| feed.server.cmp(server)) {
+            Ok(at) => at,
+            Err(at) => {
+                self.feeds.insert(at, Feed::new(server));
+                at
+            }
+        };
+        &mut self.feeds[at]
+    }
+
+    fn get(&self, server: &Name) -> Option<&Feed> {
+        let at = self.feeds.binary_search_by(|feed| feed.server.cmp(server));
+        at.ok().map(|at| &self.feeds[at])
+    }
+}
+
+impl Feed {
+    fn new(server: &Name) -> Self {
+        Self {
+            server: server.clone(),
+            calls: 0,
+            busy_until: Tick::default(),
+            pace: 1.0,
+            tried: Tick::default(),
+            results: Vec::new(),
+            full_until: Tick::default(),
+        }
+    }
+
+    /// Returns the memory that is left for large results, in bytes.
+    fn room(&self, now: Tick, work: &Pieces) -> u64 {
+        if now < self.full_until {
+            return 0;
+        }
+        let lying = self.results.iter().filter(|(until, _)| now < *until);
+        let lying: u64 = lying.map(|(_, bytes)| bytes).sum();
+        work.memory.saturating_sub(lying)
+    }
+}
--- /dev/null
+++ b/crates/batch/src/desk/plan.rs
@@ -0,0 +1,95 @@
+//! Which groups of pieces can be on time, which only late, and which not at all.
+
+use core::time::Duration;
+
+use base::Tick;
+use site::pool::Pieces;
+
+use crate::Piece;
+
+/// Pieces of one stage of one request, which are due at the same time.
+#[derive(Clone, Debug)]
+pub(crate) struct Group {
+    pub(crate) pieces: Vec<Piece>,
+    pub(crate) rank: u8,
+    pub(crate) due: Tick,
+    pub(crate) deadline: Tick,
+    pub(crate) bytes: u64,
+    pub(crate) domain: Option<base::Name>,
+    pub(crate) pull: u64,
+}
+
+/// How fast a pool works.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Speed {
+    /// When the next server is free.
+    pub(crate) from: Tick,
+    /// Servers that work.
+    pub(crate) servers: usize,
+}
+
+/// Groups in the order in which they are served.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Plan {
+    /// Those that can be on time, by when they are due.
+    pub(crate) on_time: Vec<Group>,
+    /// Those that can be answered late.
+    pub(crate) late: Vec<Group>,
+    /// Those that can't be answered before their deadline.
+    pub(crate) lost: Vec<Group>,
+}
+
+/// Sorts groups by what can still be made of them.
+///
+/// Groups are taken by when they are due. Where one would be late, a group of the lowest rank so far is put
+/// off: the fewest groups are late, and no group takes the place of one that goes first.
+pub(crate) fn plan(mut groups: Vec<Group>, speed: Speed, work: &Pieces) -> Plan {
+    let mut plan = Plan::default();
+    groups.sort_by_key(|group| (group.due, group.pieces.first().map(|piece| piece.ticket)));
+    let mut count = 0;
+    for group in groups {
+        count += group.pieces.len();
+        let due = group.due;
+        plan.on_time.push(group);
+        if finish(speed, work, count) <= due {
+            continue;
+        }
+        // The last one of the lowest rank; a large group makes the most room.
+        let worst = (0..plan.on_time.len())
+            .max_by_key(|at| (plan.on_time[*at].rank, plan.on_time[*at].pieces.len(), *at));
+        if let Some(worst) = worst {
+            let group = plan.on_time.remove(worst);
+            count -= group.pieces.len();
+            plan.late.push(group);
+        }
+    }
+    let late = core::mem::take(&mut plan.late);
+    let mut late: Vec<_> = late.into_iter().collect();
+    late.sort_by_key(|group| (group.rank, group.deadline));
+    for group in late {
+        let end = finish(speed, work, count + group.pieces.len());
+        if end <= group.deadline {
+            count += group.pieces.len();
+            plan.late.push(group);
+        } else {
+            plan.lost.push(group);
+        }
+    }
+    plan
+}
+
+/// Returns when the last of some pieces is made.
+fn finish(speed: Speed, work: &Pieces, pieces: usize) -> Tick {
+    let batch = work.batch.max(1);
+    let turn = speed.servers.max(1) * batch;
+    let rounds = pieces.saturating_sub(1) / turn;
+    let rest = pieces - rounds * turn;
+    let full = span(work, batch);
+    let last = span(work, rest.min(batch));
+    speed.from + full * u32::try_from(rounds).unwrap_or(u32::MAX) + last
+}
+
+/// Returns the time of a call with some pieces.
+pub(crate) fn span(work: &Pieces, pieces: usize) -> Duration {
+    work.call + work.piece * u32::try_from(pieces).unwrap_or(u32::MAX)
+}
--- a/crates/batch/src/piece.rs
+++ b/crates/batch/src/piece.rs
@@ -17,14 +17,18 @@
     pub number: u32,
     /// What it is made from.
     pub source: Source,
+    /// The request's rank; 0 goes first.
+    pub rank: u8,
     /// When its result is needed for the request to be on time.
     pub due: Tick,
-    /// When its result is of no use any more.
+    /// When its result is too late for the request to be answered at all.
     pub deadline: Tick,
     /// The size of its result in bytes, about.
     pub bytes: u64,
-    /// The failure domain where its result will be read, where that is known.
+    /// The failure domain that is nearest to what it is made from and to whoever reads its result.
     pub domain: Option<Name>,
+    /// The bytes that cross failure domains where it is made elsewhere.
+    pub pull: u64,
     /// How often it was in a call before.
     pub tries: u32,
 }
--- a/crates/feed/src/codec.rs
+++ b/crates/feed/src/codec.rs
@@ -26,6 +26,8 @@
         due_ms: i64::try_from(order.due.as_millis()).unwrap_or(i64::MAX),
         left_ms: millis(order.left),
         bytes: order.bytes,
+        rank: u32::from(order.rank),
+        pull: order.pull,
         domain: order
             .domain
             .map_or_else(String::new, |domain| domain.as_str().to_owned()),
@@ -49,6 +51,8 @@
         due: Duration::from_millis(u64::try_from(order.due_ms).unwrap_or(0)),
         left: Duration::from_millis(order.left_ms),
         bytes: order.bytes,
+        rank: u8::try_from(order.rank).unwrap_or(u8::MAX),
+        pull: order.pull,
         domain: (!order.domain.is_empty()).then(|| Name::from(order.domain)),
     })
 }
--- a/crates/feed/src/lib.rs
+++ b/crates/feed/src/lib.rs
@@ -31,14 +31,18 @@
     pub numbers: Vec<u32>,
     /// What they are made from.
     pub source: Source,
+    /// The request's rank; 0 goes first.
+    pub rank: u8,
     /// The time until the results are needed to be on time; zero if that has passed.
     pub due: Duration,
     /// The time until the results are of no use.
     pub left: Duration,
     /// The size of one result in bytes, about.
     pub bytes: u64,
-    /// The failure domain where the results will be read.
+    /// The failure domain that is best for the pieces.
     pub domain: Option<Name>,
+    /// The bytes that cross failure domains for a piece that is made elsewhere.
+    pub pull: u64,
 }
 
 /// What became of each piece of an order.
--- a/crates/relay/src/configs.rs
+++ b/crates/relay/src/configs.rs
@@ -11,8 +11,6 @@
     pub connects: usize,
     /// The least time that a repeatable attempt gets before another server is tried.
     pub silence_least: Duration,
-    /// What of a stage call's expected time it may take before it is given up.
-    pub call_factor: u32,
     /// The shortest time after which a refused caller is told to return.
     pub return_least: Duration,
     /// The span over which refused callers' returns are spread.
@@ -33,7 +31,6 @@
             answer_bytes: 4 * 1024 * 1024,
             connects: 4,
             silence_least: Duration::from_millis(400),
-            call_factor: 3,
             return_least: Duration::from_millis(150),
             return_spread: Duration::from_millis(500),
             result_pull_ms: 60.0,
--- a/crates/relay/src/hub.rs
+++ b/crates/relay/src/hub.rs
@@ -6,7 +6,7 @@
 use base::{Name, Tick};
 use batch::{
     Desk, Piece,
-    desk::{Context, Order},
+    desk::{self, Action, Context, Order},
     piece::{Handle, Made, Reason},
 };
 use mesh::Members;
@@ -73,7 +73,7 @@
 impl<E: Edge> Drop for Wait<'_, E> {
     fn drop(&mut self) {
         self.hub.with(|state| {
-            state.desk.withdraw(self.tickets.clone());
+            state.desk.withdraw(&self.tickets);
             state
                 .tickets
                 .retain(|ticket| !self.tickets.contains(&ticket.number));
@@ -169,15 +169,16 @@
         let tickets = self.with(|state| {
             let first = state.next_ticket;
             state.window.first(now, pool);
-            for mut piece in pieces {
+            let mut pieces = pieces;
+            for piece in &mut pieces {
                 piece.ticket = state.next_ticket;
                 state.next_ticket += 1;
                 state.tickets.push(Ticket {
                     number: piece.ticket,
                     to: to.clone(),
                 });
-                state.desk.offer(now, pool, piece);
             }
+            state.desk.offer(pool, pieces);
             first..state.next_ticket
         });
         drop(to);
@@ -213,7 +214,7 @@
     /// Starts every call that can start.
     pub fn pump(self: &Rc<Self>) {
         let now = self.edge.now();
-        let orders = self.with(|state| {
+        let actions = self.with(|state| {
             let Some(config) = state.config.clone() else {
                 return Vec::new();
             };
@@ -223,33 +224,35 @@
                 roster: &state.roster,
                 fleet: &state.fleet,
             };
-            let orders = state.desk.next(cx);
-            for order in &orders {
-                state.fleet.begin(now, &order.server.id, 0);
-            }
-            orders
+            state.desk.next(cx)
         });
-        for order in orders {
-            let hub = self.clone();
-            task::spawn_local(async move { hub.work(order).await });
+        for action in actions {
+            match action {
+                Action::Send(order) => {
+                    self.with(|state| state.fleet.begin(now, &order.server.id, 0));
+                    let hub = self.clone();
+                    task::spawn_local(async move { hub.work(order).await });
+                }
+                Action::Late(piece) => self.deliver(&piece, Made::Failed(Reason::Late)),
+            }
         }
     }
 
     async fn work(self: Rc<Self>, order: Order) {
         let pool = self.with(|state| state.config.clone()?.pool(&order.pool).cloned());
         let Some(Work::Pieces(work)) = pool.map(|pool| pool.work) else {
+            // The pool was taken out of the configuration meanwhile.
+            for piece in &order.pieces {
+                self.deliver(piece, Made::Failed(Reason::Error));
+            }
             return;
         };
-        let count = u32::try_from(order.pieces.len()).unwrap_or(u32::MAX);
-        let expected = work.call + work.piece * count;
-        let limit = expected * self.settings.call_factor + work.call * 2;
         let sent = self.edge.now();
-        let worked = self.edge.work(&order.server, &order.pieces, limit).await;
+        let worked = self
+            .edge
+            .work(&order.server, &order.pieces, order.limit)
+            .await;
         let now = self.edge.now();
-        log::debug!(
-            target: "stages", pool:% = order.pool, server:% = order.server.id, pieces = count,
-            took_ms = (now - sent).as_millis(), outcome:% = outcome(&worked); "stage call ended"
-        );
         match worked {
             Ok(worked) => self.worked(now, now - sent, order, worked, &work),
             Err(failure) => self.not_worked(now, order, failure, &work),
@@ -266,13 +269,17 @@
         work: &site::pool::Pieces,
     ) {
         let server = &order.server;
+        let is_out_of_room = worked.made.contains(&Made::Failed(Reason::Room));
+        let end = desk::End::Worked {
+            took,
+            pieces: order.pieces.len(),
+            load: worked.load,
+            is_out_of_room,
+        };
         self.with(|state| {
-            state
-                .fleet
-                .end(now, &server.id, End::Answered { head: took });
-            state
-                .desk
-                .done(now, &order.pool, &server.id, worked.load, work);
+            let answered = End::Answered { head: took };
+            state.fleet.end(now, &server.id, answered);
+            state.desk.ended(now, &order.pool, &server.id, work, end);
         });
         let mut made = worked.made.into_iter();
         for piece in order.pieces {
@@ -281,7 +288,7 @@
                 Made::Failed(Reason::Error | Reason::Room) => {
                     self.again(now, &order.pool, piece, made, &server.id);
                 }
-                Made::Failed(_) | Made::Result(_) => self.deliver(piece, made),
+                Made::Failed(_) | Made::Result(_) => self.deliver(&piece, made),
             }
         }
     }
@@ -300,17 +307,18 @@
         );
         self.with(|state| {
             state.fleet.end(now, &server.id, end_of(failure));
-            match failure {
-                Failure::Full => state.desk.full(now, &order.pool, &server.id, work),
-                _ => state.desk.done(now, &order.pool, &server.id, None, work),
-            }
+            let end = match failure {
+                Failure::Full => desk::End::Full,
+                _ => desk::End::Failed,
+            };
+            state.desk.ended(now, &order.pool, &server.id, work, end);
             if failure == Failure::Moved {
                 state.roster.left(now, &server.id);
             }
         });
         for piece in order.pieces {
             if failure == Failure::Unreachable {
-                self.with(|state| state.desk.offer(now, &order.pool, piece));
+                self.with(|state| state.desk.offer(&order.pool, vec![piece]));
             } else {
                 self.again(
                     now,
@@ -335,13 +343,13 @@
             server:% = server, tries = piece.tries, repeated = is_allowed; "piece was not made"
         );
         if is_allowed {
-            self.with(|state| state.desk.offer(now, pool, piece));
+            self.with(|state| state.desk.offer(pool, vec![piece]));
         } else {
-            self.deliver(piece, made);
+            self.deliver(&piece, made);
         }
     }
 
-    fn deliver(self: &Rc<Self>, piece: Piece, made: Made) {
+    fn deliver(self: &Rc<Self>, piece: &Piece, made: Made) {
         let to = self.with(|state| {
             let find = |ticket: &Ticket| ticket.number.cmp(&piece.ticket);
             let at = state.tickets.binary_search_by(find).ok()?;
@@ -383,13 +391,6 @@
     }
 }
 
-fn outcome(worked: &Result<Worked, Failure>) -> String {
-    match worked {
-        Ok(_) => "worked".to_owned(),
-        Err(failure) => failure.to_string(),
-    }
-}
-
 fn requests(pieces: &[Piece]) -> String {
     let mut ids: Vec<_> = pieces.iter().map(|piece| piece.request.as_str()).collect();
     ids.dedup();
--- a/crates/relay/src/stages.rs
+++ b/crates/relay/src/stages.rs
@@ -15,6 +15,9 @@
 /// The usual time of a stage, until it is measured: a call of 150 ms, some pieces and a wait.
 const USUAL: Duration = Duration::from_millis(250);
 
+/// The usual time of an engine to its first event, until it is measured.
+const ENGINE: Duration = Duration::from_millis(150);
+
 /// Results of the last stages; they are given up when this is dropped.
 pub(crate) struct Inputs<E: Edge> {
     hub: Rc<Hub<E>>,
@@ -120,6 +123,7 @@
             let mut after = stages[*stage].after.iter();
             self.phases[*stage] == Phase::Pending
                 && after.all(|before| self.phases[*before] == Phase::Whole)
+                && !self.is_early(*stage)
         });
         let ready: Vec<_> = ready.collect();
         for stage in &ready {
@@ -128,6 +132,14 @@
         ready
     }
 
+    /// Tells whether a longer row of stages is under way: a result that is made now would only lie there.
+    fn is_early(&self, stage: usize) -> bool {
+        let route = &self.ask.route;
+        let depth = route.depth_after(stage);
+        (0..route.stages.len())
+            .any(|at| self.phases[at] != Phase::Whole && route.depth_after(at) > depth)
+    }
+
     fn pieces(&self, stage: usize) -> Vec<Piece> {
         let stated = &self.ask.route.stages[stage];
         let source = if stated.after.is_empty() {
@@ -139,23 +151,50 @@
                 .flat_map(|before| &self.results[*before]);
             Source::Results(before.cloned().collect())
         };
+        let (domain, pull) = self.place(stage);
         // What follows the stage needs its time, too.
-        let after = USUAL * self.ask.route.depth_after(stage);
+        let after = USUAL * self.ask.route.depth_after(stage) + ENGINE;
         let pieces = (0..pieces(self.ask, stage)).map(|number| Piece {
             ticket: 0,
             request: self.ask.id.clone(),
             stage,
             number,
             source: source.clone(),
+            rank: self.ask.rank,
             due: self.ask.arrived + self.ask.route.objective.saturating_sub(after),
-            deadline: self.ask.limit(),
+            deadline: self.ask.arrived
+                + (self.ask.limit() - self.ask.arrived).saturating_sub(after),
             bytes: stated.bytes,
-            domain: self.domain.clone(),
+            domain: domain.clone(),
+            pull,
             tries: 0,
         });
         pieces.collect()
     }
 
+    /// Returns the failure domain that is best for the pieces of a stage, and the bytes that cross
+    /// domains for each piece that is made elsewhere: every piece reads all results before it.
+    fn place(&self, stage: usize) -> (Option<Name>, u64) {
+        let stages = &self.ask.route.stages;
+        let own = stages[stage].bytes;
+        let mut bytes: Vec<(Name, u64)> = Vec::new();
+        for before in &stages[stage].after {
+            for handle in &self.results[*before] {
+                let Some(domain) = self.hub.domain_of(handle.maker) else {
+                    continue;
+                };
+                match bytes.iter_mut().find(|(known, _)| *known == domain) {
+                    Some((_, sum)) => *sum += stages[*before].bytes,
+                    None => bytes.push((domain, stages[*before].bytes)),
+                }
+            }
+        }
+        match bytes.into_iter().max_by_key(|(_, sum)| *sum) {
+            Some((domain, sum)) if sum > own => (Some(domain), sum),
+            _ => (self.domain.clone(), own),
+        }
+    }
+
     /// Takes the results of a stage.
     fn made(&mut self, stage: usize, made: Vec<Made>) -> Result<(), Code> {
         let mut failed = None;
