Learn how long results lie at their maker

Change: the time for which a large result is counted against its maker's memory grows with each call that ran out and shrinks with each that did not.

--- a/crates/batch/src/desk/line.rs
+++ b/crates/batch/src/desk/line.rs
@@ -20,6 +20,8 @@
     pub(super) pool: Name,
     groups: Vec<Group>,
     feeds: Vec<Feed>,
+    /// How long a result is taken to lie at its maker, once that was learnt.
+    lies: Option<Duration>,
 }
 
 /// One server, as this instance feeds it.
@@ -92,6 +94,7 @@
         };
         feed.calls = feed.calls.saturating_sub(1);
         let usual = span(work, work.batch / 2);
+        let lies = self.lies.unwrap_or(config.lies);
         match end {
             End::Worked {
                 took,
@@ -103,9 +106,14 @@
                 let pace = took.div_duration_f64(span(work, pieces).max(Duration::from_millis(1)));
                 feed.pace += config.gain * (pace - feed.pace);
                 feed.busy_until = now + usual * others;
-                if is_out_of_room {
-                    feed.full_until = now + config.lies / 2;
-                }
+                let (least, most) = config.lies_range;
+                let learnt = if is_out_of_room {
+                    feed.full_until = now + config.lies_more;
+                    lies + config.lies_more
+                } else {
+                    lies.saturating_sub(config.lies_less)
+                };
+                self.lies = Some(learnt.clamp(least, most));
             }
             End::Full => feed.busy_until = now + usual,
             End::Failed => {
@@ -269,12 +277,13 @@
         pieces: Vec<Piece>,
     ) -> Order {
         let expected = span(work, pieces.len());
+        let lies = self.lies.unwrap_or(config.lies);
         let feed = self.feed(&server.id);
         let paced = expected.mul_f64(feed.pace.clamp(1.0, 10.0));
         feed.calls += 1;
         feed.tried = cx.now;
         feed.busy_until = cx.now + paced;
-        let until = feed.busy_until + config.lies;
+        let until = feed.busy_until + lies;
         let heavy = pieces.iter().filter(|piece| piece.bytes >= config.heavy);
         feed.results.extend(heavy.map(|piece| (until, piece.bytes)));
         feed.results.retain(|(until, _)| cx.now < *until);
