--- a/crates/batch/src/desk.rs
+++ b/crates/batch/src/desk.rs
@@ -15,7 +15,7 @@
 };
 
 use self::line::Line;
-use crate::{Piece, configs};
+use crate::{Piece, configs, piece::Handle};
 
 /// What a decision may see.
 #[derive(Clone, Copy, Debug)]
@@ -69,7 +69,7 @@
 }
 
 /// How a call ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub enum End {
     /// It was answered.
     Worked {
@@ -79,6 +79,8 @@
         pieces: usize,
         /// What the server told of its load.
         load: Option<Load>,
+        /// The results that lie at the server now, with their sizes.
+        results: Vec<(Handle, u64)>,
         /// Whether pieces were not made for lack of memory.
         is_out_of_room: bool,
     },
@@ -158,6 +160,18 @@
         actions
     }
 
+    /// Takes note that results were given up.
+    pub fn freed(&mut self, handles: &[Handle]) {
+        for line in &mut self.lines {
+            line.freed(handles);
+        }
+    }
+
+    /// Returns when to ask for the next calls again, if nothing happens before.
+    pub fn wake(&self, now: Tick) -> Option<Tick> {
+        self.lines.iter().filter_map(|line| line.wake(now)).min()
+    }
+
     fn line(&mut self, pool: &Name) -> &mut Line {
         let at = match self.find(pool) {
             Ok(at) => at,
--- a/crates/batch/src/desk/line.rs
+++ b/crates/batch/src/desk/line.rs
@@ -10,7 +10,7 @@
     Action, Context, End, Order,
     plan::{Group, Plan, Speed, plan, span},
 };
-use crate::{Piece, configs::Config};
+use crate::{Piece, configs::Config, piece::Handle};
 
 /// How much longer than expected a call may take before it is given up.
 const PATIENCE: f64 = 3.0;
@@ -20,8 +20,6 @@
     pub(super) pool: Name,
     groups: Vec<Group>,
     feeds: Vec<Feed>,
-    /// How long a result is taken to lie at its maker, once that was learnt.
-    lies: Option<Duration>,
 }
 
 /// One server, as this instance feeds it.
@@ -34,12 +32,22 @@
     /// The time of its calls, as a multiple of what is expected.
     pace: f64,
     tried: Tick,
-    /// When results are taken to be given up, and their size.
-    results: Vec<(Tick, u64)>,
-    /// Until when it makes no large results.
+    /// The bytes of the results of the call under way.
+    reserved: u64,
+    /// The results that lie there.
+    results: Vec<Lying>,
+    /// Until when it makes nothing for lack of memory.
     full_until: Tick,
 }
 
+/// A result that lies at its maker until it is given up or its time is over.
+#[derive(Clone, Debug)]
+struct Lying {
+    text: Name,
+    bytes: u64,
+    until: Tick,
+}
+
 impl Line {
     pub(super) fn new(pool: &Name) -> Self {
         Self {
@@ -94,26 +102,29 @@
         };
         feed.calls = feed.calls.saturating_sub(1);
         let usual = span(work, work.batch / 2);
-        let lies = self.lies.unwrap_or(config.lies);
+        feed.reserved = 0;
         match end {
             End::Worked {
                 took,
                 pieces,
                 load,
+                results,
                 is_out_of_room,
             } => {
                 let others = load.map_or(0, |load| load.running + load.waiting);
                 let pace = took.div_duration_f64(span(work, pieces).max(Duration::from_millis(1)));
                 feed.pace += config.gain * (pace - feed.pace);
                 feed.busy_until = now + usual * others;
-                let (least, most) = config.lies_range;
-                let learnt = if is_out_of_room {
-                    feed.full_until = now + config.lies_more;
-                    lies + config.lies_more
-                } else {
-                    lies.saturating_sub(config.lies_less)
-                };
-                self.lies = Some(learnt.clamp(least, most));
+                if is_out_of_room {
+                    feed.full_until = now + config.room;
+                }
+                let until = now + work.keep;
+                feed.results
+                    .extend(results.into_iter().map(|(handle, bytes)| Lying {
+                        text: handle.text,
+                        bytes,
+                        until,
+                    }));
             }
             End::Full => feed.busy_until = now + usual,
             End::Failed => {
@@ -123,6 +134,13 @@
         }
     }
 
+    pub(super) fn freed(&mut self, handles: &[Handle]) {
+        for feed in &mut self.feeds {
+            feed.results
+                .retain(|result| handles.iter().all(|handle| handle.text != result.text));
+        }
+    }
+
     /// Sends what can be sent, and gives up what can't be made in time.
     pub(super) fn next(
         &mut self,
@@ -159,13 +177,26 @@
         for server in free {
             let pieces = self.take(cx, config, work, server, &servers, &mut planned);
             if !pieces.is_empty() {
-                actions.push(Action::Send(self.order(cx, config, work, server, pieces)));
+                actions.push(Action::Send(self.order(cx, work, server, pieces)));
             }
         }
         self.groups = planned.on_time;
         self.groups.append(&mut planned.late);
     }
 
+    /// Returns when a server that could take what waits may be free or have memory again.
+    pub(super) fn wake(&self, now: Tick) -> Option<Tick> {
+        if self.groups.is_empty() {
+            return None;
+        }
+        let idle = self.feeds.iter().filter(|feed| feed.calls == 0);
+        let times = idle.flat_map(|feed| {
+            let results = feed.results.iter().map(|result| result.until);
+            results.chain([feed.busy_until, feed.full_until])
+        });
+        times.filter(|at| now < *at).min()
+    }
+
     /// Gives up what no server can be expected to make.
     fn give_up(
         &mut self,
@@ -198,7 +229,7 @@
             return false;
         };
         let is_trial = feed.tried + config.trial <= cx.now;
-        feed.calls == 0 && (feed.pace < config.slow || is_trial)
+        feed.calls == 0 && feed.busy_until <= cx.now && (feed.pace < config.slow || is_trial)
     }
 
     /// Takes what the next call to a server holds.
@@ -232,8 +263,8 @@
                     continue;
                 }
                 let mut count = group.pieces.len().min(most - taken.len());
-                if group.bytes >= config.heavy {
-                    let fit = usize::try_from(room / group.bytes.max(1)).unwrap_or(usize::MAX);
+                if group.bytes > 0 {
+                    let fit = usize::try_from(room / group.bytes).unwrap_or(usize::MAX);
                     count = count.min(fit);
                     room -= group.bytes * count as u64;
                 }
@@ -271,22 +302,18 @@
     fn order(
         &mut self,
         cx: Context<'_>,
-        config: &Config,
         work: &Pieces,
         server: &Rc<Server>,
         pieces: Vec<Piece>,
     ) -> Order {
         let expected = span(work, pieces.len());
-        let lies = self.lies.unwrap_or(config.lies);
         let feed = self.feed(&server.id);
         let paced = expected.mul_f64(feed.pace.clamp(1.0, 10.0));
         feed.calls += 1;
         feed.tried = cx.now;
         feed.busy_until = cx.now + paced;
-        let until = feed.busy_until + lies;
-        let heavy = pieces.iter().filter(|piece| piece.bytes >= config.heavy);
-        feed.results.extend(heavy.map(|piece| (until, piece.bytes)));
-        feed.results.retain(|(until, _)| cx.now < *until);
+        feed.reserved = pieces.iter().map(|piece| piece.bytes).sum();
+        feed.results.retain(|result| cx.now < result.until);
         Order {
             pool: self.pool.clone(),
             server: server.clone(),
@@ -320,18 +347,19 @@
             busy_until: Tick::default(),
             pace: 1.0,
             tried: Tick::default(),
+            reserved: 0,
             results: Vec::new(),
             full_until: Tick::default(),
         }
     }
 
-    /// Returns the memory that is left for large results, in bytes.
+    /// Returns the memory that is left for results, in bytes.
     fn room(&self, now: Tick, work: &Pieces) -> u64 {
         if now < self.full_until {
             return 0;
         }
-        let lying = self.results.iter().filter(|(until, _)| now < *until);
-        let lying: u64 = lying.map(|(_, bytes)| bytes).sum();
-        work.memory.saturating_sub(lying)
+        let lying = self.results.iter().filter(|result| now < result.until);
+        let lying: u64 = lying.map(|result| result.bytes).sum();
+        work.memory.saturating_sub(self.reserved + lying)
     }
 }
--- a/crates/feed/src/client.rs
+++ b/crates/feed/src/client.rs
@@ -3,6 +3,7 @@
 use core::{cell::RefCell, time::Duration};
 use std::net::SocketAddr;
 
+use batch::piece::Handle;
 use tokio::time;
 use tonic::transport::{Channel, Endpoint};
 use wire::feed::feed_client::FeedClient;
@@ -12,6 +13,9 @@
 /// How long a connection may take to open.
 const CONNECT: Duration = Duration::from_millis(300);
 
+/// How long another instance may take to note that results are given up.
+const FREE: Duration = Duration::from_millis(500);
+
 /// Connections to other instances, opened as they are needed.
 #[derive(Debug, Default)]
 pub struct Client {
@@ -33,6 +37,21 @@
         }
     }
 
+    /// Has another instance give up results.
+    ///
+    /// # Errors
+    ///
+    /// - The instance can't be reached or stops.
+    pub async fn free(&self, address: SocketAddr, handles: &[Handle]) -> Result<(), Error> {
+        let mut client = FeedClient::new(self.channel(address)?);
+        let answer = time::timeout(FREE, client.free(codec::encode_handles(handles))).await;
+        match answer {
+            Ok(Ok(_)) => Ok(()),
+            Ok(Err(status)) => Err(self.failed(address, status.to_string())),
+            Err(_) => Err(self.failed(address, "no answer in time".to_owned())),
+        }
+    }
+
     /// Exchanges pulses with another instance.
     ///
     /// # Errors
--- a/crates/feed/src/codec.rs
+++ b/crates/feed/src/codec.rs
@@ -121,6 +121,16 @@
     }
 }
 
+pub(crate) fn encode_handles(handles: &[Handle]) -> message::Handles {
+    message::Handles {
+        handles: handles.iter().map(encode_handle).collect(),
+    }
+}
+
+pub(crate) fn decode_handles(handles: message::Handles) -> Result<Vec<Handle>, Error> {
+    handles.handles.into_iter().map(decode_handle).collect()
+}
+
 fn encode_handle(handle: &Handle) -> message::Handle {
     message::Handle {
         maker: handle.maker.to_string(),
--- a/crates/feed/src/server.rs
+++ b/crates/feed/src/server.rs
@@ -3,6 +3,7 @@
 use std::{io, net::SocketAddr};
 
 use actix_web::rt;
+use batch::piece::Handle;
 use tokio::{
     net::TcpListener,
     sync::{mpsc, oneshot},
@@ -23,6 +24,11 @@
         /// Where the results go.
         reply: oneshot::Sender<Results>,
     },
+    /// Results are given up.
+    Free {
+        /// The results.
+        handles: Vec<Handle>,
+    },
     /// An instance tells that it lives.
     Beat {
         /// What it tells.
@@ -81,6 +87,18 @@
         Ok(Response::new(codec::encode_results(results)))
     }
 
+    async fn free(
+        &self,
+        request: Request<message::Handles>,
+    ) -> Result<Response<message::Freed>, Status> {
+        let handles = codec::decode_handles(request.into_inner())
+            .map_err(|error| Status::invalid_argument(error.to_string()))?;
+        self.asks
+            .send(Ask::Free { handles })
+            .map_err(|_| Status::unavailable("the instance stops"))?;
+        Ok(Response::new(message::Freed {}))
+    }
+
     async fn beat(
         &self,
         request: Request<message::Pulse>,
--- a/crates/relay/src/ask.rs
+++ b/crates/relay/src/ask.rs
@@ -5,7 +5,16 @@
 
 use base::{Name, Tick};
 use pick::engine::Prompt;
-use site::Route;
+use site::{Route, route::Kind};
+
+/// The least time after which a caller leaves a silent stream; the platform states it and the two below.
+const LEAVES_LEAST: Duration = Duration::from_secs(2);
+
+/// Objectives after which a caller leaves a silent stream, where that is longer.
+const LEAVES_OBJECTIVES: u32 = 4;
+
+/// Pauses after which a caller leaves a silent stream, where that is longer.
+const LEAVES_PAUSES: u32 = 8;
 
 /// A request that is admitted, with what the edge needs to pass it on.
 #[derive(Clone, Debug)]
@@ -44,6 +53,26 @@
         self.deadline.min(self.arrived + self.route.timeout)
     }
 
+    /// Returns when the answer, or the first event of a stream, is of no use any more.
+    ///
+    /// Callers leave a stream that does not begin.
+    pub fn first_limit(&self) -> Tick {
+        match self.route.kind {
+            Kind::Idempotent | Kind::Once => self.limit(),
+            Kind::Streaming => {
+                let patience = (self.route.objective * LEAVES_OBJECTIVES)
+                    .max(self.route.pause * LEAVES_PAUSES)
+                    .max(LEAVES_LEAST);
+                self.limit().min(self.arrived + patience)
+            }
+        }
+    }
+
+    /// Returns the time left until [`Ask::first_limit`].
+    pub fn first_left(&self, now: Tick) -> Duration {
+        self.first_limit() - now
+    }
+
     /// Returns when the request is due to be on time.
     pub fn due(&self) -> Tick {
         self.arrived + self.route.objective
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -150,6 +150,13 @@
         pieces: &[Piece],
     ) -> impl Future<Output = Result<Vec<Made>, Failure>>;
 
+    /// Has another instance give up results at the servers that it feeds.
+    fn release(
+        &self,
+        feeder: &Peer,
+        handles: &[Handle],
+    ) -> impl Future<Output = Result<(), Failure>>;
+
     /// Gives up results, each at the server that its handle names.
     fn free(&self, handles: Vec<Handle>) -> impl Future<Output = ()>;
 
--- a/crates/relay/src/hub.rs
+++ b/crates/relay/src/hub.rs
@@ -18,6 +18,12 @@
 
 use crate::{Edge, Failure, call::Worked, configs};
 
+/// How long results that are given up are gathered, so that few calls name them to their makers.
+const FREE_GATHER: Duration = Duration::from_millis(10);
+
+/// The shortest pause before the next calls are looked for again; timers fire a little late anyway.
+const LEAST_WAKE: Duration = Duration::from_millis(2);
+
 /// What all requests of an instance share.
 pub struct Hub<E> {
     /// How calls reach servers.
@@ -49,6 +55,10 @@
     pub rng: SmallRng,
     tickets: Vec<Ticket>,
     next_ticket: u64,
+    /// Results that are given up and not named to their makers yet.
+    freed: Vec<Handle>,
+    /// When the next calls are looked for again; the earliest that was planned.
+    wake: Option<Tick>,
 }
 
 /// Who waits for a piece.
@@ -112,6 +122,8 @@
                 rng: SmallRng::seed_from_u64(seed),
                 tickets: Vec::new(),
                 next_ticket: 0,
+                freed: Vec::new(),
+                wake: None,
             }),
         })
     }
@@ -202,13 +214,50 @@
             .collect()
     }
 
-    /// Gives up results in the background.
-    pub fn free(self: &Rc<Self>, handles: Vec<Handle>) {
-        if handles.is_empty() {
+    /// Gives up results in the background, by the instances that feed the pools of their makers.
+    pub fn free(self: &Rc<Self>, mut handles: Vec<Handle>) {
+        let now = self.edge.now();
+        handles.sort_by_key(|handle| handle.maker);
+        for group in handles.chunk_by(|a, b| a.maker == b.maker) {
+            let group = group.to_vec();
+            let feeder = self.with(|state| {
+                let mut servers = state.roster.all();
+                let server = servers.find(|server| server.address == group[0].maker)?;
+                state.members.feeder(now, &server.pool).cloned()
+            });
+            let hub = self.clone();
+            task::spawn_local(async move {
+                if let Some(feeder) = feeder {
+                    match hub.edge.release(&feeder, &group).await {
+                        Ok(()) => return,
+                        Err(failure) => {
+                            log::debug!(target: "peers", peer:% = feeder.name, cause:% = failure; "results are given up here");
+                        }
+                    }
+                }
+                hub.freed(group);
+            });
+        }
+    }
+
+    /// Gives up results that lie at servers that this instance feeds, several in one call.
+    pub fn freed(self: &Rc<Self>, handles: Vec<Handle>) {
+        let is_first = self.with(|state| {
+            state.desk.freed(&handles);
+            let is_first = state.freed.is_empty();
+            state.freed.extend(handles);
+            is_first
+        });
+        self.pump();
+        if !is_first {
             return;
         }
         let hub = self.clone();
-        task::spawn_local(async move { hub.edge.free(handles).await });
+        task::spawn_local(async move {
+            time::sleep(FREE_GATHER).await;
+            let handles = hub.with(|state| core::mem::take(&mut state.freed));
+            hub.edge.free(handles).await;
+        });
     }
 
     /// Starts every call that can start.
@@ -236,6 +285,31 @@
                 Action::Late(piece) => self.deliver(&piece, Made::Failed(Reason::Late)),
             }
         }
+        self.plan_wake(now);
+    }
+
+    /// Has the next calls looked for when a server may be free again.
+    fn plan_wake(self: &Rc<Self>, now: Tick) {
+        let at = self.with(|state| {
+            let at = state.desk.wake(now)?;
+            if state
+                .wake
+                .is_some_and(|planned| now < planned && planned <= at)
+            {
+                return None;
+            }
+            state.wake = Some(at);
+            Some(at)
+        });
+        let Some(at) = at else {
+            return;
+        };
+        let hub = self.clone();
+        task::spawn_local(async move {
+            time::sleep((at - now).max(LEAST_WAKE)).await;
+            hub.with(|state| state.wake.take_if(|planned| *planned <= at));
+            hub.pump();
+        });
     }
 
     async fn work(self: Rc<Self>, order: Order) {
@@ -270,10 +344,16 @@
     ) {
         let server = &order.server;
         let is_out_of_room = worked.made.contains(&Made::Failed(Reason::Room));
+        let made = order.pieces.iter().zip(&worked.made);
+        let results = made.filter_map(|(piece, made)| match made {
+            Made::Result(handle) => Some((handle.clone(), piece.bytes)),
+            Made::Failed(_) => None,
+        });
         let end = desk::End::Worked {
             took,
             pieces: order.pieces.len(),
             load: worked.load,
+            results: results.collect(),
             is_out_of_room,
         };
         self.with(|state| {
@@ -317,7 +397,7 @@
             }
         });
         for piece in order.pieces {
-            if failure == Failure::Unreachable {
+            if matches!(failure, Failure::Full | Failure::Unreachable) {
                 self.with(|state| state.desk.offer(&order.pool, vec![piece]));
             } else {
                 self.again(
@@ -335,8 +415,11 @@
     fn again(self: &Rc<Self>, now: Tick, pool: &Name, mut piece: Piece, made: Made, server: &Name) {
         piece.tries += 1;
         let tries = self.settings.piece_tries;
+        // A piece that was refused for lack of memory was not worked on, so it costs no repeat.
+        let is_unworked = made == Made::Failed(Reason::Room);
         let is_allowed = self.with(|state| {
-            piece.tries < tries && state.window.again(now, pool, state.members.live(now))
+            let live = state.members.live(now);
+            is_unworked || (piece.tries < tries && state.window.again(now, pool, live))
         });
         log::info!(
             target: "stages", request:% = piece.request, stage = piece.stage, piece = piece.number,
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -81,7 +81,7 @@
         });
     }
     let mut trail = Trail::default();
-    let left = ask.left(hub.edge.now());
+    let left = ask.first_left(hub.edge.now());
     let attempt = time::timeout(left, attempt(hub, &ask, &mut trail, ask.after)).await;
     let attempt = match attempt {
         Ok(attempt) => attempt,
--- a/crates/relay/src/stages.rs
+++ b/crates/relay/src/stages.rs
@@ -15,6 +15,9 @@
 /// The usual time of a stage, until it is measured: a call of 150 ms, some pieces and a wait.
 const USUAL: Duration = Duration::from_millis(250);
 
+/// How long the results of earlier stages are sure to be there; their makers keep them for 4 s.
+const RESULTS_LAST: Duration = Duration::from_secs(3);
+
 /// The usual time of an engine to its first event, until it is measured.
 const ENGINE: Duration = Duration::from_millis(150);
 
@@ -154,6 +157,11 @@
         let (domain, pull) = self.place(stage);
         // What follows the stage needs its time, too.
         let after = USUAL * self.ask.route.depth_after(stage) + ENGINE;
+        let mut deadline =
+            self.ask.arrived + (self.ask.first_limit() - self.ask.arrived).saturating_sub(after);
+        if !stated.after.is_empty() {
+            deadline = deadline.min(self.hub.edge.now() + RESULTS_LAST);
+        }
         let pieces = (0..pieces(self.ask, stage)).map(|number| Piece {
             ticket: 0,
             request: self.ask.id.clone(),
@@ -162,8 +170,7 @@
             source: source.clone(),
             rank: self.ask.rank,
             due: self.ask.arrived + self.ask.route.objective.saturating_sub(after),
-            deadline: self.ask.arrived
-                + (self.ask.limit() - self.ask.arrived).saturating_sub(after),
+            deadline,
             bytes: stated.bytes,
             domain: domain.clone(),
             pull,
