Tell other instances what engines keep, and pass newer configurations on

Change: pulses carry the chains that engines have just read and the version of the configuration; an instance that is behind fetches it. The pieces of a resumed stream are due from the break on.

--- a/crates/feed/src/client.rs
+++ b/crates/feed/src/client.rs
@@ -4,9 +4,10 @@
 use std::net::SocketAddr;
 
 use batch::piece::Handle;
+use bytes::Bytes;
 use tokio::time;
 use tonic::transport::{Channel, Endpoint};
-use wire::feed::feed_client::FeedClient;
+use wire::feed::{self as message, feed_client::FeedClient};
 
 use crate::{Error, Order, Pulse, Results, codec};
 
@@ -16,6 +17,9 @@
 /// How long another instance may take to note that results are given up.
 const FREE: Duration = Duration::from_millis(500);
 
+/// How long another instance may take to give its configuration.
+const CONFIG: Duration = Duration::from_secs(1);
+
 /// Connections to other instances, opened as they are needed.
 #[derive(Debug, Default)]
 pub struct Client {
@@ -52,6 +56,24 @@
         }
     }
 
+    /// Returns another instance's configuration, as the operator wrote it; none before it knows one.
+    ///
+    /// # Errors
+    ///
+    /// - The instance can't be reached or stops.
+    pub async fn config(&self, address: SocketAddr) -> Result<Option<Bytes>, Error> {
+        let mut client = FeedClient::new(self.channel(address)?);
+        let answer = time::timeout(CONFIG, client.config(message::Want {})).await;
+        match answer {
+            Ok(Ok(record)) => {
+                let record = record.into_inner().record;
+                Ok((!record.is_empty()).then(|| Bytes::from(record)))
+            }
+            Ok(Err(status)) => Err(self.failed(address, status.to_string())),
+            Err(_) => Err(self.failed(address, "no answer in time".to_owned())),
+        }
+    }
+
     /// Exchanges pulses with another instance.
     ///
     /// # Errors
--- a/crates/feed/src/codec.rs
+++ b/crates/feed/src/codec.rs
@@ -6,7 +6,7 @@
 use batch::piece::{Handle, Made, Reason, Source};
 use wire::feed as message;
 
-use crate::{Error, Line, Order, Pulse, Results};
+use crate::{Error, Kept, Line, Order, Pulse, Results};
 
 pub(crate) fn encode_order(order: Order) -> message::Order {
     let (key, inputs) = match order.source {
@@ -105,6 +105,22 @@
         name: pulse.name.as_str().to_owned(),
         leaving: pulse.leaving,
         lines: lines.collect(),
+        config: pulse.config,
+        kept: pulse.kept.into_iter().map(encode_kept).collect(),
+    }
+}
+
+fn encode_kept(kept: Kept) -> message::Kept {
+    message::Kept {
+        server: kept.server.as_str().to_owned(),
+        chain: kept.chain,
+    }
+}
+
+fn decode_kept(kept: message::Kept) -> Kept {
+    Kept {
+        server: kept.server.into(),
+        chain: kept.chain,
     }
 }
 
@@ -118,6 +134,8 @@
         name: pulse.name.into(),
         leaving: pulse.leaving,
         lines: lines.collect(),
+        config: pulse.config,
+        kept: pulse.kept.into_iter().map(decode_kept).collect(),
     }
 }
 
--- a/crates/feed/src/lib.rs
+++ b/crates/feed/src/lib.rs
@@ -57,6 +57,19 @@
     pub leaving: bool,
     /// What it has under way at engines.
     pub lines: Vec<Line>,
+    /// The version of its configuration in force, 0 before one is known.
+    pub config: u64,
+    /// Chains of prompt parts that engines have read lately.
+    pub kept: Vec<Kept>,
+}
+
+/// An engine keeps a chain of prompt parts.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Kept {
+    /// The engine.
+    pub server: Name,
+    /// A digest of the parts.
+    pub chain: u64,
 }
 
 /// What an instance has under way at an engine.
--- a/crates/feed/src/server.rs
+++ b/crates/feed/src/server.rs
@@ -4,6 +4,7 @@
 
 use actix_web::rt;
 use batch::piece::Handle;
+use bytes::Bytes;
 use tokio::{
     net::TcpListener,
     sync::{mpsc, oneshot},
@@ -29,6 +30,11 @@
         /// The results.
         handles: Vec<Handle>,
     },
+    /// The newest configuration is wanted.
+    Config {
+        /// Where it goes, as the operator wrote it; empty before one is known.
+        reply: oneshot::Sender<Bytes>,
+    },
     /// An instance tells that it lives.
     Beat {
         /// What it tells.
@@ -99,6 +105,12 @@
         Ok(Response::new(message::Freed {}))
     }
 
+    async fn config(&self, _: Request<message::Want>) -> Result<Response<message::Record>, Status> {
+        let record = self.ask(|reply| Ask::Config { reply }).await?;
+        let record = record.to_vec();
+        Ok(Response::new(message::Record { record }))
+    }
+
     async fn beat(
         &self,
         request: Request<message::Pulse>,
--- a/crates/pick/src/configs.rs
+++ b/crates/pick/src/configs.rs
@@ -27,6 +27,8 @@
     pub told: Duration,
     /// How long a part of a prompt is taken to stay in an engine's memory.
     pub part_memory: Duration,
+    /// How long what an engine read is told to other instances; some pulses.
+    pub news: Duration,
     /// The most parts that are remembered.
     pub parts_most: usize,
 }
@@ -45,6 +47,7 @@
             tokens_per_ms: 45.0,
             told: Duration::from_secs(1),
             part_memory: Duration::from_secs(20),
+            news: Duration::from_millis(700),
             parts_most: 4_096,
         }
     }
--- a/crates/pick/src/engine.rs
+++ b/crates/pick/src/engine.rs
@@ -37,6 +37,17 @@
     since: Tick,
 }
 
+/// A chain that an engine has just read.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct News {
+    /// The engine.
+    pub server: Name,
+    /// A digest of the parts.
+    pub chain: u64,
+    /// When it was read.
+    pub since: Tick,
+}
+
 /// An engine for a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Choice<'a> {
@@ -124,25 +135,48 @@
 impl Fleet {
     /// Takes note that an engine has read a prompt.
     pub fn keep(&mut self, now: Tick, server: &Name, prompt: &Prompt) {
+        let shared = prompt.parts.len().saturating_sub(1);
+        for chain in chains(prompt).into_iter().take(shared) {
+            if self.kept_chain(now, server, chain) {
+                self.news.push(News {
+                    server: server.clone(),
+                    chain,
+                    since: now,
+                });
+            }
+        }
+        let span = self.config.news;
+        self.news.retain(|news| now - news.since < span);
+    }
+
+    /// Returns the chains that engines have read lately, for other instances.
+    pub fn news(&self, now: Tick) -> impl Iterator<Item = &News> {
+        let span = self.config.news;
+        self.news.iter().filter(move |news| now - news.since < span)
+    }
+
+    /// Takes note that an engine keeps a chain, and tells whether that was not known.
+    pub fn kept_chain(&mut self, now: Tick, server: &Name, chain: u64) -> bool {
         let memory = self.config.part_memory;
         if self.parts.len() >= self.config.parts_most {
             self.parts.retain(|held| now - held.since < memory / 2);
         }
-        let shared = prompt.parts.len().saturating_sub(1);
-        for chain in chains(prompt).into_iter().take(shared) {
-            let at = self
-                .parts
-                .binary_search_by(|held| (held.chain, &held.server).cmp(&(chain, server)));
-            match at {
-                Ok(at) => self.parts[at].since = now,
-                Err(at) => self.parts.insert(
-                    at,
-                    Held {
-                        chain,
-                        server: server.clone(),
-                        since: now,
-                    },
-                ),
+        let at = self
+            .parts
+            .binary_search_by(|held| (held.chain, &held.server).cmp(&(chain, server)));
+        match at {
+            Ok(at) => {
+                let known = core::mem::replace(&mut self.parts[at].since, now);
+                now - known >= memory / 4
+            }
+            Err(at) => {
+                let held = Held {
+                    chain,
+                    server: server.clone(),
+                    since: now,
+                };
+                self.parts.insert(at, held);
+                true
             }
         }
     }
--- a/crates/pick/src/fleet.rs
+++ b/crates/pick/src/fleet.rs
@@ -13,6 +13,7 @@
     servers: Vec<Seen>,
     pub(crate) parts: Vec<crate::engine::Held>,
     others: Vec<Other>,
+    pub(crate) news: Vec<crate::engine::News>,
 }
 
 /// What other instances have under way, as each of them told last.
--- a/crates/relay/src/ask.rs
+++ b/crates/relay/src/ask.rs
@@ -53,31 +53,20 @@
         self.deadline.min(self.arrived + self.route.timeout)
     }
 
-    /// Returns when the answer, or the first event of a stream, is of no use any more.
-    ///
-    /// Callers leave a stream that does not begin.
-    pub fn first_limit(&self) -> Tick {
+    /// Returns when the answer, or the next event of a stream, is of no use any more, for a caller who
+    /// waits since some time; callers leave a stream that does not go on.
+    pub fn next_limit(&self, since: Tick) -> Tick {
         match self.route.kind {
             Kind::Idempotent | Kind::Once => self.limit(),
             Kind::Streaming => {
                 let patience = (self.route.objective * LEAVES_OBJECTIVES)
                     .max(self.route.pause * LEAVES_PAUSES)
                     .max(LEAVES_LEAST);
-                self.limit().min(self.arrived + patience)
+                self.limit().min(since + patience)
             }
         }
     }
 
-    /// Returns the time left until [`Ask::first_limit`].
-    pub fn first_left(&self, now: Tick) -> Duration {
-        self.first_limit() - now
-    }
-
-    /// Returns when the request is due to be on time.
-    pub fn due(&self) -> Tick {
-        self.arrived + self.route.objective
-    }
-
     /// Returns the time left.
     pub fn left(&self, now: Tick) -> Duration {
         self.limit() - now
--- a/crates/relay/src/body.rs
+++ b/crates/relay/src/body.rs
@@ -133,8 +133,8 @@
         self.trail
             .next(&self.hub, &self.ask, failure)
             .map_err(|_code| Failure::Broken)?;
-        let left = self.ask.left(now);
-        let sent = serve::attempt(&self.hub, &self.ask, &mut self.trail, after);
+        let left = self.ask.next_limit(now) - now;
+        let sent = serve::attempt(&self.hub, &self.ask, &mut self.trail, after, now);
         match time::timeout(left, sent).await {
             Ok(Ok(attempt)) if attempt.reply.status() == 200 => {
                 log::info!(
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -81,8 +81,8 @@
         });
     }
     let mut trail = Trail::default();
-    let left = ask.first_left(hub.edge.now());
-    let attempt = time::timeout(left, attempt(hub, &ask, &mut trail, ask.after)).await;
+    let left = ask.next_limit(ask.arrived) - hub.edge.now();
+    let attempt = time::timeout(left, attempt(hub, &ask, &mut trail, ask.after, ask.arrived)).await;
     let attempt = match attempt {
         Ok(attempt) => attempt,
         Err(_) => Err(Code::DeadlinePassed),
@@ -124,7 +124,11 @@
             return Err(refuse(hub, &ask, &trail, code));
         }
         let left = ask.left(hub.edge.now());
-        let again = time::timeout(left, self::attempt(hub, &ask, &mut trail, ask.after)).await;
+        let again = time::timeout(
+            left,
+            self::attempt(hub, &ask, &mut trail, ask.after, ask.arrived),
+        )
+        .await;
         attempt = match again {
             Ok(Ok(attempt)) => attempt,
             Ok(Err(code)) => return Err(refuse(hub, &ask, &trail, code)),
@@ -133,7 +137,7 @@
     }
 }
 
-/// Sends a request until the head of an answer arrives, and returns it.
+/// Sends a request until the head of an answer arrives, and returns it; its caller waits since some time.
 ///
 /// # Errors
 ///
@@ -143,10 +147,11 @@
     ask: &Ask<E::Request>,
     trail: &mut Trail,
     after: Option<u64>,
+    since: Tick,
 ) -> Result<Attempt<E>, Code> {
     let pool = pool(hub, ask)?;
     let preferred = prefer(hub, ask, &pool);
-    let mut inputs = stages::run(hub, ask, preferred).await?;
+    let mut inputs = stages::run(hub, ask, preferred, since).await?;
     loop {
         let Some(choice) = choose(hub, ask, &pool, &inputs, trail) else {
             return Err(judge::end(trail.ran, Code::StageUnavailable));
@@ -213,7 +218,7 @@
         }
         trail.next(hub, ask, failure)?;
         if failure == Failure::InputGone {
-            inputs = stages::run(hub, ask, inputs.domain()).await?;
+            inputs = stages::run(hub, ask, inputs.domain(), since).await?;
         }
     }
 }
--- a/crates/relay/src/stages.rs
+++ b/crates/relay/src/stages.rs
@@ -3,7 +3,7 @@
 use core::time::Duration;
 use std::rc::Rc;
 
-use base::{Code, Name};
+use base::{Code, Name, Tick};
 use batch::{
     Piece,
     piece::{Handle, Made, Reason, Source},
@@ -69,6 +69,8 @@
     /// By stage, the results that are there and were not given up.
     results: Vec<Vec<Handle>>,
     domain: Option<Name>,
+    /// Since when the caller waits.
+    since: Tick,
 }
 
 impl<E: Edge> Drop for Work<'_, E> {
@@ -86,6 +88,7 @@
     hub: &Rc<Hub<E>>,
     ask: &Ask<E::Request>,
     domain: Option<Name>,
+    since: Tick,
 ) -> Result<Inputs<E>, Code> {
     let count = ask.route.stages.len();
     let phases = (0..count).map(|at| match pieces(ask, at) {
@@ -98,6 +101,7 @@
         phases: phases.collect(),
         results: vec![Vec::new(); count],
         domain,
+        since,
     };
     let mut under_way = FuturesUnordered::new();
     loop {
@@ -157,8 +161,8 @@
         let (domain, pull) = self.place(stage);
         // What follows the stage needs its time, too.
         let after = USUAL * self.ask.route.depth_after(stage) + ENGINE;
-        let mut deadline =
-            self.ask.arrived + (self.ask.first_limit() - self.ask.arrived).saturating_sub(after);
+        let left = self.ask.next_limit(self.since) - self.since;
+        let mut deadline = self.since + left.saturating_sub(after);
         if !stated.after.is_empty() {
             deadline = deadline.min(self.hub.edge.now() + RESULTS_LAST);
         }
@@ -169,7 +173,7 @@
             number,
             source: source.clone(),
             rank: self.ask.rank,
-            due: self.ask.arrived + self.ask.route.objective.saturating_sub(after),
+            due: self.since + self.ask.route.objective.saturating_sub(after),
             deadline,
             bytes: stated.bytes,
             domain: domain.clone(),
