Plan lines call by call, with a margin

Change: the plan simulates when each server begins its next calls, and counts a piece as late that would be made just in time.

--- a/crates/batch/src/configs.rs
+++ b/crates/batch/src/configs.rs
@@ -11,6 +11,8 @@
     pub slack: u32,
     /// The pause before a server that had no memory for a result is called again.
     pub room: Duration,
+    /// How long before it is due a piece is planned to be made.
+    pub margin: Duration,
     /// How often its expected time a server's calls may take before it gets trial calls only.
     pub slow: f64,
     /// The pause between trial calls to a slow server.
@@ -27,6 +29,7 @@
             pull: 100_000,
             slack: 1,
             room: Duration::from_millis(60),
+            margin: Duration::from_millis(30),
             slow: 2.0,
             trial: Duration::from_secs(1),
             gain: 0.5,
--- a/crates/batch/src/desk/line.rs
+++ b/crates/batch/src/desk/line.rs
@@ -8,7 +8,7 @@
 
 use super::{
     Action, Context, End, Order,
-    plan::{Group, Plan, Speed, plan, span},
+    plan::{Group, Plan, Turns, plan, span},
 };
 use crate::{Piece, configs::Config, piece::Handle};
 
@@ -165,8 +165,8 @@
         for server in &servers {
             self.feed(&server.id);
         }
-        let speed = self.speed(cx, config, &servers);
-        let mut planned = plan(core::mem::take(&mut self.groups), speed, work);
+        let turns = Turns::new(work, self.free(cx, config, &servers));
+        let mut planned = plan(core::mem::take(&mut self.groups), turns, config.margin);
         let lost = planned.lost.drain(..).flat_map(|group| group.pieces);
         actions.extend(lost.map(Action::Late));
         let mut free: Vec<_> = servers
@@ -214,14 +214,16 @@
         actions.extend(lost.map(Action::Late));
     }
 
-    fn speed(&self, cx: Context<'_>, config: &Config, servers: &[Rc<Server>]) -> Speed {
+    /// Returns when each server is free; slow ones count only where there is no other.
+    fn free(&self, cx: Context<'_>, config: &Config, servers: &[Rc<Server>]) -> Vec<Tick> {
         let feeds = servers.iter().filter_map(|server| self.get(&server.id));
-        let swift: Vec<_> = feeds.filter(|feed| feed.pace < config.slow).collect();
-        let from = swift.iter().map(|feed| feed.busy_until.max(cx.now)).min();
-        Speed {
-            from: from.unwrap_or(cx.now),
-            servers: swift.len().max(1),
+        let swift = feeds.clone().filter(|feed| feed.pace < config.slow);
+        let free = |feed: &Feed| feed.busy_until.max(cx.now);
+        let times: Vec<_> = swift.map(free).collect();
+        if times.is_empty() {
+            return feeds.map(free).collect();
         }
+        times
     }
 
     fn is_free(&self, cx: Context<'_>, config: &Config, server: &Name) -> bool {
--- a/crates/batch/src/desk/plan.rs
+++ b/crates/batch/src/desk/plan.rs
@@ -19,13 +19,46 @@
     pub(crate) pull: u64,
 }
 
-/// How fast a pool works.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct Speed {
-    /// When the next server is free.
-    pub(crate) from: Tick,
-    /// Servers that work.
-    pub(crate) servers: usize,
+/// When the next calls to a pool begin, as long as each is full.
+#[derive(Clone, Debug)]
+pub(crate) struct Turns<'a> {
+    work: &'a Pieces,
+    /// When each server is free for a call that is not planned yet.
+    free: Vec<Tick>,
+    begins: Vec<Tick>,
+}
+
+impl<'a> Turns<'a> {
+    /// Takes when each server is free; there is at least one.
+    pub(crate) fn new(work: &'a Pieces, free: Vec<Tick>) -> Self {
+        Self {
+            work,
+            free,
+            begins: Vec::new(),
+        }
+    }
+
+    /// Returns when the last of some pieces is made.
+    pub(crate) fn finish(&mut self, pieces: usize) -> Tick {
+        let batch = self.work.batch.max(1);
+        let call = pieces.saturating_sub(1) / batch;
+        let rest = pieces - call * batch;
+        self.begin(call) + span(self.work, rest)
+    }
+
+    fn begin(&mut self, call: usize) -> Tick {
+        while self.begins.len() <= call {
+            let full = span(self.work, self.work.batch);
+            match self.free.iter_mut().min() {
+                Some(free) => {
+                    self.begins.push(*free);
+                    *free = *free + full;
+                }
+                None => return Tick::MAX,
+            }
+        }
+        self.begins[call]
+    }
 }
 
 /// Groups in the order in which they are served.
@@ -43,7 +76,9 @@
 ///
 /// Groups are taken by when they are due. Where one would be late, a group of the lowest rank so far is put
 /// off: the fewest groups are late, and no group takes the place of one that goes first.
-pub(crate) fn plan(mut groups: Vec<Group>, speed: Speed, work: &Pieces) -> Plan {
+///
+/// A group counts as late already if it would be made just in time, as calls end a little later than planned.
+pub(crate) fn plan(mut groups: Vec<Group>, mut turns: Turns<'_>, margin: Duration) -> Plan {
     let mut plan = Plan::default();
     groups.sort_by_key(|group| (group.due, group.pieces.first().map(|piece| piece.ticket)));
     let mut count = 0;
@@ -51,7 +86,7 @@
         count += group.pieces.len();
         let due = group.due;
         plan.on_time.push(group);
-        if finish(speed, work, count) <= due {
+        if turns.finish(count) + margin <= due {
             continue;
         }
         // The last one of the lowest rank; a large group makes the most room.
@@ -63,11 +98,10 @@
             plan.late.push(group);
         }
     }
-    let late = core::mem::take(&mut plan.late);
-    let mut late: Vec<_> = late.into_iter().collect();
+    let mut late = core::mem::take(&mut plan.late);
     late.sort_by_key(|group| (group.rank, group.deadline));
     for group in late {
-        let end = finish(speed, work, count + group.pieces.len());
+        let end = turns.finish(count + group.pieces.len());
         if end <= group.deadline {
             count += group.pieces.len();
             plan.late.push(group);
@@ -78,17 +112,6 @@
     plan
 }
 
-/// Returns when the last of some pieces is made.
-fn finish(speed: Speed, work: &Pieces, pieces: usize) -> Tick {
-    let batch = work.batch.max(1);
-    let turn = speed.servers.max(1) * batch;
-    let rounds = pieces.saturating_sub(1) / turn;
-    let rest = pieces - rounds * turn;
-    let full = span(work, batch);
-    let last = span(work, rest.min(batch));
-    speed.from + full * u32::try_from(rounds).unwrap_or(u32::MAX) + last
-}
-
 /// Returns the time of a call with some pieces.
 pub(crate) fn span(work: &Pieces, pieces: usize) -> Duration {
     work.call + work.piece * u32::try_from(pieces).unwrap_or(u32::MAX)
--- /dev/null
+++ b/crates/batch/tests/world/mod.rs
@@ -0,0 +1,197 @@
+//! A pool of servers of stages in virtual time, for tests of the desk.
+
+#![allow(dead_code, reason = "each test file uses a part of it")]
+
+use core::time::Duration;
+
+use base::{Name, Tick};
+use batch::{
+    Desk, Piece,
+    desk::{Action, Context, End, Order},
+    piece::{Handle, Source},
+};
+use pick::Fleet;
+use site::{
+    Config, Pool, Roster,
+    pool::{Pieces, Work},
+    roster::Server,
+};
+
+pub const POOL: &str = "portfolio";
+
+/// The work of the first stage at the smaller site: 8 pieces a call, 150 ms a call, 16 ms a piece.
+pub const WORK: Pieces = Pieces {
+    slots: 1,
+    queue: 2,
+    batch: 8,
+    call: Duration::from_millis(150),
+    piece: Duration::from_millis(16),
+    memory: 38_000_000,
+    keep: Duration::from_secs(4),
+};
+
+/// A pool whose servers work as its configuration says.
+pub struct World {
+    pub now: Tick,
+    pub desk: Desk,
+    pub roster: Roster,
+    pub fleet: Fleet,
+    pub config: Config,
+    pub work: Pieces,
+    running: Vec<(Tick, Order)>,
+    pub done: Vec<(Tick, Name, Piece)>,
+    pub late: Vec<(Tick, Piece)>,
+    pub calls: Vec<(Name, usize)>,
+    /// How much longer each server's calls take.
+    pub slow: Vec<(Name, u32)>,
+    /// How long a result lies before it is given up.
+    pub lies: Duration,
+    lying: Vec<(Tick, Handle)>,
+    next: u64,
+}
+
+impl World {
+    /// Opens a pool with a server in each domain named.
+    pub fn open(domains: &[&str], work: Pieces) -> Self {
+        let pool = Pool {
+            name: POOL.into(),
+            connections: 8,
+            work: Work::Pieces(work),
+        };
+        let mut roster = Roster::default();
+        for (at, domain) in domains.iter().enumerate() {
+            roster.put(Server {
+                id: format!("i-{at}").into(),
+                pool: POOL.into(),
+                address: format!("10.0.0.{}:80", at + 1).parse().unwrap(),
+                domain: (*domain).into(),
+                slots: 1,
+                leaving: false,
+            });
+        }
+        Self {
+            now: Tick::from_millis(1_000),
+            desk: Desk::default(),
+            roster,
+            fleet: Fleet::default(),
+            config: Config::new(1, Vec::new(), vec![pool], None),
+            work,
+            running: Vec::new(),
+            done: Vec::new(),
+            late: Vec::new(),
+            calls: Vec::new(),
+            slow: Vec::new(),
+            lies: Duration::from_millis(200),
+            lying: Vec::new(),
+            next: 1,
+        }
+    }
+
+    /// Offers the pieces of a request.
+    pub fn offer(&mut self, count: u32, edit: impl Fn(&mut Piece)) -> Name {
+        let request = Name::from(format!("r-{}", self.next));
+        let pieces = (0..count).map(|number| {
+            let mut piece = Piece {
+                ticket: self.next + u64::from(number),
+                request: request.clone(),
+                stage: 0,
+                number,
+                source: Source::Key("k".into()),
+                rank: 0,
+                due: self.now + Duration::from_millis(850),
+                deadline: self.now + Duration::from_secs(4),
+                bytes: 8_000,
+                domain: None,
+                pull: 0,
+                tries: 0,
+            };
+            edit(&mut piece);
+            piece
+        });
+        let pieces = pieces.collect();
+        self.next += u64::from(count);
+        self.desk.offer(&POOL.into(), pieces);
+        self.pump();
+        request
+    }
+
+    /// Lets time pass.
+    pub fn pass(&mut self, span: Duration) {
+        let until = self.now + span;
+        while self.now < until {
+            self.now = self.now + Duration::from_millis(1);
+            self.end_calls();
+            self.free();
+            self.pump();
+        }
+    }
+
+    pub fn pump(&mut self) {
+        let cx = Context {
+            now: self.now,
+            config: &self.config,
+            roster: &self.roster,
+            fleet: &self.fleet,
+        };
+        for action in self.desk.next(cx) {
+            match action {
+                Action::Late(piece) => self.late.push((self.now, piece)),
+                Action::Send(order) => {
+                    let id = order.server.id.clone();
+                    let slow = self.slow.iter().find(|(server, _)| *server == id);
+                    let factor = slow.map_or(1, |(_, factor)| *factor);
+                    let count = u32::try_from(order.pieces.len()).unwrap();
+                    let took = (self.work.call + self.work.piece * count) * factor;
+                    self.calls.push((id, order.pieces.len()));
+                    self.running.push((self.now + took, order));
+                }
+            }
+        }
+    }
+
+    fn end_calls(&mut self) {
+        let over = self.running.extract_if(.., |(end, _)| *end <= self.now);
+        for (_, order) in over.collect::<Vec<_>>() {
+            let results = order.pieces.iter().map(|piece| {
+                let handle = Handle {
+                    maker: order.server.address,
+                    text: format!("{}-{}", order.server.id, piece.ticket).into(),
+                };
+                (handle, piece.bytes)
+            });
+            let results: Vec<_> = results.collect();
+            for (handle, _) in &results {
+                self.lying.push((self.now + self.lies, handle.clone()));
+            }
+            let count = u32::try_from(order.pieces.len()).unwrap();
+            let id = order.server.id.clone();
+            let slow = self.slow.iter().find(|(server, _)| *server == id);
+            let factor = slow.map_or(1, |(_, factor)| *factor);
+            let end = End::Worked {
+                took: (self.work.call + self.work.piece * count) * factor,
+                pieces: order.pieces.len(),
+                load: None,
+                results,
+                is_out_of_room: false,
+            };
+            self.desk
+                .ended(self.now, &POOL.into(), &id, &self.work, end);
+            for piece in order.pieces {
+                self.done.push((self.now, id.clone(), piece));
+            }
+        }
+    }
+
+    fn free(&mut self) {
+        let over = self.lying.extract_if(.., |(until, _)| *until <= self.now);
+        let handles: Vec<_> = over.map(|(_, handle)| handle).collect();
+        self.desk.freed(&handles);
+    }
+
+    /// Returns how many pieces with a rank were made when they were due.
+    pub fn on_time(&self, rank: u8) -> usize {
+        let done = self.done.iter();
+        let done = done.filter(|(at, _, piece)| piece.rank == rank && *at <= piece.due);
+        done.count()
+    }
+}
--- /dev/null
+++ b/crates/site/tests/config.rs
@@ -0,0 +1,104 @@
+//! Which route and account a request belongs to.
+
+use base::Name;
+use googletest::prelude::*;
+use site::{
+    Config, Route,
+    config::Account,
+    route::{Kind, Stage},
+};
+
+fn route(host: &str, prefix: &str) -> Route {
+    Route {
+        name: format!("{host}{prefix}").into(),
+        host: host.into(),
+        prefix: prefix.into(),
+        ..Route::default()
+    }
+}
+
+fn found(config: &Config, host: &str, path: &str) -> Option<String> {
+    let route = config.route(host, path)?;
+    Some(route.name.to_string())
+}
+
+#[gtest]
+fn the_longest_prefix_of_the_host_takes_a_path() {
+    let routes = vec![
+        route("a", "/x/"),
+        route("a", "/x/y/"),
+        route("b", "/x/y/z/"),
+    ];
+    let config = Config::new(1, routes, Vec::new(), None);
+    for (host, path, wanted) in [
+        ("a", "/x/1", Some("a/x/")),
+        ("a", "/x/y/1", Some("a/x/y/")),
+        ("a", "/x/y", Some("a/x/")),
+        ("a", "/x/y/z/1", Some("a/x/y/")),
+        ("b", "/x/y/1", None),
+        ("a", "/", None),
+        ("a", "x", None),
+    ] {
+        let wanted = wanted.map(str::to_owned);
+        expect_that!(found(&config, host, path), eq(&wanted), "{host}{path}");
+    }
+}
+
+#[gtest]
+fn a_key_belongs_to_its_account_and_no_other_text_does() {
+    let account = Account {
+        name: "press".into(),
+        priority: Some(1),
+    };
+    let keys = vec![
+        (Name::from("k2"), account.clone()),
+        (Name::from("k1"), account.clone()),
+    ];
+    let config = Config::new(1, Vec::new(), Vec::new(), Some(keys));
+    expect_that!(config.account("k1"), some(eq(&account)));
+    expect_that!(config.account("k"), none());
+    expect_that!(config.is_open(), eq(false));
+}
+
+#[gtest]
+fn draws_follow_the_weights_of_the_pools() {
+    let route = Route {
+        pools: vec![("a".into(), 90), ("b".into(), 10)],
+        ..Route::default()
+    };
+    let draws = (0..100).map(|draw| f64::from(draw) / 100.0);
+    let to_a = draws.filter(|draw| route.pool(*draw) == Some(&"a".into()));
+    expect_that!(to_a.count(), eq(90));
+}
+
+#[gtest]
+fn stages_in_a_row_are_counted_by_the_longest() {
+    let stage = |after: &[usize]| Stage {
+        after: after.to_vec(),
+        ..Stage::default()
+    };
+    let route = Route {
+        stages: vec![stage(&[]), stage(&[]), stage(&[1]), stage(&[2])],
+        ..Route::default()
+    };
+    let depths: Vec<_> = (0..4).map(|at| route.depth_after(at)).collect();
+    expect_that!(depths, eq(&vec![0, 2, 1, 0]));
+    expect_that!(route.last_stages().collect::<Vec<_>>(), eq(&vec![0, 3]));
+}
+
+#[gtest]
+fn only_what_may_run_twice_is_repeatable() {
+    for (kind, resumable, wanted) in [
+        (Kind::Idempotent, false, true),
+        (Kind::Once, true, false),
+        (Kind::Streaming, false, false),
+        (Kind::Streaming, true, true),
+    ] {
+        let route = Route {
+            kind,
+            resumable,
+            ..Route::default()
+        };
+        expect_that!(route.is_repeatable(), eq(wanted), "{kind:?}");
+    }
+}
