Plan calls as full as what waits makes them

Cause: traced in the test of a burst: the last call before a piece was due was planned with two pieces and left with eight, so that it ended 2 ms late; and one group put off did not bring the next one into an earlier call.

Change: a call is planned as full as what waits makes it; groups of lower rank are put off until one is on time.

--- a/crates/batch/src/desk/line.rs
+++ b/crates/batch/src/desk/line.rs
@@ -165,7 +165,7 @@
         for server in &servers {
             self.feed(&server.id);
         }
-        let turns = Turns::new(work, self.free(cx, config, &servers));
+        let turns = Turns::new(work, self.waiting(), self.free(cx, config, &servers));
         let mut planned = plan(core::mem::take(&mut self.groups), turns, config.margin);
         let lost = planned.lost.drain(..).flat_map(|group| group.pieces);
         actions.extend(lost.map(Action::Late));
--- a/crates/batch/src/desk/plan.rs
+++ b/crates/batch/src/desk/plan.rs
@@ -23,6 +23,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Turns<'a> {
     work: &'a Pieces,
+    /// The pieces that wait; a call is filled up with those that are late.
+    waiting: usize,
     /// When each server is free for a call that is not planned yet.
     free: Vec<Tick>,
     begins: Vec<Tick>,
@@ -30,9 +32,10 @@
 
 impl<'a> Turns<'a> {
     /// Takes when each server is free; there is at least one.
-    pub(crate) fn new(work: &'a Pieces, free: Vec<Tick>) -> Self {
+    pub(crate) const fn new(work: &'a Pieces, waiting: usize, free: Vec<Tick>) -> Self {
         Self {
             work,
+            waiting,
             free,
             begins: Vec::new(),
         }
@@ -42,8 +45,8 @@
     pub(crate) fn finish(&mut self, pieces: usize) -> Tick {
         let batch = self.work.batch.max(1);
         let call = pieces.saturating_sub(1) / batch;
-        let rest = pieces - call * batch;
-        self.begin(call) + span(self.work, rest)
+        let filled = self.waiting.saturating_sub(call * batch).min(batch);
+        self.begin(call) + span(self.work, filled)
     }
 
     fn begin(&mut self, call: usize) -> Tick {
@@ -74,8 +77,8 @@
 
 /// Sorts groups by what can still be made of them.
 ///
-/// Groups are taken by when they are due. Where one would be late, a group of the lowest rank so far is put
-/// off: the fewest groups are late, and no group takes the place of one that goes first.
+/// Groups are taken by when they are due. Where one would be late, groups that go after it by rank are put
+/// off until it is on time, or else itself.
 ///
 /// A group counts as late already if it would be made just in time, as calls end a little later than planned.
 pub(crate) fn plan(mut groups: Vec<Group>, mut turns: Turns<'_>, margin: Duration) -> Plan {
@@ -84,18 +87,19 @@
     let mut count = 0;
     for group in groups {
         count += group.pieces.len();
-        let due = group.due;
+        let (due, rank) = (group.due, group.rank);
         plan.on_time.push(group);
-        if turns.finish(count) + margin <= due {
-            continue;
-        }
-        // The last one of the lowest rank; a large group makes the most room.
-        let worst = (0..plan.on_time.len())
-            .max_by_key(|at| (plan.on_time[*at].rank, plan.on_time[*at].pieces.len(), *at));
-        if let Some(worst) = worst {
-            let group = plan.on_time.remove(worst);
+        // Calls end all at once, so it may take several pieces less for one to be in an earlier call.
+        while turns.finish(count) + margin > due {
+            let Some(group) = put_off(&mut plan.on_time, rank) else {
+                break;
+            };
             count -= group.pieces.len();
+            let is_itself = group.due == due && group.rank == rank;
             plan.late.push(group);
+            if is_itself {
+                break;
+            }
         }
     }
     let mut late = core::mem::take(&mut plan.late);
@@ -112,6 +116,14 @@
     plan
 }
 
+/// Takes out the last of the groups that yield to a rank, none of which goes first; otherwise the last one.
+fn put_off(groups: &mut Vec<Group>, rank: u8) -> Option<Group> {
+    let yields = (0..groups.len()).filter(|at| groups[*at].rank > rank);
+    let worst = yields.max_by_key(|at| (groups[*at].rank, *at));
+    let at = worst.or_else(|| groups.len().checked_sub(1))?;
+    Some(groups.remove(at))
+}
+
 /// Returns the time of a call with some pieces.
 pub(crate) fn span(work: &Pieces, pieces: usize) -> Duration {
     work.call + work.piece * u32::try_from(pieces).unwrap_or(u32::MAX)
