Test the cores: truth of refusals, streams, gathering, choice, feeders, repeats

Cause found by the exploration of failures: a request that could reach no server was tried without end while its attempts were not used up.

Change: it is refused once it has tried the stated number of connections. A content is cleared when it is answered; an answer that breaks off counts as a crash of its server; a silent call ends with 504 at its deadline.

--- a/crates/batch/tests/world/mod.rs
+++ b/crates/batch/tests/world/mod.rs
@@ -17,10 +17,10 @@
     roster::Server,
 };
 
-pub const POOL: &str = "portfolio";
+pub(crate) const POOL: &str = "portfolio";
 
 /// The work of the first stage at the smaller site: 8 pieces a call, 150 ms a call, 16 ms a piece.
-pub const WORK: Pieces = Pieces {
+pub(crate) const WORK: Pieces = Pieces {
     slots: 1,
     queue: 2,
     batch: 8,
@@ -31,28 +31,28 @@
 };
 
 /// A pool whose servers work as its configuration says.
-pub struct World {
-    pub now: Tick,
-    pub desk: Desk,
-    pub roster: Roster,
-    pub fleet: Fleet,
-    pub config: Config,
-    pub work: Pieces,
+pub(crate) struct World {
+    pub(crate) now: Tick,
+    pub(crate) desk: Desk,
+    pub(crate) roster: Roster,
+    pub(crate) fleet: Fleet,
+    pub(crate) config: Config,
+    pub(crate) work: Pieces,
     running: Vec<(Tick, Order)>,
-    pub done: Vec<(Tick, Name, Piece)>,
-    pub late: Vec<(Tick, Piece)>,
-    pub calls: Vec<(Name, usize)>,
+    pub(crate) done: Vec<(Tick, Name, Piece)>,
+    pub(crate) late: Vec<(Tick, Piece)>,
+    pub(crate) calls: Vec<(Name, usize)>,
     /// How much longer each server's calls take.
-    pub slow: Vec<(Name, u32)>,
+    pub(crate) slow: Vec<(Name, u32)>,
     /// How long a result lies before it is given up.
-    pub lies: Duration,
+    pub(crate) lies: Duration,
     lying: Vec<(Tick, Handle)>,
     next: u64,
 }
 
 impl World {
     /// Opens a pool with a server in each domain named.
-    pub fn open(domains: &[&str], work: Pieces) -> Self {
+    pub(crate) fn open(domains: &[&str], work: Pieces) -> Self {
         let pool = Pool {
             name: POOL.into(),
             connections: 8,
@@ -88,7 +88,7 @@
     }
 
     /// Offers the pieces of a request.
-    pub fn offer(&mut self, count: u32, edit: impl Fn(&mut Piece)) -> Name {
+    pub(crate) fn offer(&mut self, count: u32, edit: impl Fn(&mut Piece)) -> Name {
         let request = Name::from(format!("r-{}", self.next));
         let pieces = (0..count).map(|number| {
             let mut piece = Piece {
@@ -116,7 +116,7 @@
     }
 
     /// Lets time pass.
-    pub fn pass(&mut self, span: Duration) {
+    pub(crate) fn pass(&mut self, span: Duration) {
         let until = self.now + span;
         while self.now < until {
             self.now = self.now + Duration::from_millis(1);
@@ -126,7 +126,7 @@
         }
     }
 
-    pub fn pump(&mut self) {
+    pub(crate) fn pump(&mut self) {
         let cx = Context {
             now: self.now,
             config: &self.config,
@@ -189,7 +189,7 @@
     }
 
     /// Returns how many pieces with a rank were made when they were due.
-    pub fn on_time(&self, rank: u8) -> usize {
+    pub(crate) fn on_time(&self, rank: u8) -> usize {
         let done = self.done.iter();
         let done = done.filter(|(at, _, piece)| piece.rank == rank && *at <= piece.due);
         done.count()
--- /dev/null
+++ b/crates/pick/tests/engine.rs
@@ -0,0 +1,164 @@
+//! Pattern: requests share parts of prompts, which engines keep; long prompts stand before short ones.
+
+use std::rc::Rc;
+
+use base::{Name, Tick};
+use googletest::prelude::*;
+use pick::{
+    Fleet,
+    configs::Config,
+    engine::{self, Part, Prompt, Pull},
+    fleet::Load,
+    plain,
+};
+use rand_chacha::{ChaCha8Rng, rand_core::SeedableRng};
+use site::roster::Server;
+
+const NOWHERE: Pull<'static> = Pull {
+    domain: None,
+    ms: 0.0,
+};
+
+fn engines(count: u8) -> Vec<Rc<Server>> {
+    let engine = |at: u8| {
+        Rc::new(Server {
+            id: format!("i-{at}").into(),
+            pool: "engines".into(),
+            address: format!("10.0.0.{at}:80").parse().unwrap(),
+            domain: if at % 2 == 0 { "a" } else { "b" }.into(),
+            slots: 64,
+            leaving: false,
+        })
+    };
+    (0..count).map(engine).collect()
+}
+
+/// A prompt of a session: 6,300 shared tokens and 2,890 of its own.
+fn prompt(session: u64, own: u64) -> Prompt {
+    let part = |id, tokens| Part { id, tokens };
+    Prompt {
+        parts: vec![part(1, 2_520), part(session, 3_780), part(own, 2_890)],
+        input: 9_190,
+        output: 60,
+    }
+}
+
+struct Choice {
+    id: Name,
+    tokens: u64,
+    fetch: Option<core::net::SocketAddr>,
+}
+
+fn choose(fleet: &Fleet, seed: u64, prompt: &Prompt, pull: Pull<'_>) -> Choice {
+    let engines = engines(18);
+    let listed: Vec<_> = engines.iter().collect();
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let mut cx = plain::Context {
+        now: Tick::from_millis(1_000),
+        domain: &"a".into(),
+        tried: &[],
+        rng: &mut rng,
+    };
+    let choice = engine::choose(fleet, &mut cx, prompt, pull, &listed).unwrap();
+    Choice {
+        id: choice.server.id.clone(),
+        tokens: choice.tokens,
+        fetch: choice.fetch,
+    }
+}
+
+#[gtest]
+fn instances_send_a_session_to_one_engine_without_a_word() {
+    for session in 10..40 {
+        let one = choose(&Fleet::default(), 1, &prompt(session, 100), NOWHERE);
+        let other = choose(&Fleet::default(), 2, &prompt(session, 101), NOWHERE);
+        expect_that!(one.id, eq(&other.id));
+    }
+}
+
+#[gtest]
+fn sessions_spread_over_the_engines() {
+    let homes =
+        (10..310).map(|session| choose(&Fleet::default(), 1, &prompt(session, 7), NOWHERE).id);
+    let mut homes: Vec<_> = homes.collect();
+    homes.sort();
+    homes.dedup();
+    expect_that!(homes.len(), ge(17));
+}
+
+#[gtest]
+fn a_session_leaves_a_home_with_a_long_line_and_fetches_from_it() {
+    let now = Tick::from_millis(900);
+    let mut fleet = Fleet::new(Config::default());
+    let home = choose(&fleet, 1, &prompt(10, 100), NOWHERE);
+    fleet.keep(now, &home.id, &prompt(10, 100));
+    fleet.begin(now, &home.id, 40_000);
+    let away = choose(&fleet, 1, &prompt(10, 101), NOWHERE);
+    expect_that!(away.id, not(eq(&home.id)));
+    let address = engines(18)
+        .iter()
+        .find(|one| one.id == home.id)
+        .unwrap()
+        .address;
+    expect_that!(away.fetch, some(eq(address)));
+}
+
+#[gtest]
+fn lines_that_other_instances_told_count_like_the_own() {
+    let now = Tick::from_millis(900);
+    let mut fleet = Fleet::new(Config::default());
+    let home = choose(&fleet, 1, &prompt(10, 100), NOWHERE);
+    let load = Load {
+        server: home.id.clone(),
+        tokens: 40_000,
+        running: 5,
+    };
+    fleet.told(now, &"b".into(), vec![load]);
+    expect_that!(
+        choose(&fleet, 1, &prompt(10, 101), NOWHERE).id,
+        not(eq(&home.id))
+    );
+    // What was told long ago no longer counts.
+    let mut fleet = Fleet::new(Config::default());
+    let old = Tick::from_micros(0);
+    let load = Load {
+        server: home.id.clone(),
+        tokens: 40_000,
+        running: 5,
+    };
+    fleet.told(old, &"b".into(), vec![load]);
+    expect_that!(
+        choose(&fleet, 1, &prompt(10, 101), NOWHERE).id,
+        eq(&home.id)
+    );
+}
+
+#[gtest]
+fn what_an_engine_keeps_is_not_read_again() {
+    let now = Tick::from_millis(900);
+    let mut fleet = Fleet::new(Config::default());
+    let home = choose(&fleet, 1, &prompt(10, 100), NOWHERE);
+    fleet.keep(now, &home.id, &prompt(10, 100));
+    let again = choose(&fleet, 1, &prompt(10, 101), NOWHERE);
+    expect_that!(again.tokens, eq(2_890));
+    expect_that!(again.fetch, none());
+    fleet.restarted(&home.id);
+    expect_that!(fleet.news(now).count(), eq(2));
+}
+
+#[gtest]
+fn large_results_draw_a_request_to_their_domain() {
+    let domain = Name::from("b");
+    let pull = Pull {
+        domain: Some(&domain),
+        ms: 1_000.0,
+    };
+    for session in 10..30 {
+        let choice = choose(&Fleet::default(), 1, &prompt(session, 100), pull);
+        let engine = engines(18)
+            .into_iter()
+            .find(|one| one.id == choice.id)
+            .unwrap();
+        expect_that!(engine.domain, eq(&domain));
+    }
+}
--- a/crates/relay/src/body.rs
+++ b/crates/relay/src/body.rs
@@ -108,6 +108,7 @@
         if let Some(attempt) = self.attempt.take() {
             let head = attempt.lease.age();
             attempt.lease.end(End::Answered { head });
+            self.hub.with(|state| state.crashes.clear(self.ask.digest));
         }
         let rest = self.events.rest();
         (!rest.is_empty()).then_some(rest)
--- a/crates/relay/src/judge.rs
+++ b/crates/relay/src/judge.rs
@@ -59,7 +59,7 @@
         Failure::Moved if cx.unreached < cx.connects && cx.sent <= cx.route.attempts => {
             Next::Again { counts: true }
         }
-        Failure::Rejected => Next::Answer(end(ran, Code::StageUnavailable)),
+        Failure::Rejected | Failure::Unreachable => Next::Answer(end(ran, Code::StageUnavailable)),
         _ if cx.sent < cx.route.attempts => Next::Again { counts: true },
         Failure::Full => Next::Answer(end(ran, Code::Overloaded)),
         _ => Next::Answer(end(ran, Code::StageUnavailable)),
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -107,6 +107,7 @@
             Ok(Ok(body)) => {
                 let head = attempt.lease.age();
                 attempt.lease.end(End::Answered { head });
+                hub.with(|state| state.crashes.clear(ask.digest));
                 sample(hub, &ask, &attempt.reply);
                 return Ok(Answer::Whole {
                     reply: attempt.reply,
@@ -118,6 +119,7 @@
         };
         let server = attempt.lease.server.clone();
         attempt.lease.end(end_of(failure));
+        crashed(hub, &ask, &server.id);
         log::info!(target: "relay", request:% = ask.id, server:% = server.id, cause:% = failure; "answer broke off");
         trail.ran = true;
         if let Err(code) = trail.next(hub, &ask, failure) {
@@ -182,7 +184,7 @@
         let limit = if !once && trail.sent + 1 < ask.route.attempts {
             ask.route.objective.max(hub.settings.silence_least)
         } else {
-            ask.left(hub.edge.now())
+            Duration::MAX
         };
         trail.tried.push(server.id.clone());
         let sent = time::timeout(limit, hub.edge.send(&ask.request, call)).await;
--- /dev/null
+++ b/crates/relay/tests/world/mod.rs
@@ -0,0 +1,227 @@
+//! Servers that do what a test writes down for them.
+
+#![allow(dead_code, reason = "each test file uses a part of it")]
+
+use core::{cell::RefCell, time::Duration};
+use std::{collections::VecDeque, rc::Rc, time::Instant};
+
+use base::{Name, Tick};
+use batch::{
+    Piece,
+    piece::{Handle, Made},
+};
+use bytes::Bytes;
+use mesh::{Members, Peer};
+use relay::{Ask, Call, Edge, Failure, Hub, Reply, call::Worked, configs::Config};
+use retry::window::Bound;
+use site::{
+    Pool, Route,
+    pool::{Pieces, Work},
+    roster::Server,
+    route::Kind,
+};
+
+/// What a server does with a request.
+pub(crate) enum Act {
+    /// It fails.
+    Fail(Failure),
+    /// It answers with chunks, the last of which may be a failure.
+    Answer(u16, Vec<Result<&'static str, Failure>>),
+    /// It says nothing.
+    Hang,
+}
+
+/// What the servers were asked.
+#[derive(Clone, Debug)]
+pub(crate) struct Sent {
+    pub(crate) server: Name,
+    pub(crate) after: Option<u64>,
+    pub(crate) inputs: usize,
+}
+
+pub(crate) struct Servers {
+    start: Instant,
+    pub(crate) acts: RefCell<VecDeque<Act>>,
+    pub(crate) sent: RefCell<Vec<Sent>>,
+    pub(crate) worked: RefCell<Vec<usize>>,
+    pub(crate) freed: RefCell<Vec<Handle>>,
+    pub(crate) crashes: RefCell<Vec<(u64, Name)>>,
+}
+
+pub(crate) struct Chunks(u16, VecDeque<Result<&'static str, Failure>>);
+
+impl Reply for Chunks {
+    type Head = u16;
+
+    fn head(&self) -> u16 {
+        self.0
+    }
+
+    fn status(&self) -> u16 {
+        self.0
+    }
+
+    fn is_leaving(&self) -> bool {
+        false
+    }
+
+    async fn chunk(&mut self) -> Result<Option<Bytes>, Failure> {
+        match self.1.pop_front() {
+            Some(Ok(text)) => Ok(Some(Bytes::from_static(text.as_bytes()))),
+            Some(Err(failure)) => Err(failure),
+            None => Ok(None),
+        }
+    }
+}
+
+impl Edge for Servers {
+    type Reply = Chunks;
+    type Request = ();
+
+    fn now(&self) -> Tick {
+        Tick::from_millis(1_000) + self.start.elapsed()
+    }
+
+    async fn send(&self, (): &(), call: Call) -> Result<Chunks, Failure> {
+        self.sent.borrow_mut().push(Sent {
+            server: call.server.id.clone(),
+            after: call.after,
+            inputs: call.inputs.len(),
+        });
+        let act = self.acts.borrow_mut().pop_front();
+        match act {
+            Some(Act::Fail(failure)) => Err(failure),
+            Some(Act::Answer(status, chunks)) => Ok(Chunks(status, chunks.into())),
+            Some(Act::Hang) | None => core::future::pending().await,
+        }
+    }
+
+    async fn work(
+        &self,
+        server: &Server,
+        pieces: &[Piece],
+        _: Duration,
+    ) -> Result<Worked, Failure> {
+        self.worked.borrow_mut().push(pieces.len());
+        tokio::time::sleep(Duration::from_millis(5)).await;
+        let made = pieces.iter().map(|piece| {
+            Made::Result(Handle {
+                maker: server.address,
+                text: format!("{}-{}-{}", piece.request, piece.stage, piece.number).into(),
+            })
+        });
+        Ok(Worked {
+            made: made.collect(),
+            load: None,
+        })
+    }
+
+    async fn hand(&self, _: &Peer, _: &Name, _: &[Piece]) -> Result<Vec<Made>, Failure> {
+        Err(Failure::Unreachable)
+    }
+
+    async fn release(&self, _: &Peer, _: &[Handle]) -> Result<(), Failure> {
+        Err(Failure::Unreachable)
+    }
+
+    async fn free(&self, handles: Vec<Handle>) {
+        self.freed.borrow_mut().extend(handles);
+    }
+
+    fn crashed(&self, digest: u64, server: &Name) {
+        self.crashes.borrow_mut().push((digest, server.clone()));
+    }
+}
+
+/// Opens a hub with three servers of the pool `engines` and one of `stages`.
+pub(crate) fn hub(acts: Vec<Act>) -> Rc<Hub<Servers>> {
+    let servers = Servers {
+        start: Instant::now(),
+        acts: RefCell::new(acts.into()),
+        sent: RefCell::default(),
+        worked: RefCell::default(),
+        freed: RefCell::default(),
+        crashes: RefCell::default(),
+    };
+    let bound = Bound {
+        ratio: 0.2,
+        slack: 52.0,
+        span: Duration::from_secs(10),
+    };
+    let members = Members::new(mesh::Config::default(), "own".into());
+    let hub = Hub::open(servers, "a".into(), members, bound, Config::default(), 1);
+    let pieces = Pieces {
+        slots: 1,
+        queue: 2,
+        batch: 8,
+        call: Duration::from_millis(5),
+        piece: Duration::from_millis(1),
+        memory: 1_000_000,
+        keep: Duration::from_secs(4),
+    };
+    let pools = vec![
+        Pool {
+            name: "engines".into(),
+            connections: 8,
+            work: Work::Plain,
+        },
+        Pool {
+            name: "stages".into(),
+            connections: 8,
+            work: Work::Pieces(pieces),
+        },
+    ];
+    hub.with(|state| {
+        state.config = Some(Rc::new(site::Config::new(1, Vec::new(), pools, None)));
+        for (at, pool) in ["engines", "engines", "engines", "stages"]
+            .iter()
+            .enumerate()
+        {
+            state.roster.put(Server {
+                id: format!("i-{at}").into(),
+                pool: (*pool).into(),
+                address: format!("10.0.0.{at}:80").parse().unwrap(),
+                domain: "a".into(),
+                slots: 6,
+                leaving: false,
+            });
+        }
+    });
+    hub
+}
+
+/// A request of a route of some kind that may reach two servers.
+pub(crate) fn ask(
+    hub: &Rc<Hub<Servers>>,
+    kind: Kind,
+    edit: impl FnOnce(&mut Route),
+) -> Rc<Ask<()>> {
+    let mut route = Route {
+        name: "route".into(),
+        kind,
+        resumable: true,
+        timeout: Duration::from_secs(2),
+        objective: Duration::from_millis(100),
+        pause: Duration::from_millis(50),
+        pools: vec![("engines".into(), 1)],
+        attempts: 2,
+        ..Route::default()
+    };
+    edit(&mut route);
+    let now = hub.edge.now();
+    Rc::new(Ask {
+        id: "r-1".into(),
+        route: Rc::new(route),
+        version: 1,
+        account: None,
+        rank: 0,
+        arrived: now,
+        deadline: now + Duration::from_millis(900),
+        digest: 7,
+        prompt: None,
+        pieces: vec![2, 3],
+        piece_key: "key".into(),
+        after: None,
+        request: Rc::new(()),
+    })
+}
--- a/crates/retry/src/crash.rs
+++ b/crates/retry/src/crash.rs
@@ -69,6 +69,13 @@
         }
     }
 
+    /// Takes note that a content was answered: it crashes nobody.
+    pub fn clear(&mut self, digest: u64) {
+        if let Ok(at) = self.find(digest) {
+            self.contents.remove(at);
+        }
+    }
+
     /// Returns how many servers a content crashed, as far as is known.
     pub fn count(&self, digest: u64) -> usize {
         self.find(digest)
