--- /dev/null
+++ b/crates/feed/tests/loopback.rs
@@ -0,0 +1,101 @@
+//! Orders, results and pulses between two instances on loopback.
+
+use core::time::Duration;
+
+use batch::piece::{Handle, Made, Reason, Source};
+use feed::{Ask, Client, Kept, Line, Order, Pulse, serve};
+use googletest::prelude::*;
+use tokio::sync::mpsc;
+
+fn handle(number: u64) -> Handle {
+    Handle {
+        maker: "10.0.0.1:80".parse().unwrap(),
+        text: format!("10.0.0.1:80/{number:x}").into(),
+    }
+}
+
+fn order(source: Source) -> Order {
+    Order {
+        pool: "portfolio".into(),
+        request: "r-1".into(),
+        stage: 2,
+        numbers: vec![0, 3],
+        source,
+        rank: 1,
+        due: Duration::from_millis(250),
+        left: Duration::from_millis(900),
+        bytes: 60_000,
+        domain: Some("a".into()),
+        pull: 480_000,
+    }
+}
+
+#[gtest]
+#[actix_web::test]
+async fn what_is_sent_arrives_as_it_was() {
+    let (asked, mut asks) = mpsc::unbounded_channel();
+    let address = "127.0.0.1:17741".parse().unwrap();
+    serve(address, asked).unwrap();
+    let made = vec![Made::Result(handle(7)), Made::Failed(Reason::Room)];
+    let pulse = Pulse {
+        name: "b".into(),
+        leaving: true,
+        lines: vec![Line {
+            server: "i-1".into(),
+            tokens: 9_190,
+            running: 3,
+        }],
+        config: 7,
+        kept: vec![Kept {
+            server: "i-1".into(),
+            chain: u64::MAX,
+        }],
+    };
+    let client = Client::default();
+    for source in [
+        Source::Key("k".into()),
+        Source::Results(vec![handle(1), handle(2)]),
+    ] {
+        let sent = order(source);
+        let (answer, seen) = tokio::join!(client.make(address, sent.clone()), async {
+            let Some(Ask::Make { order, reply }) = asks.recv().await else {
+                panic!("an order is wanted");
+            };
+            reply.send(made.clone()).unwrap();
+            order
+        });
+        expect_that!(seen, eq(&sent));
+        expect_that!(answer.unwrap(), eq(&made));
+    }
+    let (answer, seen) = tokio::join!(
+        client.beat(address, pulse.clone(), Duration::from_secs(5)),
+        async {
+            let Some(Ask::Beat { pulse, reply }) = asks.recv().await else {
+                panic!("a pulse is wanted");
+            };
+            reply.send(pulse.clone()).unwrap();
+            pulse
+        }
+    );
+    expect_that!(seen, eq(&pulse));
+    expect_that!(answer.unwrap(), eq(&pulse));
+    expect_that!(client.free(address, &[handle(1)]).await.is_ok(), eq(true));
+}
+
+#[gtest]
+#[actix_web::test]
+async fn an_instance_that_is_not_there_or_silent_is_an_error_in_time() {
+    let client = Client::default();
+    let nobody = "127.0.0.1:17742".parse().unwrap();
+    let answer = client
+        .beat(nobody, Pulse::default(), Duration::from_secs(5))
+        .await;
+    expect_that!(answer.is_err(), eq(true));
+    let (asked, _asks) = mpsc::unbounded_channel();
+    let silent = "127.0.0.1:17743".parse().unwrap();
+    serve(silent, asked).unwrap();
+    let answer = client
+        .beat(silent, Pulse::default(), Duration::from_millis(200))
+        .await;
+    expect_that!(answer.is_err(), eq(true));
+}
