--- a/crates/batch/src/desk/line.rs
+++ b/crates/batch/src/desk/line.rs
@@ -265,9 +265,8 @@
                     continue;
                 }
                 let mut count = group.pieces.len().min(most - taken.len());
-                if group.bytes > 0 {
-                    let fit = usize::try_from(room / group.bytes).unwrap_or(usize::MAX);
-                    count = count.min(fit);
+                if let Some(fit) = room.checked_div(group.bytes) {
+                    count = count.min(usize::try_from(fit).unwrap_or(usize::MAX));
                     room -= group.bytes * count as u64;
                 }
                 taken.extend(group.pieces.drain(..count));
--- a/crates/batch/tests/burst.rs
+++ b/crates/batch/tests/burst.rs
@@ -13,7 +13,7 @@
 fn burst(world: &mut World) -> usize {
     let mut offered = 0;
     for round in 0..100_u8 {
-        let rank = if round % 4 == 0 { 0 } else { 2 };
+        let rank = if round.is_multiple_of(4) { 0 } else { 2 };
         world.offer(2, |piece: &mut Piece| piece.rank = rank);
         offered += 2;
         world.pass(Duration::from_millis(18));
--- a/crates/pick/tests/engine.rs
+++ b/crates/pick/tests/engine.rs
@@ -25,7 +25,7 @@
             id: format!("i-{at}").into(),
             pool: "engines".into(),
             address: format!("10.0.0.{at}:80").parse().unwrap(),
-            domain: if at % 2 == 0 { "a" } else { "b" }.into(),
+            domain: if at.is_multiple_of(2) { "a" } else { "b" }.into(),
             slots: 64,
             leaving: false,
         })
--- a/crates/relay/src/body.rs
+++ b/crates/relay/src/body.rs
@@ -100,6 +100,10 @@
                 self.hub.with(|state| state.fleet.keep(now, server, prompt));
             }
         }
+        if !self.trail.begun {
+            let server = attempt.lease.server.id.clone();
+            serve::late(&self.hub, &self.ask, &self.trail, &server);
+        }
         self.trail.begun = true;
     }
 
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -62,6 +62,8 @@
     unreached: usize,
     ran: bool,
     pub(crate) begun: bool,
+    /// The time that stages took, waits included.
+    pub(crate) staged: Duration,
 }
 
 /// Takes a request through its stages to a backend server.
@@ -106,9 +108,11 @@
         let failure = match whole {
             Ok(Ok(body)) => {
                 let head = attempt.lease.age();
+                let server = attempt.lease.server.id.clone();
                 attempt.lease.end(End::Answered { head });
                 hub.with(|state| state.crashes.clear(ask.digest));
                 sample(hub, &ask, &attempt.reply);
+                late(hub, &ask, &trail, &server);
                 return Ok(Answer::Whole {
                     reply: attempt.reply,
                     body,
@@ -153,7 +157,9 @@
 ) -> Result<Attempt<E>, Code> {
     let pool = pool(hub, ask)?;
     let preferred = prefer(hub, ask, &pool);
+    let begun = hub.edge.now();
     let mut inputs = stages::run(hub, ask, preferred, since).await?;
+    trail.staged += hub.edge.now() - begun;
     loop {
         let Some(choice) = choose(hub, ask, &pool, &inputs, trail) else {
             return Err(judge::end(trail.ran, Code::StageUnavailable));
@@ -379,8 +385,21 @@
     Refusal { code, retry_after }
 }
 
+/// Logs an answer, or the first event of a stream, that came after its objective.
+pub(crate) fn late<E: Edge>(hub: &Rc<Hub<E>>, ask: &Ask<E::Request>, trail: &Trail, server: &Name) {
+    let took = hub.edge.now() - ask.arrived;
+    if took <= ask.route.objective {
+        return;
+    }
+    log::info!(
+        target: "relay", request:% = ask.id, route:% = ask.route.name, server:% = server,
+        took_ms = took.as_millis(), objective_ms = ask.route.objective.as_millis(),
+        stages_ms = trail.staged.as_millis(), attempts = trail.sent; "request answered late"
+    );
+}
+
 fn sample<E: Edge>(hub: &Rc<Hub<E>>, ask: &Ask<E::Request>, reply: &E::Reply) {
-    if ask.digest % hub.settings.sample == 0 {
+    if ask.digest.is_multiple_of(hub.settings.sample) {
         let took = hub.edge.now() - ask.arrived;
         log::info!(
             target: "relay", request:% = ask.id, route:% = ask.route.name,
