Count a server as slow only beside the others of its pool

Cause: read in the code: a call that broke off counted its server as three times slower than expected, and a slow server gets one piece a second; a pool whose servers all lost a call crawled for two seconds.

Change: only a call without an answer in time tells of slowness, and a server is slow only beside the swiftest of its pool.

--- a/crates/batch/src/configs.rs
+++ b/crates/batch/src/configs.rs
@@ -13,7 +13,8 @@
     pub room: Duration,
     /// How long before it is due a piece is planned to be made.
     pub margin: Duration,
-    /// How often its expected time a server's calls may take before it gets trial calls only.
+    /// How often the time of the pool's swiftest server a server's calls may take before it gets trial
+    /// calls only.
     pub slow: f64,
     /// The pause between trial calls to a slow server.
     pub trial: Duration,
--- a/crates/batch/src/desk.rs
+++ b/crates/batch/src/desk.rs
@@ -86,8 +86,10 @@
     },
     /// The server was full.
     Full,
-    /// It was not answered.
+    /// It was not answered, for a reason that says nothing of the server's speed.
     Failed,
+    /// It was not answered in time.
+    Silent,
 }
 
 impl Desk {
--- a/crates/batch/src/desk/line.rs
+++ b/crates/batch/src/desk/line.rs
@@ -20,6 +20,8 @@
     pub(super) pool: Name,
     groups: Vec<Group>,
     feeds: Vec<Feed>,
+    /// The pace of the swiftest server that can be reached.
+    best: f64,
 }
 
 /// One server, as this instance feeds it.
@@ -127,7 +129,8 @@
                     }));
             }
             End::Full => feed.busy_until = now + usual,
-            End::Failed => {
+            End::Failed => feed.busy_until = now,
+            End::Silent => {
                 feed.busy_until = now;
                 feed.pace = feed.pace.max(config.slow * 1.5);
             }
@@ -165,6 +168,7 @@
         for server in &servers {
             self.feed(&server.id);
         }
+        self.best = self.best(&servers);
         let turns = Turns::new(work, self.waiting(), self.free(cx, config, &servers));
         let mut planned = plan(core::mem::take(&mut self.groups), turns, config.margin);
         let lost = planned.lost.drain(..).flat_map(|group| group.pieces);
@@ -217,7 +221,7 @@
     /// Returns when each server is free; slow ones count only where there is no other.
     fn free(&self, cx: Context<'_>, config: &Config, servers: &[Rc<Server>]) -> Vec<Tick> {
         let feeds = servers.iter().filter_map(|server| self.get(&server.id));
-        let swift = feeds.clone().filter(|feed| feed.pace < config.slow);
+        let swift = feeds.clone().filter(|feed| !self.is_slow(config, feed));
         let free = |feed: &Feed| feed.busy_until.max(cx.now);
         let times: Vec<_> = swift.map(free).collect();
         if times.is_empty() {
@@ -226,12 +230,22 @@
         times
     }
 
+    fn best(&self, servers: &[Rc<Server>]) -> f64 {
+        let feeds = servers.iter().filter_map(|server| self.get(&server.id));
+        feeds.map(|feed| feed.pace).fold(f64::INFINITY, f64::min)
+    }
+
+    /// Tells whether a server is slow beside the others of its pool.
+    fn is_slow(&self, config: &Config, feed: &Feed) -> bool {
+        feed.pace >= config.slow * self.best.max(1.0)
+    }
+
     fn is_free(&self, cx: Context<'_>, config: &Config, server: &Name) -> bool {
         let Some(feed) = self.get(server) else {
             return false;
         };
         let is_trial = feed.tried + config.trial <= cx.now;
-        feed.calls == 0 && feed.busy_until <= cx.now && (feed.pace < config.slow || is_trial)
+        feed.calls == 0 && feed.busy_until <= cx.now && (is_trial || !self.is_slow(config, feed))
     }
 
     /// Takes what the next call to a server holds.
@@ -247,7 +261,7 @@
         let Some(feed) = self.get(&server.id) else {
             return Vec::new();
         };
-        let is_trial = feed.pace >= config.slow;
+        let is_trial = self.is_slow(config, feed);
         let most = if is_trial { 1 } else { work.batch.max(1) };
         let mut room = feed.room(cx.now, work);
         let mut taken: Vec<Piece> = Vec::new();
@@ -294,7 +308,7 @@
         }
         let near = servers.iter().filter(|one| one.domain == *domain);
         let near = near.filter_map(|one| self.get(&one.id));
-        let near = near.filter(|feed| feed.pace < config.slow);
+        let near = near.filter(|feed| !self.is_slow(config, feed));
         let free = near.map(|feed| feed.busy_until.max(cx.now)).min();
         let calls = 1 + config.slack;
         free.is_some_and(|free| free + span(work, work.batch) * calls <= group.due)
--- a/crates/batch/tests/slow.rs
+++ b/crates/batch/tests/slow.rs
@@ -4,6 +4,7 @@
 
 use core::time::Duration;
 
+use batch::desk::End;
 use googletest::prelude::*;
 use world::{WORK, World};
 
@@ -35,6 +36,31 @@
     expect_that!(swift.count(), ge((world.calls.len() - before) / 6));
 }
 
+#[gtest]
+fn a_pool_whose_servers_are_all_slow_is_used_as_it_is() {
+    let mut world = World::open(&["a", "b"], WORK);
+    world.slow = vec![("i-0".into(), 3), ("i-1".into(), 3)];
+    for _ in 0..60 {
+        world.offer(2, |piece| {
+            piece.due = piece.due + Duration::from_secs(20);
+            piece.deadline = piece.due;
+        });
+        world.pass(Duration::from_millis(150));
+    }
+    world.pass(Duration::from_secs(3));
+    expect_that!(world.done.len(), eq(120));
+}
+
+#[gtest]
+fn a_server_whose_call_broke_off_is_called_again_at_once() {
+    let mut world = World::open(&["a"], WORK);
+    world.offer(2, |_| {});
+    let (pool, id) = (world::POOL.into(), "i-0".into());
+    world.desk.ended(world.now, &pool, &id, &WORK, End::Failed);
+    world.offer(4, |_| {});
+    expect_that!(world.calls, eq(&vec![("i-0".into(), 2), ("i-0".into(), 4)]));
+}
+
 #[gtest]
 fn pieces_for_a_pool_without_servers_are_given_up_at_once() {
     let mut world = World::open(&[], WORK);
--- a/crates/relay/src/hub.rs
+++ b/crates/relay/src/hub.rs
@@ -389,6 +389,7 @@
             state.fleet.end(now, &server.id, end_of(failure));
             let end = match failure {
                 Failure::Full => desk::End::Full,
+                Failure::Silent => desk::End::Silent,
                 _ => desk::End::Failed,
             };
             state.desk.ended(now, &order.pool, &server.id, work, end);
--- a/crates/relay/src/judge.rs
+++ b/crates/relay/src/judge.rs
@@ -18,8 +18,6 @@
     pub connects: usize,
     /// Whether an earlier attempt may have run.
     pub ran: bool,
-    /// Whether the caller has read a part of the answer.
-    pub begun: bool,
 }
 
 /// What to do next.
@@ -45,7 +43,7 @@
 /// use base::Code;
 /// use relay::{Failure, judge::{Context, Next, after}};
 /// let route = site::Route { attempts: 2, ..Default::default() };
-/// let cx = Context { route: &route, sent: 1, unreached: 0, connects: 4, ran: false, begun: false };
+/// let cx = Context { route: &route, sent: 1, unreached: 0, connects: 4, ran: false };
 /// assert_eq!(after(cx, Failure::Full), Next::Again { counts: true });
 /// assert_eq!(after(cx, Failure::Broken), Next::Answer(Code::CallUnknown));
 /// ```
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -246,7 +246,6 @@
             unreached: self.unreached,
             connects: hub.settings.connects,
             ran: self.ran,
-            begun: self.begun,
         };
         let next = judge::after(cx, failure);
         self.ran |= failure.may_have_run();
--- a/crates/relay/tests/judge.rs
+++ b/crates/relay/tests/judge.rs
@@ -61,7 +61,6 @@
                 unreached: after.unreached,
                 connects: 4,
                 ran: state.ran,
-                begun: false,
             };
             let next = judge::after(cx, failure);
             visit(after, failure, next);
