Never tell a request as not run because a later stage failed

Cause: read in the code: where an idempotent request had been sent and its stages had to be worked on again, a stage's own failure (503) became the answer, though the request may have run. Ruled out: routes that may not be repeated, as their requests end at the first attempt that may have run.

Change: the one place that refuses turns such a code into 502 where an attempt may have run. A new test, seen failing without it.

--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -3,7 +3,7 @@
 use core::time::Duration;
 use std::rc::Rc;
 
-use base::{Code, Name, Tick};
+use base::{Code, Name, Outcome, Tick};
 use bytes::{Bytes, BytesMut};
 use pick::{engine, fleet::End, plain};
 use rand::RngExt;
@@ -368,6 +368,9 @@
 }
 
 fn refuse<E: Edge>(hub: &Rc<Hub<E>>, ask: &Ask<E::Request>, trail: &Trail, code: Code) -> Refusal {
+    // Stages and choices tell of their own failure; the request may have run before.
+    let says_not_run = code.outcome() == Outcome::NotRun;
+    let code = judge::end(trail.ran && says_not_run, code);
     let now: Tick = hub.edge.now();
     let retry_after = code.again().then(|| {
         let spread = hub.settings.return_spread;
--- a/crates/relay/tests/course.rs
+++ b/crates/relay/tests/course.rs
@@ -179,3 +179,22 @@
     expect_that!(hub.edge.freed.borrow().len(), eq(made));
     expect_that!(hub.edge.sent.borrow().len(), eq(0));
 }
+
+#[gtest]
+#[actix_web::test]
+async fn a_stage_that_fails_after_a_silent_attempt_does_not_make_it_not_run() {
+    let hub = hub(vec![Act::Hang, Act::Fail(Failure::InputGone)]);
+    let ask = ask(&hub, Kind::Idempotent, |route| {
+        stages(route);
+        route.attempts = 3;
+    });
+    let serving = serve(&hub, ask);
+    let removal = async {
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        let now = relay::Edge::now(&hub.edge);
+        hub.with(|state| state.roster.remove(now, &"i-3".into()));
+    };
+    let (served, _) = tokio::join!(serving, removal);
+    let code = served.err().map(|refusal| refusal.code);
+    expect_that!(code, some(eq(Code::CallUnknown)));
+}
