--- a/crates/relay/tests/course.rs
+++ b/crates/relay/tests/course.rs
@@ -194,7 +194,7 @@
         let now = relay::Edge::now(&hub.edge);
         hub.with(|state| state.roster.remove(now, &"i-3".into()));
     };
-    let (served, _) = tokio::join!(serving, removal);
+    let (served, ()) = tokio::join!(serving, removal);
     let code = served.err().map(|refusal| refusal.code);
     expect_that!(code, some(eq(Code::CallUnknown)));
 }
