--- a/crates/relay/src/hub.rs
+++ b/crates/relay/src/hub.rs
@@ -13,7 +13,7 @@
 use pick::{Fleet, fleet::End};
 use rand::{SeedableRng, rngs::SmallRng};
 use retry::{Crashes, Window, window::Bound};
-use site::{Config, Roster, pool::Work, roster::Server};
+use site::{Config, Roster, pool::Work};
 use tokio::{sync::mpsc, task, time};
 
 use crate::{Edge, Failure, call::Worked, configs};
@@ -480,59 +480,3 @@
     ids.dedup();
     ids.join(",")
 }
-
-/// A call under way, counted at its server until it ends.
-pub(crate) struct Lease<E: Edge> {
-    hub: Rc<Hub<E>>,
-    pub(crate) server: Rc<Server>,
-    tokens: u64,
-    sent: Tick,
-    is_over: bool,
-}
-
-impl<E: Edge> Lease<E> {
-    pub(crate) fn begin(hub: &Rc<Hub<E>>, server: &Rc<Server>, tokens: u64) -> Self {
-        let now = hub.edge.now();
-        hub.with(|state| state.fleet.begin(now, &server.id, tokens));
-        Self {
-            hub: hub.clone(),
-            server: server.clone(),
-            tokens,
-            sent: now,
-            is_over: false,
-        }
-    }
-
-    /// Takes note that the server has read the prompt.
-    pub(crate) fn read(&mut self) {
-        let now = self.hub.edge.now();
-        let tokens = core::mem::take(&mut self.tokens);
-        self.hub
-            .with(|state| state.fleet.read(now, &self.server.id, tokens));
-    }
-
-    /// Returns the time since the call was sent.
-    pub(crate) fn age(&self) -> Duration {
-        self.hub.edge.now() - self.sent
-    }
-
-    pub(crate) fn end(mut self, end: End) {
-        self.finish(end);
-    }
-
-    fn finish(&mut self, end: End) {
-        self.read();
-        self.is_over = true;
-        let now = self.hub.edge.now();
-        self.hub
-            .with(|state| state.fleet.end(now, &self.server.id, end));
-    }
-}
-
-impl<E: Edge> Drop for Lease<E> {
-    fn drop(&mut self) {
-        if !self.is_over {
-            self.finish(End::Left);
-        }
-    }
-}
--- /dev/null
+++ b/crates/relay/src/lease.rs
@@ -0,0 +1,66 @@
+//! A call under way at a server.
+
+use core::time::Duration;
+use std::rc::Rc;
+
+use base::Tick;
+use pick::fleet::End;
+use site::roster::Server;
+
+use crate::{Edge, Hub};
+
+/// A call under way, counted at its server until it ends.
+pub(crate) struct Lease<E: Edge> {
+    hub: Rc<Hub<E>>,
+    pub(crate) server: Rc<Server>,
+    tokens: u64,
+    sent: Tick,
+    is_over: bool,
+}
+
+impl<E: Edge> Lease<E> {
+    pub(crate) fn begin(hub: &Rc<Hub<E>>, server: &Rc<Server>, tokens: u64) -> Self {
+        let now = hub.edge.now();
+        hub.with(|state| state.fleet.begin(now, &server.id, tokens));
+        Self {
+            hub: hub.clone(),
+            server: server.clone(),
+            tokens,
+            sent: now,
+            is_over: false,
+        }
+    }
+
+    /// Takes note that the server has read the prompt.
+    pub(crate) fn read(&mut self) {
+        let now = self.hub.edge.now();
+        let tokens = core::mem::take(&mut self.tokens);
+        self.hub
+            .with(|state| state.fleet.read(now, &self.server.id, tokens));
+    }
+
+    /// Returns the time since the call was sent.
+    pub(crate) fn age(&self) -> Duration {
+        self.hub.edge.now() - self.sent
+    }
+
+    pub(crate) fn end(mut self, end: End) {
+        self.finish(end);
+    }
+
+    fn finish(&mut self, end: End) {
+        self.read();
+        self.is_over = true;
+        let now = self.hub.edge.now();
+        self.hub
+            .with(|state| state.fleet.end(now, &self.server.id, end));
+    }
+}
+
+impl<E: Edge> Drop for Lease<E> {
+    fn drop(&mut self) {
+        if !self.is_over {
+            self.finish(End::Left);
+        }
+    }
+}
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod events;
 pub mod hub;
 pub mod judge;
+mod lease;
 pub mod serve;
 mod stages;
 
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -12,8 +12,9 @@
 
 use crate::{
     Ask, Body, Call, Edge, Failure, Hub, Reply,
-    hub::{Lease, end_of},
+    hub::end_of,
     judge::{self, Next},
+    lease::Lease,
     stages::{self, Inputs},
 };
 
