Divide large deployments into cells, one a failure domain

Pulses were sent by everybody to everybody, every 590 ms at 59 instances, and an instance that missed its feeder for a moment fed the whole pool for itself. Ruled out: processor time (0.034 cores of 0.12 in the mean) and memory (38 of 160 MB). Change: from 17 instances on each failure domain feeds its own servers of stages, through its strongest instances; an instance sends pulses only to those that it relies on, the next one in order takes over from a lost one, and the budget of repeats is shared by all instances that are known, whether they answer or not.

--- a/crates/batch/src/desk.rs
+++ b/crates/batch/src/desk.rs
@@ -15,7 +15,7 @@
 };
 
 use self::line::Line;
-use crate::{Piece, configs, piece::Handle};
+use crate::{Piece, Shard, configs, piece::Handle};
 
 /// What a decision may see.
 #[derive(Clone, Copy, Debug)]
@@ -30,7 +30,7 @@
     pub fleet: &'a Fleet,
 }
 
-/// Pieces that wait, and calls that are under way, by pool.
+/// Pieces that wait, and calls that are under way, by shard.
 #[derive(Clone, Debug, Default)]
 pub struct Desk {
     config: configs::Config,
@@ -49,8 +49,8 @@
 /// A call to send.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Order {
-    /// The pool.
-    pub pool: Name,
+    /// The servers among which it was chosen.
+    pub shard: Shard,
     /// The server.
     pub server: Rc<Server>,
     /// What the call holds.
@@ -101,13 +101,13 @@
         }
     }
 
-    /// Adds pieces of one stage of a request for a pool.
+    /// Adds pieces of one stage of a request for the servers of a shard.
     ///
     /// # Examples
     ///
     /// ```
     /// use base::Tick;
-    /// use batch::{Desk, Piece, piece::Source};
+    /// use batch::{Desk, Piece, Shard, piece::Source};
     /// let piece = Piece {
     ///     ticket: 1,
     ///     request: "r".into(),
@@ -123,11 +123,12 @@
     ///     tries: 0,
     /// };
     /// let mut desk = Desk::default();
-    /// desk.offer(&"board".into(), vec![piece]);
-    /// assert_eq!(desk.waiting(&"board".into()), 1);
+    /// let shard = Shard::whole(&"board".into());
+    /// desk.offer(&shard, vec![piece]);
+    /// assert_eq!(desk.waiting(&shard), 1);
     /// ```
-    pub fn offer(&mut self, pool: &Name, pieces: Vec<Piece>) {
-        self.line(pool).offer(pieces);
+    pub fn offer(&mut self, shard: &Shard, pieces: Vec<Piece>) {
+        self.line(shard).offer(pieces);
     }
 
     /// Drops pieces that wait, by their tickets.
@@ -137,22 +138,22 @@
         }
     }
 
-    /// Returns the number of pieces that wait for a pool.
-    pub fn waiting(&self, pool: &Name) -> usize {
-        self.find(pool).map_or(0, |at| self.lines[at].waiting())
+    /// Returns the number of pieces that wait for the servers of a shard.
+    pub fn waiting(&self, shard: &Shard) -> usize {
+        self.find(shard).map_or(0, |at| self.lines[at].waiting())
     }
 
     /// Takes note that a call ended.
-    pub fn ended(&mut self, now: Tick, pool: &Name, server: &Name, work: &Pieces, end: End) {
+    pub fn ended(&mut self, now: Tick, shard: &Shard, server: &Name, work: &Pieces, end: End) {
         let config = self.config.clone();
-        self.line(pool).ended(now, server, &config, work, end);
+        self.line(shard).ended(now, server, &config, work, end);
     }
 
     /// Returns the calls to send now, and the pieces that can't be made in time any more.
     pub fn next(&mut self, cx: Context<'_>) -> Vec<Action> {
         let mut actions = Vec::new();
         for line in &mut self.lines {
-            let pool = cx.config.pool(&line.pool);
+            let pool = cx.config.pool(&line.shard.pool);
             match pool.map(|pool| pool.work) {
                 Some(Work::Pieces(work)) => line.next(cx, &self.config, &work, &mut actions),
                 // The pool is no longer configured.
@@ -174,18 +175,18 @@
         self.lines.iter().filter_map(|line| line.wake(now)).min()
     }
 
-    fn line(&mut self, pool: &Name) -> &mut Line {
-        let at = match self.find(pool) {
+    fn line(&mut self, shard: &Shard) -> &mut Line {
+        let at = match self.find(shard) {
             Ok(at) => at,
             Err(at) => {
-                self.lines.insert(at, Line::new(pool));
+                self.lines.insert(at, Line::new(shard));
                 at
             }
         };
         &mut self.lines[at]
     }
 
-    fn find(&self, pool: &Name) -> Result<usize, usize> {
-        self.lines.binary_search_by(|line| line.pool.cmp(pool))
+    fn find(&self, shard: &Shard) -> Result<usize, usize> {
+        self.lines.binary_search_by(|line| line.shard.cmp(shard))
     }
 }
--- a/crates/batch/src/desk/line.rs
+++ b/crates/batch/src/desk/line.rs
@@ -1,4 +1,4 @@
-//! The line of pieces for one pool, and the servers that work on it.
+//! The line of pieces for one shard, and the servers that work on it.
 
 use core::time::Duration;
 use std::rc::Rc;
@@ -10,14 +10,14 @@
     Action, Context, End, Order,
     plan::{Group, Plan, Turns, plan, span},
 };
-use crate::{Piece, configs::Config, piece::Handle};
+use crate::{Piece, Shard, configs::Config, piece::Handle};
 
 /// How much longer than expected a call may take before it is given up.
 const PATIENCE: f64 = 3.0;
 
 #[derive(Clone, Debug, Default)]
 pub(super) struct Line {
-    pub(super) pool: Name,
+    pub(super) shard: Shard,
     groups: Vec<Group>,
     feeds: Vec<Feed>,
     /// The pace of the swiftest server that can be reached.
@@ -51,9 +51,9 @@
 }
 
 impl Line {
-    pub(super) fn new(pool: &Name) -> Self {
+    pub(super) fn new(shard: &Shard) -> Self {
         Self {
-            pool: pool.clone(),
+            shard: shard.clone(),
             ..Self::default()
         }
     }
@@ -152,7 +152,9 @@
         work: &Pieces,
         actions: &mut Vec<Action>,
     ) {
-        let listed: Vec<_> = cx.roster.usable(cx.now, &self.pool).cloned().collect();
+        let listed = cx.roster.usable(cx.now, &self.shard.pool);
+        let listed = listed.filter(|server| self.shard.holds(server));
+        let listed: Vec<_> = listed.cloned().collect();
         self.feeds
             .retain(|feed| feed.calls > 0 || listed.iter().any(|one| one.id == feed.server));
         if self.groups.is_empty() {
@@ -330,7 +332,7 @@
         feed.reserved = pieces.iter().map(|piece| piece.bytes).sum();
         feed.results.retain(|result| cx.now < result.until);
         Order {
-            pool: self.pool.clone(),
+            shard: self.shard.clone(),
             server: server.clone(),
             pieces,
             limit: paced.mul_f64(PATIENCE) + work.call,
--- a/crates/batch/src/lib.rs
+++ b/crates/batch/src/lib.rs
@@ -6,5 +6,6 @@
 pub mod configs;
 pub mod desk;
 pub mod piece;
+pub mod shard;
 
-pub use self::{desk::Desk, piece::Piece};
+pub use self::{desk::Desk, piece::Piece, shard::Shard};
--- a/crates/batch/tests/gathering.rs
+++ b/crates/batch/tests/gathering.rs
@@ -5,7 +5,7 @@
 use core::time::Duration;
 
 use googletest::prelude::*;
-use world::{POOL, WORK, World};
+use world::{WORK, World};
 
 #[gtest]
 fn a_piece_alone_leaves_at_once() {
@@ -62,5 +62,5 @@
     world.desk.withdraw(&(2..6));
     world.pass(Duration::from_secs(1));
     expect_that!(world.done.len(), eq(1));
-    expect_that!(world.desk.waiting(&POOL.into()), eq(0));
+    expect_that!(world.desk.waiting(&world::shard()), eq(0));
 }
--- a/crates/batch/tests/slow.rs
+++ b/crates/batch/tests/slow.rs
@@ -55,8 +55,8 @@
 fn a_server_whose_call_broke_off_is_called_again_at_once() {
     let mut world = World::open(&["a"], WORK);
     world.offer(2, |_| {});
-    let (pool, id) = (world::POOL.into(), "i-0".into());
-    world.desk.ended(world.now, &pool, &id, &WORK, End::Failed);
+    let (shard, id) = (world::shard(), "i-0".into());
+    world.desk.ended(world.now, &shard, &id, &WORK, End::Failed);
     world.offer(4, |_| {});
     expect_that!(world.calls, eq(&vec![("i-0".into(), 2), ("i-0".into(), 4)]));
 }
--- a/crates/batch/tests/world/mod.rs
+++ b/crates/batch/tests/world/mod.rs
@@ -6,7 +6,7 @@
 
 use base::{Name, Tick};
 use batch::{
-    Desk, Piece,
+    Desk, Piece, Shard,
     desk::{Action, Context, End, Order},
     piece::{Handle, Source},
 };
@@ -19,6 +19,11 @@
 
 pub(crate) const POOL: &str = "portfolio";
 
+/// Returns the shard that every test but those of cells uses.
+pub(crate) fn shard() -> Shard {
+    Shard::whole(&POOL.into())
+}
+
 /// The work of the first stage at the smaller site: 8 pieces a call, 150 ms a call, 16 ms a piece.
 pub(crate) const WORK: Pieces = Pieces {
     slots: 1,
@@ -110,7 +115,7 @@
         });
         let pieces = pieces.collect();
         self.next += u64::from(count);
-        self.desk.offer(&POOL.into(), pieces);
+        self.desk.offer(&shard(), pieces);
         self.pump();
         request
     }
@@ -175,7 +180,7 @@
                 is_out_of_room: false,
             };
             self.desk
-                .ended(self.now, &POOL.into(), &id, &self.work, end);
+                .ended(self.now, &order.shard, &id, &self.work, end);
             for piece in order.pieces {
                 self.done.push((self.now, id.clone(), piece));
             }
--- a/crates/feed/src/codec.rs
+++ b/crates/feed/src/codec.rs
@@ -3,7 +3,10 @@
 use core::time::Duration;
 
 use base::Name;
-use batch::piece::{Handle, Made, Reason, Source};
+use batch::{
+    Shard,
+    piece::{Handle, Made, Reason, Source},
+};
 use wire::feed as message;
 
 use crate::{Error, Kept, Line, Order, Pulse, Results};
@@ -17,7 +20,11 @@
         }
     };
     message::Order {
-        pool: order.pool.as_str().to_owned(),
+        pool: order.shard.pool.as_str().to_owned(),
+        shard: order
+            .shard
+            .domain
+            .map_or_else(String::new, |domain| domain.as_str().to_owned()),
         request: order.request.as_str().to_owned(),
         stage: u32::try_from(order.stage).unwrap_or(u32::MAX),
         numbers: order.numbers,
@@ -43,7 +50,10 @@
         Source::Results(inputs)
     };
     Ok(Order {
-        pool: order.pool.into(),
+        shard: Shard {
+            pool: order.pool.into(),
+            domain: (!order.shard.is_empty()).then(|| Name::from(order.shard)),
+        },
         request: order.request.into(),
         stage: order.stage as usize,
         numbers: order.numbers,
--- a/crates/feed/src/lib.rs
+++ b/crates/feed/src/lib.rs
@@ -11,7 +11,10 @@
 use core::time::Duration;
 
 use base::Name;
-use batch::piece::{Made, Source};
+use batch::{
+    Shard,
+    piece::{Made, Source},
+};
 
 pub use self::{
     client::Client,
@@ -21,8 +24,8 @@
 /// Pieces of one stage of one request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Order {
-    /// The pool that works on them.
-    pub pool: Name,
+    /// The servers among which those that work on them are chosen.
+    pub shard: Shard,
     /// The request.
     pub request: Name,
     /// The request's stage.
--- a/crates/feed/tests/loopback.rs
+++ b/crates/feed/tests/loopback.rs
@@ -2,7 +2,10 @@
 
 use core::time::Duration;
 
-use batch::piece::{Handle, Made, Reason, Source};
+use batch::{
+    Shard,
+    piece::{Handle, Made, Reason, Source},
+};
 use feed::{Ask, Client, Kept, Line, Order, Pulse, serve};
 use googletest::prelude::*;
 use tokio::sync::mpsc;
@@ -16,7 +19,10 @@
 
 fn order(source: Source) -> Order {
     Order {
-        pool: "portfolio".into(),
+        shard: Shard {
+            pool: "portfolio".into(),
+            domain: Some("b".into()),
+        },
         request: "r-1".into(),
         stage: 2,
         numbers: vec![0, 3],
--- a/crates/mesh/src/members.rs
+++ b/crates/mesh/src/members.rs
@@ -1,35 +1,54 @@
-//! Which instances answer.
+//! Which instances answer, and which of them holds a task.
 
-use core::{hash::Hasher, net::SocketAddr, time::Duration};
+use core::{cmp::Reverse, hash::Hasher, net::SocketAddr, time::Duration};
 use std::hash::DefaultHasher;
 
 use base::{Name, Tick};
 
 use crate::Config;
 
-/// Another instance.
+/// An instance.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Peer {
     /// The machine's name.
     pub name: Name,
     /// Where it answers instances.
     pub address: SocketAddr,
+    /// Its failure domain.
+    pub domain: Name,
+    /// Its processor share, in thousandths of a core.
+    pub capacity: u32,
+}
+
+/// Who holds a task.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Holder {
+    /// The own instance.
+    Own,
+    /// Another instance.
+    Peer(Peer),
+    /// No instance of the failure domain answers.
+    Nobody,
 }
 
 /// The instances that are known.
 #[derive(Clone, Debug)]
 pub struct Members {
     config: Config,
-    own: Name,
+    own: Peer,
     known: Vec<Known>,
 }
 
 #[derive(Clone, Debug)]
 struct Known {
     peer: Peer,
+    /// When it answered last, or was first relied on after a time without pulses.
     heard: Option<Tick>,
     is_lost: bool,
+    /// When the next pulse is due.
     next: Tick,
+    /// When it was last relied on, or would have been if it answered.
+    wanted: Option<Tick>,
 }
 
 impl Members {
@@ -40,15 +59,20 @@
     /// ```
     /// use base::Tick;
     /// use mesh::{Config, Members, Peer};
-    /// let mut members = Members::new(Config::default(), "a".into());
-    /// let peer = Peer { name: "b".into(), address: "10.0.0.2:7740".parse().unwrap() };
-    /// members.add(peer);
+    /// let peer = |name: &str| Peer {
+    ///     name: name.into(),
+    ///     address: "10.0.0.2:7740".parse().unwrap(),
+    ///     domain: "d".into(),
+    ///     capacity: 250,
+    /// };
+    /// let mut members = Members::new(Config::default(), peer("a"));
+    /// members.add(peer("b"));
     /// let now = Tick::from_millis(5);
     /// assert_eq!(members.live(now), 1);
     /// members.heard(now, &"b".into());
     /// assert_eq!(members.live(now), 2);
     /// ```
-    pub const fn new(config: Config, own: Name) -> Self {
+    pub const fn new(config: Config, own: Peer) -> Self {
         Self {
             config,
             own,
@@ -58,7 +82,7 @@
 
     /// Takes note of an instance and where it answers.
     pub fn add(&mut self, peer: Peer) {
-        if peer.name == self.own {
+        if peer.name == self.own.name {
             return;
         }
         match self.find(&peer.name) {
@@ -100,10 +124,20 @@
 
     /// Returns the instances that a pulse is due for, and plans the next ones.
     pub fn due(&mut self, now: Tick) -> Vec<Peer> {
-        let pause = self.pause();
-        let due = self.known.iter_mut().filter(|known| known.next <= now);
+        let is_celled = self.is_celled();
+        let config = &self.config;
+        let is_due = |known: &&mut Known| {
+            let is_watched = !is_celled || known.is_watched(now, config);
+            is_watched && known.next <= now
+        };
+        let due = self.known.iter_mut().filter(is_due);
         due.map(|known| {
-            known.next = now + pause;
+            known.next = now
+                + match (is_celled, known.is_lost) {
+                    (false, _) => config.pulse,
+                    (true, false) => config.cell_pulse,
+                    (true, true) => config.lost_pulse,
+                };
             known.peer.clone()
         })
         .collect()
@@ -114,9 +148,14 @@
         self.pause() * 2
     }
 
+    /// Tells whether the deployment is divided into cells.
+    pub const fn is_celled(&self) -> bool {
+        self.known.len() >= self.config.mesh_most
+    }
+
     /// Tells whether an instance answers.
     pub fn is_live(&self, now: Tick, name: &Name) -> bool {
-        *name == self.own
+        *name == self.own.name
             || self
                 .find(name)
                 .is_ok_and(|at| self.is_known_live(now, &self.known[at]))
@@ -128,17 +167,55 @@
         1 + live.filter(|known| self.is_known_live(now, known)).count()
     }
 
-    /// Returns the other instance that feeds a pool, none where that is the own one.
-    pub fn feeder(&self, now: Tick, pool: &Name) -> Option<&Peer> {
-        let live = self.known.iter();
-        let live = live.filter(|known| self.is_known_live(now, known));
-        let best = live.max_by_key(|known| weight(pool, &known.peer.name))?;
-        (weight(pool, &best.peer.name) > weight(pool, &self.own)).then_some(&best.peer)
+    /// Returns the number of instances that are known, whether they answer or not, the own one included.
+    pub const fn count(&self) -> usize {
+        1 + self.known.len()
     }
 
-    fn pause(&self) -> Duration {
-        let count = u32::try_from(self.known.len()).unwrap_or(u32::MAX);
-        self.config.pulse.max(self.config.pulse_each * count)
+    /// Names the instance that holds a task: the strongest that answers, chance deciding between equals.
+    ///
+    /// In a deployment of cells the task is that of one failure domain, and an instance that has not been
+    /// relied on lately is taken to answer until a call or a pulse to it fails.
+    pub fn holder(&mut self, now: Tick, task: &Name, domain: &Name) -> Holder {
+        let is_celled = self.is_celled();
+        let is_in = |peer: &Peer| !is_celled || peer.domain == *domain;
+        let known = (0..self.known.len()).filter(|at| is_in(&self.known[*at].peer));
+        let mut ranks: Vec<_> = known
+            .map(|at| (rank(task, &self.known[at].peer), Some(at)))
+            .collect();
+        if is_in(&self.own) {
+            ranks.push((rank(task, &self.own), None));
+        }
+        ranks.sort_by_key(|(rank, _)| Reverse(*rank));
+        for (_, at) in ranks {
+            let Some(at) = at else {
+                return Holder::Own;
+            };
+            self.want(now, at);
+            if self.is_known_live(now, &self.known[at]) {
+                return Holder::Peer(self.known[at].peer.clone());
+            }
+        }
+        Holder::Nobody
+    }
+
+    /// Takes note that an instance is relied on, or would be if it answered.
+    fn want(&mut self, now: Tick, at: usize) {
+        let is_celled = self.is_celled();
+        let known = &mut self.known[at];
+        if is_celled && !known.is_lost && !known.is_watched(now, &self.config) {
+            known.heard = Some(now);
+            known.next = now;
+        }
+        known.wanted = Some(now);
+    }
+
+    const fn pause(&self) -> Duration {
+        if self.is_celled() {
+            self.config.cell_pulse
+        } else {
+            self.config.pulse
+        }
     }
 
     fn is_known_live(&self, now: Tick, known: &Known) -> bool {
@@ -159,15 +236,20 @@
             heard: None,
             is_lost: false,
             next: Tick::from_micros(0),
+            wanted: None,
         }
     }
+
+    fn is_watched(&self, now: Tick, config: &Config) -> bool {
+        self.wanted.is_some_and(|at| now - at < config.watch)
+    }
 }
 
-/// Returns an instance's weight for a pool in rendezvous hashing.
-fn weight(pool: &Name, instance: &Name) -> u64 {
+/// Returns an instance's rank for a task: its strength, and between equals rendezvous hashing.
+fn rank(task: &Name, peer: &Peer) -> (u32, u64) {
     let mut hasher = DefaultHasher::new();
-    hasher.write(pool.as_str().as_bytes());
+    hasher.write(task.as_str().as_bytes());
     hasher.write_u8(0);
-    hasher.write(instance.as_str().as_bytes());
-    hasher.finish()
+    hasher.write(peer.name.as_str().as_bytes());
+    (peer.capacity, hasher.finish())
 }
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -5,7 +5,7 @@
 
 use base::{Name, Tick};
 use batch::{
-    Piece,
+    Piece, Shard,
     desk::Load,
     piece::{Handle, Made},
 };
@@ -146,7 +146,7 @@
     fn hand(
         &self,
         feeder: &Peer,
-        pool: &Name,
+        shard: &Shard,
         pieces: &[Piece],
     ) -> impl Future<Output = Result<Vec<Made>, Failure>>;
 
--- a/crates/relay/src/hub.rs
+++ b/crates/relay/src/hub.rs
@@ -5,11 +5,11 @@
 
 use base::{Name, Tick};
 use batch::{
-    Desk, Piece,
+    Desk, Piece, Shard,
     desk::{self, Action, Context, Order},
     piece::{Handle, Made, Reason},
 };
-use mesh::Members;
+use mesh::{Holder, Members};
 use pick::{Fleet, fleet::End};
 use rand::{SeedableRng, rngs::SmallRng};
 use retry::{Crashes, Window, window::Bound};
@@ -137,9 +137,15 @@
     ///
     /// When this is dropped, pieces that wait are dropped and results are given up.
     pub(crate) async fn make(self: &Rc<Self>, pool: &Name, pieces: Vec<Piece>) -> Vec<Made> {
-        let now = self.edge.now();
-        if let Some(feeder) = self.with(|state| state.members.feeder(now, pool).cloned()) {
-            let handing = self.edge.hand(&feeder, pool, &pieces);
+        let near = pieces.first().and_then(|piece| piece.domain.clone());
+        for near in [near.as_ref(), near.as_ref(), None] {
+            let (shard, holder) = self.feeder(pool, near);
+            let feeder = match holder {
+                Holder::Own => return self.feed(&shard, pieces).await,
+                Holder::Peer(feeder) => feeder,
+                Holder::Nobody => continue,
+            };
+            let handing = self.edge.hand(&feeder, &shard, &pieces);
             let lost = self.until_lost(&feeder.name);
             let made = tokio::select! {
                 made = handing => made,
@@ -154,13 +160,36 @@
                     log::info!(
                         target: "peers", peer:% = feeder.name, pool:% = pool,
                         request:% = pieces.first().map_or("", |piece| piece.request.as_str()),
-                        cause:% = failure; "feeder lost; pieces are fed here"
+                        cause:% = failure; "feeder lost"
                     );
                     self.with(|state| state.members.lost(&feeder.name));
                 }
             }
         }
-        self.feed(pool, pieces).await
+        let (shard, _) = self.feeder(pool, None);
+        self.feed(&shard, pieces).await
+    }
+
+    /// Names the shard of a pool that is nearest to a failure domain, and who feeds it.
+    fn feeder(&self, pool: &Name, near: Option<&Name>) -> (Shard, Holder) {
+        let now = self.edge.now();
+        self.with(|state| {
+            if !state.members.is_celled() {
+                let holder = state.members.holder(now, pool, &self.domain);
+                return (Shard::whole(pool), holder);
+            }
+            let domains = || state.roster.usable(now, pool).map(|server| &server.domain);
+            let wanted = near.into_iter().chain([&self.domain]);
+            let mut wanted = wanted.filter(|domain| domains().any(|one| one == *domain));
+            let domain = wanted.next().or_else(|| domains().min());
+            let domain = domain.unwrap_or(&self.domain).clone();
+            let holder = state.members.holder(now, pool, &domain);
+            let shard = Shard {
+                pool: pool.clone(),
+                domain: Some(domain),
+            };
+            (shard, holder)
+        })
     }
 
     /// Returns once an instance no longer answers.
@@ -174,13 +203,13 @@
     /// Has pieces made in calls of this instance, and returns what became of each.
     ///
     /// When this is dropped, pieces that wait are dropped and results are given up.
-    pub async fn feed(self: &Rc<Self>, pool: &Name, pieces: Vec<Piece>) -> Vec<Made> {
+    pub async fn feed(self: &Rc<Self>, shard: &Shard, pieces: Vec<Piece>) -> Vec<Made> {
         let now = self.edge.now();
         let (to, mut from) = mpsc::unbounded_channel();
         let count = pieces.len();
         let tickets = self.with(|state| {
             let first = state.next_ticket;
-            state.window.first(now, pool);
+            state.window.first(now, &shard.pool);
             let mut pieces = pieces;
             for piece in &mut pieces {
                 piece.ticket = state.next_ticket;
@@ -190,7 +219,7 @@
                     to: to.clone(),
                 });
             }
-            state.desk.offer(pool, pieces);
+            state.desk.offer(shard, pieces);
             first..state.next_ticket
         });
         drop(to);
@@ -223,7 +252,10 @@
             let feeder = self.with(|state| {
                 let mut servers = state.roster.all();
                 let server = servers.find(|server| server.address == group[0].maker)?;
-                state.members.feeder(now, &server.pool).cloned()
+                match state.members.holder(now, &server.pool, &server.domain) {
+                    Holder::Peer(feeder) => Some(feeder),
+                    Holder::Own | Holder::Nobody => None,
+                }
             });
             let hub = self.clone();
             task::spawn_local(async move {
@@ -313,7 +345,7 @@
     }
 
     async fn work(self: Rc<Self>, order: Order) {
-        let pool = self.with(|state| state.config.clone()?.pool(&order.pool).cloned());
+        let pool = self.with(|state| state.config.clone()?.pool(&order.shard.pool).cloned());
         let Some(Work::Pieces(work)) = pool.map(|pool| pool.work) else {
             // The pool was taken out of the configuration meanwhile.
             for piece in &order.pieces {
@@ -359,14 +391,14 @@
         self.with(|state| {
             let answered = End::Answered { head: took };
             state.fleet.end(now, &server.id, answered);
-            state.desk.ended(now, &order.pool, &server.id, work, end);
+            state.desk.ended(now, &order.shard, &server.id, work, end);
         });
         let mut made = worked.made.into_iter();
         for piece in order.pieces {
             let made = made.next().unwrap_or(Made::Failed(Reason::Error));
             match made {
                 Made::Failed(Reason::Error | Reason::Room) => {
-                    self.again(now, &order.pool, piece, made, &server.id);
+                    self.again(now, &order.shard, piece, made, &server.id);
                 }
                 Made::Failed(_) | Made::Result(_) => self.deliver(&piece, made),
             }
@@ -382,7 +414,7 @@
     ) {
         let server = &order.server;
         log::info!(
-            target: "stages", pool:% = order.pool, server:% = server.id,
+            target: "stages", pool:% = order.shard.pool, server:% = server.id,
             requests:% = requests(&order.pieces), cause:% = failure; "stage call failed"
         );
         self.with(|state| {
@@ -392,18 +424,18 @@
                 Failure::Silent => desk::End::Silent,
                 _ => desk::End::Failed,
             };
-            state.desk.ended(now, &order.pool, &server.id, work, end);
+            state.desk.ended(now, &order.shard, &server.id, work, end);
             if failure == Failure::Moved {
                 state.roster.left(now, &server.id);
             }
         });
         for piece in order.pieces {
             if matches!(failure, Failure::Full | Failure::Unreachable) {
-                self.with(|state| state.desk.offer(&order.pool, vec![piece]));
+                self.with(|state| state.desk.offer(&order.shard, vec![piece]));
             } else {
                 self.again(
                     now,
-                    &order.pool,
+                    &order.shard,
                     piece,
                     Made::Failed(Reason::Error),
                     &server.id,
@@ -413,21 +445,28 @@
     }
 
     /// Puts a piece back in line where its tries and the retry budget allow it.
-    fn again(self: &Rc<Self>, now: Tick, pool: &Name, mut piece: Piece, made: Made, server: &Name) {
+    fn again(
+        self: &Rc<Self>,
+        now: Tick,
+        shard: &Shard,
+        mut piece: Piece,
+        made: Made,
+        server: &Name,
+    ) {
         piece.tries += 1;
         let tries = self.settings.piece_tries;
         // A piece that was refused for lack of memory was not worked on, so it costs no repeat.
         let is_unworked = made == Made::Failed(Reason::Room);
         let is_allowed = self.with(|state| {
-            let live = state.members.live(now);
-            is_unworked || (piece.tries < tries && state.window.again(now, pool, live))
+            let count = state.members.count();
+            is_unworked || (piece.tries < tries && state.window.again(now, &shard.pool, count))
         });
         log::info!(
             target: "stages", request:% = piece.request, stage = piece.stage, piece = piece.number,
             server:% = server, tries = piece.tries, repeated = is_allowed; "piece was not made"
         );
         if is_allowed {
-            self.with(|state| state.desk.offer(pool, vec![piece]));
+            self.with(|state| state.desk.offer(shard, vec![piece]));
         } else {
             self.deliver(&piece, made);
         }
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -262,7 +262,7 @@
                 };
                 let now = hub.edge.now();
                 let is_allowed =
-                    hub.with(|state| state.window.again(now, &pool, state.members.live(now)));
+                    hub.with(|state| state.window.again(now, &pool, state.members.count()));
                 if is_allowed {
                     Ok(())
                 } else {
--- a/crates/relay/tests/world/mod.rs
+++ b/crates/relay/tests/world/mod.rs
@@ -7,7 +7,7 @@
 
 use base::{Name, Tick};
 use batch::{
-    Piece,
+    Piece, Shard,
     piece::{Handle, Made},
 };
 use bytes::Bytes;
@@ -116,7 +116,7 @@
         })
     }
 
-    async fn hand(&self, _: &Peer, _: &Name, _: &[Piece]) -> Result<Vec<Made>, Failure> {
+    async fn hand(&self, _: &Peer, _: &Shard, _: &[Piece]) -> Result<Vec<Made>, Failure> {
         Err(Failure::Unreachable)
     }
 
@@ -133,6 +133,15 @@
     }
 }
 
+fn own() -> Peer {
+    Peer {
+        name: "own".into(),
+        address: "10.0.0.1:7740".parse().unwrap(),
+        domain: "a".into(),
+        capacity: 250,
+    }
+}
+
 /// Opens a hub with three servers of the pool `engines` and one of `stages`.
 pub(crate) fn hub(acts: Vec<Act>) -> Rc<Hub<Servers>> {
     let servers = Servers {
@@ -148,7 +157,7 @@
         slack: 52.0,
         span: Duration::from_secs(10),
     };
-    let members = Members::new(mesh::Config::default(), "own".into());
+    let members = Members::new(mesh::Config::default(), own());
     let hub = Hub::open(servers, "a".into(), members, bound, Config::default(), 1);
     let pieces = Pieces {
         slots: 1,
