Plan stages by the measured time of engines and the full calls that follow

Cause: late digests of a burst missed their objective by the time at the engine: 250 to 450 ms where 150 were set aside, so pieces that were made just in time were late. Change: the time to the first event is learnt by route, reading the own part of the prompt comes on top, and stages that follow count with their full call.

--- a/crates/pick/src/configs.rs
+++ b/crates/pick/src/configs.rs
@@ -2,6 +2,9 @@
 
 use core::time::Duration;
 
+/// Prompt tokens that an engine reads in a millisecond, until it is seen; the sites' engines read 43 to 51.
+pub const TOKENS_PER_MS: f64 = 45.0;
+
 /// Every setting with its default.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Config {
@@ -21,7 +24,7 @@
     pub unknown_ms: f64,
     /// The share of the cost that chance may change, so that instances don't choose alike.
     pub jitter: f64,
-    /// Prompt tokens that an engine reads in a millisecond, until it is seen; the sites' engines read 43 to 51.
+    /// Prompt tokens that an engine reads in a millisecond.
     pub tokens_per_ms: f64,
     /// How long what another instance told of its load counts.
     pub told: Duration,
@@ -44,7 +47,7 @@
             domain_ms: 2.0,
             unknown_ms: 30.0,
             jitter: 0.3,
-            tokens_per_ms: 45.0,
+            tokens_per_ms: TOKENS_PER_MS,
             told: Duration::from_secs(1),
             part_memory: Duration::from_secs(20),
             news: Duration::from_millis(700),
--- a/crates/pick/src/engine.rs
+++ b/crates/pick/src/engine.rs
@@ -20,6 +20,19 @@
     pub output: u64,
 }
 
+impl Prompt {
+    /// Returns the tokens of the parts that other requests name, too.
+    pub fn shared_tokens(&self) -> u64 {
+        let parts = self.parts.len().saturating_sub(1);
+        self.parts[..parts].iter().map(|part| part.tokens).sum()
+    }
+
+    /// Returns the tokens that no other request names.
+    pub fn own_tokens(&self) -> u64 {
+        self.input.saturating_sub(self.shared_tokens())
+    }
+}
+
 /// A part of a prompt, shared by all requests that name it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Part {
@@ -104,7 +117,7 @@
         }
         let kept = fleet.kept(cx.now, &server.id, &chains, prompt);
         let is_home = home.is_some_and(|home| home.id == server.id);
-        let shared = if is_home { shared(prompt) } else { 0 };
+        let shared = if is_home { prompt.shared_tokens() } else { 0 };
         let tokens = prompt.input.saturating_sub(kept.max(shared));
         let (line, running, failures) = fleet.get(&server.id).map_or((0, 0, 0.0), |seen| {
             (seen.line, seen.running, seen.failures(cx.now, config))
@@ -219,12 +232,6 @@
     }
 }
 
-/// Returns the tokens of the parts that other requests name, too.
-fn shared(prompt: &Prompt) -> u64 {
-    let parts = prompt.parts.len().saturating_sub(1);
-    prompt.parts[..parts].iter().map(|part| part.tokens).sum()
-}
-
 /// Returns a digest of the parts up to each one.
 fn chains(prompt: &Prompt) -> Vec<u64> {
     let mut hasher = DefaultHasher::new();
--- a/crates/relay/src/ask.rs
+++ b/crates/relay/src/ask.rs
@@ -72,6 +72,15 @@
         self.limit() - now
     }
 
+    /// Returns the time that reading the request's own part of the prompt takes at an engine.
+    pub fn reading(&self) -> Duration {
+        let Some(prompt) = &self.prompt else {
+            return Duration::ZERO;
+        };
+        let ms = prompt.own_tokens() as f64 / pick::configs::TOKENS_PER_MS;
+        Duration::from_secs_f64(ms / 1e3)
+    }
+
     /// Returns the urgency from 0 to 9 that its rank gives; 0 goes first.
     pub fn urgency(&self) -> u8 {
         self.rank.saturating_mul(2).saturating_add(1).min(9)
--- a/crates/relay/src/body.rs
+++ b/crates/relay/src/body.rs
@@ -102,6 +102,9 @@
         }
         if !self.trail.begun {
             let server = attempt.lease.server.id.clone();
+            let (took, reading) = (attempt.lease.age(), self.ask.reading());
+            self.hub
+                .with(|state| state.pace.note(&self.ask.route.name, took, reading));
             serve::late(&self.hub, &self.ask, &self.trail, &server);
         }
         self.trail.begun = true;
--- a/crates/relay/src/hub.rs
+++ b/crates/relay/src/hub.rs
@@ -16,7 +16,7 @@
 use site::{Config, Roster, pool::Work};
 use tokio::{sync::mpsc, task, time};
 
-use crate::{Edge, Failure, call::Worked, configs};
+use crate::{Edge, Failure, call::Worked, configs, pace::Pace};
 
 /// How long results that are given up are gathered, so that few calls name them to their makers.
 const FREE_GATHER: Duration = Duration::from_millis(10);
@@ -51,6 +51,8 @@
     pub crashes: Crashes,
     /// The other instances.
     pub members: Members,
+    /// How long engines usually take.
+    pub pace: Pace,
     /// The source of chance.
     pub rng: SmallRng,
     tickets: Vec<Ticket>,
@@ -119,6 +121,7 @@
                 window: Window::open(bound),
                 crashes: Crashes::default(),
                 members,
+                pace: Pace::default(),
                 rng: SmallRng::seed_from_u64(seed),
                 tickets: Vec::new(),
                 next_ticket: 0,
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod hub;
 pub mod judge;
 mod lease;
+pub mod pace;
 pub mod serve;
 mod stages;
 
--- a/crates/relay/src/stages.rs
+++ b/crates/relay/src/stages.rs
@@ -9,18 +9,16 @@
     piece::{Handle, Made, Reason, Source},
 };
 use futures_util::{StreamExt, stream::FuturesUnordered};
+use site::pool::Work as PoolWork;
 
 use crate::{Ask, Edge, Hub};
 
-/// The usual time of a stage, until it is measured: a call of 150 ms, some pieces and a wait.
+/// The usual time of a stage whose pool is not known: a call of 150 ms, some pieces and a wait.
 const USUAL: Duration = Duration::from_millis(250);
 
 /// How long the results of earlier stages are sure to be there; their makers keep them for 4 s.
 const RESULTS_LAST: Duration = Duration::from_secs(3);
 
-/// The usual time of an engine to its first event, until it is measured.
-const ENGINE: Duration = Duration::from_millis(150);
-
 /// Results of the last stages; they are given up when this is dropped.
 pub(crate) struct Inputs<E: Edge> {
     hub: Rc<Hub<E>>,
@@ -160,7 +158,7 @@
         };
         let (domain, pull) = self.place(stage);
         // What follows the stage needs its time, too.
-        let after = USUAL * self.ask.route.depth_after(stage) + ENGINE;
+        let after = self.time_after(stage) + self.engine_time();
         let left = self.ask.next_limit(self.since) - self.since;
         let mut deadline = self.since + left.saturating_sub(after);
         if !stated.after.is_empty() {
@@ -183,6 +181,37 @@
         pieces.collect()
     }
 
+    /// Returns the time that the longest row of stages after a stage takes, if each call is full.
+    fn time_after(&self, stage: usize) -> Duration {
+        let stages = &self.ask.route.stages;
+        let next = (0..stages.len()).filter(|at| stages[*at].after.contains(&stage));
+        next.map(|at| {
+            let own = match pieces(self.ask, at) {
+                0 => Duration::ZERO,
+                _ => self.full_call(&stages[at].pool),
+            };
+            own + self.time_after(at)
+        })
+        .max()
+        .unwrap_or_default()
+    }
+
+    fn full_call(&self, pool: &Name) -> Duration {
+        self.hub.with(|state| {
+            let pool = state.config.as_ref().and_then(|config| config.pool(pool));
+            match pool.map(|pool| pool.work) {
+                Some(PoolWork::Pieces(work)) => work.full_call(),
+                _ => USUAL,
+            }
+        })
+    }
+
+    fn engine_time(&self) -> Duration {
+        let reading = self.ask.reading();
+        let route = &self.ask.route.name;
+        self.hub.with(|state| state.pace.expect(route, reading))
+    }
+
     /// Returns the failure domain that is best for the pieces of a stage, and the bytes that cross
     /// domains for each piece that is made elsewhere: every piece reads all results before it.
     fn place(&self, stage: usize) -> (Option<Name>, u64) {
--- a/crates/site/src/pool.rs
+++ b/crates/site/src/pool.rs
@@ -54,3 +54,10 @@
     /// How long a result is kept after its call.
     pub keep: Duration,
 }
+
+impl Pieces {
+    /// Returns the time of a call with as many pieces as it may hold.
+    pub fn full_call(&self) -> Duration {
+        self.call + self.piece * u32::try_from(self.batch).unwrap_or(u32::MAX)
+    }
+}
