Rank pieces by account and route, and leave time to wait for the stages that follow

Cause: accounts have priorities of their own, so digests and the cheaper checks of one account had the same rank and neither yielded; and pieces that left a stage just in time waited for half a call at the next one, so two thirds of what the last stage made was late already (65 of 93 pieces a call in the burst). Change: a rank is the account's priority and then the route's; stages that follow count one and a half full calls.

--- a/crates/batch/src/desk.rs
+++ b/crates/batch/src/desk.rs
@@ -114,7 +114,7 @@
     ///     stage: 0,
     ///     number: 0,
     ///     source: Source::Key("k".into()),
-    ///     rank: 0,
+    ///     rank: site::route::Rank::default(),
     ///     due: Tick::from_millis(100),
     ///     deadline: Tick::from_millis(900),
     ///     bytes: 8_000,
--- a/crates/batch/src/desk/plan.rs
+++ b/crates/batch/src/desk/plan.rs
@@ -3,7 +3,7 @@
 use core::time::Duration;
 
 use base::Tick;
-use site::pool::Pieces;
+use site::{pool::Pieces, route::Rank};
 
 use crate::Piece;
 
@@ -11,7 +11,7 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Group {
     pub(crate) pieces: Vec<Piece>,
-    pub(crate) rank: u8,
+    pub(crate) rank: Rank,
     pub(crate) due: Tick,
     pub(crate) deadline: Tick,
     pub(crate) bytes: u64,
@@ -117,7 +117,7 @@
 }
 
 /// Takes out the last of the groups that yield to a rank, none of which goes first; otherwise the last one.
-fn put_off(groups: &mut Vec<Group>, rank: u8) -> Option<Group> {
+fn put_off(groups: &mut Vec<Group>, rank: Rank) -> Option<Group> {
     let yields = (0..groups.len()).filter(|at| groups[*at].rank > rank);
     let worst = yields.max_by_key(|at| (groups[*at].rank, *at));
     let at = worst.or_else(|| groups.len().checked_sub(1))?;
--- a/crates/batch/src/piece.rs
+++ b/crates/batch/src/piece.rs
@@ -3,6 +3,7 @@
 use core::net::SocketAddr;
 
 use base::{Name, Tick};
+use site::route::Rank;
 
 /// A piece that waits for its call.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -17,8 +18,8 @@
     pub number: u32,
     /// What it is made from.
     pub source: Source,
-    /// The request's rank; 0 goes first.
-    pub rank: u8,
+    /// The request's rank; the least goes first.
+    pub rank: Rank,
     /// When its result is needed for the request to be on time.
     pub due: Tick,
     /// When its result is too late for the request to be answered at all.
--- a/crates/batch/tests/burst.rs
+++ b/crates/batch/tests/burst.rs
@@ -14,7 +14,7 @@
     let mut offered = 0;
     for round in 0..100_u8 {
         let rank = if round.is_multiple_of(4) { 0 } else { 2 };
-        world.offer(2, |piece: &mut Piece| piece.rank = rank);
+        world.offer(2, |piece: &mut Piece| piece.rank.account = rank);
         offered += 2;
         world.pass(Duration::from_millis(18));
     }
--- a/crates/batch/tests/world/mod.rs
+++ b/crates/batch/tests/world/mod.rs
@@ -15,6 +15,7 @@
     Config, Pool, Roster,
     pool::{Pieces, Work},
     roster::Server,
+    route::Rank,
 };
 
 pub(crate) const POOL: &str = "portfolio";
@@ -102,7 +103,7 @@
                 stage: 0,
                 number,
                 source: Source::Key("k".into()),
-                rank: 0,
+                rank: Rank::default(),
                 due: self.now + Duration::from_millis(850),
                 deadline: self.now + Duration::from_secs(4),
                 bytes: 8_000,
@@ -196,7 +197,7 @@
     /// Returns how many pieces with a rank were made when they were due.
     pub(crate) fn on_time(&self, rank: u8) -> usize {
         let done = self.done.iter();
-        let done = done.filter(|(at, _, piece)| piece.rank == rank && *at <= piece.due);
+        let done = done.filter(|(at, _, piece)| piece.rank.account == rank && *at <= piece.due);
         done.count()
     }
 }
--- a/crates/feed/src/codec.rs
+++ b/crates/feed/src/codec.rs
@@ -7,6 +7,7 @@
     Shard,
     piece::{Handle, Made, Reason, Source},
 };
+use site::route::Rank;
 use wire::feed as message;
 
 use crate::{Error, Kept, Line, Order, Pulse, Results};
@@ -33,7 +34,8 @@
         due_ms: i64::try_from(order.due.as_millis()).unwrap_or(i64::MAX),
         left_ms: millis(order.left),
         bytes: order.bytes,
-        rank: u32::from(order.rank),
+        rank: u32::from(order.rank.account),
+        route_rank: u32::from(order.rank.route),
         pull: order.pull,
         domain: order
             .domain
@@ -61,7 +63,10 @@
         due: Duration::from_millis(u64::try_from(order.due_ms).unwrap_or(0)),
         left: Duration::from_millis(order.left_ms),
         bytes: order.bytes,
-        rank: u8::try_from(order.rank).unwrap_or(u8::MAX),
+        rank: Rank {
+            account: u8::try_from(order.rank).unwrap_or(u8::MAX),
+            route: u8::try_from(order.route_rank).unwrap_or(u8::MAX),
+        },
         pull: order.pull,
         domain: (!order.domain.is_empty()).then(|| Name::from(order.domain)),
     })
--- a/crates/feed/src/lib.rs
+++ b/crates/feed/src/lib.rs
@@ -21,6 +21,8 @@
     server::{Ask, serve},
 };
 
+use site::route::Rank;
+
 /// Pieces of one stage of one request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Order {
@@ -34,8 +36,8 @@
     pub numbers: Vec<u32>,
     /// What they are made from.
     pub source: Source,
-    /// The request's rank; 0 goes first.
-    pub rank: u8,
+    /// The request's rank; the least goes first.
+    pub rank: Rank,
     /// The time until the results are needed to be on time; zero if that has passed.
     pub due: Duration,
     /// The time until the results are of no use.
--- a/crates/feed/tests/loopback.rs
+++ b/crates/feed/tests/loopback.rs
@@ -8,6 +8,7 @@
 };
 use feed::{Ask, Client, Kept, Line, Order, Pulse, serve};
 use googletest::prelude::*;
+use site::route::Rank;
 use tokio::sync::mpsc;
 
 fn handle(number: u64) -> Handle {
@@ -27,7 +28,10 @@
         stage: 2,
         numbers: vec![0, 3],
         source,
-        rank: 1,
+        rank: Rank {
+            account: 1,
+            route: 2,
+        },
         due: Duration::from_millis(250),
         left: Duration::from_millis(900),
         bytes: 60_000,
--- a/crates/relay/src/ask.rs
+++ b/crates/relay/src/ask.rs
@@ -5,7 +5,10 @@
 
 use base::{Name, Tick};
 use pick::engine::Prompt;
-use site::{Route, route::Kind};
+use site::{
+    Route,
+    route::{Kind, Rank},
+};
 
 /// The least time after which a caller leaves a silent stream; the platform states it and the two below.
 const LEAVES_LEAST: Duration = Duration::from_secs(2);
@@ -27,8 +30,8 @@
     pub version: u64,
     /// The client account that sent it.
     pub account: Option<Name>,
-    /// Its rank; 0 goes first.
-    pub rank: u8,
+    /// Its rank; the least goes first.
+    pub rank: Rank,
     /// When it arrived.
     pub arrived: Tick,
     /// When its caller stops waiting.
@@ -83,6 +86,7 @@
 
     /// Returns the urgency from 0 to 9 that its rank gives; 0 goes first.
     pub fn urgency(&self) -> u8 {
-        self.rank.saturating_mul(2).saturating_add(1).min(9)
+        let halves = self.rank.account.saturating_mul(2);
+        halves.saturating_add(self.rank.route.min(1)).min(9)
     }
 }
--- a/crates/relay/src/stages.rs
+++ b/crates/relay/src/stages.rs
@@ -16,6 +16,9 @@
 /// The usual time of a stage whose pool is not known: a call of 150 ms, some pieces and a wait.
 const USUAL: Duration = Duration::from_millis(250);
 
+/// The time of a stage in full calls: a busy server is halfway through a call on average when a piece comes.
+const WITH_WAIT: f64 = 1.5;
+
 /// How long the results of earlier stages are sure to be there; their makers keep them for 4 s.
 const RESULTS_LAST: Duration = Duration::from_secs(3);
 
@@ -181,14 +184,15 @@
         pieces.collect()
     }
 
-    /// Returns the time that the longest row of stages after a stage takes, if each call is full.
+    /// Returns the time that the longest row of stages after a stage takes, if each call is full and half
+    /// of another one is waited for.
     fn time_after(&self, stage: usize) -> Duration {
         let stages = &self.ask.route.stages;
         let next = (0..stages.len()).filter(|at| stages[*at].after.contains(&stage));
         next.map(|at| {
             let own = match pieces(self.ask, at) {
                 0 => Duration::ZERO,
-                _ => self.full_call(&stages[at].pool),
+                _ => self.full_call(&stages[at].pool).mul_f64(WITH_WAIT),
             };
             own + self.time_after(at)
         })
--- a/crates/relay/tests/world/mod.rs
+++ b/crates/relay/tests/world/mod.rs
@@ -18,7 +18,7 @@
     Pool, Route,
     pool::{Pieces, Work},
     roster::Server,
-    route::Kind,
+    route::{Kind, Rank},
 };
 
 /// What a server does with a request.
@@ -223,7 +223,7 @@
         route: Rc::new(route),
         version: 1,
         account: None,
-        rank: 0,
+        rank: Rank::default(),
         arrived: now,
         deadline: now + Duration::from_millis(900),
         digest: 7,
--- a/crates/site/src/route.rs
+++ b/crates/site/src/route.rs
@@ -47,6 +47,33 @@
     Once,
 }
 
+/// What goes first: the client account's priority, and among equals the route's.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Rank {
+    /// The account's priority, or the route's where the account has none; 0 goes first.
+    pub account: u8,
+    /// The route's priority; 0 goes first.
+    pub route: u8,
+}
+
+impl Rank {
+    /// Returns the rank of a route's requests of an account.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use site::route::Rank;
+    /// assert!(Rank::new(Some(0), 2) < Rank::new(None, 1));
+    /// assert!(Rank::new(Some(1), 0) < Rank::new(Some(1), 2));
+    /// ```
+    pub fn new(account: Option<u8>, route: u8) -> Self {
+        Self {
+            account: account.unwrap_or(route),
+            route,
+        }
+    }
+}
+
 /// One stage of a route.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Stage {
