Put off first what is worth least for its work

Cause: among requests of one rank the one due last was put off, whatever it is worth and however much work its stages take; pieces of the last stage differ tenfold between requests. Change: a piece carries what its request is worth for each second of stage work (by its size in mean sizes of its route); among equals the least is put off first.

--- a/crates/batch/src/desk.rs
+++ b/crates/batch/src/desk.rs
@@ -115,6 +115,7 @@
     ///     number: 0,
     ///     source: Source::Key("k".into()),
     ///     rank: site::route::Rank::default(),
+    ///     density: 1_000,
     ///     due: Tick::from_millis(100),
     ///     deadline: Tick::from_millis(900),
     ///     bytes: 8_000,
--- a/crates/batch/src/desk/line.rs
+++ b/crates/batch/src/desk/line.rs
@@ -64,6 +64,7 @@
         };
         self.groups.push(Group {
             rank: first.rank,
+            density: first.density,
             due: first.due,
             deadline: first.deadline,
             bytes: first.bytes,
--- a/crates/batch/src/desk/plan.rs
+++ b/crates/batch/src/desk/plan.rs
@@ -1,6 +1,6 @@
 //! Which groups of pieces can be on time, which only late, and which not at all.
 
-use core::time::Duration;
+use core::{cmp::Reverse, time::Duration};
 
 use base::Tick;
 use site::{pool::Pieces, route::Rank};
@@ -12,6 +12,7 @@
 pub(crate) struct Group {
     pub(crate) pieces: Vec<Piece>,
     pub(crate) rank: Rank,
+    pub(crate) density: u32,
     pub(crate) due: Tick,
     pub(crate) deadline: Tick,
     pub(crate) bytes: u64,
@@ -19,6 +20,12 @@
     pub(crate) pull: u64,
 }
 
+impl Group {
+    fn ticket(&self) -> Option<u64> {
+        self.pieces.first().map(|piece| piece.ticket)
+    }
+}
+
 /// When the next calls to a pool begin, as long as each is full.
 #[derive(Clone, Debug)]
 pub(crate) struct Turns<'a> {
@@ -77,17 +84,17 @@
 
 /// Sorts groups by what can still be made of them.
 ///
-/// Groups are taken by when they are due. Where one would be late, groups that go after it by rank are put
-/// off until it is on time, or else itself.
+/// Groups are taken by when they are due. Where one would be late, groups of its rank or after it are put off
+/// until it is on time, those that are worth least for their work first.
 ///
 /// A group counts as late already if it would be made just in time, as calls end a little later than planned.
 pub(crate) fn plan(mut groups: Vec<Group>, mut turns: Turns<'_>, margin: Duration) -> Plan {
     let mut plan = Plan::default();
-    groups.sort_by_key(|group| (group.due, group.pieces.first().map(|piece| piece.ticket)));
+    groups.sort_by_key(|group| (group.due, group.ticket()));
     let mut count = 0;
     for group in groups {
         count += group.pieces.len();
-        let (due, rank) = (group.due, group.rank);
+        let (due, rank, ticket) = (group.due, group.rank, group.ticket());
         plan.on_time.push(group);
         // Calls end all at once, so it may take several pieces less for one to be in an earlier call.
         while turns.finish(count) + margin > due {
@@ -95,7 +102,7 @@
                 break;
             };
             count -= group.pieces.len();
-            let is_itself = group.due == due && group.rank == rank;
+            let is_itself = group.ticket() == ticket;
             plan.late.push(group);
             if is_itself {
                 break;
@@ -116,12 +123,15 @@
     plan
 }
 
-/// Takes out the last of the groups that yield to a rank, none of which goes first; otherwise the last one.
+/// Takes out the group that yields first to one of a rank: the last by rank, then the one that is worth least
+/// for its work, then the one that is due last.
 fn put_off(groups: &mut Vec<Group>, rank: Rank) -> Option<Group> {
-    let yields = (0..groups.len()).filter(|at| groups[*at].rank > rank);
-    let worst = yields.max_by_key(|at| (groups[*at].rank, *at));
-    let at = worst.or_else(|| groups.len().checked_sub(1))?;
-    Some(groups.remove(at))
+    let yields = (0..groups.len()).filter(|at| groups[*at].rank >= rank);
+    let worst = yields.max_by_key(|at| {
+        let group = &groups[*at];
+        (group.rank, Reverse(group.density), *at)
+    })?;
+    Some(groups.remove(worst))
 }
 
 /// Returns the time of a call with some pieces.
--- a/crates/batch/src/piece.rs
+++ b/crates/batch/src/piece.rs
@@ -20,6 +20,9 @@
     pub source: Source,
     /// The request's rank; the least goes first.
     pub rank: Rank,
+    /// What the request is worth for each second of work on its stages, beside others of its rank; where not
+    /// all can be on time, the least is put off first.
+    pub density: u32,
     /// When its result is needed for the request to be on time.
     pub due: Tick,
     /// When its result is too late for the request to be answered at all.
--- a/crates/batch/tests/burst.rs
+++ b/crates/batch/tests/burst.rs
@@ -11,10 +11,17 @@
 
 /// Two servers make some 57 pieces a second; this offers twice that for 1.8 s, a quarter of it of rank 0.
 fn burst(world: &mut World) -> usize {
+    burst_of(world, |first, piece| {
+        piece.rank.account = if first { 0 } else { 2 };
+    })
+}
+
+/// Offers the burst, a quarter of which is `first`.
+fn burst_of(world: &mut World, edit: impl Fn(bool, &mut Piece)) -> usize {
     let mut offered = 0;
     for round in 0..100_u8 {
-        let rank = if round.is_multiple_of(4) { 0 } else { 2 };
-        world.offer(2, |piece: &mut Piece| piece.rank.account = rank);
+        let first = round.is_multiple_of(4);
+        world.offer(2, |piece: &mut Piece| edit(first, piece));
         offered += 2;
         world.pass(Duration::from_millis(18));
     }
@@ -34,6 +41,35 @@
     expect_that!(first + second, ge(152 * 7 / 10));
 }
 
+#[gtest]
+fn among_requests_of_one_account_the_route_decides() {
+    let mut world = World::open(&["a", "b"], WORK);
+    burst_of(&mut world, |first, piece| {
+        piece.rank.account = 1;
+        piece.rank.route = if first { 0 } else { 1 };
+    });
+    let first = world
+        .done
+        .iter()
+        .filter(|(at, _, piece)| piece.rank.route == 0 && *at <= piece.due);
+    expect_that!(first.count(), ge(48));
+}
+
+#[gtest]
+fn among_equals_what_is_worth_most_for_its_work_is_on_time() {
+    let mut world = World::open(&["a", "b"], WORK);
+    burst_of(&mut world, |first, piece| {
+        piece.density = if first { 4_000 } else { 1_000 };
+    });
+    let dense = world
+        .done
+        .iter()
+        .filter(|(at, _, piece)| piece.density == 4_000 && *at <= piece.due);
+    let all = world.on_time(0);
+    expect_that!(dense.count(), ge(48));
+    expect_that!(all, ge(152 * 7 / 10));
+}
+
 #[gtest]
 fn every_piece_is_made_or_given_up_before_its_deadline() {
     let mut world = World::open(&["a", "b"], WORK);
--- a/crates/batch/tests/world/mod.rs
+++ b/crates/batch/tests/world/mod.rs
@@ -104,6 +104,7 @@
                 number,
                 source: Source::Key("k".into()),
                 rank: Rank::default(),
+                density: 1_000,
                 due: self.now + Duration::from_millis(850),
                 deadline: self.now + Duration::from_secs(4),
                 bytes: 8_000,
--- a/crates/feed/src/codec.rs
+++ b/crates/feed/src/codec.rs
@@ -37,6 +37,7 @@
         rank: u32::from(order.rank.account),
         route_rank: u32::from(order.rank.route),
         pull: order.pull,
+        density: order.density,
         domain: order
             .domain
             .map_or_else(String::new, |domain| domain.as_str().to_owned()),
@@ -68,6 +69,7 @@
             route: u8::try_from(order.route_rank).unwrap_or(u8::MAX),
         },
         pull: order.pull,
+        density: order.density,
         domain: (!order.domain.is_empty()).then(|| Name::from(order.domain)),
     })
 }
--- a/crates/feed/src/lib.rs
+++ b/crates/feed/src/lib.rs
@@ -38,6 +38,8 @@
     pub source: Source,
     /// The request's rank; the least goes first.
     pub rank: Rank,
+    /// What the request is worth for each second of work on its stages, beside others of its rank.
+    pub density: u32,
     /// The time until the results are needed to be on time; zero if that has passed.
     pub due: Duration,
     /// The time until the results are of no use.
--- a/crates/feed/tests/loopback.rs
+++ b/crates/feed/tests/loopback.rs
@@ -32,6 +32,7 @@
             account: 1,
             route: 2,
         },
+        density: 12_000,
         due: Duration::from_millis(250),
         left: Duration::from_millis(900),
         bytes: 60_000,
--- a/crates/relay/src/ask.rs
+++ b/crates/relay/src/ask.rs
@@ -84,6 +84,13 @@
         Duration::from_secs_f64(ms / 1e3)
     }
 
+    /// Returns the request's size in tokens, those that it may generate counted tenfold as they take that much
+    /// longer.
+    pub fn tokens(&self) -> u64 {
+        let prompt = self.prompt.as_ref();
+        prompt.map_or(0, |prompt| prompt.input + 10 * prompt.output)
+    }
+
     /// Returns the urgency from 0 to 9 that its rank gives; 0 goes first.
     pub fn urgency(&self) -> u8 {
         let halves = self.rank.account.saturating_mul(2);
--- a/crates/relay/src/pace.rs
+++ b/crates/relay/src/pace.rs
@@ -1,4 +1,4 @@
-//! How long engines usually take to the first event of each route.
+//! What is usual for the requests of each route: the time to the first event, and the size.
 
 use core::time::Duration;
 
@@ -16,22 +16,33 @@
 /// What was measured, by route.
 #[derive(Clone, Debug, Default)]
 pub struct Pace {
-    routes: Vec<(Name, f64)>,
+    routes: Vec<Usual>,
+}
+
+#[derive(Clone, Debug)]
+struct Usual {
+    route: Name,
+    /// The time to the first event besides reading the prompt, in milliseconds.
+    engine_ms: f64,
+    /// The mean size in tokens, none before the first request.
+    tokens: Option<f64>,
 }
 
 impl Pace {
     /// Takes note of the time to a first event, with the time that reading the prompt takes at full speed.
     pub fn note(&mut self, route: &Name, took: Duration, reading: Duration) {
         let ms = (millis(took) - millis(reading)).clamp(0.0, MOST_MS);
-        let at = match self.find(route) {
-            Ok(at) => at,
-            Err(at) => {
-                self.routes.insert(at, (route.clone(), UNKNOWN_MS));
-                at
-            }
-        };
-        let known = &mut self.routes[at].1;
-        *known += GAIN * (ms - *known);
+        let known = self.usual(route);
+        known.engine_ms += GAIN * (ms - known.engine_ms);
+    }
+
+    /// Takes note of a request's size in tokens, and returns it in mean sizes of its route.
+    pub fn size(&mut self, route: &Name, tokens: u64) -> f64 {
+        let tokens = tokens as f64;
+        let known = self.usual(route);
+        let mean = known.tokens.unwrap_or(tokens);
+        known.tokens = Some(mean + GAIN * (tokens - mean));
+        tokens / mean.max(1.0)
     }
 
     /// Returns the time that a first event is expected to take.
@@ -49,12 +60,30 @@
     /// assert!((350..=360).contains(&expected));
     /// ```
     pub fn expect(&self, route: &Name, reading: Duration) -> Duration {
-        let ms = self.find(route).map_or(UNKNOWN_MS, |at| self.routes[at].1);
+        let ms = self
+            .find(route)
+            .map_or(UNKNOWN_MS, |at| self.routes[at].engine_ms);
         reading + Duration::from_secs_f64(ms / 1e3)
     }
 
+    fn usual(&mut self, route: &Name) -> &mut Usual {
+        let at = match self.find(route) {
+            Ok(at) => at,
+            Err(at) => {
+                let usual = Usual {
+                    route: route.clone(),
+                    engine_ms: UNKNOWN_MS,
+                    tokens: None,
+                };
+                self.routes.insert(at, usual);
+                at
+            }
+        };
+        &mut self.routes[at]
+    }
+
     fn find(&self, route: &Name) -> Result<usize, usize> {
-        self.routes.binary_search_by(|(known, _)| known.cmp(route))
+        self.routes.binary_search_by(|known| known.route.cmp(route))
     }
 }
 
--- a/crates/relay/src/stages.rs
+++ b/crates/relay/src/stages.rs
@@ -19,6 +19,12 @@
 /// The time of a stage in full calls: a busy server is halfway through a call on average when a piece comes.
 const WITH_WAIT: f64 = 1.5;
 
+/// The share of a request's worth that does not go by its size; the platform's rules state it.
+const WORTH_FIXED: f64 = 0.3;
+
+/// The most mean sizes that count for a request's worth; the platform's rules cap the worth at four.
+const SIZE_MOST: f64 = 5.0;
+
 /// How long the results of earlier stages are sure to be there; their makers keep them for 4 s.
 const RESULTS_LAST: Duration = Duration::from_secs(3);
 
@@ -72,6 +78,8 @@
     domain: Option<Name>,
     /// Since when the caller waits.
     since: Tick,
+    /// What the request is worth for each second of work on its stages.
+    density: u32,
 }
 
 impl<E: Edge> Drop for Work<'_, E> {
@@ -103,6 +111,7 @@
         results: vec![Vec::new(); count],
         domain,
         since,
+        density: density(hub, ask),
     };
     let mut under_way = FuturesUnordered::new();
     loop {
@@ -118,6 +127,26 @@
     }
 }
 
+/// Returns what a request is worth for each second of work on its stages.
+///
+/// A part of the worth is the same for every request, the rest goes by its size; a call's fixed time is shared by
+/// its pieces.
+fn density<E: Edge>(hub: &Rc<Hub<E>>, ask: &Ask<E::Request>) -> u32 {
+    let work = hub.with(|state| {
+        let config = state.config.as_ref()?;
+        let stages = ask.route.stages.iter().enumerate();
+        let work = stages.map(|(at, stage)| match config.pool(&stage.pool)?.work {
+            PoolWork::Pieces(work) => Some(work.share() * pieces(ask, at)),
+            PoolWork::Engine(_) | PoolWork::Plain => None,
+        });
+        work.sum::<Option<Duration>>()
+    });
+    let size = hub.with(|state| state.pace.size(&ask.route.name, ask.tokens()));
+    let worth = WORTH_FIXED + (1.0 - WORTH_FIXED) * size.min(SIZE_MOST);
+    let seconds = work.unwrap_or_default().as_secs_f64().max(1e-3);
+    (worth * 1e3 / seconds) as u32
+}
+
 /// Returns the number of pieces of a stage.
 fn pieces<R>(ask: &Ask<R>, stage: usize) -> u32 {
     ask.pieces.get(stage).copied().unwrap_or(0)
@@ -174,6 +203,7 @@
             number,
             source: source.clone(),
             rank: self.ask.rank,
+            density: self.density,
             due: self.since + self.ask.route.objective.saturating_sub(after),
             deadline,
             bytes: stated.bytes,
--- a/crates/site/src/pool.rs
+++ b/crates/site/src/pool.rs
@@ -56,6 +56,11 @@
 }
 
 impl Pieces {
+    /// Returns a piece's share of the time of a full call.
+    pub fn share(&self) -> Duration {
+        self.full_call() / u32::try_from(self.batch.max(1)).unwrap_or(u32::MAX)
+    }
+
     /// Returns the time of a call with as many pieces as it may hold.
     pub fn full_call(&self) -> Duration {
         self.call + self.piece * u32::try_from(self.batch).unwrap_or(u32::MAX)
