--- a/crates/batch/tests/world/mod.rs
+++ b/crates/batch/tests/world/mod.rs
@@ -73,6 +73,7 @@
                 domain: (*domain).into(),
                 slots: 1,
                 leaving: false,
+                born: 0,
             });
         }
         Self {
--- a/crates/feed/src/codec.rs
+++ b/crates/feed/src/codec.rs
@@ -7,10 +7,11 @@
     Shard,
     piece::{Handle, Made, Reason, Source},
 };
+use bytes::Bytes;
 use site::route::Rank;
 use wire::feed as message;
 
-use crate::{Error, Kept, Line, Order, Pulse, Results};
+use crate::{Entry, Error, Kept, Line, News, Order, Pulse, Results};
 
 pub(crate) fn encode_order(order: Order) -> message::Order {
     let (key, inputs) = match order.source {
@@ -124,6 +125,32 @@
         lines: lines.collect(),
         config: pulse.config,
         kept: pulse.kept.into_iter().map(encode_kept).collect(),
+        follow: pulse.follow,
+        news: pulse.news.map(encode_news),
+    }
+}
+
+fn encode_news(news: News) -> message::News {
+    let entries = news.entries.into_iter().map(|entry| message::Entry {
+        key: entry.key.as_str().to_owned(),
+        value: entry.value.map(Vec::from).unwrap_or_default(),
+        offset: entry.offset,
+    });
+    message::News {
+        next: news.next,
+        entries: entries.collect(),
+    }
+}
+
+fn decode_news(news: message::News) -> News {
+    let entries = news.entries.into_iter().map(|entry| Entry {
+        key: entry.key.into(),
+        value: (!entry.value.is_empty()).then(|| Bytes::from(entry.value)),
+        offset: entry.offset,
+    });
+    News {
+        next: news.next,
+        entries: entries.collect(),
     }
 }
 
@@ -153,6 +180,8 @@
         lines: lines.collect(),
         config: pulse.config,
         kept: pulse.kept.into_iter().map(decode_kept).collect(),
+        follow: pulse.follow,
+        news: pulse.news.map(decode_news),
     }
 }
 
--- a/crates/feed/src/lib.rs
+++ b/crates/feed/src/lib.rs
@@ -15,14 +15,14 @@
     Shard,
     piece::{Made, Source},
 };
+use bytes::Bytes;
+use site::route::Rank;
 
 pub use self::{
     client::Client,
     server::{Ask, serve},
 };
 
-use site::route::Rank;
-
 /// Pieces of one stage of one request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Order {
@@ -68,6 +68,30 @@
     pub config: u64,
     /// Chains of prompt parts that engines have read lately.
     pub kept: Vec<Kept>,
+    /// The offset from which the servers' entries are wanted; none where the instance reads them itself.
+    pub follow: Option<u64>,
+    /// The servers' entries that were wanted; none where they are not known.
+    pub news: Option<News>,
+}
+
+/// Changes of the servers' entries.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct News {
+    /// The offset to go on from.
+    pub next: u64,
+    /// The changes, by their offsets.
+    pub entries: Vec<Entry>,
+}
+
+/// A server's entry.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Entry {
+    /// The server.
+    pub key: Name,
+    /// The entry as the server wrote it; none where it was dropped.
+    pub value: Option<Bytes>,
+    /// Its offset.
+    pub offset: u64,
 }
 
 /// An engine keeps a chain of prompt parts.
--- a/crates/feed/tests/loopback.rs
+++ b/crates/feed/tests/loopback.rs
@@ -6,7 +6,7 @@
     Shard,
     piece::{Handle, Made, Reason, Source},
 };
-use feed::{Ask, Client, Kept, Line, Order, Pulse, serve};
+use feed::{Ask, Client, Entry, Kept, Line, News, Order, Pulse, serve};
 use googletest::prelude::*;
 use site::route::Rank;
 use tokio::sync::mpsc;
@@ -61,6 +61,22 @@
             server: "i-1".into(),
             chain: u64::MAX,
         }],
+        follow: Some(7),
+        news: Some(News {
+            next: 12,
+            entries: vec![
+                Entry {
+                    key: "i-1".into(),
+                    value: Some("{}".into()),
+                    offset: 9,
+                },
+                Entry {
+                    key: "i-2".into(),
+                    value: None,
+                    offset: 11,
+                },
+            ],
+        }),
     };
     let client = Client::default();
     for source in [
--- a/crates/relay/tests/world/mod.rs
+++ b/crates/relay/tests/world/mod.rs
@@ -193,6 +193,7 @@
                 domain: "a".into(),
                 slots: 6,
                 leaving: false,
+                born: 0,
             });
         }
     });
--- a/crates/site/src/roster.rs
+++ b/crates/site/src/roster.rs
@@ -25,6 +25,8 @@
     pub slots: u32,
     /// Whether it announced that it leaves.
     pub leaving: bool,
+    /// When it started, in Unix milliseconds; one that starts again under its id keeps nothing. 0 if not told.
+    pub born: u64,
 }
 
 /// The servers that are listed.
@@ -59,6 +61,7 @@
     ///     domain: "a".into(),
     ///     slots: 6,
     ///     leaving: false,
+    ///     born: 0,
     /// };
     /// let mut roster = Roster::default();
     /// roster.put(server);
--- a/crates/site/tests/roster.rs
+++ b/crates/site/tests/roster.rs
@@ -17,6 +17,7 @@
         domain: "a".into(),
         slots: 6,
         leaving,
+        born: 0,
     }
 }
 
