Leave a failure domain alone that can't be reached

Cause: in a cut of a failure domain each of its servers was found unreachable one by one, 300 ms a request; on the grown sites that is 28 engines and more for each instance. Change: two failures in a row at any server or instance of a domain, with no answer between, take it to be cut off for 0.5 to 2 s; choices, calls of stages and feeders pass it over meanwhile, unless there is no other.

--- a/crates/batch/src/desk/line.rs
+++ b/crates/batch/src/desk/line.rs
@@ -163,7 +163,11 @@
         }
         let reached = listed.iter();
         let reached = reached.filter(|server| !cx.fleet.is_blocked(cx.now, &server.id));
-        let servers: Vec<_> = reached.cloned().collect();
+        let is_open = |server: &&Rc<Server>| !cx.fleet.reach.is_cut(cx.now, &server.domain);
+        let mut servers: Vec<_> = reached.clone().filter(is_open).cloned().collect();
+        if servers.is_empty() {
+            servers = reached.cloned().collect();
+        }
         if servers.is_empty() {
             self.give_up(cx, config, listed.is_empty(), actions);
             return;
--- a/crates/pick/src/fleet.rs
+++ b/crates/pick/src/fleet.rs
@@ -4,7 +4,7 @@
 
 use base::{Name, Tick};
 
-use crate::configs::Config;
+use crate::{Reach, configs::Config};
 
 /// What an instance saw of all backend servers.
 #[derive(Clone, Debug, Default)]
@@ -13,6 +13,8 @@
     servers: Vec<Seen>,
     pub(crate) parts: Vec<crate::engine::Held>,
     others: Vec<Other>,
+    /// Which failure domains can be reached.
+    pub reach: Reach,
     pub(crate) news: Vec<crate::engine::News>,
 }
 
--- a/crates/relay/src/hub.rs
+++ b/crates/relay/src/hub.rs
@@ -13,7 +13,7 @@
 use pick::{Fleet, fleet::End};
 use rand::{SeedableRng, rngs::SmallRng};
 use retry::{Crashes, Window, window::Bound};
-use site::{Config, Roster, pool::Work};
+use site::{Config, Roster, pool::Work, roster::Server};
 use tokio::{sync::mpsc, task, time};
 
 use crate::{Edge, Failure, call::Worked, configs, pace::Pace};
@@ -165,7 +165,10 @@
                         request:% = pieces.first().map_or("", |piece| piece.request.as_str()),
                         cause:% = failure; "feeder lost"
                     );
-                    self.with(|state| state.members.lost(&feeder.name));
+                    self.with(|state| {
+                        state.members.lost(&feeder.name);
+                        state.note_reach(self.edge.now(), &feeder.domain, Failure::Unreachable);
+                    });
                 }
             }
         }
@@ -181,7 +184,9 @@
                 let holder = state.members.holder(now, pool, &self.domain);
                 return (Shard::whole(pool), holder);
             }
+            let reach = &state.fleet.reach;
             let domains = || state.roster.usable(now, pool).map(|server| &server.domain);
+            let near = near.filter(|domain| !reach.is_cut(now, domain));
             let wanted = near.into_iter().chain([&self.domain]);
             let mut wanted = wanted.filter(|domain| domains().any(|one| one == *domain));
             let domain = wanted.next().or_else(|| domains().min());
@@ -394,6 +399,7 @@
         self.with(|state| {
             let answered = End::Answered { head: took };
             state.fleet.end(now, &server.id, answered);
+            state.fleet.reach.reached(&server.domain);
             state.desk.ended(now, &order.shard, &server.id, work, end);
         });
         let mut made = worked.made.into_iter();
@@ -422,6 +428,7 @@
         );
         self.with(|state| {
             state.fleet.end(now, &server.id, end_of(failure));
+            state.note_reach(now, &server.domain, failure);
             let end = match failure {
                 Failure::Full => desk::End::Full,
                 Failure::Silent => desk::End::Silent,
@@ -507,6 +514,35 @@
     }
 }
 
+impl State {
+    /// Takes note of what a failed call says of a failure domain.
+    pub(crate) fn note_reach(&mut self, now: Tick, domain: &Name, failure: Failure) {
+        match failure {
+            Failure::Unreachable => {
+                if self.fleet.reach.missed(now, domain) {
+                    log::warn!(target: "servers", domain:% = domain; "failure domain can't be reached");
+                }
+            }
+            Failure::Full | Failure::InputGone | Failure::Moved | Failure::Rejected => {
+                self.fleet.reach.reached(domain);
+            }
+            // The other end may have answered or not.
+            Failure::Broken | Failure::Mismatched | Failure::Silent => {}
+        }
+    }
+
+    /// Keeps the servers of failure domains that can be reached, or all if none can.
+    pub(crate) fn reachable<'a>(
+        &self,
+        now: Tick,
+        servers: Vec<&'a Rc<Server>>,
+    ) -> Vec<&'a Rc<Server>> {
+        let is_cut = |server: &Server| self.fleet.reach.is_cut(now, &server.domain);
+        let open: Vec<_> = servers.iter().copied().filter(|one| !is_cut(one)).collect();
+        if open.is_empty() { servers } else { open }
+    }
+}
+
 /// Returns what a failure says of the server.
 pub(crate) const fn end_of(failure: Failure) -> End {
     match failure {
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -198,6 +198,7 @@
         let failure = match sent {
             Ok(Ok(reply)) => {
                 trail.sent += 1;
+                hub.with(|state| state.fleet.reach.reached(&server.domain));
                 if reply.is_leaving() {
                     left(hub, &server.id);
                 }
@@ -216,6 +217,8 @@
             "attempt failed"
         );
         lease.end(end_of(failure));
+        let now = hub.edge.now();
+        hub.with(|state| state.note_reach(now, &server.domain, failure));
         if failure == Failure::Moved {
             left(hub, &server.id);
         }
@@ -290,13 +293,14 @@
     let now = hub.edge.now();
     let domain = inputs.domain();
     hub.with(|state| {
+        let listed: Vec<_> = state.roster.usable(now, pool).cloned().collect();
+        let servers = state.reachable(now, listed.iter().collect());
         let mut cx = plain::Context {
             now,
             domain: &hub.domain,
             tried: &trail.tried,
             rng: &mut state.rng,
         };
-        let servers: Vec<_> = state.roster.usable(now, pool).collect();
         if let Some(prompt) = &ask.prompt {
             let pull = engine::Pull {
                 domain: domain.as_ref(),
