Spread rows of stages over failure domains by their scarcest servers; fetch from the home of a prompt

Cause: engines were drawn evenly over the domains and their stages followed them, but a domain with 3 of 15 servers of a stage got a quarter of its work; and parts that other instances had read were read again, as nothing told of them. Change: stages with small results go to a domain drawn by the least share of any stage's servers that it has; a request that leaves the home engine of its shared parts fetches them from there.

--- a/crates/pick/src/engine.rs
+++ b/crates/pick/src/engine.rs
@@ -141,7 +141,12 @@
         }
     }
     let (_, mut choice) = best?;
-    choice.fetch = fleet.source(cx.now, &choice, &chains, prompt, servers);
+    // Nothing may be known of the home of parts that other instances had read.
+    let home =
+        home.filter(|home| home.id != choice.server.id && !fleet.is_blocked(cx.now, &home.id));
+    choice.fetch = fleet
+        .source(cx.now, &choice, &chains, prompt, servers)
+        .or_else(|| home.map(|home| home.address));
     Some(choice)
 }
 
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -16,6 +16,7 @@
 mod lease;
 pub mod pace;
 pub mod serve;
+pub mod spread;
 mod stages;
 
 pub use self::{
--- a/crates/relay/src/stages.rs
+++ b/crates/relay/src/stages.rs
@@ -11,7 +11,7 @@
 use futures_util::{StreamExt, stream::FuturesUnordered};
 use site::pool::Work as PoolWork;
 
-use crate::{Ask, Edge, Hub};
+use crate::{Ask, Edge, Hub, spread};
 
 /// The usual time of a stage whose pool is not known: a call of 150 ms, some pieces and a wait.
 const USUAL: Duration = Duration::from_millis(250);
@@ -76,6 +76,8 @@
     /// By stage, the results that are there and were not given up.
     results: Vec<Vec<Handle>>,
     domain: Option<Name>,
+    /// Where stages with small results are worked on, in a deployment of cells.
+    light: Option<Name>,
     /// Since when the caller waits.
     since: Tick,
     /// What the request is worth for each second of work on its stages.
@@ -110,6 +112,7 @@
         phases: phases.collect(),
         results: vec![Vec::new(); count],
         domain,
+        light: light(hub, ask),
         since,
         density: density(hub, ask),
     };
@@ -127,6 +130,28 @@
     }
 }
 
+/// Returns the failure domain that works on a request's stages with small results, drawn by what the domains'
+/// servers can do; none where every pool is fed as a whole.
+fn light<E: Edge>(hub: &Rc<Hub<E>>, ask: &Ask<E::Request>) -> Option<Name> {
+    let now = hub.edge.now();
+    let stages = ask.route.stages.iter();
+    let stages = stages.filter(|stage| stage.bytes < hub.settings.result_heavy);
+    let pools: Vec<_> = stages.map(|stage| &stage.pool).collect();
+    let draw = (ask.digest >> 11) as f64 / (1_u64 << 53) as f64;
+    hub.with(|state| {
+        if !state.members.is_celled() {
+            return None;
+        }
+        let is_open = |domain: &Name| !state.fleet.reach.is_cut(now, domain);
+        let counts = pools.iter().map(|pool| {
+            let servers = state.roster.usable(now, pool).map(|server| &server.domain);
+            servers.filter(|domain| is_open(domain)).collect::<Vec<_>>()
+        });
+        let counts: Vec<_> = counts.collect();
+        spread::draw(&counts, draw).cloned()
+    })
+}
+
 /// Returns what a request is worth for each second of work on its stages.
 ///
 /// A part of the worth is the same for every request, the rest goes by its size; a call's fixed time is shared by
@@ -265,6 +290,9 @@
         }
         match bytes.into_iter().max_by_key(|(_, sum)| *sum) {
             Some((domain, sum)) if sum > own => (Some(domain), sum),
+            _ if own < self.hub.settings.result_heavy && self.light.is_some() => {
+                (self.light.clone(), own)
+            }
             _ => (self.domain.clone(), own),
         }
     }
