--- a/crates/batch/src/configs.rs
+++ b/crates/batch/src/configs.rs
@@ -13,6 +13,9 @@
     pub room: Duration,
     /// How long before it is due a piece is planned to be made.
     pub margin: Duration,
+    /// By how much longer than planned a piece that is late already may wait: what comes meanwhile and can be
+    /// on time goes first. One that would miss its deadline then is given up at once.
+    pub late_stretch: f64,
     /// How often the time of the pool's swiftest server a server's calls may take before it gets trial
     /// calls only.
     pub slow: f64,
@@ -31,6 +34,7 @@
             slack: 1,
             room: Duration::from_millis(60),
             margin: Duration::from_millis(30),
+            late_stretch: 2.0,
             slow: 2.0,
             trial: Duration::from_secs(1),
             gain: 0.5,
--- a/crates/batch/src/desk/line.rs
+++ b/crates/batch/src/desk/line.rs
@@ -177,7 +177,7 @@
         }
         self.best = self.best(&servers);
         let turns = Turns::new(work, self.waiting(), self.free(cx, config, &servers));
-        let mut planned = plan(core::mem::take(&mut self.groups), turns, config.margin);
+        let mut planned = plan(cx.now, core::mem::take(&mut self.groups), turns, config);
         let lost = planned.lost.drain(..).flat_map(|group| group.pieces);
         actions.extend(lost.map(Action::Late));
         let mut free: Vec<_> = servers
--- a/crates/batch/src/desk/plan.rs
+++ b/crates/batch/src/desk/plan.rs
@@ -5,7 +5,7 @@
 use base::Tick;
 use site::{pool::Pieces, route::Rank};
 
-use crate::Piece;
+use crate::{Piece, configs::Config};
 
 /// Pieces of one stage of one request, which are due at the same time.
 #[derive(Clone, Debug)]
@@ -88,7 +88,12 @@
 /// until it is on time, those that are worth least for their work first.
 ///
 /// A group counts as late already if it would be made just in time, as calls end a little later than planned.
-pub(crate) fn plan(mut groups: Vec<Group>, mut turns: Turns<'_>, margin: Duration) -> Plan {
+pub(crate) fn plan(
+    now: Tick,
+    mut groups: Vec<Group>,
+    mut turns: Turns<'_>,
+    config: &Config,
+) -> Plan {
     let mut plan = Plan::default();
     groups.sort_by_key(|group| (group.due, group.ticket()));
     let mut count = 0;
@@ -97,7 +102,7 @@
         let (due, rank, ticket) = (group.due, group.rank, group.ticket());
         plan.on_time.push(group);
         // Calls end all at once, so it may take several pieces less for one to be in an earlier call.
-        while turns.finish(count) + margin > due {
+        while turns.finish(count) + config.margin > due {
             let Some(group) = put_off(&mut plan.on_time, rank) else {
                 break;
             };
@@ -112,8 +117,8 @@
     let mut late = core::mem::take(&mut plan.late);
     late.sort_by_key(|group| (group.rank, group.deadline));
     for group in late {
-        let end = turns.finish(count + group.pieces.len());
-        if end <= group.deadline {
+        let wait = turns.finish(count + group.pieces.len()) - now;
+        if now + wait.mul_f64(config.late_stretch) <= group.deadline {
             count += group.pieces.len();
             plan.late.push(group);
         } else {
