--- a/crates/relay/src/configs.rs
+++ b/crates/relay/src/configs.rs
@@ -15,6 +15,9 @@
     pub return_least: Duration,
     /// The span over which refused callers' returns are spread.
     pub return_spread: Duration,
+    /// The shares of its time left, least and most, after which a caller returns that was refused for the load on
+    /// stages: bursts last seconds, and the platform's callers wait for a third of what they have at the most.
+    pub return_load: (f64, f64),
     /// What fetching results from another failure domain costs, in milliseconds of waiting at an engine.
     pub result_pull_ms: f64,
     /// The size from which results draw a request to an engine in their domain, in bytes.
@@ -33,6 +36,7 @@
             silence_least: Duration::from_millis(400),
             return_least: Duration::from_millis(150),
             return_spread: Duration::from_millis(500),
+            return_load: (0.2, 0.33),
             result_pull_ms: 60.0,
             result_heavy: 500_000,
             piece_tries: 3,
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -378,9 +378,15 @@
     let code = judge::end(trail.ran && says_not_run, code);
     let now: Tick = hub.edge.now();
     let retry_after = code.again().then(|| {
-        let spread = hub.settings.return_spread;
         let draw = hub.with(|state| state.rng.random::<f64>());
-        hub.settings.return_least + spread.mul_f64(draw)
+        let settings = &hub.settings;
+        let soon = settings.return_least + settings.return_spread.mul_f64(draw);
+        if code == Code::DeadlineUnmeetable {
+            let (least, most) = settings.return_load;
+            soon.max(ask.left(now).mul_f64(least + (most - least) * draw))
+        } else {
+            soon
+        }
     });
     let version = ask.version;
     log::warn!(
