Servers that leave or pause by their answers, a restored store, one reader a failure domain

Change: the transport hands over what the head of any answer states about its server before the next decision is made (relay::Notice). site::Roster keeps departures by run, also against entries of a restored store. pick::Fleet keeps pauses; pieces, requests, fetches and releases wait for their end or are refused at once with the time that comes true. Store-Era voids positions (mesh::Position) on all paths, the own entry and crashes are written again, the configuration never goes back and a started instance asks others for a newer one. mesh::Replica and mesh::Reader replace mesh::History: the first instances of a domain read all topics, the others copy them, also at their start.

The tests of mesh::History were replaced by those of mesh::Replica, which check the same cases and eras beside them.

--- a/crates/batch/src/scheduler/queue.rs
+++ b/crates/batch/src/scheduler/queue.rs
@@ -22,6 +22,8 @@
     workers: Vec<Worker>,
     /// The latency ratio of the fastest reachable server.
     best_ratio: f64,
+    /// When the first server that gets no calls may get some again, if all are blocked or paused.
+    unblocked_at: Option<Tick>,
 }
 
 /// The state of one server, as seen by this instance.
@@ -179,9 +181,10 @@
             servers = unblocked.cloned().collect();
         }
         if servers.is_empty() {
-            self.expire_unreachable(cx, config, registered.is_empty(), actions);
+            self.expire_unreachable(cx, config, &registered, actions);
             return;
         }
+        self.unblocked_at = None;
         for server in &servers {
             self.worker_mut(&server.id);
         }
@@ -215,21 +218,28 @@
             let results = worker.results.iter().map(|result| result.expires_at);
             results.chain([worker.busy_until, worker.out_of_memory_until])
         });
-        times.filter(|at| now < *at).min()
+        times.chain(self.unblocked_at).filter(|at| now < *at).min()
     }
 
-    /// Expires the pieces that no server is expected to finish.
+    /// Expires the pieces that no server is expected to finish, as all servers are blocked or paused.
     fn expire_unreachable(
         &mut self,
         cx: Context<'_>,
         config: &Config,
-        has_no_servers: bool,
+        registered: &[Rc<Server>],
         actions: &mut Vec<Action>,
     ) {
         let groups = core::mem::take(&mut self.groups);
-        let (kept, expired): (Vec<_>, Vec<_>) = groups.into_iter().partition(|group| {
-            !has_no_servers && cx.now + config.min_recovery_time < group.deadline
-        });
+        let ids = registered.iter().map(|server| &server.id);
+        self.unblocked_at = ids.clone().filter_map(|id| cx.fleet.unblocked_at(id)).min();
+        // A server that asked for a pause gets no call before its end, while an unreachable one may recover any time.
+        let usable_at = ids
+            .map(|id| cx.fleet.paused_until(cx.now, id).unwrap_or(cx.now))
+            .min()
+            .map(|at| at.max(cx.now + config.min_recovery_time));
+        let (kept, expired): (Vec<_>, Vec<_>) = groups
+            .into_iter()
+            .partition(|group| usable_at.is_some_and(|at| at < group.deadline));
         self.groups = kept;
         let expired = expired.into_iter().flat_map(|group| group.pieces);
         actions.extend(expired.map(Action::Expire));
--- a/crates/batch/tests/simulation/mod.rs
+++ b/crates/batch/tests/simulation/mod.rs
@@ -66,15 +66,18 @@
         };
         let mut roster = Roster::default();
         for (at, domain) in domains.iter().enumerate() {
-            roster.insert(Server {
-                id: format!("i-{at}").into(),
-                pool: POOL.into(),
-                address: format!("10.0.0.{}:80", at + 1).parse().unwrap(),
-                domain: (*domain).into(),
-                slots: 1,
-                leaving: false,
-                started_at_ms: 0,
-            });
+            roster.insert(
+                Server {
+                    id: format!("i-{at}").into(),
+                    pool: POOL.into(),
+                    address: format!("10.0.0.{}:80", at + 1).parse().unwrap(),
+                    domain: (*domain).into(),
+                    slots: 1,
+                    leaving: false,
+                    started_at_ms: 0,
+                },
+                1,
+            );
         }
         Self {
             now: Tick::from_millis(1_000),
--- a/crates/feed/src/client.rs
+++ b/crates/feed/src/client.rs
@@ -9,7 +9,7 @@
 use tonic::transport::{Channel, Endpoint};
 use wire::feed::{self as message, feed_client::FeedClient};
 
-use crate::{Delegation, Error, Heartbeat, Results, codec};
+use crate::{Delegation, Error, Heartbeat, Lists, Results, codec};
 
 /// The timeout for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -20,6 +20,12 @@
 /// The timeout for fetching the configuration of another instance.
 const CONFIG_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// The timeout for fetching the lists of another instance, which may send them to many at the same time.
+const LISTS_TIMEOUT: Duration = Duration::from_secs(4);
+
+/// The largest size of these lists, in bytes.
+const MAX_LISTS_BYTES: usize = 64 * 1024 * 1024;
+
 /// A client for other instances, whose connections open on first use.
 #[derive(Debug, Default)]
 pub struct Client {
@@ -79,6 +85,22 @@
         }
     }
 
+    /// Returns all records of the topics that another instance has read from the store.
+    ///
+    /// # Errors
+    ///
+    /// - The instance is unreachable, stopping or doesn't answer in time.
+    pub async fn lists(&self, address: SocketAddr) -> Result<Lists, Error> {
+        let client = FeedClient::new(self.channel(address)?);
+        let mut client = client.max_decoding_message_size(MAX_LISTS_BYTES);
+        let answer = time::timeout(LISTS_TIMEOUT, client.lists(message::Want {})).await;
+        match answer {
+            Ok(Ok(contents)) => Ok(codec::decode_lists(contents.into_inner())),
+            Ok(Err(status)) => Err(self.drop_channel(address, status.to_string())),
+            Err(_) => Err(self.drop_channel(address, "no answer in time".to_owned())),
+        }
+    }
+
     /// Exchanges heartbeats with another instance.
     ///
     /// # Errors
--- a/crates/feed/src/codec.rs
+++ b/crates/feed/src/codec.rs
@@ -8,10 +8,13 @@
     piece::{Handle, Outcome, Reason, Source},
 };
 use bytes::Bytes;
+use mesh::{Changes, Departure, Position, Record};
 use site::route::Rank;
 use wire::feed as message;
 
-use crate::{CachedChain, Changes, Delegation, EngineLoad, Entry, Error, Heartbeat, Results};
+use crate::{
+    Answer, CachedChain, Delegation, EngineLoad, Error, Heartbeat, Lists, Results, Topics, Wanted,
+};
 
 pub(crate) fn encode_delegation(delegation: Delegation) -> message::Order {
     let (key, inputs) = match delegation.source {
@@ -129,33 +132,105 @@
             .into_iter()
             .map(encode_cached_chain)
             .collect(),
-        follow: heartbeat.entries_from,
-        news: heartbeat.entry_changes.map(encode_changes),
+        era: wanted_era(heartbeat.wanted),
+        follow: heartbeat.wanted.servers.map(|from| from.offset),
+        follow_instances: heartbeat.wanted.instances.map(|from| from.offset),
+        follow_crashes: heartbeat.wanted.crashes.map(|from| from.offset),
+        news: heartbeat.topics.servers.map(encode_answer),
+        instances: heartbeat.topics.instances.map(encode_answer),
+        crashes: heartbeat.topics.crashes.map(encode_answer),
+        read_age_ms: heartbeat.read_age.map(millis),
+        regained_ms: heartbeat.store_recovered.map(millis),
+        departures: heartbeat
+            .departures
+            .into_iter()
+            .map(encode_departure)
+            .collect(),
     }
 }
 
-fn encode_changes(changes: Changes) -> message::News {
-    let entries = changes.entries.into_iter().map(|entry| message::Entry {
-        key: entry.key.as_str().to_owned(),
-        value: entry.value.map(Vec::from).unwrap_or_default(),
-        offset: entry.offset,
+/// Returns the era of the wanted positions. An instance drops positions of earlier eras, so all are of the same one.
+fn wanted_era(wanted: Wanted) -> u64 {
+    let positions = [wanted.servers, wanted.instances, wanted.crashes];
+    let eras = positions.iter().flatten().map(|position| position.era);
+    eras.max().unwrap_or_default()
+}
+
+fn encode_departure(departure: Departure) -> message::Departure {
+    message::Departure {
+        server: departure.server.as_str().to_owned(),
+        started_ms: departure.started_at_ms,
+    }
+}
+
+fn decode_departure(departure: message::Departure) -> Departure {
+    Departure {
+        server: departure.server.into(),
+        started_at_ms: departure.started_ms,
+    }
+}
+
+pub(crate) fn encode_lists(lists: Lists) -> message::Contents {
+    message::Contents {
+        servers: lists.topics.servers.map(encode_answer),
+        instances: lists.topics.instances.map(encode_answer),
+        crashes: lists.topics.crashes.map(encode_answer),
+        read_age_ms: millis(lists.read_age),
+    }
+}
+
+pub(crate) fn decode_lists(contents: message::Contents) -> Lists {
+    let decode = |news: Option<message::News>| news.map(|news| decode_answer(news, true));
+    Lists {
+        topics: Topics {
+            servers: decode(contents.servers),
+            instances: decode(contents.instances),
+            crashes: decode(contents.crashes),
+        },
+        read_age: Duration::from_millis(contents.read_age_ms),
+    }
+}
+
+fn encode_answer(answer: Answer) -> message::News {
+    let changes = match answer {
+        Answer::Changes(changes) => changes,
+        Answer::Gap => {
+            return message::News {
+                gap: true,
+                ..Default::default()
+            };
+        }
+    };
+    let entries = changes.records.into_iter().map(|record| message::Entry {
+        key: record.key.as_str().to_owned(),
+        value: record.value.map(Vec::from).unwrap_or_default(),
+        offset: record.offset,
     });
     message::News {
-        next: changes.next_offset,
+        next: changes.next.offset,
+        era: changes.next.era,
+        gap: false,
         entries: entries.collect(),
     }
 }
 
-fn decode_changes(news: message::News) -> Changes {
-    let entries = news.entries.into_iter().map(|entry| Entry {
+fn decode_answer(news: message::News, is_complete: bool) -> Answer {
+    if news.gap {
+        return Answer::Gap;
+    }
+    let records = news.entries.into_iter().map(|entry| Record {
         key: entry.key.into(),
-        value: (!entry.value.is_empty()).then(|| Bytes::from(entry.value)),
         offset: entry.offset,
+        value: (!entry.value.is_empty()).then(|| Bytes::from(entry.value)),
     });
-    Changes {
-        next_offset: news.next,
-        entries: entries.collect(),
-    }
+    Answer::Changes(Changes {
+        is_complete,
+        next: Position {
+            era: news.era,
+            offset: news.next,
+        },
+        records: records.collect(),
+    })
 }
 
 fn encode_cached_chain(cached: CachedChain) -> message::Kept {
@@ -178,14 +253,28 @@
         tokens: line.tokens,
         running: line.running,
     });
+    let era = pulse.era;
+    let position = |offset| Position { era, offset };
+    let decode_changes = |news| decode_answer(news, false);
     Heartbeat {
         name: pulse.name.into(),
         leaving: pulse.leaving,
         loads: loads.collect(),
         config_version: pulse.config,
         cached_chains: pulse.kept.into_iter().map(decode_cached_chain).collect(),
-        entries_from: pulse.follow,
-        entry_changes: pulse.news.map(decode_changes),
+        wanted: Wanted {
+            servers: pulse.follow.map(position),
+            instances: pulse.follow_instances.map(position),
+            crashes: pulse.follow_crashes.map(position),
+        },
+        topics: Topics {
+            servers: pulse.news.map(decode_changes),
+            instances: pulse.instances.map(decode_changes),
+            crashes: pulse.crashes.map(decode_changes),
+        },
+        read_age: pulse.read_age_ms.map(Duration::from_millis),
+        store_recovered: pulse.regained_ms.map(Duration::from_millis),
+        departures: pulse.departures.into_iter().map(decode_departure).collect(),
     }
 }
 
--- a/crates/feed/src/lib.rs
+++ b/crates/feed/src/lib.rs
@@ -16,6 +16,7 @@
     piece::{Outcome, Source},
 };
 use bytes::Bytes;
+use mesh::{Changes, Departure, Position};
 use site::route::Rank;
 
 pub use self::{
@@ -68,30 +69,56 @@
     pub config_version: u64,
     /// The chains of prompt parts that engines cached recently.
     pub cached_chains: Vec<CachedChain>,
-    /// The offset from which the instance requests server entries, or none if it reads them itself.
-    pub entries_from: Option<u64>,
-    /// The requested changes of server entries, or none if they are unknown.
-    pub entry_changes: Option<Changes>,
+    /// The positions from which the instance requests changes of topics.
+    pub wanted: Wanted,
+    /// The requested changes.
+    pub topics: Topics,
+    /// The age of the instance's last read of the store, if it reads the store itself.
+    pub read_age: Option<Duration>,
+    /// The time since the store answered the instance again after an outage.
+    pub store_recovered: Option<Duration>,
+    /// Servers that the instance learned to be leaving a moment ago.
+    pub departures: Vec<Departure>,
 }
 
-/// Changes of server entries.
+/// The positions of an instance in the topics that it follows; none where it wants no changes.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Wanted {
+    /// In the entries of servers.
+    pub servers: Option<Position>,
+    /// In the entries of instances.
+    pub instances: Option<Position>,
+    /// In the records of crashes.
+    pub crashes: Option<Position>,
+}
+
+/// Records of the topics that instances follow; none where they are unknown or not wanted.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Changes {
-    /// The offset to continue from.
-    pub next_offset: u64,
-    /// The changes, sorted by offset.
-    pub entries: Vec<Entry>,
+pub struct Topics {
+    /// The entries of servers.
+    pub servers: Option<Answer>,
+    /// The entries of instances.
+    pub instances: Option<Answer>,
+    /// The records of crashes.
+    pub crashes: Option<Answer>,
 }
 
-/// The entry of a server.
+/// The answer to a request for the changes of a topic.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Entry {
-    /// The id of the server.
-    pub key: Name,
-    /// The entry as the server wrote it, or none if it was removed.
-    pub value: Option<Bytes>,
-    /// The offset of the entry.
-    pub offset: u64,
+pub enum Answer {
+    /// The changes since the position, or all records in an answer to [`Client::lists`].
+    Changes(Changes<Bytes>),
+    /// Changes since the position are unknown, so all records have to be fetched with [`Client::lists`].
+    Gap,
+}
+
+/// All records of the topics that an instance follows, and how old they are.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Lists {
+    /// The records.
+    pub topics: Topics,
+    /// The age of the instance's last read of the store.
+    pub read_age: Duration,
 }
 
 /// A chain of prompt parts in the cache of an engine.
--- a/crates/feed/src/server.rs
+++ b/crates/feed/src/server.rs
@@ -13,7 +13,7 @@
 use tonic::{Request, Response, Status, transport};
 use wire::feed::{self as message, feed_server};
 
-use crate::{Delegation, Heartbeat, Results, codec};
+use crate::{Delegation, Heartbeat, Lists, Results, codec};
 
 /// A message of another instance. A closed `reply` channel means that the caller no longer waits for the answer.
 #[derive(Debug)]
@@ -35,6 +35,11 @@
         /// The channel for the configuration as the operator wrote it, which is empty before one is known.
         reply: oneshot::Sender<Bytes>,
     },
+    /// Fetches all records of the topics that the instance has read from the store.
+    Lists {
+        /// The channel for the records.
+        reply: oneshot::Sender<Lists>,
+    },
     /// Exchanges heartbeats.
     Heartbeat {
         /// The heartbeat of the other instance.
@@ -113,6 +118,14 @@
         Ok(Response::new(message::Record { record }))
     }
 
+    async fn lists(
+        &self,
+        _: Request<message::Want>,
+    ) -> Result<Response<message::Contents>, Status> {
+        let lists = self.request(|reply| Command::Lists { reply }).await?;
+        Ok(Response::new(codec::encode_lists(lists)))
+    }
+
     async fn beat(
         &self,
         request: Request<message::Pulse>,
--- a/crates/feed/tests/loopback.rs
+++ b/crates/feed/tests/loopback.rs
@@ -6,10 +6,13 @@
     Shard,
     piece::{Handle, Outcome, Reason, Source},
 };
+use bytes::Bytes;
 use feed::{
-    CachedChain, Changes, Client, Command, Delegation, EngineLoad, Entry, Heartbeat, serve,
+    Answer, CachedChain, Client, Command, Delegation, EngineLoad, Heartbeat, Lists, Topics, Wanted,
+    serve,
 };
 use googletest::prelude::*;
+use mesh::{Changes, Departure, Position, Record};
 use site::route::Rank;
 use tokio::sync::mpsc;
 
@@ -43,6 +46,23 @@
     }
 }
 
+fn at(offset: u64) -> Position {
+    Position { era: 3, offset }
+}
+
+fn changes(is_complete: bool) -> Changes<Bytes> {
+    let record = |key: &str, offset, value: Option<&'static str>| Record {
+        key: key.into(),
+        offset,
+        value: value.map(Bytes::from),
+    };
+    Changes {
+        is_complete,
+        next: at(12),
+        records: vec![record("i-1", 9, Some("{}")), record("i-2", 11, None)],
+    }
+}
+
 #[gtest]
 #[actix_web::test]
 async fn messages_arrive_as_they_were_sent() {
@@ -63,22 +83,22 @@
             server: "i-1".into(),
             chain: u64::MAX,
         }],
-        entries_from: Some(7),
-        entry_changes: Some(Changes {
-            next_offset: 12,
-            entries: vec![
-                Entry {
-                    key: "i-1".into(),
-                    value: Some("{}".into()),
-                    offset: 9,
-                },
-                Entry {
-                    key: "i-2".into(),
-                    value: None,
-                    offset: 11,
-                },
-            ],
-        }),
+        wanted: Wanted {
+            servers: Some(at(7)),
+            instances: Some(at(0)),
+            crashes: None,
+        },
+        topics: Topics {
+            servers: Some(Answer::Changes(changes(false))),
+            instances: Some(Answer::Gap),
+            crashes: None,
+        },
+        read_age: Some(Duration::from_millis(40)),
+        store_recovered: Some(Duration::ZERO),
+        departures: vec![Departure {
+            server: "i-3".into(),
+            started_at_ms: 1_790_000_000_000,
+        }],
     };
     let client = Client::default();
     for source in [
@@ -108,6 +128,21 @@
     );
     expect_that!(received, eq(&heartbeat));
     expect_that!(answer.unwrap(), eq(&heartbeat));
+    let lists = Lists {
+        topics: Topics {
+            servers: Some(Answer::Changes(changes(true))),
+            instances: None,
+            crashes: Some(Answer::Changes(changes(true))),
+        },
+        read_age: Duration::from_millis(900),
+    };
+    let (answer, ()) = tokio::join!(client.lists(address), async {
+        let Some(Command::Lists { reply }) = commands.recv().await else {
+            panic!("expected a request for lists");
+        };
+        reply.send(lists.clone()).unwrap();
+    });
+    expect_that!(answer.unwrap(), eq(&lists));
     expect_that!(
         client.release(address, &[handle(1)]).await.is_ok(),
         eq(true)
--- a/crates/mesh/src/configs.rs
+++ b/crates/mesh/src/configs.rs
@@ -1,4 +1,4 @@
-//! Settings of membership and heartbeats.
+//! Settings of membership, heartbeats and the reading of the store.
 
 use core::time::Duration;
 
@@ -31,3 +31,34 @@
         }
     }
 }
+
+/// Settings of the reading of the store in a deployment of cells, with their defaults.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Reader {
+    /// The number of instances of a failure domain that may read the store for it, lost ones included.
+    pub candidates: usize,
+    /// The age of a read from which other instances don't rely on it: the wait of one read, the pause between two, and
+    /// the time that an answer may take.
+    pub max_age: Duration,
+    /// The failed reads in a row after which a reader follows a successor.
+    pub max_failures: u32,
+    /// The number of instances of a failure domain from which the two delays below are stretched by their number.
+    pub probing_instances: usize,
+    /// The time over which the first attempts of the other instances are spread if no candidate reads the store.
+    pub min_probe_delay: Duration,
+    /// The average time between later attempts of an instance, which is doubled up to this after each one.
+    pub max_probe_delay: Duration,
+}
+
+impl Default for Reader {
+    fn default() -> Self {
+        Self {
+            candidates: 3,
+            max_age: Duration::from_millis(1_900),
+            max_failures: 2,
+            probing_instances: 16,
+            min_probe_delay: Duration::from_secs(3),
+            max_probe_delay: Duration::from_secs(16),
+        }
+    }
+}
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -7,14 +7,18 @@
 //! In a small deployment every instance sends heartbeats to every other one, and a task has one owner in the whole
 //! deployment. A larger deployment is divided into cells, one per failure domain: each cell has its own owners,
 //! which are its instances with the highest capacity, and an instance sends heartbeats only to those that it relies
-//! on. One instance of a cell reads the platform's records, and the others follow it by [`History`].
+//! on. One instance of a cell reads the platform's records ([`Reader`]), and the others copy its [`Replica`]s.
 
 pub mod configs;
-pub mod history;
+pub mod departures;
 pub mod members;
+pub mod reader;
+pub mod replica;
 
 pub use self::{
     configs::Config,
-    history::History,
+    departures::{Departure, Departures},
     members::{Members, Owner, Peer},
+    reader::Reader,
+    replica::{Changes, Position, Record, Replica, Update},
 };
--- a/crates/mesh/src/members.rs
+++ b/crates/mesh/src/members.rs
@@ -31,6 +31,20 @@
     Unavailable,
 }
 
+/// An instance of the local failure domain that may take a task.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Candidate {
+    /// The local instance.
+    Local,
+    /// Another instance.
+    Peer {
+        /// The instance.
+        peer: Peer,
+        /// Whether it is live.
+        is_live: bool,
+    },
+}
+
 /// The known instances of a deployment.
 #[derive(Clone, Debug)]
 pub struct Members {
@@ -172,12 +186,55 @@
         1 + self.peers.len()
     }
 
+    /// Returns the number of known instances of the local failure domain, live or not, including the local one.
+    pub fn domain_count(&self) -> usize {
+        let peers = self.peers.iter();
+        let in_domain = peers.filter(|state| state.peer.domain == self.local.domain);
+        1 + in_domain.count()
+    }
+
     /// Returns the owner of a task: the live instance with the highest capacity, and between equals the one that
     /// rendezvous hashing selects.
     ///
     /// In a deployment of cells each failure domain has its own owner, and an instance that was not relied on
     /// recently counts as live until a call or a heartbeat to it fails.
     pub fn owner(&mut self, now: Tick, task: &Name, domain: &Name) -> Owner {
+        for at in self.ranked(task, domain) {
+            let Some(at) = at else {
+                return Owner::Local;
+            };
+            self.record_use(now, at);
+            if self.is_peer_live(now, &self.peers[at]) {
+                return Owner::Peer(self.peers[at].peer.clone());
+            }
+        }
+        Owner::Unavailable
+    }
+
+    /// Returns the first instances for a task in the local failure domain, live or not, in the order of
+    /// [`Members::owner`].
+    pub fn candidates(&self, now: Tick, task: &Name, count: usize) -> Vec<Candidate> {
+        let ranked = self.ranked(task, &self.local.domain).into_iter();
+        let candidates = ranked.take(count).map(|at| match at {
+            None => Candidate::Local,
+            Some(at) => Candidate::Peer {
+                peer: self.peers[at].peer.clone(),
+                is_live: self.is_peer_live(now, &self.peers[at]),
+            },
+        });
+        candidates.collect()
+    }
+
+    /// Records that an instance is relied on, or would be if it were live, so that it gets heartbeats.
+    pub fn monitor(&mut self, now: Tick, name: &Name) {
+        if let Ok(at) = self.find(name) {
+            self.record_use(now, at);
+        }
+    }
+
+    /// Returns the instances that may take a task, the first one first: indices of `peers`, or `None` for the local
+    /// instance.
+    fn ranked(&self, task: &Name, domain: &Name) -> Vec<Option<usize>> {
         let has_cells = self.has_cells();
         let is_candidate = |peer: &Peer| !has_cells || peer.domain == *domain;
         let candidates = (0..self.peers.len()).filter(|at| is_candidate(&self.peers[*at].peer));
@@ -188,16 +245,7 @@
             ranks.push((rank(task, &self.local), None));
         }
         ranks.sort_by_key(|(rank, _)| Reverse(*rank));
-        for (_, at) in ranks {
-            let Some(at) = at else {
-                return Owner::Local;
-            };
-            self.record_use(now, at);
-            if self.is_peer_live(now, &self.peers[at]) {
-                return Owner::Peer(self.peers[at].peer.clone());
-            }
-        }
-        Owner::Unavailable
+        ranks.into_iter().map(|(_, at)| at).collect()
     }
 
     /// Records that an instance is relied on, or would be if it were live.
--- a/crates/pick/src/fleet.rs
+++ b/crates/pick/src/fleet.rs
@@ -56,6 +56,8 @@
     blocked_until: Tick,
     /// The number of blocks since the last answer; each doubles the next one.
     block_count: u32,
+    /// The end of the pause that the server asked for.
+    paused_until: Tick,
 }
 
 /// How a call ended.
@@ -172,8 +174,36 @@
 
     /// Returns whether a server currently gets no requests.
     pub fn is_blocked(&self, now: Tick, id: &Name) -> bool {
-        self.find(id)
-            .is_ok_and(|at| now < self.servers[at].blocked_until)
+        self.unblocked_at(id).is_some_and(|until| now < until)
+    }
+
+    /// Returns when a server that was blocked or asked for a pause gets requests again.
+    pub fn unblocked_at(&self, id: &Name) -> Option<Tick> {
+        let stats = &self.servers[self.find(id).ok()?];
+        Some(stats.blocked_until.max(stats.paused_until))
+    }
+
+    /// Records that a server asked for a pause; a shorter one doesn't end a longer one.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use base::Tick;
+    /// use pick::Fleet;
+    /// let (mut fleet, id) = (Fleet::default(), "i-1".into());
+    /// fleet.pause(Tick::from_millis(5), &id, Tick::from_millis(900));
+    /// assert!(fleet.is_blocked(Tick::from_millis(899), &id));
+    /// assert!(!fleet.is_blocked(Tick::from_millis(900), &id));
+    /// ```
+    pub fn pause(&mut self, now: Tick, id: &Name, until: Tick) {
+        let stats = self.stats(now, id);
+        stats.paused_until = stats.paused_until.max(until);
+    }
+
+    /// Returns the end of the pause that a server asked for, if it has not ended.
+    pub fn paused_until(&self, now: Tick, id: &Name) -> Option<Tick> {
+        let stats = &self.servers[self.find(id).ok()?];
+        (now < stats.paused_until).then_some(stats.paused_until)
     }
 
     /// Returns the number of calls of this instance in flight at a server.
@@ -183,8 +213,9 @@
 
     /// Removes servers without calls in flight that were not used for the given time.
     pub fn remove_idle(&mut self, now: Tick, idle: Duration) {
-        self.servers
-            .retain(|stats| stats.running > 0 || now - stats.updated_at < idle);
+        self.servers.retain(|stats| {
+            stats.running > 0 || now < stats.paused_until || now - stats.updated_at < idle
+        });
     }
 
     pub(crate) fn get(&self, id: &Name) -> Option<&Stats> {
@@ -225,6 +256,7 @@
             confidence: 0.0,
             blocked_until: Tick::default(),
             block_count: 0,
+            paused_until: Tick::default(),
         }
     }
 
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -86,6 +86,21 @@
     }
 }
 
+/// What the head of an answer states about its server, whatever the call was.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Notice {
+    /// The server's id.
+    pub server: Name,
+    /// The start time of the server's run, in Unix milliseconds, or 0 if unknown.
+    pub started_at_ms: u64,
+    /// When the head arrived.
+    pub received_at: Tick,
+    /// Whether the server is leaving.
+    pub is_leaving: bool,
+    /// The pause without requests that the server asks for.
+    pub pause: Option<Duration>,
+}
+
 /// An answer whose head has arrived.
 pub trait Reply {
     /// The parts of the head that are kept while the body is read.
@@ -97,9 +112,6 @@
     /// Returns the status code.
     fn status(&self) -> u16;
 
-    /// Returns whether the server announced its departure.
-    fn is_leaving(&self) -> bool;
-
     /// Returns the next bytes of the body, or none at its regular end.
     ///
     /// # Errors
@@ -127,6 +139,11 @@
     /// Returns the current time.
     fn now(&self) -> Tick;
 
+    /// Returns the notices that arrived since the last call, in the order of arrival.
+    ///
+    /// A notice is available as soon as the head of its answer has arrived, so that no decision after that ignores it.
+    fn take_notices(&self) -> Vec<Notice>;
+
     /// Sends a request to a server and returns the answer once its head has arrived.
     fn send(
         &self,
@@ -157,8 +174,13 @@
         handles: &[Handle],
     ) -> impl Future<Output = Result<(), Failure>>;
 
-    /// Releases results, each on the server that its handle names.
-    fn release(&self, handles: Vec<Handle>) -> impl Future<Output = ()>;
+    /// Releases results on the server that stores them, which is `None` if it is no longer registered.
+    fn release(
+        &self,
+        address: SocketAddr,
+        server: Option<&Server>,
+        handles: Vec<Handle>,
+    ) -> impl Future<Output = ()>;
 
     /// Reports to other instances that a server crashed while it ran a request with this digest.
     fn report_crash(&self, digest: u64, server: &Name);
--- a/crates/relay/src/configs.rs
+++ b/crates/relay/src/configs.rs
@@ -24,6 +24,13 @@
     pub large_result_bytes: u64,
     /// The maximum number of calls that a piece of a stage may be part of.
     pub max_piece_attempts: u32,
+    /// The longest pause that a server may ask for.
+    pub max_pause: Duration,
+    /// The longest time over which the first requests after a pause are spread; at most a quarter of the pause.
+    pub max_pause_spread: Duration,
+    /// How long the release of results waits for the end of a server's pause; results expire by themselves after some
+    /// seconds.
+    pub max_release_delay: Duration,
     /// The number of requests without failures per logged one.
     pub log_sample_interval: u64,
 }
@@ -40,6 +47,9 @@
             remote_results_penalty_ms: 60.0,
             large_result_bytes: 500_000,
             max_piece_attempts: 3,
+            max_pause: Duration::from_secs(600),
+            max_pause_spread: Duration::from_millis(500),
+            max_release_delay: Duration::from_secs(4),
             log_sample_interval: 64,
         }
     }
--- a/crates/relay/src/hub.rs
+++ b/crates/relay/src/hub.rs
@@ -9,7 +9,7 @@
     piece::{Handle, Outcome, Reason},
     scheduler::{self, Action, Batch, Context},
 };
-use mesh::{Members, Owner};
+use mesh::{Departures, Members, Owner};
 use pick::{Fleet, fleet::Completion};
 use rand::{SeedableRng, rngs::SmallRng};
 use retry::{Crashes, Window, window::Bound};
@@ -51,6 +51,8 @@
     pub crashes: Crashes,
     /// The other instances.
     pub members: Members,
+    /// Departures of servers that other instances are told.
+    pub departures: Departures,
     /// Estimates of the time to the first event and of request sizes.
     pub estimator: Estimator,
     /// The source of randomness.
@@ -121,6 +123,7 @@
                 retry_window: Window::new(bound),
                 crashes: Crashes::default(),
                 members,
+                departures: Departures::default(),
                 estimator: Estimator::default(),
                 rng: SmallRng::seed_from_u64(seed),
                 waiters: Vec::new(),
@@ -131,9 +134,13 @@
         })
     }
 
-    /// Runs a closure on the shared state.
+    /// Runs a closure on the shared state, to which the notices that arrived until now were applied.
     pub fn with<T>(&self, run: impl FnOnce(&mut State) -> T) -> T {
-        run(&mut self.state.borrow_mut())
+        let mut state = self.state.borrow_mut();
+        for notice in self.transport.take_notices() {
+            state.apply_notice(&self.settings, notice);
+        }
+        run(&mut state)
     }
 
     /// Runs pieces of one stage of a request, in calls of this instance or of the one that owns the shard.
@@ -309,10 +316,53 @@
         task::spawn_local(async move {
             time::sleep(RELEASE_DELAY).await;
             let handles = hub.with(|state| core::mem::take(&mut state.unreported));
-            hub.transport.release(handles).await;
+            hub.report_released(handles).await;
         });
     }
 
+    /// Reports released results to their servers, and to those that asked for a pause once it has ended.
+    async fn report_released(&self, mut handles: Vec<Handle>) {
+        handles.sort_by_key(|handle| handle.address);
+        while !handles.is_empty() {
+            let now = self.transport.now();
+            let mut paused = Vec::new();
+            let mut first_end = Tick::MAX;
+            for group in handles.chunk_by(|a, b| a.address == b.address) {
+                let address = group[0].address;
+                let server = self.server_at(address);
+                let end = self.with(|state| {
+                    let server = server.as_ref()?;
+                    state.fleet.paused_until(now, &server.id)
+                });
+                if let Some(end) = end {
+                    first_end = first_end.min(end);
+                    paused.extend_from_slice(group);
+                    continue;
+                }
+                self.transport
+                    .release(address, server.as_deref(), group.to_vec())
+                    .await;
+            }
+            if paused.is_empty() {
+                return;
+            }
+            if first_end - now > self.settings.max_release_delay {
+                log::info!(target: "stages", results = paused.len(); "results are left to expire; their servers asked for a longer pause");
+                return;
+            }
+            time::sleep(first_end - now).await;
+            handles = paused;
+        }
+    }
+
+    /// Returns the registered server at an address.
+    fn server_at(&self, address: core::net::SocketAddr) -> Option<Rc<Server>> {
+        self.with(|state| {
+            let mut servers = state.roster.all();
+            servers.find(|server| server.address == address).cloned()
+        })
+    }
+
     /// Sends the batches that are ready and delivers expired pieces.
     pub fn dispatch(self: &Rc<Self>) {
         let now = self.transport.now();
@@ -455,7 +505,7 @@
                 .scheduler
                 .record_completion(now, &batch.shard, &server.id, work, completion);
             if failure == Failure::Moved {
-                state.roster.mark_leaving(now, &server.id);
+                state.mark_leaving(now, &server.id, server.started_at_ms, "answer");
             }
         });
         for piece in batch.pieces {
@@ -527,11 +577,7 @@
 
     /// Returns the failure domain of the server that stores a result.
     pub(crate) fn domain_of(&self, address: core::net::SocketAddr) -> Option<Name> {
-        self.with(|state| {
-            let mut servers = state.roster.all();
-            let server = servers.find(|server| server.address == address);
-            server.map(|server| server.domain.clone())
-        })
+        self.server_at(address).map(|server| server.domain.clone())
     }
 }
 
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -15,13 +15,14 @@
 mod guard;
 pub mod hub;
 pub mod job;
+mod notices;
 pub mod policy;
 pub mod serve;
 mod stages;
 
 pub use self::{
     body::Body,
-    call::{Call, Failure, Reply, Transport},
+    call::{Call, Failure, Notice, Reply, Transport},
     hub::Hub,
     job::Job,
     serve::{Answer, Refusal},
--- /dev/null
+++ b/crates/relay/src/notices.rs
@@ -0,0 +1,59 @@
+//! Applies what servers state about themselves in the heads of their answers: departures and pauses.
+
+use core::time::Duration;
+
+use base::{Name, Tick};
+use rand::RngExt;
+
+use crate::{Job, Notice, configs::Config, hub::State};
+
+impl State {
+    /// Applies a notice to the state.
+    ///
+    /// Pauses end at slightly different times on each instance, so that their first requests don't arrive together.
+    pub(crate) fn apply_notice(&mut self, config: &Config, notice: Notice) {
+        if notice.is_leaving {
+            self.mark_leaving(
+                notice.received_at,
+                &notice.server,
+                notice.started_at_ms,
+                "answer",
+            );
+        }
+        if let Some(pause) = notice.pause {
+            let pause = pause.min(config.max_pause);
+            let spread = config.max_pause_spread.min(pause / 4);
+            let until = notice.received_at + pause + spread.mul_f64(self.rng.random::<f64>());
+            log::info!(
+                target: "servers", server:% = notice.server, pause_ms = pause.as_millis();
+                "server asked for a pause"
+            );
+            self.fleet.pause(notice.received_at, &notice.server, until);
+        }
+    }
+
+    /// Records that a run of a server announced its departure, and logs it if it is new.
+    pub fn mark_leaving(&mut self, now: Tick, server: &Name, started_at_ms: u64, source: &str) {
+        if self.roster.mark_leaving(server, started_at_ms) {
+            log::info!(target: "servers", server:% = server, source = source; "server is leaving");
+            self.departures.record(now, server, started_at_ms);
+        }
+    }
+
+    /// Returns when the first server of a pool takes requests again, if all of them asked for a pause.
+    fn pause_end(&self, now: Tick, pool: &Name) -> Option<Tick> {
+        let mut servers = self.roster.usable(now, pool).peekable();
+        servers.peek()?;
+        let ends = servers.map(|server| self.fleet.paused_until(now, &server.id));
+        ends.collect::<Option<Vec<_>>>()?.into_iter().min()
+    }
+
+    /// Returns how long a request has to wait because all servers of a pool that it needs asked for a pause.
+    pub(crate) fn pause_left<R>(&self, now: Tick, pool: &Name, job: &Job<R>) -> Option<Duration> {
+        let stages = job.route.stages.iter().zip(&job.pieces);
+        let stages = stages.filter(|(_, pieces)| **pieces > 0);
+        let pools = stages.map(|(stage, _)| &stage.pool).chain([pool]);
+        let ends = pools.filter_map(|pool| self.pause_end(now, pool));
+        ends.max().map(|end| end - now)
+    }
+}
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -166,6 +166,13 @@
     since: Tick,
 ) -> Result<Attempt<E>, Code> {
     let pool = select_pool(hub, job)?;
+    let now = hub.transport.now();
+    if hub
+        .with(|state| state.pause_left(now, &pool, job))
+        .is_some()
+    {
+        return Err(policy::final_code(attempts.may_have_run, Code::Overloaded));
+    }
     let preferred = preferred_domain(hub, job, &pool);
     let started_at = hub.transport.now();
     let mut inputs = stages::run(hub, job, preferred, since).await?;
@@ -211,9 +218,6 @@
             Ok(Ok(reply)) => {
                 attempts.reached += 1;
                 hub.with(|state| state.fleet.reachability.record_success(&server.domain));
-                if reply.is_leaving() {
-                    mark_leaving(hub, &server.id);
-                }
                 return Ok(Attempt {
                     reply,
                     guard,
@@ -232,7 +236,9 @@
         let now = hub.transport.now();
         hub.with(|state| state.record_reachability(now, &server.domain, failure));
         if failure == Failure::Moved {
-            mark_leaving(hub, &server.id);
+            hub.with(|state| {
+                state.mark_leaving(now, &server.id, server.started_at_ms, "answer");
+            });
         }
         if failure == Failure::Broken {
             record_crash(hub, job, &server.id);
@@ -379,13 +385,6 @@
     Ok(body.freeze())
 }
 
-/// Records that a server announced its departure.
-pub(crate) fn mark_leaving<E: Transport>(hub: &Rc<Hub<E>>, server: &Name) {
-    let now = hub.transport.now();
-    log::info!(target: "servers", server:% = server, source = "answer"; "server is leaving");
-    hub.with(|state| state.roster.mark_leaving(now, server));
-}
-
 /// Records that a connection broke while a server ran a request, and reports it if it is new.
 pub(crate) fn record_crash<E: Transport>(hub: &Rc<Hub<E>>, job: &Job<E::Request>, server: &Name) {
     let now = hub.transport.now();
@@ -408,7 +407,11 @@
     let retry_after = code.is_retryable().then(|| {
         let draw = hub.with(|state| state.rng.random::<f64>());
         let settings = &hub.settings;
-        let delay = settings.min_retry_after + settings.retry_after_jitter.mul_f64(draw);
+        let pause_left = select_pool(hub, job)
+            .ok()
+            .and_then(|pool| hub.with(|state| state.pause_left(now, &pool, job)));
+        let spread = settings.retry_after_jitter.mul_f64(draw);
+        let delay = pause_left.unwrap_or_default().max(settings.min_retry_after) + spread;
         if code == Code::DeadlineUnmeetable {
             let (min, max) = settings.overload_retry_share;
             delay.max(job.time_left(now).mul_f64(min + (max - min) * draw))
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -2,7 +2,11 @@
 
 #![allow(dead_code, reason = "each test file uses only a part of this module")]
 
-use core::{cell::RefCell, time::Duration};
+use core::{
+    cell::{Cell, RefCell},
+    net::SocketAddr,
+    time::Duration,
+};
 use std::{collections::VecDeque, rc::Rc, time::Instant};
 
 use base::{Name, Tick};
@@ -12,7 +16,7 @@
 };
 use bytes::Bytes;
 use mesh::{Members, Peer};
-use relay::{Call, Failure, Hub, Job, Reply, Transport, call::Results, configs::Config};
+use relay::{Call, Failure, Hub, Job, Notice, Reply, Transport, call::Results, configs::Config};
 use retry::window::Bound;
 use site::{
     Pool, Route,
@@ -22,11 +26,21 @@
 };
 
 /// The scripted reaction of a server to a request.
+#[derive(Clone)]
 pub(crate) enum Reaction {
     /// The call fails.
     Fail(Failure),
     /// The server answers with a status and chunks, the last of which may be a failure.
     Answer(u16, Vec<Result<&'static str, Failure>>),
+    /// The server states something about itself, and then reacts in another way.
+    Notice {
+        /// Whether it is leaving.
+        is_leaving: bool,
+        /// The pause that it asks for.
+        pause: Option<Duration>,
+        /// Its reaction.
+        then: Box<Reaction>,
+    },
     /// The server never answers.
     Hang,
 }
@@ -44,8 +58,13 @@
     pub(crate) reactions: RefCell<VecDeque<Reaction>>,
     pub(crate) sent: RefCell<Vec<Sent>>,
     pub(crate) batch_sizes: RefCell<Vec<usize>>,
+    /// When calls were sent to stage servers.
+    pub(crate) stage_calls: RefCell<Vec<Tick>>,
     pub(crate) released: RefCell<Vec<Handle>>,
     pub(crate) crashes: RefCell<Vec<(u64, Name)>>,
+    pub(crate) notices: RefCell<Vec<Notice>>,
+    /// The pause that a stage server asks for with its next answer, which then refuses the call.
+    pub(crate) stage_pause: Cell<Option<Duration>>,
 }
 
 pub(crate) struct Chunks(u16, VecDeque<Result<&'static str, Failure>>);
@@ -61,10 +80,6 @@
         self.0
     }
 
-    fn is_leaving(&self) -> bool {
-        false
-    }
-
     async fn chunk(&mut self) -> Result<Option<Bytes>, Failure> {
         match self.1.pop_front() {
             Some(Ok(text)) => Ok(Some(Bytes::from_static(text.as_bytes()))),
@@ -74,6 +89,18 @@
     }
 }
 
+impl Servers {
+    fn state_notice(&self, server: &Server, is_leaving: bool, pause: Option<Duration>) {
+        self.notices.borrow_mut().push(Notice {
+            server: server.id.clone(),
+            started_at_ms: server.started_at_ms,
+            received_at: self.now(),
+            is_leaving,
+            pause,
+        });
+    }
+}
+
 impl Transport for Servers {
     type Reply = Chunks;
     type Request = ();
@@ -82,17 +109,30 @@
         Tick::from_millis(1_000) + self.start.elapsed()
     }
 
+    fn take_notices(&self) -> Vec<Notice> {
+        core::mem::take(&mut *self.notices.borrow_mut())
+    }
+
     async fn send(&self, (): &(), call: Call) -> Result<Chunks, Failure> {
         self.sent.borrow_mut().push(Sent {
             server: call.server.id.clone(),
             last_event: call.last_event,
             inputs: call.inputs.len(),
         });
-        let reaction = self.reactions.borrow_mut().pop_front();
+        let mut reaction = self.reactions.borrow_mut().pop_front();
+        if let Some(Reaction::Notice {
+            is_leaving,
+            pause,
+            then,
+        }) = reaction
+        {
+            self.state_notice(&call.server, is_leaving, pause);
+            reaction = Some(*then);
+        }
         match reaction {
             Some(Reaction::Fail(failure)) => Err(failure),
             Some(Reaction::Answer(status, chunks)) => Ok(Chunks(status, chunks.into())),
-            Some(Reaction::Hang) | None => core::future::pending().await,
+            Some(Reaction::Hang | Reaction::Notice { .. }) | None => core::future::pending().await,
         }
     }
 
@@ -102,6 +142,11 @@
         pieces: &[Piece],
         _: Duration,
     ) -> Result<Results, Failure> {
+        self.stage_calls.borrow_mut().push(self.now());
+        if let Some(pause) = self.stage_pause.take() {
+            self.state_notice(server, false, Some(pause));
+            return Err(Failure::Full);
+        }
         self.batch_sizes.borrow_mut().push(pieces.len());
         tokio::time::sleep(Duration::from_millis(5)).await;
         let outcomes = pieces.iter().map(|piece| {
@@ -124,7 +169,7 @@
         Err(Failure::Unreachable)
     }
 
-    async fn release(&self, handles: Vec<Handle>) {
+    async fn release(&self, _: SocketAddr, _: Option<&Server>, handles: Vec<Handle>) {
         self.released.borrow_mut().extend(handles);
     }
 
@@ -149,8 +194,11 @@
         reactions: RefCell::new(reactions.into()),
         sent: RefCell::default(),
         batch_sizes: RefCell::default(),
+        stage_calls: RefCell::default(),
         released: RefCell::default(),
         crashes: RefCell::default(),
+        notices: RefCell::default(),
+        stage_pause: Cell::default(),
     };
     let bound = Bound {
         ratio: 0.2,
@@ -186,15 +234,18 @@
             .iter()
             .enumerate()
         {
-            state.roster.insert(Server {
-                id: format!("i-{at}").into(),
-                pool: (*pool).into(),
-                address: format!("10.0.0.{at}:80").parse().unwrap(),
-                domain: "a".into(),
-                slots: 6,
-                leaving: false,
-                started_at_ms: 0,
-            });
+            state.roster.insert(
+                Server {
+                    id: format!("i-{at}").into(),
+                    pool: (*pool).into(),
+                    address: format!("10.0.0.{at}:80").parse().unwrap(),
+                    domain: "a".into(),
+                    slots: 6,
+                    leaving: false,
+                    started_at_ms: 0,
+                },
+                1,
+            );
         }
     });
     hub
--- a/crates/site/src/roster.rs
+++ b/crates/site/src/roster.rs
@@ -34,10 +34,14 @@
 #[derive(Clone, Debug, Default)]
 pub struct Roster {
     servers: Vec<Entry>,
-    /// The incarnations that announced their departure, and when they did.
-    departed: Vec<(Name, Tick)>,
-    /// The time until which a missing entry counts as lapsed because of an outage of the store.
+    /// The runs that left, sorted by the server's id.
+    departures: Vec<Departure>,
+    /// The number of departures so far, which orders them by age.
+    departure_count: u64,
+    /// The time until which a missing entry may have lapsed although its server is live.
     lapse_grace_until: Tick,
+    /// How long such a server is still used.
+    lapse_grace: Duration,
 }
 
 #[derive(Clone, Debug)]
@@ -47,11 +51,40 @@
     expires_at: Option<Tick>,
 }
 
-/// How long the announced departure of an incarnation is remembered.
-const DEPARTURE_TTL: Duration = Duration::from_secs(120);
+/// The departure of one run of a server.
+#[derive(Clone, Debug)]
+struct Departure {
+    id: Name,
+    started_at_ms: u64,
+    number: u64,
+    evidence: Evidence,
+}
+
+/// What shows that a run of a server left.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Evidence {
+    /// The server announced it, which is final for the run.
+    Announced,
+    /// The entry was removed; the next entry of the same run shows that the server is live.
+    Unlisted,
+    /// The entry was removed before the store was restored from an older copy. An entry from that copy shows nothing:
+    /// the server is live once its entry has a higher sequence, or is still listed when the store would have removed
+    /// the entry of a silent server.
+    Restored {
+        /// The sequence of the first entry that was read from the restored store.
+        sequence: Option<u64>,
+        /// The time from which a listed server is live.
+        trusted_from: Tick,
+    },
+}
+
+/// The number of departures that are remembered; the oldest are forgotten first.
+const MAX_DEPARTURES: usize = 4_096;
 
 impl Roster {
-    /// Adds or updates a server's entry.
+    /// Adds or updates a server's entry. `sequence` counts what the server wrote during its run.
+    ///
+    /// A run that left stays so, whatever an older entry says.
     ///
     /// # Examples
     ///
@@ -68,11 +101,15 @@
     ///     started_at_ms: 0,
     /// };
     /// let mut roster = Roster::default();
-    /// roster.insert(server);
+    /// roster.insert(server, 1);
     /// assert_eq!(roster.usable(Tick::default(), &"ledger".into()).count(), 1);
     /// ```
-    pub fn insert(&mut self, mut server: Server) {
-        server.leaving |= self.departed.iter().any(|(id, _)| *id == server.id);
+    pub fn insert(&mut self, mut server: Server, sequence: u64) {
+        if server.leaving {
+            self.record_departure(&server.id, server.started_at_ms, Evidence::Announced);
+        } else {
+            server.leaving = self.has_left(&server, sequence);
+        }
         match self.find(&server.id) {
             Ok(at) => {
                 let entry = &mut self.servers[at];
@@ -94,48 +131,180 @@
         }
     }
 
+    /// Returns whether an entry that says otherwise belongs to a run that left.
+    fn has_left(&mut self, server: &Server, sequence: u64) -> bool {
+        let Ok(at) = self.find_departure(&server.id) else {
+            return false;
+        };
+        let departure = &mut self.departures[at];
+        let is_newer_run = departure.started_at_ms < server.started_at_ms;
+        let is_live = match departure.evidence {
+            _ if is_newer_run => true,
+            Evidence::Announced => false,
+            Evidence::Unlisted => true,
+            Evidence::Restored {
+                sequence: Some(restored),
+                ..
+            } => restored < sequence,
+            Evidence::Restored {
+                sequence: None,
+                trusted_from,
+            } => {
+                departure.evidence = Evidence::Restored {
+                    sequence: Some(sequence),
+                    trusted_from,
+                };
+                false
+            }
+        };
+        if is_live {
+            self.departures.remove(at);
+        }
+        !is_live
+    }
+
     /// Records that a server's entry is gone, and returns whether the server is still used.
     ///
-    /// An entry that disappears around an outage of the store may have lapsed although the server
-    /// is live, so the server is used for another [`LAPSE_GRACE`].
+    /// An entry that disappears around an outage of the store, or is missing from a restored store, may have lapsed
+    /// although the server is live, so the server is used for a grace period.
     pub fn remove(&mut self, now: Tick, id: &Name) -> bool {
         let Ok(at) = self.find(id) else {
             return false;
         };
         if now < self.lapse_grace_until && !self.servers[at].server.leaving {
-            self.servers[at].expires_at.get_or_insert(now + LAPSE_GRACE);
+            let end = now + self.lapse_grace;
+            self.servers[at].expires_at.get_or_insert(end);
             return true;
         }
-        self.servers.remove(at);
+        let entry = self.servers.remove(at);
+        self.record_unlisted(&entry.server);
         false
     }
 
     /// Records that the store answers again after an outage.
     pub fn record_store_recovery(&mut self, now: Tick) {
-        self.lapse_grace_until = now + LAPSE_GRACE;
+        self.set_grace(now, LAPSE_GRACE);
+    }
+
+    /// Records that the store was restored from an older copy. Servers that the copy lacks have `grace` to write their
+    /// entry again, and the copy's entries don't bring back servers that left. The store removes the entries of silent
+    /// servers within `grace`.
+    pub fn record_store_restored(&mut self, now: Tick, grace: Duration) {
+        self.set_grace(now, grace);
+        for departure in &mut self.departures {
+            departure.evidence = match departure.evidence {
+                Evidence::Announced => Evidence::Announced,
+                Evidence::Unlisted | Evidence::Restored { .. } => Evidence::Restored {
+                    sequence: None,
+                    trusted_from: now + grace * 2,
+                },
+            };
+        }
     }
 
-    /// Records that a server announced its departure, which an older entry doesn't undo.
-    pub fn mark_leaving(&mut self, now: Tick, id: &Name) {
+    fn set_grace(&mut self, now: Tick, grace: Duration) {
+        let until = now + grace;
+        if until > self.lapse_grace_until {
+            self.lapse_grace_until = until;
+            self.lapse_grace = grace;
+        }
+    }
+
+    /// Records that a run of a server announced its departure, and returns whether that is new. An older entry doesn't
+    /// undo it; an entry with a later start time does.
+    pub fn mark_leaving(&mut self, id: &Name, started_at_ms: u64) -> bool {
         if let Ok(at) = self.find(id) {
             let entry = &mut self.servers[at];
+            if entry.server.started_at_ms > started_at_ms {
+                // The announcement is from an earlier run.
+                return false;
+            }
             entry.server = Rc::new(Server {
                 leaving: true,
                 ..Server::clone(&entry.server)
             });
         }
-        self.departed
-            .retain(|(_, since)| now - *since < DEPARTURE_TTL);
-        self.departed.push((id.clone(), now));
+        self.record_departure(id, started_at_ms, Evidence::Announced)
     }
 
-    /// Removes the servers that didn't register again within [`LAPSE_GRACE`], and returns their ids.
+    /// Removes the servers that didn't register again within the grace period, and returns their ids.
     pub fn remove_lapsed(&mut self, now: Tick) -> Vec<Name> {
+        self.trust_restored(now);
         let is_expired = |entry: &Entry| entry.expires_at.is_some_and(|until| until <= now);
-        let expired = self.servers.iter().filter(|entry| is_expired(entry));
-        let ids = expired.map(|entry| entry.server.id.clone()).collect();
-        self.servers.retain(|entry| !is_expired(entry));
-        ids
+        let (expired, kept) = core::mem::take(&mut self.servers)
+            .into_iter()
+            .partition::<Vec<_>, _>(is_expired);
+        self.servers = kept;
+        for entry in &expired {
+            self.record_unlisted(&entry.server);
+        }
+        let ids = expired.iter().map(|entry| entry.server.id.clone());
+        ids.collect()
+    }
+
+    /// Uses the servers again that left before the store was restored and are still listed long after.
+    fn trust_restored(&mut self, now: Tick) {
+        let is_trusted = |departure: &Departure| matches!(departure.evidence, Evidence::Restored { trusted_from, .. } if trusted_from <= now);
+        if !self.departures.iter().any(is_trusted) {
+            return;
+        }
+        let (trusted, kept) = core::mem::take(&mut self.departures)
+            .into_iter()
+            .partition::<Vec<_>, _>(is_trusted);
+        self.departures = kept;
+        for departure in trusted {
+            if let Ok(at) = self.find(&departure.id) {
+                let entry = &mut self.servers[at];
+                entry.server = Rc::new(Server {
+                    leaving: false,
+                    ..Server::clone(&entry.server)
+                });
+            }
+        }
+    }
+
+    fn record_unlisted(&mut self, server: &Server) {
+        let evidence = if server.leaving {
+            Evidence::Announced
+        } else {
+            Evidence::Unlisted
+        };
+        self.record_departure(&server.id, server.started_at_ms, evidence);
+    }
+
+    /// Records a departure, and returns whether it was unknown. An announcement replaces weaker evidence.
+    fn record_departure(&mut self, id: &Name, started_at_ms: u64, evidence: Evidence) -> bool {
+        let departure = Departure {
+            id: id.clone(),
+            started_at_ms,
+            number: self.departure_count,
+            evidence,
+        };
+        match self.find_departure(id) {
+            Ok(at) => {
+                let known = &self.departures[at];
+                let is_announced = known.evidence == Evidence::Announced;
+                if known.started_at_ms > started_at_ms
+                    || (known.started_at_ms == started_at_ms && is_announced)
+                {
+                    return false;
+                }
+                self.departures[at] = departure;
+            }
+            Err(at) => self.departures.insert(at, departure),
+        }
+        self.departure_count += 1;
+        if self.departures.len() > MAX_DEPARTURES {
+            let oldest = self.departure_count - MAX_DEPARTURES as u64;
+            self.departures
+                .retain(|departure| departure.number >= oldest);
+        }
+        true
+    }
+
+    fn find_departure(&self, id: &Name) -> Result<usize, usize> {
+        self.departures
+            .binary_search_by(|departure| departure.id.cmp(id))
     }
 
     /// Returns the servers of a pool that may get new work.
