--- a/crates/mesh/src/members.rs
+++ b/crates/mesh/src/members.rs
@@ -59,6 +59,8 @@
     /// When it last answered, or was first relied on after a time without heartbeats.
     last_answer: Option<Tick>,
     is_lost: bool,
+    /// Whether it announced that it is stopping; it takes no new tasks and finishes those that it has.
+    is_leaving: bool,
     /// When the next heartbeat is due.
     next_heartbeat: Tick,
     /// When it was last relied on, or would have been if it were live.
@@ -122,9 +124,17 @@
         let was_lost = state.is_lost || state.last_answer.is_none();
         state.last_answer = Some(now);
         state.is_lost = false;
+        state.is_leaving = false;
         was_lost
     }
 
+    /// Records that an instance announced that it is stopping.
+    pub fn mark_leaving(&mut self, name: &Name) {
+        if let Ok(at) = self.find(name) {
+            self.peers[at].is_leaving = true;
+        }
+    }
+
     /// Records that a call to an instance failed, and returns whether it was live before.
     pub fn mark_lost(&mut self, name: &Name) -> bool {
         let Ok(at) = self.find(name) else {
@@ -167,6 +177,16 @@
         self.peers.len() >= self.config.full_mesh_limit
     }
 
+    /// Returns whether an instance is unreachable, so that it won't finish the work that it has. An instance that is
+    /// stopping, or was removed for it, finishes its work unless a call to it fails.
+    pub fn is_unreachable(&self, now: Tick, name: &Name) -> bool {
+        let Ok(at) = self.find(name) else {
+            return false;
+        };
+        let state = &self.peers[at];
+        state.is_lost || !state.is_leaving && !self.is_peer_live(now, state)
+    }
+
     /// Returns whether an instance is live.
     pub fn is_live(&self, now: Tick, name: &Name) -> bool {
         *name == self.local.name
@@ -270,6 +290,7 @@
     fn is_peer_live(&self, now: Tick, state: &PeerState) -> bool {
         let limit = self.heartbeat_interval() * self.config.max_missed_heartbeats;
         !state.is_lost
+            && !state.is_leaving
             && state
                 .last_answer
                 .is_some_and(|last_answer| now - last_answer < limit)
@@ -287,6 +308,7 @@
             peer,
             last_answer: None,
             is_lost: false,
+            is_leaving: false,
             next_heartbeat: Tick::from_micros(0),
             last_used: None,
         }
--- a/crates/mesh/tests/members.rs
+++ b/crates/mesh/tests/members.rs
@@ -236,3 +236,34 @@
         expect_that!(heartbeats / 10, le(80), "{}", peers.len());
     }
 }
+
+#[gtest]
+fn an_instance_that_is_stopping_takes_no_new_task_but_finishes_its_work() {
+    let now = Tick::from_millis(10);
+    let mut members = members("a", &["b"], now);
+    let name = Name::from("b");
+    members.mark_leaving(&name);
+    expect_that!(
+        owner_name(&mut members, now, "a", "portfolio"),
+        eq(&Name::from("a"))
+    );
+    expect_that!(members.is_live(now, &name), eq(false));
+    // It gets no more heartbeats after a while.
+    let later = now + Duration::from_secs(6);
+    expect_that!(members.is_unreachable(later, &name), eq(false));
+    members.remove(&name);
+    expect_that!(members.is_unreachable(later, &name), eq(false));
+}
+
+#[gtest]
+fn an_instance_that_fails_while_it_is_stopping_is_unreachable() {
+    let now = Tick::from_millis(10);
+    let mut members = members("a", &["b", "c"], now);
+    members.mark_leaving(&"b".into());
+    members.mark_lost(&"b".into());
+    expect_that!(members.is_unreachable(now, &"b".into()), eq(true));
+    let config = Config::default();
+    let limit = config.heartbeat_interval * config.max_missed_heartbeats;
+    expect_that!(members.is_unreachable(now, &"c".into()), eq(false));
+    expect_that!(members.is_unreachable(now + limit, &"c".into()), eq(true));
+}
--- a/crates/relay/src/hub.rs
+++ b/crates/relay/src/hub.rs
@@ -219,10 +219,10 @@
         })
     }
 
-    /// Returns once an instance is no longer live.
+    /// Returns once an instance is unreachable.
     async fn wait_until_lost(&self, peer: &Name) {
         const POLL_INTERVAL: Duration = Duration::from_millis(100);
-        while self.with(|state| state.members.is_live(self.transport.now(), peer)) {
+        while !self.with(|state| state.members.is_unreachable(self.transport.now(), peer)) {
             time::sleep(POLL_INTERVAL).await;
         }
     }
