--- a/crates/relay/src/hub.rs
+++ b/crates/relay/src/hub.rs
@@ -18,9 +18,6 @@
 
 use crate::{Failure, Transport, call::Results, configs, estimate::Estimator};
 
-/// How long released results are collected, so that few calls report them to their servers.
-const RELEASE_DELAY: Duration = Duration::from_millis(10);
-
 /// The shortest delay of a wakeup; timers fire slightly late anyway.
 const MIN_WAKEUP_DELAY: Duration = Duration::from_millis(2);
 
@@ -60,7 +57,7 @@
     waiters: Vec<Waiter>,
     next_ticket: u64,
     /// Released results that are not yet reported to their servers.
-    unreported: Vec<Handle>,
+    pub(crate) unreported: Vec<Handle>,
     /// The time of the earliest scheduled wakeup.
     next_wakeup: Option<Tick>,
 }
@@ -271,98 +268,6 @@
             .collect()
     }
 
-    /// Releases results in the background, through the instances that own the shards of their servers.
-    pub fn release(self: &Rc<Self>, mut handles: Vec<Handle>) {
-        let now = self.transport.now();
-        handles.sort_by_key(|handle| handle.address);
-        for group in handles.chunk_by(|a, b| a.address == b.address) {
-            let group = group.to_vec();
-            let owner = self.with(|state| {
-                let mut servers = state.roster.all();
-                let server = servers.find(|server| server.address == group[0].address)?;
-                match state.members.owner(now, &server.pool, &server.domain) {
-                    Owner::Peer(peer) => Some(peer),
-                    Owner::Local | Owner::Unavailable => None,
-                }
-            });
-            let hub = self.clone();
-            task::spawn_local(async move {
-                if let Some(peer) = owner {
-                    match hub.transport.delegate_release(&peer, &group).await {
-                        Ok(()) => return,
-                        Err(failure) => {
-                            log::debug!(target: "peers", peer:% = peer.name, cause:% = failure; "instance unreachable; releasing results directly");
-                        }
-                    }
-                }
-                hub.queue_release(group);
-            });
-        }
-    }
-
-    /// Queues the release of results on servers of this instance's shards, and reports several in one call.
-    pub fn queue_release(self: &Rc<Self>, handles: Vec<Handle>) {
-        let is_first = self.with(|state| {
-            state.scheduler.record_released(&handles);
-            let is_first = state.unreported.is_empty();
-            state.unreported.extend(handles);
-            is_first
-        });
-        self.dispatch();
-        if !is_first {
-            return;
-        }
-        let hub = self.clone();
-        task::spawn_local(async move {
-            time::sleep(RELEASE_DELAY).await;
-            let handles = hub.with(|state| core::mem::take(&mut state.unreported));
-            hub.report_released(handles).await;
-        });
-    }
-
-    /// Reports released results to their servers, and to those that asked for a pause once it has ended.
-    async fn report_released(&self, mut handles: Vec<Handle>) {
-        handles.sort_by_key(|handle| handle.address);
-        while !handles.is_empty() {
-            let now = self.transport.now();
-            let mut paused = Vec::new();
-            let mut first_end = Tick::MAX;
-            for group in handles.chunk_by(|a, b| a.address == b.address) {
-                let address = group[0].address;
-                let server = self.server_at(address);
-                let end = self.with(|state| {
-                    let server = server.as_ref()?;
-                    state.fleet.paused_until(now, &server.id)
-                });
-                if let Some(end) = end {
-                    first_end = first_end.min(end);
-                    paused.extend_from_slice(group);
-                    continue;
-                }
-                self.transport
-                    .release(address, server.as_deref(), group.to_vec())
-                    .await;
-            }
-            if paused.is_empty() {
-                return;
-            }
-            if first_end - now > self.settings.max_release_delay {
-                log::info!(target: "stages", results = paused.len(); "results are left to expire; their servers asked for a longer pause");
-                return;
-            }
-            time::sleep(first_end - now).await;
-            handles = paused;
-        }
-    }
-
-    /// Returns the registered server at an address.
-    fn server_at(&self, address: core::net::SocketAddr) -> Option<Rc<Server>> {
-        self.with(|state| {
-            let mut servers = state.roster.all();
-            servers.find(|server| server.address == address).cloned()
-        })
-    }
-
     /// Sends the batches that are ready and delivers expired pieces.
     pub fn dispatch(self: &Rc<Self>) {
         let now = self.transport.now();
@@ -574,11 +479,6 @@
             self.release(vec![handle]);
         }
     }
-
-    /// Returns the failure domain of the server that stores a result.
-    pub(crate) fn domain_of(&self, address: core::net::SocketAddr) -> Option<Name> {
-        self.server_at(address).map(|server| server.domain.clone())
-    }
 }
 
 impl State {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod job;
 mod notices;
 pub mod policy;
+mod release;
 pub mod serve;
 mod stages;
 
--- /dev/null
+++ b/crates/relay/src/release.rs
@@ -0,0 +1,114 @@
+//! Releases the results of stages on the servers that store them.
+
+use core::{net::SocketAddr, time::Duration};
+use std::rc::Rc;
+
+use base::{Name, Tick};
+use batch::piece::Handle;
+use mesh::Owner;
+use site::roster::Server;
+use tokio::{task, time};
+
+use crate::{Hub, Transport};
+
+/// How long released results are collected, so that few calls report them to their servers.
+const RELEASE_DELAY: Duration = Duration::from_millis(10);
+
+impl<E: Transport> Hub<E> {
+    /// Releases results in the background, through the instances that own the shards of their servers.
+    pub fn release(self: &Rc<Self>, mut handles: Vec<Handle>) {
+        let now = self.transport.now();
+        handles.sort_by_key(|handle| handle.address);
+        for group in handles.chunk_by(|a, b| a.address == b.address) {
+            let group = group.to_vec();
+            let owner = self.with(|state| {
+                let mut servers = state.roster.all();
+                let server = servers.find(|server| server.address == group[0].address)?;
+                match state.members.owner(now, &server.pool, &server.domain) {
+                    Owner::Peer(peer) => Some(peer),
+                    Owner::Local | Owner::Unavailable => None,
+                }
+            });
+            let hub = self.clone();
+            task::spawn_local(async move {
+                if let Some(peer) = owner {
+                    match hub.transport.delegate_release(&peer, &group).await {
+                        Ok(()) => return,
+                        Err(failure) => {
+                            log::debug!(target: "peers", peer:% = peer.name, cause:% = failure; "instance unreachable; releasing results directly");
+                        }
+                    }
+                }
+                hub.queue_release(group);
+            });
+        }
+    }
+
+    /// Queues the release of results on servers of this instance's shards, and reports several in one call.
+    pub fn queue_release(self: &Rc<Self>, handles: Vec<Handle>) {
+        let is_first = self.with(|state| {
+            state.scheduler.record_released(&handles);
+            let is_first = state.unreported.is_empty();
+            state.unreported.extend(handles);
+            is_first
+        });
+        self.dispatch();
+        if !is_first {
+            return;
+        }
+        let hub = self.clone();
+        task::spawn_local(async move {
+            time::sleep(RELEASE_DELAY).await;
+            let handles = hub.with(|state| core::mem::take(&mut state.unreported));
+            hub.report_released(handles).await;
+        });
+    }
+
+    /// Reports released results to their servers, and to those that asked for a pause once it has ended.
+    async fn report_released(&self, mut handles: Vec<Handle>) {
+        handles.sort_by_key(|handle| handle.address);
+        while !handles.is_empty() {
+            let now = self.transport.now();
+            let mut paused = Vec::new();
+            let mut first_end = Tick::MAX;
+            for group in handles.chunk_by(|a, b| a.address == b.address) {
+                let address = group[0].address;
+                let server = self.server_at(address);
+                let end = self.with(|state| {
+                    let server = server.as_ref()?;
+                    state.fleet.paused_until(now, &server.id)
+                });
+                if let Some(end) = end {
+                    first_end = first_end.min(end);
+                    paused.extend_from_slice(group);
+                    continue;
+                }
+                self.transport
+                    .release(address, server.as_deref(), group.to_vec())
+                    .await;
+            }
+            if paused.is_empty() {
+                return;
+            }
+            if first_end - now > self.settings.max_release_delay {
+                log::info!(target: "stages", results = paused.len(); "results are left to expire; their servers asked for a longer pause");
+                return;
+            }
+            time::sleep(first_end - now).await;
+            handles = paused;
+        }
+    }
+
+    /// Returns the registered server at an address.
+    fn server_at(&self, address: SocketAddr) -> Option<Rc<Server>> {
+        self.with(|state| {
+            let mut servers = state.roster.all();
+            servers.find(|server| server.address == address).cloned()
+        })
+    }
+
+    /// Returns the failure domain of the server that stores a result.
+    pub(crate) fn domain_of(&self, address: SocketAddr) -> Option<Name> {
+        self.server_at(address).map(|server| server.domain.clone())
+    }
+}
