--- a/crates/mesh/tests/store_load.rs
+++ b/crates/mesh/tests/store_load.rs
@@ -6,7 +6,7 @@
 
 use base::Tick;
 use googletest::prelude::*;
-use mesh::{Config, Members, Peer, Reader, configs, reader::Role};
+use mesh::{Config, Departures, Members, Peer, Reader, configs, reader::Role};
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
 
 const DOMAINS: usize = 6;
@@ -55,6 +55,9 @@
     backoffs: [Duration; 4],
     /// The time as of which the node knows the store.
     known_at: Tick,
+    departures: Departures,
+    /// When the node learned that the server left.
+    learned_at: Option<Tick>,
 }
 
 struct Simulation {
@@ -95,6 +98,8 @@
                 next_reads: [now; 4],
                 backoffs: [Duration::from_millis(60); 4],
                 known_at: now,
+                departures: Departures::default(),
+                learned_at: None,
             }
         });
         Self {
@@ -194,6 +199,12 @@
             self.lost.push((at, peer.name.clone(), now + timeout));
             return;
         }
+        // Both messages of an exchange pass on departures.
+        for (from, to) in [(at, other), (other, at)] {
+            if self.nodes[from].departures.recent(now).next().is_some() {
+                self.learn(to);
+            }
+        }
         let is_reading = self.nodes[other].role == Role::Read;
         let age = self.nodes[other]
             .reader
@@ -210,6 +221,15 @@
         }
     }
 
+    /// Lets a node learn that a server left.
+    fn learn(&mut self, at: usize) {
+        let node = &mut self.nodes[at];
+        if node.learned_at.is_none() {
+            node.learned_at = Some(self.now);
+            node.departures.record(self.now, &"i-1".into(), 7);
+        }
+    }
+
     /// Returns the calls in a period.
     fn calls_during(&mut self, time: Duration) -> usize {
         let before = self.calls;
@@ -323,3 +343,27 @@
     // Their first attempts are spread.
     expect_that!(simulation.readers(0).len(), eq(46));
 }
+
+#[gtest]
+fn a_departure_that_one_instance_learns_reaches_its_domain_in_time() {
+    for fault in [Fault::None, Fault::Dead, Fault::CutFromStore] {
+        let mut simulation = Simulation::new(49);
+        simulation.run(Duration::from_secs(5));
+        let reader = simulation.readers(0)[0];
+        simulation.nodes[reader].fault = fault;
+        let start = simulation.now;
+        // One of the instances that read nothing themselves.
+        simulation.learn(40);
+        simulation.run(DRAIN_TIME);
+        let nodes = simulation.nodes.iter();
+        let live = nodes.filter(|node| node.domain == 0 && node.fault != Fault::Dead);
+        let times: Vec<_> = live
+            .map(|node| node.learned_at.map(|at| at - start))
+            .collect();
+        println!(
+            "{fault:?}: learned by all after {:?}",
+            times.iter().flatten().max()
+        );
+        expect_that!(times, each(some(lt(&DRAIN_TIME))), "{fault:?}");
+    }
+}
