An instance that reaches no candidate reads the store itself

Change: candidates that answer but cannot read are told from candidates that don't answer; without any that answers, an instance reads after at most 0.8 s.

--- a/crates/mesh/src/configs.rs
+++ b/crates/mesh/src/configs.rs
@@ -42,6 +42,8 @@
     pub max_age: Duration,
     /// The failed reads in a row after which a reader follows a successor.
     pub max_failures: u32,
+    /// The time over which instances that no candidate answers start to read the store themselves.
+    pub max_alone_delay: Duration,
     /// The number of instances of a failure domain from which the two delays below are stretched by their number.
     pub probing_instances: usize,
     /// The time over which the first attempts of the other instances are spread if no candidate reads the store.
@@ -56,6 +58,7 @@
             candidates: 3,
             max_age: Duration::from_millis(1_900),
             max_failures: 2,
+            max_alone_delay: Duration::from_millis(800),
             probing_instances: 16,
             min_probe_delay: Duration::from_secs(3),
             max_probe_delay: Duration::from_secs(16),
--- a/crates/mesh/src/reader.rs
+++ b/crates/mesh/src/reader.rs
@@ -2,8 +2,9 @@
 //!
 //! In a deployment of cells, calls to the store must not grow with the number of instances. The first instances of a
 //! failure domain, by the order of [`Members::candidates`], are its reader and the reader's successors. An instance
-//! follows the first of them that answers and has read the store recently. If none has, only the successors and, after a
-//! random delay, the other instances try the store themselves.
+//! follows the first of them that answers and has read the store recently. If they answer but none has, the store is
+//! probably out of reach for all, so only the successors and, after a long random delay, the other instances try it. If none
+//! of them answers, the instance is cut off or all of them failed, so it soon reads the store itself.
 
 use core::time::Duration;
 
@@ -47,6 +48,8 @@
     succeeded_at: Option<Tick>,
     /// The failed reads since then.
     failures: u32,
+    /// When the local instance reads the store because no candidate answers.
+    alone_from: Option<Tick>,
     /// When the local instance next tries the store although it is no successor.
     next_probe: Option<Tick>,
     probe_delay: Duration,
@@ -79,6 +82,7 @@
             read_at: None,
             succeeded_at: None,
             failures: 0,
+            alone_from: None,
             next_probe: None,
         }
     }
@@ -138,14 +142,17 @@
             return Role::Read;
         }
         let mut is_successor = false;
+        let mut is_answered = false;
         for candidate in members.candidates(now, &READ_TASK.into(), self.config.candidates) {
             match candidate {
                 Candidate::Local if self.is_failing() => is_successor = true,
                 Candidate::Local => return Role::Read,
                 Candidate::Peer { peer, is_live } => {
                     members.monitor(now, &peer.name);
+                    is_answered |= is_live;
                     if is_live && self.may_read(now, &peer.name) {
                         self.next_probe = None;
+                        self.alone_from = None;
                         return Role::Follow {
                             reader: peer,
                             is_probing: is_successor,
@@ -161,6 +168,15 @@
         if succeeded_at.is_some_and(|at| now - at < self.config.max_age) {
             return Role::Read;
         }
+        if is_answered {
+            self.alone_from = None;
+        } else {
+            let delay = self.config.max_alone_delay.mul_f64(draw);
+            let alone_from = *self.alone_from.get_or_insert(now + delay);
+            if alone_from <= now {
+                return Role::Read;
+            }
+        }
         // The attempts of a failure domain don't grow with its instances.
         let share = members.domain_count() as f64 / self.config.probing_instances as f64;
         let delay = |delay: Duration| delay.mul_f64(share.max(1.0));
--- a/crates/mesh/tests/store_load.rs
+++ b/crates/mesh/tests/store_load.rs
@@ -41,6 +41,8 @@
     Dead,
     /// It doesn't reach the store.
     CutFromStore,
+    /// It reaches the store, but no other instance.
+    CutFromPeers,
     /// Its reads take three seconds.
     Slow,
 }
@@ -194,7 +196,8 @@
     fn exchange(&mut self, at: usize, peer: &Peer) {
         let now = self.now;
         let other = self.indices[&peer.name];
-        if self.nodes[other].fault == Fault::Dead {
+        let is_cut = |at: usize| self.nodes[at].fault == Fault::CutFromPeers;
+        if self.nodes[other].fault == Fault::Dead || is_cut(at) || is_cut(other) {
             let timeout = self.nodes[at].members.heartbeat_timeout();
             self.lost.push((at, peer.name.clone(), now + timeout));
             return;
@@ -367,3 +370,27 @@
         expect_that!(times, each(some(lt(&DRAIN_TIME))), "{fault:?}");
     }
 }
+
+#[gtest]
+fn instances_that_reach_no_candidate_but_the_store_read_it_themselves() {
+    let mut simulation = Simulation::new(49);
+    simulation.run(Duration::from_secs(5));
+    let cut = 30..47;
+    for at in cut.clone() {
+        simulation.nodes[at].fault = Fault::CutFromPeers;
+    }
+    let mut worst = Duration::ZERO;
+    for _ in 0..120 {
+        simulation.run(STEP);
+        for node in &simulation.nodes[cut.clone()] {
+            worst = worst.max(simulation.now - node.known_at);
+        }
+    }
+    println!("what a cut instance knows is at most {worst:?} old");
+    expect_that!(worst, lt(DRAIN_TIME));
+    for at in cut {
+        simulation.nodes[at].fault = Fault::None;
+    }
+    simulation.run(Duration::from_secs(5));
+    expect_that!(simulation.readers(0).len(), eq(1));
+}
