Relay: log how long a stream's server was silent and why it ended

Cause: `stream could not be resumed` told no reason, so a spent retry budget, a route without further attempts and a refusing server looked alike, and `stream interrupted` did not tell a silent server from one that broke off late. Change: `silent_ms` and `cause`; no decision changed.

--- a/crates/relay/src/body.rs
+++ b/crates/relay/src/body.rs
@@ -3,6 +3,7 @@
 use core::time::Duration;
 use std::rc::Rc;
 
+use base::{Code, Tick};
 use bytes::Bytes;
 use pick::fleet::Completion;
 use tokio::time;
@@ -21,6 +22,8 @@
     attempt: Option<Attempt<E>>,
     attempts: Attempts,
     events: Splitter,
+    /// When bytes of the answer last arrived.
+    last_bytes_at: Tick,
     is_finished: bool,
 }
 
@@ -33,6 +36,7 @@
     ) -> Self {
         Self {
             hub: hub.clone(),
+            last_bytes_at: hub.transport.now(),
             events: Splitter::resume_after(job.last_event),
             job,
             attempt: Some(attempt),
@@ -58,6 +62,7 @@
             };
             let failure = match time::timeout(timeout, attempt.reply.chunk()).await {
                 Ok(Ok(Some(bytes))) => {
+                    self.last_bytes_at = self.hub.transport.now();
                     let events = self.events.push(&bytes);
                     self.record_first_bytes();
                     if events.is_empty() {
@@ -134,7 +139,8 @@
             let server = attempt.guard.server.clone();
             log::info!(
                 target: "relay", request:% = self.job.id, server:% = server.id, cause:% = failure,
-                after = last_event.unwrap_or(0), age_ms = (now - self.job.arrived_at).as_millis();
+                after = last_event.unwrap_or(0), age_ms = (now - self.job.arrived_at).as_millis(),
+                silent_ms = (now - self.last_bytes_at).as_millis();
                 "stream interrupted"
             );
             attempt.guard.finish(completion_of(failure));
@@ -145,7 +151,7 @@
         self.events.discard_partial();
         self.attempts
             .check_retry(&self.hub, &self.job, failure)
-            .map_err(|_code| Failure::Broken)?;
+            .map_err(|code| self.fail(last_event, code.title()))?;
         let time_left = self.job.event_deadline(now) - now;
         let sent = serve::send_attempt(&self.hub, &self.job, &mut self.attempts, last_event, now);
         match time::timeout(time_left, sent).await {
@@ -155,16 +161,22 @@
                     server:% = attempt.guard.server.id, after = last_event.unwrap_or(0);
                     "stream resumed on another server"
                 );
+                self.last_bytes_at = self.hub.transport.now();
                 self.attempt = Some(attempt);
                 Ok(())
             }
-            _ => {
-                log::warn!(
-                    target: "relay", request:% = self.job.id, after = last_event.unwrap_or(0);
-                    "stream could not be resumed"
-                );
-                Err(Failure::Broken)
-            }
+            Ok(Ok(_)) => Err(self.fail(last_event, "the next server answered with a failure")),
+            Ok(Err(code)) => Err(self.fail(last_event, code.title())),
+            Err(_) => Err(self.fail(last_event, Code::DeadlinePassed.title())),
         }
     }
+
+    /// Logs why the stream ends before it is complete, and returns the failure that its caller sees.
+    fn fail(&self, last_event: Option<u64>, cause: &str) -> Failure {
+        log::warn!(
+            target: "relay", request:% = self.job.id, after = last_event.unwrap_or(0), cause:% = cause;
+            "stream could not be resumed"
+        );
+        Failure::Broken
+    }
 }
