--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -7,7 +7,7 @@
     net::SocketAddr,
     time::Duration,
 };
-use std::{collections::VecDeque, rc::Rc, time::Instant};
+use std::{collections::VecDeque, rc::Rc};
 
 use base::{Name, Tick};
 use batch::{
@@ -24,6 +24,7 @@
     roster::Server,
     route::{Kind, Rank},
 };
+use tokio::time::{self, Instant};
 
 /// The scripted reaction of a server to a request.
 #[derive(Clone)]
@@ -41,6 +42,13 @@
         /// Its reaction.
         then: Box<Reaction>,
     },
+    /// The server answers with pauses.
+    Slow {
+        /// The time until the head arrives.
+        head_delay: Duration,
+        /// The chunks of an answer with status 200, and the silence before each.
+        chunks: Vec<(Duration, Result<&'static str, Failure>)>,
+    },
     /// The server never answers.
     Hang,
 }
@@ -67,23 +75,49 @@
     pub(crate) stage_pause: Cell<Option<Duration>>,
 }
 
-pub(crate) struct Chunks(u16, VecDeque<Result<&'static str, Failure>>);
+pub(crate) struct Chunks {
+    status: u16,
+    /// The chunks and the silence before each.
+    chunks: VecDeque<(Duration, Result<&'static str, Failure>)>,
+    /// When the next chunk arrives, once it is awaited.
+    next_at: Option<Instant>,
+}
+
+impl Chunks {
+    fn new(status: u16, chunks: Vec<(Duration, Result<&'static str, Failure>)>) -> Self {
+        Self {
+            status,
+            chunks: chunks.into(),
+            next_at: None,
+        }
+    }
+}
 
 impl Reply for Chunks {
     type Head = u16;
 
     fn head(&self) -> u16 {
-        self.0
+        self.status
     }
 
     fn status(&self) -> u16 {
-        self.0
+        self.status
     }
 
     async fn chunk(&mut self) -> Result<Option<Bytes>, Failure> {
-        match self.1.pop_front() {
-            Some(Ok(text)) => Ok(Some(Bytes::from_static(text.as_bytes()))),
-            Some(Err(failure)) => Err(failure),
+        if let Some((silence, _)) = self.chunks.front()
+            && !silence.is_zero()
+        {
+            // The silence goes on while nobody awaits the chunk.
+            let at = *self
+                .next_at
+                .get_or_insert_with(|| Instant::now() + *silence);
+            time::sleep_until(at).await;
+        }
+        self.next_at = None;
+        match self.chunks.pop_front() {
+            Some((_, Ok(text))) => Ok(Some(Bytes::from_static(text.as_bytes()))),
+            Some((_, Err(failure))) => Err(failure),
             None => Ok(None),
         }
     }
@@ -131,7 +165,14 @@
         }
         match reaction {
             Some(Reaction::Fail(failure)) => Err(failure),
-            Some(Reaction::Answer(status, chunks)) => Ok(Chunks(status, chunks.into())),
+            Some(Reaction::Answer(status, chunks)) => {
+                let chunks = chunks.into_iter().map(|chunk| (Duration::ZERO, chunk));
+                Ok(Chunks::new(status, chunks.collect()))
+            }
+            Some(Reaction::Slow { head_delay, chunks }) => {
+                time::sleep(head_delay).await;
+                Ok(Chunks::new(200, chunks))
+            }
             Some(Reaction::Hang | Reaction::Notice { .. }) | None => core::future::pending().await,
         }
     }
@@ -148,7 +189,7 @@
             return Err(Failure::Full);
         }
         self.batch_sizes.borrow_mut().push(pieces.len());
-        tokio::time::sleep(Duration::from_millis(5)).await;
+        time::sleep(Duration::from_millis(5)).await;
         let outcomes = pieces.iter().map(|piece| {
             Outcome::Result(Handle {
                 address: server.address,
