A silent server is left only once another one has answered

Seen by callers: a request that had been read whole got neither an answer nor a refusal; its stream ended in the middle, and repeatable requests got a 502, though their server was sound and went on a second later. Cause: silence was taken for a failure. After four event gaps (0.8 s) within a stream, or one objective before the head, the connection was dropped first; only then were the retry budget, the route's attempts, the servers left and the next server's answer looked at, and each of them could say no. The others there guard the other side: a hung server is left within the caller's patience, no two engines work on a stream, and a call that may run once waits. Change: a silent attempt stays open. Another server is tried beside it only if policy, budget and the list of servers allow it; the silent one is left when the other one's head has arrived, and goes on if the other one refuses, breaks off or is silent in its turn. Once a stream was sent to another engine, the silent one counts only after that, since two must not run it. Within a stream the limit is 2 s, or half of the caller's patience if that is shorter.

--- a/crates/relay/src/body.rs
+++ b/crates/relay/src/body.rs
@@ -1,6 +1,6 @@
 //! Event streams that resume on another server after a failure.
 
-use core::time::Duration;
+use core::{pin::pin, time::Duration};
 use std::rc::Rc;
 
 use base::{Code, Tick};
@@ -12,6 +12,7 @@
     Failure, Hub, Job, Reply, Transport,
     events::Splitter,
     hub::completion_of,
+    policy,
     serve::{self, Attempt, Attempts},
 };
 
@@ -55,40 +56,104 @@
             if self.is_finished {
                 return Ok(None);
             }
-            let time_left = self.job.time_left(self.hub.transport.now());
-            let timeout = time_left.min(self.silence_timeout());
-            let Some(attempt) = &mut self.attempt else {
-                return Err(Failure::Broken);
-            };
-            let failure = match time::timeout(timeout, attempt.reply.chunk()).await {
-                Ok(Ok(Some(bytes))) => {
+            match self.next_chunk().await {
+                Ok(Some(bytes)) => {
                     self.last_bytes_at = self.hub.transport.now();
                     let events = self.events.push(&bytes);
                     self.record_first_bytes();
-                    if events.is_empty() {
-                        continue;
+                    if !events.is_empty() {
+                        return Ok(Some(events));
                     }
-                    return Ok(Some(events));
                 }
-                Ok(Ok(None)) => return Ok(self.complete()),
-                Ok(Err(failure)) => failure,
-                Err(_) => Failure::TimedOut,
+                Ok(None) => return Ok(self.complete()),
+                Err(failure) => self.resume(failure).await?,
+            }
+        }
+    }
+
+    /// Returns the next bytes, or none at the end. A server that is silent for long is left once another one goes on.
+    async fn next_chunk(&mut self) -> Result<Option<Bytes>, Failure> {
+        let limit = policy::stream_silence_limit(&self.job.route, &self.hub.settings);
+        loop {
+            let time_left = self.job.time_left(self.hub.transport.now());
+            let Some(attempt) = &mut self.attempt else {
+                return Err(Failure::Broken);
             };
-            self.resume(failure).await?;
+            if let Ok(chunk) = time::timeout(limit.min(time_left), attempt.reply.chunk()).await {
+                return chunk;
+            }
+            if time_left <= limit {
+                return Err(Failure::TimedOut);
+            }
+            if let Some(chunk) = self.try_beside(limit).await {
+                return chunk;
+            }
         }
     }
 
-    /// Returns the longest silence before the stream resumes on another server.
-    fn silence_timeout(&self) -> Duration {
-        const MIN_TIMEOUT: Duration = Duration::from_millis(700);
-        if !self.job.route.resumable {
-            return Duration::MAX;
+    /// Tries another server beside the silent one, which is left when the other one goes on with the stream. Returns
+    /// what the silent server sent if the stream goes on there.
+    async fn try_beside(&mut self, limit: Duration) -> Option<Result<Option<Bytes>, Failure>> {
+        let Self {
+            hub, job, attempts, ..
+        } = self;
+        let attempt = self.attempt.as_mut()?;
+        if !attempts.may_leave_silent(hub, job) {
+            return None;
         }
-        let timeout = (self.job.route.max_event_gap * 4).max(MIN_TIMEOUT);
-        if self.attempts.has_started {
-            timeout
-        } else {
-            timeout.max(self.job.route.objective)
+        let now = hub.transport.now();
+        let last_event = self.events.last_id();
+        log::info!(
+            target: "relay", request:% = job.id, server:% = attempt.guard.server.id,
+            after = last_event.unwrap_or(0), silent_ms = (now - self.last_bytes_at).as_millis();
+            "server is silent; trying another one beside it"
+        );
+        let time_left = job.event_deadline(now) - now;
+        let prepared = tokio::select! {
+            biased;
+            chunk = attempt.reply.chunk() => return Some(chunk),
+            prepared = time::timeout(time_left, serve::prepare(hub, job, attempts, now)) => prepared,
+        };
+        let Ok(Ok(prepared)) = prepared else {
+            return None;
+        };
+        // The other engine may start at any moment from here on, and two must not work on a stream. So what the silent
+        // server sends counts only if the other one fails or is silent, too.
+        let mut kept = None;
+        let result = {
+            let sent = serve::send(hub, job, attempts, prepared, last_event, now);
+            let mut sent = pin!(time::timeout(time_left, sent));
+            let mut silence = pin!(time::sleep(limit));
+            loop {
+                tokio::select! {
+                    biased;
+                    result = &mut sent => break result.ok().and_then(Result::ok),
+                    chunk = attempt.reply.chunk(), if kept.is_none() => kept = Some(chunk),
+                    () = &mut silence, if matches!(kept, Some(Ok(_))) => break None,
+                }
+            }
+        };
+        match result {
+            Some(next) if next.reply.status() == 200 => {
+                self.move_to(next, last_event);
+                None
+            }
+            _ => kept,
+        }
+    }
+
+    /// Leaves a silent server for another one that goes on with the stream.
+    fn move_to(&mut self, next: Attempt<E>, last_event: Option<u64>) {
+        let now = self.hub.transport.now();
+        log::info!(
+            target: "relay", request:% = self.job.id, server:% = next.guard.server.id,
+            after = last_event.unwrap_or(0), silent_ms = (now - self.last_bytes_at).as_millis();
+            "stream resumed on another server"
+        );
+        self.events.discard_partial();
+        self.last_bytes_at = now;
+        if let Some(silent) = self.attempt.replace(next) {
+            silent.guard.finish(completion_of(Failure::TimedOut));
         }
     }
 
@@ -131,7 +196,7 @@
         (!remainder.is_empty()).then_some(remainder)
     }
 
-    /// Sends the request to another server, to continue after the last complete event.
+    /// Sends the request to another server after a failure, to continue after the last complete event.
     async fn resume(&mut self, failure: Failure) -> Result<(), Failure> {
         let last_event = self.events.last_id();
         let now = self.hub.transport.now();
@@ -148,6 +213,9 @@
                 serve::record_crash(&self.hub, &self.job, &server.id);
             }
         }
+        if failure == Failure::TimedOut {
+            return Err(self.fail(last_event, Code::DeadlinePassed.title()));
+        }
         self.events.discard_partial();
         self.attempts
             .check_retry(&self.hub, &self.job, failure)
@@ -156,13 +224,7 @@
         let sent = serve::send_attempt(&self.hub, &self.job, &mut self.attempts, last_event, now);
         match time::timeout(time_left, sent).await {
             Ok(Ok(attempt)) if attempt.reply.status() == 200 => {
-                log::info!(
-                    target: "relay", request:% = self.job.id,
-                    server:% = attempt.guard.server.id, after = last_event.unwrap_or(0);
-                    "stream resumed on another server"
-                );
-                self.last_bytes_at = self.hub.transport.now();
-                self.attempt = Some(attempt);
+                self.move_to(attempt, last_event);
                 Ok(())
             }
             Ok(Ok(_)) => Err(self.fail(last_event, "the next server answered with a failure")),
--- a/crates/relay/src/configs.rs
+++ b/crates/relay/src/configs.rs
@@ -9,8 +9,11 @@
     pub max_buffered_bytes: usize,
     /// The number of unreachable servers after which a request is refused.
     pub max_unreachable: usize,
-    /// The shortest timeout of a repeatable attempt before another server is tried.
+    /// The shortest silence before the head of an answer after which another server is tried.
     pub min_attempt_timeout: Duration,
+    /// The longest silence within a stream after which another server is tried; a sound server may be silent for a second
+    /// or so.
+    pub max_stream_silence: Duration,
     /// The shortest retry delay that a refused caller is told.
     pub min_retry_after: Duration,
     /// The time over which the retries of refused callers are spread.
@@ -41,6 +44,7 @@
             max_buffered_bytes: 4 * 1024 * 1024,
             max_unreachable: 4,
             min_attempt_timeout: Duration::from_millis(400),
+            max_stream_silence: Duration::from_secs(2),
             min_retry_after: Duration::from_millis(150),
             retry_after_jitter: Duration::from_millis(500),
             overload_retry_share: (0.2, 0.33),
--- a/crates/relay/src/guard.rs
+++ b/crates/relay/src/guard.rs
@@ -48,7 +48,10 @@
         self.complete(completion);
     }
 
-    fn complete(&mut self, completion: Completion) {
+    pub(crate) fn complete(&mut self, completion: Completion) {
+        if self.is_finished {
+            return;
+        }
         self.record_prompt_read();
         self.is_finished = true;
         let now = self.hub.transport.now();
@@ -62,8 +65,6 @@
 
 impl<E: Transport> Drop for Guard<E> {
     fn drop(&mut self) {
-        if !self.is_finished {
-            self.complete(Completion::Abandoned);
-        }
+        self.complete(Completion::Abandoned);
     }
 }
--- a/crates/relay/src/job.rs
+++ b/crates/relay/src/job.rs
@@ -50,6 +50,13 @@
     pub request: Rc<R>,
 }
 
+/// Returns the silence after which callers leave a stream.
+pub(crate) fn patience(route: &Route) -> Duration {
+    (route.objective * PATIENCE_OBJECTIVES)
+        .max(route.max_event_gap * PATIENCE_EVENT_GAPS)
+        .max(MIN_PATIENCE)
+}
+
 impl<R> Job<R> {
     /// Returns the time by which the request needs its complete answer.
     pub fn final_deadline(&self) -> Tick {
@@ -61,12 +68,7 @@
     pub fn event_deadline(&self, since: Tick) -> Tick {
         match self.route.kind {
             Kind::Idempotent | Kind::AtMostOnce => self.final_deadline(),
-            Kind::Streaming => {
-                let patience = (self.route.objective * PATIENCE_OBJECTIVES)
-                    .max(self.route.max_event_gap * PATIENCE_EVENT_GAPS)
-                    .max(MIN_PATIENCE);
-                self.final_deadline().min(since + patience)
-            }
+            Kind::Streaming => self.final_deadline().min(since + patience(&self.route)),
         }
     }
 
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod hub;
 pub mod job;
 mod notices;
+mod pending;
 pub mod policy;
 mod release;
 pub mod serve;
--- /dev/null
+++ b/crates/relay/src/pending.rs
@@ -0,0 +1,195 @@
+//! Attempts whose head has not arrived, and what happens to them first.
+
+use core::pin::Pin;
+use std::rc::Rc;
+
+use futures_util::{
+    FutureExt,
+    future::{self, Either},
+};
+use site::route::Kind;
+use tokio::time;
+
+use crate::{
+    Call, Failure, Hub, Job, Transport,
+    guard::Guard,
+    hub::completion_of,
+    policy,
+    serve::{self, Attempt, Attempts, Choice},
+    stages::Inputs,
+};
+
+/// An attempt that was sent and whose head has not arrived.
+pub(crate) struct Pending<'a, E: Transport> {
+    reply: Pin<Box<dyn Future<Output = Result<E::Reply, Failure>> + 'a>>,
+    guard: Guard<E>,
+    inputs: Rc<Inputs<E>>,
+    /// Whether it counts as having reached its server.
+    is_counted: bool,
+}
+
+/// What happened first.
+pub(crate) enum Event<'a, E: Transport> {
+    /// The head arrived.
+    Answered(E::Reply),
+    /// The head of the earlier, silent attempt arrived.
+    SilentAnswered(Pending<'a, E>, E::Reply),
+    /// The attempt failed.
+    Failed(Failure),
+    /// The earlier, silent attempt failed.
+    SilentFailed(Pending<'a, E>, Failure),
+    /// Nothing arrived for a while.
+    Silent,
+}
+
+impl<E: Transport> Event<'_, E> {
+    fn of(reply: Result<E::Reply, Failure>) -> Self {
+        match reply {
+            Ok(reply) => Self::Answered(reply),
+            Err(failure) => Self::Failed(failure),
+        }
+    }
+}
+
+impl<'a, E: Transport> Pending<'a, E> {
+    /// Sends a request to a server.
+    pub(crate) fn send(
+        hub: &'a Rc<Hub<E>>,
+        job: &'a Job<E::Request>,
+        choice: Choice,
+        inputs: &Rc<Inputs<E>>,
+        last_event: Option<u64>,
+    ) -> Self {
+        let max_connections = hub.with(|state| {
+            let config = state.config.as_ref()?;
+            let pool = config.pool(&choice.server.pool)?;
+            Some(pool.max_connections)
+        });
+        let call = Call {
+            server: choice.server.clone(),
+            time_left: job.time_left(hub.transport.now()),
+            urgency: job.urgency(),
+            account: job.account.clone(),
+            inputs: inputs.handles.clone(),
+            fetch_from: choice.fetch_from,
+            last_event,
+            at_most_once: !job.route.is_repeatable(),
+            max_connections: max_connections.unwrap_or(usize::MAX),
+        };
+        Self {
+            guard: Guard::start(hub, &choice.server, choice.tokens),
+            reply: Box::pin(hub.transport.send(&job.request, call)),
+            inputs: inputs.clone(),
+            is_counted: false,
+        }
+    }
+
+    /// Waits for the head, a failure or a long silence. `silent` is an earlier attempt that was silent for long, which
+    /// is taken out when it has ended.
+    pub(crate) async fn next_event(
+        &mut self,
+        hub: &Rc<Hub<E>>,
+        job: &Job<E::Request>,
+        silent: &mut Option<Self>,
+    ) -> Event<'a, E> {
+        let limit = policy::head_silence_limit(&job.route, &hub.settings);
+        let Some(earlier) = silent else {
+            return match time::timeout(limit, &mut self.reply).await {
+                Ok(reply) => Event::of(reply),
+                Err(_) => Event::Silent,
+            };
+        };
+        let earlier_reply = match job.route.kind {
+            // Two engines must not work on a stream, and this one may start at any moment. So the earlier attempt
+            // counts only if this one is silent, too.
+            Kind::Streaming => match time::timeout(limit, &mut self.reply).await {
+                Ok(reply) => return Event::of(reply),
+                Err(_) => (&mut earlier.reply).now_or_never(),
+            },
+            Kind::Idempotent | Kind::AtMostOnce => {
+                let first = future::select(&mut self.reply, &mut earlier.reply);
+                match time::timeout(limit, first).await {
+                    Ok(Either::Left((reply, _))) => return Event::of(reply),
+                    Ok(Either::Right((reply, _))) => Some(reply),
+                    Err(_) => None,
+                }
+            }
+        };
+        let Some(reply) = earlier_reply else {
+            return Event::Silent;
+        };
+        match (reply, silent.take()) {
+            (Ok(reply), Some(earlier)) => Event::SilentAnswered(earlier, reply),
+            (Err(failure), Some(earlier)) => Event::SilentFailed(earlier, failure),
+            (_, None) => Event::Silent,
+        }
+    }
+
+    /// Gives up a silent attempt, as another server has answered.
+    pub(crate) fn abandon(mut self) {
+        self.guard.complete(completion_of(Failure::TimedOut));
+    }
+
+    /// Counts the attempt as having reached its server.
+    pub(crate) const fn count_as_reached(&mut self, attempts: &mut Attempts) {
+        if !self.is_counted {
+            attempts.reached += 1;
+            self.is_counted = true;
+        }
+    }
+
+    /// Logs that the server has been silent for long.
+    pub(crate) fn log_silence(&self, job: &Job<E::Request>) {
+        log::info!(
+            target: "relay", request:% = job.id, server:% = self.guard.server.id,
+            age_ms = self.guard.age().as_millis(); "server is silent; trying another one beside it"
+        );
+    }
+
+    /// Returns the attempt whose head has arrived.
+    pub(crate) fn into_attempt(
+        mut self,
+        hub: &Rc<Hub<E>>,
+        attempts: &mut Attempts,
+        reply: E::Reply,
+    ) -> Attempt<E> {
+        self.count_as_reached(attempts);
+        let domain = &self.guard.server.domain;
+        hub.with(|state| state.fleet.reachability.record_success(domain));
+        Attempt {
+            reply,
+            guard: self.guard,
+            inputs: Some(self.inputs),
+        }
+    }
+
+    /// Records that the attempt failed.
+    pub(crate) fn finish(
+        &mut self,
+        hub: &Rc<Hub<E>>,
+        job: &Job<E::Request>,
+        attempts: &mut Attempts,
+        failure: Failure,
+    ) {
+        let server = self.guard.server.clone();
+        log::info!(
+            target: "relay", request:% = job.id, route:% = job.route.name, server:% = server.id,
+            attempt = attempts.reached + 1, age_ms = self.guard.age().as_millis(), cause:% = failure;
+            "attempt failed"
+        );
+        self.guard.complete(completion_of(failure));
+        let now = hub.transport.now();
+        hub.with(|state| {
+            state.record_reachability(now, &server.domain, failure);
+            if failure == Failure::Moved {
+                state.mark_leaving(now, &server.id, server.started_at_ms, "answer");
+            }
+        });
+        if failure == Failure::Broken {
+            serve::record_crash(hub, job, &server.id);
+        }
+        if failure != Failure::Unreachable {
+            self.count_as_reached(attempts);
+        }
+    }
+}
--- a/crates/relay/src/policy.rs
+++ b/crates/relay/src/policy.rs
@@ -1,9 +1,11 @@
 //! Decides what follows a failed attempt.
 
+use core::time::Duration;
+
 use base::Code;
 use site::Route;
 
-use crate::Failure;
+use crate::{Failure, configs::Config, job};
 
 /// The state of a request when an attempt failed.
 #[derive(Clone, Copy, Debug)]
@@ -79,3 +81,40 @@
         code
     }
 }
+
+/// Returns the silence before the head of an answer after which another server may be tried.
+pub fn head_silence_limit(route: &Route, settings: &Config) -> Duration {
+    if route.is_repeatable() {
+        route.objective.max(settings.min_attempt_timeout)
+    } else {
+        Duration::MAX
+    }
+}
+
+/// Returns the silence within a stream after which another server may be tried.
+///
+/// # Examples
+///
+/// ```
+/// use core::time::Duration;
+/// use relay::{configs::Config, policy::stream_silence_limit};
+/// use site::{Route, route::Kind};
+/// let mut route = Route {
+///     kind: Kind::Streaming,
+///     resumable: true,
+///     objective: Duration::from_millis(400),
+///     max_event_gap: Duration::from_millis(200),
+///     ..Default::default()
+/// };
+/// // Callers of this route leave a silent stream after 2 s, of which another server gets 1 s.
+/// assert_eq!(stream_silence_limit(&route, &Config::default()), Duration::from_secs(1));
+/// route.objective = Duration::from_secs(2);
+/// assert_eq!(stream_silence_limit(&route, &Config::default()), Duration::from_secs(2));
+/// ```
+pub fn stream_silence_limit(route: &Route, settings: &Config) -> Duration {
+    if route.is_repeatable() {
+        settings.max_stream_silence.min(job::patience(route) / 2)
+    } else {
+        Duration::MAX
+    }
+}
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -11,9 +11,10 @@
 use tokio::time;
 
 use crate::{
-    Body, Call, Failure, Hub, Job, Reply, Transport,
+    Body, Failure, Hub, Job, Reply, Transport,
     guard::Guard,
     hub::completion_of,
+    pending::{Event, Pending},
     policy::{self, Decision},
     stages::{self, Inputs},
 };
@@ -52,7 +53,13 @@
 pub(crate) struct Attempt<E: Transport> {
     pub(crate) reply: E::Reply,
     pub(crate) guard: Guard<E>,
-    pub(crate) inputs: Option<Inputs<E>>,
+    pub(crate) inputs: Option<Rc<Inputs<E>>>,
+}
+
+/// What an attempt needs before it is sent.
+pub(crate) struct Prepared<E: Transport> {
+    pool: Name,
+    inputs: Rc<Inputs<E>>,
 }
 
 /// The state of a request across its attempts.
@@ -61,7 +68,7 @@
     /// The servers that the request was sent to, including unreachable ones.
     tried: Vec<Name>,
     /// The number of servers that the request reached.
-    reached: u32,
+    pub(crate) reached: u32,
     /// The number of servers that were unreachable or whose address another server uses.
     unreachable: usize,
     may_have_run: bool,
@@ -165,90 +172,112 @@
     last_event: Option<u64>,
     since: Tick,
 ) -> Result<Attempt<E>, Code> {
+    let prepared = prepare(hub, job, attempts, since).await?;
+    send(hub, job, attempts, prepared, last_event, since).await
+}
+
+/// Runs the stages of a request.
+///
+/// # Errors
+///
+/// - The code with which the request is refused; this attempt was not sent.
+pub(crate) async fn prepare<E: Transport>(
+    hub: &Rc<Hub<E>>,
+    job: &Job<E::Request>,
+    attempts: &mut Attempts,
+    since: Tick,
+) -> Result<Prepared<E>, Code> {
     let pool = select_pool(hub, job)?;
-    let now = hub.transport.now();
+    let started_at = hub.transport.now();
     if hub
-        .with(|state| state.pause_left(now, &pool, job))
+        .with(|state| state.pause_left(started_at, &pool, job))
         .is_some()
     {
         return Err(policy::final_code(attempts.may_have_run, Code::Overloaded));
     }
     let preferred = preferred_domain(hub, job, &pool);
-    let started_at = hub.transport.now();
-    let mut inputs = stages::run(hub, job, preferred, since).await?;
+    let inputs = stages::run(hub, job, preferred, since).await?;
     attempts.stage_time += hub.transport.now() - started_at;
+    Ok(Prepared {
+        pool,
+        inputs: Rc::new(inputs),
+    })
+}
+
+/// Sends a request to servers until the head of an answer arrives.
+///
+/// A server that is silent for long is not given up: another one is tried beside it if that is allowed, and the silent
+/// one may still answer if the other fails.
+///
+/// # Errors
+///
+/// - The code with which the request is refused.
+pub(crate) async fn send<E: Transport>(
+    hub: &Rc<Hub<E>>,
+    job: &Job<E::Request>,
+    attempts: &mut Attempts,
+    prepared: Prepared<E>,
+    last_event: Option<u64>,
+    since: Tick,
+) -> Result<Attempt<E>, Code> {
+    let Prepared { pool, mut inputs } = prepared;
+    let mut silent: Option<Pending<'_, E>> = None;
     loop {
-        let Some(choice) = choose(hub, job, &pool, &inputs, attempts) else {
-            return Err(policy::final_code(
-                attempts.may_have_run,
-                Code::StageUnavailable,
-            ));
-        };
-        let server = choice.server.clone();
-        let at_most_once = !job.route.is_repeatable();
-        let max_connections = hub.with(|state| {
-            let config = state.config.as_ref()?;
-            config.pool(&server.pool).map(|pool| pool.max_connections)
-        });
-        let call = Call {
-            server: server.clone(),
-            time_left: job.time_left(hub.transport.now()),
-            urgency: job.urgency(),
-            account: job.account.clone(),
-            inputs: inputs.handles.clone(),
-            fetch_from: choice.fetch_from,
-            last_event,
-            at_most_once,
-            max_connections: max_connections.unwrap_or(usize::MAX),
-        };
-        let guard = Guard::start(hub, &server, choice.tokens);
-        if attempts.reached == 0 {
-            let now = hub.transport.now();
-            hub.with(|state| state.retry_window.record_request(now, &server.pool));
-        }
-        // An attempt times out early only if another server may be tried.
-        let timeout = if !at_most_once && attempts.reached + 1 < job.route.max_attempts {
-            job.route.objective.max(hub.settings.min_attempt_timeout)
-        } else {
-            Duration::MAX
-        };
-        attempts.tried.push(server.id.clone());
-        let sent = time::timeout(timeout, hub.transport.send(&job.request, call)).await;
-        let failure = match sent {
-            Ok(Ok(reply)) => {
-                attempts.reached += 1;
-                hub.with(|state| state.fleet.reachability.record_success(&server.domain));
-                return Ok(Attempt {
-                    reply,
-                    guard,
-                    inputs: Some(inputs),
-                });
+        let mut pending = match choose(hub, job, &pool, &inputs, attempts) {
+            Some(choice) => {
+                if attempts.reached == 0 {
+                    let now = hub.transport.now();
+                    hub.with(|state| state.retry_window.record_request(now, &pool));
+                }
+                attempts.tried.push(choice.server.id.clone());
+                Pending::send(hub, job, choice, &inputs, last_event)
+            }
+            None => {
+                let code = policy::final_code(attempts.may_have_run, Code::StageUnavailable);
+                silent.take().ok_or(code)?
             }
-            Ok(Err(failure)) => failure,
-            Err(_) => Failure::TimedOut,
         };
-        log::info!(
-            target: "relay", request:% = job.id, route:% = job.route.name, server:% = server.id,
-            attempt = attempts.reached + 1, age_ms = guard.age().as_millis(), cause:% = failure;
-            "attempt failed"
-        );
-        guard.finish(completion_of(failure));
-        let now = hub.transport.now();
-        hub.with(|state| state.record_reachability(now, &server.domain, failure));
-        if failure == Failure::Moved {
-            hub.with(|state| {
-                state.mark_leaving(now, &server.id, server.started_at_ms, "answer");
-            });
-        }
-        if failure == Failure::Broken {
-            record_crash(hub, job, &server.id);
-        }
-        if failure != Failure::Unreachable {
-            attempts.reached += 1;
-        }
-        attempts.check_retry(hub, job, failure)?;
-        if failure == Failure::InputGone {
-            inputs = stages::run(hub, job, inputs.domain(), since).await?;
+        loop {
+            match pending.next_event(hub, job, &mut silent).await {
+                Event::Answered(reply) => {
+                    if let Some(earlier) = silent.take() {
+                        earlier.abandon();
+                    }
+                    return Ok(pending.into_attempt(hub, attempts, reply));
+                }
+                Event::SilentAnswered(earlier, reply) => {
+                    return Ok(earlier.into_attempt(hub, attempts, reply));
+                }
+                Event::Failed(failure) => {
+                    pending.finish(hub, job, attempts, failure);
+                    let retry = match attempts.check_retry(hub, job, failure) {
+                        Ok(()) if failure == Failure::InputGone => {
+                            let remade = stages::run(hub, job, inputs.domain(), since).await;
+                            remade.map(|remade| inputs = Rc::new(remade))
+                        }
+                        checked => checked,
+                    };
+                    match (retry, silent.take()) {
+                        (Ok(()), earlier) => {
+                            silent = earlier;
+                            break;
+                        }
+                        (Err(_), Some(earlier)) => pending = earlier,
+                        (Err(code), None) => return Err(code),
+                    }
+                }
+                Event::SilentFailed(mut earlier, failure) => {
+                    earlier.finish(hub, job, attempts, failure);
+                }
+                Event::Silent => {
+                    pending.count_as_reached(attempts);
+                    if attempts.may_try_beside(hub, job, &pool, &inputs) {
+                        pending.log_silence(job);
+                        silent = Some(pending);
+                        break;
+                    }
+                }
+            }
         }
     }
 }
@@ -275,36 +304,76 @@
             Decision::Fail(code) => Err(code),
             Decision::Retry { is_counted: false } => Ok(()),
             Decision::Retry { is_counted: true } => {
-                if hub.with(|state| state.crashes.is_harmful(job.digest)) {
-                    return Err(policy::final_code(
-                        self.may_have_run,
-                        Code::StageUnavailable,
-                    ));
-                }
                 let Ok(pool) = select_pool(hub, job) else {
                     return Err(policy::final_code(self.may_have_run, Code::BundleMissing));
                 };
-                let now = hub.transport.now();
-                let is_allowed = hub.with(|state| {
-                    state
-                        .retry_window
-                        .try_retry(now, &pool, state.members.count())
-                });
-                if is_allowed {
-                    Ok(())
-                } else {
-                    Err(policy::final_code(self.may_have_run, Code::Overloaded))
-                }
+                take_retry(hub, job, &pool)
+                    .map_err(|code| policy::final_code(self.may_have_run, code))
             }
         }
     }
+
+    /// Checks whether another server may be tried beside one that is silent, and takes it from the retry budget.
+    fn may_try_beside<E: Transport>(
+        &mut self,
+        hub: &Rc<Hub<E>>,
+        job: &Job<E::Request>,
+        pool: &Name,
+        inputs: &Inputs<E>,
+    ) -> bool {
+        let cx = policy::Context {
+            route: &job.route,
+            reached: self.reached,
+            unreachable: self.unreachable,
+            max_unreachable: hub.settings.max_unreachable,
+            may_have_run: self.may_have_run,
+        };
+        let is_allowed = matches!(
+            policy::decide(cx, Failure::TimedOut),
+            Decision::Retry { .. }
+        ) && choose(hub, job, pool, inputs, self).is_some()
+            && take_retry(hub, job, pool).is_ok();
+        self.may_have_run |= is_allowed;
+        is_allowed
+    }
+
+    /// Checks whether a stream whose server is silent may be tried at another one, and takes it from the retry budget.
+    pub(crate) fn may_leave_silent<E: Transport>(
+        &mut self,
+        hub: &Rc<Hub<E>>,
+        job: &Job<E::Request>,
+    ) -> bool {
+        let Ok(pool) = select_pool(hub, job) else {
+            return false;
+        };
+        self.may_try_beside(hub, job, &pool, &Inputs::empty(hub))
+    }
+}
+
+/// Takes a retry from the budget of a pool.
+fn take_retry<E: Transport>(
+    hub: &Rc<Hub<E>>,
+    job: &Job<E::Request>,
+    pool: &Name,
+) -> Result<(), Code> {
+    let now = hub.transport.now();
+    hub.with(|state| {
+        if state.crashes.is_harmful(job.digest) {
+            return Err(Code::StageUnavailable);
+        }
+        let count = state.members.count();
+        match state.retry_window.try_retry(now, pool, count) {
+            true => Ok(()),
+            false => Err(Code::Overloaded),
+        }
+    })
 }
 
 /// The server selected for an attempt.
-struct Choice {
-    server: Rc<site::roster::Server>,
-    tokens: u64,
-    fetch_from: Option<core::net::SocketAddr>,
+pub(crate) struct Choice {
+    pub(crate) server: Rc<site::roster::Server>,
+    pub(crate) tokens: u64,
+    pub(crate) fetch_from: Option<core::net::SocketAddr>,
 }
 
 fn choose<E: Transport>(
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -31,6 +31,8 @@
 pub(crate) enum Reaction {
     /// The call fails.
     Fail(Failure),
+    /// The call fails after a while.
+    FailAfter(Duration, Failure),
     /// The server answers with a status and chunks, the last of which may be a failure.
     Answer(u16, Vec<Result<&'static str, Failure>>),
     /// The server states something about itself, and then reacts in another way.
@@ -165,6 +167,10 @@
         }
         match reaction {
             Some(Reaction::Fail(failure)) => Err(failure),
+            Some(Reaction::FailAfter(delay, failure)) => {
+                time::sleep(delay).await;
+                Err(failure)
+            }
             Some(Reaction::Answer(status, chunks)) => {
                 let chunks = chunks.into_iter().map(|chunk| (Duration::ZERO, chunk));
                 Ok(Chunks::new(status, chunks.collect()))
