A request that a silent server refuses at last is refused as not run

Seen by callers: a 502 for a request that no server had run. Its server was silent for a second, the next one was full, and then the first one refused it, too. Cause: when another server was tried beside a silent one, the request was marked as one that may have run, for good, although the silent attempt stayed open and could still say that it had not run. Change: the attempt counts as one that may have run when it ends so, or is abandoned since another one answered.

--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -241,6 +241,7 @@
             match pending.next_event(hub, job, &mut silent).await {
                 Event::Answered(reply) => {
                     if let Some(earlier) = silent.take() {
+                        attempts.may_have_run = true;
                         earlier.abandon();
                     }
                     return Ok(pending.into_attempt(hub, attempts, reply));
@@ -267,6 +268,7 @@
                     }
                 }
                 Event::SilentFailed(mut earlier, failure) => {
+                    attempts.may_have_run |= failure.may_have_run();
                     earlier.finish(hub, job, attempts, failure);
                 }
                 Event::Silent => {
@@ -315,7 +317,7 @@
 
     /// Checks whether another server may be tried beside one that is silent, and takes it from the retry budget.
     fn may_try_beside<E: Transport>(
-        &mut self,
+        &self,
         hub: &Rc<Hub<E>>,
         job: &Job<E::Request>,
         pool: &Name,
@@ -328,18 +330,16 @@
             max_unreachable: hub.settings.max_unreachable,
             may_have_run: self.may_have_run,
         };
-        let is_allowed = matches!(
+        matches!(
             policy::decide(cx, Failure::TimedOut),
             Decision::Retry { .. }
         ) && choose(hub, job, pool, inputs, self).is_some()
-            && take_retry(hub, job, pool).is_ok();
-        self.may_have_run |= is_allowed;
-        is_allowed
+            && take_retry(hub, job, pool).is_ok()
     }
 
     /// Checks whether a stream whose server is silent may be tried at another one, and takes it from the retry budget.
     pub(crate) fn may_leave_silent<E: Transport>(
-        &mut self,
+        &self,
         hub: &Rc<Hub<E>>,
         job: &Job<E::Request>,
     ) -> bool {
--- a/crates/relay/tests/silence.rs
+++ b/crates/relay/tests/silence.rs
@@ -280,3 +280,45 @@
     expect_that!(text_of(&hub, job).await, ok(eq("paid")));
     expect_that!(hub.transport.sent.borrow().len(), eq(1));
 }
+
+/// Callers got a 502 for a request that a silent server and the next one had both refused, as if it might have run.
+#[gtest]
+#[actix_web::test]
+async fn a_request_that_a_silent_server_refuses_at_last_is_refused_as_not_run() {
+    for kind in [Kind::Idempotent, Kind::Streaming] {
+        time::pause();
+        let hub = hub(vec![
+            Reaction::FailAfter(SILENCE, Failure::Full),
+            Reaction::Fail(Failure::Full),
+            Reaction::Fail(Failure::Full),
+        ]);
+        let job = patient_job(&hub, kind, |route| route.max_attempts = 2);
+        expect_that!(
+            text_of(&hub, job).await,
+            err((eq(&Code::Overloaded), anything())),
+            "{kind:?}"
+        );
+        time::resume();
+    }
+}
+
+/// REFUSED: a request is not called "not run" while a silent server may have run it.
+#[gtest]
+#[actix_web::test]
+async fn a_request_whose_silent_server_breaks_off_at_last_is_not_refused_as_not_run() {
+    for kind in [Kind::Idempotent, Kind::Streaming] {
+        time::pause();
+        let hub = hub(vec![
+            Reaction::FailAfter(SILENCE, Failure::Broken),
+            Reaction::FailAfter(2 * SILENCE, Failure::Full),
+            Reaction::Fail(Failure::Full),
+        ]);
+        let job = patient_job(&hub, kind, |route| route.max_attempts = 2);
+        expect_that!(
+            text_of(&hub, job).await,
+            err((eq(&Code::CallUnknown), anything())),
+            "{kind:?}"
+        );
+        time::resume();
+    }
+}
