--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -61,6 +61,8 @@
     pub(crate) server: Name,
     pub(crate) last_event: Option<u64>,
     pub(crate) inputs: usize,
+    /// The time that the server was told is left.
+    pub(crate) time_left: Duration,
 }
 
 pub(crate) struct Servers {
@@ -75,6 +77,8 @@
     pub(crate) notices: RefCell<Vec<Notice>>,
     /// The pause that a stage server asks for with its next answer, which then refuses the call.
     pub(crate) stage_pause: Cell<Option<Duration>>,
+    /// The time that a call to a stage server takes.
+    pub(crate) stage_time: Cell<Duration>,
 }
 
 pub(crate) struct Chunks {
@@ -154,6 +158,7 @@
             server: call.server.id.clone(),
             last_event: call.last_event,
             inputs: call.inputs.len(),
+            time_left: call.time_left,
         });
         let mut reaction = self.reactions.borrow_mut().pop_front();
         if let Some(Reaction::Notice {
@@ -195,7 +200,7 @@
             return Err(Failure::Full);
         }
         self.batch_sizes.borrow_mut().push(pieces.len());
-        time::sleep(Duration::from_millis(5)).await;
+        time::sleep(self.stage_time.get()).await;
         let outcomes = pieces.iter().map(|piece| {
             Outcome::Result(Handle {
                 address: server.address,
@@ -246,6 +251,7 @@
         crashes: RefCell::default(),
         notices: RefCell::default(),
         stage_pause: Cell::default(),
+        stage_time: Cell::new(Duration::from_millis(5)),
     };
     let bound = Bound {
         ratio: 0.2,
