--- a/crates/relay/src/body.rs
+++ b/crates/relay/src/body.rs
@@ -82,6 +82,7 @@
             if let Ok(chunk) = time::timeout(limit.min(time_left), attempt.reply.chunk()).await {
                 return chunk;
             }
+            attempt.guard.is_silent = true;
             if time_left <= limit {
                 return Err(Failure::TimedOut);
             }
@@ -162,6 +163,7 @@
         let Some(attempt) = &mut self.attempt else {
             return;
         };
+        attempt.guard.is_silent = false;
         // Dropping the inputs releases the stage results.
         if attempt.inputs.take().is_some() {
             attempt.guard.record_prompt_read();
--- a/crates/relay/src/guard.rs
+++ b/crates/relay/src/guard.rs
@@ -15,6 +15,8 @@
     pub(crate) server: Rc<Server>,
     tokens: u64,
     sent_at: Tick,
+    /// Whether the server has been silent for long, which counts as a failure if the call is dropped.
+    pub(crate) is_silent: bool,
     is_finished: bool,
 }
 
@@ -27,6 +29,7 @@
             server: server.clone(),
             tokens,
             sent_at: now,
+            is_silent: false,
             is_finished: false,
         }
     }
@@ -65,6 +68,10 @@
 
 impl<E: Transport> Drop for Guard<E> {
     fn drop(&mut self) {
-        self.complete(Completion::Abandoned);
+        self.complete(if self.is_silent {
+            Completion::Failed
+        } else {
+            Completion::Abandoned
+        });
     }
 }
--- a/crates/relay/src/pending.rs
+++ b/crates/relay/src/pending.rs
@@ -138,6 +138,12 @@
         }
     }
 
+    /// Records that the server has been silent for long.
+    pub(crate) const fn record_silence(&mut self, attempts: &mut Attempts) {
+        self.count_as_reached(attempts);
+        self.guard.is_silent = true;
+    }
+
     /// Logs that the server has been silent for long.
     pub(crate) fn log_silence(&self, job: &Job<E::Request>) {
         log::info!(
@@ -154,6 +160,7 @@
         reply: E::Reply,
     ) -> Attempt<E> {
         self.count_as_reached(attempts);
+        self.guard.is_silent = false;
         let domain = &self.guard.server.domain;
         hub.with(|state| state.fleet.reachability.record_success(domain));
         Attempt {
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -270,7 +270,7 @@
                     earlier.finish(hub, job, attempts, failure);
                 }
                 Event::Silent => {
-                    pending.count_as_reached(attempts);
+                    pending.record_silence(attempts);
                     if attempts.may_try_beside(hub, job, &pool, &inputs) {
                         pending.log_silence(job);
                         silent = Some(pending);
