No server is tried beside a silent one once its pool has left the configuration

Cause: a retry looks its pool up in the newest configuration, but the attempt beside a silent server did not. It was sent to a pool that the configuration no longer has, without that pool's limit of connections. Change: the same check before another server is tried; the silent one may still answer. Evidence: no_server_is_tried_beside_a_silent_one_once_its_pool_left_the_configuration failed before (two servers reached) and passes now.

--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -331,7 +331,8 @@
         let is_allowed = matches!(
             policy::decide(cx, Failure::TimedOut),
             Decision::Retry { .. }
-        ) && choose(hub, job, pool, inputs, self).is_some()
+        ) && select_pool(hub, job).is_ok()
+            && choose(hub, job, pool, inputs, self).is_some()
             && take_retry(hub, job, pool).is_ok();
         self.may_have_run |= is_allowed;
         is_allowed
