A stream is not tried elsewhere before the objective of its first event

Cause: the limit on silence within a stream applies from the head of the answer on. Where that comes before the prompt has been read, another server was tried after 2 s although the first event may take longer, e.g. with an objective of 2.2 s. Evidence: a_stream_is_not_tried_elsewhere_before_the_objective_of_its_first_event failed before (tried after 2 s with an objective of 3 s) and passes now.

--- a/crates/relay/src/body.rs
+++ b/crates/relay/src/body.rs
@@ -73,7 +73,11 @@
 
     /// Returns the next bytes, or none at the end. A server that is silent for long is left once another one goes on.
     async fn next_chunk(&mut self) -> Result<Option<Bytes>, Failure> {
-        let limit = policy::stream_silence_limit(&self.job.route, &self.hub.settings);
+        let mut limit = policy::stream_silence_limit(&self.job.route, &self.hub.settings);
+        if !self.attempts.has_started {
+            // The server may still read the prompt.
+            limit = limit.max(self.job.route.objective);
+        }
         loop {
             let time_left = self.job.time_left(self.hub.transport.now());
             let Some(attempt) = &mut self.attempt else {
