A stream that its silent server continues is passed on before the caller leaves

Cause: once another server is tried, what the silent one sends is kept until the other one has been silent for the same limit. The limit is half of the caller's patience, the time of the stages came on top, and so bytes that had arrived shortly after the limit reached the caller when it was already leaving. Change: the other server gets at most half of the time that the caller still waits, counted from the last bytes and after the stages have run. Evidence: a_stream_that_its_silent_server_continues_reaches_the_caller_before_it_leaves failed before (4.002 s without bytes for silences of 2.05, 2.5 and 3.5 s, with a patience of 4 s) and passes now, with the other server hung or reading its prompt for 2.5 s.

--- a/crates/relay/src/body.rs
+++ b/crates/relay/src/body.rs
@@ -114,6 +114,7 @@
             "server is silent; trying another one beside it"
         );
         let time_left = job.event_deadline(now) - now;
+        let leaves_at = job.event_deadline(self.last_bytes_at);
         let prepared = tokio::select! {
             biased;
             chunk = attempt.reply.chunk() => return Some(chunk),
@@ -123,12 +124,14 @@
             return None;
         };
         // The other engine may start at any moment from here on, and two must not work on a stream. So what the silent
-        // server sends counts only if the other one fails or is silent, too.
+        // server sends counts only if the other one fails or is silent, too, for half of the time that the caller still
+        // waits.
         let mut kept = None;
         let result = {
+            let silence = limit.min((leaves_at - hub.transport.now()) / 2);
             let sent = serve::send(hub, job, attempts, prepared, last_event, now);
             let mut sent = pin!(time::timeout(time_left, sent));
-            let mut silence = pin!(time::sleep(limit));
+            let mut silence = pin!(time::sleep(silence));
             loop {
                 tokio::select! {
                     biased;
