The head of a silent stream is looked at again while the caller still waits

Cause: once a stream was sent to a second server, the head of the silent one counts only after another full objective. If less time than that was left, the request was refused at its deadline although its head had arrived. Change: the second server gets at most half of the time that the caller still waits, and at least min_attempt_timeout. Evidence: a_stream_that_its_silent_server_begins_reaches_the_caller_before_its_deadline failed before (head after 1.2 s, refused at the deadline of 1.9 s) and passes now.

--- a/crates/relay/src/pending.rs
+++ b/crates/relay/src/pending.rs
@@ -3,6 +3,7 @@
 use core::pin::Pin;
 use std::rc::Rc;
 
+use base::Tick;
 use futures_util::{
     FutureExt,
     future::{self, Either},
@@ -85,12 +86,13 @@
     }
 
     /// Waits for the head, a failure or a long silence. `silent` is an earlier attempt that was silent for long, which
-    /// is taken out when it has ended.
+    /// is taken out when it has ended. `since` is the time from which the caller waits.
     pub(crate) async fn next_event(
         &mut self,
         hub: &Rc<Hub<E>>,
         job: &Job<E::Request>,
         silent: &mut Option<Self>,
+        since: Tick,
     ) -> Event<'a, E> {
         let limit = policy::head_silence_limit(&job.route, &hub.settings);
         let Some(earlier) = silent else {
@@ -101,11 +103,15 @@
         };
         let earlier_reply = match job.route.kind {
             // Two engines must not work on a stream, and this one may start at any moment. So the earlier attempt
-            // counts only if this one is silent, too.
-            Kind::Streaming => match time::timeout(limit, &mut self.reply).await {
-                Ok(reply) => return Event::of(reply),
-                Err(_) => (&mut earlier.reply).now_or_never(),
-            },
+            // counts only if this one is silent, too, for half of the time that the caller still waits.
+            Kind::Streaming => {
+                let time_left = job.event_deadline(since) - hub.transport.now();
+                let limit = limit.min((time_left / 2).max(hub.settings.min_attempt_timeout));
+                match time::timeout(limit, &mut self.reply).await {
+                    Ok(reply) => return Event::of(reply),
+                    Err(_) => (&mut earlier.reply).now_or_never(),
+                }
+            }
             Kind::Idempotent | Kind::AtMostOnce => {
                 let first = future::select(&mut self.reply, &mut earlier.reply);
                 match time::timeout(limit, first).await {
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -238,7 +238,7 @@
             }
         };
         loop {
-            match pending.next_event(hub, job, &mut silent).await {
+            match pending.next_event(hub, job, &mut silent, since).await {
                 Event::Answered(reply) => {
                     if let Some(earlier) = silent.take() {
                         earlier.abandon();
