Tests: three silent servers of one request

each_silent_server_may_still_answer_when_a_third_one_is_tried fails: a route that allows three attempts keeps one silent attempt only, so the first server is left when the third one is tried, before any has answered.

--- a/crates/relay/tests/beside.rs
+++ b/crates/relay/tests/beside.rs
@@ -147,6 +147,27 @@
     expect_that!(busy_count(&hub), eq(0));
 }
 
+/// LOST: the first of three silent servers was left when the third one was tried, and answered in vain.
+#[gtest]
+#[actix_web::test]
+async fn each_silent_server_may_still_answer_when_a_third_one_is_tried() {
+    for kind in [Kind::Idempotent, Kind::Streaming] {
+        for answering in 0..3 {
+            time::pause();
+            let mut reactions = vec![Reaction::Hang; 3];
+            // It answers 0.9 s after the third one was tried.
+            reactions[answering] = slow(ms(2_900 - 1_000 * answering as u64), vec![now(FIRST)]);
+            let hub = hub(reactions);
+            let job = patient_job(&hub, kind, |route| route.max_attempts = 3);
+            let answer = text_of(&hub, job).await;
+            expect_that!(answer, ok(eq(FIRST)), "{kind:?} {answering}");
+            expect_that!(sent_count(&hub), eq(3), "{kind:?} {answering}");
+            expect_that!(busy_count(&hub), eq(0), "{kind:?} {answering}");
+            time::resume();
+        }
+    }
+}
+
 /// LOST: a silent server's answer was not read while the stages ran again for another server.
 #[gtest]
 #[actix_web::test]
