--- a/crates/relay/src/body.rs
+++ b/crates/relay/src/body.rs
@@ -73,7 +73,11 @@
 
     /// Returns the next bytes, or none at the end. A server that is silent for long is left once another one goes on.
     async fn next_chunk(&mut self) -> Result<Option<Bytes>, Failure> {
-        let limit = policy::stream_silence_limit(&self.job.route, &self.hub.settings);
+        let mut limit = policy::stream_silence_limit(&self.job.route, &self.hub.settings);
+        if !self.attempts.has_started {
+            // The server may still read the prompt.
+            limit = limit.max(self.job.route.objective);
+        }
         loop {
             let time_left = self.job.time_left(self.hub.transport.now());
             let Some(attempt) = &mut self.attempt else {
@@ -82,6 +86,7 @@
             if let Ok(chunk) = time::timeout(limit.min(time_left), attempt.reply.chunk()).await {
                 return chunk;
             }
+            attempt.guard.is_silent = true;
             if time_left <= limit {
                 return Err(Failure::TimedOut);
             }
@@ -109,6 +114,7 @@
             "server is silent; trying another one beside it"
         );
         let time_left = job.event_deadline(now) - now;
+        let leaves_at = job.event_deadline(self.last_bytes_at);
         let prepared = tokio::select! {
             biased;
             chunk = attempt.reply.chunk() => return Some(chunk),
@@ -118,12 +124,14 @@
             return None;
         };
         // The other engine may start at any moment from here on, and two must not work on a stream. So what the silent
-        // server sends counts only if the other one fails or is silent, too.
+        // server sends counts only if the other one fails or is silent, too, for half of the time that the caller still
+        // waits.
         let mut kept = None;
         let result = {
+            let silence = limit.min((leaves_at - hub.transport.now()) / 2);
             let sent = serve::send(hub, job, attempts, prepared, last_event, now);
             let mut sent = pin!(time::timeout(time_left, sent));
-            let mut silence = pin!(time::sleep(limit));
+            let mut silence = pin!(time::sleep(silence));
             loop {
                 tokio::select! {
                     biased;
@@ -162,6 +170,7 @@
         let Some(attempt) = &mut self.attempt else {
             return;
         };
+        attempt.guard.is_silent = false;
         // Dropping the inputs releases the stage results.
         if attempt.inputs.take().is_some() {
             attempt.guard.record_prompt_read();
