Tests: the first of three silent servers may have run a request

Guards the fix of a_request_that_a_silent_server_refuses_at_last_is_refused_as_not_run: the earlier of two silent attempts is dropped when a third server is tried, and may run, so a refusal by the other two says nothing of it. Fails with `Overloaded` if the dropped attempt is not counted; passes as it stands.

--- a/crates/relay/tests/silence.rs
+++ b/crates/relay/tests/silence.rs
@@ -322,3 +322,23 @@
         time::resume();
     }
 }
+
+/// REFUSED: a request is not called "not run" while the first of three servers may run it, though the others refused it.
+#[gtest]
+#[actix_web::test]
+async fn a_request_that_the_first_of_three_servers_may_run_is_not_refused_as_not_run() {
+    time::pause();
+    let hub = hub(vec![
+        Reaction::Hang,
+        Reaction::FailAfter(2 * SILENCE, Failure::Full),
+        Reaction::Fail(Failure::Full),
+    ]);
+    let job = patient_job(&hub, Kind::Idempotent, |route| route.max_attempts = 3);
+    expect_that!(
+        text_of(&hub, job).await,
+        err((
+            any![eq(&Code::CallUnknown), eq(&Code::DeadlinePassed)],
+            anything()
+        ))
+    );
+}
