--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod key;
 pub mod name;
 pub mod request;
+pub mod software;
 pub mod time;
 
 pub use self::{
@@ -17,5 +18,6 @@
     incarnation::Incarnation,
     key::Key,
     name::Name,
+    software::Software,
     time::{Stamp, Tick},
 };
--- a/crates/batch/tests/simulation/mod.rs
+++ b/crates/batch/tests/simulation/mod.rs
@@ -75,6 +75,7 @@
                     slots: 1,
                     leaving: false,
                     started_at_ms: 0,
+                    version: Some("v1".into()),
                 },
                 1,
             );
--- a/crates/pick/tests/engine.rs
+++ b/crates/pick/tests/engine.rs
@@ -29,6 +29,7 @@
             slots: 64,
             leaving: false,
             started_at_ms: 0,
+            version: Some("v1".into()),
         })
     };
     (0..count).map(engine).collect()
--- a/crates/pick/tests/plain.rs
+++ b/crates/pick/tests/plain.rs
@@ -19,6 +19,7 @@
             slots: 6,
             leaving: false,
             started_at_ms: 0,
+            version: Some("v1".into()),
         })
     };
     (0..count).map(server).collect()
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -284,6 +284,7 @@
                     slots: 6,
                     leaving: false,
                     started_at_ms: 0,
+                    version: Some("v1".into()),
                 },
                 1,
             );
--- a/crates/site/src/roster.rs
+++ b/crates/site/src/roster.rs
@@ -3,7 +3,7 @@
 use core::{net::SocketAddr, time::Duration};
 use std::rc::Rc;
 
-use base::{Name, Tick};
+use base::{Incarnation, Name, Software, Stamp, Tick};
 
 /// How long a server is still used after its entry lapsed around an outage of the platform's store.
 ///
@@ -28,6 +28,52 @@
     /// The start time in Unix milliseconds, or 0 if unknown. A server that restarts under the same id has lost its
     /// cache and its results.
     pub started_at_ms: u64,
+    /// The version of its software, if it states one.
+    pub version: Option<Name>,
+}
+
+impl Server {
+    /// Returns the software that the server runs.
+    pub fn software(&self) -> Software {
+        match &self.version {
+            Some(version) => Software::Version(version.clone()),
+            None => Software::Run(self.incarnation()),
+        }
+    }
+
+    /// Returns whether the server is certain to run a given software.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use site::roster::Server;
+    /// let server = |id: &str, version: Option<&str>| Server {
+    ///     id: id.into(),
+    ///     pool: "ledger".into(),
+    ///     address: "10.0.0.1:80".parse().unwrap(),
+    ///     domain: "a".into(),
+    ///     slots: 6,
+    ///     leaving: false,
+    ///     started_at_ms: 7,
+    ///     version: version.map(Into::into),
+    /// };
+    /// let first = server("i-1", Some("v1"));
+    /// assert!(server("i-2", Some("v1")).runs(&first.software()));
+    /// assert!(!server("i-2", Some("v2")).runs(&first.software()));
+    /// let unknown = server("i-1", None);
+    /// assert!(unknown.runs(&unknown.software()));
+    /// assert!(!server("i-2", None).runs(&unknown.software()));
+    /// ```
+    pub fn runs(&self, software: &Software) -> bool {
+        match software {
+            Software::Version(version) => self.version.as_ref() == Some(version),
+            Software::Run(run) => self.started_at_ms != 0 && *run == self.incarnation(),
+        }
+    }
+
+    fn incarnation(&self) -> Incarnation {
+        Incarnation::new(self.id.clone(), Stamp::from_millis(self.started_at_ms))
+    }
 }
 
 /// The registered servers.
@@ -99,6 +145,7 @@
     ///     slots: 6,
     ///     leaving: false,
     ///     started_at_ms: 0,
+    ///     version: Some("v1".into()),
     /// };
     /// let mut roster = Roster::default();
     /// roster.insert(server, 1);
--- a/crates/site/tests/roster.rs
+++ b/crates/site/tests/roster.rs
@@ -18,6 +18,7 @@
         slots: 6,
         leaving,
         started_at_ms: 0,
+        version: Some("v1".into()),
     }
 }
 
