--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -8,10 +8,13 @@
 //! deployment. A larger deployment is divided into cells, one per failure domain: each cell has its own owners,
 //! which are its instances with the highest capacity, and an instance sends heartbeats only to those that it relies
 //! on. One instance of a cell reads the platform's records ([`Reader`]), and the others copy its [`Replica`]s.
+//!
+//! [`Origins`] remembers which software began streams, so that they go on at the same one.
 
 pub mod configs;
 pub mod departures;
 pub mod members;
+pub mod origins;
 pub mod reader;
 pub mod replica;
 
@@ -19,6 +22,7 @@
     configs::Config,
     departures::{Departure, Departures},
     members::{Members, Owner, Peer},
+    origins::{Origin, Origins},
     reader::Reader,
     replica::{Changes, Position, Record, Replica, Update},
 };
--- a/crates/mesh/src/members.rs
+++ b/crates/mesh/src/members.rs
@@ -245,6 +245,17 @@
         candidates.collect()
     }
 
+    /// Returns the other instances, and whether each is known to be lost or stopping.
+    pub(crate) fn others(&self) -> impl Iterator<Item = (&Peer, bool)> {
+        let peers = self.peers.iter();
+        peers.map(|state| (&state.peer, state.is_lost || state.is_leaving))
+    }
+
+    /// Returns the local instance.
+    pub(crate) const fn local(&self) -> &Peer {
+        &self.local
+    }
+
     /// Records that an instance is relied on, or would be if it were live, so that it gets heartbeats.
     pub fn monitor(&mut self, now: Tick, name: &Name) {
         if let Ok(at) = self.find(name) {
