Feed: record and look up the origins of streams

Two calls between instances, Note and Recall, carry the origins of streams that mesh::Origins keeps. An instance of an earlier build knows neither; a lookup there finds nothing.

--- a/crates/feed/src/client.rs
+++ b/crates/feed/src/client.rs
@@ -3,10 +3,15 @@
 use core::{cell::RefCell, time::Duration};
 use std::net::SocketAddr;
 
+use base::Name;
 use batch::piece::Handle;
 use bytes::Bytes;
+use mesh::origins;
 use tokio::time;
-use tonic::transport::{Channel, Endpoint};
+use tonic::{
+    Code,
+    transport::{Channel, Endpoint},
+};
 use wire::feed::{self as message, feed_client::FeedClient};
 
 use crate::{Delegation, Error, Heartbeat, Lists, Results, codec};
@@ -23,6 +28,9 @@
 /// The timeout for fetching the lists of another instance, which may send them to many at the same time.
 const LISTS_TIMEOUT: Duration = Duration::from_secs(4);
 
+/// The timeout for recording origins at another instance.
+const ORIGINS_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// The largest size of these lists, in bytes.
 const MAX_LISTS_BYTES: usize = 64 * 1024 * 1024;
 
@@ -101,6 +109,49 @@
         }
     }
 
+    /// Records origins of streams at another instance.
+    ///
+    /// # Errors
+    ///
+    /// - The instance is unreachable, stopping, doesn't answer in time or doesn't know the call.
+    pub async fn record_origins(
+        &self,
+        address: SocketAddr,
+        records: Vec<origins::Record>,
+    ) -> Result<(), Error> {
+        let mut client = FeedClient::new(self.channel(address)?);
+        let call = client.note(codec::encode_origins(records));
+        match time::timeout(ORIGINS_TIMEOUT, call).await {
+            Ok(Ok(_)) => Ok(()),
+            Ok(Err(status)) if status.code() == Code::Unimplemented => {
+                Err(Error::Call(status.to_string()))
+            }
+            Ok(Err(status)) => Err(self.drop_channel(address, status.to_string())),
+            Err(_) => Err(self.drop_channel(address, "no answer in time".to_owned())),
+        }
+    }
+
+    /// Returns the origins of streams that another instance knows. An instance that doesn't know the call knows none.
+    ///
+    /// # Errors
+    ///
+    /// - The instance is unreachable, stopping or doesn't answer in time.
+    pub async fn find_origins(
+        &self,
+        address: SocketAddr,
+        streams: &[Name],
+        timeout: Duration,
+    ) -> Result<Vec<origins::Record>, Error> {
+        let mut client = FeedClient::new(self.channel(address)?);
+        let call = client.recall(codec::encode_streams(streams));
+        match time::timeout(timeout, call).await {
+            Ok(Ok(found)) => Ok(codec::decode_origins(found.into_inner())),
+            Ok(Err(status)) if status.code() == Code::Unimplemented => Ok(Vec::new()),
+            Ok(Err(status)) => Err(self.drop_channel(address, status.to_string())),
+            Err(_) => Err(self.drop_channel(address, "no answer in time".to_owned())),
+        }
+    }
+
     /// Exchanges heartbeats with another instance.
     ///
     /// # Errors
--- a/crates/feed/src/codec.rs
+++ b/crates/feed/src/codec.rs
@@ -2,13 +2,13 @@
 
 use core::time::Duration;
 
-use base::Name;
+use base::{Incarnation, Name, Software, Stamp};
 use batch::{
     Shard,
     piece::{Handle, Outcome, Reason, Source},
 };
 use bytes::Bytes;
-use mesh::{Changes, Departure, Position, Record};
+use mesh::{Changes, Departure, Origin, Position, Record, origins};
 use site::route::Rank;
 use wire::feed as message;
 
@@ -156,6 +156,65 @@
     eras.max().unwrap_or_default()
 }
 
+pub(crate) fn encode_origins(records: Vec<origins::Record>) -> message::Origins {
+    let origins = records.into_iter().map(encode_origin);
+    message::Origins {
+        origins: origins.collect(),
+    }
+}
+
+fn encode_origin(record: origins::Record) -> message::Origin {
+    let origin = message::Origin {
+        stream: record.stream.as_str().to_owned(),
+        pool: record.origin.pool.as_str().to_owned(),
+        left_ms: millis(record.ttl),
+        ..message::Origin::default()
+    };
+    match record.origin.software {
+        Software::Version(version) => message::Origin {
+            version: version.as_str().to_owned(),
+            ..origin
+        },
+        Software::Run(run) => message::Origin {
+            server: run.name.as_str().to_owned(),
+            started_ms: run.start.as_millis(),
+            ..origin
+        },
+    }
+}
+
+pub(crate) fn decode_origins(message: message::Origins) -> Vec<origins::Record> {
+    message.origins.into_iter().map(decode_origin).collect()
+}
+
+fn decode_origin(origin: message::Origin) -> origins::Record {
+    let software = if origin.version.is_empty() {
+        let start = Stamp::from_millis(origin.started_ms);
+        Software::Run(Incarnation::new(origin.server, start))
+    } else {
+        Software::Version(origin.version.into())
+    };
+    origins::Record {
+        stream: origin.stream.into(),
+        origin: Origin {
+            pool: origin.pool.into(),
+            software,
+        },
+        ttl: Duration::from_millis(origin.left_ms),
+    }
+}
+
+pub(crate) fn encode_streams(streams: &[Name]) -> message::Streams {
+    let streams = streams.iter().map(|stream| stream.as_str().to_owned());
+    message::Streams {
+        streams: streams.collect(),
+    }
+}
+
+pub(crate) fn decode_streams(message: message::Streams) -> Vec<Name> {
+    message.streams.into_iter().map(Name::from).collect()
+}
+
 fn encode_departure(departure: Departure) -> message::Departure {
     message::Departure {
         server: departure.server.as_str().to_owned(),
--- a/crates/feed/src/server.rs
+++ b/crates/feed/src/server.rs
@@ -3,8 +3,10 @@
 use std::{io, net::SocketAddr};
 
 use actix_web::rt;
+use base::Name;
 use batch::piece::Handle;
 use bytes::Bytes;
+use mesh::origins;
 use tokio::{
     net::TcpListener,
     sync::{mpsc, oneshot},
@@ -40,6 +42,18 @@
         /// The channel for the records.
         reply: oneshot::Sender<Lists>,
     },
+    /// Keeps the origins of streams.
+    RecordOrigins {
+        /// The origins.
+        records: Vec<origins::Record>,
+    },
+    /// Looks up the origins of streams.
+    FindOrigins {
+        /// The streams.
+        streams: Vec<Name>,
+        /// The channel for the origins that are known.
+        reply: oneshot::Sender<Vec<origins::Record>>,
+    },
     /// Exchanges heartbeats.
     Heartbeat {
         /// The heartbeat of the other instance.
@@ -126,6 +140,28 @@
         Ok(Response::new(codec::encode_lists(lists)))
     }
 
+    async fn note(
+        &self,
+        request: Request<message::Origins>,
+    ) -> Result<Response<message::Noted>, Status> {
+        let records = codec::decode_origins(request.into_inner());
+        self.commands
+            .send(Command::RecordOrigins { records })
+            .map_err(|_| Status::unavailable("the instance stops"))?;
+        Ok(Response::new(message::Noted {}))
+    }
+
+    async fn recall(
+        &self,
+        request: Request<message::Streams>,
+    ) -> Result<Response<message::Origins>, Status> {
+        let streams = codec::decode_streams(request.into_inner());
+        let found = self
+            .request(|reply| Command::FindOrigins { streams, reply })
+            .await?;
+        Ok(Response::new(codec::encode_origins(found)))
+    }
+
     async fn beat(
         &self,
         request: Request<message::Pulse>,
--- a/crates/feed/tests/loopback.rs
+++ b/crates/feed/tests/loopback.rs
@@ -2,6 +2,7 @@
 
 use core::time::Duration;
 
+use base::{Incarnation, Software, Stamp};
 use batch::{
     Shard,
     piece::{Handle, Outcome, Reason, Source},
@@ -12,7 +13,7 @@
     serve,
 };
 use googletest::prelude::*;
-use mesh::{Changes, Departure, Position, Record};
+use mesh::{Changes, Departure, Origin, Position, Record, origins};
 use site::route::Rank;
 use tokio::sync::mpsc;
 
@@ -149,6 +150,49 @@
     );
 }
 
+#[gtest]
+#[actix_web::test]
+async fn origins_of_streams_arrive_as_they_were_sent() {
+    let (sender, mut commands) = mpsc::unbounded_channel();
+    let address = "127.0.0.1:17744".parse().unwrap();
+    serve(address, sender).unwrap();
+    let record = |stream: &str, software| origins::Record {
+        stream: stream.into(),
+        origin: Origin {
+            pool: "portfolio".into(),
+            software,
+        },
+        ttl: Duration::from_millis(8_100),
+    };
+    let run = Incarnation::new("i-1", Stamp::from_millis(1_790_000_000_000));
+    let sent = vec![
+        record("r-1", Software::Version("v1.2".into())),
+        record("r-2", Software::Run(run)),
+    ];
+    let client = Client::default();
+    let recorded = client.record_origins(address, sent.clone()).await;
+    expect_that!(recorded.is_ok(), eq(true));
+    let Some(Command::RecordOrigins { records }) = commands.recv().await else {
+        panic!("expected origins");
+    };
+    expect_that!(records, eq(&sent));
+    let asked = ["r-1".into(), "r-3".into()];
+    let timeout = Duration::from_secs(5);
+    let (found, ()) = tokio::join!(client.find_origins(address, &asked, timeout), async {
+        let Some(Command::FindOrigins { streams, reply }) = commands.recv().await else {
+            panic!("expected a lookup");
+        };
+        expect_that!(streams, eq(&asked));
+        reply.send(sent[..1].to_vec()).unwrap();
+    });
+    expect_that!(found.unwrap(), eq(&sent[..1]));
+    // A lookup that isn't answered fails in time.
+    let found = client
+        .find_origins(address, &asked, Duration::from_millis(100))
+        .await;
+    expect_that!(found.is_err(), eq(true));
+}
+
 #[gtest]
 #[actix_web::test]
 async fn calls_to_a_missing_or_hanging_instance_fail_in_time() {
