Pick: prompt memory is fetched only from an engine of the same software

An engine was told to fetch the parts of a prompt that it hasn't cached from any engine, also one of another software version, whose memory may not fit. Fetches are limited to engines of the same version, or none if it is unknown.

--- a/crates/pick/src/engine.rs
+++ b/crates/pick/src/engine.rs
@@ -68,7 +68,7 @@
     pub server: &'a Rc<Server>,
     /// The approximate number of tokens that it has to read itself.
     pub tokens: u64,
-    /// An engine with more of the prompt in its cache, to fetch from.
+    /// An engine of the same software with more of the prompt in its cache, to fetch from.
     pub fetch_from: Option<SocketAddr>,
 }
 
@@ -151,8 +151,11 @@
     }
     let (_, mut choice) = best?;
     // The cache of the home engine may be unknown if other instances sent it the parts.
-    let home =
-        home.filter(|home| home.id != choice.server.id && !fleet.is_blocked(cx.now, &home.id));
+    let home = home.filter(|home| {
+        home.id != choice.server.id
+            && !fleet.is_blocked(cx.now, &home.id)
+            && home.runs(&choice.server.software())
+    });
     choice.fetch_from = fleet
         .fetch_source(cx.now, &choice, &chains, prompt, servers)
         .or_else(|| home.map(|home| home.address));
@@ -243,7 +246,8 @@
         let own = self.cached_tokens(now, &choice.server.id, chains, prompt);
         let others = servers
             .iter()
-            .filter(|server| server.id != choice.server.id && !self.is_blocked(now, &server.id));
+            .filter(|server| server.id != choice.server.id && !self.is_blocked(now, &server.id))
+            .filter(|server| server.runs(&choice.server.software()));
         let best = others
             .map(|server| (self.cached_tokens(now, &server.id, chains, prompt), server))
             .max_by_key(|(cached, server)| (*cached, server.domain == choice.server.domain))?;
--- a/crates/pick/tests/engine.rs
+++ b/crates/pick/tests/engine.rs
@@ -52,7 +52,16 @@
 }
 
 fn choose(fleet: &Fleet, seed: u64, prompt: &Prompt, affinity: Affinity<'_>) -> Choice {
-    let engines = engines(18);
+    choose_among(&engines(18), fleet, seed, prompt, affinity)
+}
+
+fn choose_among(
+    engines: &[Rc<Server>],
+    fleet: &Fleet,
+    seed: u64,
+    prompt: &Prompt,
+    affinity: Affinity<'_>,
+) -> Choice {
     let servers: Vec<_> = engines.iter().collect();
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let mut cx = plain::Context {
@@ -105,6 +114,36 @@
     expect_that!(away.fetch_from, some(eq(address)));
 }
 
+/// Prompt memory of an engine was fetched by an engine of another software version.
+#[gtest]
+fn prompt_memory_is_fetched_only_from_an_engine_of_the_same_version() {
+    let now = Tick::from_millis(900);
+    for version in [Some("v2"), None] {
+        let mut fleet = Fleet::new(Config::default());
+        let home = choose(&fleet, 1, &prompt(10, 100), NO_AFFINITY);
+        fleet.record_start(now, &home.id, 40_000);
+        let engines: Vec<_> = engines(18)
+            .into_iter()
+            .map(|engine| {
+                let mut engine = Server::clone(&engine);
+                if engine.id == home.id {
+                    engine.version = version.map(Into::into);
+                }
+                Rc::new(engine)
+            })
+            .collect();
+        // Neither as the home of the session's parts nor as an engine known to have cached them.
+        for is_cached in [false, true] {
+            if is_cached {
+                fleet.record_cached_prompt(now, &home.id, &prompt(10, 100));
+            }
+            let away = choose_among(&engines, &fleet, 1, &prompt(10, 101), NO_AFFINITY);
+            expect_that!(away.id, not(eq(&home.id)));
+            expect_that!(away.fetch_from, none());
+        }
+    }
+}
+
 #[gtest]
 fn load_reports_of_other_instances_count_until_they_expire() {
     let now = Tick::from_millis(900);
