Streams go on only at the software version that began them

Cause: the ingress ignored Resumes, no instance knew where another one's stream began, and the choice of a server didn't look at versions, neither for a caller's new attempt nor for a resumption within an answer.

With the first whole event that is passed to the caller, Job::origin holds the pool and software of the server that sent it, and only servers of that software are considered from then on. The origin of a stream that may be resumed is recorded at this instance and at two others. A request with Last-Event-Id or Resumes is resolved before anything else: from this instance's memory, or from two instances of each failure domain at once. If the origin is unknown, the request is refused as not run: 311 without a time if all that could know said so, 312 with a short time if some didn't answer; 313 without a time if the version has no server, before any stage runs. A pause of all servers of a version counts as one for its streams. Each request that takes a stream up logs how its version was known.

--- a/crates/base/src/code.rs
+++ b/crates/base/src/code.rs
@@ -139,6 +139,12 @@
     Stopping = 309, 503, NotRun, retryable;
     /// The platform's log cannot be reached, so a call that may not be repeated was not started.
     LogUnavailable = 310, 503, NotRun, retryable;
+    /// It is unknown which software version began the stream; begin it anew.
+    OriginUnknown = 311, 503, NotRun, permanent;
+    /// The instances that may know which software version began the stream cannot be reached.
+    OriginUnavailable = 312, 503, NotRun, retryable;
+    /// No backend server of the software version that began the stream is left; begin it anew.
+    VersionGone = 313, 503, NotRun, permanent;
     /// The call may have run; it will not be repeated.
     CallUnknown = 400, 504, Unknown, permanent;
     /// This attempt did not run; whether an earlier one under the key ran cannot be told now.
--- a/crates/mesh/src/origins.rs
+++ b/crates/mesh/src/origins.rs
@@ -13,6 +13,9 @@
 /// The largest number of origins that are remembered; the ones that expire first are forgotten first.
 const MAX_ORIGINS: usize = 16_384;
 
+/// The longest id of a stream that is remembered, in bytes.
+const MAX_ID_BYTES: usize = 256;
+
 /// The share of the origins that is forgotten at a time if there are too many.
 const EVICTED_SHARE: usize = 16;
 
@@ -64,7 +67,8 @@
 }
 
 impl Origins {
-    /// Records the origin of a stream. The first record of a stream holds; later ones only prolong it.
+    /// Records the origin of a stream. The first record of a stream holds; later ones only prolong it. Very long ids are
+    /// not remembered.
     ///
     /// # Examples
     ///
@@ -85,6 +89,9 @@
             self.entries.retain(|entry| now < entry.expires_at);
             self.next_sweep = now + SWEEP_INTERVAL;
         }
+        if record.stream.as_str().len() > MAX_ID_BYTES {
+            return;
+        }
         let expires_at = now + record.ttl.min(MAX_TTL);
         match self.position(&record.stream) {
             Ok(at) if now < self.entries[at].expires_at => {
@@ -117,6 +124,16 @@
         (now < entry.expires_at).then_some(&entry.origin)
     }
 
+    /// Returns the record of a stream, with the time that is left.
+    pub fn get(&self, now: Tick, stream: Name) -> Option<Record> {
+        let entry = &self.entries[self.position(&stream).ok()?];
+        (now < entry.expires_at).then(|| Record {
+            origin: entry.origin.clone(),
+            ttl: entry.expires_at - now,
+            stream,
+        })
+    }
+
     /// Returns the number of origins that are remembered, including expired ones.
     pub const fn len(&self) -> usize {
         self.entries.len()
--- a/crates/mesh/tests/origins.rs
+++ b/crates/mesh/tests/origins.rs
@@ -276,4 +276,7 @@
     expect_that!(origins.len(), eq(1));
     let much_later = later + Duration::from_secs(3_600);
     expect_that!(origins.find(much_later, &"r-1".into()), none());
+    let long = "r".repeat(10_000);
+    origins.record(much_later, record(&long, "v1", TTL));
+    expect_that!(origins.len(), eq(0));
 }
--- a/crates/relay/src/body.rs
+++ b/crates/relay/src/body.rs
@@ -12,7 +12,7 @@
     Failure, Hub, Job, Reply, Transport,
     events::Splitter,
     hub::completion_of,
-    policy,
+    origin, policy,
     serve::{self, Attempt, Attempts},
 };
 
@@ -62,6 +62,7 @@
                     let events = self.events.push(&bytes);
                     self.record_first_bytes();
                     if !events.is_empty() {
+                        self.begin();
                         return Ok(Some(events));
                     }
                 }
@@ -157,6 +158,13 @@
         }
     }
 
+    /// Records where the stream began, if these are its first events.
+    fn begin(&self) {
+        if let Some(attempt) = &self.attempt {
+            origin::begin(&self.hub, &self.job, &attempt.guard.server);
+        }
+    }
+
     /// Records the first bytes of an answer, which show that the server has read the prompt and the stage results.
     fn record_first_bytes(&mut self) {
         let Some(attempt) = &mut self.attempt else {
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -10,7 +10,7 @@
     scheduler::Load,
 };
 use bytes::Bytes;
-use mesh::Peer;
+use mesh::{Origin, Peer, origins};
 use site::roster::Server;
 use thiserror::Error;
 
@@ -184,4 +184,15 @@
 
     /// Reports to other instances that a server crashed while it ran a request with this digest.
     fn report_crash(&self, digest: u64, server: &Name);
+
+    /// Sends the origin of a stream to other instances, which keep it.
+    fn record_origin(&self, holders: Vec<Peer>, record: origins::Record);
+
+    /// Asks another instance for the origin of a stream.
+    fn find_origin(
+        &self,
+        peer: &Peer,
+        stream: &Name,
+        timeout: Duration,
+    ) -> impl Future<Output = Result<Option<Origin>, Failure>>;
 }
--- a/crates/relay/src/hub.rs
+++ b/crates/relay/src/hub.rs
@@ -9,7 +9,7 @@
     piece::{Handle, Outcome, Reason},
     scheduler::{self, Action, Batch, Context},
 };
-use mesh::{Departures, Members, Owner};
+use mesh::{Departures, Members, Origins, Owner};
 use pick::{Fleet, fleet::Completion};
 use rand::{SeedableRng, rngs::SmallRng};
 use retry::{Crashes, Window, window::Bound};
@@ -50,6 +50,8 @@
     pub members: Members,
     /// Departures of servers that other instances are told.
     pub departures: Departures,
+    /// Where recent streams began.
+    pub origins: Origins,
     /// Estimates of the time to the first event and of request sizes.
     pub estimator: Estimator,
     /// The source of randomness.
@@ -121,6 +123,7 @@
                 crashes: Crashes::default(),
                 members,
                 departures: Departures::default(),
+                origins: Origins::default(),
                 estimator: Estimator::default(),
                 rng: SmallRng::seed_from_u64(seed),
                 waiters: Vec::new(),
--- a/crates/relay/src/job.rs
+++ b/crates/relay/src/job.rs
@@ -1,12 +1,14 @@
 //! Admitted requests and their deadlines.
 
-use core::time::Duration;
+use core::{cell::OnceCell, time::Duration};
 use std::rc::Rc;
 
 use base::{Name, Tick};
+use mesh::Origin;
 use pick::engine::Prompt;
 use site::{
     Route,
+    roster::Server,
     route::{Kind, Rank},
 };
 
@@ -19,6 +21,13 @@
 /// The silence after which a caller leaves a stream, as a multiple of the route's event gap, if that is longer.
 const PATIENCE_EVENT_GAPS: u32 = 8;
 
+/// How a request takes up a stream that an earlier attempt of its caller began.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Resumption {
+    /// The attempt that brought the first event, if the caller names it.
+    pub first_attempt: Option<Name>,
+}
+
 /// An admitted request with the data that forwarding needs.
 #[derive(Clone, Debug)]
 pub struct Job<R> {
@@ -46,6 +55,10 @@
     pub piece_key: Name,
     /// The id of the last event that the caller received, if it resumes a stream.
     pub last_event: Option<u64>,
+    /// How it takes up a stream, if it does.
+    pub resumption: Option<Resumption>,
+    /// Where its stream began, once that is known.
+    pub origin: OnceCell<Origin>,
     /// The request itself.
     pub request: Rc<R>,
 }
@@ -72,6 +85,12 @@
         }
     }
 
+    /// Returns whether the request may be sent to a server; a stream goes on only at the software that began it.
+    pub fn may_use(&self, server: &Server) -> bool {
+        let origin = self.origin.get();
+        origin.is_none_or(|origin| server.runs(&origin.software))
+    }
+
     /// Returns the time left until the final deadline.
     pub fn time_left(&self, now: Tick) -> Duration {
         self.final_deadline() - now
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod hub;
 pub mod job;
 mod notices;
+mod origin;
 mod pending;
 pub mod policy;
 mod release;
@@ -26,6 +27,6 @@
     body::Body,
     call::{Call, Failure, Notice, Reply, Transport},
     hub::Hub,
-    job::Job,
+    job::{Job, Resumption},
     serve::{Answer, Refusal},
 };
--- a/crates/relay/src/notices.rs
+++ b/crates/relay/src/notices.rs
@@ -4,6 +4,7 @@
 
 use base::{Name, Tick};
 use rand::RngExt;
+use site::roster::Server;
 
 use crate::{Job, Notice, configs::Config, hub::State};
 
@@ -40,9 +41,11 @@
         }
     }
 
-    /// Returns when the first server of a pool takes requests again, if all of them asked for a pause.
-    fn pause_end(&self, now: Tick, pool: &Name) -> Option<Tick> {
-        let mut servers = self.roster.usable(now, pool).peekable();
+    /// Returns when the first of a pool's servers that may be used takes requests again, if all of them asked for a
+    /// pause.
+    fn pause_end(&self, now: Tick, pool: &Name, may_use: impl Fn(&Server) -> bool) -> Option<Tick> {
+        let servers = self.roster.usable(now, pool);
+        let mut servers = servers.filter(|server| may_use(server)).peekable();
         servers.peek()?;
         let ends = servers.map(|server| self.fleet.paused_until(now, &server.id));
         ends.collect::<Option<Vec<_>>>()?.into_iter().min()
@@ -52,8 +55,8 @@
     pub(crate) fn pause_left<R>(&self, now: Tick, pool: &Name, job: &Job<R>) -> Option<Duration> {
         let stages = job.route.stages.iter().zip(&job.pieces);
         let stages = stages.filter(|(_, pieces)| **pieces > 0);
-        let pools = stages.map(|(stage, _)| &stage.pool).chain([pool]);
-        let ends = pools.filter_map(|pool| self.pause_end(now, pool));
-        ends.max().map(|end| end - now)
+        let ends = stages.filter_map(|(stage, _)| self.pause_end(now, &stage.pool, |_| true));
+        let own_end = self.pause_end(now, pool, |server| job.may_use(server));
+        ends.chain(own_end).max().map(|end| end - now)
     }
 }
--- /dev/null
+++ b/crates/relay/src/origin.rs
@@ -0,0 +1,123 @@
+//! Keeps a stream at the software version that sent its first event.
+
+use core::time::Duration;
+use std::rc::Rc;
+
+use base::{Code, Name};
+use futures_util::{StreamExt, stream::FuturesUnordered};
+use mesh::{
+    Origin,
+    origins::{self, Record},
+};
+use site::roster::Server;
+use tokio::time;
+
+use crate::{Hub, Job, Transport};
+
+/// How long other instances may take to tell where a stream began.
+const LOOKUP_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// How long an origin is kept after the caller's deadline, as requests take some time to arrive.
+const TTL_MARGIN: Duration = Duration::from_secs(2);
+
+/// Records the server that sent the first event of a request's stream.
+pub(crate) fn begin<E: Transport>(hub: &Hub<E>, job: &Job<E::Request>, server: &Server) {
+    let origin = Origin {
+        pool: server.pool.clone(),
+        software: server.software(),
+    };
+    if job.origin.set(origin.clone()).is_ok() && job.route.resumable {
+        record(hub, job, &job.id, origin);
+    }
+}
+
+/// Determines where the stream began that a request takes up, if it does.
+///
+/// # Errors
+///
+/// - The code with which the request is refused.
+pub(crate) async fn resolve<E: Transport>(hub: &Hub<E>, job: &Job<E::Request>) -> Result<(), Code> {
+    let Some(resumption) = &job.resumption else {
+        return Ok(());
+    };
+    let stream = resumption.first_attempt.as_ref();
+    let found = match stream {
+        Some(stream) => find(hub, stream).await,
+        None => Err(Code::OriginUnknown),
+    };
+    let (version, source) = match &found {
+        Ok((origin, source)) => (origin.software.to_string(), source.as_str()),
+        Err(_) => (String::new(), "unknown"),
+    };
+    log::info!(
+        target: "relay", request:% = job.id, resumes = stream.map_or("", Name::as_str),
+        after = job.last_event.unwrap_or(0), version:% = version, source = source;
+        "stream taken up"
+    );
+    let (origin, _) = found?;
+    if let Some(stream) = stream
+        && job.origin.set(origin.clone()).is_ok()
+    {
+        record(hub, job, stream, origin);
+    }
+    Ok(())
+}
+
+/// Records the origin of a stream at this instance and at others.
+fn record<E: Transport>(hub: &Hub<E>, job: &Job<E::Request>, stream: &Name, origin: Origin) {
+    let now = hub.transport.now();
+    let record = Record {
+        stream: stream.clone(),
+        origin,
+        ttl: job.deadline - now + TTL_MARGIN,
+    };
+    let holders = hub.with(|state| {
+        state.origins.record(now, record.clone());
+        origins::holders(&state.members, stream)
+    });
+    hub.transport.record_origin(holders, record);
+}
+
+/// Returns the origin of a stream and the name of the instance that knows it, or `local`.
+async fn find<E: Transport>(hub: &Hub<E>, stream: &Name) -> Result<(Origin, Name), Code> {
+    let now = hub.transport.now();
+    let known = hub.with(|state| state.origins.find(now, stream).cloned());
+    if let Some(origin) = known {
+        return Ok((origin, "local".into()));
+    }
+    let sources = hub.with(|state| origins::sources(&state.members, stream));
+    let lookups = sources.iter().map(|peer| async move {
+        let found = hub.transport.find_origin(peer, stream, LOOKUP_TIMEOUT);
+        (peer, found.await)
+    });
+    let mut lookups: FuturesUnordered<_> = lookups.collect();
+    let mut is_certain = true;
+    let search = async {
+        while let Some((peer, found)) = lookups.next().await {
+            match found {
+                Ok(Some(origin)) => return Some((origin, peer.name.clone())),
+                Ok(None) => {}
+                Err(_) => is_certain = false,
+            }
+        }
+        None
+    };
+    match time::timeout(LOOKUP_TIMEOUT, search).await {
+        Ok(Some(found)) => Ok(found),
+        Ok(None) if is_certain => Err(Code::OriginUnknown),
+        Ok(None) | Err(_) => Err(Code::OriginUnavailable),
+    }
+}
+
+/// Returns whether a pool has a server that may go on with a request's stream.
+pub(crate) fn has_server<E: Transport>(
+    hub: &Rc<Hub<E>>,
+    job: &Job<E::Request>,
+    pool: &Name,
+) -> bool {
+    let now = hub.transport.now();
+    hub.with(|state| {
+        let mut servers = state.roster.usable(now, pool);
+        servers.any(|server| job.may_use(server))
+    })
+}
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -14,6 +14,7 @@
     Body, Failure, Hub, Job, Reply, Transport,
     guard::Guard,
     hub::completion_of,
+    origin,
     pending::{Event, Pending},
     policy::{self, Decision},
     stages::{self, Inputs},
@@ -95,6 +96,9 @@
         });
     }
     let mut attempts = Attempts::default();
+    if let Err(code) = origin::resolve(hub, &job).await {
+        return Err(refusal(hub, &job, &attempts, code));
+    }
     let time_left = job.event_deadline(job.arrived_at) - hub.transport.now();
     let attempt = time::timeout(
         time_left,
@@ -188,6 +192,9 @@
     since: Tick,
 ) -> Result<Prepared<E>, Code> {
     let pool = select_pool(hub, job)?;
+    if job.origin.get().is_some() && !origin::has_server(hub, job, &pool) {
+        return Err(Code::VersionGone);
+    }
     let started_at = hub.transport.now();
     if hub
         .with(|state| state.pause_left(started_at, &pool, job))
@@ -386,7 +393,9 @@
     let now = hub.transport.now();
     let domain = inputs.domain();
     hub.with(|state| {
-        let registered: Vec<_> = state.roster.usable(now, pool).cloned().collect();
+        let registered = state.roster.usable(now, pool);
+        let registered = registered.filter(|server| job.may_use(server));
+        let registered: Vec<_> = registered.cloned().collect();
         let servers = state.reachable(now, registered.iter().collect());
         let mut cx = plain::Context {
             now,
@@ -428,9 +437,15 @@
 
 /// Returns the pool that serves a request, which is the same for all its attempts.
 fn select_pool<E: Transport>(hub: &Rc<Hub<E>>, job: &Job<E::Request>) -> Result<Name, Code> {
-    // The upper 53 bits of the digest as a number from 0 to 1.
-    let draw = (job.digest >> 11) as f64 / (1_u64 << 53) as f64;
-    let pool = job.route.pool(draw).ok_or(Code::StageUnavailable)?;
+    let pool = match job.origin.get() {
+        Some(origin) if job.route.allows_pool(&origin.pool) => &origin.pool,
+        Some(_) => return Err(Code::VersionGone),
+        None => {
+            // The upper 53 bits of the digest as a number from 0 to 1.
+            let draw = (job.digest >> 11) as f64 / (1_u64 << 53) as f64;
+            job.route.pool(draw).ok_or(Code::StageUnavailable)?
+        }
+    };
     let is_known = hub.with(|state| {
         let config = state.config.as_ref()?;
         config
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -3,7 +3,7 @@
 #![allow(dead_code, reason = "each test file uses only a part of this module")]
 
 use core::{
-    cell::{Cell, RefCell},
+    cell::{Cell, OnceCell, RefCell},
     net::SocketAddr,
     time::Duration,
 };
@@ -15,7 +15,7 @@
     piece::{Handle, Outcome},
 };
 use bytes::Bytes;
-use mesh::{Members, Peer};
+use mesh::{Members, Origin, Peer, origins};
 use relay::{Call, Failure, Hub, Job, Notice, Reply, Transport, call::Results, configs::Config};
 use retry::window::Bound;
 use site::{
@@ -73,6 +73,10 @@
     pub(crate) released: RefCell<Vec<Handle>>,
     pub(crate) crashes: RefCell<Vec<(u64, Name)>>,
     pub(crate) notices: RefCell<Vec<Notice>>,
+    /// What other instances know of the origins of streams; those that are missing here don't answer.
+    pub(crate) origins: RefCell<Vec<(Name, Vec<origins::Record>)>>,
+    /// Records of origins that were sent to other instances.
+    pub(crate) recorded: RefCell<Vec<(Name, origins::Record)>>,
     /// The pause that a stage server asks for with its next answer, which then refuses the call.
     pub(crate) stage_pause: Cell<Option<Duration>>,
 }
@@ -223,6 +227,26 @@
     fn report_crash(&self, digest: u64, server: &Name) {
         self.crashes.borrow_mut().push((digest, server.clone()));
     }
+
+    fn record_origin(&self, holders: Vec<Peer>, record: origins::Record) {
+        let holders = holders.into_iter();
+        let records = holders.map(|holder| (holder.name, record.clone()));
+        self.recorded.borrow_mut().extend(records);
+    }
+
+    async fn find_origin(
+        &self,
+        peer: &Peer,
+        stream: &Name,
+        _: Duration,
+    ) -> Result<Option<Origin>, Failure> {
+        time::sleep(Duration::from_millis(5)).await;
+        let known = self.origins.borrow();
+        let known = known.iter().find(|(name, _)| *name == peer.name);
+        let (_, records) = known.ok_or(Failure::Unreachable)?;
+        let record = records.iter().find(|record| record.stream == *stream);
+        Ok(record.map(|record| record.origin.clone()))
+    }
 }
 
 fn local_peer() -> Peer {
@@ -245,6 +269,8 @@
         released: RefCell::default(),
         crashes: RefCell::default(),
         notices: RefCell::default(),
+        origins: RefCell::default(),
+        recorded: RefCell::default(),
         stage_pause: Cell::default(),
     };
     let bound = Bound {
@@ -331,6 +357,8 @@
         pieces: vec![2, 3],
         piece_key: "key".into(),
         last_event: None,
+        resumption: None,
+        origin: OnceCell::new(),
         request: Rc::new(()),
     })
 }
--- a/crates/relay/tests/versions.rs
+++ b/crates/relay/tests/versions.rs
@@ -5,8 +5,10 @@
 use core::time::Duration;
 use std::rc::Rc;
 
+use base::{Code, Software};
 use googletest::prelude::*;
-use relay::{Answer, Failure, serve::serve};
+use mesh::{Origin, Peer, origins::Record};
+use relay::{Answer, Failure, Job, Resumption, serve::serve};
 use site::{roster::Server, route::Kind};
 use support::{Reaction, Servers, hub, job};
 use tokio::time;
@@ -142,3 +144,242 @@
         time::resume();
     }
 }
+
+fn record(stream: &str, version: &str) -> Record {
+    Record {
+        stream: stream.into(),
+        origin: Origin {
+            pool: "engines".into(),
+            software: Software::Version(version.into()),
+        },
+        ttl: Duration::from_secs(5),
+    }
+}
+
+/// Adds instances that know the origins of the given streams.
+fn add_instances(hub: &Hub, known: Vec<(&str, Vec<Record>)>) {
+    for (name, records) in known {
+        add_unreachable(hub, name);
+        hub.transport
+            .origins
+            .borrow_mut()
+            .push((name.into(), records));
+    }
+}
+
+fn add_unreachable(hub: &Hub, name: &str) {
+    let peer = Peer {
+        name: name.into(),
+        address: "10.0.0.9:7740".parse().unwrap(),
+        domain: "a".into(),
+        capacity: 250,
+    };
+    hub.with(|state| state.members.add(peer));
+}
+
+/// Returns a request that takes up a stream after its first event.
+fn resumption(hub: &Hub, first_attempt: Option<&str>) -> Rc<Job<()>> {
+    let job = job(hub, Kind::Streaming, |_| {});
+    Rc::new(Job {
+        id: "r-2".into(),
+        last_event: Some(1),
+        resumption: Some(Resumption {
+            first_attempt: first_attempt.map(Into::into),
+        }),
+        ..Job::clone(&job)
+    })
+}
+
+/// Returns the text of a stream that was taken up, or the code of its refusal and whether a time is given.
+async fn take_up(
+    hub: &Hub,
+    first_attempt: Option<&str>,
+) -> std::result::Result<String, (Code, bool)> {
+    match serve(hub, resumption(hub, first_attempt)).await {
+        Ok(Answer::Stream { mut body, .. }) => {
+            let bytes = body.next().await.unwrap().unwrap_or_default();
+            Ok(String::from_utf8_lossy(&bytes).into_owned())
+        }
+        Ok(Answer::Whole { .. }) => panic!("expected a stream"),
+        Err(refusal) => Err((refusal.code, refusal.retry_after.is_some())),
+    }
+}
+
+/// ORDER: a stream that a caller took up was sent to a server of any version.
+#[gtest]
+#[actix_web::test]
+async fn a_stream_that_a_caller_takes_up_goes_on_only_at_its_version() {
+    for version in ["v1", "v2"] {
+        time::pause();
+        let hub = hub(vec![second()]);
+        list(&hub, "i-2", Some("v2"), 5);
+        add_instances(
+            &hub,
+            vec![("b", vec![]), ("c", vec![record("r-1", version)])],
+        );
+        expect_that!(take_up(&hub, Some("r-1")).await, ok(eq(SECOND)));
+        let expected = if version == "v1" {
+            vec!["i-0", "i-1"]
+        } else {
+            vec!["i-2"]
+        };
+        let used = sent_to(&hub).remove(0);
+        expect_that!(expected.contains(&used.as_str()), eq(true), "{used}");
+        time::resume();
+    }
+}
+
+/// The third attempt of a caller names the first one, which its instance learned from the second.
+#[gtest]
+#[actix_web::test]
+async fn a_stream_that_was_taken_up_keeps_the_name_of_its_first_attempt() {
+    time::pause();
+    let hub = hub(vec![second(), second()]);
+    add_instances(&hub, vec![("b", vec![]), ("c", vec![record("r-1", "v1")])]);
+    expect_that!(take_up(&hub, Some("r-1")).await, ok(eq(SECOND)));
+    let recorded = hub.transport.recorded.borrow().clone();
+    expect_that!(recorded.len(), eq(2));
+    for (_, record) in recorded {
+        expect_that!(record.stream.as_str(), eq("r-1"));
+        expect_that!(record.origin.software, eq(&Software::Version("v1".into())));
+    }
+    // The instance knows it by itself from now on.
+    hub.transport.origins.borrow_mut().clear();
+    expect_that!(take_up(&hub, Some("r-1")).await, ok(eq(SECOND)));
+}
+
+/// A stream's origin reaches other instances with its first event, not before and only once.
+#[gtest]
+#[actix_web::test]
+async fn the_origin_of_a_stream_is_recorded_with_its_first_event() {
+    for (chunks, count) in [
+        (&[][..], 0),
+        (&["id: 1\nda"][..], 0),
+        (&[FIRST, SECOND][..], 2),
+    ] {
+        time::pause();
+        let hub = hub(vec![broken(chunks)]);
+        add_instances(&hub, vec![("b", vec![]), ("c", vec![])]);
+        unlist(&hub, &["i-1", "i-2"]);
+        stream(&hub, || {}).await;
+        let recorded = hub.transport.recorded.borrow();
+        expect_that!(recorded.len(), eq(count), "{chunks:?}");
+        for (_, record) in recorded.iter() {
+            expect_that!(record.stream.as_str(), eq("r-1"));
+            expect_that!(record.origin.software, eq(&Software::Version("v1".into())));
+        }
+        time::resume();
+    }
+}
+
+/// ORDER: a stream whose origin is unknown was sent to a server of any version.
+#[gtest]
+#[actix_web::test]
+async fn a_stream_of_an_unknown_origin_is_refused_without_a_time() {
+    for first_attempt in [Some("r-9"), None] {
+        time::pause();
+        let hub = hub(vec![second()]);
+        add_instances(&hub, vec![("b", vec![record("r-1", "v1")])]);
+        expect_that!(
+            take_up(&hub, first_attempt).await,
+            err(eq(&(Code::OriginUnknown, false)))
+        );
+        expect_that!(sent_to(&hub).len(), eq(0));
+        time::resume();
+    }
+}
+
+/// A caller must not begin anew for good because an instance could not be asked for a moment.
+#[gtest]
+#[actix_web::test]
+async fn a_stream_is_refused_with_a_time_if_some_instances_cannot_be_asked() {
+    time::pause();
+    let hub = hub(vec![second()]);
+    add_instances(&hub, vec![("b", vec![])]);
+    add_unreachable(&hub, "c");
+    expect_that!(
+        take_up(&hub, Some("r-1")).await,
+        err(eq(&(Code::OriginUnavailable, true)))
+    );
+    expect_that!(sent_to(&hub).len(), eq(0));
+}
+
+/// ORDER: a stream went on at another version when no server of its own was listed.
+#[gtest]
+#[actix_web::test]
+async fn a_stream_whose_version_is_gone_is_refused_before_its_stages_run() {
+    time::pause();
+    let hub = hub(vec![second()]);
+    add_instances(&hub, vec![("b", vec![record("r-1", "v0")])]);
+    expect_that!(
+        take_up(&hub, Some("r-1")).await,
+        err(eq(&(Code::VersionGone, false)))
+    );
+    expect_that!(sent_to(&hub).len(), eq(0));
+}
+
+/// The servers of a version that asked for a pause come back, unlike those that are gone.
+#[gtest]
+#[actix_web::test]
+async fn a_stream_whose_version_pauses_is_refused_until_the_end_of_the_pause() {
+    time::pause();
+    let pause = Duration::from_secs(3);
+    let refused = Reaction::Notice {
+        is_leaving: false,
+        pause: Some(pause),
+        then: Box::new(Reaction::Fail(Failure::Full)),
+    };
+    let hub = hub(vec![refused]);
+    for id in ["i-1", "i-2"] {
+        list(&hub, id, Some("v2"), 5);
+    }
+    add_instances(&hub, vec![("b", vec![record("r-1", "v1")])]);
+    expect_that!(take_up(&hub, Some("r-1")).await, err(anything()));
+    let refusal = serve(&hub, resumption(&hub, Some("r-1"))).await.err();
+    let refusal = refusal.unwrap();
+    expect_that!(refusal.code, eq(Code::Overloaded));
+    // Some of the pause may have passed in the first request.
+    let wait = refusal.retry_after.unwrap_or_default();
+    expect_that!(wait, gt(Duration::from_secs(2)));
+    expect_that!(sent_to(&hub), eq(&vec!["i-0".to_owned()]));
+}
+
+/// ORDER: a stream went on at its server, which had restarted under its id with another version.
+#[gtest]
+#[actix_web::test]
+async fn a_stream_does_not_go_on_at_a_later_run_of_another_version() {
+    for (before, after) in [(Some("v1"), Some("v2")), (None, None), (Some("v1"), None)] {
+        time::pause();
+        let hub = hub(vec![broken(&[FIRST]), second()]);
+        unlist(&hub, &["i-1", "i-2"]);
+        list(&hub, "i-0", before, 5);
+        let (text, _) = stream(&hub, || {}).await;
+        expect_that!(text, eq(FIRST));
+        list(&hub, "i-0", after, 9);
+        expect_that!(
+            take_up(&hub, Some("r-1")).await,
+            err(eq(&(Code::VersionGone, false)))
+        );
+        time::resume();
+    }
+}
+
+/// A configuration that moves a route must not join the output of two pools.
+#[gtest]
+#[actix_web::test]
+async fn a_stream_whose_route_moved_to_another_pool_is_refused() {
+    time::pause();
+    let hub = hub(vec![second()]);
+    let elsewhere = Record {
+        origin: Origin {
+            pool: "other".into(),
+            software: Software::Version("v1".into()),
+        },
+        ..record("r-1", "v1")
+    };
+    add_instances(&hub, vec![("b", vec![elsewhere])]);
+    expect_that!(
+        take_up(&hub, Some("r-1")).await,
+        err(eq(&(Code::VersionGone, false)))
+    );
+}
--- a/crates/site/src/route.rs
+++ b/crates/site/src/route.rs
@@ -135,6 +135,12 @@
         next.map(|at| 1 + self.depth_after(at)).max().unwrap_or(0)
     }
 
+    /// Returns whether requests of the route may go to a pool.
+    pub fn allows_pool(&self, pool: &Name) -> bool {
+        let mut pools = self.pools.iter();
+        pools.any(|(name, weight)| name == pool && *weight > 0)
+    }
+
     /// Returns the pool for a random number from 0 to 1, by weight.
     pub fn pool(&self, draw: f64) -> Option<&Name> {
         let total: u32 = self.pools.iter().map(|(_, weight)| weight).sum();
