Each silent server of a request may still answer when a third one is tried

Cause: only one silent attempt was kept. Where a route allows three attempts, the first server was left when the second had been silent, too, although none had answered. Change: all silent attempts stay open until a server answers; the route's attempts bound their number.

--- a/crates/relay/src/pending.rs
+++ b/crates/relay/src/pending.rs
@@ -33,11 +33,11 @@
 pub(crate) enum Event<'a, E: Transport> {
     /// The head arrived.
     Answered(E::Reply),
-    /// The head of the earlier, silent attempt arrived.
+    /// The head of an earlier, silent attempt arrived.
     SilentAnswered(Pending<'a, E>, E::Reply),
     /// The attempt failed.
     Failed(Failure),
-    /// The earlier, silent attempt failed.
+    /// An earlier, silent attempt failed.
     SilentFailed(Pending<'a, E>, Failure),
     /// Nothing arrived for a while.
     Silent,
@@ -85,49 +85,50 @@
         }
     }
 
-    /// Waits for the head, a failure or a long silence. `silent` is an earlier attempt that was silent for long, which
-    /// is taken out when it has ended. `since` is the time from which the caller waits.
+    /// Waits for the head, a failure or a long silence. `silent` are earlier attempts that were silent for long, of which
+    /// one is taken out when it has ended. `since` is the time from which the caller waits.
     pub(crate) async fn next_event(
         &mut self,
         hub: &Rc<Hub<E>>,
         job: &Job<E::Request>,
-        silent: &mut Option<Self>,
+        silent: &mut Vec<Self>,
         since: Tick,
     ) -> Event<'a, E> {
         let limit = policy::head_silence_limit(&job.route, &hub.settings);
-        let Some(earlier) = silent else {
+        if silent.is_empty() {
             return match time::timeout(limit, &mut self.reply).await {
                 Ok(reply) => Event::of(reply),
                 Err(_) => Event::Silent,
             };
-        };
-        let earlier_reply = match job.route.kind {
-            // Two engines must not work on a stream, and this one may start at any moment. So the earlier attempt
-            // counts only if this one is silent, too, for half of the time that the caller still waits.
+        }
+        let mut earlier_reply = future::select_all(silent.iter_mut().map(|at| &mut at.reply));
+        let ended = match job.route.kind {
+            // Two engines must not work on a stream, and this one may start at any moment. So the earlier attempts
+            // count only if this one is silent, too, for half of the time that the caller still waits.
             Kind::Streaming => {
                 let time_left = job.event_deadline(since) - hub.transport.now();
                 let limit = limit.min((time_left / 2).max(hub.settings.min_attempt_timeout));
                 match time::timeout(limit, &mut self.reply).await {
                     Ok(reply) => return Event::of(reply),
-                    Err(_) => (&mut earlier.reply).now_or_never(),
+                    Err(_) => earlier_reply.now_or_never(),
                 }
             }
             Kind::Idempotent | Kind::AtMostOnce => {
-                let first = future::select(&mut self.reply, &mut earlier.reply);
+                let first = future::select(&mut self.reply, &mut earlier_reply);
                 match time::timeout(limit, first).await {
                     Ok(Either::Left((reply, _))) => return Event::of(reply),
-                    Ok(Either::Right((reply, _))) => Some(reply),
+                    Ok(Either::Right((ended, _))) => Some(ended),
                     Err(_) => None,
                 }
             }
         };
-        let Some(reply) = earlier_reply else {
+        let Some((reply, at, _)) = ended else {
             return Event::Silent;
         };
-        match (reply, silent.take()) {
-            (Ok(reply), Some(earlier)) => Event::SilentAnswered(earlier, reply),
-            (Err(failure), Some(earlier)) => Event::SilentFailed(earlier, failure),
-            (_, None) => Event::Silent,
+        let earlier = silent.remove(at);
+        match reply {
+            Ok(reply) => Event::SilentAnswered(earlier, reply),
+            Err(failure) => Event::SilentFailed(earlier, failure),
         }
     }
 
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -221,7 +221,7 @@
     since: Tick,
 ) -> Result<Attempt<E>, Code> {
     let Prepared { pool, mut inputs } = prepared;
-    let mut silent: Option<Pending<'_, E>> = None;
+    let mut silent: Vec<Pending<'_, E>> = Vec::new();
     loop {
         let mut pending = match choose(hub, job, &pool, &inputs, attempts) {
             Some(choice) => {
@@ -234,15 +234,13 @@
             }
             None => {
                 let code = policy::final_code(attempts.may_have_run, Code::StageUnavailable);
-                silent.take().ok_or(code)?
+                silent.pop().ok_or(code)?
             }
         };
         loop {
             match pending.next_event(hub, job, &mut silent, since).await {
                 Event::Answered(reply) => {
-                    if let Some(earlier) = silent.take() {
-                        earlier.abandon();
-                    }
+                    silent.into_iter().for_each(Pending::abandon);
                     return Ok(pending.into_attempt(hub, attempts, reply));
                 }
                 Event::SilentAnswered(earlier, reply) => {
@@ -257,13 +255,9 @@
                         }
                         checked => checked,
                     };
-                    match (retry, silent.take()) {
-                        (Ok(()), earlier) => {
-                            silent = earlier;
-                            break;
-                        }
-                        (Err(_), Some(earlier)) => pending = earlier,
-                        (Err(code), None) => return Err(code),
+                    match retry {
+                        Ok(()) => break,
+                        Err(code) => pending = silent.pop().ok_or(code)?,
                     }
                 }
                 Event::SilentFailed(mut earlier, failure) => {
@@ -273,7 +267,7 @@
                     pending.record_silence(attempts);
                     if attempts.may_try_beside(hub, job, &pool, &inputs) {
                         pending.log_silence(job);
-                        silent = Some(pending);
+                        silent.push(pending);
                         break;
                     }
                 }
