A silent server is heard while lost inputs are made again

Cause: if the next server reports that an input is gone, the stages run again, and meanwhile nobody read the answer of the silent server. It was read after the stages, or not before the deadline. Change: the stages run beside the silent attempts, and the first that answers ends the run; the results made so far are released. An attempt that fails meanwhile is recorded as usual. Evidence: a_silent_server_is_heard_while_lost_inputs_are_made_again failed before (an answer that came after 1.5 s was read after 4.015 s; a stream was refused at its deadline) and passes now.

--- a/crates/relay/src/pending.rs
+++ b/crates/relay/src/pending.rs
@@ -1,6 +1,6 @@
 //! Attempts whose head has not arrived, and what happens to them first.
 
-use core::pin::Pin;
+use core::pin::{Pin, pin};
 use std::rc::Rc;
 
 use base::Tick;
@@ -207,3 +207,27 @@
         }
     }
 }
+
+/// Does work that the next attempt needs, unless one of the silent attempts answers before.
+pub(crate) async fn run_beside<E: Transport, T>(
+    hub: &Rc<Hub<E>>,
+    job: &Job<E::Request>,
+    attempts: &mut Attempts,
+    silent: &mut Vec<Pending<'_, E>>,
+    work: impl Future<Output = T>,
+) -> Either<T, Attempt<E>> {
+    let mut work = pin!(work);
+    while !silent.is_empty() {
+        let earlier = future::select_all(silent.iter_mut().map(|at| &mut at.reply));
+        let (reply, at) = match future::select(work.as_mut(), earlier).await {
+            Either::Left((output, _)) => return Either::Left(output),
+            Either::Right(((reply, at, _), _)) => (reply, at),
+        };
+        let mut earlier = silent.remove(at);
+        match reply {
+            Ok(reply) => return Either::Right(earlier.into_attempt(hub, attempts, reply)),
+            Err(failure) => earlier.finish(hub, job, attempts, failure),
+        }
+    }
+    Either::Left(work.await)
+}
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -5,6 +5,7 @@
 
 use base::{Code, Name, Outcome, Tick};
 use bytes::{Bytes, BytesMut};
+use futures_util::future::Either;
 use pick::{engine, fleet::Completion, plain};
 use rand::RngExt;
 use site::{pool::Work, route::Kind};
@@ -14,7 +15,7 @@
     Body, Failure, Hub, Job, Reply, Transport,
     guard::Guard,
     hub::completion_of,
-    pending::{Event, Pending},
+    pending::{self, Event, Pending},
     policy::{self, Decision},
     stages::{self, Inputs},
 };
@@ -248,13 +249,16 @@
                 }
                 Event::Failed(failure) => {
                     pending.finish(hub, job, attempts, failure);
-                    let retry = match attempts.check_retry(hub, job, failure) {
-                        Ok(()) if failure == Failure::InputGone => {
-                            let remade = stages::run(hub, job, inputs.domain(), since).await;
-                            remade.map(|remade| inputs = Rc::new(remade))
+                    let mut retry = attempts.check_retry(hub, job, failure);
+                    if retry.is_ok() && failure == Failure::InputGone {
+                        let remade = stages::run(hub, job, inputs.domain(), since);
+                        match pending::run_beside(hub, job, attempts, &mut silent, remade).await {
+                            Either::Left(remade) => {
+                                retry = remade.map(|remade| inputs = Rc::new(remade));
+                            }
+                            Either::Right(answered) => return Ok(answered),
                         }
-                        checked => checked,
-                    };
+                    }
                     match retry {
                         Ok(()) => break,
                         Err(code) => pending = silent.pop().ok_or(code)?,
