Tests: any stream whose first server is sound is whole

A property over random silences of the first server and random reactions of the next ones (hung, refusing, breaking off, answering): the stream is whole, in order, without a silence as long as the caller's patience, no call stays counted, and all stage results are released. It fails: a silence is measured from the last bytes, which may be half an event, but callers wait for whole events.

The scripted server's chunks arrive at times fixed when the request was sent, as bytes of a real one do; before, the first silence began when the chunk was first awaited.

--- a/crates/relay/tests/beside.rs
+++ b/crates/relay/tests/beside.rs
@@ -8,12 +8,13 @@
 use base::Code;
 use futures_util::future::join_all;
 use googletest::prelude::*;
+use proptest::{collection, prelude::*};
 use relay::{Answer, Failure, Job, Transport as _, serve::serve};
 use site::{
     Route,
     route::{Kind, Stage},
 };
-use support::{Reaction, Servers, hub, job};
+use support::{EVENTS, Reaction, Servers, hub, job};
 use tokio::time::{self, Instant};
 
 type Hub = Rc<relay::Hub<Servers>>;
@@ -448,3 +449,88 @@
         time::resume();
     }
 }
+
+/// A server that goes on after each silence, in time for the request's deadline and for a caller that waits for whole
+/// events.
+fn sound_server() -> impl Strategy<Value = Reaction> {
+    let silence = prop_oneof![6 => 0..300_u64, 2 => 900..1_600_u64, 1 => 1_900..3_300_u64];
+    let silences = collection::vec(silence, 9);
+    let silences = silences.prop_filter("too long", |all| {
+        let longest = all[1..].chunks(2).map(|halves| halves.iter().sum()).max();
+        all.iter().sum::<u64>() < 7_500
+            && all[..3].iter().sum::<u64>() < 3_500
+            && longest < Some(3_500)
+    });
+    silences.prop_map(|silences| Reaction::Events {
+        head_delay: ms(silences[0]),
+        silences: silences[1..].iter().map(|silence| ms(*silence)).collect(),
+    })
+}
+
+/// A server that refuses, breaks off before its head, hangs, or answers soon.
+fn other_server() -> impl Strategy<Value = Reaction> {
+    let failure = prop_oneof![
+        Just(Failure::Broken),
+        Just(Failure::Full),
+        Just(Failure::InputGone),
+        Just(Failure::Moved),
+        Just(Failure::Rejected),
+        Just(Failure::Unreachable),
+    ];
+    prop_oneof![
+        Just(Reaction::Hang),
+        (0..1_500_u64, failure)
+            .prop_map(|(delay, failure)| Reaction::FailAfter(ms(delay), failure)),
+        (0..1_500_u64).prop_map(|delay| Reaction::Events {
+            head_delay: ms(delay),
+            silences: vec![ms(20); 8],
+        }),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(2_000))]
+
+    /// LOST, ORDER: whatever other servers do, a stream whose first server is sound is whole, and no silence of it is
+    /// longer than its caller's patience.
+    #[test]
+    fn a_stream_whose_first_server_is_sound_is_whole(
+        first in sound_server(),
+        others in collection::vec(other_server(), 4),
+        max_attempts in 1..=3_u32,
+        has_stages in any::<bool>(),
+        is_budget_spent in any::<bool>(),
+    ) {
+        let run = async {
+            time::pause();
+            let reactions = core::iter::once(first.clone()).chain(others.clone());
+            let hub = hub(reactions.collect());
+            if is_budget_spent {
+                spend_budget(&hub);
+            }
+            let job = patient_job(&hub, Kind::Streaming, |route| {
+                route.max_attempts = max_attempts;
+                if has_stages {
+                    add_stages(route);
+                }
+            });
+            let answer = answer_of(&hub, job).await;
+            let sent = hub.transport.sent.borrow().clone();
+            let busy = busy_count(&hub);
+            time::sleep(Duration::from_secs(10)).await;
+            let made: usize = hub.transport.batch_sizes.borrow().iter().sum();
+            (answer, sent, busy, made, hub.transport.released.borrow().len())
+        };
+        let (answer, sent, busy, made, released) = actix_web::rt::System::new().block_on(run);
+        let whole = EVENTS.as_flattened().concat();
+        match answer {
+            Ok((text, silence)) => {
+                prop_assert_eq!(text, whole, "{:?}", sent);
+                prop_assert!(silence < PATIENCE, "{:?} {:?}", silence, sent);
+            }
+            Err(code) => prop_assert!(false, "{:?} {:?}", code, sent),
+        }
+        prop_assert_eq!(busy, 0);
+        prop_assert_eq!(made, released);
+    }
+}
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -27,7 +27,7 @@
 use tokio::time::{self, Instant};
 
 /// The scripted reaction of a server to a request.
-#[derive(Clone)]
+#[derive(Clone, Debug)]
 pub(crate) enum Reaction {
     /// The call fails.
     Fail(Failure),
@@ -51,10 +51,25 @@
         /// The chunks of an answer with status 200, and the silence before each.
         chunks: Vec<(Duration, Result<&'static str, Failure>)>,
     },
+    /// The server sends the halves of the events after the last one that the caller has.
+    Events {
+        /// The time until the head arrives.
+        head_delay: Duration,
+        /// The silence before each half of an event; the list has two for each event.
+        silences: Vec<Duration>,
+    },
     /// The server never answers.
     Hang,
 }
 
+/// The halves of the events of [`Reaction::Events`].
+pub(crate) const EVENTS: [[&str; 2]; 4] = [
+    ["id: 1\nda", "ta: a\n\n"],
+    ["id: 2\nda", "ta: b\n\n"],
+    ["id: 3\nda", "ta: c\n\n"],
+    ["id: 4\nda", "ta: d\n\n"],
+];
+
 /// A request that was sent to a server.
 #[derive(Clone, Debug)]
 pub(crate) struct Sent {
@@ -83,18 +98,24 @@
 
 pub(crate) struct Chunks {
     status: u16,
-    /// The chunks and the silence before each.
-    chunks: VecDeque<(Duration, Result<&'static str, Failure>)>,
-    /// When the next chunk arrives, once it is awaited.
-    next_at: Option<Instant>,
+    /// The chunks and when each arrives.
+    chunks: VecDeque<(Instant, Result<&'static str, Failure>)>,
 }
 
 impl Chunks {
-    fn new(status: u16, chunks: Vec<(Duration, Result<&'static str, Failure>)>) -> Self {
+    /// Creates an answer whose head arrives at a time and whose chunks follow after the given silences.
+    fn new(
+        status: u16,
+        head_at: Instant,
+        chunks: Vec<(Duration, Result<&'static str, Failure>)>,
+    ) -> Self {
+        let chunks = chunks.into_iter().scan(head_at, |at, (silence, chunk)| {
+            *at += silence;
+            Some((*at, chunk))
+        });
         Self {
             status,
-            chunks: chunks.into(),
-            next_at: None,
+            chunks: chunks.collect(),
         }
     }
 }
@@ -111,16 +132,12 @@
     }
 
     async fn chunk(&mut self) -> Result<Option<Bytes>, Failure> {
-        if let Some((silence, _)) = self.chunks.front()
-            && !silence.is_zero()
+        // The server goes on while nobody awaits the chunk.
+        if let Some((at, _)) = self.chunks.front()
+            && Instant::now() < *at
         {
-            // The silence goes on while nobody awaits the chunk.
-            let at = *self
-                .next_at
-                .get_or_insert_with(|| Instant::now() + *silence);
-            time::sleep_until(at).await;
+            time::sleep_until(*at).await;
         }
-        self.next_at = None;
         match self.chunks.pop_front() {
             Some((_, Ok(text))) => Ok(Some(Bytes::from_static(text.as_bytes()))),
             Some((_, Err(failure))) => Err(failure),
@@ -160,6 +177,7 @@
             inputs: call.inputs.len(),
             time_left: call.time_left,
         });
+        let sent_at = Instant::now();
         let mut reaction = self.reactions.borrow_mut().pop_front();
         if let Some(Reaction::Notice {
             is_leaving,
@@ -178,11 +196,21 @@
             }
             Some(Reaction::Answer(status, chunks)) => {
                 let chunks = chunks.into_iter().map(|chunk| (Duration::ZERO, chunk));
-                Ok(Chunks::new(status, chunks.collect()))
+                Ok(Chunks::new(status, sent_at, chunks.collect()))
             }
             Some(Reaction::Slow { head_delay, chunks }) => {
                 time::sleep(head_delay).await;
-                Ok(Chunks::new(200, chunks))
+                Ok(Chunks::new(200, sent_at + head_delay, chunks))
+            }
+            Some(Reaction::Events {
+                head_delay,
+                silences,
+            }) => {
+                time::sleep(head_delay).await;
+                let first = usize::try_from(call.last_event.unwrap_or(0)).unwrap_or(usize::MAX);
+                let halves = EVENTS.as_flattened().iter().zip(silences).skip(2 * first);
+                let chunks = halves.map(|(half, silence)| (silence, Ok(*half)));
+                Ok(Chunks::new(200, sent_at + head_delay, chunks.collect()))
             }
             Some(Reaction::Hang | Reaction::Notice { .. }) | None => core::future::pending().await,
         }
