The caller's patience with a stream is counted from its last whole event

Cause: the time that a caller still waits was counted from the last bytes, which may be half an event, or from the head of the answer before the first one. Callers count from the last whole event, and at first from the request. So the next server got more time than was left. Change: a stream keeps the time of the last events that were passed on, at first that of the request's arrival.

--- a/crates/relay/src/body.rs
+++ b/crates/relay/src/body.rs
@@ -25,6 +25,8 @@
     events: Splitter,
     /// When bytes of the answer last arrived.
     last_bytes_at: Tick,
+    /// When the caller last got events, or began to wait for the first ones.
+    last_events_at: Tick,
     is_finished: bool,
 }
 
@@ -38,6 +40,7 @@
         Self {
             hub: hub.clone(),
             last_bytes_at: hub.transport.now(),
+            last_events_at: job.arrived_at,
             events: Splitter::resume_after(job.last_event),
             job,
             attempt: Some(attempt),
@@ -62,6 +65,7 @@
                     let events = self.events.push(&bytes);
                     self.record_first_bytes();
                     if !events.is_empty() {
+                        self.last_events_at = self.last_bytes_at;
                         return Ok(Some(events));
                     }
                 }
@@ -114,7 +118,7 @@
             "server is silent; trying another one beside it"
         );
         let time_left = job.event_deadline(now) - now;
-        let leaves_at = job.event_deadline(self.last_bytes_at);
+        let leaves_at = job.event_deadline(self.last_events_at);
         let prepared = tokio::select! {
             biased;
             chunk = attempt.reply.chunk() => return Some(chunk),
