--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -5,6 +5,7 @@
 
 use base::{Code, Name, Outcome, Tick};
 use bytes::{Bytes, BytesMut};
+use futures_util::future::Either;
 use pick::{engine, fleet::Completion, plain};
 use rand::RngExt;
 use site::{pool::Work, route::Kind};
@@ -15,7 +16,7 @@
     guard::Guard,
     hub::completion_of,
     origin,
-    pending::{Event, Pending},
+    pending::{self, Event, Pending},
     policy::{self, Decision},
     stages::{self, Inputs},
 };
@@ -228,7 +229,7 @@
     since: Tick,
 ) -> Result<Attempt<E>, Code> {
     let Prepared { pool, mut inputs } = prepared;
-    let mut silent: Option<Pending<'_, E>> = None;
+    let mut silent: Vec<Pending<'_, E>> = Vec::new();
     loop {
         let mut pending = match choose(hub, job, &pool, &inputs, attempts) {
             Some(choice) => {
@@ -241,15 +242,13 @@
             }
             None => {
                 let code = policy::final_code(attempts.may_have_run, Code::StageUnavailable);
-                silent.take().ok_or(code)?
+                silent.pop().ok_or(code)?
             }
         };
         loop {
             match pending.next_event(hub, job, &mut silent, since).await {
                 Event::Answered(reply) => {
-                    if let Some(earlier) = silent.take() {
-                        earlier.abandon();
-                    }
+                    silent.into_iter().for_each(Pending::abandon);
                     return Ok(pending.into_attempt(hub, attempts, reply));
                 }
                 Event::SilentAnswered(earlier, reply) => {
@@ -257,20 +256,19 @@
                 }
                 Event::Failed(failure) => {
                     pending.finish(hub, job, attempts, failure);
-                    let retry = match attempts.check_retry(hub, job, failure) {
-                        Ok(()) if failure == Failure::InputGone => {
-                            let remade = stages::run(hub, job, inputs.domain(), since).await;
-                            remade.map(|remade| inputs = Rc::new(remade))
-                        }
-                        checked => checked,
-                    };
-                    match (retry, silent.take()) {
-                        (Ok(()), earlier) => {
-                            silent = earlier;
-                            break;
+                    let mut retry = attempts.check_retry(hub, job, failure);
+                    if retry.is_ok() && failure == Failure::InputGone {
+                        let remade = stages::run(hub, job, inputs.domain(), since);
+                        match pending::run_beside(hub, job, attempts, &mut silent, remade).await {
+                            Either::Left(remade) => {
+                                retry = remade.map(|remade| inputs = Rc::new(remade));
+                            }
+                            Either::Right(answered) => return Ok(answered),
                         }
-                        (Err(_), Some(earlier)) => pending = earlier,
-                        (Err(code), None) => return Err(code),
+                    }
+                    match retry {
+                        Ok(()) => break,
+                        Err(code) => pending = silent.pop().ok_or(code)?,
                     }
                 }
                 Event::SilentFailed(mut earlier, failure) => {
@@ -280,7 +278,7 @@
                     pending.record_silence(attempts);
                     if attempts.may_try_beside(hub, job, &pool, &inputs) {
                         pending.log_silence(job);
-                        silent = Some(pending);
+                        silent.push(pending);
                         break;
                     }
                 }
