Relay: a stage call that is overdue goes on beside its repeat

Callers saw: a request was refused with 303 after a stage server had been silent for about a second, though it went on and had time left. Of several silent servers each took one of a piece's three attempts.

Cause: a stage call was abandoned after about three times its expected time, before a repeat was secured. With a spent retry budget, or after the third attempt, the piece failed. The server finished the abandoned call, and nobody released its results.

Change: a call that exceeds that time is overdue. Its pieces are queued again as far as attempts and retry budget allow, and the call goes on for up to two more seconds; the first result of a piece counts, and the others are released. A piece fails only with its last copy. The server counts as slow while its call is overdue, and after a single silence it gets full calls again after one trial call.

The new test of batch's slow.rs fails without the limit on the measured latency: calls of 8, 1, 1 and 7 pieces instead of 8, 1, 8 and 8.

--- a/crates/batch/src/scheduler.rs
+++ b/crates/batch/src/scheduler.rs
@@ -55,7 +55,7 @@
     pub server: Rc<Server>,
     /// The pieces of the call.
     pub pieces: Vec<Piece>,
-    /// The time after which the call is abandoned.
+    /// The time after which the call is overdue.
     pub timeout: Duration,
 }
 
@@ -158,6 +158,11 @@
             .record_completion(now, server, &config, work, completion);
     }
 
+    /// Records that a call is overdue, and may end later. Its server counts as slow until then.
+    pub fn record_overdue(&mut self, shard: &Shard, server: &Name) {
+        self.queue_mut(shard).record_overdue(server);
+    }
+
     /// Returns the batches to send now, and the pieces that can no longer finish in time.
     pub fn next_actions(&mut self, cx: Context<'_>) -> Vec<Action> {
         let mut actions = Vec::new();
--- a/crates/batch/src/scheduler/queue.rs
+++ b/crates/batch/src/scheduler/queue.rs
@@ -12,7 +12,7 @@
 };
 use crate::{Piece, Shard, configs::Config, piece::Handle};
 
-/// The factor by which a call may exceed its expected time before it is abandoned.
+/// The factor by which a call may exceed its expected time before it is overdue.
 const TIMEOUT_FACTOR: f64 = 3.0;
 
 #[derive(Clone, Debug, Default)]
@@ -38,6 +38,8 @@
     latency_ratio: f64,
     /// When the last call was sent.
     last_call: Tick,
+    /// Whether the call in flight is overdue.
+    is_overdue: bool,
     /// The result bytes of the call in flight.
     reserved_bytes: u64,
     /// The results that the server stores.
@@ -108,6 +110,7 @@
             return;
         };
         worker.calls = worker.calls.saturating_sub(1);
+        let was_overdue = core::mem::take(&mut worker.is_overdue);
         // Calls of other instances are assumed to be half full.
         let typical_time = call_time(work, work.max_batch / 2);
         worker.reserved_bytes = 0;
@@ -120,8 +123,12 @@
                 is_out_of_memory,
             } => {
                 let other_calls = load.map_or(0, |load| load.running + load.waiting);
-                let latency_ratio =
+                let mut latency_ratio =
                     elapsed.div_duration_f64(call_time(work, pieces).max(Duration::from_millis(1)));
+                if was_overdue {
+                    // A single silence, however long, tells little about the calls that follow.
+                    latency_ratio = latency_ratio.min(TIMEOUT_FACTOR * worker.latency_ratio);
+                }
                 worker.latency_ratio +=
                     config.latency_weight * (latency_ratio - worker.latency_ratio);
                 worker.busy_until = now + typical_time * other_calls;
@@ -147,6 +154,12 @@
         }
     }
 
+    pub(super) fn record_overdue(&mut self, server: &Name) {
+        if let Some(worker) = self.workers.iter_mut().find(|worker| worker.id == *server) {
+            worker.is_overdue = true;
+        }
+    }
+
     pub(super) fn record_released(&mut self, handles: &[Handle]) {
         for worker in &mut self.workers {
             worker
@@ -268,7 +281,7 @@
 
     /// Returns whether a server is slow compared with the others of its pool.
     fn is_slow(&self, config: &Config, worker: &Worker) -> bool {
-        worker.latency_ratio >= config.slow_factor * self.best_ratio.max(1.0)
+        worker.is_overdue || worker.latency_ratio >= config.slow_factor * self.best_ratio.max(1.0)
     }
 
     fn is_free(&self, cx: Context<'_>, config: &Config, server: &Name) -> bool {
@@ -401,6 +414,7 @@
             busy_until: Tick::default(),
             latency_ratio: 1.0,
             last_call: Tick::default(),
+            is_overdue: false,
             reserved_bytes: 0,
             results: Vec::new(),
             out_of_memory_until: Tick::default(),
--- a/crates/batch/tests/slow.rs
+++ b/crates/batch/tests/slow.rs
@@ -4,6 +4,7 @@
 
 use core::time::Duration;
 
+use base::Name;
 use batch::scheduler::Completion;
 use googletest::prelude::*;
 use simulation::{Simulation, WORK};
@@ -75,3 +76,27 @@
     simulation.enqueue(3, |_| {});
     expect_that!(simulation.expired.len(), eq(3));
 }
+
+/// A server that was silent once and went on was kept to trial calls for seconds.
+#[gtest]
+fn a_server_that_was_silent_once_gets_full_calls_after_one_trial() {
+    let mut simulation = Simulation::new(&["a", "b"], WORK);
+    let silent = Name::from("i-0");
+    simulation.slow_factors = vec![(silent.clone(), 6)];
+    simulation.enqueue(8, |_| {});
+    simulation.enqueue(8, |_| {});
+    simulation.advance(Duration::from_secs(1));
+    simulation
+        .scheduler
+        .record_overdue(&simulation::shard(), &silent);
+    simulation.advance(Duration::from_secs(1));
+    simulation.slow_factors.clear();
+    for _ in 0..20 {
+        simulation.enqueue(8, |_| {});
+        simulation.advance(Duration::from_millis(145));
+    }
+    let calls = simulation.calls.iter();
+    let sizes = calls.filter(|(server, _)| *server == silent);
+    let sizes: Vec<_> = sizes.map(|(_, size)| *size).take(4).collect();
+    expect_that!(sizes, elements_are![eq(&8), eq(&1), eq(&8), eq(&8)]);
+}
--- a/crates/relay/src/configs.rs
+++ b/crates/relay/src/configs.rs
@@ -27,6 +27,8 @@
     pub large_result_bytes: u64,
     /// The maximum number of calls that a piece of a stage may be part of.
     pub max_piece_attempts: u32,
+    /// How long a stage call that is overdue still goes on; a sound server may be silent for a second or so.
+    pub max_stage_silence: Duration,
     /// The longest pause that a server may ask for.
     pub max_pause: Duration,
     /// The longest time over which the first requests after a pause are spread; at most a quarter of the pause.
@@ -51,6 +53,7 @@
             remote_results_penalty_ms: 60.0,
             large_result_bytes: 500_000,
             max_piece_attempts: 3,
+            max_stage_silence: Duration::from_secs(2),
             max_pause: Duration::from_secs(600),
             max_pause_spread: Duration::from_millis(500),
             max_release_delay: Duration::from_secs(4),
--- a/crates/relay/src/hub.rs
+++ b/crates/relay/src/hub.rs
@@ -65,6 +65,8 @@
 /// The receiver of a piece's outcome.
 struct Waiter {
     ticket: u64,
+    /// The copies of the piece that are queued or part of a call.
+    copies: u32,
     sender: mpsc::UnboundedSender<Delivery>,
 }
 
@@ -240,6 +242,7 @@
                 state.next_ticket += 1;
                 state.waiters.push(Waiter {
                     ticket: piece.ticket,
+                    copies: 1,
                     sender: sender.clone(),
                 });
             }
@@ -330,10 +333,21 @@
             return;
         };
         let sent_at = self.transport.now();
-        let results = self
-            .transport
-            .run_pieces(&batch.server, &batch.pieces, batch.timeout)
-            .await;
+        let results = {
+            // A call that takes long goes on, as its server may only be silent for a while.
+            let limit = batch.timeout + self.settings.max_stage_silence;
+            let call = self
+                .transport
+                .run_pieces(&batch.server, &batch.pieces, limit);
+            let mut call = core::pin::pin!(call);
+            match time::timeout(batch.timeout, &mut call).await {
+                Ok(results) => results,
+                Err(_) => {
+                    self.repeat_overdue(&batch);
+                    call.await
+                }
+            }
+        };
         let now = self.transport.now();
         match results {
             Ok(results) => self.record_results(now, now - sent_at, batch, results, &work),
@@ -342,6 +356,44 @@
         self.dispatch();
     }
 
+    /// Queues copies of the pieces of a call that is overdue, as far as their attempts and the retry budget allow it. The
+    /// first result of a piece counts.
+    fn repeat_overdue(self: &Rc<Self>, batch: &Batch) {
+        let now = self.transport.now();
+        let max_attempts = self.settings.max_piece_attempts;
+        let repeated = self.with(|state| {
+            state
+                .scheduler
+                .record_overdue(&batch.shard, &batch.server.id);
+            let count = state.members.count();
+            let mut copies = Vec::new();
+            for piece in &batch.pieces {
+                let attempts = piece.attempts + 1;
+                let Some(at) = state.find_waiter(piece.ticket) else {
+                    continue;
+                };
+                if attempts < max_attempts
+                    && state.retry_window.try_retry(now, &batch.shard.pool, count)
+                {
+                    state.waiters[at].copies += 1;
+                    copies.push(Piece {
+                        attempts,
+                        ..piece.clone()
+                    });
+                }
+            }
+            let repeated = copies.len();
+            state.scheduler.enqueue(&batch.shard, copies);
+            repeated
+        });
+        log::info!(
+            target: "stages", pool:% = batch.shard.pool, server:% = batch.server.id,
+            requests:% = request_ids(&batch.pieces), pieces = batch.pieces.len(), repeated = repeated,
+            silent_ms = batch.timeout.as_millis(); "stage call overdue"
+        );
+        self.dispatch();
+    }
+
     fn record_results(
         self: &Rc<Self>,
         now: Tick,
@@ -437,6 +489,13 @@
         outcome: Outcome,
         server: &Name,
     ) {
+        let is_only_copy = self.with(|state| {
+            let waiter = state.waiter_mut(piece.ticket);
+            waiter.is_some_and(|waiter| waiter.copies == 1)
+        });
+        if !is_only_copy {
+            return self.deliver(&piece, outcome);
+        }
         piece.attempts += 1;
         let max_attempts = self.settings.max_piece_attempts;
         // A piece that was refused for lack of memory did not run, so its retry doesn't count.
@@ -460,9 +519,17 @@
 
     fn deliver(self: &Rc<Self>, piece: &Piece, outcome: Outcome) {
         let sender = self.with(|state| {
-            let find = |waiter: &Waiter| waiter.ticket.cmp(&piece.ticket);
-            let at = state.waiters.binary_search_by(find).ok()?;
-            Some(state.waiters.remove(at).sender)
+            let waiter = state.waiter_mut(piece.ticket)?;
+            waiter.copies -= 1;
+            if waiter.copies > 0 {
+                if let Outcome::Failed(_) = outcome {
+                    // Another copy may still succeed.
+                    return None;
+                }
+                let tickets = piece.ticket..piece.ticket + 1;
+                state.scheduler.cancel(&tickets);
+            }
+            state.take_waiter(piece.ticket).map(|waiter| waiter.sender)
         });
         let undelivered = match sender {
             Some(sender) => match sender.send(Delivery {
@@ -474,7 +541,7 @@
             },
             None => Some(outcome),
         };
-        // The request ended meanwhile, so its result is released.
+        // The request ended or got the result of another copy meanwhile, so this one is released.
         if let Some(Outcome::Result(handle)) = undelivered {
             self.release(vec![handle]);
         }
@@ -482,6 +549,21 @@
 }
 
 impl State {
+    fn find_waiter(&self, ticket: u64) -> Option<usize> {
+        let find = |waiter: &Waiter| waiter.ticket.cmp(&ticket);
+        self.waiters.binary_search_by(find).ok()
+    }
+
+    fn waiter_mut(&mut self, ticket: u64) -> Option<&mut Waiter> {
+        let at = self.find_waiter(ticket)?;
+        Some(&mut self.waiters[at])
+    }
+
+    fn take_waiter(&mut self, ticket: u64) -> Option<Waiter> {
+        let at = self.find_waiter(ticket)?;
+        Some(self.waiters.remove(at))
+    }
+
     /// Records what a failed call shows about the reachability of a failure domain.
     pub(crate) fn record_reachability(&mut self, now: Tick, domain: &Name, failure: Failure) {
         match failure {
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -55,6 +55,17 @@
     Hang,
 }
 
+/// The scripted reaction of a stage server to a call.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum StageReaction {
+    /// The server is silent for a while, and then answers with results.
+    Answer(Duration),
+    /// The call fails after a while.
+    Fail(Duration, Failure),
+    /// The server never answers.
+    Hang,
+}
+
 /// A request that was sent to a server.
 #[derive(Clone, Debug)]
 pub(crate) struct Sent {
@@ -75,6 +86,8 @@
     pub(crate) notices: RefCell<Vec<Notice>>,
     /// The pause that a stage server asks for with its next answer, which then refuses the call.
     pub(crate) stage_pause: Cell<Option<Duration>>,
+    /// The reactions of the stage servers to the next calls; without one, they answer after 5 ms.
+    pub(crate) stage_reactions: RefCell<VecDeque<StageReaction>>,
 }
 
 pub(crate) struct Chunks {
@@ -187,7 +200,7 @@
         &self,
         server: &Server,
         pieces: &[Piece],
-        _: Duration,
+        timeout: Duration,
     ) -> Result<Results, Failure> {
         self.stage_calls.borrow_mut().push(self.now());
         if let Some(pause) = self.stage_pause.take() {
@@ -195,11 +208,28 @@
             return Err(Failure::Full);
         }
         self.batch_sizes.borrow_mut().push(pieces.len());
-        time::sleep(Duration::from_millis(5)).await;
+        let number = self.batch_sizes.borrow().len();
+        let reaction = self.stage_reactions.borrow_mut().pop_front();
+        let (delay, failure) = match reaction {
+            Some(StageReaction::Answer(delay)) => (delay, None),
+            Some(StageReaction::Fail(delay, failure)) => (delay, Some(failure)),
+            Some(StageReaction::Hang) => (Duration::MAX, None),
+            None => (Duration::from_millis(5), None),
+        };
+        time::timeout(timeout, time::sleep(delay))
+            .await
+            .map_err(|_| Failure::TimedOut)?;
+        if let Some(failure) = failure {
+            return Err(failure);
+        }
         let outcomes = pieces.iter().map(|piece| {
             Outcome::Result(Handle {
                 address: server.address,
-                text: format!("{}-{}-{}", piece.request, piece.stage, piece.number).into(),
+                text: format!(
+                    "{}-{}-{}-{number}",
+                    piece.request, piece.stage, piece.number
+                )
+                .into(),
             })
         });
         Ok(Results {
@@ -246,6 +276,7 @@
         crashes: RefCell::default(),
         notices: RefCell::default(),
         stage_pause: Cell::default(),
+        stage_reactions: RefCell::default(),
     };
     let bound = Bound {
         ratio: 0.2,
