Relay: pieces of a request that has ended are not sent again

Seen: a stage call that was refused or found its server unreachable put its pieces back into the queue, also when their request had ended while the call was under way. Servers then made results for nobody.

Cause: ending a request removes its queued pieces, not those in a call, and the queue takes pieces without a waiter.

Change: only pieces that are awaited are queued again.

Evidence: the new test of silent_stages counted two calls instead of one for Full and for Unreachable before the change, and one after it.

--- a/crates/relay/src/hub.rs
+++ b/crates/relay/src/hub.rs
@@ -467,7 +467,12 @@
         });
         for piece in batch.pieces {
             if matches!(failure, Failure::Full | Failure::Unreachable) {
-                self.with(|state| state.scheduler.enqueue(&batch.shard, vec![piece]));
+                self.with(|state| {
+                    // The request may have ended meanwhile.
+                    if state.find_waiter(piece.ticket).is_some() {
+                        state.scheduler.enqueue(&batch.shard, vec![piece]);
+                    }
+                });
             } else {
                 self.retry_piece(
                     now,
--- a/crates/relay/tests/silent_stages.rs
+++ b/crates/relay/tests/silent_stages.rs
@@ -179,3 +179,19 @@
         time::resume();
     }
 }
+
+/// Stage servers made pieces for nobody: a refused call was repeated after its request had ended.
+#[gtest]
+#[actix_web::test]
+async fn the_pieces_of_a_request_that_has_ended_are_not_sent_again() {
+    for failure in [Failure::Full, Failure::Unreachable, Failure::Broken] {
+        time::pause();
+        let fail = StageReaction::Fail(Duration::from_millis(100), failure);
+        let hub = stage_hub(1, vec![fail]);
+        let left = time::timeout(Duration::from_millis(50), text_of(&hub)).await;
+        expect_that!(left.is_err(), eq(true));
+        settle().await;
+        expect_that!(call_count(&hub), eq(1), "{failure}");
+        time::resume();
+    }
+}
