Platform: a connection that the kernel gives up is not a crash

Seen: a request at a server that acknowledged nothing for seconds counted as one that had crashed this server. Its content is refused everywhere, also later, once three servers were silent under it.

Cause: every failure of a connection counted as closed by the server.

Change: a connection that ends with a time-out of the kernel fails with `Failure::Unacknowledged`. The request may have run, as with a closed connection, but no crash is recorded.

--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -61,6 +61,9 @@
     /// The answer timed out.
     #[error("no answer in time")]
     TimedOut,
+    /// The server acknowledged nothing for so long that the connection was closed. It may go on nevertheless.
+    #[error("the server acknowledged nothing for too long")]
+    Unacknowledged,
     /// The server is unreachable; no bytes were written.
     #[error("the server is unreachable")]
     Unreachable,
@@ -78,7 +81,7 @@
     /// ```
     pub const fn may_have_run(self) -> bool {
         match self {
-            Self::Broken | Self::Mismatched | Self::TimedOut => true,
+            Self::Broken | Self::Mismatched | Self::TimedOut | Self::Unacknowledged => true,
             Self::Full | Self::InputGone | Self::Moved | Self::Rejected | Self::Unreachable => {
                 false
             }
--- a/crates/relay/src/hub.rs
+++ b/crates/relay/src/hub.rs
@@ -455,7 +455,7 @@
             state.record_reachability(now, &server.domain, failure);
             let completion = match failure {
                 Failure::Full => scheduler::Completion::Full,
-                Failure::TimedOut => scheduler::Completion::TimedOut,
+                Failure::TimedOut | Failure::Unacknowledged => scheduler::Completion::TimedOut,
                 _ => scheduler::Completion::Failed,
             };
             state
@@ -581,7 +581,8 @@
                 self.fleet.reachability.record_success(domain);
             }
             // These failures don't show whether the domain is reachable.
-            Failure::Broken | Failure::Mismatched | Failure::TimedOut => {}
+            Failure::Broken | Failure::Mismatched | Failure::TimedOut | Failure::Unacknowledged => {
+            }
         }
     }
 
@@ -609,7 +610,9 @@
 /// Returns the completion that a failure counts as in the load estimates.
 pub(crate) const fn completion_of(failure: Failure) -> Completion {
     match failure {
-        Failure::Broken | Failure::Mismatched | Failure::TimedOut => Completion::Failed,
+        Failure::Broken | Failure::Mismatched | Failure::TimedOut | Failure::Unacknowledged => {
+            Completion::Failed
+        }
         Failure::Full => Completion::Full,
         Failure::InputGone | Failure::Rejected => Completion::Abandoned,
         Failure::Moved | Failure::Unreachable => Completion::Unreachable,
--- a/crates/relay/tests/policy.rs
+++ b/crates/relay/tests/policy.rs
@@ -8,7 +8,7 @@
 };
 use site::{Route, route::Kind};
 
-const FAILURES: [Failure; 8] = [
+const FAILURES: [Failure; 9] = [
     Failure::Broken,
     Failure::Full,
     Failure::InputGone,
@@ -16,6 +16,7 @@
     Failure::Moved,
     Failure::Rejected,
     Failure::TimedOut,
+    Failure::Unacknowledged,
     Failure::Unreachable,
 ];
 
--- a/crates/relay/tests/serving.rs
+++ b/crates/relay/tests/serving.rs
@@ -36,7 +36,11 @@
 #[gtest]
 #[actix_web::test]
 async fn a_call_that_may_have_run_is_not_sent_again() {
-    for failure in [Failure::Broken, Failure::Mismatched] {
+    for failure in [
+        Failure::Broken,
+        Failure::Mismatched,
+        Failure::Unacknowledged,
+    ] {
         let hub = hub(vec![Reaction::Fail(failure), answer("second")]);
         expect_that!(
             serve_job(&hub, Kind::AtMostOnce).await,
