Relay: a server without a free connection is not unreachable

Callers saw: after a server had been silent for 1.3 s and had answered again, requests were still refused with 303.

Cause: while a server is silent, calls pile up until all connections that this instance may open to it are in use. Such a local limit counted like a server that can't be reached: the server was blocked for 0.5 to 4 s, and the second one in a row made its whole failure domain unreachable.

Change: `Failure::Exhausted` is a failure of its own. Nothing was sent, so another server is tried as before, and it doesn't draw on the retry budget; but the server counts as full instead of blocked, and nothing is recorded about its domain.

--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -43,6 +43,9 @@
     /// The connection ended before the answer was complete.
     #[error("the connection ended before the answer was complete")]
     Broken,
+    /// All connections that this instance may open to the server are in use; no bytes were written.
+    #[error("all connections to the server are in use")]
+    Exhausted,
     /// The server reported that it is full or leaving, and did not run the request.
     #[error("the server is full")]
     Full,
@@ -82,9 +85,12 @@
     pub const fn may_have_run(self) -> bool {
         match self {
             Self::Broken | Self::Mismatched | Self::TimedOut | Self::Unacknowledged => true,
-            Self::Full | Self::InputGone | Self::Moved | Self::Rejected | Self::Unreachable => {
-                false
-            }
+            Self::Exhausted
+            | Self::Full
+            | Self::InputGone
+            | Self::Moved
+            | Self::Rejected
+            | Self::Unreachable => false,
         }
     }
 }
--- a/crates/relay/src/hub.rs
+++ b/crates/relay/src/hub.rs
@@ -454,7 +454,7 @@
                 .record_completion(now, &server.id, completion_of(failure));
             state.record_reachability(now, &server.domain, failure);
             let completion = match failure {
-                Failure::Full => scheduler::Completion::Full,
+                Failure::Exhausted | Failure::Full => scheduler::Completion::Full,
                 Failure::TimedOut | Failure::Unacknowledged => scheduler::Completion::TimedOut,
                 _ => scheduler::Completion::Failed,
             };
@@ -466,7 +466,10 @@
             }
         });
         for piece in batch.pieces {
-            if matches!(failure, Failure::Full | Failure::Unreachable) {
+            if matches!(
+                failure,
+                Failure::Exhausted | Failure::Full | Failure::Unreachable
+            ) {
                 self.with(|state| {
                     // The request may have ended meanwhile.
                     if state.find_waiter(piece.ticket).is_some() {
@@ -581,8 +584,11 @@
                 self.fleet.reachability.record_success(domain);
             }
             // These failures don't show whether the domain is reachable.
-            Failure::Broken | Failure::Mismatched | Failure::TimedOut | Failure::Unacknowledged => {
-            }
+            Failure::Broken
+            | Failure::Exhausted
+            | Failure::Mismatched
+            | Failure::TimedOut
+            | Failure::Unacknowledged => {}
         }
     }
 
@@ -613,7 +619,7 @@
         Failure::Broken | Failure::Mismatched | Failure::TimedOut | Failure::Unacknowledged => {
             Completion::Failed
         }
-        Failure::Full => Completion::Full,
+        Failure::Exhausted | Failure::Full => Completion::Full,
         Failure::InputGone | Failure::Rejected => Completion::Abandoned,
         Failure::Moved | Failure::Unreachable => Completion::Unreachable,
     }
--- a/crates/relay/src/pending.rs
+++ b/crates/relay/src/pending.rs
@@ -188,7 +188,7 @@
         if failure == Failure::Broken {
             serve::record_crash(hub, job, &server.id);
         }
-        if failure != Failure::Unreachable {
+        if !matches!(failure, Failure::Exhausted | Failure::Unreachable) {
             self.count_as_reached(attempts);
         }
     }
--- a/crates/relay/src/policy.rs
+++ b/crates/relay/src/policy.rs
@@ -14,7 +14,7 @@
     pub route: &'a Route,
     /// The number of servers that the request reached so far.
     pub reached: u32,
-    /// The number of servers that were unreachable so far.
+    /// The number of servers that were unreachable, or without a free connection, so far.
     pub unreachable: usize,
     /// The number of unreachable servers after which the request is refused.
     pub max_unreachable: usize,
@@ -55,7 +55,7 @@
         return Decision::Fail(Code::CallUnknown);
     }
     match failure {
-        Failure::Unreachable if cx.unreachable < cx.max_unreachable => {
+        Failure::Exhausted | Failure::Unreachable if cx.unreachable < cx.max_unreachable => {
             Decision::Retry { is_counted: false }
         }
         // `reached` includes the last server, which doesn't count against the maximum as its address is reused.
@@ -64,7 +64,7 @@
         {
             Decision::Retry { is_counted: true }
         }
-        Failure::Rejected | Failure::Unreachable => {
+        Failure::Exhausted | Failure::Rejected | Failure::Unreachable => {
             Decision::Fail(final_code(may_have_run, Code::StageUnavailable))
         }
         _ if cx.reached < cx.route.max_attempts => Decision::Retry { is_counted: true },
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -290,7 +290,10 @@
         job: &Job<E::Request>,
         failure: Failure,
     ) -> Result<(), Code> {
-        self.unreachable += usize::from(matches!(failure, Failure::Unreachable | Failure::Moved));
+        self.unreachable += usize::from(matches!(
+            failure,
+            Failure::Exhausted | Failure::Moved | Failure::Unreachable
+        ));
         let cx = policy::Context {
             route: &job.route,
             reached: self.reached,
--- a/crates/relay/tests/policy.rs
+++ b/crates/relay/tests/policy.rs
@@ -8,8 +8,9 @@
 };
 use site::{Route, route::Kind};
 
-const FAILURES: [Failure; 9] = [
+const FAILURES: [Failure; 10] = [
     Failure::Broken,
+    Failure::Exhausted,
     Failure::Full,
     Failure::InputGone,
     Failure::Mismatched,
@@ -49,8 +50,8 @@
         };
         visited.insert(at, state);
         for failure in FAILURES {
-            let is_reached = failure != Failure::Unreachable;
-            let is_unreachable = matches!(failure, Failure::Unreachable | Failure::Moved);
+            let is_reached = !matches!(failure, Failure::Exhausted | Failure::Unreachable);
+            let is_unreachable = !is_reached || failure == Failure::Moved;
             let after = State {
                 reached: state.reached + u32::from(is_reached),
                 unreachable: state.unreachable + usize::from(is_unreachable),
