Relay: a request counts once for the retry budget

Seen: an instance allowed itself more repeats than its share, just while servers were silent or unreachable.

Cause: a request was recorded for the budget whenever it was sent without having reached a server before, so once for each server that could not be reached or had no free connection.

Change: it is recorded when its first server is chosen.

--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -225,7 +225,7 @@
     loop {
         let mut pending = match choose(hub, job, &pool, &inputs, attempts) {
             Some(choice) => {
-                if attempts.reached == 0 {
+                if attempts.tried.is_empty() {
                     let now = hub.transport.now();
                     hub.with(|state| state.retry_window.record_request(now, &pool));
                 }
