Relay: a configuration that drops a service doesn't end its requests

Callers saw: a stream ended in its middle, or a request with 502, when its server broke off after a new configuration had dropped the service, though another server of it was registered.

Cause: before each attempt the pool was looked up in the newest configuration, while the route is the one that admitted the request.

Change: a request keeps the pool that its route selected. Which servers may get it is for the list of servers to say.

Measured: cargo test -p relay passes.

--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -7,7 +7,7 @@
 use bytes::{Bytes, BytesMut};
 use pick::{engine, fleet::Completion, plain};
 use rand::RngExt;
-use site::{pool::Work, route::Kind};
+use site::route::Kind;
 use tokio::time;
 
 use crate::{
@@ -187,7 +187,7 @@
     attempts: &mut Attempts,
     since: Tick,
 ) -> Result<Prepared<E>, Code> {
-    let pool = select_pool(hub, job)?;
+    let pool = select_pool(job)?;
     let started_at = hub.transport.now();
     if hub
         .with(|state| state.pause_left(started_at, &pool, job))
@@ -307,7 +307,7 @@
             Decision::Fail(code) => Err(code),
             Decision::Retry { is_counted: false } => Ok(()),
             Decision::Retry { is_counted: true } => {
-                let Ok(pool) = select_pool(hub, job) else {
+                let Ok(pool) = select_pool(job) else {
                     return Err(policy::final_code(self.may_have_run, Code::BundleMissing));
                 };
                 take_retry(hub, job, &pool)
@@ -346,7 +346,7 @@
         hub: &Rc<Hub<E>>,
         job: &Job<E::Request>,
     ) -> bool {
-        let Ok(pool) = select_pool(hub, job) else {
+        let Ok(pool) = select_pool(job) else {
             return false;
         };
         self.may_try_beside(hub, job, &pool, &Inputs::empty(hub))
@@ -429,21 +429,12 @@
     choose(hub, job, pool, &inputs, &Attempts::default()).map(|choice| choice.server.domain.clone())
 }
 
-/// Returns the pool that serves a request, which is the same for all its attempts.
-fn select_pool<E: Transport>(hub: &Rc<Hub<E>>, job: &Job<E::Request>) -> Result<Name, Code> {
+/// Returns the pool that serves a request, which is the same for all its attempts, also if a newer configuration lacks it.
+fn select_pool<R>(job: &Job<R>) -> Result<Name, Code> {
     // The upper 53 bits of the digest as a number from 0 to 1.
     let draw = (job.digest >> 11) as f64 / (1_u64 << 53) as f64;
     let pool = job.route.pool(draw).ok_or(Code::StageUnavailable)?;
-    let is_known = hub.with(|state| {
-        let config = state.config.as_ref()?;
-        config
-            .pool(pool)
-            .map(|pool| !matches!(pool.work, Work::Pieces(_)))
-    });
-    match is_known {
-        Some(_) => Ok(pool.clone()),
-        None => Err(Code::StageUnavailable),
-    }
+    Ok(pool.clone())
 }
 
 async fn read_body<R: Reply>(reply: &mut R, max_bytes: usize) -> Result<Bytes, Failure> {
@@ -479,7 +470,7 @@
     let retry_after = code.is_retryable().then(|| {
         let draw = hub.with(|state| state.rng.random::<f64>());
         let settings = &hub.settings;
-        let pause_left = select_pool(hub, job)
+        let pause_left = select_pool(job)
             .ok()
             .and_then(|pool| hub.with(|state| state.pause_left(now, &pool, job)));
         let spread = settings.retry_after_jitter.mul_f64(draw);
