Relay: a stage call keeps the configuration with which it starts

Seen: a server of a stage got no more calls from an instance after its service had been dropped by one configuration and was back in the next.

Cause: a call whose pool was gone when its task started failed its pieces without recording the end of the call, so the server stayed busy for good.

Change: a batch carries the work of its pool, and the call is made and recorded as any other.

Measured: cargo test -p relay -p batch passes.

--- a/crates/batch/src/scheduler.rs
+++ b/crates/batch/src/scheduler.rs
@@ -38,7 +38,7 @@
 }
 
 /// An action that the caller has to carry out.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum Action {
     /// Send a batch.
     Send(Batch),
@@ -47,12 +47,14 @@
 }
 
 /// Pieces to send in one call.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Batch {
     /// The shard that the server belongs to.
     pub shard: Shard,
     /// The server.
     pub server: Rc<Server>,
+    /// The work of the pool as configured when the call started.
+    pub work: Pieces,
     /// The pieces of the call.
     pub pieces: Vec<Piece>,
     /// The time after which the call is overdue.
--- a/crates/batch/src/scheduler/queue.rs
+++ b/crates/batch/src/scheduler/queue.rs
@@ -379,6 +379,7 @@
         Batch {
             shard: self.shard.clone(),
             server: server.clone(),
+            work: *work,
             pieces,
             timeout: expected_here.mul_f64(TIMEOUT_FACTOR) + work.call_time,
         }
--- a/crates/relay/src/hub.rs
+++ b/crates/relay/src/hub.rs
@@ -13,7 +13,7 @@
 use pick::{Fleet, fleet::Completion};
 use rand::{SeedableRng, rngs::SmallRng};
 use retry::{Crashes, Window, window::Bound};
-use site::{Config, Roster, pool::Work, roster::Server};
+use site::{Config, Roster, roster::Server};
 use tokio::{sync::mpsc, task, time};
 
 use crate::{Failure, Transport, call::Results, configs, estimate::Estimator};
@@ -324,14 +324,6 @@
     }
 
     async fn run_batch(self: Rc<Self>, batch: Batch) {
-        let pool = self.with(|state| state.config.clone()?.pool(&batch.shard.pool).cloned());
-        let Some(Work::Pieces(work)) = pool.map(|pool| pool.work) else {
-            // The pool was removed from the configuration meanwhile.
-            for piece in &batch.pieces {
-                self.deliver(piece, Outcome::Failed(Reason::Error));
-            }
-            return;
-        };
         let sent_at = self.transport.now();
         let results = {
             // A call that takes long goes on, as its server may only be silent for a while.
@@ -350,8 +342,8 @@
         };
         let now = self.transport.now();
         match results {
-            Ok(results) => self.record_results(now, now - sent_at, batch, results, &work),
-            Err(failure) => self.record_batch_failure(now, batch, failure, &work),
+            Ok(results) => self.record_results(now, now - sent_at, batch, results),
+            Err(failure) => self.record_batch_failure(now, batch, failure),
         }
         self.dispatch();
     }
@@ -400,7 +392,6 @@
         elapsed: Duration,
         batch: Batch,
         results: Results,
-        work: &site::pool::Pieces,
     ) {
         let server = &batch.server;
         let is_out_of_memory = results.outcomes.contains(&Outcome::Failed(Reason::Room));
@@ -420,9 +411,13 @@
             let answered = Completion::Answered { latency: elapsed };
             state.fleet.record_completion(now, &server.id, answered);
             state.fleet.reachability.record_success(&server.domain);
-            state
-                .scheduler
-                .record_completion(now, &batch.shard, &server.id, work, completion);
+            state.scheduler.record_completion(
+                now,
+                &batch.shard,
+                &server.id,
+                &batch.work,
+                completion,
+            );
         });
         let mut outcomes = results.outcomes.into_iter();
         for piece in batch.pieces {
@@ -436,13 +431,7 @@
         }
     }
 
-    fn record_batch_failure(
-        self: &Rc<Self>,
-        now: Tick,
-        batch: Batch,
-        failure: Failure,
-        work: &site::pool::Pieces,
-    ) {
+    fn record_batch_failure(self: &Rc<Self>, now: Tick, batch: Batch, failure: Failure) {
         let server = &batch.server;
         log::info!(
             target: "stages", pool:% = batch.shard.pool, server:% = server.id,
@@ -458,9 +447,13 @@
                 Failure::TimedOut | Failure::Unacknowledged => scheduler::Completion::TimedOut,
                 _ => scheduler::Completion::Failed,
             };
-            state
-                .scheduler
-                .record_completion(now, &batch.shard, &server.id, work, completion);
+            state.scheduler.record_completion(
+                now,
+                &batch.shard,
+                &server.id,
+                &batch.work,
+                completion,
+            );
             if failure == Failure::Moved {
                 state.mark_leaving(now, &server.id, server.started_at_ms, "answer");
             }
--- a/crates/relay/tests/config_change.rs
+++ b/crates/relay/tests/config_change.rs
@@ -200,3 +200,26 @@
     expect_that!(code, err(eq(&Code::DeadlineUnmeetable)));
     expect_that!(at, lt(CHANGE * 3));
 }
+
+/// A server of a stage was never called again when its service was dropped while a call started, and came back.
+#[gtest]
+#[actix_web::test]
+async fn a_stage_that_was_dropped_and_came_back_is_used_again() {
+    time::pause();
+    let hub = hub(vec![Reaction::Answer(200, vec![Ok(BOTH)]); 2]);
+    let config = hub.with(|state| state.config.clone());
+    let job = patient_job(&hub, Kind::Idempotent, true);
+    let first = serve(&hub, job.clone());
+    let change = async {
+        // The call has started, but its task has not run yet.
+        hub.with(|state| {
+            state.config = Some(Rc::new(Config::new(2, Vec::new(), Vec::new(), None)));
+        });
+        time::sleep(CHANGE).await;
+        hub.with(|state| state.config = config);
+        hub.dispatch();
+    };
+    let (_, ()) = tokio::join!(first, change);
+    let second = serve(&hub, patient_job(&hub, Kind::Idempotent, true)).await;
+    expect_that!(second.is_ok(), eq(true));
+}
