Feed: pieces don't wait on a connection that stays silent

Callers saw: a request whose pieces another instance made was refused at its deadline, although that instance was well.

Cause: a connection between instances can go silent for good while new ones work. A heartbeat that gets no answer drops the connection, but the next one finds the instance on a new one within milliseconds, so that it hardly ever counts as lost. Calls in flight on the old connection had no limit but the deadline.

Change: connections with calls in flight are probed after 0.5 s without traffic, and closed if nothing comes back for another second.

--- a/crates/feed/src/client.rs
+++ b/crates/feed/src/client.rs
@@ -14,6 +14,11 @@
 /// The timeout for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// The time without traffic after which a connection with calls in flight is probed, and the timeout of the probe. Its
+/// instance may answer heartbeats on a new connection meanwhile.
+const PROBE_INTERVAL: Duration = Duration::from_millis(500);
+const PROBE_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// The timeout for releasing results through another instance.
 const RELEASE_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -137,6 +142,8 @@
                     .map_err(|error| Error::Call(error.to_string()))?;
                 let channel = endpoint
                     .connect_timeout(CONNECT_TIMEOUT)
+                    .http2_keep_alive_interval(PROBE_INTERVAL)
+                    .keep_alive_timeout(PROBE_TIMEOUT)
                     .tcp_nodelay(true)
                     .connect_lazy();
                 channels.insert(at, (address, channel));
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -86,6 +86,8 @@
     pub(crate) notices: RefCell<Vec<Notice>>,
     /// The pause that a stage server asks for with its next answer, which then refuses the call.
     pub(crate) stage_pause: Cell<Option<Duration>>,
+    /// Whether calls to other instances get no answer; otherwise they fail.
+    pub(crate) is_mesh_silent: Cell<bool>,
     /// The reactions of the stage servers to the next calls; without one, they answer after 5 ms.
     pub(crate) stage_reactions: RefCell<VecDeque<StageReaction>>,
 }
@@ -239,6 +241,9 @@
     }
 
     async fn delegate(&self, _: &Peer, _: &Shard, _: &[Piece]) -> Result<Vec<Outcome>, Failure> {
+        if self.is_mesh_silent.get() {
+            core::future::pending::<()>().await;
+        }
         Err(Failure::Unreachable)
     }
 
@@ -276,6 +281,7 @@
         crashes: RefCell::default(),
         notices: RefCell::default(),
         stage_pause: Cell::default(),
+        is_mesh_silent: Cell::default(),
         stage_reactions: RefCell::default(),
     };
     let bound = Bound {
