Relay: a silent server doesn't delay releases on the others

Seen: results that nobody needed stayed on sound stage servers for up to a second for each silent one, while this instance counted their memory as free; calls were then refused for lack of room.

Cause: the servers of released results were told one after another.

Change: they are told at the same time.

Measured: cargo test -p relay passes.

--- a/crates/relay/src/release.rs
+++ b/crates/relay/src/release.rs
@@ -5,6 +5,7 @@
 
 use base::{Name, Tick};
 use batch::piece::Handle;
+use futures_util::future;
 use mesh::Owner;
 use site::roster::Server;
 use tokio::{task, time};
@@ -71,6 +72,7 @@
             let now = self.transport.now();
             let mut paused = Vec::new();
             let mut first_end = Tick::MAX;
+            let mut calls = Vec::new();
             for group in handles.chunk_by(|a, b| a.address == b.address) {
                 let address = group[0].address;
                 let server = self.server_at(address);
@@ -83,10 +85,14 @@
                     paused.extend_from_slice(group);
                     continue;
                 }
-                self.transport
-                    .release(address, server.as_deref(), group.to_vec())
-                    .await;
+                let group = group.to_vec();
+                calls.push(async move {
+                    self.transport
+                        .release(address, server.as_deref(), group)
+                        .await;
+                });
             }
+            future::join_all(calls).await;
             if paused.is_empty() {
                 return;
             }
--- a/crates/relay/tests/silent_stages.rs
+++ b/crates/relay/tests/silent_stages.rs
@@ -6,13 +6,14 @@
 use std::rc::Rc;
 
 use base::{Code, Name};
+use batch::piece::Handle;
 use googletest::prelude::*;
 use relay::{Answer, Failure, Job, Transport, serve::serve};
 use site::{
     roster::Server,
     route::{Kind, Stage},
 };
-use support::{Reaction, Servers, StageReaction, hub, job};
+use support::{RELEASE_TIMEOUT, Reaction, Servers, StageReaction, hub, job};
 use tokio::time;
 
 type Hub = Rc<relay::Hub<Servers>>;
@@ -195,3 +196,21 @@
         time::resume();
     }
 }
+
+/// Results stayed on sound servers while a silent one was told about its own.
+#[gtest]
+#[actix_web::test]
+async fn results_are_released_on_other_servers_while_one_is_silent() {
+    time::pause();
+    let hub = hub(Vec::new());
+    let silent = "10.0.1.1:80".parse().unwrap();
+    let handle = |address| Handle {
+        address,
+        text: format!("{address}/1").into(),
+    };
+    let sound = handle("10.0.1.2:80".parse().unwrap());
+    hub.transport.silent_releases.borrow_mut().push(silent);
+    hub.release(vec![handle(silent), sound.clone()]);
+    time::sleep(RELEASE_TIMEOUT / 2).await;
+    expect_that!(*hub.transport.released.borrow(), eq(&[sound]));
+}
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -55,6 +55,9 @@
     Hang,
 }
 
+/// How long a release waits for the answer of a silent server.
+pub(crate) const RELEASE_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// The scripted reaction of a stage server to a call.
 #[derive(Clone, Copy, Debug)]
 pub(crate) enum StageReaction {
@@ -86,6 +89,8 @@
     pub(crate) notices: RefCell<Vec<Notice>>,
     /// The pause that a stage server asks for with its next answer, which then refuses the call.
     pub(crate) stage_pause: Cell<Option<Duration>>,
+    /// The servers that don't answer releases.
+    pub(crate) silent_releases: RefCell<Vec<SocketAddr>>,
     /// Whether calls to other instances get no answer; otherwise they fail.
     pub(crate) is_mesh_silent: Cell<bool>,
     /// The reactions of the stage servers to the next calls; without one, they answer after 5 ms.
@@ -251,7 +256,11 @@
         Err(Failure::Unreachable)
     }
 
-    async fn release(&self, _: SocketAddr, _: Option<&Server>, handles: Vec<Handle>) {
+    async fn release(&self, address: SocketAddr, _: Option<&Server>, handles: Vec<Handle>) {
+        if self.silent_releases.borrow().contains(&address) {
+            time::sleep(RELEASE_TIMEOUT).await;
+            return;
+        }
         self.released.borrow_mut().extend(handles);
     }
 
@@ -281,6 +290,7 @@
         crashes: RefCell::default(),
         notices: RefCell::default(),
         stage_pause: Cell::default(),
+        silent_releases: RefCell::default(),
         is_mesh_silent: Cell::default(),
         stage_reactions: RefCell::default(),
     };
