--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -8,7 +8,7 @@
 use futures_util::future::Either;
 use pick::{engine, fleet::Completion, plain};
 use rand::RngExt;
-use site::{pool::Work, route::Kind};
+use site::route::Kind;
 use tokio::time;
 
 use crate::{
@@ -192,7 +192,7 @@
     attempts: &mut Attempts,
     since: Tick,
 ) -> Result<Prepared<E>, Code> {
-    let pool = select_pool(hub, job)?;
+    let pool = select_pool(job)?;
     if job.origin.get().is_some() && !origin::has_server(hub, job, &pool) {
         return Err(Code::VersionGone);
     }
@@ -233,7 +233,7 @@
     loop {
         let mut pending = match choose(hub, job, &pool, &inputs, attempts) {
             Some(choice) => {
-                if attempts.reached == 0 {
+                if attempts.tried.is_empty() {
                     let now = hub.transport.now();
                     hub.with(|state| state.retry_window.record_request(now, &pool));
                 }
@@ -295,7 +295,10 @@
         job: &Job<E::Request>,
         failure: Failure,
     ) -> Result<(), Code> {
-        self.unreachable += usize::from(matches!(failure, Failure::Unreachable | Failure::Moved));
+        self.unreachable += usize::from(matches!(
+            failure,
+            Failure::Exhausted | Failure::Moved | Failure::Unreachable
+        ));
         let cx = policy::Context {
             route: &job.route,
             reached: self.reached,
@@ -309,7 +312,7 @@
             Decision::Fail(code) => Err(code),
             Decision::Retry { is_counted: false } => Ok(()),
             Decision::Retry { is_counted: true } => {
-                let Ok(pool) = select_pool(hub, job) else {
+                let Ok(pool) = select_pool(job) else {
                     return Err(policy::final_code(self.may_have_run, Code::BundleMissing));
                 };
                 take_retry(hub, job, &pool)
@@ -336,7 +339,7 @@
         let is_allowed = matches!(
             policy::decide(cx, Failure::TimedOut),
             Decision::Retry { .. }
-        ) && select_pool(hub, job).is_ok()
+        ) && select_pool(job).is_ok()
             && choose(hub, job, pool, inputs, self).is_some()
             && take_retry(hub, job, pool).is_ok();
         self.may_have_run |= is_allowed;
@@ -349,7 +352,7 @@
         hub: &Rc<Hub<E>>,
         job: &Job<E::Request>,
     ) -> bool {
-        let Ok(pool) = select_pool(hub, job) else {
+        let Ok(pool) = select_pool(job) else {
             return false;
         };
         self.may_try_beside(hub, job, &pool, &Inputs::empty(hub))
@@ -434,26 +437,17 @@
     choose(hub, job, pool, &inputs, &Attempts::default()).map(|choice| choice.server.domain.clone())
 }
 
-/// Returns the pool that serves a request, which is the same for all its attempts.
-fn select_pool<E: Transport>(hub: &Rc<Hub<E>>, job: &Job<E::Request>) -> Result<Name, Code> {
-    let pool = match job.origin.get() {
-        Some(origin) if job.route.allows_pool(&origin.pool) => &origin.pool,
-        Some(_) => return Err(Code::VersionGone),
+/// Returns the pool that serves a request, which is the same for all its attempts, also if a newer configuration lacks it.
+fn select_pool<R>(job: &Job<R>) -> Result<Name, Code> {
+    match job.origin.get() {
+        Some(origin) if job.route.allows_pool(&origin.pool) => Ok(origin.pool.clone()),
+        Some(_) => Err(Code::VersionGone),
         None => {
             // The upper 53 bits of the digest as a number from 0 to 1.
             let draw = (job.digest >> 11) as f64 / (1_u64 << 53) as f64;
-            job.route.pool(draw).ok_or(Code::StageUnavailable)?
+            let pool = job.route.pool(draw).ok_or(Code::StageUnavailable)?;
+            Ok(pool.clone())
         }
-    };
-    let is_known = hub.with(|state| {
-        let config = state.config.as_ref()?;
-        config
-            .pool(pool)
-            .map(|pool| !matches!(pool.work, Work::Pieces(_)))
-    });
-    match is_known {
-        Some(_) => Ok(pool.clone()),
-        None => Err(Code::StageUnavailable),
     }
 }
 
@@ -490,7 +484,7 @@
     let retry_after = code.is_retryable().then(|| {
         let draw = hub.with(|state| state.rng.random::<f64>());
         let settings = &hub.settings;
-        let pause_left = select_pool(hub, job)
+        let pause_left = select_pool(job)
             .ok()
             .and_then(|pool| hub.with(|state| state.pause_left(now, &pool, job)));
         let spread = settings.retry_after_jitter.mul_f64(draw);
