--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -238,7 +238,7 @@
             }
         };
         loop {
-            match pending.next_event(hub, job, &mut silent).await {
+            match pending.next_event(hub, job, &mut silent, since).await {
                 Event::Answered(reply) => {
                     if let Some(earlier) = silent.take() {
                         earlier.abandon();
@@ -270,7 +270,7 @@
                     earlier.finish(hub, job, attempts, failure);
                 }
                 Event::Silent => {
-                    pending.count_as_reached(attempts);
+                    pending.record_silence(attempts);
                     if attempts.may_try_beside(hub, job, &pool, &inputs) {
                         pending.log_silence(job);
                         silent = Some(pending);
@@ -331,7 +331,8 @@
         let is_allowed = matches!(
             policy::decide(cx, Failure::TimedOut),
             Decision::Retry { .. }
-        ) && choose(hub, job, pool, inputs, self).is_some()
+        ) && select_pool(hub, job).is_ok()
+            && choose(hub, job, pool, inputs, self).is_some()
             && take_retry(hub, job, pool).is_ok();
         self.may_have_run |= is_allowed;
         is_allowed
