--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -43,6 +43,9 @@
     /// The connection ended before the answer was complete.
     #[error("the connection ended before the answer was complete")]
     Broken,
+    /// All connections that this instance may open to the server are in use; no bytes were written.
+    #[error("all connections to the server are in use")]
+    Exhausted,
     /// The server reported that it is full or leaving, and did not run the request.
     #[error("the server is full")]
     Full,
@@ -61,6 +64,9 @@
     /// The answer timed out.
     #[error("no answer in time")]
     TimedOut,
+    /// The server acknowledged nothing for so long that the connection was closed. It may go on nevertheless.
+    #[error("the server acknowledged nothing for too long")]
+    Unacknowledged,
     /// The server is unreachable; no bytes were written.
     #[error("the server is unreachable")]
     Unreachable,
@@ -78,10 +84,13 @@
     /// ```
     pub const fn may_have_run(self) -> bool {
         match self {
-            Self::Broken | Self::Mismatched | Self::TimedOut => true,
-            Self::Full | Self::InputGone | Self::Moved | Self::Rejected | Self::Unreachable => {
-                false
-            }
+            Self::Broken | Self::Mismatched | Self::TimedOut | Self::Unacknowledged => true,
+            Self::Exhausted
+            | Self::Full
+            | Self::InputGone
+            | Self::Moved
+            | Self::Rejected
+            | Self::Unreachable => false,
         }
     }
 }
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -5,9 +5,10 @@
 
 use base::{Code, Name, Outcome, Tick};
 use bytes::{Bytes, BytesMut};
+use futures_util::future::Either;
 use pick::{engine, fleet::Completion, plain};
 use rand::RngExt;
-use site::{pool::Work, route::Kind};
+use site::route::Kind;
 use tokio::time;
 
 use crate::{
@@ -15,7 +16,7 @@
     guard::Guard,
     hub::completion_of,
     origin,
-    pending::{Event, Pending},
+    pending::{self, Event, Pending},
     policy::{self, Decision},
     stages::{self, Inputs},
 };
@@ -72,7 +73,7 @@
     pub(crate) reached: u32,
     /// The number of servers that were unreachable or whose address another server uses.
     unreachable: usize,
-    may_have_run: bool,
+    pub(crate) may_have_run: bool,
     /// Whether bytes of a stream have arrived.
     pub(crate) has_started: bool,
     /// The time that the stages took, including waits.
@@ -191,7 +192,7 @@
     attempts: &mut Attempts,
     since: Tick,
 ) -> Result<Prepared<E>, Code> {
-    let pool = select_pool(hub, job)?;
+    let pool = select_pool(job)?;
     if job.origin.get().is_some() && !origin::has_server(hub, job, &pool) {
         return Err(Code::VersionGone);
     }
@@ -228,11 +229,11 @@
     since: Tick,
 ) -> Result<Attempt<E>, Code> {
     let Prepared { pool, mut inputs } = prepared;
-    let mut silent: Option<Pending<'_, E>> = None;
+    let mut silent: Vec<Pending<'_, E>> = Vec::new();
     loop {
         let mut pending = match choose(hub, job, &pool, &inputs, attempts) {
             Some(choice) => {
-                if attempts.reached == 0 {
+                if attempts.tried.is_empty() {
                     let now = hub.transport.now();
                     hub.with(|state| state.retry_window.record_request(now, &pool));
                 }
@@ -241,16 +242,14 @@
             }
             None => {
                 let code = policy::final_code(attempts.may_have_run, Code::StageUnavailable);
-                silent.take().ok_or(code)?
+                silent.pop().ok_or(code)?
             }
         };
         loop {
             match pending.next_event(hub, job, &mut silent, since).await {
                 Event::Answered(reply) => {
-                    if let Some(earlier) = silent.take() {
-                        attempts.may_have_run = true;
-                        earlier.abandon();
-                    }
+                    attempts.may_have_run |= !silent.is_empty();
+                    silent.into_iter().for_each(Pending::abandon);
                     return Ok(pending.into_attempt(hub, attempts, reply));
                 }
                 Event::SilentAnswered(earlier, reply) => {
@@ -258,32 +257,29 @@
                 }
                 Event::Failed(failure) => {
                     pending.finish(hub, job, attempts, failure);
-                    let retry = match attempts.check_retry(hub, job, failure) {
-                        Ok(()) if failure == Failure::InputGone => {
-                            let remade = stages::run(hub, job, inputs.domain(), since).await;
-                            remade.map(|remade| inputs = Rc::new(remade))
-                        }
-                        checked => checked,
-                    };
-                    match (retry, silent.take()) {
-                        (Ok(()), earlier) => {
-                            silent = earlier;
-                            break;
+                    let mut retry = attempts.check_retry(hub, job, failure);
+                    if retry.is_ok() && failure == Failure::InputGone {
+                        let remade = stages::run(hub, job, inputs.domain(), since);
+                        match pending::run_beside(hub, job, attempts, &mut silent, remade).await {
+                            Either::Left(remade) => {
+                                retry = remade.map(|remade| inputs = Rc::new(remade));
+                            }
+                            Either::Right(answered) => return Ok(answered),
                         }
-                        (Err(_), Some(earlier)) => pending = earlier,
-                        (Err(code), None) => return Err(code),
+                    }
+                    match retry {
+                        Ok(()) => break,
+                        Err(code) => pending = silent.pop().ok_or(code)?,
                     }
                 }
                 Event::SilentFailed(mut earlier, failure) => {
-                    attempts.may_have_run |= failure.may_have_run();
                     earlier.finish(hub, job, attempts, failure);
                 }
                 Event::Silent => {
                     pending.record_silence(attempts);
                     if attempts.may_try_beside(hub, job, &pool, &inputs) {
                         pending.log_silence(job);
-                        // The earlier of two silent attempts is dropped, and may run.
-                        attempts.may_have_run |= silent.replace(pending).is_some();
+                        silent.push(pending);
                         break;
                     }
                 }
@@ -300,7 +296,10 @@
         job: &Job<E::Request>,
         failure: Failure,
     ) -> Result<(), Code> {
-        self.unreachable += usize::from(matches!(failure, Failure::Unreachable | Failure::Moved));
+        self.unreachable += usize::from(matches!(
+            failure,
+            Failure::Exhausted | Failure::Moved | Failure::Unreachable
+        ));
         let cx = policy::Context {
             route: &job.route,
             reached: self.reached,
@@ -314,7 +313,7 @@
             Decision::Fail(code) => Err(code),
             Decision::Retry { is_counted: false } => Ok(()),
             Decision::Retry { is_counted: true } => {
-                let Ok(pool) = select_pool(hub, job) else {
+                let Ok(pool) = select_pool(job) else {
                     return Err(policy::final_code(self.may_have_run, Code::BundleMissing));
                 };
                 take_retry(hub, job, &pool)
@@ -341,7 +340,7 @@
         matches!(
             policy::decide(cx, Failure::TimedOut),
             Decision::Retry { .. }
-        ) && select_pool(hub, job).is_ok()
+        ) && select_pool(job).is_ok()
             && choose(hub, job, pool, inputs, self).is_some()
             && take_retry(hub, job, pool).is_ok()
     }
@@ -352,7 +351,7 @@
         hub: &Rc<Hub<E>>,
         job: &Job<E::Request>,
     ) -> bool {
-        let Ok(pool) = select_pool(hub, job) else {
+        let Ok(pool) = select_pool(job) else {
             return false;
         };
         self.may_try_beside(hub, job, &pool, &Inputs::empty(hub))
@@ -437,26 +436,17 @@
     choose(hub, job, pool, &inputs, &Attempts::default()).map(|choice| choice.server.domain.clone())
 }
 
-/// Returns the pool that serves a request, which is the same for all its attempts.
-fn select_pool<E: Transport>(hub: &Rc<Hub<E>>, job: &Job<E::Request>) -> Result<Name, Code> {
-    let pool = match job.origin.get() {
-        Some(origin) if job.route.allows_pool(&origin.pool) => &origin.pool,
-        Some(_) => return Err(Code::VersionGone),
+/// Returns the pool that serves a request, which is the same for all its attempts, also if a newer configuration lacks it.
+fn select_pool<R>(job: &Job<R>) -> Result<Name, Code> {
+    match job.origin.get() {
+        Some(origin) if job.route.allows_pool(&origin.pool) => Ok(origin.pool.clone()),
+        Some(_) => Err(Code::VersionGone),
         None => {
             // The upper 53 bits of the digest as a number from 0 to 1.
             let draw = (job.digest >> 11) as f64 / (1_u64 << 53) as f64;
-            job.route.pool(draw).ok_or(Code::StageUnavailable)?
+            let pool = job.route.pool(draw).ok_or(Code::StageUnavailable)?;
+            Ok(pool.clone())
         }
-    };
-    let is_known = hub.with(|state| {
-        let config = state.config.as_ref()?;
-        config
-            .pool(pool)
-            .map(|pool| !matches!(pool.work, Work::Pieces(_)))
-    });
-    match is_known {
-        Some(_) => Ok(pool.clone()),
-        None => Err(Code::StageUnavailable),
     }
 }
 
@@ -493,7 +483,7 @@
     let retry_after = code.is_retryable().then(|| {
         let draw = hub.with(|state| state.rng.random::<f64>());
         let settings = &hub.settings;
-        let pause_left = select_pool(hub, job)
+        let pause_left = select_pool(job)
             .ok()
             .and_then(|pool| hub.with(|state| state.pause_left(now, &pool, job)));
         let spread = settings.retry_after_jitter.mul_f64(draw);
