Relay: a server that restarted with another version isn't taken for its former run

The list of servers lags, and a server may start again under its id with another version.

When the first bytes of an attempt arrive and the list now shows a later run of another version, either run may have answered. A stream that is bound to a version then drops these bytes and is tried elsewhere; a new stream is passed on, but its origin matches no server. A restart that the list doesn't show by then remains undetected.

--- a/crates/relay/src/body.rs
+++ b/crates/relay/src/body.rs
@@ -58,6 +58,10 @@
             }
             match self.next_chunk().await {
                 Ok(Some(bytes)) => {
+                    if self.is_from_another_version() {
+                        self.resume(Failure::Mismatched).await?;
+                        continue;
+                    }
                     self.last_bytes_at = self.hub.transport.now();
                     let events = self.events.push(&bytes);
                     self.record_first_bytes();
@@ -166,6 +170,16 @@
         }
     }
 
+    /// Returns whether the first bytes of an attempt may come from another version than the one that began the stream.
+    fn is_from_another_version(&self) -> bool {
+        let attempt = self.attempt.as_ref();
+        let is_bound = self.job.origin.get().is_some();
+        attempt.is_some_and(|attempt| {
+            let is_first = attempt.inputs.is_some();
+            is_bound && is_first && origin::has_restarted(&self.hub, &attempt.guard.server)
+        })
+    }
+
     /// Records where the stream began, if these are its first events.
     fn begin(&self) {
         if let Some(attempt) = &self.attempt {
--- a/crates/relay/src/origin.rs
+++ b/crates/relay/src/origin.rs
@@ -3,7 +3,7 @@
 use core::time::Duration;
 use std::rc::Rc;
 
-use base::{Code, Name};
+use base::{Code, Incarnation, Name, Software, Stamp};
 use futures_util::{StreamExt, stream::FuturesUnordered};
 use mesh::{
     Origin,
@@ -21,15 +21,34 @@
 
 /// Records the server that sent the first event of a request's stream.
 pub(crate) fn begin<E: Transport>(hub: &Hub<E>, job: &Job<E::Request>, server: &Server) {
+    let software = if has_restarted(hub, server) {
+        // Either run may have sent the event, so the stream can't go on elsewhere.
+        Software::Run(Incarnation::new(server.id.clone(), Stamp::default()))
+    } else {
+        server.software()
+    };
     let origin = Origin {
         pool: server.pool.clone(),
-        software: server.software(),
+        software,
     };
     if job.origin.set(origin.clone()).is_ok() && job.route.resumable {
         record(hub, job, &job.id, origin);
     }
 }
 
+/// Returns whether the list now shows a later run of a server, of another version. The list lags, so the request may have
+/// reached either run.
+pub(crate) fn has_restarted<E: Transport>(hub: &Hub<E>, server: &Server) -> bool {
+    hub.with(|state| {
+        let listed = state.roster.get(&server.id);
+        listed.is_some_and(|listed| {
+            server.started_at_ms != 0
+                && listed.started_at_ms > server.started_at_ms
+                && !listed.runs(&server.software())
+        })
+    })
+}
+
 /// Determines where the stream began that a request takes up, if it does.
 ///
 /// # Errors
--- a/crates/relay/tests/versions.rs
+++ b/crates/relay/tests/versions.rs
@@ -364,6 +364,61 @@
     }
 }
 
+/// A stream whose chunks arrive some time after its head.
+fn slow(chunks: &[&'static str]) -> Reaction {
+    let chunks = chunks.iter().map(|chunk| Ok(*chunk));
+    Reaction::Slow {
+        head_delay: Duration::ZERO,
+        chunks: chunks
+            .map(|chunk| (Duration::from_millis(50), chunk))
+            .collect(),
+    }
+}
+
+/// ORDER: a stream went on at a server that had restarted with another version before the list showed it.
+#[gtest]
+#[actix_web::test]
+async fn events_of_a_server_that_turns_out_to_have_restarted_are_not_passed_on() {
+    for version in [Some("v2"), None] {
+        time::pause();
+        let other = "id: 2\ndata: other\n\n";
+        let hub = hub(vec![slow(&[other]), second()]);
+        unlist(&hub, &["i-1", "i-2"]);
+        list(&hub, "i-0", Some("v1"), 5);
+        add_instances(&hub, vec![("b", vec![record("r-1", "v1")])]);
+        let restart = async {
+            time::sleep(Duration::from_millis(20)).await;
+            list(&hub, "i-0", version, 9);
+            list(&hub, "i-3", Some("v1"), 5);
+        };
+        let (text, ()) = tokio::join!(take_up(&hub, Some("r-1")), restart);
+        expect_that!(text, ok(eq(SECOND)));
+        expect_that!(sent_to(&hub), eq(&vec!["i-0".to_owned(), "i-3".to_owned()]));
+        time::resume();
+    }
+}
+
+/// ORDER: a stream of a server that had restarted was taken for one of the version that the list showed before.
+#[gtest]
+#[actix_web::test]
+async fn a_stream_of_a_server_that_turns_out_to_have_restarted_goes_on_nowhere() {
+    time::pause();
+    let hub = hub(vec![slow(&[FIRST, SECOND]), second()]);
+    unlist(&hub, &["i-1", "i-2"]);
+    list(&hub, "i-0", Some("v1"), 5);
+    let restart = || {
+        list(&hub, "i-0", Some("v2"), 9);
+        list(&hub, "i-3", Some("v1"), 5);
+    };
+    // The stream itself is sound.
+    let (text, is_complete) = stream(&hub, restart).await;
+    expect_that!((text, is_complete), eq(&(format!("{FIRST}{SECOND}"), true)));
+    expect_that!(
+        take_up(&hub, Some("r-1")).await,
+        err(eq(&(Code::VersionGone, false)))
+    );
+}
+
 /// A configuration that moves a route must not join the output of two pools.
 #[gtest]
 #[actix_web::test]
