Burn: count streams that can't go on at their version

The codes 311 to 313 were missing in burn::Cause, so the workspace didn't compile since; only the crates that the change touches had been built.

--- a/crates/burn/src/cause.rs
+++ b/crates/burn/src/cause.rs
@@ -134,7 +134,11 @@
             Code::BundleMissing | Code::LogUnavailable => Cause::Platform,
             Code::Stopping => Cause::Stopping,
             Code::CallUnknown | Code::EarlierUnknown => Cause::Unknown,
-            Code::StreamCut | Code::StreamDiverged => Cause::StreamCut,
+            Code::StreamCut
+            | Code::StreamDiverged
+            | Code::OriginUnknown
+            | Code::OriginUnavailable
+            | Code::VersionGone => Cause::StreamCut,
             Code::Internal => Cause::Internal,
         };
         Self::Missed(cause)
