--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -27,7 +27,7 @@
 use tokio::time::{self, Instant};
 
 /// The scripted reaction of a server to a request.
-#[derive(Clone)]
+#[derive(Clone, Debug)]
 pub(crate) enum Reaction {
     /// The call fails.
     Fail(Failure),
@@ -51,6 +51,35 @@
         /// The chunks of an answer with status 200, and the silence before each.
         chunks: Vec<(Duration, Result<&'static str, Failure>)>,
     },
+    /// The server sends the halves of the events after the last one that the caller has.
+    Events {
+        /// The time until the head arrives.
+        head_delay: Duration,
+        /// The silence before each half of an event; the list has two for each event.
+        silences: Vec<Duration>,
+    },
+    /// The server never answers.
+    Hang,
+}
+
+/// The halves of the events of [`Reaction::Events`].
+pub(crate) const EVENTS: [[&str; 2]; 4] = [
+    ["id: 1\nda", "ta: a\n\n"],
+    ["id: 2\nda", "ta: b\n\n"],
+    ["id: 3\nda", "ta: c\n\n"],
+    ["id: 4\nda", "ta: d\n\n"],
+];
+
+/// How long a release waits for the answer of a silent server.
+pub(crate) const RELEASE_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// The scripted reaction of a stage server to a call.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum StageReaction {
+    /// The server is silent for a while, and then answers with results.
+    Answer(Duration),
+    /// The call fails after a while.
+    Fail(Duration, Failure),
     /// The server never answers.
     Hang,
 }
@@ -83,22 +112,34 @@
     pub(crate) stage_pause: Cell<Option<Duration>>,
     /// The time that a call to a stage server takes.
     pub(crate) stage_time: Cell<Duration>,
+    /// The servers that don't answer releases.
+    pub(crate) silent_releases: RefCell<Vec<SocketAddr>>,
+    /// Whether calls to other instances get no answer; otherwise they fail.
+    pub(crate) is_mesh_silent: Cell<bool>,
+    /// The reactions of the stage servers to the next calls; without one, they answer after `stage_time`.
+    pub(crate) stage_reactions: RefCell<VecDeque<StageReaction>>,
 }
 
 pub(crate) struct Chunks {
     status: u16,
-    /// The chunks and the silence before each.
-    chunks: VecDeque<(Duration, Result<&'static str, Failure>)>,
-    /// When the next chunk arrives, once it is awaited.
-    next_at: Option<Instant>,
+    /// The chunks and when each arrives.
+    chunks: VecDeque<(Instant, Result<&'static str, Failure>)>,
 }
 
 impl Chunks {
-    fn new(status: u16, chunks: Vec<(Duration, Result<&'static str, Failure>)>) -> Self {
+    /// Creates an answer whose head arrives at a time and whose chunks follow after the given silences.
+    fn new(
+        status: u16,
+        head_at: Instant,
+        chunks: Vec<(Duration, Result<&'static str, Failure>)>,
+    ) -> Self {
+        let chunks = chunks.into_iter().scan(head_at, |at, (silence, chunk)| {
+            *at += silence;
+            Some((*at, chunk))
+        });
         Self {
             status,
-            chunks: chunks.into(),
-            next_at: None,
+            chunks: chunks.collect(),
         }
     }
 }
@@ -115,16 +156,12 @@
     }
 
     async fn chunk(&mut self) -> Result<Option<Bytes>, Failure> {
-        if let Some((silence, _)) = self.chunks.front()
-            && !silence.is_zero()
+        // The server goes on while nobody awaits the chunk.
+        if let Some((at, _)) = self.chunks.front()
+            && Instant::now() < *at
         {
-            // The silence goes on while nobody awaits the chunk.
-            let at = *self
-                .next_at
-                .get_or_insert_with(|| Instant::now() + *silence);
-            time::sleep_until(at).await;
+            time::sleep_until(*at).await;
         }
-        self.next_at = None;
         match self.chunks.pop_front() {
             Some((_, Ok(text))) => Ok(Some(Bytes::from_static(text.as_bytes()))),
             Some((_, Err(failure))) => Err(failure),
@@ -164,6 +201,7 @@
             inputs: call.inputs.len(),
             time_left: call.time_left,
         });
+        let sent_at = Instant::now();
         let mut reaction = self.reactions.borrow_mut().pop_front();
         if let Some(Reaction::Notice {
             is_leaving,
@@ -182,11 +220,21 @@
             }
             Some(Reaction::Answer(status, chunks)) => {
                 let chunks = chunks.into_iter().map(|chunk| (Duration::ZERO, chunk));
-                Ok(Chunks::new(status, chunks.collect()))
+                Ok(Chunks::new(status, sent_at, chunks.collect()))
             }
             Some(Reaction::Slow { head_delay, chunks }) => {
                 time::sleep(head_delay).await;
-                Ok(Chunks::new(200, chunks))
+                Ok(Chunks::new(200, sent_at + head_delay, chunks))
+            }
+            Some(Reaction::Events {
+                head_delay,
+                silences,
+            }) => {
+                time::sleep(head_delay).await;
+                let first = usize::try_from(call.last_event.unwrap_or(0)).unwrap_or(usize::MAX);
+                let halves = EVENTS.as_flattened().iter().zip(silences).skip(2 * first);
+                let chunks = halves.map(|(half, silence)| (silence, Ok(*half)));
+                Ok(Chunks::new(200, sent_at + head_delay, chunks.collect()))
             }
             Some(Reaction::Hang | Reaction::Notice { .. }) | None => core::future::pending().await,
         }
@@ -196,7 +244,7 @@
         &self,
         server: &Server,
         pieces: &[Piece],
-        _: Duration,
+        timeout: Duration,
     ) -> Result<Results, Failure> {
         self.stage_calls.borrow_mut().push(self.now());
         if let Some(pause) = self.stage_pause.take() {
@@ -204,11 +252,28 @@
             return Err(Failure::Full);
         }
         self.batch_sizes.borrow_mut().push(pieces.len());
-        time::sleep(self.stage_time.get()).await;
+        let number = self.batch_sizes.borrow().len();
+        let reaction = self.stage_reactions.borrow_mut().pop_front();
+        let (delay, failure) = match reaction {
+            Some(StageReaction::Answer(delay)) => (delay, None),
+            Some(StageReaction::Fail(delay, failure)) => (delay, Some(failure)),
+            Some(StageReaction::Hang) => (Duration::MAX, None),
+            None => (self.stage_time.get(), None),
+        };
+        time::timeout(timeout, time::sleep(delay))
+            .await
+            .map_err(|_| Failure::TimedOut)?;
+        if let Some(failure) = failure {
+            return Err(failure);
+        }
         let outcomes = pieces.iter().map(|piece| {
             Outcome::Result(Handle {
                 address: server.address,
-                text: format!("{}-{}-{}", piece.request, piece.stage, piece.number).into(),
+                text: format!(
+                    "{}-{}-{}-{number}",
+                    piece.request, piece.stage, piece.number
+                )
+                .into(),
             })
         });
         Ok(Results {
@@ -218,6 +283,9 @@
     }
 
     async fn delegate(&self, _: &Peer, _: &Shard, _: &[Piece]) -> Result<Vec<Outcome>, Failure> {
+        if self.is_mesh_silent.get() {
+            core::future::pending::<()>().await;
+        }
         Err(Failure::Unreachable)
     }
 
@@ -225,7 +293,11 @@
         Err(Failure::Unreachable)
     }
 
-    async fn release(&self, _: SocketAddr, _: Option<&Server>, handles: Vec<Handle>) {
+    async fn release(&self, address: SocketAddr, _: Option<&Server>, handles: Vec<Handle>) {
+        if self.silent_releases.borrow().contains(&address) {
+            time::sleep(RELEASE_TIMEOUT).await;
+            return;
+        }
         self.released.borrow_mut().extend(handles);
     }
 
@@ -278,6 +350,9 @@
         recorded: RefCell::default(),
         stage_pause: Cell::default(),
         stage_time: Cell::new(Duration::from_millis(5)),
+        silent_releases: RefCell::default(),
+        is_mesh_silent: Cell::default(),
+        stage_reactions: RefCell::default(),
     };
     let bound = Bound {
         ratio: 0.2,
