--- a/crates/burn/src/cause.rs
+++ b/crates/burn/src/cause.rs
@@ -126,10 +126,7 @@
             Code::DeadlineUnmeetable => Cause::RefusedEarly,
             Code::AccountLimited => Cause::AccountLimit,
             Code::Overloaded => Cause::Overload,
-            Code::StageUnavailable
-            | Code::OriginUnknown
-            | Code::OriginUnavailable
-            | Code::VersionGone => Cause::StageDown,
+            Code::StageUnavailable => Cause::StageDown,
             Code::DeadlinePassed => Cause::StageSlow,
             Code::RetriesSpent => Cause::Retries,
             Code::RequestHarmful => Cause::Harmful,
