--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -73,7 +73,7 @@
     pub(crate) reached: u32,
     /// The number of servers that were unreachable or whose address another server uses.
     unreachable: usize,
-    may_have_run: bool,
+    pub(crate) may_have_run: bool,
     /// Whether bytes of a stream have arrived.
     pub(crate) has_started: bool,
     /// The time that the stages took, including waits.
@@ -274,7 +274,6 @@
                     }
                 }
                 Event::SilentFailed(mut earlier, failure) => {
-                    attempts.may_have_run |= failure.may_have_run();
                     earlier.finish(hub, job, attempts, failure);
                 }
                 Event::Silent => {
