A caller that names no attempt takes its stream up where all servers run one version

Cause: without a name the origin counted as unknown, also while the list knows one version only. Change: such a stream goes on if all listed servers of its pool, leaving ones included, run one version. The test of unknown origins has servers of two versions in its unnamed case now, as the trace shows that the case with one version is allowed.

--- a/crates/relay/src/origin.rs
+++ b/crates/relay/src/origin.rs
@@ -11,7 +11,7 @@
 };
 use site::roster::Server;
 
-use crate::{Hub, Job, Transport};
+use crate::{Hub, Job, Transport, serve};
 
 /// How long other instances may take to tell where a stream began.
 const LOOKUP_TIMEOUT: Duration = Duration::from_millis(300);
@@ -61,7 +61,7 @@
     let stream = resumption.first_attempt.as_ref();
     let found = match stream {
         Some(stream) => find(hub, stream).await,
-        None => Err(Code::OriginUnknown),
+        None => find_sole(hub, job),
     };
     let (version, source) = match &found {
         Ok((origin, source)) => (origin.software.to_string(), source.as_str()),
@@ -73,14 +73,22 @@
         "stream taken up"
     );
     let (origin, _) = found?;
-    if let Some(stream) = stream
-        && job.origin.set(origin.clone()).is_ok()
+    if job.origin.set(origin.clone()).is_ok()
+        && let Some(stream) = stream
     {
         record(hub, job, stream, origin);
     }
     Ok(())
 }
 
+/// Returns the origin of a stream whose caller names no attempt, and `list`, if all servers run the same software.
+fn find_sole<E: Transport>(hub: &Hub<E>, job: &Job<E::Request>) -> Result<(Origin, Name), Code> {
+    let pool = serve::select_pool(job)?;
+    let software = hub.with(|state| state.roster.sole_software(&pool));
+    let software = software.ok_or(Code::OriginUnknown)?;
+    Ok((Origin { pool, software }, "list".into()))
+}
+
 /// Records the origin of a stream at this instance and at others.
 fn record<E: Transport>(hub: &Hub<E>, job: &Job<E::Request>, stream: &Name, origin: Origin) {
     let now = hub.transport.now();
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -438,7 +438,7 @@
 }
 
 /// Returns the pool that serves a request, which is the same for all its attempts, also if a newer configuration lacks it.
-fn select_pool<R>(job: &Job<R>) -> Result<Name, Code> {
+pub(crate) fn select_pool<R>(job: &Job<R>) -> Result<Name, Code> {
     match job.origin.get() {
         Some(origin) if job.route.allows_pool(&origin.pool) => Ok(origin.pool.clone()),
         Some(_) => Err(Code::VersionGone),
--- a/crates/relay/tests/versions.rs
+++ b/crates/relay/tests/versions.rs
@@ -279,6 +279,18 @@
     for first_attempt in [Some("r-9"), None] {
         time::pause();
         let hub = hub(vec![second()]);
+        // Only servers of several versions make an unnamed origin unknown.
+        hub.with(|state| {
+            let server = state.roster.get(&"i-1".into()).cloned().unwrap();
+            let version = Some("v2".into());
+            state.roster.insert(
+                Server {
+                    version,
+                    ..Server::clone(&server)
+                },
+                2,
+            );
+        });
         add_instances(&hub, vec![("b", vec![record("r-1", "v1")])]);
         expect_that!(
             take_up(&hub, first_attempt).await,
@@ -289,6 +301,43 @@
     }
 }
 
+/// LOST: a caller that names no attempt could not take its stream up though all servers run one version.
+#[gtest]
+#[actix_web::test]
+async fn a_stream_of_an_unnamed_attempt_goes_on_if_all_servers_run_one_version() {
+    time::pause();
+    let hub = hub(vec![second(), second()]);
+    hub.with(|state| {
+        for server in state.roster.all().cloned().collect::<Vec<_>>() {
+            let version = Some("v1".into());
+            state.roster.insert(
+                Server {
+                    version,
+                    ..Server::clone(&server)
+                },
+                2,
+            );
+        }
+    });
+    expect_that!(take_up(&hub, None).await, ok(eq(SECOND)));
+    expect_that!(hub.transport.recorded.borrow().len(), eq(0));
+    // A server that leaves still counts, as it may have begun the stream.
+    hub.with(|state| {
+        let server = state.roster.get(&"i-2".into()).cloned().unwrap();
+        let (version, leaving) = (Some("v0".into()), true);
+        state.roster.insert(
+            Server {
+                version,
+                leaving,
+                ..Server::clone(&server)
+            },
+            3,
+        );
+    });
+    let refused = take_up(&hub, None).await;
+    expect_that!(refused, err(eq(&(Code::OriginUnknown, false))));
+}
+
 /// A caller must not begin anew for good because an instance could not be asked for a moment.
 #[gtest]
 #[actix_web::test]
--- a/crates/site/src/roster.rs
+++ b/crates/site/src/roster.rs
@@ -367,6 +367,15 @@
             .filter(move |server| !server.leaving && server.pool == *pool)
     }
 
+    /// Returns the software of a pool's registered servers, leaving ones included, if all are known to run the same.
+    pub fn sole_software(&self, pool: &Name) -> Option<Software> {
+        let mut servers = self.all().filter(|server| server.pool == *pool);
+        let version = servers.next()?.version.as_ref()?;
+        servers
+            .all(|server| server.version.as_ref() == Some(version))
+            .then(|| Software::Version(version.clone()))
+    }
+
     /// Returns every registered server, sorted by id.
     pub fn all(&self) -> impl Iterator<Item = &Rc<Server>> {
         self.servers.iter().map(|entry| &entry.server)
