Relay: try another server when the body of an answer takes long

What callers saw: a request that may be repeated ended with 504 at its deadline, though another server could have answered it, when its server sent a body byte by byte without end, or chunks so small that the size limit was not reached in time.

Cause: an attempt was limited in time up to its head; from there on only the deadline applied.

Change: two seconds after the head, longer than a sound server is silent, another server is tried beside the slow one if the retry rules allow it, and the slow one is left once the other has answered. Until then its body is read on, so that a slow sound answer isn't lost. A request that may run once waits as before.

Evidence: without the change a_request_is_answered_by_another_server_when_its_body_trickles_without_end fails in virtual time, and with real processes the tests of bodies end in 34 or more answers 504 (all trickles, and the flood of small chunks). Now both pass.

--- a/crates/relay/src/configs.rs
+++ b/crates/relay/src/configs.rs
@@ -14,6 +14,9 @@
     /// The longest silence within a stream after which another server is tried; a sound server may be silent for a second
     /// or so.
     pub max_stream_silence: Duration,
+    /// The longest time from the head to the end of an answer that isn't a stream after which another server is tried; a
+    /// sound server may be silent for a second or so.
+    pub max_body_time: Duration,
     /// The shortest retry delay that a refused caller is told.
     pub min_retry_after: Duration,
     /// The time over which the retries of refused callers are spread.
@@ -45,6 +48,7 @@
             max_unreachable: 4,
             min_attempt_timeout: Duration::from_millis(400),
             max_stream_silence: Duration::from_secs(2),
+            max_body_time: Duration::from_secs(2),
             min_retry_after: Duration::from_millis(150),
             retry_after_jitter: Duration::from_millis(500),
             overload_retry_share: (0.2, 0.33),
--- a/crates/relay/src/policy.rs
+++ b/crates/relay/src/policy.rs
@@ -91,6 +91,15 @@
     }
 }
 
+/// Returns the time for the body of an answer that isn't a stream after which another server may be tried.
+pub fn body_time_limit(route: &Route, settings: &Config) -> Duration {
+    if route.is_repeatable() {
+        settings.max_body_time
+    } else {
+        Duration::MAX
+    }
+}
+
 /// Returns the silence within a stream after which another server may be tried.
 ///
 /// # Examples
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -1,6 +1,6 @@
 //! Runs the stages of a request and sends it to a backend server.
 
-use core::time::Duration;
+use core::{pin::pin, time::Duration};
 use std::rc::Rc;
 
 use base::{Code, Name, Outcome, Tick};
@@ -118,11 +118,9 @@
         });
     }
     loop {
-        let time_left = job.time_left(hub.transport.now());
-        let max_bytes = hub.settings.max_buffered_bytes;
-        let body = time::timeout(time_left, read_body(&mut attempt.reply, max_bytes)).await;
+        let body = read_body_or_move(hub, &job, &mut attempts, &mut attempt).await;
         let failure = match body {
-            Ok(Ok(body)) => {
+            Ok(body) => {
                 let latency = attempt.guard.age();
                 let server = attempt.guard.server.id.clone();
                 attempt.guard.finish(Completion::Answered { latency });
@@ -134,8 +132,10 @@
                     body,
                 });
             }
-            Ok(Err(failure)) => failure,
-            Err(_) => return Err(refusal(hub, &job, &attempts, Code::DeadlinePassed)),
+            Err(Failure::TimedOut) => {
+                return Err(refusal(hub, &job, &attempts, Code::DeadlinePassed));
+            }
+            Err(failure) => failure,
         };
         let server = attempt.guard.server.clone();
         attempt.guard.finish(completion_of(failure));
@@ -444,15 +444,78 @@
     }
 }
 
-async fn read_body<R: Reply>(reply: &mut R, max_bytes: usize) -> Result<Bytes, Failure> {
+/// Reads the body of an answer. A server whose body takes long is left once another one answers, if the request may be
+/// repeated.
+///
+/// # Errors
+///
+/// - [`Failure::TimedOut`] if the deadline passes.
+/// - The failure of the server that the body was read from last.
+async fn read_body_or_move<E: Transport>(
+    hub: &Rc<Hub<E>>,
+    job: &Job<E::Request>,
+    attempts: &mut Attempts,
+    attempt: &mut Attempt<E>,
+) -> Result<Bytes, Failure> {
+    let max_bytes = hub.settings.max_buffered_bytes;
+    let limit = policy::body_time_limit(&job.route, &hub.settings);
     let mut body = BytesMut::new();
+    loop {
+        let time_left = job.time_left(hub.transport.now());
+        let reading = read_body(&mut attempt.reply, &mut body, max_bytes);
+        match time::timeout(limit.min(time_left), reading).await {
+            Ok(Ok(())) => return Ok(body.freeze()),
+            Ok(Err(failure)) => return Err(failure),
+            Err(_) if time_left <= limit => return Err(Failure::TimedOut),
+            Err(_) if !attempts.may_leave_silent(hub, job) => continue,
+            Err(_) => {}
+        }
+        log::info!(
+            target: "relay", request:% = job.id, server:% = attempt.guard.server.id,
+            age_ms = attempt.guard.age().as_millis(), bytes = body.len();
+            "answer takes long; trying another server beside it"
+        );
+        let time_left = job.time_left(hub.transport.now());
+        let sent = send_attempt(hub, job, attempts, job.last_event, job.arrived_at);
+        let mut sent = pin!(time::timeout(time_left, sent));
+        let mut failure = None;
+        let next = tokio::select! {
+            biased;
+            read = read_body(&mut attempt.reply, &mut body, max_bytes) => match read {
+                Ok(()) => return Ok(body.freeze()),
+                Err(error) => {
+                    failure = Some(error);
+                    sent.await
+                }
+            },
+            next = &mut sent => next,
+        };
+        match (next, failure) {
+            (Ok(Ok(next)), failure) => {
+                let slow = core::mem::replace(attempt, next);
+                slow.guard
+                    .finish(completion_of(failure.unwrap_or(Failure::TimedOut)));
+                body.clear();
+            }
+            (_, Some(failure)) => return Err(failure),
+            (_, None) => {}
+        }
+    }
+}
+
+/// Reads the rest of a body of limited size.
+async fn read_body<R: Reply>(
+    reply: &mut R,
+    body: &mut BytesMut,
+    max_bytes: usize,
+) -> Result<(), Failure> {
     while let Some(chunk) = reply.chunk().await? {
         if body.len() + chunk.len() > max_bytes {
             return Err(Failure::Broken);
         }
         body.extend_from_slice(&chunk);
     }
-    Ok(body.freeze())
+    Ok(())
 }
 
 /// Records that a connection broke while a server ran a request, and reports it if it is new.
