--- a/crates/batch/src/scheduler.rs
+++ b/crates/batch/src/scheduler.rs
@@ -38,7 +38,7 @@
 }
 
 /// An action that the caller has to carry out.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum Action {
     /// Send a batch.
     Send(Batch),
@@ -47,15 +47,17 @@
 }
 
 /// Pieces to send in one call.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Batch {
     /// The shard that the server belongs to.
     pub shard: Shard,
     /// The server.
     pub server: Rc<Server>,
+    /// The work of the pool as configured when the call started.
+    pub work: Pieces,
     /// The pieces of the call.
     pub pieces: Vec<Piece>,
-    /// The time after which the call is abandoned.
+    /// The time after which the call is overdue.
     pub timeout: Duration,
 }
 
@@ -158,6 +160,11 @@
             .record_completion(now, server, &config, work, completion);
     }
 
+    /// Records that a call is overdue, and may end later. Its server counts as slow until then.
+    pub fn record_overdue(&mut self, shard: &Shard, server: &Name) {
+        self.queue_mut(shard).record_overdue(server);
+    }
+
     /// Returns the batches to send now, and the pieces that can no longer finish in time.
     pub fn next_actions(&mut self, cx: Context<'_>) -> Vec<Action> {
         let mut actions = Vec::new();
--- a/crates/relay/src/body.rs
+++ b/crates/relay/src/body.rs
@@ -12,7 +12,7 @@
     Failure, Hub, Job, Reply, Transport,
     events::Splitter,
     hub::completion_of,
-    policy,
+    origin, policy,
     serve::{self, Attempt, Attempts},
 };
 
@@ -25,6 +25,8 @@
     events: Splitter,
     /// When bytes of the answer last arrived.
     last_bytes_at: Tick,
+    /// When the caller last got events, or began to wait for the first ones.
+    last_events_at: Tick,
     is_finished: bool,
 }
 
@@ -38,6 +40,7 @@
         Self {
             hub: hub.clone(),
             last_bytes_at: hub.transport.now(),
+            last_events_at: job.arrived_at,
             events: Splitter::resume_after(job.last_event),
             job,
             attempt: Some(attempt),
@@ -62,6 +65,8 @@
                     let events = self.events.push(&bytes);
                     self.record_first_bytes();
                     if !events.is_empty() {
+                        self.last_events_at = self.last_bytes_at;
+                        self.begin();
                         return Ok(Some(events));
                     }
                 }
@@ -114,7 +119,7 @@
             "server is silent; trying another one beside it"
         );
         let time_left = job.event_deadline(now) - now;
-        let leaves_at = job.event_deadline(self.last_bytes_at);
+        let leaves_at = job.event_deadline(self.last_events_at);
         let prepared = tokio::select! {
             biased;
             chunk = attempt.reply.chunk() => return Some(chunk),
@@ -155,7 +160,7 @@
         let now = self.hub.transport.now();
         log::info!(
             target: "relay", request:% = self.job.id, server:% = next.guard.server.id,
-            after = last_event.unwrap_or(0), silent_ms = (now - self.last_bytes_at).as_millis();
+            version:% = next.guard.server.software(), after = last_event.unwrap_or(0), silent_ms = (now - self.last_bytes_at).as_millis();
             "stream resumed on another server"
         );
         self.events.discard_partial();
@@ -165,6 +170,13 @@
         }
     }
 
+    /// Records where the stream began, if these are its first events.
+    fn begin(&self) {
+        if let Some(attempt) = &self.attempt {
+            origin::begin(&self.hub, &self.job, &attempt.guard.server);
+        }
+    }
+
     /// Records the first bytes of an answer, which show that the server has read the prompt and the stage results.
     fn record_first_bytes(&mut self) {
         let Some(attempt) = &mut self.attempt else {
@@ -212,8 +224,8 @@
         if let Some(attempt) = self.attempt.take() {
             let server = attempt.guard.server.clone();
             log::info!(
-                target: "relay", request:% = self.job.id, server:% = server.id, cause:% = failure,
-                after = last_event.unwrap_or(0), age_ms = (now - self.job.arrived_at).as_millis(),
+                target: "relay", request:% = self.job.id, server:% = server.id,
+                version:% = server.software(), cause:% = failure, after = last_event.unwrap_or(0), age_ms = (now - self.job.arrived_at).as_millis(),
                 silent_ms = (now - self.last_bytes_at).as_millis();
                 "stream interrupted"
             );
--- a/crates/relay/src/hub.rs
+++ b/crates/relay/src/hub.rs
@@ -9,11 +9,11 @@
     piece::{Handle, Outcome, Reason},
     scheduler::{self, Action, Batch, Context},
 };
-use mesh::{Departures, Members, Owner};
+use mesh::{Departures, Members, Origins, Owner};
 use pick::{Fleet, fleet::Completion};
 use rand::{SeedableRng, rngs::SmallRng};
 use retry::{Crashes, Window, window::Bound};
-use site::{Config, Roster, pool::Work, roster::Server};
+use site::{Config, Roster, roster::Server};
 use tokio::{sync::mpsc, task, time};
 
 use crate::{Failure, Transport, call::Results, configs, estimate::Estimator};
@@ -50,6 +50,8 @@
     pub members: Members,
     /// Departures of servers that other instances are told.
     pub departures: Departures,
+    /// Where recent streams began.
+    pub origins: Origins,
     /// Estimates of the time to the first event and of request sizes.
     pub estimator: Estimator,
     /// The source of randomness.
@@ -65,6 +67,8 @@
 /// The receiver of a piece's outcome.
 struct Waiter {
     ticket: u64,
+    /// The copies of the piece that are queued or part of a call.
+    copies: u32,
     sender: mpsc::UnboundedSender<Delivery>,
 }
 
@@ -121,6 +125,7 @@
                 crashes: Crashes::default(),
                 members,
                 departures: Departures::default(),
+                origins: Origins::default(),
                 estimator: Estimator::default(),
                 rng: SmallRng::seed_from_u64(seed),
                 waiters: Vec::new(),
@@ -240,6 +245,7 @@
                 state.next_ticket += 1;
                 state.waiters.push(Waiter {
                     ticket: piece.ticket,
+                    copies: 1,
                     sender: sender.clone(),
                 });
             }
@@ -321,34 +327,74 @@
     }
 
     async fn run_batch(self: Rc<Self>, batch: Batch) {
-        let pool = self.with(|state| state.config.clone()?.pool(&batch.shard.pool).cloned());
-        let Some(Work::Pieces(work)) = pool.map(|pool| pool.work) else {
-            // The pool was removed from the configuration meanwhile.
-            for piece in &batch.pieces {
-                self.deliver(piece, Outcome::Failed(Reason::Error));
+        let sent_at = self.transport.now();
+        let results = {
+            // A call that takes long goes on, as its server may only be silent for a while.
+            let limit = batch.timeout + self.settings.max_stage_silence;
+            let call = self
+                .transport
+                .run_pieces(&batch.server, &batch.pieces, limit);
+            let mut call = core::pin::pin!(call);
+            match time::timeout(batch.timeout, &mut call).await {
+                Ok(results) => results,
+                Err(_) => {
+                    self.repeat_overdue(&batch);
+                    call.await
+                }
             }
-            return;
         };
-        let sent_at = self.transport.now();
-        let results = self
-            .transport
-            .run_pieces(&batch.server, &batch.pieces, batch.timeout)
-            .await;
         let now = self.transport.now();
         match results {
-            Ok(results) => self.record_results(now, now - sent_at, batch, results, &work),
-            Err(failure) => self.record_batch_failure(now, batch, failure, &work),
+            Ok(results) => self.record_results(now, now - sent_at, batch, results),
+            Err(failure) => self.record_batch_failure(now, batch, failure),
         }
         self.dispatch();
     }
 
+    /// Queues copies of the pieces of a call that is overdue, as far as their attempts and the retry budget allow it. The
+    /// first result of a piece counts.
+    fn repeat_overdue(self: &Rc<Self>, batch: &Batch) {
+        let now = self.transport.now();
+        let max_attempts = self.settings.max_piece_attempts;
+        let repeated = self.with(|state| {
+            state
+                .scheduler
+                .record_overdue(&batch.shard, &batch.server.id);
+            let count = state.members.count();
+            let mut copies = Vec::new();
+            for piece in &batch.pieces {
+                let attempts = piece.attempts + 1;
+                let Some(at) = state.find_waiter(piece.ticket) else {
+                    continue;
+                };
+                if attempts < max_attempts
+                    && state.retry_window.try_retry(now, &batch.shard.pool, count)
+                {
+                    state.waiters[at].copies += 1;
+                    copies.push(Piece {
+                        attempts,
+                        ..piece.clone()
+                    });
+                }
+            }
+            let repeated = copies.len();
+            state.scheduler.enqueue(&batch.shard, copies);
+            repeated
+        });
+        log::info!(
+            target: "stages", pool:% = batch.shard.pool, server:% = batch.server.id,
+            requests:% = request_ids(&batch.pieces), pieces = batch.pieces.len(), repeated = repeated,
+            silent_ms = batch.timeout.as_millis(); "stage call overdue"
+        );
+        self.dispatch();
+    }
+
     fn record_results(
         self: &Rc<Self>,
         now: Tick,
         elapsed: Duration,
         batch: Batch,
         results: Results,
-        work: &site::pool::Pieces,
     ) {
         let server = &batch.server;
         let is_out_of_memory = results.outcomes.contains(&Outcome::Failed(Reason::Room));
@@ -368,9 +414,13 @@
             let answered = Completion::Answered { latency: elapsed };
             state.fleet.record_completion(now, &server.id, answered);
             state.fleet.reachability.record_success(&server.domain);
-            state
-                .scheduler
-                .record_completion(now, &batch.shard, &server.id, work, completion);
+            state.scheduler.record_completion(
+                now,
+                &batch.shard,
+                &server.id,
+                &batch.work,
+                completion,
+            );
         });
         let mut outcomes = results.outcomes.into_iter();
         for piece in batch.pieces {
@@ -384,13 +434,7 @@
         }
     }
 
-    fn record_batch_failure(
-        self: &Rc<Self>,
-        now: Tick,
-        batch: Batch,
-        failure: Failure,
-        work: &site::pool::Pieces,
-    ) {
+    fn record_batch_failure(self: &Rc<Self>, now: Tick, batch: Batch, failure: Failure) {
         let server = &batch.server;
         log::info!(
             target: "stages", pool:% = batch.shard.pool, server:% = server.id,
@@ -402,20 +446,32 @@
                 .record_completion(now, &server.id, completion_of(failure));
             state.record_reachability(now, &server.domain, failure);
             let completion = match failure {
-                Failure::Full => scheduler::Completion::Full,
-                Failure::TimedOut => scheduler::Completion::TimedOut,
+                Failure::Exhausted | Failure::Full => scheduler::Completion::Full,
+                Failure::TimedOut | Failure::Unacknowledged => scheduler::Completion::TimedOut,
                 _ => scheduler::Completion::Failed,
             };
-            state
-                .scheduler
-                .record_completion(now, &batch.shard, &server.id, work, completion);
+            state.scheduler.record_completion(
+                now,
+                &batch.shard,
+                &server.id,
+                &batch.work,
+                completion,
+            );
             if failure == Failure::Moved {
                 state.mark_leaving(now, &server.id, server.started_at_ms, "answer");
             }
         });
         for piece in batch.pieces {
-            if matches!(failure, Failure::Full | Failure::Unreachable) {
-                self.with(|state| state.scheduler.enqueue(&batch.shard, vec![piece]));
+            if matches!(
+                failure,
+                Failure::Exhausted | Failure::Full | Failure::Unreachable
+            ) {
+                self.with(|state| {
+                    // The request may have ended meanwhile.
+                    if state.find_waiter(piece.ticket).is_some() {
+                        state.scheduler.enqueue(&batch.shard, vec![piece]);
+                    }
+                });
             } else {
                 self.retry_piece(
                     now,
@@ -437,6 +493,13 @@
         outcome: Outcome,
         server: &Name,
     ) {
+        let is_only_copy = self.with(|state| {
+            let waiter = state.waiter_mut(piece.ticket);
+            waiter.is_some_and(|waiter| waiter.copies == 1)
+        });
+        if !is_only_copy {
+            return self.deliver(&piece, outcome);
+        }
         piece.attempts += 1;
         let max_attempts = self.settings.max_piece_attempts;
         // A piece that was refused for lack of memory did not run, so its retry doesn't count.
@@ -460,9 +523,17 @@
 
     fn deliver(self: &Rc<Self>, piece: &Piece, outcome: Outcome) {
         let sender = self.with(|state| {
-            let find = |waiter: &Waiter| waiter.ticket.cmp(&piece.ticket);
-            let at = state.waiters.binary_search_by(find).ok()?;
-            Some(state.waiters.remove(at).sender)
+            let waiter = state.waiter_mut(piece.ticket)?;
+            waiter.copies -= 1;
+            if waiter.copies > 0 {
+                if let Outcome::Failed(_) = outcome {
+                    // Another copy may still succeed.
+                    return None;
+                }
+                let tickets = piece.ticket..piece.ticket + 1;
+                state.scheduler.cancel(&tickets);
+            }
+            state.take_waiter(piece.ticket).map(|waiter| waiter.sender)
         });
         let undelivered = match sender {
             Some(sender) => match sender.send(Delivery {
@@ -474,7 +545,7 @@
             },
             None => Some(outcome),
         };
-        // The request ended meanwhile, so its result is released.
+        // The request ended or got the result of another copy meanwhile, so this one is released.
         if let Some(Outcome::Result(handle)) = undelivered {
             self.release(vec![handle]);
         }
@@ -482,6 +553,21 @@
 }
 
 impl State {
+    fn find_waiter(&self, ticket: u64) -> Option<usize> {
+        let find = |waiter: &Waiter| waiter.ticket.cmp(&ticket);
+        self.waiters.binary_search_by(find).ok()
+    }
+
+    fn waiter_mut(&mut self, ticket: u64) -> Option<&mut Waiter> {
+        let at = self.find_waiter(ticket)?;
+        Some(&mut self.waiters[at])
+    }
+
+    fn take_waiter(&mut self, ticket: u64) -> Option<Waiter> {
+        let at = self.find_waiter(ticket)?;
+        Some(self.waiters.remove(at))
+    }
+
     /// Records what a failed call shows about the reachability of a failure domain.
     pub(crate) fn record_reachability(&mut self, now: Tick, domain: &Name, failure: Failure) {
         match failure {
@@ -494,7 +580,11 @@
                 self.fleet.reachability.record_success(domain);
             }
             // These failures don't show whether the domain is reachable.
-            Failure::Broken | Failure::Mismatched | Failure::TimedOut => {}
+            Failure::Broken
+            | Failure::Exhausted
+            | Failure::Mismatched
+            | Failure::TimedOut
+            | Failure::Unacknowledged => {}
         }
     }
 
@@ -522,8 +612,10 @@
 /// Returns the completion that a failure counts as in the load estimates.
 pub(crate) const fn completion_of(failure: Failure) -> Completion {
     match failure {
-        Failure::Broken | Failure::Mismatched | Failure::TimedOut => Completion::Failed,
-        Failure::Full => Completion::Full,
+        Failure::Broken | Failure::Mismatched | Failure::TimedOut | Failure::Unacknowledged => {
+            Completion::Failed
+        }
+        Failure::Exhausted | Failure::Full => Completion::Full,
         Failure::InputGone | Failure::Rejected => Completion::Abandoned,
         Failure::Moved | Failure::Unreachable => Completion::Unreachable,
     }
