Relay: limit the size of an event, and the time that its parts take

What callers saw: a stream whose server sent bytes that never became an event stalled until its deadline, and garbage with blank lines was passed on to them as events without end. The instance kept an event without end in memory and searched all of it again with each part.

Cause: an event had no limit.

Change: an event ends at the blank line after a field `id` or `data`; what stands before it, such as comments, is passed on with it. An event has at most 1 MiB. If 16 parts have arrived over longer than the limit of silence and still no event is complete, the bytes are no event. In both cases the server counts as failed, and the stream goes on at another one by the ordinary rules. Only new bytes are searched. The size of a stream remains unlimited.

--- a/crates/relay/src/body.rs
+++ b/crates/relay/src/body.rs
@@ -27,6 +27,10 @@
     last_bytes_at: Tick,
     /// When the caller last got events, or began to wait for the first ones.
     last_events_at: Tick,
+    /// The number of parts that arrived since the last complete event.
+    partial_count: usize,
+    /// When the first of them arrived.
+    partial_since: Tick,
     is_finished: bool,
 }
 
@@ -45,6 +49,8 @@
             job,
             attempt: Some(attempt),
             attempts,
+            partial_count: 0,
+            partial_since: hub.transport.now(),
             is_finished: false,
         }
     }
@@ -65,10 +71,14 @@
                     let events = self.events.push(&bytes);
                     self.record_first_bytes();
                     if !events.is_empty() {
+                        self.partial_count = 0;
                         self.last_events_at = self.last_bytes_at;
                         self.begin();
                         return Ok(Some(events));
                     }
+                    if !self.may_become_event() {
+                        self.resume(Failure::Mismatched).await?;
+                    }
                 }
                 Ok(None) => return Ok(self.complete()),
                 Err(failure) => self.resume(failure).await?,
@@ -76,6 +86,20 @@
         }
     }
 
+    /// Records a part without a complete event, and returns whether the bytes may still become one. An event has a limited
+    /// size, and its parts arrive at about the same time, but for a silence between two of them.
+    fn may_become_event(&mut self) -> bool {
+        let settings = &self.hub.settings;
+        if self.partial_count == 0 {
+            self.partial_since = self.last_bytes_at;
+        }
+        self.partial_count += 1;
+        let limit = policy::stream_silence_limit(&self.job.route, settings);
+        let is_trickle = self.partial_count >= settings.max_event_parts
+            && self.last_bytes_at - self.partial_since > limit;
+        self.events.partial_length() <= settings.max_event_bytes && !is_trickle
+    }
+
     /// Returns the next bytes, or none at the end. A server that is silent for long is left once another one goes on.
     async fn next_chunk(&mut self) -> Result<Option<Bytes>, Failure> {
         let mut limit = policy::stream_silence_limit(&self.job.route, &self.hub.settings);
@@ -164,6 +188,7 @@
             "stream resumed on another server"
         );
         self.events.discard_partial();
+        self.partial_count = 0;
         self.last_bytes_at = now;
         if let Some(silent) = self.attempt.replace(next) {
             silent.guard.finish(completion_of(Failure::TimedOut));
--- a/crates/relay/src/configs.rs
+++ b/crates/relay/src/configs.rs
@@ -14,6 +14,10 @@
     /// The longest silence within a stream after which another server is tried; a sound server may be silent for a second
     /// or so.
     pub max_stream_silence: Duration,
+    /// The largest event of a stream, in bytes.
+    pub max_event_bytes: usize,
+    /// The number of parts without a complete event from which on bytes that arrive over a long time are no event.
+    pub max_event_parts: usize,
     /// The longest time from the head to the end of an answer that isn't a stream after which another server is tried; a
     /// sound server may be silent for a second or so.
     pub max_body_time: Duration,
@@ -50,6 +54,8 @@
             max_unreachable: 4,
             min_attempt_timeout: Duration::from_millis(400),
             max_stream_silence: Duration::from_secs(2),
+            max_event_bytes: 1024 * 1024,
+            max_event_parts: 16,
             max_body_time: Duration::from_secs(2),
             min_retry_after: Duration::from_millis(150),
             retry_after_jitter: Duration::from_millis(500),
--- a/crates/relay/src/events.rs
+++ b/crates/relay/src/events.rs
@@ -4,6 +4,8 @@
 
 /// Splits a stream of server-sent events into complete events.
 ///
+/// Blank lines and comments are passed on with the next event, so that bytes which never become one are not.
+///
 /// # Examples
 ///
 /// ```
@@ -16,6 +18,12 @@
 #[derive(Clone, Debug, Default)]
 pub struct Splitter {
     pending: BytesMut,
+    /// The start of the first line of `pending` that has no end yet.
+    line_start: usize,
+    /// The number of bytes of `pending` that were searched for the ends of lines.
+    searched: usize,
+    /// Whether the lines before `line_start` include a field of an event.
+    has_field: bool,
     last_id: Option<u64>,
 }
 
@@ -23,17 +31,19 @@
     /// Creates a splitter for a stream that continues after an event.
     pub fn resume_after(last: Option<u64>) -> Self {
         Self {
-            pending: BytesMut::new(),
             last_id: last,
+            ..Self::default()
         }
     }
 
     /// Adds bytes and returns the events that are now complete.
     pub fn push(&mut self, bytes: &[u8]) -> Bytes {
         self.pending.extend_from_slice(bytes);
-        let Some(end) = end_of_last_event(&self.pending) else {
+        let Some(end) = self.find_event_end() else {
             return Bytes::new();
         };
+        self.line_start -= end;
+        self.searched -= end;
         let complete = self.pending.split_to(end).freeze();
         self.last_id = parse_last_id(&complete).or(self.last_id);
         complete
@@ -44,6 +54,33 @@
         self.last_id
     }
 
+    /// Returns the end of the last complete event, and searches only bytes that were not searched before.
+    fn find_event_end(&mut self) -> Option<usize> {
+        let mut event_end = None;
+        while let Some(length) = self.pending[self.searched..]
+            .iter()
+            .position(|byte| *byte == b'\n')
+        {
+            let line_end = self.searched + length;
+            let line = &self.pending[self.line_start..line_end];
+            let line = line.strip_suffix(b"\r").unwrap_or(line);
+            self.line_start = line_end + 1;
+            self.searched = self.line_start;
+            if !line.is_empty() {
+                self.has_field |= is_event_field(line);
+            } else if core::mem::take(&mut self.has_field) {
+                event_end = Some(self.line_start);
+            }
+        }
+        self.searched = self.pending.len();
+        event_end
+    }
+
+    /// Returns the number of buffered bytes that are no complete event.
+    pub fn partial_length(&self) -> usize {
+        self.pending.len()
+    }
+
     /// Returns whether an incomplete event is buffered.
     pub fn has_partial(&self) -> bool {
         !self.pending.is_empty()
@@ -51,19 +88,19 @@
 
     /// Discards an incomplete event.
     pub fn discard_partial(&mut self) {
-        self.pending.clear();
+        self.take_remainder();
     }
 
     /// Returns and clears the bytes of an incomplete event.
     pub fn take_remainder(&mut self) -> Bytes {
+        (self.line_start, self.searched, self.has_field) = (0, 0, false);
         self.pending.split().freeze()
     }
 }
 
-fn end_of_last_event(bytes: &[u8]) -> Option<usize> {
-    (2..=bytes.len())
-        .rev()
-        .find(|end| bytes[..*end].ends_with(b"\n\n") || bytes[..*end].ends_with(b"\n\r\n"))
+/// Returns whether a line is a field that every event has.
+fn is_event_field(line: &[u8]) -> bool {
+    line.starts_with(b"id:") || line.starts_with(b"data:")
 }
 
 fn parse_last_id(bytes: &[u8]) -> Option<u64> {
--- a/crates/relay/tests/events.rs
+++ b/crates/relay/tests/events.rs
@@ -39,3 +39,18 @@
         eq(b"id: 4\ndata: b\n\n")
     );
 }
+
+/// Garbage with blank lines was passed on to callers as events.
+#[gtest]
+fn blank_lines_and_comments_are_passed_on_with_the_next_event() {
+    let mut splitter = Splitter::default();
+    for part in [&b"\n"[..], b"\r\n", b": ping\n\n", b"x\n\n", b"\n\n\n"] {
+        expect_that!(splitter.push(part).is_empty(), eq(true));
+    }
+    let event = splitter.push(b"id: 1\r\ndata: a\r\n\r\n: p");
+    expect_that!(
+        &event[..],
+        eq(b"\n\r\n: ping\n\nx\n\n\n\n\nid: 1\r\ndata: a\r\n\r\n")
+    );
+    expect_that!(splitter.partial_length(), eq(3));
+}
--- a/crates/relay/tests/garbage.rs
+++ b/crates/relay/tests/garbage.rs
@@ -149,3 +149,71 @@
     let job = patient_job(&hub, Kind::Idempotent);
     expect_that!(text_of(&hub, job).await, ok(eq("whole")));
 }
+
+/// The first event of a stream, and all of them.
+const FIRST: &str = "id: 1\ndata: a\n\n";
+const SECOND: &str = "id: 2\ndata: b\n\n";
+const BOTH: &str = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+
+/// An event without end was kept in memory, and its parts were searched again and again.
+#[gtest]
+#[actix_web::test]
+async fn a_stream_goes_on_at_another_server_when_an_event_never_ends() {
+    let long: &'static str = "x".repeat(65_536).leak();
+    for garbage in [long, "data: x\n", "\n", "x\n\n", ": ping\n\n"] {
+        time::pause();
+        let block: &'static str = garbage.repeat(65_536 / garbage.len()).leak();
+        let hub = hub(vec![endless(FIRST, block, Duration::ZERO), answer(SECOND)]);
+        let job = patient_job(&hub, Kind::Streaming);
+        expect_that!(text_of(&hub, job).await, ok(eq(BOTH)));
+        time::resume();
+    }
+}
+
+/// A trickle of bytes held a stream until its caller left.
+#[gtest]
+#[actix_web::test]
+async fn a_stream_goes_on_at_another_server_when_an_event_trickles_without_end() {
+    for garbage in ["x", "\n"] {
+        time::pause();
+        let trickle = endless(FIRST, garbage, Duration::from_millis(100));
+        let hub = hub(vec![trickle, answer(SECOND)]);
+        let job = patient_job(&hub, Kind::Streaming);
+        let start = time::Instant::now();
+        expect_that!(text_of(&hub, job).await, ok(eq(BOTH)));
+        // The caller leaves a stream after a silence of 4 s.
+        expect_that!(start.elapsed(), lt(Duration::from_secs(4)));
+        time::resume();
+    }
+}
+
+/// A sound stream is not limited in size, and an event may arrive in many parts with a silence between.
+#[gtest]
+#[actix_web::test]
+async fn a_sound_stream_is_passed_on_whole() {
+    time::pause();
+    let event = format!("id: 1\ndata: {}\n\n", "x".repeat(8_170));
+    let events: &'static str = event.repeat(8).leak();
+    let hub = hub(vec![endless("", events, Duration::ZERO)]);
+    let job = patient_job(&hub, Kind::Streaming);
+    let Ok(Answer::Stream { mut body, .. }) = serve(&hub, job).await else {
+        panic!("expected a stream");
+    };
+    let mut size = 0;
+    while let Ok(Some(bytes)) = body.next().await {
+        size += bytes.len();
+    }
+    expect_that!(size, eq(10_000 * events.len()));
+    let parts = BOTH.as_bytes().iter().enumerate().map(|(at, _)| {
+        let silence = Duration::from_millis(if at == 8 { 1_300 } else { 0 });
+        (silence, Ok(&BOTH[at..=at]))
+    });
+    let in_parts = Reaction::Slow {
+        head_delay: Duration::ZERO,
+        chunks: parts.collect(),
+    };
+    let hub = support::hub(vec![in_parts]);
+    let job = patient_job(&hub, Kind::Streaming);
+    expect_that!(text_of(&hub, job).await, ok(eq(BOTH)));
+    expect_that!(hub.transport.sent.borrow().len(), eq(1));
+}
