--- a/crates/relay/src/origin.rs
+++ b/crates/relay/src/origin.rs
@@ -3,7 +3,7 @@
 use core::time::Duration;
 use std::rc::Rc;
 
-use base::{Code, Name};
+use base::{Code, Incarnation, Name, Software, Stamp};
 use futures_util::{StreamExt, stream::FuturesUnordered};
 use mesh::{
     Origin,
@@ -11,7 +11,7 @@
 };
 use site::roster::Server;
 
-use crate::{Hub, Job, Transport};
+use crate::{Hub, Job, Transport, serve};
 
 /// How long other instances may take to tell where a stream began.
 const LOOKUP_TIMEOUT: Duration = Duration::from_millis(300);
@@ -21,15 +21,34 @@
 
 /// Records the server that sent the first event of a request's stream.
 pub(crate) fn begin<E: Transport>(hub: &Hub<E>, job: &Job<E::Request>, server: &Server) {
+    let software = if has_restarted(hub, server) {
+        // Either run may have sent the event, so the stream can't go on elsewhere.
+        Software::Run(Incarnation::new(server.id.clone(), Stamp::default()))
+    } else {
+        server.software()
+    };
     let origin = Origin {
         pool: server.pool.clone(),
-        software: server.software(),
+        software,
     };
     if job.origin.set(origin.clone()).is_ok() && job.route.resumable {
         record(hub, job, &job.id, origin);
     }
 }
 
+/// Returns whether the list now shows a later run of a server, of another version. The list lags, so the request may have
+/// reached either run.
+pub(crate) fn has_restarted<E: Transport>(hub: &Hub<E>, server: &Server) -> bool {
+    hub.with(|state| {
+        let listed = state.roster.get(&server.id);
+        listed.is_some_and(|listed| {
+            server.started_at_ms != 0
+                && listed.started_at_ms > server.started_at_ms
+                && !listed.runs(&server.software())
+        })
+    })
+}
+
 /// Determines where the stream began that a request takes up, if it does.
 ///
 /// # Errors
@@ -42,7 +61,7 @@
     let stream = resumption.first_attempt.as_ref();
     let found = match stream {
         Some(stream) => find(hub, stream).await,
-        None => Err(Code::OriginUnknown),
+        None => find_sole(hub, job),
     };
     let (version, source) = match &found {
         Ok((origin, source)) => (origin.software.to_string(), source.as_str()),
@@ -54,14 +73,22 @@
         "stream taken up"
     );
     let (origin, _) = found?;
-    if let Some(stream) = stream
-        && job.origin.set(origin.clone()).is_ok()
+    if job.origin.set(origin.clone()).is_ok()
+        && let Some(stream) = stream
     {
         record(hub, job, stream, origin);
     }
     Ok(())
 }
 
+/// Returns the origin of a stream whose caller names no attempt, and `list`, if all servers run the same software.
+fn find_sole<E: Transport>(hub: &Hub<E>, job: &Job<E::Request>) -> Result<(Origin, Name), Code> {
+    let pool = serve::select_pool(job)?;
+    let software = hub.with(|state| state.roster.sole_software(&pool));
+    let software = software.ok_or(Code::OriginUnknown)?;
+    Ok((Origin { pool, software }, "list".into()))
+}
+
 /// Records the origin of a stream at this instance and at others.
 fn record<E: Transport>(hub: &Hub<E>, job: &Job<E::Request>, stream: &Name, origin: Origin) {
     let now = hub.transport.now();
--- a/crates/relay/tests/versions.rs
+++ b/crates/relay/tests/versions.rs
@@ -279,6 +279,18 @@
     for first_attempt in [Some("r-9"), None] {
         time::pause();
         let hub = hub(vec![second()]);
+        // Only servers of several versions make an unnamed origin unknown.
+        hub.with(|state| {
+            let server = state.roster.get(&"i-1".into()).cloned().unwrap();
+            let version = Some("v2".into());
+            state.roster.insert(
+                Server {
+                    version,
+                    ..Server::clone(&server)
+                },
+                2,
+            );
+        });
         add_instances(&hub, vec![("b", vec![record("r-1", "v1")])]);
         expect_that!(
             take_up(&hub, first_attempt).await,
@@ -289,6 +301,43 @@
     }
 }
 
+/// LOST: a caller that names no attempt could not take its stream up though all servers run one version.
+#[gtest]
+#[actix_web::test]
+async fn a_stream_of_an_unnamed_attempt_goes_on_if_all_servers_run_one_version() {
+    time::pause();
+    let hub = hub(vec![second(), second()]);
+    hub.with(|state| {
+        for server in state.roster.all().cloned().collect::<Vec<_>>() {
+            let version = Some("v1".into());
+            state.roster.insert(
+                Server {
+                    version,
+                    ..Server::clone(&server)
+                },
+                2,
+            );
+        }
+    });
+    expect_that!(take_up(&hub, None).await, ok(eq(SECOND)));
+    expect_that!(hub.transport.recorded.borrow().len(), eq(0));
+    // A server that leaves still counts, as it may have begun the stream.
+    hub.with(|state| {
+        let server = state.roster.get(&"i-2".into()).cloned().unwrap();
+        let (version, leaving) = (Some("v0".into()), true);
+        state.roster.insert(
+            Server {
+                version,
+                leaving,
+                ..Server::clone(&server)
+            },
+            3,
+        );
+    });
+    let refused = take_up(&hub, None).await;
+    expect_that!(refused, err(eq(&(Code::OriginUnknown, false))));
+}
+
 /// A caller must not begin anew for good because an instance could not be asked for a moment.
 #[gtest]
 #[actix_web::test]
@@ -364,6 +413,61 @@
     }
 }
 
+/// A stream whose chunks arrive some time after its head.
+fn slow(chunks: &[&'static str]) -> Reaction {
+    let chunks = chunks.iter().map(|chunk| Ok(*chunk));
+    Reaction::Slow {
+        head_delay: Duration::ZERO,
+        chunks: chunks
+            .map(|chunk| (Duration::from_millis(50), chunk))
+            .collect(),
+    }
+}
+
+/// ORDER: a stream went on at a server that had restarted with another version before the list showed it.
+#[gtest]
+#[actix_web::test]
+async fn events_of_a_server_that_turns_out_to_have_restarted_are_not_passed_on() {
+    for version in [Some("v2"), None] {
+        time::pause();
+        let other = "id: 2\ndata: other\n\n";
+        let hub = hub(vec![slow(&[other]), second()]);
+        unlist(&hub, &["i-1", "i-2"]);
+        list(&hub, "i-0", Some("v1"), 5);
+        add_instances(&hub, vec![("b", vec![record("r-1", "v1")])]);
+        let restart = async {
+            time::sleep(Duration::from_millis(20)).await;
+            list(&hub, "i-0", version, 9);
+            list(&hub, "i-3", Some("v1"), 5);
+        };
+        let (text, ()) = tokio::join!(take_up(&hub, Some("r-1")), restart);
+        expect_that!(text, ok(eq(SECOND)));
+        expect_that!(sent_to(&hub), eq(&vec!["i-0".to_owned(), "i-3".to_owned()]));
+        time::resume();
+    }
+}
+
+/// ORDER: a stream of a server that had restarted was taken for one of the version that the list showed before.
+#[gtest]
+#[actix_web::test]
+async fn a_stream_of_a_server_that_turns_out_to_have_restarted_goes_on_nowhere() {
+    time::pause();
+    let hub = hub(vec![slow(&[FIRST, SECOND]), second()]);
+    unlist(&hub, &["i-1", "i-2"]);
+    list(&hub, "i-0", Some("v1"), 5);
+    let restart = || {
+        list(&hub, "i-0", Some("v2"), 9);
+        list(&hub, "i-3", Some("v1"), 5);
+    };
+    // The stream itself is sound.
+    let (text, is_complete) = stream(&hub, restart).await;
+    expect_that!((text, is_complete), eq(&(format!("{FIRST}{SECOND}"), true)));
+    expect_that!(
+        take_up(&hub, Some("r-1")).await,
+        err(eq(&(Code::VersionGone, false)))
+    );
+}
+
 /// A configuration that moves a route must not join the output of two pools.
 #[gtest]
 #[actix_web::test]
