A silent server may still answer after the next one's answer has broken off

Seen: a request that may be repeated ended with 502 though its server, silent for 1.8 s, answered it: the next server's head came first, the silent attempt was dropped, and then that answer's body broke. Cause: silent attempts ended with the first head, while an answer that isn't a stream counts only as a whole. Change: they stay until the answer is whole; streams leave them at the head as before, since two engines must not work on one.

--- a/crates/relay/src/body.rs
+++ b/crates/relay/src/body.rs
@@ -162,7 +162,8 @@
         let mut kept = None;
         let result = {
             let silence = limit.min((leaves_at - hub.transport.now()) / 2);
-            let sent = serve::send(hub, job, attempts, prepared, last_event, now);
+            let mut silent = Vec::new();
+            let sent = serve::send(hub, job, attempts, &mut silent, prepared, last_event, now);
             let mut sent = pin!(time::timeout(time_left, sent));
             let mut silence = pin!(time::sleep(silence));
             loop {
@@ -281,8 +282,18 @@
             .check_retry(&self.hub, &self.job, failure)
             .map_err(|code| self.fail(last_event, code.title()))?;
         let time_left = self.job.event_deadline(now) - now;
-        let sent = serve::send_attempt(&self.hub, &self.job, &mut self.attempts, last_event, now);
-        match time::timeout(time_left, sent).await {
+        let mut silent = Vec::new();
+        let sent = serve::send_attempt(
+            &self.hub,
+            &self.job,
+            &mut self.attempts,
+            &mut silent,
+            last_event,
+            now,
+        );
+        let sent = time::timeout(time_left, sent).await;
+        drop(silent);
+        match sent {
             Ok(Ok(attempt)) if attempt.reply.status() == 200 => {
                 self.move_to(attempt, last_event);
                 Ok(())
--- a/crates/relay/src/pending.rs
+++ b/crates/relay/src/pending.rs
@@ -218,17 +218,32 @@
     work: impl Future<Output = T>,
 ) -> Either<T, Attempt<E>> {
     let mut work = pin!(work);
-    while !silent.is_empty() {
-        let earlier = future::select_all(silent.iter_mut().map(|at| &mut at.reply));
-        let (reply, at) = match future::select(work.as_mut(), earlier).await {
+    {
+        let answer = pin!(first_answer(hub, job, attempts, silent));
+        match future::select(work.as_mut(), answer).await {
             Either::Left((output, _)) => return Either::Left(output),
-            Either::Right(((reply, at, _), _)) => (reply, at),
-        };
+            Either::Right((Some(attempt), _)) => return Either::Right(attempt),
+            Either::Right((None, _)) => {}
+        }
+    }
+    Either::Left(work.await)
+}
+
+/// Waits for the first answer of the silent attempts, or returns none once all have failed.
+pub(crate) async fn first_answer<E: Transport>(
+    hub: &Rc<Hub<E>>,
+    job: &Job<E::Request>,
+    attempts: &mut Attempts,
+    silent: &mut Vec<Pending<'_, E>>,
+) -> Option<Attempt<E>> {
+    while !silent.is_empty() {
+        let replies = silent.iter_mut().map(|at| &mut at.reply);
+        let (reply, at, _) = future::select_all(replies).await;
         let mut earlier = silent.remove(at);
         match reply {
-            Ok(reply) => return Either::Right(earlier.into_attempt(hub, attempts, reply)),
+            Ok(reply) => return Some(earlier.into_attempt(hub, attempts, reply)),
             Err(failure) => earlier.finish(hub, job, attempts, failure),
         }
     }
-    Either::Left(work.await)
+    None
 }
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -101,11 +101,16 @@
         return Err(refusal(hub, &job, &attempts, code));
     }
     let time_left = job.event_deadline(job.arrived_at) - hub.transport.now();
-    let attempt = time::timeout(
-        time_left,
-        send_attempt(hub, &job, &mut attempts, job.last_event, job.arrived_at),
-    )
-    .await;
+    let mut silent = Vec::new();
+    let sent = send_attempt(
+        hub,
+        &job,
+        &mut attempts,
+        &mut silent,
+        job.last_event,
+        job.arrived_at,
+    );
+    let attempt = time::timeout(time_left, sent).await;
     let attempt = match attempt {
         Ok(attempt) => attempt,
         Err(_) => Err(Code::DeadlinePassed),
@@ -117,6 +122,7 @@
     let is_stream = job.route.kind == Kind::Streaming && attempt.reply.status() == 200;
     if is_stream {
         let head = attempt.reply.head();
+        drop(silent);
         return Ok(Answer::Stream {
             head,
             body: Body::new(hub, job, attempt, attempts),
@@ -147,16 +153,9 @@
         record_crash(hub, &job, &server.id);
         log::info!(target: "relay", request:% = job.id, server:% = server.id, cause:% = failure; "answer interrupted");
         attempts.may_have_run = true;
-        if let Err(code) = attempts.check_retry(hub, &job, failure) {
-            return Err(refusal(hub, &job, &attempts, code));
-        }
         let time_left = job.time_left(hub.transport.now());
-        let retried = time::timeout(
-            time_left,
-            self::send_attempt(hub, &job, &mut attempts, job.last_event, job.arrived_at),
-        )
-        .await;
-        attempt = match retried {
+        let retried = retry(hub, &job, &mut attempts, &mut silent, failure);
+        attempt = match time::timeout(time_left, retried).await {
             Ok(Ok(attempt)) => attempt,
             Ok(Err(code)) => return Err(refusal(hub, &job, &attempts, code)),
             Err(_) => return Err(refusal(hub, &job, &attempts, Code::DeadlinePassed)),
@@ -164,21 +163,45 @@
     }
 }
 
+/// Sends a request again after its answer was interrupted, or waits for a server that was silent before.
+async fn retry<'a, E: Transport>(
+    hub: &'a Rc<Hub<E>>,
+    job: &'a Job<E::Request>,
+    attempts: &mut Attempts,
+    silent: &mut Vec<Pending<'a, E>>,
+    failure: Failure,
+) -> Result<Attempt<E>, Code> {
+    let sent = match attempts.check_retry(hub, job, failure) {
+        Ok(()) => {
+            let (last_event, since) = (job.last_event, job.arrived_at);
+            send_attempt(hub, job, attempts, silent, last_event, since).await
+        }
+        Err(code) => Err(code),
+    };
+    match sent {
+        Ok(attempt) => Ok(attempt),
+        Err(code) => pending::first_answer(hub, job, attempts, silent)
+            .await
+            .ok_or(code),
+    }
+}
+
 /// Runs the stages of a request and sends it to servers until the head of an answer arrives. `since` is the time
 /// from which the caller waits.
 ///
 /// # Errors
 ///
 /// - The code with which the request is refused.
-pub(crate) async fn send_attempt<E: Transport>(
-    hub: &Rc<Hub<E>>,
-    job: &Job<E::Request>,
+pub(crate) async fn send_attempt<'a, E: Transport>(
+    hub: &'a Rc<Hub<E>>,
+    job: &'a Job<E::Request>,
     attempts: &mut Attempts,
+    silent: &mut Vec<Pending<'a, E>>,
     last_event: Option<u64>,
     since: Tick,
 ) -> Result<Attempt<E>, Code> {
     let prepared = prepare(hub, job, attempts, since).await?;
-    send(hub, job, attempts, prepared, last_event, since).await
+    send(hub, job, attempts, silent, prepared, last_event, since).await
 }
 
 /// Runs the stages of a request.
@@ -215,21 +238,23 @@
 /// Sends a request to servers until the head of an answer arrives.
 ///
 /// A server that is silent for long is not given up: another one is tried beside it if that is allowed, and the silent
-/// one may still answer if the other fails.
+/// one may still answer if the other fails. `silent` holds such attempts; those of a stream end with the head of an
+/// answer, since two engines must not work on it.
 ///
 /// # Errors
 ///
 /// - The code with which the request is refused.
-pub(crate) async fn send<E: Transport>(
-    hub: &Rc<Hub<E>>,
-    job: &Job<E::Request>,
+pub(crate) async fn send<'a, E: Transport>(
+    hub: &'a Rc<Hub<E>>,
+    job: &'a Job<E::Request>,
     attempts: &mut Attempts,
+    silent: &mut Vec<Pending<'a, E>>,
     prepared: Prepared<E>,
     last_event: Option<u64>,
     since: Tick,
 ) -> Result<Attempt<E>, Code> {
     let Prepared { pool, mut inputs } = prepared;
-    let mut silent: Vec<Pending<'_, E>> = Vec::new();
+    let is_stream = job.route.kind == Kind::Streaming;
     loop {
         let mut pending = match choose(hub, job, &pool, &inputs, attempts) {
             Some(choice) => {
@@ -246,14 +271,21 @@
             }
         };
         loop {
-            match pending.next_event(hub, job, &mut silent, since).await {
+            match pending.next_event(hub, job, silent, since).await {
                 Event::Answered(reply) => {
                     attempts.may_have_run |= !silent.is_empty();
-                    silent.into_iter().for_each(Pending::abandon);
+                    if is_stream {
+                        silent.drain(..).for_each(Pending::abandon);
+                    }
                     return Ok(pending.into_attempt(hub, attempts, reply));
                 }
                 Event::SilentAnswered(earlier, reply) => {
                     attempts.may_have_run = true;
+                    if is_stream {
+                        silent.clear();
+                    } else {
+                        silent.push(pending);
+                    }
                     return Ok(earlier.into_attempt(hub, attempts, reply));
                 }
                 Event::Failed(failure) => {
@@ -261,7 +293,7 @@
                     let mut retry = attempts.check_retry(hub, job, failure);
                     if retry.is_ok() && failure == Failure::InputGone {
                         let remade = stages::run(hub, job, inputs.domain(), since);
-                        match pending::run_beside(hub, job, attempts, &mut silent, remade).await {
+                        match pending::run_beside(hub, job, attempts, silent, remade).await {
                             Either::Left(remade) => {
                                 retry = remade.map(|remade| inputs = Rc::new(remade));
                             }
@@ -483,7 +515,9 @@
             "answer takes long; trying another server beside it"
         );
         let time_left = job.time_left(hub.transport.now());
-        let sent = send_attempt(hub, job, attempts, job.last_event, job.arrived_at);
+        let mut silent = Vec::new();
+        let (last_event, since) = (job.last_event, job.arrived_at);
+        let sent = send_attempt(hub, job, attempts, &mut silent, last_event, since);
         let mut sent = pin!(time::timeout(time_left, sent));
         let mut failure = None;
         let next = tokio::select! {
