Backend client: limit the bytes of a streamed answer without a part

What was seen: nothing by callers, who got the failure at the timeout of a part; until then all bytes that a server sent as one event were kept, and those of a line were parsed again and again.

Cause: the parser of events has no limit, and the client limited only answers that are read whole.

Change: at most 1 MiB may arrive while a part is awaited; then the stream counts as broken and the connection is closed.

--- a/crates/backend/src/stream.rs
+++ b/crates/backend/src/stream.rs
@@ -1,17 +1,28 @@
 //! Streamed answers.
 
-use core::{net::SocketAddr, time::Duration};
+use core::{
+    cell::Cell,
+    net::SocketAddr,
+    pin::Pin,
+    task::{Context, Poll, ready},
+    time::Duration,
+};
+use std::rc::Rc;
 
-use awc::ClientResponse;
+use awc::{ClientResponse, error::PayloadError};
 use base::attempt::Attempt;
-use eventsource_stream::{Event, EventStream, Eventsource as _};
+use bytes::Bytes;
+use eventsource_stream::{Event, EventStream};
 use flow::Failure;
-use futures_util::StreamExt as _;
+use futures_util::{Stream as Source, StreamExt as _};
 use serde::Deserialize;
 use tokio::time;
 
 use crate::{Call, Client, head};
 
+/// The number of bytes that may arrive while a part of an answer is awaited.
+const MAX_PART_BYTES: usize = 1024 * 1024;
+
 /// A part of a streamed answer.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Part {
@@ -40,12 +51,38 @@
     address: SocketAddr,
     attempt: Attempt,
     client: Client,
-    events: EventStream<ClientResponse>,
+    events: EventStream<Body>,
+    /// The number of bytes that may still arrive before the next part.
+    bytes_left: Rc<Cell<usize>>,
     leaving: bool,
     part_timeout: Duration,
     next_index: u64,
 }
 
+/// The body of an answer, which fails when too many bytes arrive before the next part is awaited.
+struct Body {
+    response: ClientResponse,
+    bytes_left: Rc<Cell<usize>>,
+}
+
+impl Source for Body {
+    type Item = Result<Bytes, PayloadError>;
+
+    fn poll_next(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Self::Item>> {
+        let next = ready!(Pin::new(&mut self.response).poll_next(cx));
+        Poll::Ready(match next {
+            Some(Ok(bytes)) => match self.bytes_left.get().checked_sub(bytes.len()) {
+                Some(left) => {
+                    self.bytes_left.set(left);
+                    Some(Ok(bytes))
+                }
+                None => Some(Err(PayloadError::Overflow)),
+            },
+            other => other,
+        })
+    }
+}
+
 #[derive(Deserialize)]
 struct Token {
     attempt: String,
@@ -66,6 +103,7 @@
 
 impl Stream {
     pub(crate) fn new(client: Client, call: &Call, response: ClientResponse) -> Self {
+        let bytes_left = Rc::new(Cell::new(MAX_PART_BYTES));
         Self {
             address: call.address,
             attempt: call.attempt,
@@ -73,7 +111,11 @@
             part_timeout: call.part_timeout,
             client,
             next_index: call.first_token,
-            events: response.eventsource(),
+            events: EventStream::new(Body {
+                response,
+                bytes_left: bytes_left.clone(),
+            }),
+            bytes_left,
         }
     }
 
@@ -87,9 +129,10 @@
     /// # Errors
     ///
     /// - The stream ended before its terminal event.
-    /// - No part arrived within the timeout.
+    /// - No part arrived within the timeout, or too many bytes arrived without one.
     /// - A part belongs to another attempt, is malformed or is out of order.
     pub async fn next_part(&mut self) -> Result<Part, Failure> {
+        self.bytes_left.set(MAX_PART_BYTES);
         match time::timeout(self.part_timeout, self.events.next()).await {
             Ok(Some(Ok(event))) => self.parse_part(&event),
             Ok(Some(Err(_)) | None) => Err(Failure::Disconnected),
