--- a/crates/relay/src/pending.rs
+++ b/crates/relay/src/pending.rs
@@ -202,6 +202,7 @@
         if failure == Failure::Broken {
             serve::record_crash(hub, job, &server.id);
         }
+        attempts.may_have_run |= failure.may_have_run();
         if !matches!(failure, Failure::Exhausted | Failure::Unreachable) {
             self.count_as_reached(attempts);
         }
