Relay: bytes that are no answer don't count as a crash of their server

What callers saw: a request whose answers were garbage or too long at three servers would be refused for two minutes at every instance, as one that crashes servers.

Cause: each failure of a connection or a body counted as a broken connection, which is taken for a crash and reported to the other instances.

The server is still charged with a failure and the same retry rules apply.

--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -126,6 +126,7 @@
     /// # Errors
     ///
     /// - [`Failure::Broken`] if the answer ends before it is complete.
+    /// - [`Failure::Mismatched`] if the bytes are no answer.
     fn chunk(&mut self) -> impl Future<Output = Result<Option<Bytes>, Failure>>;
 }
 
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -144,7 +144,9 @@
         };
         let server = attempt.guard.server.clone();
         attempt.guard.finish(completion_of(failure));
-        record_crash(hub, &job, &server.id);
+        if failure == Failure::Broken {
+            record_crash(hub, &job, &server.id);
+        }
         log::info!(target: "relay", request:% = job.id, server:% = server.id, cause:% = failure; "answer interrupted");
         attempts.may_have_run = true;
         if let Err(code) = attempts.check_retry(hub, &job, failure) {
@@ -518,7 +520,7 @@
 ) -> Result<(), Failure> {
     while let Some(chunk) = reply.chunk().await? {
         if body.len() + chunk.len() > max_bytes {
-            return Err(Failure::Broken);
+            return Err(Failure::Mismatched);
         }
         body.extend_from_slice(&chunk);
     }
--- a/crates/relay/tests/garbage.rs
+++ b/crates/relay/tests/garbage.rs
@@ -217,3 +217,18 @@
     expect_that!(text_of(&hub, job).await, ok(eq(BOTH)));
     expect_that!(hub.transport.sent.borrow().len(), eq(1));
 }
+
+/// Servers that sent too many bytes counted as crashed, so that their request was refused for minutes by all instances.
+#[gtest]
+#[actix_web::test]
+async fn an_answer_that_is_too_long_does_not_count_as_a_crash() {
+    let block: &'static str = "x".repeat(65_536).leak();
+    for kind in [Kind::Idempotent, Kind::AtMostOnce] {
+        time::pause();
+        let hub = hub(vec![endless("", block, Duration::ZERO); 3]);
+        let text = text_of(&hub, patient_job(&hub, kind)).await;
+        expect_that!(text, err(eq(&(Code::CallUnknown, String::new()))));
+        expect_that!(hub.transport.crashes.borrow().len(), eq(0));
+        time::resume();
+    }
+}
