--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -119,7 +119,9 @@
         };
         let server = attempt.guard.server.clone();
         attempt.guard.finish(completion_of(failure));
-        attempt::record_crash(hub, &job, &server.id);
+        if failure == Failure::Broken {
+            attempt::record_crash(hub, &job, &server.id);
+        }
         log::info!(target: "relay", request:% = job.id, server:% = server.id, cause:% = failure; "answer interrupted");
         attempts.may_have_run = true;
         let time_left = job.time_left(hub.transport.now());
@@ -224,7 +226,7 @@
 ) -> Result<(), Failure> {
     while let Some(chunk) = reply.chunk().await? {
         if body.len() + chunk.len() > max_bytes {
-            return Err(Failure::Broken);
+            return Err(Failure::Mismatched);
         }
         body.extend_from_slice(&chunk);
     }
