--- a/crates/relay/tests/garbage.rs
+++ b/crates/relay/tests/garbage.rs
@@ -192,7 +192,7 @@
     for kind in [Kind::Idempotent, Kind::AtMostOnce] {
         time::pause();
         let hub = hub(vec![endless("", block, Duration::ZERO); 3]);
-        let text = text_of(&hub, patient_job(&hub, kind)).await;
+        let text = text_of(&hub, patient_job(&hub, kind, |_| {})).await;
         expect_that!(text, err(eq(&(Code::CallUnknown, String::new()))));
         expect_that!(hub.transport.crashes.borrow().len(), eq(0));
         time::resume();
