--- a/crates/relay/src/body.rs
+++ b/crates/relay/src/body.rs
@@ -189,7 +189,8 @@
         let now = self.hub.transport.now();
         log::info!(
             target: "relay", request:% = self.job.id, server:% = next.guard.server.id,
-            version:% = next.guard.server.software(), after = last_event.unwrap_or(0), silent_ms = (now - self.last_bytes_at).as_millis();
+            version:% = next.guard.server.software(), after = last_event.unwrap_or(0),
+            silent_ms = (now - self.last_bytes_at).as_millis();
             "stream resumed on another server"
         );
         self.events.discard_partial();
@@ -265,7 +266,8 @@
             let server = attempt.guard.server.clone();
             log::info!(
                 target: "relay", request:% = self.job.id, server:% = server.id,
-                version:% = server.software(), cause:% = failure, after = last_event.unwrap_or(0), age_ms = (now - self.job.arrived_at).as_millis(),
+                version:% = server.software(), cause:% = failure, after = last_event.unwrap_or(0),
+                age_ms = (now - self.job.arrived_at).as_millis(),
                 silent_ms = (now - self.last_bytes_at).as_millis();
                 "stream interrupted"
             );
