--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod attempt;
 pub mod balance;
+mod batches;
 pub mod body;
 pub mod call;
 pub mod configs;
@@ -19,6 +20,7 @@
 mod notices;
 mod origin;
 mod pending;
+mod pieces;
 pub mod policy;
 mod release;
 pub mod serve;
