backend: check which attempt an answer belongs to before its status

An answer with the status 422, 429 or 503 counts as a promise that the call has not run. It was read before the echoed attempt was compared, so that a refusal of another attempt refused this one. Calls that may run once use connections of their own, so that this could only end idempotent calls with a refusal that was not theirs.

The test failed before (422: Refused, 429 and 503: Busy); the tests of the crate pass.

--- a/crates/backend/src/client.rs
+++ b/crates/backend/src/client.rs
@@ -127,12 +127,12 @@
             Ok(Err(error)) => return Err(head::to_failure(&error)),
             Err(_) => return Err(self.record_timeout(call.address, call.idempotent)),
         };
-        if let Some(failure) = head::refusal(response.status(), response.headers()) {
-            return Err(failure);
-        }
         if !head::is_answer_to(response.headers(), &call.attempt) {
             return Err(Failure::Mismatched);
         }
+        if let Some(failure) = head::refusal(response.status(), response.headers()) {
+            return Err(failure);
+        }
         if call.idempotent {
             self.record_answer(call.address);
         }
