--- a/crates/feed/src/client.rs
+++ b/crates/feed/src/client.rs
@@ -27,8 +27,9 @@
 /// The timeout for releasing results through another instance.
 const RELEASE_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// The timeout for fetching the configuration of another instance.
-const CONFIG_TIMEOUT: Duration = Duration::from_secs(1);
+/// The timeout for fetching the configuration of another instance, which may send a large one to many at the same time.
+/// Probes end a call on a silent connection earlier.
+const CONFIG_TIMEOUT: Duration = Duration::from_secs(4);
 
 /// The timeout for fetching the lists of another instance, which may send them to many at the same time.
 const LISTS_TIMEOUT: Duration = Duration::from_secs(4);
