Members: an instance that answers again stays live

Cause: in a deployment of cells the next heartbeat to a lost instance is scheduled 1 s ahead. Its answer makes the instance live, but only for 0.9 s (three heartbeats). Then the pieces that it ran were given up, which marked it lost again, and the next heartbeat was again one to a lost instance, which asks for no changes of the store: the log has "no instance of the failure domain reads the store" once a second, each 0.9 s after the reader had answered, and no entry of a server from second 27 to 35.

Change: the answer of a lost instance moves the next heartbeat to the ordinary interval.

--- a/crates/mesh/src/members.rs
+++ b/crates/mesh/src/members.rs
@@ -120,8 +120,13 @@
         let Ok(at) = self.find(name) else {
             return false;
         };
+        let next_heartbeat = now + self.heartbeat_interval();
         let state = &mut self.peers[at];
         let was_lost = state.is_lost || state.last_answer.is_none();
+        if was_lost {
+            // The one that was scheduled for a lost instance comes only after this answer has expired.
+            state.next_heartbeat = state.next_heartbeat.min(next_heartbeat);
+        }
         state.last_answer = Some(now);
         state.is_lost = false;
         state.is_leaving = false;
--- a/crates/mesh/tests/members.rs
+++ b/crates/mesh/tests/members.rs
@@ -267,3 +267,35 @@
     expect_that!(members.is_unreachable(now, &"c".into()), eq(false));
     expect_that!(members.is_unreachable(now + limit, &"c".into()), eq(true));
 }
+
+/// DRAIN: an instance that was lost once counted as live for 0.9 s of each second only, as its next heartbeat was still due
+/// at the interval of lost ones. Its followers never got its changes, and pieces that it ran were given up each time.
+#[gtest]
+fn an_instance_that_answers_again_stays_live() {
+    let peers = four_domains(8);
+    let mut members = view(&peers, 7);
+    let name = &peers[0].name;
+    let tick = Duration::from_millis(50);
+    let mut now = Tick::from_millis(10_000);
+    members.monitor(now, name);
+    members.mark_lost(name);
+    let mut is_asked = false;
+    let mut was_live = false;
+    for _ in 0..80 {
+        members.monitor(now, name);
+        if core::mem::take(&mut is_asked) {
+            members.mark_live(now, name);
+        }
+        let is_live = members.is_live(now, name);
+        expect_that!(is_live || !was_live, eq(true), "at {now:?}");
+        was_live |= is_live;
+        if members.is_unreachable(now, name) {
+            // A delegation to it fails.
+            members.mark_lost(name);
+        }
+        let due = members.due_heartbeats(now);
+        is_asked = due.iter().any(|peer| peer.name == *name);
+        now = now + tick;
+    }
+    expect_that!(was_live, eq(true));
+}
