Roster: a lapsed entry is used until the grace period after the outage ends

Cause: a server whose entry disappears within 1.7 s after the store answered again is used on, as the entry may have lapsed in the outage. The 1.7 s counted from the read of the removal, so that they ended up to 3.4 s after the return of the store.

Change: they count from the return of the store, also after a restored store.

An instance that was cut off alone from the store still takes its own return for that of the store.

--- a/crates/site/src/roster.rs
+++ b/crates/site/src/roster.rs
@@ -5,7 +5,7 @@
 
 use base::{Incarnation, Name, Software, Stamp, Tick};
 
-/// How long a server is still used after its entry lapsed around an outage of the platform's store.
+/// How long after an outage of the platform's store a server is still used whose entry lapsed.
 ///
 /// The platform states that live servers register again about two seconds after the store's recovery.
 pub const LAPSE_GRACE: Duration = Duration::from_millis(1_700);
@@ -84,10 +84,8 @@
     departures: Vec<Departure>,
     /// The number of departures so far, which orders them by age.
     departure_count: u64,
-    /// The time until which a missing entry may have lapsed although its server is live.
+    /// The time until which a missing entry may have lapsed although its server is live, and the server is used.
     lapse_grace_until: Tick,
-    /// How long such a server is still used.
-    lapse_grace: Duration,
 }
 
 #[derive(Clone, Debug)]
@@ -213,13 +211,13 @@
     /// Records that a server's entry is gone, and returns whether the server is still used.
     ///
     /// An entry that disappears around an outage of the store, or is missing from a restored store, may have lapsed
-    /// although the server is live, so the server is used for a grace period.
+    /// although the server is live, so the server is used until the end of the grace period after the outage.
     pub fn remove(&mut self, now: Tick, id: &Name) -> bool {
         let Ok(at) = self.find(id) else {
             return false;
         };
         if now < self.lapse_grace_until && !self.servers[at].server.leaving {
-            let end = now + self.lapse_grace;
+            let end = self.lapse_grace_until;
             self.servers[at].expires_at.get_or_insert(end);
             return true;
         }
@@ -250,11 +248,7 @@
     }
 
     fn set_grace(&mut self, now: Tick, grace: Duration) {
-        let until = now + grace;
-        if until > self.lapse_grace_until {
-            self.lapse_grace_until = until;
-            self.lapse_grace = grace;
-        }
+        self.lapse_grace_until = self.lapse_grace_until.max(now + grace);
     }
 
     /// Records that a run of a server announced its departure, and returns whether that is new. An older entry doesn't
--- a/crates/site/tests/roster.rs
+++ b/crates/site/tests/roster.rs
@@ -58,6 +58,22 @@
     expect_that!(LAPSE_GRACE, le(Duration::from_secs(2)));
 }
 
+/// DRAIN: a server was used for up to twice the grace period after the outage, as the period began anew when the removal of
+/// its entry was read.
+#[gtest]
+fn an_entry_that_is_removed_after_an_outage_is_used_for_the_rest_of_the_grace_period() {
+    let recovery = Tick::from_millis(10_000);
+    let mut roster = Roster::default();
+    roster.insert(server("i-1", false), 1);
+    roster.record_store_recovery(recovery);
+    let removal = recovery + LAPSE_GRACE / 2;
+    expect_that!(roster.remove(removal, &"i-1".into()), eq(true));
+    expect_that!(usable(&roster, removal), eq(1));
+    let end = recovery + LAPSE_GRACE;
+    expect_that!(usable(&roster, end), eq(0));
+    expect_that!(roster.remove_lapsed(end), eq(&vec!["i-1".into()]));
+}
+
 #[gtest]
 fn an_entry_that_disappears_without_an_outage_or_after_leaving_is_removed_at_once() {
     let now = Tick::from_millis(10_000);
