Reader: the return of an instance that alone was cut off from the store is no return of the store

Cause: each return after failed reads counted as the end of an outage of the store, in which entries of live servers may have lapsed.

Change: `mesh::Reader` notes whether other instances, whose heartbeats tell the age of their reads, read the store while the own reads failed, for at least 1.2 s and without a gap in which entries could lapse. Then removals hold at once.

--- a/crates/mesh/src/configs.rs
+++ b/crates/mesh/src/configs.rs
@@ -42,6 +42,12 @@
     pub max_age: Duration,
     /// The failed reads in a row after which a reader follows a successor.
     pub max_failures: u32,
+    /// How much later than other instances the local one may find that the store answers again after an outage: a read
+    /// that gets no answer, and the pause after it.
+    pub max_recovery_lag: Duration,
+    /// The longest time between two reads of other instances that a store which serves them leaves: the age of a read and
+    /// the time until it is told.
+    pub max_read_gap: Duration,
     /// The time over which instances that no candidate answers start to read the store themselves.
     pub max_alone_delay: Duration,
     /// The number of instances of a failure domain from which the two delays below are stretched by their number.
@@ -58,6 +64,8 @@
             candidates: 3,
             max_age: Duration::from_millis(1_900),
             max_failures: 2,
+            max_recovery_lag: Duration::from_millis(1_200),
+            max_read_gap: Duration::from_millis(2_900),
             max_alone_delay: Duration::from_millis(800),
             probing_instances: 16,
             min_probe_delay: Duration::from_secs(3),
--- a/crates/mesh/src/reader.rs
+++ b/crates/mesh/src/reader.rs
@@ -48,6 +48,10 @@
     succeeded_at: Option<Tick>,
     /// The failed reads since then.
     failures: u32,
+    /// When the first of them failed.
+    failing_since: Option<Tick>,
+    /// The first and the newest read of other instances since then, as far as known, without a gap in between.
+    others_read: Option<(Tick, Tick)>,
     /// When the local instance reads the store because no candidate answers.
     alone_from: Option<Tick>,
     /// When the local instance next tries the store although it is no successor.
@@ -82,6 +86,8 @@
             read_at: None,
             succeeded_at: None,
             failures: 0,
+            failing_since: None,
+            others_read: None,
             alone_from: None,
             next_probe: None,
         }
@@ -91,6 +97,8 @@
     pub const fn record_success(&mut self, now: Tick) {
         self.succeeded_at = Some(now);
         self.failures = 0;
+        self.failing_since = None;
+        self.others_read = None;
         self.next_probe = None;
         self.probe_delay = self.config.min_probe_delay;
     }
@@ -101,13 +109,46 @@
     }
 
     /// Records that a read of the local instance failed.
-    pub const fn record_failure(&mut self) {
+    pub fn record_failure(&mut self, now: Tick) {
         self.failures += 1;
+        self.failing_since.get_or_insert(now);
+    }
+
+    /// Returns whether other instances have read the store for some time while the reads of the local instance failed, so
+    /// that the store served them all the while.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use core::time::Duration;
+    /// use base::Tick;
+    /// use mesh::{Reader, configs};
+    /// let mut reader = Reader::new(configs::Reader::default());
+    /// reader.record_failure(Tick::from_millis(1_000));
+    /// let age = Duration::from_millis(500);
+    /// reader.record_answer(Tick::from_millis(2_000), &"b".into(), Some(age));
+    /// assert!(reader.is_cut_off(Tick::from_millis(4_000)));
+    /// reader.record_success(Tick::from_millis(4_000));
+    /// assert!(!reader.is_cut_off(Tick::from_millis(4_001)));
+    /// ```
+    pub fn is_cut_off(&self, now: Tick) -> bool {
+        let first = self.others_read.map(|(first, _)| first);
+        first.is_some_and(|first| now - first >= self.config.max_recovery_lag)
     }
 
     /// Records the answer of another instance: the age of its last read, or `None` if it doesn't read the store.
     pub fn record_answer(&mut self, now: Tick, peer: &Name, age: Option<Duration>) {
         let read_at = age.map(|age| Tick::default() + (now - (Tick::default() + age)));
+        if let (Some(failing_since), Some(read_at)) = (self.failing_since, read_at)
+            && failing_since <= read_at
+        {
+            // The store may have been out of reach for all in a longer time without a read.
+            let known = self
+                .others_read
+                .filter(|(_, newest)| read_at - *newest < self.config.max_read_gap);
+            let (first, newest) = known.unwrap_or((read_at, read_at));
+            self.others_read = Some((first, newest.max(read_at)));
+        }
         match self.peers.binary_search_by(|(name, _)| name.cmp(peer)) {
             Ok(at) => self.peers[at].1 = read_at,
             Err(at) => self.peers.insert(at, (peer.clone(), read_at)),
--- a/crates/mesh/tests/store_load.rs
+++ b/crates/mesh/tests/store_load.rs
@@ -174,7 +174,7 @@
         self.calls += 1;
         if self.is_store_down || node.fault == Fault::CutFromStore {
             if topic == 0 {
-                node.reader.record_failure();
+                node.reader.record_failure(now);
             }
             node.next_reads[topic] = now + node.backoffs[topic];
             node.backoffs[topic] = (node.backoffs[topic] * 2).min(MAX_BACKOFFS[topic]);
