A stream goes on only at a server that confirms its run

Callers saw streams go on at another software version (ORDER): a server started again under its id while its entry in the store was late, and a stream of its former version was sent to it, as X-Expect-Instance checks the id only.

A request of a stream that has begun is now sent only on a connection on which the server has stated the listed start time (`born` in GET /v1/report). The statement holds as long as the connection, so nothing can change between the report and the request, and a connection is asked once. A server that states another time, or none, is passed over for another one of the version without a retry from the budget; without one the request is refused with 303, as not run. A server that is silent before it answers is left if there is another one, and waited for if there is none. After the report the list is looked at again, so that no request reaches a server that announced its departure or asked for a pause meanwhile. Streams that begin are sent as before.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -131,7 +131,17 @@
             }
         };
         loop {
-            match pending.next_event(hub, job, silent, since).await {
+            let event = match pending.next_event(hub, job, silent, since).await {
+                // Another server may confirm its run sooner.
+                Event::Silent if !pending.is_sent() => {
+                    if choose(hub, job, &pool, &inputs, attempts).is_none() {
+                        continue;
+                    }
+                    Event::Failed(Failure::Unconfirmed)
+                }
+                event => event,
+            };
+            match event {
                 Event::Answered(reply) => {
                     attempts.may_have_run |= !silent.is_empty();
                     if is_stream {
@@ -191,7 +201,7 @@
     ) -> Result<(), Code> {
         self.unreachable += usize::from(matches!(
             failure,
-            Failure::Exhausted | Failure::Moved | Failure::Unreachable
+            Failure::Exhausted | Failure::Moved | Failure::Unconfirmed | Failure::Unreachable
         ));
         let cx = policy::Context {
             route: &job.route,
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -33,6 +33,8 @@
     pub last_event: Option<u64>,
     /// Whether the request must run at most once, which needs a connection whose state is known.
     pub at_most_once: bool,
+    /// Whether only the listed run of the server may get the request, which [`Transport::confirm_run`] has confirmed.
+    pub is_bound: bool,
     /// The maximum number of connections to the server.
     pub max_connections: usize,
 }
@@ -67,6 +69,9 @@
     /// The server acknowledged nothing for so long that the connection was closed. It may go on nevertheless.
     #[error("the server acknowledged nothing for too long")]
     Unacknowledged,
+    /// It is not certain that the server still is the run that the list shows; the request was not sent.
+    #[error("the server may have started again")]
+    Unconfirmed,
     /// The server is unreachable; no bytes were written.
     #[error("the server is unreachable")]
     Unreachable,
@@ -90,6 +95,7 @@
             | Self::InputGone
             | Self::Moved
             | Self::Rejected
+            | Self::Unconfirmed
             | Self::Unreachable => false,
         }
     }
@@ -154,6 +160,19 @@
     /// A notice is available as soon as the head of its answer has arrived, so that no decision after that ignores it.
     fn take_notices(&self) -> Vec<Notice>;
 
+    /// Makes sure that a call that is bound to the listed run of a server reaches this run. A bound call that is sent
+    /// without waiting in between needs no further confirmation.
+    ///
+    /// # Errors
+    ///
+    /// - [`Failure::Unconfirmed`] if the server is another run by now, or doesn't state which one.
+    /// - Another failure that shows that the request was not sent.
+    fn confirm_run(
+        &self,
+        server: &Server,
+        max_connections: usize,
+    ) -> impl Future<Output = Result<(), Failure>>;
+
     /// Sends a request to a server and returns the answer once its head has arrived.
     fn send(
         &self,
--- a/crates/relay/src/hub.rs
+++ b/crates/relay/src/hub.rs
@@ -584,7 +584,8 @@
             | Failure::Exhausted
             | Failure::Mismatched
             | Failure::TimedOut
-            | Failure::Unacknowledged => {}
+            | Failure::Unacknowledged
+            | Failure::Unconfirmed => {}
         }
     }
 
@@ -616,7 +617,7 @@
             Completion::Failed
         }
         Failure::Exhausted | Failure::Full => Completion::Full,
-        Failure::InputGone | Failure::Rejected => Completion::Abandoned,
+        Failure::InputGone | Failure::Rejected | Failure::Unconfirmed => Completion::Abandoned,
         Failure::Moved | Failure::Unreachable => Completion::Unreachable,
     }
 }
--- a/crates/relay/src/notices.rs
+++ b/crates/relay/src/notices.rs
@@ -41,6 +41,14 @@
         }
     }
 
+    /// Returns whether the list still shows a run of a server that may get new work.
+    pub(crate) fn may_get_work(&self, now: Tick, server: &Server) -> bool {
+        let mut usable = self.roster.usable(now, &server.pool);
+        let is_listed = usable
+            .any(|listed| listed.id == server.id && listed.started_at_ms == server.started_at_ms);
+        is_listed && self.fleet.paused_until(now, &server.id).is_none()
+    }
+
     /// Returns when the first of a pool's servers that may be used takes requests again, if all of them asked for a
     /// pause.
     fn pause_end(&self, now: Tick, pool: &Name, may_use: impl Fn(&Server) -> bool) -> Option<Tick> {
--- a/crates/relay/src/pending.rs
+++ b/crates/relay/src/pending.rs
@@ -1,6 +1,9 @@
 //! Attempts whose head has not arrived, and what happens to them first.
 
-use core::pin::{Pin, pin};
+use core::{
+    cell::Cell,
+    pin::{Pin, pin},
+};
 use std::rc::Rc;
 
 use base::Tick;
@@ -20,9 +23,11 @@
     stages::Inputs,
 };
 
-/// An attempt that was sent and whose head has not arrived.
+/// An attempt whose head has not arrived.
 pub(crate) struct Pending<'a, E: Transport> {
     reply: Pin<Box<dyn Future<Output = Result<E::Reply, Failure>> + 'a>>,
+    /// Whether the request was sent; a server of a certain version is asked for its run before.
+    is_sent: Rc<Cell<bool>>,
     guard: Guard<E>,
     inputs: Rc<Inputs<E>>,
     /// Whether it counts as having reached its server.
@@ -66,6 +71,8 @@
             let pool = config.pool(&choice.server.pool)?;
             Some(pool.max_connections)
         });
+        // A server without a start time can't be told from a later run.
+        let is_bound = job.origin.get().is_some() && choice.server.started_at_ms != 0;
         let call = Call {
             server: choice.server.clone(),
             time_left: job.time_left(hub.transport.now()),
@@ -75,16 +82,24 @@
             fetch_from: choice.fetch_from,
             last_event,
             at_most_once: !job.route.is_repeatable(),
+            is_bound,
             max_connections: max_connections.unwrap_or(usize::MAX),
         };
+        let is_sent = Rc::new(Cell::new(!is_bound));
         Self {
             guard: Guard::start(hub, &choice.server, choice.tokens),
-            reply: Box::pin(hub.transport.send(&job.request, call)),
+            reply: Box::pin(send(hub, job, call, is_sent.clone())),
+            is_sent,
             inputs: inputs.clone(),
             is_counted: false,
         }
     }
 
+    /// Returns whether the request was sent.
+    pub(crate) fn is_sent(&self) -> bool {
+        self.is_sent.get()
+    }
+
     /// Waits for the head, a failure or a long silence. `silent` are earlier attempts that were silent for long, of which
     /// one is taken out when it has ended. `since` is the time from which the caller waits.
     pub(crate) async fn next_event(
@@ -203,12 +218,38 @@
             attempt::record_crash(hub, job, &server.id);
         }
         attempts.may_have_run |= failure.may_have_run();
-        if !matches!(failure, Failure::Exhausted | Failure::Unreachable) {
+        if !matches!(
+            failure,
+            Failure::Exhausted | Failure::Unconfirmed | Failure::Unreachable
+        ) {
             self.count_as_reached(attempts);
         }
     }
 }
 
+/// Sends a request, to the listed run of its server only if it is bound to it, and returns the head of the answer.
+async fn send<E: Transport>(
+    hub: &Rc<Hub<E>>,
+    job: &Job<E::Request>,
+    mut call: Call,
+    is_sent: Rc<Cell<bool>>,
+) -> Result<E::Reply, Failure> {
+    if call.is_bound {
+        let confirmed = hub
+            .transport
+            .confirm_run(&call.server, call.max_connections);
+        confirmed.await?;
+        let now = hub.transport.now();
+        // The server may have announced its departure or asked for a pause meanwhile.
+        if !hub.with(|state| state.may_get_work(now, &call.server)) {
+            return Err(Failure::Unconfirmed);
+        }
+        call.time_left = job.time_left(now);
+        is_sent.set(true);
+    }
+    hub.transport.send(&job.request, call).await
+}
+
 /// Does work that the next attempt needs, unless one of the silent attempts answers before.
 pub(crate) async fn run_beside<E: Transport, T>(
     hub: &Rc<Hub<E>>,
--- a/crates/relay/src/policy.rs
+++ b/crates/relay/src/policy.rs
@@ -55,7 +55,9 @@
         return Decision::Fail(Code::CallUnknown);
     }
     match failure {
-        Failure::Exhausted | Failure::Unreachable if cx.unreachable < cx.max_unreachable => {
+        Failure::Exhausted | Failure::Unconfirmed | Failure::Unreachable
+            if cx.unreachable < cx.max_unreachable =>
+        {
             Decision::Retry { is_counted: false }
         }
         // `reached` includes the last server, which doesn't count against the maximum as its address is reused.
@@ -64,7 +66,7 @@
         {
             Decision::Retry { is_counted: true }
         }
-        Failure::Exhausted | Failure::Rejected | Failure::Unreachable => {
+        Failure::Exhausted | Failure::Rejected | Failure::Unconfirmed | Failure::Unreachable => {
             Decision::Fail(final_code(may_have_run, Code::StageUnavailable))
         }
         _ if cx.reached < cx.route.max_attempts => Decision::Retry { is_counted: true },
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -121,6 +121,10 @@
     pub(crate) is_mesh_silent: Cell<bool>,
     /// The reactions of the stage servers to the next calls; without one, they answer after `stage_time`.
     pub(crate) stage_reactions: RefCell<VecDeque<StageReaction>>,
+    /// How long servers take to confirm their runs, and what comes of it; the later ones confirm them at once.
+    pub(crate) confirmations: RefCell<VecDeque<(Duration, Result<(), Failure>)>>,
+    /// The servers that confirmed their runs, and when.
+    pub(crate) confirmed: RefCell<Vec<(Name, Tick)>>,
 }
 
 pub(crate) struct Chunks {
@@ -197,7 +201,20 @@
         core::mem::take(&mut *self.notices.borrow_mut())
     }
 
+    async fn confirm_run(&self, server: &Server, _: usize) -> Result<(), Failure> {
+        let confirmation = self.confirmations.borrow_mut().pop_front();
+        if let Some((delay, result)) = confirmation {
+            time::sleep(delay).await;
+            result?;
+        }
+        let confirmed = (server.id.clone(), self.now());
+        self.confirmed.borrow_mut().push(confirmed);
+        Ok(())
+    }
+
     async fn send(&self, (): &(), call: Call) -> Result<Chunks, Failure> {
+        let confirmed = (call.server.id.clone(), self.now());
+        assert!(!call.is_bound || self.confirmed.borrow().contains(&confirmed));
         self.sent.borrow_mut().push(Sent {
             server: call.server.id.clone(),
             last_event: call.last_event,
@@ -356,6 +373,8 @@
         silent_releases: RefCell::default(),
         is_mesh_silent: Cell::default(),
         stage_reactions: RefCell::default(),
+        confirmations: RefCell::default(),
+        confirmed: RefCell::default(),
     };
     let bound = Bound {
         ratio: 0.2,
--- a/crates/relay/tests/versions.rs
+++ b/crates/relay/tests/versions.rs
@@ -468,6 +468,119 @@
     );
 }
 
+/// Creates a hub whose servers have start times, at which a stream of version v1 is taken up.
+fn hub_with_runs(confirmations: &[(u64, std::result::Result<(), Failure>)]) -> Hub {
+    let hub = hub(vec![second()]);
+    for id in ["i-0", "i-1", "i-2"] {
+        list(&hub, id, Some("v1"), 5);
+    }
+    add_instances(&hub, vec![("b", vec![record("r-1", "v1")])]);
+    let confirmations = confirmations.iter();
+    let confirmations =
+        confirmations.map(|(delay, result)| (Duration::from_millis(*delay), *result));
+    hub.transport
+        .confirmations
+        .borrow_mut()
+        .extend(confirmations);
+    hub
+}
+
+/// ORDER: a stream was sent to a server that had started again at another version before the list showed it.
+#[gtest]
+#[actix_web::test]
+async fn a_stream_goes_on_only_at_a_server_that_confirms_its_run() {
+    time::pause();
+    let restarted = (5, Err(Failure::Unconfirmed));
+    let hub = hub_with_runs(&[restarted, restarted]);
+    expect_that!(take_up(&hub, Some("r-1")).await, ok(eq(SECOND)));
+    let (confirmed, _) = hub.transport.confirmed.borrow()[0].clone();
+    expect_that!(sent_to(&hub), eq(&vec![confirmed.to_string()]));
+
+    let hub = hub_with_runs(&[restarted, restarted, restarted]);
+    expect_that!(
+        take_up(&hub, Some("r-1")).await,
+        err(eq(&(Code::StageUnavailable, true)))
+    );
+    expect_that!(sent_to(&hub).len(), eq(0));
+}
+
+/// ORDER: a broken stream was sent to such a server within its answer, too.
+#[gtest]
+#[actix_web::test]
+async fn a_broken_stream_goes_on_only_at_a_server_that_confirms_its_run() {
+    time::pause();
+    let hub = hub(vec![broken(&[FIRST]), second()]);
+    unlist(&hub, &["i-1", "i-2"]);
+    list(&hub, "i-0", Some("v1"), 5);
+    let restarted = (Duration::ZERO, Err(Failure::Unconfirmed));
+    hub.transport
+        .confirmations
+        .borrow_mut()
+        .push_back(restarted);
+    let change = || list(&hub, "i-3", Some("v1"), 5);
+    let (text, is_complete) = stream(&hub, change).await;
+    expect_that!((text, is_complete), eq(&(FIRST.to_owned(), false)));
+    expect_that!(sent_to(&hub), eq(&vec!["i-0".to_owned()]));
+}
+
+/// Streams that begin are sent at once.
+#[gtest]
+#[actix_web::test]
+async fn a_stream_begins_at_a_server_that_confirms_nothing() {
+    time::pause();
+    let hub = hub(vec![Reaction::Answer(200, vec![Ok(FIRST)])]);
+    for id in ["i-0", "i-1", "i-2"] {
+        list(&hub, id, Some("v1"), 5);
+    }
+    let never = (Duration::MAX, Err(Failure::Unconfirmed));
+    hub.transport.confirmations.borrow_mut().push_back(never);
+    let (text, is_complete) = stream(&hub, || {}).await;
+    expect_that!((text, is_complete), eq(&(FIRST.to_owned(), true)));
+    expect_that!(hub.transport.confirmed.borrow().len(), eq(0));
+}
+
+/// LOST: a server that is silent before it confirms its run must not hold a stream while others may go on with it.
+#[gtest]
+#[actix_web::test]
+async fn a_stream_goes_on_elsewhere_while_a_server_is_silent_about_its_run() {
+    time::pause();
+    let hub = hub_with_runs(&[(60_000, Ok(()))]);
+    expect_that!(take_up(&hub, Some("r-1")).await, ok(eq(SECOND)));
+    expect_that!(sent_to(&hub).len(), eq(1));
+}
+
+/// LOST: a sound server may be silent for a second, and may be the only one of its version.
+#[gtest]
+#[actix_web::test]
+async fn a_stream_waits_for_the_only_server_of_its_version() {
+    time::pause();
+    let hub = hub_with_runs(&[(1_000, Ok(()))]);
+    unlist(&hub, &["i-1", "i-2"]);
+    let job = resumption(&hub, Some("r-1"));
+    let job = Rc::new(Job {
+        deadline: job.arrived_at + Duration::from_secs(2),
+        ..Job::clone(&job)
+    });
+    expect_that!(serve(&hub, job).await.is_ok(), eq(true));
+    expect_that!(sent_to(&hub), eq(&vec!["i-0".to_owned()]));
+}
+
+/// DRAIN: a request must not reach a server that announced its departure while it confirmed its run.
+#[gtest]
+#[actix_web::test]
+async fn a_stream_is_not_sent_to_a_server_that_leaves_before_it_confirms_its_run() {
+    time::pause();
+    let hub = hub_with_runs(&[(100, Ok(()))]);
+    unlist(&hub, &["i-1", "i-2"]);
+    let leave = async {
+        time::sleep(Duration::from_millis(50)).await;
+        hub.with(|state| state.roster.mark_leaving(&"i-0".into(), 5));
+    };
+    let (refused, ()) = tokio::join!(take_up(&hub, Some("r-1")), leave);
+    expect_that!(refused, err(anything()));
+    expect_that!(sent_to(&hub).len(), eq(0));
+}
+
 /// A configuration that moves a route must not join the output of two pools.
 #[gtest]
 #[actix_web::test]
