A stream is recorded with the version of the run that began it

Callers saw streams go on at another software version (ORDER): a new stream began at a server that had started again under its id at another version while its entry was late, was recorded with the version of the former run, and went on at another server of that version.

When the first event of a stream that may be resumed arrives, the server is asked for its start time, beside the stream, unless it has stated it while the connection was open. A run that states the listed start time after the event is the one that sent it, as runs of a server follow each other. Until then the stream goes on nowhere else, and its origin is sent to no other instance; if another run answers, unless the list shows it at the same version by then, or none after four questions, the stream goes on nowhere.

--- a/crates/relay/src/body.rs
+++ b/crates/relay/src/body.rs
@@ -214,7 +214,12 @@
     /// Records where the stream began, if these are its first events.
     fn begin(&self) {
         if let Some(attempt) = &self.attempt {
-            origin::begin(&self.hub, &self.job, &attempt.guard.server);
+            origin::begin(
+                &self.hub,
+                &self.job,
+                &attempt.guard.server,
+                attempt.reply.run(),
+            );
         }
     }
 
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -127,6 +127,9 @@
     /// Returns the status code.
     fn status(&self) -> u16;
 
+    /// Returns the start time of the server's run that sends the answer, if it is known.
+    fn run(&self) -> Option<u64>;
+
     /// Returns the next bytes of the body, or none at its regular end.
     ///
     /// # Errors
@@ -160,6 +163,19 @@
     /// A notice is available as soon as the head of its answer has arrived, so that no decision after that ignores it.
     fn take_notices(&self) -> Vec<Notice>;
 
+    /// Asks a server for the start time of its run. From then on the run of answers on connections that were open when it
+    /// was asked is known.
+    ///
+    /// # Errors
+    ///
+    /// - [`Failure::Unconfirmed`] if the server doesn't state it.
+    /// - Another failure that shows that the server could not be asked.
+    fn ask_run(
+        &self,
+        server: &Server,
+        max_connections: usize,
+    ) -> impl Future<Output = Result<u64, Failure>>;
+
     /// Makes sure that a call that is bound to the listed run of a server reaches this run. A bound call that is sent
     /// without waiting in between needs no further confirmation.
     ///
--- a/crates/relay/src/hub.rs
+++ b/crates/relay/src/hub.rs
@@ -145,6 +145,15 @@
         run(&mut state)
     }
 
+    /// Returns the maximum number of connections to a server of a pool.
+    pub(crate) fn max_connections(&self, pool: &Name) -> usize {
+        self.with(|state| {
+            let pool = state.config.as_ref()?.pool(pool)?;
+            Some(pool.max_connections)
+        })
+        .unwrap_or(usize::MAX)
+    }
+
     /// Runs pieces of one stage of a request, in calls of this instance or of the one that owns the shard.
     ///
     /// Dropping the future cancels queued pieces and releases their results.
--- a/crates/relay/src/job.rs
+++ b/crates/relay/src/job.rs
@@ -1,6 +1,9 @@
 //! Admitted requests and their deadlines.
 
-use core::{cell::OnceCell, time::Duration};
+use core::{
+    cell::{Cell, OnceCell},
+    time::Duration,
+};
 use std::rc::Rc;
 
 use base::{Name, Tick};
@@ -59,6 +62,8 @@
     pub resumption: Option<Resumption>,
     /// Where its stream began, once that is known.
     pub origin: OnceCell<Origin>,
+    /// Whether the server that began its stream has not confirmed yet that it is the listed run.
+    pub is_origin_doubtful: Cell<bool>,
     /// The request itself.
     pub request: Rc<R>,
 }
@@ -88,7 +93,7 @@
     /// Returns whether the request may be sent to a server; a stream goes on only at the software that began it.
     pub fn may_use(&self, server: &Server) -> bool {
         let origin = self.origin.get();
-        origin.is_none_or(|origin| server.runs(&origin.software))
+        origin.is_none_or(|origin| !self.is_origin_doubtful.get() && server.runs(&origin.software))
     }
 
     /// Returns the time left until the final deadline.
--- a/crates/relay/src/origin.rs
+++ b/crates/relay/src/origin.rs
@@ -10,6 +10,7 @@
     origins::{self, Record},
 };
 use site::roster::Server;
+use tokio::{task, time};
 
 use crate::{Hub, Job, Transport, attempt};
 
@@ -19,21 +20,90 @@
 /// How long an origin is kept after the caller's deadline, as requests take some time to arrive.
 const TTL_MARGIN: Duration = Duration::from_secs(2);
 
-/// Records the server that sent the first event of a request's stream.
-pub(crate) fn begin<E: Transport>(hub: &Hub<E>, job: &Job<E::Request>, server: &Server) {
-    let software = if has_restarted(hub, server) {
-        // Either run may have sent the event, so the stream can't go on elsewhere.
-        Software::Run(Incarnation::new(server.id.clone(), Stamp::default()))
-    } else {
-        server.software()
+/// How long to wait before each question to a server for its run.
+const ASK_DELAYS: [Duration; 4] = [
+    Duration::ZERO,
+    Duration::from_millis(100),
+    Duration::from_millis(300),
+    Duration::from_secs(1),
+];
+
+/// Records the server that sent the first event of a request's stream, on a connection to a run that may be known.
+pub(crate) fn begin<E: Transport>(
+    hub: &Rc<Hub<E>>,
+    job: &Rc<Job<E::Request>>,
+    server: &Rc<Server>,
+    run: Option<u64>,
+) {
+    if job.origin.get().is_some() {
+        return;
+    }
+    let has_restarted = has_restarted(hub, server);
+    let software = match run {
+        _ if has_restarted => unknown_software(server),
+        Some(run) => software_of_run(hub, server, run),
+        None => server.software(),
     };
     let origin = Origin {
         pool: server.pool.clone(),
         software,
     };
-    if job.origin.set(origin.clone()).is_ok() && job.route.resumable {
+    let was_unset = job.origin.set(origin.clone()).is_ok();
+    if !was_unset || !job.route.resumable {
+        return;
+    }
+    // A server without a start time can't be told from a later run.
+    if run.is_some() || has_restarted || server.started_at_ms == 0 {
         record(hub, job, &job.id, origin);
+        return;
+    }
+    job.is_origin_doubtful.set(true);
+    let (hub, job, server) = (hub.clone(), job.clone(), server.clone());
+    task::spawn_local(async move {
+        let limit = job.deadline - hub.transport.now() + TTL_MARGIN;
+        let run = time::timeout(limit, ask_run(&hub, &server)).await;
+        let software = match run {
+            Ok(Some(run)) => software_of_run(&hub, &server, run),
+            Ok(None) | Err(_) => unknown_software(&server),
+        };
+        job.is_origin_doubtful.set(software != origin.software);
+        record(&hub, &job, &job.id, Origin { software, ..origin });
+    });
+}
+
+/// Returns software that no server is certain to run: a stream may have begun at either of two runs.
+fn unknown_software(server: &Server) -> Software {
+    Software::Run(Incarnation::new(server.id.clone(), Stamp::default()))
+}
+
+/// Returns the software of a run that stated its start time after an event had arrived from the server, which was sent by
+/// this run or an earlier one, but not by one before the run that the list showed.
+fn software_of_run<E: Transport>(hub: &Hub<E>, server: &Server, run: u64) -> Software {
+    let software = server.software();
+    let is_same = hub.with(|state| {
+        let listed = state.roster.get(&server.id);
+        listed.is_some_and(|listed| listed.started_at_ms == run && listed.runs(&software))
+    });
+    if run == server.started_at_ms || is_same {
+        return software;
+    }
+    log::info!(
+        target: "servers", server:% = server.id, listed = server.started_at_ms, stated = run;
+        "server is another run than the listed one"
+    );
+    unknown_software(server)
+}
+
+/// Asks a server for the start time of its run, several times if it can't be asked.
+async fn ask_run<E: Transport>(hub: &Hub<E>, server: &Server) -> Option<u64> {
+    for delay in ASK_DELAYS {
+        time::sleep(delay).await;
+        let max_connections = hub.max_connections(&server.pool);
+        if let Ok(run) = hub.transport.ask_run(server, max_connections).await {
+            return Some(run);
+        }
     }
+    None
 }
 
 /// Returns whether the list now shows a later run of a server, of another version. The list lags, so the request may have
--- a/crates/relay/src/pending.rs
+++ b/crates/relay/src/pending.rs
@@ -66,11 +66,6 @@
         inputs: &Rc<Inputs<E>>,
         last_event: Option<u64>,
     ) -> Self {
-        let max_connections = hub.with(|state| {
-            let config = state.config.as_ref()?;
-            let pool = config.pool(&choice.server.pool)?;
-            Some(pool.max_connections)
-        });
         // A server without a start time can't be told from a later run.
         let is_bound = job.origin.get().is_some() && choice.server.started_at_ms != 0;
         let call = Call {
@@ -83,7 +78,7 @@
             last_event,
             at_most_once: !job.route.is_repeatable(),
             is_bound,
-            max_connections: max_connections.unwrap_or(usize::MAX),
+            max_connections: hub.max_connections(&choice.server.pool),
         };
         let is_sent = Rc::new(Cell::new(!is_bound));
         Self {
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -125,9 +125,16 @@
     pub(crate) confirmations: RefCell<VecDeque<(Duration, Result<(), Failure>)>>,
     /// The servers that confirmed their runs, and when.
     pub(crate) confirmed: RefCell<Vec<(Name, Tick)>>,
+    /// How long servers take to state their runs, and what comes of it; the later ones state the listed run at once.
+    pub(crate) statements: RefCell<VecDeque<(Duration, Result<u64, Failure>)>>,
+    /// The runs that the next answers are known to come from.
+    pub(crate) runs: RefCell<VecDeque<u64>>,
+    /// The number of questions for runs.
+    pub(crate) asked: Cell<usize>,
 }
 
 pub(crate) struct Chunks {
+    run: Option<u64>,
     status: u16,
     /// The chunks and when each arrives.
     chunks: VecDeque<(Instant, Result<&'static str, Failure>)>,
@@ -136,6 +143,7 @@
 impl Chunks {
     /// Creates an answer whose head arrives at a time and whose chunks follow after the given silences.
     fn new(
+        run: Option<u64>,
         status: u16,
         head_at: Instant,
         chunks: Vec<(Duration, Result<&'static str, Failure>)>,
@@ -145,6 +153,7 @@
             Some((*at, chunk))
         });
         Self {
+            run,
             status,
             chunks: chunks.collect(),
         }
@@ -162,6 +171,10 @@
         self.status
     }
 
+    fn run(&self) -> Option<u64> {
+        self.run
+    }
+
     async fn chunk(&mut self) -> Result<Option<Bytes>, Failure> {
         // The server goes on while nobody awaits the chunk.
         if let Some((at, _)) = self.chunks.front()
@@ -201,6 +214,18 @@
         core::mem::take(&mut *self.notices.borrow_mut())
     }
 
+    async fn ask_run(&self, server: &Server, _: usize) -> Result<u64, Failure> {
+        self.asked.set(self.asked.get() + 1);
+        let statement = self.statements.borrow_mut().pop_front();
+        match statement {
+            Some((delay, result)) => {
+                time::sleep(delay).await;
+                result
+            }
+            None => Ok(server.started_at_ms),
+        }
+    }
+
     async fn confirm_run(&self, server: &Server, _: usize) -> Result<(), Failure> {
         let confirmation = self.confirmations.borrow_mut().pop_front();
         if let Some((delay, result)) = confirmation {
@@ -222,6 +247,7 @@
             time_left: call.time_left,
         });
         let sent_at = Instant::now();
+        let run = self.runs.borrow_mut().pop_front();
         let mut reaction = self.reactions.borrow_mut().pop_front();
         if let Some(Reaction::Notice {
             is_leaving,
@@ -240,11 +266,11 @@
             }
             Some(Reaction::Answer(status, chunks)) => {
                 let chunks = chunks.into_iter().map(|chunk| (Duration::ZERO, chunk));
-                Ok(Chunks::new(status, sent_at, chunks.collect()))
+                Ok(Chunks::new(run, status, sent_at, chunks.collect()))
             }
             Some(Reaction::Slow { head_delay, chunks }) => {
                 time::sleep(head_delay).await;
-                Ok(Chunks::new(200, sent_at + head_delay, chunks))
+                Ok(Chunks::new(run, 200, sent_at + head_delay, chunks))
             }
             Some(Reaction::Events {
                 head_delay,
@@ -254,7 +280,12 @@
                 let first = usize::try_from(call.last_event.unwrap_or(0)).unwrap_or(usize::MAX);
                 let halves = EVENTS.as_flattened().iter().zip(silences).skip(2 * first);
                 let chunks = halves.map(|(half, silence)| (silence, Ok(*half)));
-                Ok(Chunks::new(200, sent_at + head_delay, chunks.collect()))
+                Ok(Chunks::new(
+                    run,
+                    200,
+                    sent_at + head_delay,
+                    chunks.collect(),
+                ))
             }
             Some(Reaction::Hang | Reaction::Notice { .. }) | None => core::future::pending().await,
         }
@@ -375,6 +406,9 @@
         stage_reactions: RefCell::default(),
         confirmations: RefCell::default(),
         confirmed: RefCell::default(),
+        statements: RefCell::default(),
+        runs: RefCell::default(),
+        asked: Cell::default(),
     };
     let bound = Bound {
         ratio: 0.2,
@@ -462,6 +496,7 @@
         last_event: None,
         resumption: None,
         origin: OnceCell::new(),
+        is_origin_doubtful: Cell::default(),
         request: Rc::new(()),
     })
 }
--- a/crates/relay/tests/versions.rs
+++ b/crates/relay/tests/versions.rs
@@ -523,6 +523,83 @@
     expect_that!(sent_to(&hub), eq(&vec!["i-0".to_owned()]));
 }
 
+/// ORDER: a stream that began at a server that had started again was taken for one of the listed version.
+#[gtest]
+#[actix_web::test]
+async fn a_stream_goes_on_only_if_the_server_that_began_it_turns_out_to_be_the_listed_run() {
+    let unreachable = (Duration::ZERO, Err(Failure::Unreachable));
+    for (known, statements, is_listed) in [
+        (Some(5), vec![], true),
+        (Some(9), vec![], false),
+        (None, vec![(Duration::from_millis(5), Ok(5))], true),
+        (None, vec![(Duration::from_millis(5), Ok(9))], false),
+        (None, vec![unreachable, (Duration::ZERO, Ok(5))], true),
+        (None, vec![unreachable; 4], false),
+    ] {
+        time::pause();
+        let asked = statements.len();
+        let hub = hub(vec![broken(&[FIRST, SECOND]), second()]);
+        list(&hub, "i-0", Some("v1"), 5);
+        unlist(&hub, &["i-1", "i-2"]);
+        hub.transport.runs.borrow_mut().extend(known);
+        hub.transport.statements.borrow_mut().extend(statements);
+        add_instances(&hub, vec![("b", vec![])]);
+        stream(&hub, || {}).await;
+        time::sleep(Duration::from_secs(2)).await;
+        expect_that!(hub.transport.asked.get(), eq(asked));
+        let recorded = hub.transport.recorded.borrow()[0].1.clone();
+        let is_recorded = recorded.origin.software == Software::Version("v1".into());
+        expect_that!(is_recorded, eq(is_listed));
+        let expected = if is_listed {
+            Ok(SECOND.to_owned())
+        } else {
+            Err((Code::VersionGone, false))
+        };
+        list(&hub, "i-3", Some("v1"), 5);
+        expect_that!(take_up(&hub, Some("r-1")).await, eq(&expected));
+        time::resume();
+    }
+}
+
+/// LOST: a server that started again at its version goes on with its streams once the list shows it.
+#[gtest]
+#[actix_web::test]
+async fn a_stream_goes_on_if_the_server_that_began_it_started_again_at_the_same_version() {
+    for version in ["v1", "v2"] {
+        time::pause();
+        let hub = hub(vec![broken(&[FIRST, SECOND]), second()]);
+        list(&hub, "i-0", Some("v1"), 5);
+        unlist(&hub, &["i-1", "i-2"]);
+        let statement = (Duration::from_millis(40), Ok(9));
+        hub.transport.statements.borrow_mut().push_back(statement);
+        stream(&hub, || list(&hub, "i-0", Some(version), 9)).await;
+        time::sleep(Duration::from_secs(2)).await;
+        list(&hub, "i-3", Some("v1"), 5);
+        let expected = if version == "v1" {
+            Ok(SECOND.to_owned())
+        } else {
+            Err((Code::VersionGone, false))
+        };
+        expect_that!(take_up(&hub, Some("r-1")).await, eq(&expected));
+        time::resume();
+    }
+}
+
+/// ORDER: a stream broke before the server that began it had stated its run, and went on elsewhere.
+#[gtest]
+#[actix_web::test]
+async fn a_broken_stream_ends_if_the_server_that_began_it_has_not_stated_its_run() {
+    time::pause();
+    let hub = hub(vec![broken(&[FIRST]), second()]);
+    list(&hub, "i-0", Some("v1"), 5);
+    unlist(&hub, &["i-1", "i-2"]);
+    let late = (Duration::from_secs(1), Ok(5));
+    hub.transport.statements.borrow_mut().push_back(late);
+    let change = || list(&hub, "i-3", Some("v1"), 5);
+    let (text, is_complete) = stream(&hub, change).await;
+    expect_that!((text, is_complete), eq(&(FIRST.to_owned(), false)));
+}
+
 /// Streams that begin are sent at once.
 #[gtest]
 #[actix_web::test]
