--- a/crates/relay/src/hub.rs
+++ b/crates/relay/src/hub.rs
@@ -99,6 +99,15 @@
         }
         run(&mut state)
     }
+
+    /// Returns the maximum number of connections to a server of a pool.
+    pub(crate) fn max_connections(&self, pool: &Name) -> usize {
+        self.with(|state| {
+            let pool = state.config.as_ref()?.pool(pool)?;
+            Some(pool.max_connections)
+        })
+        .unwrap_or(usize::MAX)
+    }
 }
 
 impl State {
@@ -118,7 +127,8 @@
             | Failure::Exhausted
             | Failure::Mismatched
             | Failure::TimedOut
-            | Failure::Unacknowledged => {}
+            | Failure::Unacknowledged
+            | Failure::Unconfirmed => {}
         }
     }
 
@@ -150,7 +160,7 @@
             Completion::Failed
         }
         Failure::Exhausted | Failure::Full => Completion::Full,
-        Failure::InputGone | Failure::Rejected => Completion::Abandoned,
+        Failure::InputGone | Failure::Rejected | Failure::Unconfirmed => Completion::Abandoned,
         Failure::Moved | Failure::Unreachable => Completion::Unreachable,
     }
 }
