A server is not asked for its run during a pause

A server that turns a request away with a pause wants nothing from an instance until its end (BUDGET), but it was asked for its start time for streams that it had begun before. The question waits for the end of the pause now.

--- a/crates/relay/src/origin.rs
+++ b/crates/relay/src/origin.rs
@@ -94,10 +94,19 @@
     unknown_software(server)
 }
 
-/// Asks a server for the start time of its run, several times if it can't be asked.
+/// Asks a server for the start time of its run, several times if it can't be asked. A server that asked for a pause is
+/// asked after it.
 async fn ask_run<E: Transport>(hub: &Hub<E>, server: &Server) -> Option<u64> {
     for delay in ASK_DELAYS {
         time::sleep(delay).await;
+        let pause_left = || {
+            let now = hub.transport.now();
+            let until = hub.with(|state| state.fleet.paused_until(now, &server.id));
+            until.map(|until| until - now)
+        };
+        while let Some(left) = pause_left() {
+            time::sleep(left).await;
+        }
         let max_connections = hub.max_connections(&server.pool);
         if let Ok(run) = hub.transport.ask_run(server, max_connections).await {
             return Some(run);
--- a/crates/relay/tests/versions.rs
+++ b/crates/relay/tests/versions.rs
@@ -585,6 +585,25 @@
     }
 }
 
+/// BUDGET: a server that asks for a pause wants nothing until its end.
+#[gtest]
+#[actix_web::test]
+async fn a_server_that_began_a_stream_is_not_asked_for_its_run_during_a_pause() {
+    time::pause();
+    let hub = hub(vec![Reaction::Notice {
+        is_leaving: false,
+        pause: Some(Duration::from_secs(1)),
+        then: Box::new(broken(&[FIRST, SECOND])),
+    }]);
+    list(&hub, "i-0", Some("v1"), 5);
+    unlist(&hub, &["i-1", "i-2"]);
+    stream(&hub, || {}).await;
+    time::sleep(Duration::from_millis(900)).await;
+    expect_that!(hub.transport.asked.get(), eq(0));
+    time::sleep(Duration::from_millis(400)).await;
+    expect_that!(hub.transport.asked.get(), eq(1));
+}
+
 /// ORDER: a stream broke before the server that began it had stated its run, and went on elsewhere.
 #[gtest]
 #[actix_web::test]
