Streams that hold all connections to a server can be taken up

Callers could not take up a stream (LOST, 313) that began while streams held all connections that its instance may open to its server: the question for the server's run found none, and after four questions the stream was recorded as one of an unknown run. The question may use one connection more than requests.

--- a/crates/relay/src/origin.rs
+++ b/crates/relay/src/origin.rs
@@ -107,7 +107,8 @@
         while let Some(left) = pause_left() {
             time::sleep(left).await;
         }
-        let max_connections = hub.max_connections(&server.pool);
+        // Streams may hold all connections that requests may use.
+        let max_connections = hub.max_connections(&server.pool).saturating_add(1);
         if let Ok(run) = hub.transport.ask_run(server, max_connections).await {
             return Some(run);
         }
