Feed: connections to an instance that takes no bytes are closed

The connection of a call that was given up stays open, with its socket and buffers, for as long as the other end takes no bytes.

Cause: HTTP/2 ends a connection with a frame, and closes it once that is written. A program that floods settings or pings and reads nothing fills the buffers with acknowledgements, so the frame is never written. The keep-alive probe closes such a connection only if it was sent while a call was in flight, which for the release (timeout 500 ms, probe after 500 ms) was a race, and for heartbeats (400 ms) never happens.

Change: connections are opened by a connector of our own, and fail once nothing could be written for as long as a probe may take (1.5 s).

--- a/crates/feed/src/client.rs
+++ b/crates/feed/src/client.rs
@@ -14,7 +14,7 @@
 };
 use wire::feed::{self as message, feed_client::FeedClient};
 
-use crate::{Delegation, Error, Heartbeat, Lists, Results, codec};
+use crate::{Delegation, Error, Heartbeat, Lists, Results, codec, connection::Connector};
 
 /// The timeout for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -24,6 +24,10 @@
 const PROBE_INTERVAL: Duration = Duration::from_millis(500);
 const PROBE_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// The time after which a connection is closed whose instance takes no bytes. That of a call that was given up is no longer
+/// probed.
+const WRITE_TIMEOUT: Duration = PROBE_INTERVAL.saturating_add(PROBE_TIMEOUT);
+
 /// The timeout for releasing results through another instance.
 const RELEASE_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -195,8 +199,10 @@
                     .connect_timeout(CONNECT_TIMEOUT)
                     .http2_keep_alive_interval(PROBE_INTERVAL)
                     .keep_alive_timeout(PROBE_TIMEOUT)
-                    .tcp_nodelay(true)
-                    .connect_lazy();
+                    .connect_with_connector_lazy(Connector {
+                        address,
+                        write_timeout: WRITE_TIMEOUT,
+                    });
                 channels.insert(at, (address, channel));
                 at
             }
--- a/crates/feed/src/lib.rs
+++ b/crates/feed/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod client;
 mod codec;
+mod connection;
 mod server;
 
 use core::time::Duration;
--- a/crates/feed/tests/garbage.rs
+++ b/crates/feed/tests/garbage.rs
@@ -59,6 +59,18 @@
         });
         server
     }
+
+    /// Waits until all connections are closed, and checks that they took few bytes.
+    async fn check_closed(&self, case: &str) {
+        for _ in 0..500 {
+            if self.open.load(Ordering::Relaxed) == 0 {
+                break;
+            }
+            time::sleep(Duration::from_millis(20)).await;
+        }
+        expect_that!(self.open.load(Ordering::Relaxed), eq(0), "{case}");
+        expect_that!(self.taken.load(Ordering::Relaxed), le(MAX_TAKEN), "{case}");
+    }
 }
 
 /// An address may belong to a program that is no instance; the calls of instances must end there.
@@ -98,17 +110,25 @@
         );
         let released = client.release(server.address, &[]).await;
         expect_that!(released.is_err(), eq(true), "{case}");
-        for _ in 0..500 {
-            if server.open.load(Ordering::Relaxed) == 0 {
-                break;
-            }
-            time::sleep(Duration::from_millis(20)).await;
-        }
-        expect_that!(server.open.load(Ordering::Relaxed), eq(0), "{case}");
-        expect_that!(
-            server.taken.load(Ordering::Relaxed),
-            le(MAX_TAKEN),
-            "{case}"
-        );
+        server.check_closed(&case).await;
     }
 }
+
+/// The connection of a call that was given up stayed open for as long as the program took no bytes: nothing more could be
+/// sent on it, its end neither.
+#[gtest]
+#[actix_web::test]
+async fn the_connection_to_a_program_that_takes_no_bytes_is_closed() {
+    // Settings and an update that let the client send as much as it has.
+    let head = &[
+        0, 0, 6, 4, 0, 0, 0, 0, 0, 0, 4, 0x7f, 0xff, 0xff, 0xff, 0, 0, 4, 8, 0, 0, 0, 0, 0, 0x7f,
+        0xff, 0, 0,
+    ];
+    let server = Server::open(head, SETTINGS);
+    let client = Client::default();
+    let streams: Vec<base::Name> = vec!["x".repeat(1024 * 1024).into(); 16];
+    // No probe is sent before the call is given up.
+    let found = client.find_origins(server.address, &streams, Duration::from_millis(400));
+    expect_that!(found.await.is_err(), eq(true));
+    server.check_closed("no bytes taken").await;
+}
