A stream that breaks early waits for the run of its server

Cause: until the server that began a stream has stated its run, no server could be used for it, and a server that can't be asked ended it for good.

A broken stream now waits for the statement, for half of the time left for its next event, and goes on at the listed version if there is none. A run that states another start time still ends it.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -76,8 +76,12 @@
     since: Tick,
 ) -> Result<Prepared<E>, Code> {
     let pool = select_pool(job)?;
-    if job.origin.get().is_some() && !origin::has_server(hub, job, &pool) {
-        return Err(Code::VersionGone);
+    if job.origin.get().is_some() {
+        let time_left = job.event_deadline(since) - hub.transport.now();
+        origin::wait_for_check(job, time_left).await;
+        if !origin::has_server(hub, job, &pool) {
+            return Err(Code::VersionGone);
+        }
     }
     let started_at = hub.transport.now();
     if hub
--- a/crates/relay/src/job.rs
+++ b/crates/relay/src/job.rs
@@ -1,9 +1,6 @@
 //! Admitted requests and their deadlines.
 
-use core::{
-    cell::{Cell, OnceCell},
-    time::Duration,
-};
+use core::{cell::OnceCell, time::Duration};
 use std::rc::Rc;
 
 use base::{Name, Tick};
@@ -14,6 +11,7 @@
     roster::Server,
     route::{Kind, Rank},
 };
+use tokio::sync::watch;
 
 /// The shortest silence after which a caller leaves a stream. The platform states this value and the two below.
 const MIN_PATIENCE: Duration = Duration::from_secs(2);
@@ -31,6 +29,18 @@
     pub first_attempt: Option<Name>,
 }
 
+/// What is known of the server that began a stream.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Check {
+    /// It stated that it is the listed run, or nothing.
+    #[default]
+    Done,
+    /// It is being asked for its run.
+    Pending,
+    /// It stated that it is another run than the listed one.
+    OtherRun,
+}
+
 /// An admitted request with the data that forwarding needs.
 #[derive(Clone, Debug)]
 pub struct Job<R> {
@@ -62,8 +72,8 @@
     pub resumption: Option<Resumption>,
     /// Where its stream began, once that is known.
     pub origin: OnceCell<Origin>,
-    /// Whether the server that began its stream has not confirmed yet that it is the listed run.
-    pub is_origin_doubtful: Cell<bool>,
+    /// What is known of the server that began its stream.
+    pub origin_check: watch::Sender<Check>,
     /// The request itself.
     pub request: Rc<R>,
 }
@@ -93,7 +103,8 @@
     /// Returns whether the request may be sent to a server; a stream goes on only at the software that began it.
     pub fn may_use(&self, server: &Server) -> bool {
         let origin = self.origin.get();
-        origin.is_none_or(|origin| !self.is_origin_doubtful.get() && server.runs(&origin.software))
+        let is_other_run = *self.origin_check.borrow() == Check::OtherRun;
+        origin.is_none_or(|origin| !is_other_run && server.runs(&origin.software))
     }
 
     /// Returns the time left until the final deadline.
--- a/crates/relay/src/origin.rs
+++ b/crates/relay/src/origin.rs
@@ -12,7 +12,7 @@
 use site::roster::Server;
 use tokio::{task, time};
 
-use crate::{Hub, Job, Transport, attempt};
+use crate::{Hub, Job, Transport, attempt, job::Check};
 
 /// How long other instances may take to tell where a stream began.
 const LOOKUP_TIMEOUT: Duration = Duration::from_millis(300);
@@ -20,6 +20,10 @@
 /// How long an origin is kept after the caller's deadline, as requests take some time to arrive.
 const TTL_MARGIN: Duration = Duration::from_secs(2);
 
+/// The part of the time left for its next event that a broken stream waits for the run of the server that began it, as a
+/// divisor.
+const CHECK_TIME_DIVISOR: u32 = 2;
+
 /// How long to wait before each question to a server for its run.
 const ASK_DELAYS: [Duration; 4] = [
     Duration::ZERO,
@@ -57,20 +61,36 @@
         record(hub, job, &job.id, origin);
         return;
     }
-    job.is_origin_doubtful.set(true);
+    job.origin_check.send_replace(Check::Pending);
     let (hub, job, server) = (hub.clone(), job.clone(), server.clone());
     task::spawn_local(async move {
         let limit = job.deadline - hub.transport.now() + TTL_MARGIN;
         let run = time::timeout(limit, ask_run(&hub, &server)).await;
         let software = match run {
             Ok(Some(run)) => software_of_run(&hub, &server, run),
-            Ok(None) | Err(_) => unknown_software(&server),
+            Ok(None) | Err(_) => origin.software.clone(),
+        };
+        let check = if software == origin.software {
+            Check::Done
+        } else {
+            Check::OtherRun
         };
-        job.is_origin_doubtful.set(software != origin.software);
+        job.origin_check.send_replace(check);
         record(&hub, &job, &job.id, Origin { software, ..origin });
     });
 }
 
+/// Waits until the server that began a request's stream has stated its run, if it does so soon enough for an event
+/// that is due after `time_left`.
+pub(crate) async fn wait_for_check<R>(job: &Job<R>, time_left: Duration) {
+    let limit = time_left / CHECK_TIME_DIVISOR;
+    let mut check = job.origin_check.subscribe();
+    let settled = check.wait_for(|check| *check != Check::Pending);
+    if time::timeout(limit, settled).await.is_err() {
+        log::info!(target: "relay", request:% = job.id; "server that began the stream states no run");
+    }
+}
+
 /// Returns software that no server is certain to run: a stream may have begun at either of two runs.
 fn unknown_software(server: &Server) -> Software {
     Software::Run(Incarnation::new(server.id.clone(), Stamp::default()))
