Entry: the end of an attempt gives an empty pool its capacity back at once

Seen: once, a request between two breaks of the test on crossed events was refused with 303 while both servers were sound again.

Cause: admission learns the capacity of pools every 20 ms. A server that failed gets one attempt at a time, so while the other one of two waits for its turn, the pool has no capacity during that attempt. When the attempt was answered, admission kept that for up to 20 ms, and refused the request that came next. Other requests are refused by design while the only usable server is being probed.

Change: the end of an attempt reports the capacity of its pool to admission if that had none.

--- a/crates/entry/src/plane/call.rs
+++ b/crates/entry/src/plane/call.rs
@@ -351,7 +351,12 @@
                 kind,
             },
         };
-        self.plane.inner.borrow_mut().table.handle(now, event);
+        let actions = {
+            let mut inner = self.plane.inner.borrow_mut();
+            inner.table.handle(now, event);
+            inner.update_empty_pool(&self.pool)
+        };
+        self.plane.dispatch(actions);
     }
 
     fn record_end(&self, outcome: AttemptOutcome) {
--- a/crates/entry/src/plane/inner.rs
+++ b/crates/entry/src/plane/inner.rs
@@ -187,25 +187,40 @@
         let Some(bundle) = self.bundle.clone() else {
             return Vec::new();
         };
-        let now = self.clock.tick();
         self.slots.resize(bundle.pools.len(), u32::MAX);
         let mut actions = Vec::new();
         for (at, pool) in bundle.pools.iter().enumerate() {
-            let capacity = self.table.capacity(now, pool.name.as_str());
-            // The expected wait for an empty pool changes with every call, so it is always reported.
-            if self.slots[at] == capacity.slots && capacity.slots > 0 {
-                continue;
-            }
-            self.slots[at] = capacity.slots;
-            actions.extend(self.handle_admission(admit::Event::Capacity {
-                pool: pool.name.clone(),
-                slots: f64::from(capacity.slots),
-                retry_after: capacity.retry_after,
-            }));
+            actions.extend(self.update_pool_capacity(at, &pool.name));
         }
         actions
     }
 
+    /// Reports the capacity of a pool that had none, as an attempt there has ended. The caller must pass the returned
+    /// decisions to the waiting requests.
+    #[must_use]
+    pub(crate) fn update_empty_pool(&mut self, pool: &Name) -> Vec<admit::Action> {
+        let pools = self.bundle.iter().flat_map(|bundle| &bundle.pools);
+        let mut pools = pools.zip(&self.slots);
+        match pools.position(|(known, slots)| known.name == *pool && *slots == 0) {
+            Some(at) => self.update_pool_capacity(at, pool),
+            None => Vec::new(),
+        }
+    }
+
+    fn update_pool_capacity(&mut self, at: usize, pool: &Name) -> Vec<admit::Action> {
+        let capacity = self.table.capacity(self.clock.tick(), pool.as_str());
+        // The expected wait for an empty pool changes with every call, so it is always reported.
+        if self.slots[at] == capacity.slots && capacity.slots > 0 {
+            return Vec::new();
+        }
+        self.slots[at] = capacity.slots;
+        self.handle_admission(admit::Event::Capacity {
+            pool: pool.clone(),
+            slots: f64::from(capacity.slots),
+            retry_after: capacity.retry_after,
+        })
+    }
+
     pub(crate) fn body_limit(&self) -> usize {
         self.bundle
             .as_ref()
--- a/crates/proc/tests/crossed.rs
+++ b/crates/proc/tests/crossed.rs
@@ -2,6 +2,7 @@
 
 use core::time::Duration;
 
+use actix_web::rt::time::sleep;
 use futures_util::future::join_all;
 use googletest::prelude::*;
 use proc::{
@@ -122,3 +123,42 @@
     });
     expect_that!(dropped.await, some(anything()));
 }
+
+/// Longer than the time for which a server that failed several times gets no attempts.
+const BACKOFF: Duration = Duration::from_millis(1_200);
+
+/// Callers were refused with 303 right after an answer, as the instance did not know yet that the server that gave it was
+/// free again.
+#[gtest]
+#[actix_web::test]
+async fn a_request_right_after_an_answer_is_not_refused() {
+    let scene = scene().await;
+    let request = summary(TOKENS);
+    let whole = read(&scene, &request).await;
+    let caller = Caller::new("adjudicators");
+    let urls = scene.urls(POOL);
+    for _ in 0..2 {
+        let mut turn = urls.iter().cycle();
+        let dropped = poll::until(TIMEOUT, async || {
+            // Fills the retry budget.
+            let short = summary(1);
+            scene.warm_up("adjudicators", &[short], WARM_UP).await;
+            // Each server fails, and gets one attempt at a time from then on.
+            let fault = json!({"cross_stream_after": 0});
+            scene.set_faults(POOL, fault.clone()).await;
+            let refused = caller.stream(&scene.entries[0].url, &request, usize::MAX);
+            expect_that!(refused.await, err(anything()));
+            let sound = json!({"cross_stream_after": null});
+            scene.set_faults(POOL, sound.clone()).await;
+            sleep(BACKOFF).await;
+            // One server fails its attempt if it gets one, and the other one answers.
+            let before = mismatched(&scene, POOL).await;
+            fakes::set_faults(turn.next()?, fault).await;
+            expect_whole(&read(&scene, &request).await, &whole);
+            expect_whole(&read(&scene, &request).await, &whole);
+            scene.set_faults(POOL, sound).await;
+            (mismatched(&scene, POOL).await > before).then_some(())
+        });
+        expect_that!(dropped.await, some(anything()));
+    }
+}
