Tests: the lost append prints the answer that came instead

Seen: once, no append was lost within 20 s, and the answer of the payment was not shown, as the test ended before it. The checks are as they were.

--- a/crates/proc/tests/once.rs
+++ b/crates/proc/tests/once.rs
@@ -1,6 +1,6 @@
 //! At-most-once calls under failure, checked with the run counts of the services.
 
-use core::time::Duration;
+use core::{cell::RefCell, time::Duration};
 
 use actix_web::rt::{spawn, time::sleep};
 use base::Key;
@@ -68,11 +68,15 @@
 
     /// Waits until an append took effect whose answer is lost.
     async fn await_lost_append(&self) {
+        assert_that!(self.find_lost_append().await, some(anything()));
+    }
+
+    async fn find_lost_append(&self) -> Option<()> {
         let url = &self.scene.platform.url;
         let lost = poll::until(TIMEOUT, async || {
             (fakes::count(url, "appends_lost").await > 0).then_some(())
         });
-        assert_that!(lost.await, some(anything()));
+        lost.await
     }
 
     /// Repeats the request while the holder is gone: it must not get `not_run`, nor run again.
@@ -143,12 +147,17 @@
     let scene = scene().await;
     let payment = Payment::new(&scene);
     platform(&scene, json!({"hang_appends": 1})).await;
+    let first = RefCell::default();
+    let sent = async {
+        first.replace(payment.send(0).await);
+    };
     let outage = async {
-        payment.await_lost_append().await;
+        let lost = payment.find_lost_append().await;
+        assert_that!(lost, some(anything()), "answer: {:#?}", first.borrow());
         platform(&scene, json!({"down": true})).await;
     };
-    let (first, ()) = futures_util::join!(payment.send(0), outage);
-    expect_truth(&first.unwrap(), payment.runs().await, "down");
+    futures_util::join!(sent, outage);
+    expect_truth(&first.take().unwrap(), payment.runs().await, "down");
     platform(&scene, json!({"down": false})).await;
     let (last, runs) = payment.settle(&[1, 0]).await;
     expect_truth(&last, runs, "back");
