A close-delimited stream is complete only after a whole event

Cause: the relay took the end of an answer's body for the end of its stream. A body with neither a length nor chunks ends with its connection, and a server that crashes closes its connections in the same way, so a stream that ended inside an event looked complete, cleared its content of crashes, and its server's crash counted for nobody.

Change: such an end is a break inside an event and before the first event of an answer: the stream goes on elsewhere or is broken off. A whole answer with a partial event is invalid.

--- a/crates/relay/src/body.rs
+++ b/crates/relay/src/body.rs
@@ -31,6 +31,8 @@
     partial_count: usize,
     /// When the first of them arrived.
     partial_since: Tick,
+    /// When the current attempt brought its first complete event.
+    first_event_at: Option<Tick>,
     is_finished: bool,
 }
 
@@ -51,6 +53,7 @@
             attempts,
             partial_count: 0,
             partial_since: hub.transport.now(),
+            first_event_at: None,
             is_finished: false,
         }
     }
@@ -77,6 +80,7 @@
                     if !events.is_empty() {
                         self.partial_count = 0;
                         self.last_events_at = self.last_bytes_at;
+                        self.first_event_at.get_or_insert(self.last_events_at);
                         self.begin();
                         return Ok(Some(events));
                     }
@@ -84,7 +88,10 @@
                         self.resume(Failure::Mismatched).await?;
                     }
                 }
-                Ok(None) => return Ok(self.complete()),
+                Ok(None) => match self.early_end() {
+                    Some(failure) => self.resume(failure).await?,
+                    None => return Ok(self.complete()),
+                },
                 Err(failure) => self.resume(failure).await?,
             }
         }
@@ -195,6 +202,7 @@
         );
         self.events.discard_partial();
         self.partial_count = 0;
+        self.first_event_at = None;
         self.last_bytes_at = now;
         if let Some(silent) = self.attempt.replace(next) {
             silent.guard.finish(completion_of(Failure::TimedOut));
@@ -252,6 +260,17 @@
         self.attempts.has_started = true;
     }
 
+    /// Returns the failure if the body has ended before the stream was complete. The end of a connection marks the end of
+    /// a stream only after a whole event, as a server that crashes closes its connections, too.
+    fn early_end(&self) -> Option<Failure> {
+        let attempt = self.attempt.as_ref()?;
+        match attempt.reply.is_close_delimited() {
+            true => (self.events.is_inside_event() || self.first_event_at.is_none())
+                .then_some(Failure::Broken),
+            false => self.events.is_inside_event().then_some(Failure::Mismatched),
+        }
+    }
+
     fn complete(&mut self) -> Option<Bytes> {
         self.is_finished = true;
         if let Some(attempt) = self.attempt.take() {
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -130,6 +130,9 @@
     /// Returns the start time of the server's run that sends the answer, if it is known.
     fn run(&self) -> Option<u64>;
 
+    /// Returns whether the body has neither a length nor chunks, so that it ends with its connection.
+    fn is_close_delimited(&self) -> bool;
+
     /// Returns the next bytes of the body, or none at its regular end.
     ///
     /// # Errors
--- a/crates/relay/src/events.rs
+++ b/crates/relay/src/events.rs
@@ -4,7 +4,8 @@
 
 /// Splits a stream of server-sent events into complete events.
 ///
-/// Blank lines and comments are passed on with the next event, so that bytes which never become one are not.
+/// Blank lines and comments are passed on with the next event, so that bytes which never become one are not. Lines end with
+/// LF or CRLF.
 ///
 /// # Examples
 ///
@@ -13,7 +14,7 @@
 /// let complete = events.push(b"id: 4\ndata: a\n\nid: 5\nda");
 /// assert_eq!(&complete[..], b"id: 4\ndata: a\n\n");
 /// assert_eq!(events.last_id(), Some(4));
-/// assert!(events.has_partial());
+/// assert!(events.is_inside_event());
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct Splitter {
@@ -24,6 +25,8 @@
     searched: usize,
     /// Whether the lines before `line_start` include a field of an event.
     has_field: bool,
+    /// Whether they include any line of an event since the last blank line.
+    has_line: bool,
     last_id: Option<u64>,
 }
 
@@ -68,7 +71,11 @@
             self.searched = self.line_start;
             if !line.is_empty() {
                 self.has_field |= is_event_field(line);
-            } else if core::mem::take(&mut self.has_field) {
+                self.has_line |= !line.starts_with(b":");
+                continue;
+            }
+            self.has_line = false;
+            if core::mem::take(&mut self.has_field) {
                 event_end = Some(self.line_start);
             }
         }
@@ -81,9 +88,9 @@
         self.pending.len()
     }
 
-    /// Returns whether an incomplete event is buffered.
-    pub fn has_partial(&self) -> bool {
-        !self.pending.is_empty()
+    /// Returns whether the bytes so far end inside an event or a line.
+    pub fn is_inside_event(&self) -> bool {
+        self.has_line || self.line_start < self.pending.len()
     }
 
     /// Discards an incomplete event.
@@ -93,7 +100,8 @@
 
     /// Returns and clears the bytes of an incomplete event.
     pub fn take_remainder(&mut self) -> Bytes {
-        (self.line_start, self.searched, self.has_field) = (0, 0, false);
+        (self.line_start, self.searched) = (0, 0);
+        (self.has_field, self.has_line) = (false, false);
         self.pending.split().freeze()
     }
 }
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -33,7 +33,7 @@
         /// The head of the first attempt.
         head: Head<E>,
         /// The events.
-        body: Body<E>,
+        body: Box<Body<E>>,
     },
 }
 
@@ -94,7 +94,7 @@
         drop(silent);
         return Ok(Answer::Stream {
             head,
-            body: Body::new(hub, job, attempt, attempts),
+            body: Box::new(Body::new(hub, job, attempt, attempts)),
         });
     }
     loop {
--- a/crates/relay/tests/events.rs
+++ b/crates/relay/tests/events.rs
@@ -54,3 +54,29 @@
     );
     expect_that!(splitter.partial_length(), eq(3));
 }
+
+/// ORDER: a stream that ended inside an event was taken for complete.
+#[gtest]
+fn the_end_of_bytes_is_told_apart_from_the_end_of_an_event() {
+    for (bytes, is_inside) in [
+        ("", false),
+        ("i", true),
+        ("id: 1\n", true),
+        ("id: 1\ndata: a\n", true),
+        ("id: 1\ndata: a\n\n", false),
+        ("id: 1\r\ndata: a\r\n\r", true),
+        ("id: 1\r\ndata: a\r\n\r\n", false),
+        ("id: 1\ndata: a\n\n\n", false),
+        ("id: 1\ndata: a\n\n: ping\n", false),
+        ("id: 1\ndata: a\n\n: pi", true),
+        ("id: 1\ndata: a\n\nretry: 5\n", true),
+        ("id: 1\ndata: a\n\nretry: 5\n\n", false),
+        ("event: a\n: ping\n", true),
+    ] {
+        let mut splitter = Splitter::default();
+        splitter.push(bytes.as_bytes());
+        expect_that!(splitter.is_inside_event(), eq(is_inside), "{bytes:?}");
+        splitter.discard_partial();
+        expect_that!(splitter.is_inside_event(), eq(false), "{bytes:?}");
+    }
+}
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -134,11 +134,14 @@
     pub(crate) runs: RefCell<VecDeque<u64>>,
     /// The number of questions for runs.
     pub(crate) asked: Cell<usize>,
+    /// Whether answers end with their connection.
+    pub(crate) is_close_delimited: Cell<bool>,
 }
 
 pub(crate) struct Chunks {
     run: Option<u64>,
     status: u16,
+    is_close_delimited: bool,
     /// The chunks and when each arrives.
     chunks: VecDeque<(Instant, Result<&'static str, Failure>)>,
 }
@@ -158,6 +161,7 @@
         Self {
             run,
             status,
+            is_close_delimited: false,
             chunks: chunks.collect(),
         }
     }
@@ -178,6 +182,10 @@
         self.run
     }
 
+    fn is_close_delimited(&self) -> bool {
+        self.is_close_delimited
+    }
+
     async fn chunk(&mut self) -> Result<Option<Bytes>, Failure> {
         // The server goes on while nobody awaits the chunk.
         if let Some((at, _)) = self.chunks.front()
@@ -269,7 +277,10 @@
             }
             Some(Reaction::Answer(status, chunks)) => {
                 let chunks = chunks.into_iter().map(|chunk| (Duration::ZERO, chunk));
-                Ok(Chunks::new(run, status, sent_at, chunks.collect()))
+                Ok(Chunks {
+                    is_close_delimited: self.is_close_delimited.get(),
+                    ..Chunks::new(run, status, sent_at, chunks.collect())
+                })
             }
             Some(Reaction::Slow { head_delay, chunks }) => {
                 time::sleep(head_delay).await;
@@ -412,6 +423,7 @@
         statements: RefCell::default(),
         runs: RefCell::default(),
         asked: Cell::default(),
+        is_close_delimited: Cell::default(),
     };
     let bound = Bound {
         ratio: 0.2,
