Entry: a call is not sent after its deadline

Cause: a step of a request is ended at the deadline by a timer that is polled after the step itself.

Change: the time is compared with the deadline right before the call. A call that is too late releases its claim and is refused as not run.

--- a/crates/entry/src/plane/runner.rs
+++ b/crates/entry/src/plane/runner.rs
@@ -278,6 +278,11 @@
         if !suspect::wait_for_permit(&self.plane, self.content, &server).await {
             return Step::Event(Event::Harmful);
         }
+        let time_left = self.execution.deadline - self.plane.shared.clock.tick();
+        // A paused process finds what it waited for before its timers.
+        if time_left.is_zero() {
+            return Step::Event(Event::Expired);
+        }
         if let Some(holder) = self.holder.as_mut().filter(|_| !idempotent)
             && !holder.permit_call(&self.plane)
         {
@@ -285,7 +290,6 @@
                 "a call after its claim was given up",
             )));
         }
-        let time_left = self.execution.deadline - self.plane.shared.clock.tick();
         let limits = self
             .plane
             .inner
--- a/crates/fake/src/platform/faults.rs
+++ b/crates/fake/src/platform/faults.rs
@@ -15,6 +15,8 @@
     pub slow_ms: u64,
     /// This many appends take effect and their connections are closed without an answer.
     pub lose_answers: u64,
+    /// The time from the effect of an append to its answer, in milliseconds.
+    pub append_answer_delay_ms: u64,
     /// This many appends take effect and are never answered.
     pub hang_appends: u64,
     /// This many appends have no effect and are never answered.
@@ -38,6 +40,7 @@
             silence_open: false,
             slow_ms: 0,
             lose_answers: 0,
+            append_answer_delay_ms: 0,
             hang_appends: 0,
             hang_appends_before: 0,
             list_lag_ms: 0,
--- a/crates/fake/src/platform/http.rs
+++ b/crates/fake/src/platform/http.rs
@@ -3,7 +3,7 @@
 use core::time::Duration;
 use std::time::Instant;
 
-use actix_web::{HttpRequest, HttpResponse, web};
+use actix_web::{HttpRequest, HttpResponse, rt::time, web};
 use platform::Instance;
 use serde::Deserialize;
 use serde_json::{Value, json};
@@ -50,7 +50,7 @@
     if let Some(refusal) = refuse_if_down(&request, &state).await {
         return refusal;
     }
-    let (outcome, offset) = {
+    let (outcome, offset, delay) = {
         let mut inner = state.lock();
         let now = Instant::now();
         if let Err(wait) = inner.appends.try_take(now) {
@@ -64,8 +64,10 @@
         };
         inner.stats.appends += u64::from(outcome != Outcome::HungBeforeAppend);
         inner.stats.appends_lost += u64::from(outcome != Outcome::Answered);
-        (outcome, offset)
+        let delay = Duration::from_millis(inner.faults.append_answer_delay_ms);
+        (outcome, offset, delay)
     };
+    time::sleep(delay).await;
     match outcome {
         Outcome::Answered => HttpResponse::Ok().json(json!({ "offset": offset })),
         Outcome::HungAfterAppend | Outcome::HungBeforeAppend => socket::hang().await,
--- a/crates/flow/src/event.rs
+++ b/crates/flow/src/event.rs
@@ -30,6 +30,8 @@
     DeadlinePassed,
     /// The continuation of a streamed answer does not match its beginning.
     Diverged,
+    /// The call was not made, because the deadline passed before it could be sent.
+    Expired,
     /// An attempt failed.
     Failed {
         /// The attempt.
--- a/crates/flow/src/request.rs
+++ b/crates/flow/src/request.rs
@@ -163,7 +163,12 @@
                 failure,
                 cost,
             } if self.phase == Phase::Call(attempt) => self.handle_failure(failure, cost),
-            Event::Harmful if matches!(self.phase, Phase::Call(_)) => self.skip_call(),
+            Event::Expired if matches!(self.phase, Phase::Call(_)) => {
+                self.skip_call(Code::DeadlinePassed)
+            }
+            Event::Harmful if matches!(self.phase, Phase::Call(_)) => {
+                self.skip_call(Code::RequestHarmful)
+            }
             Event::NoServer { retry_after } if self.phase == Phase::Pick => {
                 self.handle_no_server(retry_after)
             }
--- a/crates/flow/src/request/failure.rs
+++ b/crates/flow/src/request/failure.rs
@@ -71,11 +71,12 @@
     }
 
     /// Refuses the request before the call is made.
-    pub(super) fn skip_call(&mut self) -> Action {
+    pub(super) fn skip_call(&mut self, code: Code) -> Action {
         if !self.stage().idempotent {
             self.execution.non_idempotent_may_have_run = false;
         }
-        self.refuse(Code::RequestHarmful, Code::RequestHarmful.title(), None)
+        let retry_after = code.is_retryable().then_some(DEFAULT_RETRY_AFTER);
+        self.refuse(code, code.title(), retry_after)
     }
 
     /// Ends the request because it did not win the claim; the code states what is known about the call.
--- a/crates/flow/tests/request.rs
+++ b/crates/flow/tests/request.rs
@@ -263,8 +263,29 @@
     expect_that!(action, eq(&Action::RequestRetry));
 }
 
+/// A call that was prepared too late was sent, and its claim was not released.
+#[gtest]
+fn a_call_that_expires_before_it_is_sent_releases_its_claim() {
+    let mut request = request_with_claim();
+    let Action::Release(answer) = request.handle(cx(), Event::Expired) else {
+        panic!("expected the claim to be released");
+    };
+    expect_that!(answer.code, eq(Code::DeadlinePassed));
+    expect_that!(answer.outcome, eq(Outcome::Incomplete));
+    expect_that!(answer.retry_after, some(anything()));
+}
+
 #[gtest]
 fn a_harmful_content_releases_its_claim() {
+    let mut request = request_with_claim();
+    let Action::Release(answer) = request.handle(cx(), Event::Harmful) else {
+        panic!("expected the claim to be released");
+    };
+    expect_that!(answer.outcome, eq(Outcome::Incomplete));
+}
+
+/// Returns a request whose non-idempotent call has won its claim and is about to be sent.
+fn request_with_claim() -> Request {
     let mut request = request();
     let picked = || Event::Picked {
         server: Incarnation::new("a", Stamp::default()),
@@ -278,11 +299,8 @@
         output: json!(1),
         cost: 1.0,
     };
-    expect_that!(request.handle(cx(), replied), eq(&Action::Claim));
+    assert_that!(request.handle(cx(), replied), eq(&Action::Claim));
     request.handle(cx(), Event::ClaimWon);
     request.handle(cx(), picked());
-    let Action::Release(answer) = request.handle(cx(), Event::Harmful) else {
-        panic!("expected the claim to be released");
-    };
-    expect_that!(answer.outcome, eq(Outcome::Incomplete));
+    request
 }
--- a/crates/proc/tests/once.rs
+++ b/crates/proc/tests/once.rs
@@ -8,7 +8,7 @@
 use googletest::prelude::*;
 use proc::{
     caller::{self, Caller, Reply, Request},
-    fakes, poll,
+    fakes, metrics, poll,
     process::Signal,
     scene::{Builder, Scene},
     settle,
@@ -192,6 +192,47 @@
     expect_that!(payment.runs().await, eq(runs));
 }
 
+/// Payments ran after their deadline, once their paused instance went on, though repeats had got a final answer.
+#[gtest]
+#[actix_web::test]
+async fn calls_are_not_sent_after_their_deadline() {
+    let scene = scene().await;
+    let holder = &scene.entries[0];
+    // The claims get into the log, and the answers to their appends arrive during the pause.
+    platform(&scene, json!({"append_answer_delay_ms": 800})).await;
+    let answered = async || {
+        let labels = r#"end="answered",pool="roster-sync""#;
+        metrics::read(&holder.url, "attempts_total", labels).await
+    };
+    let before = answered().await;
+    // The keys spread over both owners of the ledger.
+    let payments: Vec<_> = (0..8).map(|_| Payment::new(&scene)).collect();
+    for payment in &payments {
+        payment.begin(0);
+    }
+    let claimed = poll::until(TIMEOUT, async || {
+        (answered().await >= before + payments.len() as u64).then_some(())
+    });
+    assert_that!(claimed.await, some(anything()));
+    // A process that is paused while it is busy handles sockets before timers when it goes on.
+    for _ in 0..200 {
+        let url = holder.url.clone();
+        spawn(async move {
+            loop {
+                metrics::read(&url, "attempts_total", "").await;
+            }
+        });
+    }
+    sleep(Duration::from_millis(200)).await;
+    holder.process.signal(Signal::Stop);
+    sleep(PAUSE).await;
+    let runs = join_all(payments.iter().map(Payment::runs)).await;
+    holder.process.signal(Signal::Continue);
+    sleep(Duration::from_secs(2)).await;
+    let runs_later = join_all(payments.iter().map(Payment::runs)).await;
+    expect_that!(runs_later, eq(&runs));
+}
+
 #[gtest]
 #[actix_web::test]
 async fn the_holder_is_paused_during_the_call() {
