--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -120,17 +120,26 @@
     let Prepared { pool, mut inputs } = prepared;
     let is_stream = job.route.kind == Kind::Streaming;
     loop {
-        let mut pending = match choose(hub, job, &pool, &inputs, attempts) {
+        let now = hub.transport.now();
+        // A paused process finds what it waited for before its timers.
+        let is_late = job.time_left(now).is_zero();
+        let choice = match is_late {
+            true => None,
+            false => choose(hub, job, &pool, &inputs, attempts),
+        };
+        let mut pending = match choice {
             Some(choice) => {
                 if attempts.tried.is_empty() {
-                    let now = hub.transport.now();
                     hub.with(|state| state.retry_window.record_request(now, &pool));
                 }
                 attempts.tried.push(choice.server.id.clone());
                 Pending::send(hub, job, choice, &inputs, last_event)
             }
             None => {
-                let code = policy::final_code(attempts.may_have_run, Code::StageUnavailable);
+                let code = match is_late {
+                    true => Code::DeadlinePassed,
+                    false => policy::final_code(attempts.may_have_run, Code::StageUnavailable),
+                };
                 silent.pop().ok_or(code)?
             }
         };
--- a/crates/relay/src/pending.rs
+++ b/crates/relay/src/pending.rs
@@ -235,11 +235,12 @@
             .confirm_run(&call.server, call.max_connections);
         confirmed.await?;
         let now = hub.transport.now();
+        call.time_left = job.time_left(now);
         // The server may have announced its departure or asked for a pause meanwhile.
-        if !hub.with(|state| state.may_get_work(now, &call.server)) {
+        let may_send = hub.with(|state| state.may_get_work(now, &call.server));
+        if !may_send || call.time_left.is_zero() {
             return Err(Failure::Unconfirmed);
         }
-        call.time_left = job.time_left(now);
         is_sent.set(true);
     }
     hub.transport.send(&job.request, call).await
--- a/crates/relay/tests/serving.rs
+++ b/crates/relay/tests/serving.rs
@@ -3,14 +3,16 @@
 mod support;
 
 use core::time::Duration;
+use std::rc::Rc;
 
 use base::Code;
 use googletest::prelude::*;
-use relay::{Answer, Failure, serve::serve};
+use relay::{Answer, Failure, Job, Transport as _, serve::serve};
 use site::route::{Kind, Stage};
 use support::{Reaction, Servers, hub, job};
+use tokio::time;
 
-type Hub = std::rc::Rc<relay::Hub<Servers>>;
+type Hub = Rc<relay::Hub<Servers>>;
 
 async fn serve_job(hub: &Hub, kind: Kind) -> std::result::Result<String, Code> {
     match serve(hub, job(hub, kind, |_| {})).await {
@@ -104,6 +106,47 @@
     expect_that!(Code::DeadlinePassed.status(), eq(504));
 }
 
+/// A request was sent after its deadline by an instance that had been paused before it could send it.
+#[gtest]
+#[actix_web::test]
+async fn requests_are_not_sent_after_their_deadline() {
+    for kind in [Kind::Idempotent, Kind::AtMostOnce, Kind::Streaming] {
+        let hub = hub(vec![answer("late")]);
+        let job = job(&hub, kind, |_| {});
+        let job = Rc::new(Job {
+            deadline: job.arrived_at,
+            ..Job::clone(&job)
+        });
+        let refused = serve(&hub, job).await.err().map(|refusal| refusal.code);
+        expect_that!(refused, some(eq(Code::DeadlinePassed)), "{kind:?}");
+        expect_that!(hub.transport.sent.borrow().len(), eq(0), "{kind:?}");
+    }
+}
+
+/// The same for the rest of a stream.
+#[gtest]
+#[actix_web::test]
+async fn streams_are_not_resumed_after_their_deadline() {
+    let first = vec![Ok("id: 1\ndata: a\n\n"), Err(Failure::Broken)];
+    let hub = hub(vec![
+        Reaction::Answer(200, first),
+        answer("id: 2\ndata: b\n\n"),
+    ]);
+    let job = job(&hub, Kind::Streaming, |_| {});
+    let time_left = job.time_left(hub.transport.now());
+    *hub.transport.confirmations.borrow_mut() = vec![(Duration::ZERO, Ok(())); 4].into();
+    let Ok(Answer::Stream { mut body, .. }) = serve(&hub, job).await else {
+        panic!("expected a stream");
+    };
+    expect_that!(body.next().await.unwrap(), some(eq("id: 1\ndata: a\n\n")));
+    let sent = hub.transport.sent.borrow().len();
+    time::pause();
+    time::advance(time_left).await;
+    time::resume();
+    expect_that!(body.next().await, err(anything()));
+    expect_that!(hub.transport.sent.borrow().len(), eq(sent));
+}
+
 #[gtest]
 #[actix_web::test]
 async fn a_stream_resumes_after_its_last_complete_event() {
