Relay: a late head of a silent server is heard until the deadline

Cause: beside a second server, an earlier silent attempt was looked at only between waits of 400 ms, and the wait ended with the usual patience of callers instead of the deadline. So streams were refused although a head had come, or still could.

Change: once both are silent, the first head of either counts, at once and until the deadline.

--- a/crates/relay/src/pending.rs
+++ b/crates/relay/src/pending.rs
@@ -7,10 +7,7 @@
 use std::rc::Rc;
 
 use base::Tick;
-use futures_util::{
-    FutureExt,
-    future::{self, Either},
-};
+use futures_util::future::{self, Either};
 use site::route::Kind;
 use tokio::time;
 
@@ -104,33 +101,30 @@
         silent: &mut Vec<Self>,
         since: Tick,
     ) -> Event<'a, E> {
-        let limit = policy::head_silence_limit(&job.route, &hub.settings);
+        let mut limit = policy::head_silence_limit(&job.route, &hub.settings);
         if silent.is_empty() {
             return match time::timeout(limit, &mut self.reply).await {
                 Ok(reply) => Event::of(reply),
                 Err(_) => Event::Silent,
             };
         }
-        let mut earlier_reply = future::select_all(silent.iter_mut().map(|at| &mut at.reply));
-        let ended = match job.route.kind {
-            // Two engines must not work on a stream, and this one may start at any moment. So the earlier attempts
-            // count only if this one is silent, too, for half of the time that the caller still waits.
-            Kind::Streaming => {
-                let time_left = job.event_deadline(since) - hub.transport.now();
-                let limit = limit.min((time_left / 2).max(hub.settings.min_attempt_timeout));
-                match time::timeout(limit, &mut self.reply).await {
-                    Ok(reply) => return Event::of(reply),
-                    Err(_) => earlier_reply.now_or_never(),
-                }
-            }
-            Kind::Idempotent | Kind::AtMostOnce => {
-                let first = future::select(&mut self.reply, &mut earlier_reply);
-                match time::timeout(limit, first).await {
-                    Ok(Either::Left((reply, _))) => return Event::of(reply),
-                    Ok(Either::Right((ended, _))) => Some(ended),
-                    Err(_) => None,
-                }
+        // Two engines must not work on a stream, and this one may start at any moment. So the earlier attempts count only
+        // once this one is silent, too, for half of the time that the caller still waits.
+        if job.route.kind == Kind::Streaming && !self.guard.is_silent {
+            let half = (job.event_deadline(since) - hub.transport.now()) / 2;
+            limit = limit.min(half.max(hub.settings.min_attempt_timeout));
+            let head_start = limit.min(half);
+            if let Ok(reply) = time::timeout(head_start, &mut self.reply).await {
+                return Event::of(reply);
             }
+            limit -= head_start;
+        }
+        let earlier_reply = future::select_all(silent.iter_mut().map(|at| &mut at.reply));
+        let first = future::select(&mut self.reply, earlier_reply);
+        let ended = match time::timeout(limit, first).await {
+            Ok(Either::Left((reply, _))) => return Event::of(reply),
+            Ok(Either::Right((ended, _))) => Some(ended),
+            Err(_) => None,
         };
         let Some((reply, at, _)) = ended else {
             return Event::Silent;
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -69,7 +69,7 @@
     if let Err(code) = origin::resolve(hub, &job).await {
         return Err(refusal(hub, &job, &attempts, code));
     }
-    let time_left = job.event_deadline(job.arrived_at) - hub.transport.now();
+    let time_left = job.time_left(hub.transport.now());
     let mut silent = Vec::new();
     let sent = attempt::send_attempt(
         hub,
--- a/crates/relay/tests/beside.rs
+++ b/crates/relay/tests/beside.rs
@@ -126,6 +126,49 @@
     expect_that!(busy_count(&hub), eq(0));
 }
 
+/// LOST: two silent servers began a stream shortly before its caller would leave, and neither was heard.
+#[gtest]
+#[actix_web::test]
+async fn a_stream_that_a_silent_server_begins_late_reaches_the_caller_before_it_leaves() {
+    // The caller leaves after 2 s, or its deadline passes after 0.7 s.
+    for (timeout, head_delay) in [
+        (8_000, 1_650),
+        (8_000, 1_800),
+        (8_000, 1_950),
+        (700, 450),
+        (700, 600),
+    ] {
+        time::pause();
+        let hub = hub(vec![slow(ms(head_delay), vec![now(FIRST)]), Reaction::Hang]);
+        let job = patient_job(&hub, Kind::Streaming, |route| {
+            route.objective = ms(300);
+            route.timeout = ms(timeout);
+        });
+        expect_that!(text_of(&hub, job).await, ok(eq(FIRST)), "{head_delay} ms");
+        expect_that!(sent_count(&hub), eq(2));
+        expect_that!(busy_count(&hub), eq(0));
+        time::resume();
+    }
+}
+
+/// LOST: a stream whose servers were silent ended after the time for which callers usually wait, long before its deadline.
+#[gtest]
+#[actix_web::test]
+async fn a_stream_that_begins_late_reaches_a_caller_that_still_waits() {
+    for (first, second) in [(6_500, 60_000), (60_000, 5_000), (4_100, 3_500)] {
+        time::pause();
+        let hub = hub(vec![
+            slow(ms(first), vec![now(FIRST)]),
+            slow(ms(second), vec![now(FIRST)]),
+        ]);
+        let job = patient_job(&hub, Kind::Streaming, |_| {});
+        expect_that!(text_of(&hub, job).await, ok(eq(FIRST)), "{first} {second}");
+        expect_that!(sent_count(&hub), eq(2));
+        expect_that!(busy_count(&hub), eq(0));
+        time::resume();
+    }
+}
+
 /// LOST: the first of three silent servers was left when the third one was tried, and its answer was lost.
 #[gtest]
 #[actix_web::test]
