Parts of prompts that crash servers are refused

Cause: crashes were counted by the digest of account, path and body.

Change: records of crashes state the run of the server, the time and the parts of the prompt. retry::Parts judges a part by all runs that held it at all instances, good ones too; requests with a harmful part are refused as not run before any stage, send or repeat. An answer that may have ended with a crash clears nothing. Times of crashes come from a clock that follows no steps of the system's.

--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -3,6 +3,7 @@
 //! This crate does no I/O and reads no clock.
 
 pub mod attempt;
+pub mod clock;
 pub mod code;
 pub mod digest;
 pub mod incarnation;
--- a/crates/mesh/src/members.rs
+++ b/crates/mesh/src/members.rs
@@ -236,6 +236,18 @@
         Owner::Unavailable
     }
 
+    /// Returns whether rendezvous hashing selects the local instance for a task, among all known instances that are neither
+    /// lost nor stopping.
+    pub fn is_selected(&self, task: &Name) -> bool {
+        let weight = |peer: &Peer| {
+            let (_, hash) = rank(task, peer);
+            (hash, peer.name.clone())
+        };
+        let own = weight(&self.local);
+        let mut others = self.others().filter(|(_, is_lost)| !is_lost);
+        others.all(|(other, _)| weight(other) < own)
+    }
+
     /// Returns the first instances for a task in the local failure domain, live or not, in the order of
     /// [`Members::owner`].
     pub fn candidates(&self, now: Tick, task: &Name, count: usize) -> Vec<Candidate> {
--- a/crates/pick/src/engine.rs
+++ b/crates/pick/src/engine.rs
@@ -27,6 +27,12 @@
         self.parts[..parts].iter().map(|part| part.tokens).sum()
     }
 
+    /// Returns the ids of the parts that other requests may share.
+    pub fn shared_ids(&self) -> Vec<u64> {
+        let shared = self.parts.len().saturating_sub(1);
+        self.parts[..shared].iter().map(|part| part.id).collect()
+    }
+
     /// Returns the tokens that no other request shares.
     pub fn own_tokens(&self) -> u64 {
         self.input_tokens.saturating_sub(self.shared_tokens())
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -44,6 +44,8 @@
     pub(crate) has_started: bool,
     /// The time that the stages took, including waits.
     pub(crate) stage_time: Duration,
+    /// Whether the request is sent to one server though a part of its prompt is harmful.
+    pub(crate) is_trial: bool,
 }
 
 /// Runs the stages of a request and sends it to servers until the head of an answer arrives. `since` is the time
@@ -123,7 +125,8 @@
         let now = hub.transport.now();
         // A paused process finds what it waited for before its timers.
         let is_late = job.time_left(now).is_zero();
-        let choice = match is_late {
+        let is_harmful = !attempts.is_trial && hub.with(|state| state.has_harmful_part(now, job));
+        let choice = match is_late || is_harmful {
             true => None,
             false => choose(hub, job, &pool, &inputs, attempts),
         };
@@ -282,7 +285,7 @@
 ) -> Result<(), Code> {
     let now = hub.transport.now();
     hub.with(|state| {
-        if state.crashes.is_harmful(job.digest) {
+        if state.crashes.is_harmful(job.digest) || state.has_harmful_part(now, job) {
             return Err(Code::StageUnavailable);
         }
         let count = state.members.count();
@@ -365,12 +368,3 @@
         }
     }
 }
-
-/// Records that a connection broke while a server ran a request, and reports it if it is new.
-pub(crate) fn record_crash<E: Transport>(hub: &Rc<Hub<E>>, job: &Job<E::Request>, server: &Name) {
-    let now = hub.transport.now();
-    let is_new = hub.with(|state| state.crashes.record(now, job.digest, server));
-    if is_new {
-        hub.transport.report_crash(job.digest, server);
-    }
-}
--- a/crates/relay/src/body.rs
+++ b/crates/relay/src/body.rs
@@ -11,6 +11,7 @@
 use crate::{
     Failure, Hub, Job, Reply, Transport,
     attempt::{self, Attempt, Attempts},
+    crash,
     events::Splitter,
     hub::completion_of,
     origin, policy, serve,
@@ -33,6 +34,8 @@
     partial_since: Tick,
     /// When the current attempt brought its first complete event.
     first_event_at: Option<Tick>,
+    /// Whether the current attempt counts as a run that has been writing for some time.
+    is_writing: bool,
     is_finished: bool,
 }
 
@@ -54,6 +57,7 @@
             partial_count: 0,
             partial_since: hub.transport.now(),
             first_event_at: None,
+            is_writing: false,
             is_finished: false,
         }
     }
@@ -80,7 +84,7 @@
                     if !events.is_empty() {
                         self.partial_count = 0;
                         self.last_events_at = self.last_bytes_at;
-                        self.first_event_at.get_or_insert(self.last_events_at);
+                        self.record_writing();
                         self.begin();
                         return Ok(Some(events));
                     }
@@ -203,6 +207,7 @@
         self.events.discard_partial();
         self.partial_count = 0;
         self.first_event_at = None;
+        self.is_writing = false;
         self.last_bytes_at = now;
         if let Some(silent) = self.attempt.replace(next) {
             silent.guard.finish(completion_of(Failure::TimedOut));
@@ -231,6 +236,21 @@
         }
     }
 
+    /// Records events of the current attempt, and once that its run has been writing for some time.
+    fn record_writing(&mut self) {
+        let now = self.last_events_at;
+        let first_event_at = *self.first_event_at.get_or_insert(now);
+        if self.is_writing || now - first_event_at < self.hub.settings.min_writing_time {
+            return;
+        }
+        self.is_writing = true;
+        if let Some(attempt) = &self.attempt {
+            let (sent_at, parts) = (attempt.guard.sent_at(), self.job.shared_parts());
+            self.hub
+                .with(|state| state.parts.record_writing(now, sent_at, &parts));
+        }
+    }
+
     /// Records the first bytes of an answer, which show that the server has read the prompt and the stage results.
     fn record_first_bytes(&mut self) {
         let Some(attempt) = &mut self.attempt else {
@@ -275,8 +295,11 @@
         self.is_finished = true;
         if let Some(attempt) = self.attempt.take() {
             let latency = attempt.guard.age();
+            let sent_at = attempt.guard.sent_at();
             attempt.guard.finish(Completion::Answered { latency });
-            self.hub.with(|state| state.crashes.clear(self.job.digest));
+            let is_marked = !attempt.reply.is_close_delimited() || self.is_writing;
+            let since = is_marked.then_some(sent_at);
+            crash::record_answer(&self.hub, &self.job, since, attempt.reply.status());
         }
         let remainder = self.events.take_remainder();
         (!remainder.is_empty()).then_some(remainder)
@@ -295,9 +318,12 @@
                 silent_ms = (now - self.last_bytes_at).as_millis();
                 "stream interrupted"
             );
+            let age = attempt.guard.age();
             attempt.guard.finish(completion_of(failure));
             if failure == Failure::Broken {
-                attempt::record_crash(&self.hub, &self.job, &server.id);
+                let first_event_at = self.first_event_at.unwrap_or(self.last_bytes_at);
+                let wrote = self.last_bytes_at - first_event_at;
+                crash::record(&self.hub, &self.job, &server, age, wrote);
             }
         }
         if failure == Failure::TimedOut {
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -3,7 +3,7 @@
 use core::{net::SocketAddr, time::Duration};
 use std::rc::Rc;
 
-use base::{Name, Tick};
+use base::{Name, Stamp, Tick};
 use batch::{
     Piece, Shard,
     piece::{Handle, Outcome},
@@ -11,6 +11,7 @@
 };
 use bytes::Bytes;
 use mesh::{Origin, Peer, origins};
+use retry::parts::Crash;
 use site::roster::Server;
 use thiserror::Error;
 
@@ -161,6 +162,9 @@
     /// Returns the current time.
     fn now(&self) -> Tick;
 
+    /// Returns the time of day, which may be set while the process runs.
+    fn time_of_day(&self) -> Stamp;
+
     /// Returns the notices that arrived since the last call, in the order of arrival.
     ///
     /// A notice is available as soon as the head of its answer has arrived, so that no decision after that ignores it.
@@ -230,8 +234,8 @@
         handles: Vec<Handle>,
     ) -> impl Future<Output = ()>;
 
-    /// Reports to other instances that a server crashed while it ran a request with this digest.
-    fn report_crash(&self, digest: u64, server: &Name);
+    /// Reports to other instances that a server crashed while it ran a request with this digest, `age` after it was sent.
+    fn report_crash(&self, digest: u64, crash: &Crash, age: Duration);
 
     /// Sends the origin of a stream to other instances, which keep it.
     fn record_origin(&self, holders: Vec<Peer>, record: origins::Record);
--- a/crates/relay/src/configs.rs
+++ b/crates/relay/src/configs.rs
@@ -23,6 +23,10 @@
     pub max_body_time: Duration,
     /// The shortest retry delay that a refused caller is told.
     pub min_retry_after: Duration,
+    /// The retry delay for requests with a part that crashes servers. A wrong verdict is taken back within about this time.
+    pub harmful_retry_after: Duration,
+    /// How long a server must have been writing an answer for the run to speak for the parts of its prompt.
+    pub min_writing_time: Duration,
     /// The time over which the retries of refused callers are spread.
     pub retry_after_jitter: Duration,
     /// The smallest and largest share of the time left after which a caller that was refused for the load on stages
@@ -58,6 +62,8 @@
             max_event_parts: 16,
             max_body_time: Duration::from_secs(2),
             min_retry_after: Duration::from_millis(150),
+            harmful_retry_after: Duration::from_secs(2),
+            min_writing_time: Duration::from_secs(1),
             retry_after_jitter: Duration::from_millis(500),
             overload_retry_share: (0.2, 0.33),
             remote_results_penalty_ms: 60.0,
--- a/crates/relay/src/guard.rs
+++ b/crates/relay/src/guard.rs
@@ -42,6 +42,11 @@
             .with(|state| state.fleet.record_prompt_read(now, &self.server.id, tokens));
     }
 
+    /// Returns when the call was sent.
+    pub(crate) const fn sent_at(&self) -> Tick {
+        self.sent_at
+    }
+
     /// Returns the time since the call was sent.
     pub(crate) fn age(&self) -> Duration {
         self.hub.transport.now() - self.sent_at
--- a/crates/relay/src/hub.rs
+++ b/crates/relay/src/hub.rs
@@ -8,7 +8,7 @@
 use mesh::{Departures, Members, Origins};
 use pick::{Fleet, fleet::Completion};
 use rand::{SeedableRng, rngs::SmallRng};
-use retry::{Crashes, Window, window::Bound};
+use retry::{Crashes, Parts, Window, window::Bound};
 use site::{Config, Roster, roster::Server};
 
 use crate::{Failure, Transport, configs, estimate::Estimator, pieces::Waiter};
@@ -38,6 +38,8 @@
     pub retry_window: Window,
     /// Requests that crashed servers.
     pub crashes: Crashes,
+    /// Parts of prompts that crash servers.
+    pub parts: Parts,
     /// The other instances.
     pub members: Members,
     /// Departures of servers that other instances are told.
@@ -78,6 +80,7 @@
                 scheduler: Scheduler::default(),
                 retry_window: Window::new(bound),
                 crashes: Crashes::default(),
+                parts: Parts::default(),
                 members,
                 departures: Departures::default(),
                 origins: Origins::default(),
--- a/crates/relay/src/job.rs
+++ b/crates/relay/src/job.rs
@@ -121,6 +121,19 @@
         Duration::from_secs_f64(ms / 1e3)
     }
 
+    /// Returns the ids of the prompt's parts that other requests may share.
+    pub fn shared_parts(&self) -> Vec<u64> {
+        let prompt = self.prompt.as_ref();
+        prompt.map(Prompt::shared_ids).unwrap_or_default()
+    }
+
+    /// Returns a digest that also tells requests apart that differ only in the last part of their prompts.
+    pub fn variant(&self) -> u64 {
+        let prompt = self.prompt.as_ref();
+        let last = prompt.and_then(|prompt| prompt.parts.last());
+        self.digest ^ last.map_or(0, |part| part.id)
+    }
+
     /// Returns the request's size in tokens. Output tokens count tenfold, as they take ten times as long as input
     /// tokens.
     pub fn weighted_tokens(&self) -> u64 {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod body;
 pub mod call;
 pub mod configs;
+pub mod crash;
 pub mod estimate;
 pub mod events;
 mod guard;
--- a/crates/relay/src/pending.rs
+++ b/crates/relay/src/pending.rs
@@ -3,6 +3,7 @@
 use core::{
     cell::Cell,
     pin::{Pin, pin},
+    time::Duration,
 };
 use std::rc::Rc;
 
@@ -13,7 +14,8 @@
 
 use crate::{
     Call, Failure, Hub, Job, Transport,
-    attempt::{self, Attempt, Attempts, Choice},
+    attempt::{Attempt, Attempts, Choice},
+    crash,
     guard::Guard,
     hub::completion_of,
     policy,
@@ -204,7 +206,7 @@
             }
         });
         if failure == Failure::Broken {
-            attempt::record_crash(hub, job, &server.id);
+            crash::record(hub, job, &server, self.guard.age(), Duration::ZERO);
         }
         attempts.may_have_run |= failure.may_have_run();
         if !matches!(
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -13,6 +13,7 @@
 use crate::{
     Body, Failure, Hub, Job, Reply, Transport,
     attempt::{self, Attempt, Attempts},
+    crash,
     hub::completion_of,
     origin,
     pending::{self, Pending},
@@ -58,14 +59,8 @@
     hub: &Rc<Hub<E>>,
     job: Rc<Job<E::Request>>,
 ) -> Result<Answer<E>, Refusal> {
-    if hub.with(|state| state.crashes.is_harmful(job.digest)) {
-        log::warn!(target: "relay", request:% = job.id, digest = job.digest; "request crashed servers before; refusing it");
-        return Err(Refusal {
-            code: Code::Overloaded,
-            retry_after: None,
-        });
-    }
     let mut attempts = Attempts::default();
+    crash::check(hub, &job, &mut attempts)?;
     if let Err(code) = origin::resolve(hub, &job).await {
         return Err(refusal(hub, &job, &attempts, code));
     }
@@ -103,8 +98,11 @@
             Ok(body) => {
                 let latency = attempt.guard.age();
                 let server = attempt.guard.server.id.clone();
+                let sent_at = attempt.guard.sent_at();
                 attempt.guard.finish(Completion::Answered { latency });
-                hub.with(|state| state.crashes.clear(job.digest));
+                let is_marked = !attempt.reply.is_close_delimited();
+                let since = is_marked.then_some(sent_at);
+                crash::record_answer(hub, &job, since, attempt.reply.status());
                 log_sample(hub, &job, &attempt.reply);
                 log_if_late(hub, &job, &attempts, &server);
                 return Ok(Answer::Whole {
@@ -118,9 +116,10 @@
             Err(failure) => failure,
         };
         let server = attempt.guard.server.clone();
+        let age = attempt.guard.age();
         attempt.guard.finish(completion_of(failure));
         if failure == Failure::Broken {
-            attempt::record_crash(hub, &job, &server.id);
+            crash::record(hub, &job, &server, age, Duration::ZERO);
         }
         log::info!(target: "relay", request:% = job.id, server:% = server.id, cause:% = failure; "answer interrupted");
         attempts.may_have_run = true;
@@ -233,6 +232,14 @@
     Ok(())
 }
 
+/// Returns the refusal of a request that has not run because requests like it crash servers.
+pub(crate) const fn harmful(retry_after: Option<Duration>) -> Refusal {
+    Refusal {
+        code: Code::Overloaded,
+        retry_after,
+    }
+}
+
 fn refusal<E: Transport>(
     hub: &Rc<Hub<E>>,
     job: &Job<E::Request>,
--- a/crates/relay/tests/framing.rs
+++ b/crates/relay/tests/framing.rs
@@ -4,8 +4,11 @@
 
 use core::time::Duration;
 
+use base::Stamp;
 use googletest::prelude::*;
-use relay::Failure;
+use pick::engine::{Part, Prompt};
+use relay::{Failure, Job, Transport};
+use retry::parts::Crash;
 use site::route::Kind;
 use support::{EVENTS, Reaction, hub, patient_job, text_of};
 
@@ -44,6 +47,44 @@
     }
 }
 
+/// BUDGET: a server that crashed between two events of a stream that ends with its connection cleared the part that crashes
+/// servers.
+#[gtest]
+#[actix_web::test]
+async fn an_end_that_may_be_a_crash_does_not_clear_a_part() {
+    const PART: u64 = 5;
+    for (is_close_delimited, servers) in [(true, 3), (false, 0)] {
+        let hub = hub(vec![halves(2)]);
+        hub.transport.is_close_delimited.set(is_close_delimited);
+        for request in 0..3 {
+            let crash = Crash {
+                server: format!("i-{request}").into(),
+                started_at_ms: 1,
+                at: Stamp::from_millis(1_000 * request),
+                request,
+                parts: vec![PART],
+                wrote: Duration::ZERO,
+            };
+            let now = hub.transport.now();
+            hub.with(|state| state.parts.record_crash(now, crash, Duration::ZERO, false));
+        }
+        tokio::time::sleep(Duration::from_millis(5)).await;
+        let part = |id| Part { id, tokens: 100 };
+        let job = Job {
+            prompt: Some(Prompt {
+                parts: vec![part(PART), part(6)],
+                input_tokens: 200,
+                max_output_tokens: 10,
+            }),
+            ..Job::clone(&patient_job(&hub, Kind::Streaming, |_| {}))
+        };
+        expect_that!(text_of(&hub, job.into()).await, ok(anything()));
+        let now = hub.transport.now();
+        let crashes = hub.with(|state| state.parts.crash_count(now, PART));
+        expect_that!(crashes, eq(servers), "{is_close_delimited}");
+    }
+}
+
 /// The content of a request was cleared of the crashes that it had caused before when its stream ended inside an event.
 #[gtest]
 #[actix_web::test]
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -9,7 +9,7 @@
 };
 use std::{collections::VecDeque, rc::Rc};
 
-use base::{Code, Name, Tick};
+use base::{Code, Name, Stamp, Tick};
 use batch::{
     Piece, Shard,
     piece::{Handle, Outcome},
@@ -20,7 +20,7 @@
     Answer, Call, Failure, Hub, Job, Notice, Reply, Transport, call::Results, configs::Config,
     serve::serve,
 };
-use retry::window::Bound;
+use retry::{parts::Crash, window::Bound};
 use site::{
     Pool, Route,
     pool::{Pieces, Work},
@@ -221,6 +221,10 @@
         Tick::from_millis(1_000) + self.start.elapsed()
     }
 
+    fn time_of_day(&self) -> Stamp {
+        Stamp::from_millis(self.now().as_micros() / 1_000)
+    }
+
     fn take_notices(&self) -> Vec<Notice> {
         core::mem::take(&mut *self.notices.borrow_mut())
     }
@@ -366,8 +370,10 @@
         self.released.borrow_mut().extend(handles);
     }
 
-    fn report_crash(&self, digest: u64, server: &Name) {
-        self.crashes.borrow_mut().push((digest, server.clone()));
+    fn report_crash(&self, digest: u64, crash: &Crash, _: Duration) {
+        self.crashes
+            .borrow_mut()
+            .push((digest, crash.server.clone()));
     }
 
     fn record_origin(&self, holders: Vec<Peer>, record: origins::Record) {
