Servers that state a request rate get no more than that

Cause: nothing read the statement, and questions for the run of a server came on top of the streams that began there. Each call to such a server needs a turn, which one instance per server, by rendezvous hashing, grants for all (quota::Meter): requests, resumptions, stage calls, releases and questions for a run. A request without a turn goes to another server, waits if its turn comes in time, or is refused with the time of the next turn as Retry-After.

--- a/crates/batch/src/scheduler/queue.rs
+++ b/crates/batch/src/scheduler/queue.rs
@@ -22,7 +22,7 @@
     workers: Vec<Worker>,
     /// The latency ratio of the fastest reachable server.
     best_ratio: f64,
-    /// When the first server that gets no calls may get some again, if all are blocked or paused.
+    /// When the first server without a turn may get a call, or the first one at all if all are blocked or paused.
     unblocked_at: Option<Tick>,
 }
 
@@ -197,7 +197,9 @@
             self.expire_unreachable(cx, config, &registered, actions);
             return;
         }
-        self.unblocked_at = None;
+        let held = registered.iter();
+        let held = held.filter_map(|server| cx.fleet.held_until(cx.now, &server.id));
+        self.unblocked_at = held.min();
         for server in &servers {
             self.worker_mut(&server.id);
         }
@@ -247,7 +249,12 @@
         self.unblocked_at = ids.clone().filter_map(|id| cx.fleet.unblocked_at(id)).min();
         // A server that asked for a pause gets no call before its end, while an unreachable one may recover any time.
         let usable_at = ids
-            .map(|id| cx.fleet.paused_until(cx.now, id).unwrap_or(cx.now))
+            .map(|id| {
+                let paused = cx.fleet.paused_until(cx.now, id);
+                paused
+                    .max(cx.fleet.held_until(cx.now, id))
+                    .unwrap_or(cx.now)
+            })
             .min()
             .map(|at| at.max(cx.now + config.min_recovery_time));
         let (kept, expired): (Vec<_>, Vec<_>) = groups
--- a/crates/feed/src/client.rs
+++ b/crates/feed/src/client.rs
@@ -14,7 +14,9 @@
 };
 use wire::feed::{self as message, feed_client::FeedClient};
 
-use crate::{Delegation, Error, Heartbeat, Lists, Results, codec, connection::Connector};
+use crate::{
+    Ask, Delegation, Error, Grant, Heartbeat, Lists, Results, codec, connection::Connector,
+};
 
 /// The timeout for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -162,6 +164,29 @@
         }
     }
 
+    /// Asks another instance for a turn at a server that limits its request rate.
+    ///
+    /// # Errors
+    ///
+    /// - The instance is unreachable, stopping, doesn't answer in time or doesn't know the call.
+    pub async fn ask_turn(
+        &self,
+        address: SocketAddr,
+        ask: Ask,
+        timeout: Duration,
+    ) -> Result<Grant, Error> {
+        let mut client = FeedClient::new(self.channel(address)?);
+        let call = client.turn(codec::encode_ask(ask));
+        match time::timeout(timeout, call).await {
+            Ok(Ok(grant)) => Ok(codec::decode_grant(grant.into_inner())),
+            Ok(Err(status)) if status.code() == Code::Unimplemented => {
+                Err(Error::Call(status.to_string()))
+            }
+            Ok(Err(status)) => Err(self.drop_channel(address, status.to_string())),
+            Err(_) => Err(self.drop_channel(address, "no answer in time".to_owned())),
+        }
+    }
+
     /// Exchanges heartbeats with another instance.
     ///
     /// # Errors
--- a/crates/feed/src/codec.rs
+++ b/crates/feed/src/codec.rs
@@ -9,11 +9,13 @@
 };
 use bytes::Bytes;
 use mesh::{Changes, Departure, Origin, Position, Record, origins};
+use quota::Turn;
 use site::route::Rank;
 use wire::feed as message;
 
 use crate::{
-    Answer, CachedChain, Delegation, EngineLoad, Error, Heartbeat, Lists, Results, Topics, Wanted,
+    Answer, Ask, CachedChain, Delegation, EngineLoad, Error, Grant, Heartbeat, Limit, Lists,
+    Results, Topics, Wanted,
 };
 
 pub(crate) fn encode_delegation(delegation: Delegation) -> message::Order {
@@ -146,6 +148,7 @@
             .into_iter()
             .map(encode_departure)
             .collect(),
+        limits: heartbeat.limits.into_iter().map(encode_limit).collect(),
     }
 }
 
@@ -215,6 +218,72 @@
     message.streams.into_iter().map(Name::from).collect()
 }
 
+fn encode_limit(limit: Limit) -> message::Limit {
+    message::Limit {
+        server: limit.server.as_str().to_owned(),
+        started_ms: limit.started_at_ms,
+        rate: limit.rate,
+        sent_age_ms: millis(limit.sent_age),
+        received_age_ms: millis(limit.received_age),
+    }
+}
+
+/// Decodes a statement, or nothing if its rate is no rate.
+fn decode_limit(limit: message::Limit) -> Option<Limit> {
+    let is_valid = |rate: f64| rate.is_finite() && rate >= 0.0;
+    limit.rate.is_none_or(is_valid).then(|| Limit {
+        server: limit.server.into(),
+        started_at_ms: limit.started_ms,
+        rate: limit.rate,
+        sent_age: Duration::from_millis(limit.sent_age_ms),
+        received_age: Duration::from_millis(limit.received_age_ms),
+    })
+}
+
+pub(crate) fn encode_ask(ask: Ask) -> message::Ask {
+    message::Ask {
+        limit: Some(encode_limit(ask.limit)),
+        max_wait_ms: millis(ask.max_wait),
+    }
+}
+
+pub(crate) fn decode_ask(ask: message::Ask) -> Option<Ask> {
+    Some(Ask {
+        limit: decode_limit(ask.limit?)?,
+        max_wait: Duration::from_millis(ask.max_wait_ms),
+    })
+}
+
+pub(crate) fn encode_grant(grant: Grant) -> message::Grant {
+    let (wait_us, next_us) = match grant.turn {
+        Turn::Granted { wait, next_in } => (Some(micros(wait)), micros(next_in)),
+        Turn::Denied { retry_in } => (None, micros(retry_in)),
+    };
+    message::Grant {
+        wait_us,
+        next_us,
+        limit: grant.limit.map(encode_limit),
+    }
+}
+
+pub(crate) fn decode_grant(grant: message::Grant) -> Grant {
+    let next = Duration::from_micros(grant.next_us);
+    Grant {
+        turn: match grant.wait_us {
+            Some(wait) => Turn::Granted {
+                wait: Duration::from_micros(wait),
+                next_in: next,
+            },
+            None => Turn::Denied { retry_in: next },
+        },
+        limit: grant.limit.and_then(decode_limit),
+    }
+}
+
+fn micros(duration: Duration) -> u64 {
+    u64::try_from(duration.as_micros()).unwrap_or(u64::MAX)
+}
+
 fn encode_departure(departure: Departure) -> message::Departure {
     message::Departure {
         server: departure.server.as_str().to_owned(),
@@ -334,6 +403,7 @@
         read_age: pulse.read_age_ms.map(Duration::from_millis),
         store_recovered: pulse.regained_ms.map(Duration::from_millis),
         departures: pulse.departures.into_iter().map(decode_departure).collect(),
+        limits: pulse.limits.into_iter().filter_map(decode_limit).collect(),
     }
 }
 
--- a/crates/feed/src/lib.rs
+++ b/crates/feed/src/lib.rs
@@ -18,6 +18,7 @@
 };
 use bytes::Bytes;
 use mesh::{Changes, Departure, Position};
+use quota::Turn;
 use site::route::Rank;
 
 pub use self::{
@@ -58,7 +59,7 @@
 pub type Results = Vec<Outcome>;
 
 /// The state that an instance sends to the others.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Heartbeat {
     /// The name of the instance.
     pub name: Name,
@@ -80,6 +81,41 @@
     pub store_recovered: Option<Duration>,
     /// Servers that the instance learned to be leaving a moment ago.
     pub departures: Vec<Departure>,
+    /// What servers stated a short time ago of the request rate that they take.
+    pub limits: Vec<Limit>,
+}
+
+/// The request rate that a run of a server stated in an answer.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Limit {
+    /// The server.
+    pub server: Name,
+    /// The start time of its run in Unix milliseconds, or 0 if unknown.
+    pub started_at_ms: u64,
+    /// The requests a second that it takes from all instances together, or none if it takes any number.
+    pub rate: Option<f64>,
+    /// The time since the request was sent that the answer belongs to.
+    pub sent_age: Duration,
+    /// The time since the answer arrived.
+    pub received_age: Duration,
+}
+
+/// The question for a turn at a server that limits its request rate.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Ask {
+    /// The newest statement of the server that the asking instance knows.
+    pub limit: Limit,
+    /// The longest time that the request can wait.
+    pub max_wait: Duration,
+}
+
+/// The answer to a question for a turn.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Grant {
+    /// The turn.
+    pub turn: Turn,
+    /// The newest statement of the server that the granting instance knows, if it knows one.
+    pub limit: Option<Limit>,
 }
 
 /// The positions of an instance in the topics that it follows; none where it wants no changes.
--- a/crates/feed/src/server.rs
+++ b/crates/feed/src/server.rs
@@ -15,7 +15,7 @@
 use tonic::{Request, Response, Status, transport};
 use wire::feed::{self as message, feed_server};
 
-use crate::{Delegation, Heartbeat, Lists, Results, codec};
+use crate::{Ask, Delegation, Grant, Heartbeat, Lists, Results, codec};
 
 /// A message of another instance. A closed `reply` channel means that the caller no longer waits for the answer.
 #[derive(Debug)]
@@ -54,6 +54,13 @@
         /// The channel for the origins that are known.
         reply: oneshot::Sender<Vec<origins::Record>>,
     },
+    /// Grants a turn at a server that limits its request rate.
+    AskTurn {
+        /// The question.
+        ask: Ask,
+        /// The channel for the answer.
+        reply: oneshot::Sender<Grant>,
+    },
     /// Exchanges heartbeats.
     Heartbeat {
         /// The heartbeat of the other instance.
@@ -162,6 +169,18 @@
         Ok(Response::new(codec::encode_origins(found)))
     }
 
+    async fn turn(
+        &self,
+        request: Request<message::Ask>,
+    ) -> Result<Response<message::Grant>, Status> {
+        let ask = codec::decode_ask(request.into_inner())
+            .ok_or_else(|| Status::invalid_argument("no statement of a rate"))?;
+        let grant = self
+            .request(|reply| Command::AskTurn { ask, reply })
+            .await?;
+        Ok(Response::new(codec::encode_grant(grant)))
+    }
+
     async fn beat(
         &self,
         request: Request<message::Pulse>,
--- a/crates/feed/tests/loopback.rs
+++ b/crates/feed/tests/loopback.rs
@@ -9,8 +9,8 @@
 };
 use bytes::Bytes;
 use feed::{
-    Answer, CachedChain, Client, Command, Delegation, EngineLoad, Heartbeat, Lists, Topics, Wanted,
-    serve,
+    Answer, CachedChain, Client, Command, Delegation, EngineLoad, Heartbeat, Limit, Lists, Topics,
+    Wanted, serve,
 };
 use googletest::prelude::*;
 use mesh::{Changes, Departure, Origin, Position, Record, origins};
@@ -100,6 +100,13 @@
             server: "i-3".into(),
             started_at_ms: 1_790_000_000_000,
         }],
+        limits: vec![Limit {
+            server: "i-4".into(),
+            started_at_ms: 1_790_000_000_000,
+            rate: Some(0.5),
+            sent_age: Duration::from_millis(30),
+            received_age: Duration::from_millis(20),
+        }],
     };
     let client = Client::default();
     for source in [
--- a/crates/mesh/src/members.rs
+++ b/crates/mesh/src/members.rs
@@ -7,6 +7,10 @@
 
 use crate::Config;
 
+/// The part of a server's limit that an instance grants in a deployment of cells if it isn't the first choice, which may
+/// be lost or only be unreachable from here.
+const SECOND_SHARE: f64 = 0.4;
+
 /// An instance.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Peer {
@@ -248,6 +252,56 @@
         others.all(|(other, _)| weight(other) < own)
     }
 
+    /// Returns the instance that grants turns at a server of a failure domain: the live one that rendezvous hashing
+    /// selects, whatever its capacity.
+    ///
+    /// In a deployment of cells, instances of the server's domain come first, and those of other domains follow.
+    pub fn holder(&mut self, now: Tick, server: &Name, domain: &Name) -> Owner {
+        for at in self.ranked_above(server, domain) {
+            self.record_use(now, at);
+            if self.is_peer_live(now, &self.peers[at]) {
+                return Owner::Peer(self.peers[at].peer.clone());
+            }
+        }
+        Owner::Local
+    }
+
+    /// Returns the part of a server's limit that this instance may grant, as others may grant turns there, too, while
+    /// instances don't reach each other. The sides of a cut in two grant less than one and a half times the limit.
+    ///
+    /// An instance that reaches more than half of the others grants the whole limit, and otherwise the share of those that it
+    /// reaches. In a deployment of cells, where it doesn't know that, the first choice of rendezvous hashing grants the
+    /// whole limit, and any other instance [`SECOND_SHARE`] of it.
+    pub fn granted_share(&self, now: Tick, server: &Name, domain: &Name) -> f64 {
+        if self.has_cells() {
+            let is_first = self.ranked_above(server, domain).is_empty();
+            return if is_first { 1.0 } else { SECOND_SHARE };
+        }
+        let is_present = |state: &&PeerState| self.is_peer_live(now, state) || state.is_leaving;
+        let present = 1 + self.peers.iter().filter(is_present).count();
+        if 2 * present > self.count() {
+            1.0
+        } else {
+            present as f64 / self.count() as f64
+        }
+    }
+
+    /// Returns the indices of the instances that grant turns at a server if they are live, before the local one does.
+    fn ranked_above(&self, server: &Name, domain: &Name) -> Vec<usize> {
+        let has_cells = self.has_cells();
+        let key = |peer: &Peer| {
+            let is_near = !has_cells || peer.domain == *domain;
+            let (_, hash) = rank(server, peer);
+            (is_near, hash)
+        };
+        let own = key(&self.local);
+        let peers = self.peers.iter().enumerate();
+        let above = peers.map(|(at, state)| (key(&state.peer), at));
+        let mut above: Vec<_> = above.filter(|(key, _)| *key > own).collect();
+        above.sort_unstable_by_key(|(key, _)| Reverse(*key));
+        above.into_iter().map(|(_, at)| at).collect()
+    }
+
     /// Returns the first instances for a task in the local failure domain, live or not, in the order of
     /// [`Members::owner`].
     pub fn candidates(&self, now: Tick, task: &Name, count: usize) -> Vec<Candidate> {
--- a/crates/pick/src/fleet.rs
+++ b/crates/pick/src/fleet.rs
@@ -58,6 +58,8 @@
     block_count: u32,
     /// The end of the pause that the server asked for.
     paused_until: Tick,
+    /// When the next turn at the server may be left, if it limits its request rate.
+    held_until: Tick,
 }
 
 /// How a call ended.
@@ -177,10 +179,41 @@
         self.unblocked_at(id).is_some_and(|until| now < until)
     }
 
-    /// Returns when a server that was blocked or asked for a pause gets requests again.
+    /// Returns when a server that was blocked, asked for a pause or limits its request rate gets requests again.
     pub fn unblocked_at(&self, id: &Name) -> Option<Tick> {
         let stats = &self.servers[self.find(id).ok()?];
-        Some(stats.blocked_until.max(stats.paused_until))
+        let stated = stats.paused_until.max(stats.held_until);
+        Some(stats.blocked_until.max(stated))
+    }
+
+    /// Returns whether a server gets no requests for another reason than its request rate.
+    pub fn is_unusable(&self, now: Tick, id: &Name) -> bool {
+        self.find(id).is_ok_and(|at| {
+            let stats = &self.servers[at];
+            now < stats.blocked_until.max(stats.paused_until)
+        })
+    }
+
+    /// Records when the next turn may be left at a server that limits its request rate.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use base::Tick;
+    /// use pick::Fleet;
+    /// let (mut fleet, id) = (Fleet::default(), "i-1".into());
+    /// fleet.hold(Tick::from_millis(5), &id, Tick::from_millis(900));
+    /// assert!(fleet.is_blocked(Tick::from_millis(899), &id));
+    /// assert!(!fleet.is_unusable(Tick::from_millis(899), &id));
+    /// ```
+    pub fn hold(&mut self, now: Tick, id: &Name, until: Tick) {
+        self.stats(now, id).held_until = until;
+    }
+
+    /// Returns when the next turn may be left at a server that limits its request rate, if that is later.
+    pub fn held_until(&self, now: Tick, id: &Name) -> Option<Tick> {
+        let stats = &self.servers[self.find(id).ok()?];
+        (now < stats.held_until).then_some(stats.held_until)
     }
 
     /// Records that a server asked for a pause; a shorter one doesn't end a longer one.
@@ -257,6 +290,7 @@
             blocked_until: Tick::default(),
             block_count: 0,
             paused_until: Tick::default(),
+            held_until: Tick::default(),
         }
     }
 
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -15,6 +15,7 @@
     pending::{self, Event, Pending},
     policy::{self, Decision},
     stages::{self, Inputs},
+    turns,
 };
 
 /// An attempt whose head has arrived.
@@ -86,8 +87,9 @@
         }
     }
     let started_at = hub.transport.now();
+    let max_wait = turns::max_wait(job, started_at, since);
     if hub
-        .with(|state| state.pause_left(started_at, &pool, job))
+        .with(|state| state.pause_left(started_at, &pool, job, max_wait))
         .is_some()
     {
         return Err(policy::final_code(attempts.may_have_run, Code::Overloaded));
@@ -127,30 +129,41 @@
         let is_late = job.time_left(now).is_zero();
         let is_harmful = !attempts.is_trial && hub.with(|state| state.has_harmful_part(now, job));
         let choice = match is_late || is_harmful {
-            true => None,
-            false => choose(hub, job, &pool, &inputs, attempts),
+            true => Ok(None),
+            false => {
+                let tried = attempts.tried.clone();
+                let chosen = turns::choose_in_turn(hub, job, &pool, &inputs, &tried, since);
+                match pending::run_beside(hub, job, attempts, silent, chosen).await {
+                    Either::Left(choice) => choice,
+                    Either::Right(answered) => return Ok(answered),
+                }
+            }
         };
         let mut pending = match choice {
-            Some(choice) => {
+            Ok(Some(choice)) => {
                 if attempts.tried.is_empty() {
                     hub.with(|state| state.retry_window.record_request(now, &pool));
                 }
                 attempts.tried.push(choice.server.id.clone());
                 Pending::send(hub, job, choice, &inputs, last_event)
             }
-            None => {
+            Ok(None) => {
                 let code = match is_late {
                     true => Code::DeadlinePassed,
                     false => policy::final_code(attempts.may_have_run, Code::StageUnavailable),
                 };
                 silent.pop().ok_or(code)?
             }
+            Err(turns::NoTurn) => {
+                let code = policy::final_code(attempts.may_have_run, Code::Overloaded);
+                silent.pop().ok_or(code)?
+            }
         };
         loop {
             let event = match pending.next_event(hub, job, silent, since).await {
                 // Another server may confirm its run sooner.
                 Event::Silent if !pending.is_sent() => {
-                    if choose(hub, job, &pool, &inputs, attempts).is_none() {
+                    if choose(hub, job, &pool, &inputs, &attempts.tried).is_none() {
                         continue;
                     }
                     Event::Failed(Failure::Unconfirmed)
@@ -260,7 +273,7 @@
             policy::decide(cx, Failure::TimedOut),
             Decision::Retry { .. }
         ) && select_pool(job).is_ok()
-            && choose(hub, job, pool, inputs, self).is_some()
+            && choose(hub, job, pool, inputs, &self.tried).is_some()
             && take_retry(hub, job, pool).is_ok()
     }
 
@@ -303,12 +316,12 @@
     pub(crate) fetch_from: Option<core::net::SocketAddr>,
 }
 
-fn choose<E: Transport>(
+pub(crate) fn choose<E: Transport>(
     hub: &Rc<Hub<E>>,
     job: &Job<E::Request>,
     pool: &Name,
     inputs: &Inputs<E>,
-    attempts: &Attempts,
+    tried: &[Name],
 ) -> Option<Choice> {
     let now = hub.transport.now();
     let domain = inputs.domain();
@@ -320,7 +333,7 @@
         let mut cx = plain::Context {
             now,
             domain: &hub.domain,
-            tried: &attempts.tried,
+            tried,
             rng: &mut state.rng,
         };
         if let Some(prompt) = &job.prompt {
@@ -352,7 +365,7 @@
 ) -> Option<Name> {
     job.prompt.as_ref()?;
     let inputs = Inputs::empty(hub);
-    choose(hub, job, pool, &inputs, &Attempts::default()).map(|choice| choice.server.domain.clone())
+    choose(hub, job, pool, &inputs, &[]).map(|choice| choice.server.domain.clone())
 }
 
 /// Returns the pool that serves a request, which is the same for all its attempts, also if a newer configuration lacks it.
--- a/crates/relay/src/batches.rs
+++ b/crates/relay/src/batches.rs
@@ -71,6 +71,11 @@
     }
 
     async fn run_batch(self: Rc<Self>, batch: Batch) {
+        if self.take_turn(&batch.server, Duration::ZERO).await.is_err() {
+            self.put_back(batch);
+            self.dispatch();
+            return;
+        }
         let sent_at = self.transport.now();
         let results = {
             // A call that takes long goes on, as its server may only be silent for a while.
@@ -95,6 +100,33 @@
         self.dispatch();
     }
 
+    /// Queues the pieces of a call again that was not sent, as its server had no turn left.
+    fn put_back(&self, batch: Batch) {
+        let now = self.transport.now();
+        self.with(|state| {
+            let Batch {
+                shard,
+                server,
+                work,
+                pieces,
+                ..
+            } = batch;
+            state
+                .fleet
+                .record_completion(now, &server.id, Completion::Abandoned);
+            let completion = scheduler::Completion::Failed;
+            state
+                .scheduler
+                .record_completion(now, &shard, &server.id, &work, completion);
+            // Requests may have ended meanwhile.
+            for piece in pieces {
+                if state.find_waiter(piece.ticket).is_some() {
+                    state.scheduler.enqueue(&shard, vec![piece]);
+                }
+            }
+        });
+    }
+
     /// Queues copies of the pieces of a call that is overdue, as far as their attempts and the retry budget allow it. The
     /// first result of a piece counts.
     fn repeat_overdue(self: &Rc<Self>, batch: &Batch) {
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -11,6 +11,7 @@
 };
 use bytes::Bytes;
 use mesh::{Origin, Peer, origins};
+use quota::{Statement, Turn};
 use retry::parts::Crash;
 use site::roster::Server;
 use thiserror::Error;
@@ -103,18 +104,34 @@
 }
 
 /// What the head of an answer states about its server, whatever the call was.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Notice {
     /// The server's id.
     pub server: Name,
     /// The start time of the server's run, in Unix milliseconds, or 0 if unknown.
     pub started_at_ms: u64,
+    /// When the request was sent that the answer belongs to.
+    pub sent_at: Tick,
     /// When the head arrived.
     pub received_at: Tick,
     /// Whether the server is leaving.
     pub is_leaving: bool,
     /// The pause without requests that the server asks for.
     pub pause: Option<Duration>,
+    /// What the server states of the request rate that it takes.
+    pub rate: Rate,
+}
+
+/// What an answer states of the request rate that its server takes from all instances together.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub enum Rate {
+    /// Nothing that can be relied on: the statement can't be understood, or may be that of another server.
+    #[default]
+    Unclear,
+    /// Any number of requests.
+    Unlimited,
+    /// A number of requests a second.
+    Limited(f64),
 }
 
 /// An answer whose head has arrived.
@@ -196,6 +213,15 @@
         max_connections: usize,
     ) -> impl Future<Output = Result<(), Failure>>;
 
+    /// Asks another instance for a turn at a server that limits its request rate. `statement` is the newest one that this
+    /// instance knows; the one that the other instance knows comes with the answer.
+    fn ask_turn(
+        &self,
+        holder: &Peer,
+        statement: &Statement,
+        max_wait: Duration,
+    ) -> impl Future<Output = Result<(Turn, Option<Statement>), Failure>>;
+
     /// Sends a request to a server and returns the answer once its head has arrived.
     fn send(
         &self,
--- a/crates/relay/src/hub.rs
+++ b/crates/relay/src/hub.rs
@@ -7,6 +7,7 @@
 use batch::{Scheduler, piece::Handle};
 use mesh::{Departures, Members, Origins};
 use pick::{Fleet, fleet::Completion};
+use quota::{Limits, Meter};
 use rand::{SeedableRng, rngs::SmallRng};
 use retry::{Crashes, Parts, Window, window::Bound};
 use site::{Config, Roster, roster::Server};
@@ -32,6 +33,10 @@
     pub roster: Roster,
     /// The load estimates of these servers.
     pub fleet: Fleet,
+    /// The request rates that servers state.
+    pub limits: Limits,
+    /// The turns that this instance grants at such servers.
+    pub meter: Meter,
     /// The scheduler of stage pieces.
     pub scheduler: Scheduler,
     /// The retry budget.
@@ -77,6 +82,8 @@
                 config: None,
                 roster: Roster::default(),
                 fleet: Fleet::default(),
+                limits: Limits::default(),
+                meter: Meter::default(),
                 scheduler: Scheduler::default(),
                 retry_window: Window::new(bound),
                 crashes: Crashes::default(),
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -26,10 +26,11 @@
 mod release;
 pub mod serve;
 mod stages;
+mod turns;
 
 pub use self::{
     body::Body,
-    call::{Call, Failure, Notice, Reply, Transport},
+    call::{Call, Failure, Notice, Rate, Reply, Transport},
     hub::Hub,
     job::{Job, Resumption},
     serve::{Answer, Refusal},
--- a/crates/relay/src/notices.rs
+++ b/crates/relay/src/notices.rs
@@ -3,10 +3,11 @@
 use core::time::Duration;
 
 use base::{Name, Tick};
+use quota::Statement;
 use rand::RngExt;
 use site::roster::Server;
 
-use crate::{Job, Notice, configs::Config, hub::State};
+use crate::{Job, Notice, Rate, configs::Config, hub::State};
 
 impl State {
     /// Applies a notice to the state.
@@ -21,6 +22,20 @@
                 "answer",
             );
         }
+        let rate = match notice.rate {
+            Rate::Unclear => None,
+            Rate::Unlimited => Some(None),
+            Rate::Limited(rate) => Some(Some(rate)),
+        };
+        if let Some(rate) = rate {
+            self.record_rate(Statement {
+                server: notice.server.clone(),
+                started_at_ms: notice.started_at_ms,
+                rate,
+                sent_at: notice.sent_at,
+                received_at: notice.received_at,
+            });
+        }
         if let Some(pause) = notice.pause {
             let pause = pause.min(config.max_pause);
             let spread = config.max_pause_spread.min(pause / 4);
@@ -33,6 +48,28 @@
         }
     }
 
+    /// Records what a server states of the request rate that it takes, and logs a change.
+    pub fn record_rate(&mut self, statement: Statement) {
+        let (server, rate, received_at) = (
+            statement.server.clone(),
+            statement.rate,
+            statement.received_at,
+        );
+        if !self.limits.record(statement) {
+            return;
+        }
+        match rate {
+            Some(rate) => {
+                log::info!(target: "servers", server:% = server, rate = rate; "server limits its request rate");
+            }
+            None => {
+                log::info!(target: "servers", server:% = server; "server no longer limits its request rate");
+            }
+        }
+        // What was known of its next turn belongs to the former rate.
+        self.fleet.hold(received_at, &server, received_at);
+    }
+
     /// Records that a run of a server announced its departure, and logs it if it is new.
     pub fn mark_leaving(&mut self, now: Tick, server: &Name, started_at_ms: u64, source: &str) {
         if self.roster.mark_leaving(server, started_at_ms) {
@@ -50,21 +87,39 @@
     }
 
     /// Returns when the first of a pool's servers that may be used takes requests again, if all of them asked for a
-    /// pause.
-    fn pause_end(&self, now: Tick, pool: &Name, may_use: impl Fn(&Server) -> bool) -> Option<Tick> {
+    /// pause, or have no turn within `max_wait`.
+    fn pause_end(
+        &self,
+        now: Tick,
+        pool: &Name,
+        max_wait: Duration,
+        may_use: impl Fn(&Server) -> bool,
+    ) -> Option<Tick> {
         let servers = self.roster.usable(now, pool);
         let mut servers = servers.filter(|server| may_use(server)).peekable();
         servers.peek()?;
-        let ends = servers.map(|server| self.fleet.paused_until(now, &server.id));
+        let ends = servers.map(|server| {
+            let held = self.fleet.held_until(now, &server.id);
+            let held = held.filter(|until| *until - now > max_wait);
+            held.max(self.fleet.paused_until(now, &server.id))
+        });
         ends.collect::<Option<Vec<_>>>()?.into_iter().min()
     }
 
-    /// Returns how long a request has to wait because all servers of a pool that it needs asked for a pause.
-    pub(crate) fn pause_left<R>(&self, now: Tick, pool: &Name, job: &Job<R>) -> Option<Duration> {
+    /// Returns how long a request has to wait because all servers of a pool that it needs asked for a pause, or have no
+    /// turn for it within `max_wait`.
+    pub(crate) fn pause_left<R>(
+        &self,
+        now: Tick,
+        pool: &Name,
+        job: &Job<R>,
+        max_wait: Duration,
+    ) -> Option<Duration> {
         let stages = job.route.stages.iter().zip(&job.pieces);
         let stages = stages.filter(|(_, pieces)| **pieces > 0);
-        let ends = stages.filter_map(|(stage, _)| self.pause_end(now, &stage.pool, |_| true));
-        let own_end = self.pause_end(now, pool, |server| job.may_use(server));
+        let ends =
+            stages.filter_map(|(stage, _)| self.pause_end(now, &stage.pool, max_wait, |_| true));
+        let own_end = self.pause_end(now, pool, max_wait, |server| job.may_use(server));
         ends.chain(own_end).max().map(|end| end - now)
     }
 }
--- a/crates/relay/src/origin.rs
+++ b/crates/relay/src/origin.rs
@@ -127,6 +127,10 @@
         while let Some(left) = pause_left() {
             time::sleep(left).await;
         }
+        // Requests go before questions at a server that limits its request rate.
+        if hub.take_turn(server, Duration::ZERO).await.is_err() {
+            continue;
+        }
         // Streams may hold all connections that requests may use.
         let max_connections = hub.max_connections(&server.pool).saturating_add(1);
         if let Ok(run) = hub.transport.ask_run(server, max_connections).await {
--- a/crates/relay/src/pending.rs
+++ b/crates/relay/src/pending.rs
@@ -22,6 +22,9 @@
     stages::Inputs,
 };
 
+/// The part of the time left that a question for the run of a server waits for its turn, as a divisor.
+const QUESTION_WAIT_DIVISOR: u32 = 4;
+
 /// An attempt whose head has not arrived.
 pub(crate) struct Pending<'a, E: Transport> {
     reply: Pin<Box<dyn Future<Output = Result<E::Reply, Failure>> + 'a>>,
@@ -226,6 +229,11 @@
     is_sent: Rc<Cell<bool>>,
 ) -> Result<E::Reply, Failure> {
     if call.is_bound {
+        // The server may have to be asked for its run before it gets the request, for which a turn was taken.
+        let max_wait = job.time_left(hub.transport.now()) / QUESTION_WAIT_DIVISOR;
+        if hub.take_turn(&call.server, max_wait).await.is_err() {
+            return Err(Failure::Unconfirmed);
+        }
         let confirmed = hub
             .transport
             .confirm_run(&call.server, call.max_connections);
--- a/crates/relay/src/release.rs
+++ b/crates/relay/src/release.rs
@@ -76,10 +76,7 @@
             for group in handles.chunk_by(|a, b| a.address == b.address) {
                 let address = group[0].address;
                 let server = self.server_at(address);
-                let end = self.with(|state| {
-                    let server = server.as_ref()?;
-                    state.fleet.paused_until(now, &server.id)
-                });
+                let end = self.release_delay_end(now, server.as_deref()).await;
                 if let Some(end) = end {
                     first_end = first_end.min(end);
                     paused.extend_from_slice(group);
@@ -105,6 +102,19 @@
         }
     }
 
+    /// Returns when a server may take a release, if it asked for a pause or has no turn left. Otherwise its turn is taken.
+    async fn release_delay_end(&self, now: Tick, server: Option<&Server>) -> Option<Tick> {
+        let server = server?;
+        let end = self.with(|state| {
+            let held = state.fleet.held_until(now, &server.id);
+            held.max(state.fleet.paused_until(now, &server.id))
+        });
+        if end.is_some() || self.take_turn(server, Duration::ZERO).await.is_ok() {
+            return end;
+        }
+        self.with(|state| state.fleet.held_until(now, &server.id))
+    }
+
     /// Returns the registered server at an address.
     fn server_at(&self, address: SocketAddr) -> Option<Rc<Server>> {
         self.with(|state| {
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -255,7 +255,7 @@
         let settings = &hub.settings;
         let pause_left = attempt::select_pool(job)
             .ok()
-            .and_then(|pool| hub.with(|state| state.pause_left(now, &pool, job)));
+            .and_then(|pool| hub.with(|state| state.pause_left(now, &pool, job, Duration::ZERO)));
         let spread = settings.retry_after_jitter.mul_f64(draw);
         let delay = pause_left.unwrap_or_default().max(settings.min_retry_after) + spread;
         if code == Code::DeadlineUnmeetable {
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -16,9 +16,10 @@
 };
 use bytes::Bytes;
 use mesh::{Members, Origin, Peer, origins};
+use quota::{Statement, Turn};
 use relay::{
-    Answer, Call, Failure, Hub, Job, Notice, Reply, Transport, call::Results, configs::Config,
-    serve::serve,
+    Answer, Call, Failure, Hub, Job, Notice, Rate, Reply, Transport, call::Results,
+    configs::Config, serve::serve,
 };
 use retry::{parts::Crash, window::Bound};
 use site::{
@@ -206,9 +207,11 @@
         self.notices.borrow_mut().push(Notice {
             server: server.id.clone(),
             started_at_ms: server.started_at_ms,
+            sent_at: self.now(),
             received_at: self.now(),
             is_leaving,
             pause,
+            rate: Rate::Unclear,
         });
     }
 }
@@ -252,6 +255,15 @@
         Ok(())
     }
 
+    async fn ask_turn(
+        &self,
+        _: &Peer,
+        _: &Statement,
+        _: Duration,
+    ) -> Result<(Turn, Option<Statement>), Failure> {
+        Err(Failure::Unreachable)
+    }
+
     async fn send(&self, (): &(), call: Call) -> Result<Chunks, Failure> {
         let confirmed = (call.server.id.clone(), self.now());
         assert!(!call.is_bound || self.confirmed.borrow().contains(&confirmed));
