Other instances make the calls of one that reaches no server

Cause: an instance sent calls over its own links only, and kept its pools of stages, as the others still got its heartbeats. Change: two unreachable servers, or 0.6 s in which no server answers any call, have the links checked: connections to three servers of different failure domains (pick::Links). If none opens, other instances make the calls (feed: Pass), the instance is no owner of stages, says so in its heartbeats, and probes one server every 0.5 s until one is reached. A request that finds one server unreachable goes through another instance as well. The first instance goes on deciding; a call that came from an instance never goes to a third one.

--- a/crates/feed/src/client.rs
+++ b/crates/feed/src/client.rs
@@ -7,15 +7,17 @@
 use batch::piece::Handle;
 use bytes::Bytes;
 use mesh::origins;
+use relay::Failure;
 use tokio::time;
 use tonic::{
-    Code,
+    Code, Status, Streaming,
     transport::{Channel, Endpoint},
 };
 use wire::feed::{self as message, feed_client::FeedClient};
 
 use crate::{
-    Ask, Delegation, Error, Grant, Heartbeat, Lists, Results, codec, connection::Connector,
+    Ask, Call, Delegation, Error, Grant, Head, Heartbeat, Lists, Part, Results, call, codec,
+    connection::Connector,
 };
 
 /// The timeout for opening a connection.
@@ -187,6 +189,40 @@
         }
     }
 
+    /// Has another instance call a server, and returns the answer once its head has arrived.
+    ///
+    /// # Errors
+    ///
+    /// - [`Failure::HelperUnavailable`] if the other instance did not make the call.
+    /// - [`Failure::HelperLost`] if it may have made it.
+    /// - The failure of the call.
+    pub async fn pass(&self, address: SocketAddr, call: Call) -> Result<Passed, Failure> {
+        let unavailable = |error: Error| {
+            log::debug!(target: "peers", address:% = address, cause:% = error; "call not passed to the instance");
+            Failure::HelperUnavailable
+        };
+        let mut client = FeedClient::new(self.channel(address).map_err(unavailable)?);
+        let answer = client.pass(call::encode(call)).await;
+        let mut parts = match answer {
+            Ok(parts) => parts.into_inner(),
+            Err(status) => {
+                let is_unknown = status.code() == Code::Unimplemented;
+                let is_unsent = is_unknown || is_connect_error(&status);
+                let error = self.drop_channel(address, status.to_string());
+                log::info!(target: "peers", address:% = address, cause:% = error; "call through the instance failed");
+                return Err(match is_unsent {
+                    true => Failure::HelperUnavailable,
+                    false => Failure::HelperLost,
+                });
+            }
+        };
+        match next_part(&mut parts).await? {
+            Part::Head(head) => Ok(Passed { head, parts }),
+            Part::Failed(failure) => Err(failure),
+            Part::Chunk(_) | Part::End => Err(Failure::HelperLost),
+        }
+    }
+
     /// Exchanges heartbeats with another instance.
     ///
     /// # Errors
@@ -236,3 +272,50 @@
         Ok(channels[at].1.clone())
     }
 }
+
+/// The answer to a call that another instance made.
+#[derive(Debug)]
+pub struct Passed {
+    /// The head.
+    pub head: Head,
+    parts: Streaming<message::Part>,
+}
+
+impl Passed {
+    /// Returns the next bytes of the body, or none at its regular end.
+    ///
+    /// # Errors
+    ///
+    /// - [`Failure::HelperLost`] if the other instance is lost.
+    /// - The failure of the call.
+    pub async fn chunk(&mut self) -> Result<Option<Bytes>, Failure> {
+        match next_part(&mut self.parts).await? {
+            Part::Chunk(bytes) => Ok(Some(bytes)),
+            Part::End => Ok(None),
+            Part::Failed(failure) => Err(failure),
+            Part::Head(_) => Err(Failure::HelperLost),
+        }
+    }
+}
+
+async fn next_part(parts: &mut Streaming<message::Part>) -> Result<Part, Failure> {
+    match parts.message().await {
+        Ok(part) => part.and_then(call::decode_part).ok_or(Failure::HelperLost),
+        Err(status) => {
+            log::info!(target: "peers", cause:% = status; "instance that made a call was lost");
+            Err(Failure::HelperLost)
+        }
+    }
+}
+
+/// Returns whether a call failed before a connection to the instance was open.
+fn is_connect_error(status: &Status) -> bool {
+    let mut source = core::error::Error::source(status);
+    while let Some(error) = source {
+        if error.is::<tonic::ConnectError>() {
+            return true;
+        }
+        source = error.source();
+    }
+    false
+}
--- a/crates/feed/src/codec.rs
+++ b/crates/feed/src/codec.rs
@@ -149,6 +149,7 @@
             .map(encode_departure)
             .collect(),
         limits: heartbeat.limits.into_iter().map(encode_limit).collect(),
+        cut_off: heartbeat.is_cut_off,
     }
 }
 
@@ -404,6 +405,7 @@
         store_recovered: pulse.regained_ms.map(Duration::from_millis),
         departures: pulse.departures.into_iter().map(decode_departure).collect(),
         limits: pulse.limits.into_iter().filter_map(decode_limit).collect(),
+        is_cut_off: pulse.cut_off,
     }
 }
 
--- a/crates/feed/src/lib.rs
+++ b/crates/feed/src/lib.rs
@@ -4,6 +4,7 @@
 //! - [`serve`] answers the messages of other instances. They arrive as [`Command`]s on a channel, as the shared
 //!   state of an instance stays on one thread.
 
+mod call;
 mod client;
 mod codec;
 mod connection;
@@ -22,7 +23,8 @@
 use site::route::Rank;
 
 pub use self::{
-    client::Client,
+    call::{Call, Head, Part},
+    client::{Client, Passed},
     server::{Command, serve},
 };
 
@@ -83,6 +85,8 @@
     pub departures: Vec<Departure>,
     /// What servers stated a short time ago of the request rate that they take.
     pub limits: Vec<Limit>,
+    /// Whether the instance reaches no servers.
+    pub is_cut_off: bool,
 }
 
 /// The request rate that a run of a server stated in an answer.
--- a/crates/feed/src/server.rs
+++ b/crates/feed/src/server.rs
@@ -6,16 +6,17 @@
 use base::Name;
 use batch::piece::Handle;
 use bytes::Bytes;
+use futures_util::StreamExt;
 use mesh::origins;
 use tokio::{
     net::TcpListener,
     sync::{mpsc, oneshot},
 };
-use tokio_stream::wrappers::TcpListenerStream;
-use tonic::{Request, Response, Status, transport};
+use tokio_stream::wrappers::{ReceiverStream, TcpListenerStream};
+use tonic::{Request, Response, Status, codegen::BoxStream, transport};
 use wire::feed::{self as message, feed_server};
 
-use crate::{Ask, Delegation, Grant, Heartbeat, Lists, Results, codec};
+use crate::{Ask, Call, Delegation, Grant, Heartbeat, Lists, Part, Results, call, codec};
 
 /// A message of another instance. A closed `reply` channel means that the caller no longer waits for the answer.
 #[derive(Debug)]
@@ -61,6 +62,13 @@
         /// The channel for the answer.
         reply: oneshot::Sender<Grant>,
     },
+    /// Calls a server for an instance that doesn't reach it.
+    Pass {
+        /// The call.
+        call: Call,
+        /// The channel for the parts of the answer.
+        parts: mpsc::Sender<Part>,
+    },
     /// Exchanges heartbeats.
     Heartbeat {
         /// The heartbeat of the other instance.
@@ -70,6 +78,9 @@
     },
 }
 
+/// The parts of an answer that wait until the other instance takes them.
+const MAX_WAITING_PARTS: usize = 4;
+
 /// Starts a server for other instances in an actix runtime, which runs until the process ends.
 ///
 /// # Errors
@@ -109,6 +120,21 @@
 
 #[tonic::async_trait]
 impl feed_server::Feed for Service {
+    type PassStream = BoxStream<message::Part>;
+
+    async fn pass(
+        &self,
+        request: Request<message::Call>,
+    ) -> Result<Response<Self::PassStream>, Status> {
+        let (parts, receiver) = mpsc::channel(MAX_WAITING_PARTS);
+        let call = call::decode(request.into_inner());
+        self.commands
+            .send(Command::Pass { call, parts })
+            .map_err(|_| Status::unavailable("the instance stops"))?;
+        let parts = ReceiverStream::new(receiver).map(|part| Ok(call::encode_part(part)));
+        Ok(Response::new(Box::pin(parts)))
+    }
+
     async fn make(
         &self,
         request: Request<message::Order>,
--- a/crates/feed/tests/loopback.rs
+++ b/crates/feed/tests/loopback.rs
@@ -107,6 +107,7 @@
             sent_age: Duration::from_millis(30),
             received_age: Duration::from_millis(20),
         }],
+        is_cut_off: true,
     };
     let client = Client::default();
     for source in [
--- a/crates/mesh/src/members.rs
+++ b/crates/mesh/src/members.rs
@@ -54,6 +54,8 @@
 pub struct Members {
     config: Config,
     local: Peer,
+    /// Whether the local instance reaches no servers.
+    is_cut_off: bool,
     peers: Vec<PeerState>,
 }
 
@@ -63,6 +65,8 @@
     /// When it last answered, or was first relied on after a time without heartbeats.
     last_answer: Option<Tick>,
     is_lost: bool,
+    /// Whether it stated that it reaches no servers, so that it takes no tasks.
+    is_cut_off: bool,
     /// Whether it announced that it is stopping; it takes no new tasks and finishes those that it has.
     is_leaving: bool,
     /// When the next heartbeat is due.
@@ -96,6 +100,7 @@
         Self {
             config,
             local,
+            is_cut_off: false,
             peers: Vec::new(),
         }
     }
@@ -230,16 +235,64 @@
     pub fn owner(&mut self, now: Tick, task: &Name, domain: &Name) -> Owner {
         for at in self.ranked(task, domain) {
             let Some(at) = at else {
+                if self.is_cut_off {
+                    continue;
+                }
                 return Owner::Local;
             };
             self.record_use(now, at);
-            if self.is_peer_live(now, &self.peers[at]) {
-                return Owner::Peer(self.peers[at].peer.clone());
+            let state = &self.peers[at];
+            if self.is_peer_live(now, state) && !state.is_cut_off {
+                return Owner::Peer(state.peer.clone());
             }
         }
         Owner::Unavailable
     }
 
+    /// Records whether the local instance reaches servers.
+    pub const fn set_cut_off(&mut self, is_cut_off: bool) {
+        self.is_cut_off = is_cut_off;
+    }
+
+    /// Returns whether the local instance reaches no servers.
+    pub const fn is_cut_off(&self) -> bool {
+        self.is_cut_off
+    }
+
+    /// Records whether another instance reaches servers, as it states.
+    pub fn mark_cut_off(&mut self, name: &Name, is_cut_off: bool) {
+        if let Ok(at) = self.find(name) {
+            self.peers[at].is_cut_off = is_cut_off;
+        }
+    }
+
+    /// Returns whether another instance stated that it reaches no servers.
+    pub fn is_peer_cut_off(&self, name: &Name) -> bool {
+        self.find(name).is_ok_and(|at| self.peers[at].is_cut_off)
+    }
+
+    /// Returns an instance that reaches servers and was not tried, those of the local failure domain first. `draw` from 0
+    /// to 1 selects one of several.
+    pub fn helper(&mut self, now: Tick, tried: &[Name], draw: f64) -> Option<Peer> {
+        let has_cells = self.has_cells();
+        let may_help = |state: &PeerState| {
+            let is_present = match has_cells && !state.is_monitored(now, &self.config) {
+                // Instances without heartbeats are found lost by a call.
+                true => !state.is_lost && !state.is_leaving,
+                false => self.is_peer_live(now, state),
+            };
+            is_present && !state.is_cut_off && !tried.contains(&state.peer.name)
+        };
+        let helpers = (0..self.peers.len()).filter(|at| may_help(&self.peers[*at]));
+        let (near, far): (Vec<_>, Vec<_>) =
+            helpers.partition(|at| self.peers[*at].peer.domain == self.local.domain);
+        let helpers = if near.is_empty() { far } else { near };
+        let at = (draw * helpers.len() as f64) as usize;
+        let at = *helpers.get(at.min(helpers.len().checked_sub(1)?))?;
+        self.record_use(now, at);
+        Some(self.peers[at].peer.clone())
+    }
+
     /// Returns whether rendezvous hashing selects the local instance for a task, among all known instances that are neither
     /// lost nor stopping.
     pub fn is_selected(&self, task: &Name) -> bool {
@@ -390,6 +443,7 @@
             peer,
             last_answer: None,
             is_lost: false,
+            is_cut_off: false,
             is_leaving: false,
             next_heartbeat: Tick::from_micros(0),
             last_used: None,
--- a/crates/pick/src/fleet.rs
+++ b/crates/pick/src/fleet.rs
@@ -194,6 +194,15 @@
         })
     }
 
+    /// Forgets which servers and failure domains were unreachable, as the links of the local instance were the cause.
+    pub fn forget_unreachable(&mut self) {
+        for stats in &mut self.servers {
+            stats.blocked_until = Tick::default();
+            stats.block_count = 0;
+        }
+        self.reachability = Reachability::default();
+    }
+
     /// Records when the next turn may be left at a server that limits its request rate.
     ///
     /// # Examples
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -5,12 +5,14 @@
 
 use base::{Code, Name, Tick};
 use futures_util::future::Either;
-use pick::{engine, plain};
+use pick::{Fleet, engine, plain};
 use site::route::Kind;
 
 use crate::{
     Failure, Hub, Job, Transport,
     guard::Guard,
+    hub::{self, State},
+    links::Way,
     origin,
     pending::{self, Event, Pending},
     policy::{self, Decision},
@@ -47,6 +49,10 @@
     pub(crate) stage_time: Duration,
     /// Whether the request is sent to one server though a part of its prompt is harmful.
     pub(crate) is_trial: bool,
+    /// Whether another instance makes the next call, as the local one did not reach a server.
+    pub(crate) needs_helper: bool,
+    /// The instances that did not make a call.
+    pub(crate) helpers: Vec<Name>,
 }
 
 /// Runs the stages of a request and sends it to servers until the head of an answer arrives. `since` is the time
@@ -128,7 +134,8 @@
         // A paused process finds what it waited for before its timers.
         let is_late = job.time_left(now).is_zero();
         let is_harmful = !attempts.is_trial && hub.with(|state| state.has_harmful_part(now, job));
-        let choice = match is_late || is_harmful {
+        let way = hub.with(|state| state.way(now, attempts));
+        let choice = match is_late || is_harmful || matches!(way, Way::Nowhere) {
             true => Ok(None),
             false => {
                 let tried = attempts.tried.clone();
@@ -145,7 +152,18 @@
                     hub.with(|state| state.retry_window.record_request(now, &pool));
                 }
                 attempts.tried.push(choice.server.id.clone());
-                Pending::send(hub, job, choice, &inputs, last_event)
+                let way = match choice.is_blocked {
+                    true => {
+                        attempts.needs_helper = true;
+                        hub.with(|state| state.way(now, attempts))
+                    }
+                    false => way,
+                };
+                let helper = match way {
+                    Way::Through(helper) => Some(helper),
+                    Way::Direct | Way::Nowhere => None,
+                };
+                Pending::send(hub, job, choice, &inputs, last_event, helper)
             }
             Ok(None) => {
                 let code = match is_late {
@@ -230,7 +248,11 @@
     ) -> Result<(), Code> {
         self.unreachable += usize::from(matches!(
             failure,
-            Failure::Exhausted | Failure::Moved | Failure::Unconfirmed | Failure::Unreachable
+            Failure::Exhausted
+                | Failure::HelperUnavailable
+                | Failure::Moved
+                | Failure::Unconfirmed
+                | Failure::Unreachable
         ));
         let cx = policy::Context {
             route: &job.route,
@@ -314,6 +336,8 @@
     pub(crate) server: Rc<site::roster::Server>,
     pub(crate) tokens: u64,
     pub(crate) fetch_from: Option<core::net::SocketAddr>,
+    /// Whether this instance did not reach the server a moment ago, so that another one makes the call.
+    pub(crate) is_blocked: bool,
 }
 
 pub(crate) fn choose<E: Transport>(
@@ -322,38 +346,73 @@
     pool: &Name,
     inputs: &Inputs<E>,
     tried: &[Name],
+) -> Option<Choice> {
+    let domain = inputs.domain();
+    hub.with(|state| choose_with(hub, state, None, job, pool, domain.as_ref(), tried))
+}
+
+/// Chooses among the servers that this instance did not reach a moment ago, if another instance may reach them.
+pub(crate) fn choose_blocked<E: Transport>(
+    hub: &Rc<Hub<E>>,
+    job: &Job<E::Request>,
+    pool: &Name,
+    inputs: &Inputs<E>,
+    tried: &[Name],
 ) -> Option<Choice> {
     let now = hub.transport.now();
     let domain = inputs.domain();
     hub.with(|state| {
-        let registered = state.roster.usable(now, pool);
-        let registered = registered.filter(|server| job.may_use(server));
-        let registered: Vec<_> = registered.cloned().collect();
-        let servers = state.reachable(now, registered.iter().collect());
-        let mut cx = plain::Context {
-            now,
-            domain: &hub.domain,
-            tried,
-            rng: &mut state.rng,
-        };
-        if let Some(prompt) = &job.prompt {
-            let affinity = engine::Affinity {
-                domain: domain.as_ref(),
-                penalty_ms: hub.settings.remote_results_penalty_ms,
-            };
-            let choice = engine::choose(&state.fleet, &mut cx, prompt, affinity, &servers)?;
-            return Some(Choice {
-                server: choice.server.clone(),
-                tokens: choice.tokens,
-                fetch_from: choice.fetch_from,
-            });
-        }
-        let server = plain::choose(&state.fleet, &mut cx, servers.into_iter())?;
+        state.members.helper(now, &[], 0.0)?;
+        let mut fleet = state.fleet.clone();
+        fleet.forget_unreachable();
+        let choice = choose_with(hub, state, Some(&fleet), job, pool, domain.as_ref(), tried)?;
         Some(Choice {
+            is_blocked: true,
+            ..choice
+        })
+    })
+}
+
+/// Chooses a server by the estimates of `fleet`, or of the state. `domain` stores the results that the request reads.
+fn choose_with<E: Transport>(
+    hub: &Hub<E>,
+    state: &mut State,
+    fleet: Option<&Fleet>,
+    job: &Job<E::Request>,
+    pool: &Name,
+    domain: Option<&Name>,
+    tried: &[Name],
+) -> Option<Choice> {
+    let now = hub.transport.now();
+    let fleet = fleet.unwrap_or(&state.fleet);
+    let registered = state.roster.usable(now, pool);
+    let registered: Vec<_> = registered.filter(|server| job.may_use(server)).collect();
+    let servers = hub::reachable(fleet, now, registered);
+    let mut cx = plain::Context {
+        now,
+        domain: &hub.domain,
+        tried,
+        rng: &mut state.rng,
+    };
+    let Some(prompt) = &job.prompt else {
+        let server = plain::choose(fleet, &mut cx, servers.into_iter())?;
+        return Some(Choice {
             server: server.clone(),
             tokens: 0,
             fetch_from: None,
-        })
+            is_blocked: false,
+        });
+    };
+    let affinity = engine::Affinity {
+        domain,
+        penalty_ms: hub.settings.remote_results_penalty_ms,
+    };
+    let choice = engine::choose(fleet, &mut cx, prompt, affinity, &servers)?;
+    Some(Choice {
+        server: choice.server.clone(),
+        tokens: choice.tokens,
+        fetch_from: choice.fetch_from,
+        is_blocked: false,
     })
 }
 
--- a/crates/relay/src/batches.rs
+++ b/crates/relay/src/batches.rs
@@ -83,7 +83,7 @@
             let call = self
                 .transport
                 .run_pieces(&batch.server, &batch.pieces, limit);
-            let mut call = pin!(call);
+            let mut call = pin!(self.watch(call));
             match time::timeout(batch.timeout, &mut call).await {
                 Ok(results) => results,
                 Err(_) => {
@@ -237,6 +237,9 @@
                 state.mark_leaving(now, &server.id, server.started_at_ms, "answer");
             }
         });
+        if failure == Failure::Unreachable {
+            self.record_unreachable(server);
+        }
         for piece in batch.pieces {
             if matches!(
                 failure,
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -39,6 +39,8 @@
     pub is_bound: bool,
     /// The maximum number of connections to the server.
     pub max_connections: usize,
+    /// The instance that makes the call, if the local one doesn't reach the server.
+    pub helper: Option<Peer>,
 }
 
 /// Why a call failed.
@@ -53,6 +55,12 @@
     /// The server reported that it is full or leaving, and did not run the request.
     #[error("the server is full")]
     Full,
+    /// The instance that was to make the call was lost meanwhile; it may have made it.
+    #[error("the instance that made the call was lost")]
+    HelperLost,
+    /// The instance that was to make the call did not make it.
+    #[error("the instance that was to make the call is unavailable")]
+    HelperUnavailable,
     /// The server reported that an input result is gone, and did not run the request.
     #[error("a result of an earlier stage is gone")]
     InputGone,
@@ -91,9 +99,14 @@
     /// ```
     pub const fn may_have_run(self) -> bool {
         match self {
-            Self::Broken | Self::Mismatched | Self::TimedOut | Self::Unacknowledged => true,
+            Self::Broken
+            | Self::HelperLost
+            | Self::Mismatched
+            | Self::TimedOut
+            | Self::Unacknowledged => true,
             Self::Exhausted
             | Self::Full
+            | Self::HelperUnavailable
             | Self::InputGone
             | Self::Moved
             | Self::Rejected
@@ -114,6 +127,8 @@
     pub sent_at: Tick,
     /// When the head arrived.
     pub received_at: Tick,
+    /// Whether it arrived on a link of the local instance.
+    pub is_direct: bool,
     /// Whether the server is leaving.
     pub is_leaving: bool,
     /// The pause without requests that the server asks for.
@@ -213,6 +228,12 @@
         max_connections: usize,
     ) -> impl Future<Output = Result<(), Failure>>;
 
+    /// Opens a connection to a server, and returns whether that worked.
+    fn probe(&self, server: &Server) -> impl Future<Output = bool>;
+
+    /// Closes connections that no call uses, as they may be dead.
+    fn close_idle(&self);
+
     /// Asks another instance for a turn at a server that limits its request rate. `statement` is the newest one that this
     /// instance knows; the one that the other instance knows comes with the answer.
     fn ask_turn(
--- a/crates/relay/src/hub.rs
+++ b/crates/relay/src/hub.rs
@@ -6,7 +6,7 @@
 use base::{Name, Tick};
 use batch::{Scheduler, piece::Handle};
 use mesh::{Departures, Members, Origins};
-use pick::{Fleet, fleet::Completion};
+use pick::{Fleet, Links, fleet::Completion};
 use quota::{Limits, Meter};
 use rand::{SeedableRng, rngs::SmallRng};
 use retry::{Crashes, Parts, Window, window::Bound};
@@ -33,6 +33,8 @@
     pub roster: Roster,
     /// The load estimates of these servers.
     pub fleet: Fleet,
+    /// Whether this instance reaches servers at all.
+    pub links: Links,
     /// The request rates that servers state.
     pub limits: Limits,
     /// The turns that this instance grants at such servers.
@@ -82,6 +84,7 @@
                 config: None,
                 roster: Roster::default(),
                 fleet: Fleet::default(),
+                links: Links::default(),
                 limits: Limits::default(),
                 meter: Meter::default(),
                 scheduler: Scheduler::default(),
@@ -135,31 +138,32 @@
             // These failures don't show whether the domain is reachable.
             Failure::Broken
             | Failure::Exhausted
+            | Failure::HelperLost
+            | Failure::HelperUnavailable
             | Failure::Mismatched
             | Failure::TimedOut
             | Failure::Unacknowledged
             | Failure::Unconfirmed => {}
         }
     }
+}
 
-    /// Returns the servers in reachable failure domains, or all servers if there are none.
-    pub(crate) fn reachable<'a>(
-        &self,
-        now: Tick,
-        servers: Vec<&'a Rc<Server>>,
-    ) -> Vec<&'a Rc<Server>> {
-        let is_unreachable =
-            |server: &Server| self.fleet.reachability.is_unreachable(now, &server.domain);
-        let reachable: Vec<_> = servers
-            .iter()
-            .copied()
-            .filter(|server| !is_unreachable(server))
-            .collect();
-        if reachable.is_empty() {
-            servers
-        } else {
-            reachable
-        }
+/// Returns the servers in reachable failure domains, or all servers if there are none.
+pub(crate) fn reachable<'a>(
+    fleet: &Fleet,
+    now: Tick,
+    servers: Vec<&'a Rc<Server>>,
+) -> Vec<&'a Rc<Server>> {
+    let is_unreachable = |server: &Server| fleet.reachability.is_unreachable(now, &server.domain);
+    let reachable: Vec<_> = servers
+        .iter()
+        .copied()
+        .filter(|server| !is_unreachable(server))
+        .collect();
+    if reachable.is_empty() {
+        servers
+    } else {
+        reachable
     }
 }
 
@@ -170,7 +174,11 @@
             Completion::Failed
         }
         Failure::Exhausted | Failure::Full => Completion::Full,
-        Failure::InputGone | Failure::Rejected | Failure::Unconfirmed => Completion::Abandoned,
+        Failure::HelperLost
+        | Failure::HelperUnavailable
+        | Failure::InputGone
+        | Failure::Rejected
+        | Failure::Unconfirmed => Completion::Abandoned,
         Failure::Moved | Failure::Unreachable => Completion::Unreachable,
     }
 }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -18,6 +18,7 @@
 mod guard;
 pub mod hub;
 pub mod job;
+mod links;
 mod notices;
 mod origin;
 mod pending;
--- /dev/null
+++ b/crates/relay/src/links.rs
@@ -0,0 +1,163 @@
+//! The links of the instance to servers, and other instances that make its calls while these are lost.
+
+use core::{pin::pin, time::Duration};
+use std::rc::Rc;
+
+use base::Tick;
+use futures_util::{StreamExt, stream::FuturesUnordered};
+use mesh::Peer;
+use pick::links;
+use rand::{RngExt, seq::SliceRandom};
+use site::roster::Server;
+use tokio::{task, time};
+
+use crate::{Hub, Transport, attempt::Attempts, hub::State};
+
+/// The number of servers to which a check opens connections, in different failure domains if possible.
+const CHECKED_SERVERS: usize = 3;
+
+/// The average time between attempts to reach a server while the links are lost.
+const PROBE_INTERVAL: Duration = Duration::from_millis(500);
+
+/// The largest part of the interval by which it varies, so that instances don't probe together.
+const PROBE_JITTER: f64 = 0.25;
+
+/// How a call reaches its server.
+pub(crate) enum Way {
+    Direct,
+    /// Another instance makes the call.
+    Through(Peer),
+    /// No instance is known that reaches servers.
+    Nowhere,
+}
+
+impl<E: Transport> Hub<E> {
+    /// Waits for the outcome of a call that was sent to a server now, and has the links checked if it takes long.
+    pub(crate) async fn watch<T>(self: &Rc<Self>, call: impl Future<Output = T>) -> T {
+        let sent_at = self.transport.now();
+        let mut call = pin!(call);
+        loop {
+            match time::timeout(links::suspicious_silence(), &mut call).await {
+                Ok(outcome) => return outcome,
+                Err(_) => self.record_silence(sent_at),
+            }
+        }
+    }
+
+    fn record_silence(self: &Rc<Self>, sent_at: Tick) {
+        let now = self.transport.now();
+        if self.with(|state| state.links.record_silence(now, sent_at)) {
+            self.check_links();
+        }
+    }
+
+    /// Records that this instance can't reach a server, and has its links checked if it isn't the first one.
+    pub(crate) fn record_unreachable(self: &Rc<Self>, server: &Server) {
+        let now = self.transport.now();
+        if self.with(|state| state.links.record_unreachable(now, &server.id)) {
+            self.check_links();
+        }
+    }
+
+    /// Finds out in the background whether any server can be reached, and waits until one can if not.
+    fn check_links(self: &Rc<Self>) {
+        let hub = self.clone();
+        task::spawn_local(async move {
+            let is_reached = hub.reaches_servers(CHECKED_SERVERS).await;
+            hub.record_check(is_reached);
+            while hub.with(|state| state.links.is_cut_off()) {
+                let draw = hub.with(|state| state.rng.random_range(-PROBE_JITTER..PROBE_JITTER));
+                time::sleep(PROBE_INTERVAL.mul_f64(1.0 + draw)).await;
+                if hub.reaches_servers(1).await {
+                    hub.record_check(true);
+                }
+            }
+        });
+    }
+
+    /// Returns whether one of a number of servers can be reached.
+    async fn reaches_servers(&self, count: usize) -> bool {
+        let servers = self.with(|state| state.sample_servers(count));
+        // A server list that is empty says nothing about the links.
+        let mut is_reached = servers.is_empty();
+        let probes = servers.iter().map(|server| self.transport.probe(server));
+        let mut probes: FuturesUnordered<_> = probes.collect();
+        while let Some(reached) = probes.next().await {
+            is_reached |= reached;
+            if is_reached {
+                break;
+            }
+        }
+        is_reached
+    }
+
+    fn record_check(self: &Rc<Self>, is_reached: bool) {
+        let now = self.transport.now();
+        let is_changed = self.with(|state| state.links.record_check(now, is_reached));
+        if !is_changed {
+            return;
+        }
+        self.with(|state| {
+            state.members.set_cut_off(!is_reached);
+            // Servers and domains were unreachable for a reason of this instance.
+            state.fleet.forget_unreachable();
+        });
+        self.transport.close_idle();
+        if is_reached {
+            log::info!(target: "servers", "servers are reachable again");
+        } else {
+            log::warn!(target: "servers", "no server is reachable; other instances make the calls");
+        }
+        self.dispatch();
+    }
+
+    /// Returns once the links of this instance to all servers are lost while another instance can take its pieces.
+    pub(crate) async fn wait_until_cut_off(&self) {
+        const POLL_INTERVAL: Duration = Duration::from_millis(100);
+        loop {
+            let is_replaceable = self.with(|state| {
+                let now = self.transport.now();
+                state.links.is_cut_off() && state.members.helper(now, &[], 0.0).is_some()
+            });
+            if is_replaceable {
+                return;
+            }
+            time::sleep(POLL_INTERVAL).await;
+        }
+    }
+}
+
+impl State {
+    /// Returns how the next call of a request reaches its server.
+    pub(crate) fn way(&mut self, now: Tick, attempts: &Attempts) -> Way {
+        let is_cut_off = self.links.is_cut_off();
+        if !is_cut_off && !attempts.needs_helper {
+            return Way::Direct;
+        }
+        let draw = self.rng.random();
+        match self.members.helper(now, &attempts.helpers, draw) {
+            Some(helper) => Way::Through(helper),
+            None if is_cut_off => Way::Nowhere,
+            None => Way::Direct,
+        }
+    }
+
+    /// Returns random servers, of different failure domains as far as there are that many.
+    fn sample_servers(&mut self, count: usize) -> Vec<Rc<Server>> {
+        let mut servers: Vec<_> = self.roster.all().cloned().collect();
+        servers.shuffle(&mut self.rng);
+        let mut sample: Vec<Rc<Server>> = Vec::new();
+        for is_any in [false, true] {
+            for server in &servers {
+                let is_new = |known: &Rc<Server>| match is_any {
+                    true => known.id != server.id,
+                    false => known.domain != server.domain,
+                };
+                if sample.len() < count && sample.iter().all(is_new) {
+                    sample.push(server.clone());
+                }
+            }
+        }
+        sample
+    }
+}
--- a/crates/relay/src/notices.rs
+++ b/crates/relay/src/notices.rs
@@ -14,6 +14,9 @@
     ///
     /// Pauses end at slightly different times on each instance, so that their first requests don't arrive together.
     pub(crate) fn apply_notice(&mut self, config: &Config, notice: Notice) {
+        if notice.is_direct {
+            self.links.record_answer(notice.received_at);
+        }
         if notice.is_leaving {
             self.mark_leaving(
                 notice.received_at,
--- a/crates/relay/src/pending.rs
+++ b/crates/relay/src/pending.rs
@@ -7,8 +7,9 @@
 };
 use std::rc::Rc;
 
-use base::Tick;
+use base::{Name, Tick};
 use futures_util::future::{self, Either};
+use mesh::Peer;
 use site::route::Kind;
 use tokio::time;
 
@@ -32,6 +33,8 @@
     is_sent: Rc<Cell<bool>>,
     guard: Guard<E>,
     inputs: Rc<Inputs<E>>,
+    /// The instance that makes the call, if the local one doesn't reach the server.
+    helper: Option<Name>,
     /// Whether it counts as having reached its server.
     is_counted: bool,
 }
@@ -67,6 +70,7 @@
         choice: Choice,
         inputs: &Rc<Inputs<E>>,
         last_event: Option<u64>,
+        helper: Option<Peer>,
     ) -> Self {
         // A server without a start time can't be told from a later run.
         let is_bound = job.origin.get().is_some() && choice.server.started_at_ms != 0;
@@ -81,13 +85,16 @@
             at_most_once: !job.route.is_repeatable(),
             is_bound,
             max_connections: hub.max_connections(&choice.server.pool),
+            helper,
         };
-        let is_sent = Rc::new(Cell::new(!is_bound));
+        let helper = call.helper.as_ref().map(|helper| helper.name.clone());
+        let is_sent = Rc::new(Cell::new(!is_bound || helper.is_some()));
         Self {
             guard: Guard::start(hub, &choice.server, choice.tokens),
             reply: Box::pin(send(hub, job, call, is_sent.clone())),
             is_sent,
             inputs: inputs.clone(),
+            helper,
             is_counted: false,
         }
     }
@@ -177,8 +184,10 @@
     ) -> Attempt<E> {
         self.count_as_reached(attempts);
         self.guard.is_silent = false;
-        let domain = &self.guard.server.domain;
-        hub.with(|state| state.fleet.reachability.record_success(domain));
+        if self.helper.is_none() {
+            let domain = &self.guard.server.domain;
+            hub.with(|state| state.fleet.reachability.record_success(domain));
+        }
         Attempt {
             reply,
             guard: self.guard,
@@ -203,18 +212,30 @@
         self.guard.complete(completion_of(failure));
         let now = hub.transport.now();
         hub.with(|state| {
-            state.record_reachability(now, &server.domain, failure);
+            if self.helper.is_none() {
+                state.record_reachability(now, &server.domain, failure);
+            }
             if failure == Failure::Moved {
                 state.mark_leaving(now, &server.id, server.started_at_ms, "answer");
             }
         });
+        if failure == Failure::Unreachable && self.helper.is_none() {
+            attempts.needs_helper = true;
+            hub.record_unreachable(&server);
+        }
+        if matches!(failure, Failure::HelperLost | Failure::HelperUnavailable) {
+            attempts.helpers.extend(self.helper.clone());
+        }
         if failure == Failure::Broken {
             crash::record(hub, job, &server, self.guard.age(), Duration::ZERO);
         }
         attempts.may_have_run |= failure.may_have_run();
         if !matches!(
             failure,
-            Failure::Exhausted | Failure::Unconfirmed | Failure::Unreachable
+            Failure::Exhausted
+                | Failure::HelperUnavailable
+                | Failure::Unconfirmed
+                | Failure::Unreachable
         ) {
             self.count_as_reached(attempts);
         }
@@ -237,7 +258,9 @@
         let confirmed = hub
             .transport
             .confirm_run(&call.server, call.max_connections);
-        confirmed.await?;
+        if call.helper.is_none() {
+            confirmed.await?;
+        }
         let now = hub.transport.now();
         call.time_left = job.time_left(now);
         // The server may have announced its departure or asked for a pause meanwhile.
@@ -247,7 +270,10 @@
         }
         is_sent.set(true);
     }
-    hub.transport.send(&job.request, call).await
+    if call.helper.is_some() {
+        return hub.transport.send(&job.request, call).await;
+    }
+    hub.watch(hub.transport.send(&job.request, call)).await
 }
 
 /// Does work that the next attempt needs, unless one of the silent attempts answers before.
--- a/crates/relay/src/pieces.rs
+++ b/crates/relay/src/pieces.rs
@@ -67,7 +67,13 @@
         for domain in [preferred.as_ref(), preferred.as_ref(), None] {
             let (shard, owner) = self.shard_owner(pool, domain);
             let peer = match owner {
-                Owner::Local => return self.run_local(&shard, pieces).await,
+                Owner::Local => {
+                    let made = self.run_local(&shard, pieces.clone());
+                    tokio::select! {
+                        outcomes = made => return outcomes,
+                        () = self.wait_until_cut_off() => continue,
+                    }
+                }
                 Owner::Peer(peer) => peer,
                 Owner::Unavailable => continue,
             };
@@ -82,6 +88,12 @@
                 Ok(_) => {
                     log::error!(target: "peers", peer:% = peer.name; "instance returned a wrong number of results")
                 }
+                Err(_) if self.with(|state| state.members.is_peer_cut_off(&peer.name)) => {
+                    log::info!(
+                        target: "peers", peer:% = peer.name, pool:% = pool;
+                        "instance that runs the pieces reaches no servers"
+                    );
+                }
                 Err(failure) => {
                     log::info!(
                         target: "peers", peer:% = peer.name, pool:% = pool,
@@ -115,11 +127,21 @@
             let domains = || state.roster.usable(now, pool).map(|server| &server.domain);
             let preferred = preferred.filter(|domain| !reachability.is_unreachable(now, domain));
             let candidates = preferred.into_iter().chain([&self.domain]);
-            let mut candidates =
-                candidates.filter(|domain| domains().any(|known| known == *domain));
-            let domain = candidates.next().or_else(|| domains().min());
-            let domain = domain.unwrap_or(&self.domain).clone();
-            let owner = state.members.owner(now, pool, &domain);
+            let candidates = candidates.filter(|domain| domains().any(|known| known == *domain));
+            let mut others: Vec<_> = domains().collect();
+            others.sort();
+            others.dedup();
+            let candidates: Vec<_> = candidates.chain(others).cloned().collect();
+            let mut domain = candidates.first().unwrap_or(&self.domain).clone();
+            let mut owner = state.members.owner(now, pool, &domain);
+            // All instances of a domain may be lost, or reach no servers.
+            for candidate in candidates {
+                if owner != Owner::Unavailable || !state.links.is_cut_off() {
+                    break;
+                }
+                owner = state.members.owner(now, pool, &candidate);
+                domain = candidate;
+            }
             let shard = Shard {
                 pool: pool.clone(),
                 domain: Some(domain),
@@ -128,10 +150,14 @@
         })
     }
 
-    /// Returns once an instance is unreachable.
+    /// Returns once an instance is unreachable, or reaches no servers.
     async fn wait_until_lost(&self, peer: &Name) {
         const POLL_INTERVAL: Duration = Duration::from_millis(100);
-        while !self.with(|state| state.members.is_unreachable(self.transport.now(), peer)) {
+        let is_lost = |state: &mut State| {
+            let members = &state.members;
+            members.is_unreachable(self.transport.now(), peer) || members.is_peer_cut_off(peer)
+        };
+        while !self.with(is_lost) {
             time::sleep(POLL_INTERVAL).await;
         }
     }
--- a/crates/relay/src/policy.rs
+++ b/crates/relay/src/policy.rs
@@ -55,7 +55,10 @@
         return Decision::Fail(Code::CallUnknown);
     }
     match failure {
-        Failure::Exhausted | Failure::Unconfirmed | Failure::Unreachable
+        Failure::Exhausted
+        | Failure::HelperUnavailable
+        | Failure::Unconfirmed
+        | Failure::Unreachable
             if cx.unreachable < cx.max_unreachable =>
         {
             Decision::Retry { is_counted: false }
@@ -66,9 +69,11 @@
         {
             Decision::Retry { is_counted: true }
         }
-        Failure::Exhausted | Failure::Rejected | Failure::Unconfirmed | Failure::Unreachable => {
-            Decision::Fail(final_code(may_have_run, Code::StageUnavailable))
-        }
+        Failure::Exhausted
+        | Failure::HelperUnavailable
+        | Failure::Rejected
+        | Failure::Unconfirmed
+        | Failure::Unreachable => Decision::Fail(final_code(may_have_run, Code::StageUnavailable)),
         _ if cx.reached < cx.route.max_attempts => Decision::Retry { is_counted: true },
         Failure::Full => Decision::Fail(final_code(may_have_run, Code::Overloaded)),
         _ => Decision::Fail(final_code(may_have_run, Code::StageUnavailable)),
--- a/crates/relay/src/turns.rs
+++ b/crates/relay/src/turns.rs
@@ -74,8 +74,11 @@
         let first = hub.with(|state| state.first_in_turn(now, job, pool, tried));
         let Some((server, free_at)) = first else {
             // Servers that were held until now may be free again.
-            return Ok(attempt::choose(hub, job, pool, inputs, tried)
-                .filter(|choice| hub.with(|state| state.rate_of(&choice.server).is_none())));
+            let choice = attempt::choose(hub, job, pool, inputs, tried)
+                .or_else(|| attempt::choose_blocked(hub, job, pool, inputs, tried));
+            return Ok(
+                choice.filter(|choice| hub.with(|state| state.rate_of(&choice.server).is_none()))
+            );
         };
         if free_at - now > max_wait {
             return Err(NoTurn);
@@ -86,6 +89,7 @@
                 server,
                 tokens,
                 fetch_from: None,
+                is_blocked: false,
             }));
         }
     }
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -209,6 +209,7 @@
             started_at_ms: server.started_at_ms,
             sent_at: self.now(),
             received_at: self.now(),
+            is_direct: true,
             is_leaving,
             pause,
             rate: Rate::Unclear,
@@ -255,6 +256,12 @@
         Ok(())
     }
 
+    async fn probe(&self, _: &Server) -> bool {
+        true
+    }
+
+    fn close_idle(&self) {}
+
     async fn ask_turn(
         &self,
         _: &Peer,
