Brittle servers get no more requests than they have slots

Callers would have seen: servers that fall over when they turn more than N requests away in a second fell over again and again, as each instance sent until it learned by itself that they were full. Cause: rejections were counted by each instance for itself, and nothing read that a server is brittle. Change: the statement is kept and told like the request rate. A request to a brittle server takes a turn of the instance that grants turns there, until it has ended; that one grants as many as the server has slots, so that none waits. After rejections near the number that the server bears it gets nothing for a second, then one more at a time.

--- a/crates/feed/src/client.rs
+++ b/crates/feed/src/client.rs
@@ -189,6 +189,30 @@
         }
     }
 
+    /// Tells another instance that the request of a turn has ended.
+    ///
+    /// # Errors
+    ///
+    /// - As for [`Client::ask_turn`].
+    pub async fn end_turn(
+        &self,
+        address: SocketAddr,
+        server: &Name,
+        is_rejected: bool,
+        timeout: Duration,
+    ) -> Result<(), Error> {
+        let mut client = FeedClient::new(self.channel(address)?);
+        let call = client.done(message::Ended {
+            server: server.as_str().to_owned(),
+            rejected: is_rejected,
+        });
+        match time::timeout(timeout, call).await {
+            Ok(Ok(_)) => Ok(()),
+            Ok(Err(status)) => Err(Error::Call(status.to_string())),
+            Err(_) => Err(Error::Call("no answer in time".to_owned())),
+        }
+    }
+
     /// Has another instance call a server, and returns the answer once its head has arrived.
     ///
     /// # Errors
--- a/crates/feed/src/codec.rs
+++ b/crates/feed/src/codec.rs
@@ -224,6 +224,7 @@
         server: limit.server.as_str().to_owned(),
         started_ms: limit.started_at_ms,
         rate: limit.rate,
+        brittle: limit.brittle,
         sent_age_ms: millis(limit.sent_age),
         received_age_ms: millis(limit.received_age),
     }
@@ -232,10 +233,12 @@
 /// Decodes a statement, or nothing if its rate is no rate.
 fn decode_limit(limit: message::Limit) -> Option<Limit> {
     let is_valid = |rate: f64| rate.is_finite() && rate >= 0.0;
-    limit.rate.is_none_or(is_valid).then(|| Limit {
+    let is_valid = limit.rate.is_none_or(is_valid) && limit.brittle.is_none_or(is_valid);
+    is_valid.then(|| Limit {
         server: limit.server.into(),
         started_at_ms: limit.started_ms,
         rate: limit.rate,
+        brittle: limit.brittle,
         sent_age: Duration::from_millis(limit.sent_age_ms),
         received_age: Duration::from_millis(limit.received_age_ms),
     })
@@ -245,6 +248,7 @@
     message::Ask {
         limit: Some(encode_limit(ask.limit)),
         max_wait_ms: millis(ask.max_wait),
+        duration_ms: millis(ask.duration),
     }
 }
 
@@ -252,6 +256,7 @@
     Some(Ask {
         limit: decode_limit(ask.limit?)?,
         max_wait: Duration::from_millis(ask.max_wait_ms),
+        duration: Duration::from_millis(ask.duration_ms),
     })
 }
 
--- a/crates/feed/src/lib.rs
+++ b/crates/feed/src/lib.rs
@@ -98,6 +98,8 @@
     pub started_at_ms: u64,
     /// The requests a second that it takes from all instances together, or none if it takes any number.
     pub rate: Option<f64>,
+    /// The requests that it turns away in a second at most before it falls over, or none if it bears any number.
+    pub brittle: Option<f64>,
     /// The time since the request was sent that the answer belongs to.
     pub sent_age: Duration,
     /// The time since the answer arrived.
@@ -111,6 +113,8 @@
     pub limit: Limit,
     /// The longest time that the request can wait.
     pub max_wait: Duration,
+    /// The longest time that it takes at the server, or zero for a call that takes no slot.
+    pub duration: Duration,
 }
 
 /// The answer to a question for a turn.
--- a/crates/feed/src/server.rs
+++ b/crates/feed/src/server.rs
@@ -62,6 +62,13 @@
         /// The channel for the answer.
         reply: oneshot::Sender<Grant>,
     },
+    /// States that the request of a turn has ended.
+    EndTurn {
+        /// The server.
+        server: Name,
+        /// Whether the server turned the request away.
+        is_rejected: bool,
+    },
     /// Calls a server for an instance that doesn't reach it.
     Pass {
         /// The call.
@@ -207,6 +214,20 @@
         Ok(Response::new(codec::encode_grant(grant)))
     }
 
+    async fn done(
+        &self,
+        request: Request<message::Ended>,
+    ) -> Result<Response<message::Noted>, Status> {
+        let ended = request.into_inner();
+        self.commands
+            .send(Command::EndTurn {
+                server: ended.server.into(),
+                is_rejected: ended.rejected,
+            })
+            .map_err(|_| Status::unavailable("the instance stops"))?;
+        Ok(Response::new(message::Noted {}))
+    }
+
     async fn beat(
         &self,
         request: Request<message::Pulse>,
--- a/crates/feed/tests/loopback.rs
+++ b/crates/feed/tests/loopback.rs
@@ -104,6 +104,7 @@
             server: "i-4".into(),
             started_at_ms: 1_790_000_000_000,
             rate: Some(0.5),
+            brittle: Some(3.0),
             sent_age: Duration::from_millis(30),
             received_age: Duration::from_millis(20),
         }],
--- a/crates/pick/src/fleet.rs
+++ b/crates/pick/src/fleet.rs
@@ -253,6 +253,12 @@
         self.find(id).map_or(0, |at| self.servers[at].running)
     }
 
+    /// Returns the number of calls of all instances in flight at a server, as far as they told.
+    pub fn running_anywhere(&self, now: Tick, id: &Name) -> u32 {
+        let (_, peers) = self.peer_load(now, id);
+        self.running(id).saturating_add(peers)
+    }
+
     /// Removes servers without calls in flight that were not used for the given time.
     pub fn remove_idle(&mut self, now: Tick, idle: Duration) {
         self.servers.retain(|stats| {
--- a/crates/quota/src/configs.rs
+++ b/crates/quota/src/configs.rs
@@ -18,6 +18,16 @@
     pub max_servers: usize,
     /// The largest number of statements in one heartbeat.
     pub max_shared: usize,
+    /// The time in which the rejections of a brittle server are counted.
+    pub rejection_window: Duration,
+    /// The part of the rejections that a brittle server bears from which on it gets nothing for the window.
+    pub rejection_share: f64,
+    /// The time after which a brittle server that turned a request away gets one more request at a time.
+    pub growth_interval: Duration,
+    /// The time after which a brittle server that had no room may have some.
+    pub full_retry: Duration,
+    /// How long requests count at a brittle server that took no turn, by what instances tell of their load.
+    pub brittle_warmup: Duration,
     /// The time without turns after which a meter forgets a server.
     pub idle_timeout: Duration,
 }
@@ -31,6 +41,11 @@
             memory: Duration::from_secs(15),
             max_servers: 4_096,
             max_shared: 64,
+            rejection_window: Duration::from_secs(1),
+            rejection_share: 0.5,
+            growth_interval: Duration::from_millis(500),
+            full_retry: Duration::from_millis(20),
+            brittle_warmup: Duration::from_secs(3),
             idle_timeout: Duration::from_secs(60),
         }
     }
--- a/crates/quota/src/lib.rs
+++ b/crates/quota/src/lib.rs
@@ -4,11 +4,13 @@
 //! - [`Meter`] grants turns at a server. One instance, the holder, meters a server for all instances, so that the limit is
 //!   used in full by those that have requests for it.
 
+pub mod brittle;
 pub mod configs;
 pub mod limits;
 pub mod meter;
 
 pub use self::{
+    brittle::Brittle,
     limits::{Limits, Statement},
     meter::{Meter, Turn},
 };
--- a/crates/quota/src/limits.rs
+++ b/crates/quota/src/limits.rs
@@ -13,12 +13,29 @@
     pub started_at_ms: u64,
     /// The requests a second that it takes, or none if it takes any number.
     pub rate: Option<f64>,
+    /// The requests that it turns away in a second at most before it falls over, or none if it bears any number.
+    pub brittle: Option<f64>,
     /// When the request was sent that the answer belongs to.
     pub sent_at: Tick,
     /// When the answer arrived.
     pub received_at: Tick,
 }
 
+impl Statement {
+    /// Returns whether requests to the server need a turn.
+    pub const fn is_limited(&self) -> bool {
+        self.rate.is_some() || self.brittle.is_some()
+    }
+}
+
+/// Returns the lower one of two limits.
+fn lower(a: Option<f64>, b: Option<f64>) -> Option<f64> {
+    match (a, b) {
+        (Some(a), Some(b)) => Some(a.min(b)),
+        (limit, None) | (None, limit) => limit,
+    }
+}
+
 /// The newest statements of servers that limit their request rate or did so a short time ago, sorted by server.
 #[derive(Clone, Debug, Default)]
 pub struct Limits {
@@ -49,6 +66,7 @@
     ///     server: "i-1".into(),
     ///     started_at_ms: 7,
     ///     rate,
+    ///     brittle: None,
     ///     sent_at: Tick::from_millis(sent_ms),
     ///     received_at: Tick::from_millis(received_ms),
     /// };
@@ -64,8 +82,8 @@
         let at = match self.find(&statement.server) {
             Ok(at) => at,
             Err(at) => {
-                // Servers without a limit are not kept unless they had one.
-                if statement.rate.is_none() {
+                // Servers without limits are not kept unless they had one.
+                if !statement.is_limited() {
                     return false;
                 }
                 self.insert(at, statement);
@@ -84,16 +102,15 @@
             return false;
         }
         let is_after = statement.sent_at >= known.received_at;
-        let is_lower = match (statement.rate, known.rate) {
-            (Some(rate), Some(known)) => rate <= known,
-            (Some(_), None) => true,
-            (None, Some(_)) => false,
-            (None, None) => true,
+        let statement = match is_after {
+            true => statement,
+            false => Statement {
+                rate: lower(statement.rate, known.rate),
+                brittle: lower(statement.brittle, known.brittle),
+                ..statement
+            },
         };
-        if !is_after && !is_lower {
-            return false;
-        }
-        let is_changed = known.rate != statement.rate;
+        let is_changed = (known.rate, known.brittle) != (statement.rate, statement.brittle);
         let received_at = known.received_at.max(statement.received_at);
         let sent_at = known.sent_at.max(statement.sent_at);
         *known = Statement {
@@ -113,6 +130,14 @@
         Some(rate.max(self.config.min_rate))
     }
 
+    /// Returns the requests that a run of a server turns away in a second at most before it falls over, if it said so.
+    pub fn brittle(&self, server: &Name, started_at_ms: u64) -> Option<f64> {
+        let known = self.get(server)?;
+        known
+            .brittle
+            .filter(|_| known.started_at_ms >= started_at_ms)
+    }
+
     /// Returns the newest statement of a server that has a limit, or had one a short time ago.
     pub fn get(&self, server: &Name) -> Option<&Statement> {
         self.find(server).ok().map(|at| &self.statements[at])
@@ -132,7 +157,7 @@
     pub fn sweep(&mut self, now: Tick) {
         let memory = self.config.memory;
         self.statements
-            .retain(|known| known.rate.is_some() || now - known.received_at < memory);
+            .retain(|known| known.is_limited() || now - known.received_at < memory);
     }
 
     fn insert(&mut self, at: usize, statement: Statement) {
--- a/crates/quota/src/meter.rs
+++ b/crates/quota/src/meter.rs
@@ -18,7 +18,7 @@
     },
     /// No turn is left within the time that the request can wait.
     Denied {
-        /// The time after which a turn may be left.
+        /// The time until the next turn that may be left.
         retry_in: Duration,
     },
 }
@@ -78,9 +78,7 @@
         account.change_rate(now, rate);
         let wait = account.used_until - (now + burst);
         if wait > max_wait {
-            return Turn::Denied {
-                retry_in: wait - max_wait,
-            };
+            return Turn::Denied { retry_in: wait };
         }
         account.used_until = account.used_until.max(now) + Duration::from_secs_f64(1.0 / rate);
         account.updated_at = now;
--- a/crates/relay/src/batches.rs
+++ b/crates/relay/src/batches.rs
@@ -71,15 +71,17 @@
     }
 
     async fn run_batch(self: Rc<Self>, batch: Batch) {
-        if self.take_turn(&batch.server, Duration::ZERO).await.is_err() {
+        let limit = batch.timeout + self.settings.max_stage_silence;
+        let turn = self.take_turn(&batch.server, Duration::ZERO, limit);
+        if turn.await.is_err() {
             self.put_back(batch);
             self.dispatch();
             return;
         }
+        let has_turn = self.with(|state| state.is_brittle(&batch.server));
         let sent_at = self.transport.now();
         let results = {
             // A call that takes long goes on, as its server may only be silent for a while.
-            let limit = batch.timeout + self.settings.max_stage_silence;
             let call = self
                 .transport
                 .run_pieces(&batch.server, &batch.pieces, limit);
@@ -93,6 +95,10 @@
             }
         };
         let now = self.transport.now();
+        if has_turn {
+            let is_rejected = matches!(results, Err(Failure::Full));
+            self.end_turn(&batch.server, is_rejected);
+        }
         match results {
             Ok(results) => self.record_results(now, now - sent_at, batch, results),
             Err(failure) => self.record_batch_failure(now, batch, failure),
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -135,9 +135,11 @@
     pub pause: Option<Duration>,
     /// What the server states of the request rate that it takes.
     pub rate: Rate,
+    /// What the server states of the requests that it turns away in a second at most before it falls over.
+    pub brittle: Rate,
 }
 
-/// What an answer states of the request rate that its server takes from all instances together.
+/// What an answer states of the requests a second that its server takes, or turns away, of all instances together.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub enum Rate {
     /// Nothing that can be relied on: the statement can't be understood, or may be that of another server.
@@ -149,6 +151,17 @@
     Limited(f64),
 }
 
+impl Rate {
+    /// Returns the number, none if there is no limit, or what was known before if nothing is stated.
+    pub(crate) fn or(self, known: Option<f64>) -> Option<f64> {
+        match self {
+            Self::Unclear => known,
+            Self::Unlimited => None,
+            Self::Limited(rate) => Some(rate),
+        }
+    }
+}
+
 /// An answer whose head has arrived.
 pub trait Reply {
     /// The parts of the head that are kept while the body is read.
@@ -235,14 +248,19 @@
     fn close_idle(&self);
 
     /// Asks another instance for a turn at a server that limits its request rate. `statement` is the newest one that this
-    /// instance knows; the one that the other instance knows comes with the answer.
+    /// instance knows; the one that the other instance knows comes with the answer. The request takes `duration` at most,
+    /// or no slot if that is zero.
     fn ask_turn(
         &self,
         holder: &Peer,
         statement: &Statement,
         max_wait: Duration,
+        duration: Duration,
     ) -> impl Future<Output = Result<(Turn, Option<Statement>), Failure>>;
 
+    /// Tells another instance that the request of a turn has ended, and whether the server turned it away.
+    fn end_turn(&self, holder: Peer, server: Name, is_rejected: bool);
+
     /// Sends a request to a server and returns the answer once its head has arrived.
     fn send(
         &self,
--- a/crates/relay/src/guard.rs
+++ b/crates/relay/src/guard.rs
@@ -17,19 +17,25 @@
     sent_at: Tick,
     /// Whether the server has been silent for long, which counts as a failure if the call is dropped.
     pub(crate) is_silent: bool,
+    /// Whether the call took a turn that lasts until it has ended.
+    has_turn: bool,
     is_finished: bool,
 }
 
 impl<E: Transport> Guard<E> {
     pub(crate) fn start(hub: &Rc<Hub<E>>, server: &Rc<Server>, tokens: u64) -> Self {
         let now = hub.transport.now();
-        hub.with(|state| state.fleet.record_start(now, &server.id, tokens));
+        let has_turn = hub.with(|state| {
+            state.fleet.record_start(now, &server.id, tokens);
+            state.is_brittle(server)
+        });
         Self {
             hub: hub.clone(),
             server: server.clone(),
             tokens,
             sent_at: now,
             is_silent: false,
+            has_turn,
             is_finished: false,
         }
     }
@@ -62,6 +68,10 @@
         }
         self.record_prompt_read();
         self.is_finished = true;
+        if self.has_turn {
+            self.hub
+                .end_turn(&self.server, completion == Completion::Full);
+        }
         let now = self.hub.transport.now();
         self.hub.with(|state| {
             state
--- a/crates/relay/src/hub.rs
+++ b/crates/relay/src/hub.rs
@@ -7,7 +7,7 @@
 use batch::{Scheduler, piece::Handle};
 use mesh::{Departures, Members, Origins};
 use pick::{Fleet, Links, fleet::Completion};
-use quota::{Limits, Meter};
+use quota::{Brittle, Limits, Meter};
 use rand::{SeedableRng, rngs::SmallRng};
 use retry::{Crashes, Parts, Window, window::Bound};
 use site::{Config, Roster, roster::Server};
@@ -39,6 +39,8 @@
     pub limits: Limits,
     /// The turns that this instance grants at such servers.
     pub meter: Meter,
+    /// The turns that it grants at servers that fall over when they turn too many requests away.
+    pub brittle: Brittle,
     /// The scheduler of stage pieces.
     pub scheduler: Scheduler,
     /// The retry budget.
@@ -87,6 +89,7 @@
                 links: Links::default(),
                 limits: Limits::default(),
                 meter: Meter::default(),
+                brittle: Brittle::default(),
                 scheduler: Scheduler::default(),
                 retry_window: Window::new(bound),
                 crashes: Crashes::default(),
--- a/crates/relay/src/notices.rs
+++ b/crates/relay/src/notices.rs
@@ -25,16 +25,15 @@
                 "answer",
             );
         }
-        let rate = match notice.rate {
-            Rate::Unclear => None,
-            Rate::Unlimited => Some(None),
-            Rate::Limited(rate) => Some(Some(rate)),
-        };
-        if let Some(rate) = rate {
+        let known = self.limits.get(&notice.server);
+        let rate = notice.rate.or(known.and_then(|known| known.rate));
+        let brittle = notice.brittle.or(known.and_then(|known| known.brittle));
+        if notice.rate != Rate::Unclear || notice.brittle != Rate::Unclear {
             self.record_rate(Statement {
                 server: notice.server.clone(),
                 started_at_ms: notice.started_at_ms,
                 rate,
+                brittle,
                 sent_at: notice.sent_at,
                 received_at: notice.received_at,
             });
@@ -53,22 +52,17 @@
 
     /// Records what a server states of the request rate that it takes, and logs a change.
     pub fn record_rate(&mut self, statement: Statement) {
-        let (server, rate, received_at) = (
-            statement.server.clone(),
-            statement.rate,
-            statement.received_at,
-        );
+        let (server, received_at) = (statement.server.clone(), statement.received_at);
         if !self.limits.record(statement) {
             return;
         }
-        match rate {
-            Some(rate) => {
-                log::info!(target: "servers", server:% = server, rate = rate; "server limits its request rate");
-            }
-            None => {
-                log::info!(target: "servers", server:% = server; "server no longer limits its request rate");
-            }
-        }
+        let known = self.limits.get(&server);
+        let rate = known.and_then(|known| known.rate);
+        let brittle = known.and_then(|known| known.brittle);
+        log::info!(
+            target: "servers", server:% = server, rate:? = rate, brittle:? = brittle;
+            "server states other limits of its requests"
+        );
         // What was known of its next turn belongs to the former rate.
         self.fleet.hold(received_at, &server, received_at);
     }
--- a/crates/relay/src/origin.rs
+++ b/crates/relay/src/origin.rs
@@ -128,7 +128,11 @@
             time::sleep(left).await;
         }
         // Requests go before questions at a server that limits its request rate.
-        if hub.take_turn(server, Duration::ZERO).await.is_err() {
+        if hub
+            .take_turn(server, Duration::ZERO, Duration::ZERO)
+            .await
+            .is_err()
+        {
             continue;
         }
         // Streams may hold all connections that requests may use.
--- a/crates/relay/src/pending.rs
+++ b/crates/relay/src/pending.rs
@@ -252,7 +252,11 @@
     if call.is_bound {
         // The server may have to be asked for its run before it gets the request, for which a turn was taken.
         let max_wait = job.time_left(hub.transport.now()) / QUESTION_WAIT_DIVISOR;
-        if hub.take_turn(&call.server, max_wait).await.is_err() {
+        if hub
+            .take_turn(&call.server, max_wait, Duration::ZERO)
+            .await
+            .is_err()
+        {
             return Err(Failure::Unconfirmed);
         }
         let confirmed = hub
--- a/crates/relay/src/release.rs
+++ b/crates/relay/src/release.rs
@@ -109,7 +109,12 @@
             let held = state.fleet.held_until(now, &server.id);
             held.max(state.fleet.paused_until(now, &server.id))
         });
-        if end.is_some() || self.take_turn(server, Duration::ZERO).await.is_ok() {
+        if end.is_some()
+            || self
+                .take_turn(server, Duration::ZERO, Duration::ZERO)
+                .await
+                .is_ok()
+        {
             return end;
         }
         self.with(|state| state.fleet.held_until(now, &server.id))
--- a/crates/relay/src/turns.rs
+++ b/crates/relay/src/turns.rs
@@ -5,7 +5,7 @@
 
 use base::{Name, Tick};
 use mesh::Owner;
-use quota::{Statement, Turn};
+use quota::{Turn, brittle::Load};
 use site::roster::Server;
 use tokio::time;
 
@@ -19,6 +19,9 @@
 /// The number of servers at which a request asks for a turn before it waits for one.
 const MAX_ASKS: usize = 4;
 
+/// The shortest time between two rounds of questions for a turn.
+const MIN_RETRY_DELAY: Duration = Duration::from_millis(5);
+
 /// The number of instances that are asked for a turn at one server, as the first ones may have just been lost.
 const MAX_HOLDERS: usize = 3;
 
@@ -64,26 +67,33 @@
         let Some(choice) = attempt::choose(hub, job, pool, inputs, tried) else {
             break;
         };
-        if hub.take_turn(&choice.server, Duration::ZERO).await.is_ok() {
+        let duration = job.time_left(hub.transport.now());
+        if hub
+            .take_turn(&choice.server, Duration::ZERO, duration)
+            .await
+            .is_ok()
+        {
             return Ok(Some(choice));
         }
     }
-    for _ in 0..MAX_ASKS {
+    let started_at = hub.transport.now();
+    let give_up_at = started_at + max_wait(job, started_at, since);
+    loop {
         let now = hub.transport.now();
-        let max_wait = max_wait(job, now, since);
         let first = hub.with(|state| state.first_in_turn(now, job, pool, tried));
         let Some((server, free_at)) = first else {
             // Servers that were held until now may be free again.
             let choice = attempt::choose(hub, job, pool, inputs, tried)
                 .or_else(|| attempt::choose_blocked(hub, job, pool, inputs, tried));
             return Ok(
-                choice.filter(|choice| hub.with(|state| state.rate_of(&choice.server).is_none()))
+                choice.filter(|choice| hub.with(|state| !state.needs_turn(&choice.server, true)))
             );
         };
-        if free_at - now > max_wait {
+        if free_at > give_up_at || now > give_up_at {
             return Err(NoTurn);
         }
-        if hub.take_turn(&server, max_wait).await.is_ok() {
+        let (max_wait, duration) = (give_up_at - now, job.time_left(now));
+        if hub.take_turn(&server, max_wait, duration).await.is_ok() {
             let tokens = job.prompt.as_ref().map_or(0, |prompt| prompt.input_tokens);
             return Ok(Some(Choice {
                 server,
@@ -92,21 +102,31 @@
                 is_blocked: false,
             }));
         }
+        // A server without room may have some a moment later.
+        let now = hub.transport.now();
+        let next = hub.with(|state| state.first_in_turn(now, job, pool, tried));
+        let free_at = next.map_or(now, |(_, free_at)| free_at);
+        time::sleep((free_at.min(give_up_at) - now).max(MIN_RETRY_DELAY)).await;
     }
-    Err(NoTurn)
 }
 
 impl<E: Transport> Hub<E> {
     /// Takes a turn at a server, and waits for it if it comes within `max_wait`. A server without a limit needs none.
+    /// The request takes `duration` at most, or no slot if that is zero; the end of one that takes a slot is recorded with
+    /// [`Hub::end_turn`].
     pub(crate) async fn take_turn(
         &self,
         server: &Server,
         max_wait: Duration,
+        duration: Duration,
     ) -> Result<(), NoTurn> {
         for _ in 0..MAX_HOLDERS {
             let now = self.transport.now();
             let asked = self.with(|state| {
-                let statement = state.statement_of(server)?;
+                if !state.needs_turn(server, !duration.is_zero()) {
+                    return None;
+                }
+                let statement = state.limits.get(&server.id).cloned()?;
                 let holder = state.members.holder(now, &server.id, &server.domain);
                 Some((statement, holder))
             });
@@ -115,11 +135,13 @@
             };
             let turn = match holder {
                 Owner::Local | Owner::Unavailable => {
-                    self.with(|state| state.grant_turn(now, &server.id, max_wait))
+                    self.with(|state| state.grant_turn(now, &server.id, max_wait, duration))
                 }
                 Owner::Peer(peer) => {
-                    let asked = self.transport.ask_turn(&peer, &statement, max_wait).await;
-                    match asked {
+                    let asked = self
+                        .transport
+                        .ask_turn(&peer, &statement, max_wait, duration);
+                    match asked.await {
                         Ok((turn, known)) => {
                             if let Some(known) = known {
                                 self.with(|state| state.record_rate(known));
@@ -154,8 +176,9 @@
                 }
                 Turn::Denied { retry_in } => {
                     self.with(|state| {
-                        let until = granted_at + max_wait + retry_in;
-                        state.fleet.hold(granted_at, &server.id, until);
+                        state
+                            .fleet
+                            .hold(granted_at, &server.id, granted_at + retry_in);
                     });
                     return Err(NoTurn);
                 }
@@ -167,35 +190,83 @@
     }
 }
 
+impl<E: Transport> Hub<E> {
+    /// Records that the request of a turn has ended, and whether the server turned it away.
+    pub(crate) fn end_turn(&self, server: &Server, is_rejected: bool) {
+        let now = self.transport.now();
+        let holder = self.with(|state| {
+            state.limits.brittle(&server.id, server.started_at_ms)?;
+            let holder = state.members.holder(now, &server.id, &server.domain);
+            match holder {
+                Owner::Peer(peer) => Some(peer),
+                Owner::Local | Owner::Unavailable => {
+                    state.brittle.record_end(now, &server.id, is_rejected);
+                    None
+                }
+            }
+        });
+        if let Some(holder) = holder {
+            self.transport
+                .end_turn(holder, server.id.clone(), is_rejected);
+        }
+    }
+}
+
 impl State {
-    /// Grants a turn at a server for this instance or another one, within the part of the limit that this instance may
+    /// Grants a turn at a server for this instance or another one, within the part of the limits that this instance may
     /// grant.
-    pub fn grant_turn(&mut self, now: Tick, server: &Name, max_wait: Duration) -> Turn {
-        let statement = self.limits.get(server);
-        let rate = statement.and_then(|known| self.limits.rate(server, known.started_at_ms));
-        match rate {
-            Some(rate) => {
-                let listed = self.roster.get(server);
-                let domain = listed.map_or_else(Name::default, |listed| listed.domain.clone());
-                let share = self.members.granted_share(now, server, &domain);
-                self.meter.take(now, server, rate * share, max_wait)
+    pub fn grant_turn(
+        &mut self,
+        now: Tick,
+        server: &Name,
+        max_wait: Duration,
+        duration: Duration,
+    ) -> Turn {
+        let mut turn = Turn::Granted {
+            wait: Duration::ZERO,
+            next_in: Duration::ZERO,
+        };
+        let Some(run) = self.limits.get(server).map(|known| known.started_at_ms) else {
+            return turn;
+        };
+        let listed = self.roster.get(server);
+        let domain = listed.map_or_else(Name::default, |listed| listed.domain.clone());
+        let slots = listed.map_or(1, |listed| listed.slots);
+        let share = self.members.granted_share(now, server, &domain);
+        if let Some(max_rejections) = self.limits.brittle(server, run)
+            && !duration.is_zero()
+        {
+            let load = Load {
+                slots: (f64::from(slots) * share).ceil() as u32,
+                running: self.fleet.running_anywhere(now, server),
+                max_rejections,
+            };
+            turn = self.brittle.take(now, server, load, duration);
+        }
+        match (self.limits.rate(server, run), turn) {
+            (Some(rate), Turn::Granted { .. }) => {
+                let turn = self.meter.take(now, server, rate * share, max_wait);
+                if let Turn::Denied { .. } = turn
+                    && !duration.is_zero()
+                {
+                    self.brittle.record_end(now, server, false);
+                }
+                turn
             }
-            None => Turn::Granted {
-                wait: Duration::ZERO,
-                next_in: Duration::ZERO,
-            },
+            _ => turn,
         }
     }
 
-    /// Returns the statement of a server that limits its request rate.
-    fn statement_of(&self, server: &Server) -> Option<Statement> {
-        self.rate_of(server)?;
-        self.limits.get(&server.id).cloned()
+    /// Returns whether a call needs a turn at a server.
+    pub(crate) fn needs_turn(&self, server: &Server, takes_slot: bool) -> bool {
+        let rate = self.limits.rate(&server.id, server.started_at_ms);
+        rate.is_some() || takes_slot && self.is_brittle(server)
     }
 
-    /// Returns the rate that a server takes, if it limits it.
-    pub(crate) fn rate_of(&self, server: &Server) -> Option<f64> {
-        self.limits.rate(&server.id, server.started_at_ms)
+    /// Returns whether a server falls over when it has to turn too many requests away.
+    pub(crate) fn is_brittle(&self, server: &Server) -> bool {
+        let brittle = self.limits.brittle(&server.id, server.started_at_ms);
+        brittle.is_some()
     }
 
     /// Returns the usable server of a pool that has a turn first, and when.
@@ -211,7 +282,7 @@
             job.may_use(server)
                 && !tried.contains(&server.id)
                 && !self.fleet.is_unusable(now, &server.id)
-                && self.rate_of(server).is_some()
+                && self.needs_turn(server, true)
         });
         let free_at = |server: &Rc<Server>| self.fleet.held_until(now, &server.id).unwrap_or(now);
         let first = servers.min_by_key(|server| free_at(server))?;
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -213,6 +213,7 @@
             is_leaving,
             pause,
             rate: Rate::Unclear,
+            brittle: Rate::Unclear,
         });
     }
 }
@@ -267,10 +268,13 @@
         _: &Peer,
         _: &Statement,
         _: Duration,
+        _: Duration,
     ) -> Result<(Turn, Option<Statement>), Failure> {
         Err(Failure::Unreachable)
     }
 
+    fn end_turn(&self, _: Peer, _: Name, _: bool) {}
+
     async fn send(&self, (): &(), call: Call) -> Result<Chunks, Failure> {
         let confirmed = (call.server.id.clone(), self.now());
         assert!(!call.is_bound || self.confirmed.borrow().contains(&confirmed));
