Checks of lost links include the local failure domain

By reading: a check that opened connections to servers of other failure domains only would take a cut between domains for lost links of the instance. It now begins with a server of the local domain.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -365,7 +365,11 @@
         state.members.helper(now, &[], 0.0)?;
         let mut fleet = state.fleet.clone();
         fleet.forget_unreachable();
-        let choice = choose_with(hub, state, Some(&fleet), job, pool, domain.as_ref(), tried)?;
+        let servers = state.roster.usable(now, pool);
+        let lost = servers.filter(|server| state.links.is_out_of_reach(now, &server.domain));
+        let lost = lost.map(|server| server.id.clone());
+        let tried: Vec<_> = tried.iter().cloned().chain(lost).collect();
+        let choice = choose_with(hub, state, Some(&fleet), job, pool, domain.as_ref(), &tried)?;
         Some(Choice {
             is_blocked: true,
             ..choice
--- a/crates/relay/src/links.rs
+++ b/crates/relay/src/links.rs
@@ -3,7 +3,7 @@
 use core::{pin::pin, time::Duration};
 use std::rc::Rc;
 
-use base::Tick;
+use base::{Name, Tick};
 use futures_util::{StreamExt, stream::FuturesUnordered};
 use mesh::Peer;
 use pick::links;
@@ -13,9 +13,13 @@
 
 use crate::{Hub, Transport, attempt::Attempts, hub::State};
 
-/// The number of servers to which a check opens connections, in different failure domains if possible.
+/// The number of servers to which a check opens connections: one in the local failure domain, as that may be cut off from
+/// the others, and the rest in different other ones if possible.
 const CHECKED_SERVERS: usize = 3;
 
+/// The same for the attempts to reach a server while the links are lost.
+const PROBED_SERVERS: usize = 2;
+
 /// The average time between attempts to reach a server while the links are lost.
 const PROBE_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -68,7 +72,7 @@
             while hub.with(|state| state.links.is_cut_off()) {
                 let draw = hub.with(|state| state.rng.random_range(-PROBE_JITTER..PROBE_JITTER));
                 time::sleep(PROBE_INTERVAL.mul_f64(1.0 + draw)).await;
-                if hub.reaches_servers(1).await {
+                if hub.reaches_servers(PROBED_SERVERS).await {
                     hub.record_check(true);
                 }
             }
@@ -77,7 +81,7 @@
 
     /// Returns whether one of a number of servers can be reached.
     async fn reaches_servers(&self, count: usize) -> bool {
-        let servers = self.with(|state| state.sample_servers(count));
+        let servers = self.with(|state| state.sample_servers(&self.domain, count));
         // A server list that is empty says nothing about the links.
         let mut is_reached = servers.is_empty();
         let probes = servers.iter().map(|server| self.transport.probe(server));
@@ -142,10 +146,11 @@
         }
     }
 
-    /// Returns random servers, of different failure domains as far as there are that many.
-    fn sample_servers(&mut self, count: usize) -> Vec<Rc<Server>> {
+    /// Returns random servers, one of the local failure domain first, and of different ones as far as there are that many.
+    fn sample_servers(&mut self, local: &Name, count: usize) -> Vec<Rc<Server>> {
         let mut servers: Vec<_> = self.roster.all().cloned().collect();
         servers.shuffle(&mut self.rng);
+        servers.sort_by_key(|server| server.domain != *local);
         let mut sample: Vec<Rc<Server>> = Vec::new();
         for is_any in [false, true] {
             for server in &servers {
--- a/crates/relay/src/pending.rs
+++ b/crates/relay/src/pending.rs
@@ -219,9 +219,15 @@
                 state.mark_leaving(now, &server.id, server.started_at_ms, "answer");
             }
         });
-        if failure == Failure::Unreachable && self.helper.is_none() {
-            attempts.needs_helper = true;
-            hub.record_unreachable(&server);
+        match (failure, &self.helper) {
+            (Failure::Unreachable, None) => {
+                attempts.needs_helper = true;
+                hub.record_unreachable(&server);
+            }
+            (Failure::Unreachable, Some(_)) => {
+                hub.with(|state| state.links.record_out_of_reach(now, &server.domain));
+            }
+            _ => {}
         }
         if matches!(failure, Failure::HelperLost | Failure::HelperUnavailable) {
             attempts.helpers.extend(self.helper.clone());
