--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -302,7 +302,7 @@
     /// Reports to other instances that a server crashed while it ran a request with this digest, `age` after it was sent.
     fn report_crash(&self, digest: u64, crash: &Crash, age: Duration);
 
-    /// Sends the origin of a stream to other instances, which keep it.
+    /// Keeps the origin of a stream beyond this instance: at other instances, if there are any, and in the store if need be.
     fn record_origin(&self, holders: Vec<Peer>, record: origins::Record);
 
     /// Asks another instance for the origin of a stream.
--- a/crates/relay/src/origin.rs
+++ b/crates/relay/src/origin.rs
@@ -209,9 +209,7 @@
         state.origins.record(now, record.clone());
         origins::holders(&state.members, stream)
     });
-    if !holders.is_empty() {
-        hub.transport.record_origin(holders, record);
-    }
+    hub.transport.record_origin(holders, record);
 }
 
 /// Returns the origin of a stream and the name of the instance that knows it, or `local`.
