A turn is given back if its server leaves while a request waits for it

Requests and stage calls are checked again once they have their turn, and a server without a limit that turns up while a request waits is used.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -146,8 +146,10 @@
                 }
             }
         };
+        // The request may have waited for its turn.
+        let is_late = is_late || job.time_left(hub.transport.now()).is_zero();
         let mut pending = match choice {
-            Ok(Some(choice)) => {
+            Ok(Some(choice)) if !is_late => {
                 if attempts.tried.is_empty() {
                     hub.with(|state| state.retry_window.record_request(now, &pool));
                 }
@@ -165,7 +167,7 @@
                 };
                 Pending::send(hub, job, choice, &inputs, last_event, helper)
             }
-            Ok(None) => {
+            Ok(_) => {
                 let code = match is_late {
                     true => Code::DeadlinePassed,
                     false => policy::final_code(attempts.may_have_run, Code::StageUnavailable),
--- a/crates/relay/src/batches.rs
+++ b/crates/relay/src/batches.rs
@@ -73,7 +73,13 @@
     async fn run_batch(self: Rc<Self>, batch: Batch) {
         let limit = batch.timeout + self.settings.max_stage_silence;
         let turn = self.take_turn(&batch.server, Duration::ZERO, limit);
-        if turn.await.is_err() {
+        let has_turn = turn.await.is_ok();
+        let now = self.transport.now();
+        let may_send = self.with(|state| state.may_get_work(now, &batch.server));
+        if has_turn && !may_send {
+            self.end_turn(&batch.server, false);
+        }
+        if !has_turn || !may_send {
             self.put_back(batch);
             self.dispatch();
             return;
--- a/crates/relay/src/turns.rs
+++ b/crates/relay/src/turns.rs
@@ -68,11 +68,8 @@
             break;
         };
         let duration = job.time_left(hub.transport.now());
-        if hub
-            .take_turn(&choice.server, Duration::ZERO, duration)
-            .await
-            .is_ok()
-        {
+        let turn = hub.take_turn(&choice.server, Duration::ZERO, duration);
+        if turn.await.is_ok() && hub.may_use_turn(job, &choice.server) {
             return Ok(Some(choice));
         }
     }
@@ -80,20 +77,25 @@
     let give_up_at = started_at + max_wait(job, started_at, since);
     loop {
         let now = hub.transport.now();
+        let choice = attempt::choose(hub, job, pool, inputs, tried);
+        let choice =
+            choice.filter(|choice| !hub.with(|state| state.needs_turn(&choice.server, true)));
+        if choice.is_some() {
+            return Ok(choice);
+        }
         let first = hub.with(|state| state.first_in_turn(now, job, pool, tried));
         let Some((server, free_at)) = first else {
-            // Servers that were held until now may be free again.
-            let choice = attempt::choose(hub, job, pool, inputs, tried)
-                .or_else(|| attempt::choose_blocked(hub, job, pool, inputs, tried));
+            let choice = attempt::choose_blocked(hub, job, pool, inputs, tried);
             return Ok(
-                choice.filter(|choice| hub.with(|state| !state.needs_turn(&choice.server, true)))
+                choice.filter(|choice| !hub.with(|state| state.needs_turn(&choice.server, true)))
             );
         };
         if free_at > give_up_at || now > give_up_at {
             return Err(NoTurn);
         }
         let (max_wait, duration) = (give_up_at - now, job.time_left(now));
-        if hub.take_turn(&server, max_wait, duration).await.is_ok() {
+        let turn = hub.take_turn(&server, max_wait, duration);
+        if turn.await.is_ok() && hub.may_use_turn(job, &server) {
             let tokens = job.prompt.as_ref().map_or(0, |prompt| prompt.input_tokens);
             return Ok(Some(Choice {
                 server,
@@ -191,6 +193,20 @@
 }
 
 impl<E: Transport> Hub<E> {
+    /// Returns whether a request may still be sent to the server whose turn it waited for, and gives the turn back otherwise:
+    /// the server may have announced its departure meanwhile, or the deadline may have passed.
+    fn may_use_turn(&self, job: &Job<E::Request>, server: &Server) -> bool {
+        let now = self.transport.now();
+        let may_use = !job.time_left(now).is_zero()
+            && self.with(|state| {
+                state.may_get_work(now, server) && !state.fleet.is_unusable(now, &server.id)
+            });
+        if !may_use {
+            self.end_turn(server, false);
+        }
+        may_use
+    }
+
     /// Records that the request of a turn has ended, and whether the server turned it away.
     pub(crate) fn end_turn(&self, server: &Server, is_rejected: bool) {
         let now = self.transport.now();
