--- a/crates/pick/src/links.rs
+++ b/crates/pick/src/links.rs
@@ -14,7 +14,7 @@
 /// The shortest time between two checks that found the links sound.
 const CHECK_INTERVAL: Duration = Duration::from_millis(500);
 
-/// How long a failure domain is passed over that another instance did not reach either.
+/// How long a server is passed over that another instance did not reach either.
 const OUT_OF_REACH_TIME: Duration = Duration::from_secs(2);
 
 /// Whether the local instance reaches servers, by the outcomes of its calls and of checks.
@@ -28,7 +28,7 @@
     last_check: Tick,
     is_checking: bool,
     is_cut_off: bool,
-    /// Failure domains with a server that another instance did not reach either, and until when they are passed over.
+    /// Servers that another instance did not reach either, and until when they are passed over.
     out_of_reach: Vec<(Name, Tick)>,
 }
 
@@ -84,29 +84,29 @@
         is_changed
     }
 
-    /// Records that another instance did not reach a server of a failure domain either.
+    /// Records that another instance did not reach a server either.
     ///
     /// # Examples
     ///
     /// ```
     /// use base::Tick;
     /// use pick::Links;
-    /// let (mut links, domain) = (Links::default(), "a".into());
-    /// links.record_out_of_reach(Tick::from_millis(5), &domain);
-    /// assert!(links.is_out_of_reach(Tick::from_millis(6), &domain));
-    /// assert!(!links.is_out_of_reach(Tick::from_millis(9_000), &domain));
+    /// let (mut links, server) = (Links::default(), "i-1".into());
+    /// links.record_out_of_reach(Tick::from_millis(5), &server);
+    /// assert!(links.is_out_of_reach(Tick::from_millis(6), &server));
+    /// assert!(!links.is_out_of_reach(Tick::from_millis(9_000), &server));
     /// ```
-    pub fn record_out_of_reach(&mut self, now: Tick, domain: &Name) {
+    pub fn record_out_of_reach(&mut self, now: Tick, server: &Name) {
         self.out_of_reach
-            .retain(|(known, until)| known != domain && now < *until);
+            .retain(|(known, until)| known != server && now < *until);
         self.out_of_reach
-            .push((domain.clone(), now + OUT_OF_REACH_TIME));
+            .push((server.clone(), now + OUT_OF_REACH_TIME));
     }
 
-    /// Returns whether other instances did not reach a failure domain a moment ago.
-    pub fn is_out_of_reach(&self, now: Tick, domain: &Name) -> bool {
+    /// Returns whether another instance did not reach a server a moment ago.
+    pub fn is_out_of_reach(&self, now: Tick, server: &Name) -> bool {
         let mut known = self.out_of_reach.iter();
-        known.any(|(known, until)| known == domain && now < *until)
+        known.any(|(known, until)| known == server && now < *until)
     }
 
     /// Returns whether a check is due, and records that it is under way.
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -368,7 +368,7 @@
         let mut fleet = state.fleet.clone();
         fleet.forget_unreachable();
         let servers = state.roster.usable(now, pool);
-        let lost = servers.filter(|server| state.links.is_out_of_reach(now, &server.domain));
+        let lost = servers.filter(|server| state.links.is_out_of_reach(now, &server.id));
         let lost = lost.map(|server| server.id.clone());
         let tried: Vec<_> = tried.iter().cloned().chain(lost).collect();
         let choice = choose_with(hub, state, Some(&fleet), job, pool, domain.as_ref(), &tried)?;
--- a/crates/relay/src/pending.rs
+++ b/crates/relay/src/pending.rs
@@ -225,7 +225,7 @@
                 hub.record_unreachable(&server);
             }
             (Failure::Unreachable, Some(_)) => {
-                hub.with(|state| state.links.record_out_of_reach(now, &server.domain));
+                hub.with(|state| state.links.record_out_of_reach(now, &server.id));
             }
             _ => {}
         }
