A limit ends while the answers of requests overlap

Cause: an answer without the limit that overlapped with the last one with it moved the time of the limit, so that no later answer came after it.

Change: such an answer keeps the time of the limit.

--- a/crates/quota/src/limits.rs
+++ b/crates/quota/src/limits.rs
@@ -26,6 +26,29 @@
     pub const fn is_limited(&self) -> bool {
         self.rate.is_some() || self.brittle.is_some()
     }
+
+    /// Returns whether another statement has the same limits.
+    fn agrees(&self, other: &Self) -> bool {
+        (self.rate, self.brittle) == (other.rate, other.brittle)
+    }
+
+    /// Returns what holds if another statement may be older or newer.
+    fn merge(&self, other: &Self) -> Self {
+        let merged = Self {
+            rate: lower(self.rate, other.rate),
+            brittle: lower(self.brittle, other.brittle),
+            ..self.clone()
+        };
+        if !merged.agrees(other) {
+            // An answer that lifts a limit must not move the time of the limit, or it would never end while answers overlap.
+            return merged;
+        }
+        Self {
+            sent_at: self.sent_at.max(other.sent_at),
+            received_at: self.received_at.max(other.received_at),
+            ..merged
+        }
+    }
 }
 
 /// Returns the lower one of two limits.
@@ -101,23 +124,14 @@
         if statement.received_at <= known.sent_at {
             return false;
         }
-        let is_after = statement.sent_at >= known.received_at;
-        let statement = match is_after {
-            true => statement,
-            false => Statement {
-                rate: lower(statement.rate, known.rate),
-                brittle: lower(statement.brittle, known.brittle),
-                ..statement
-            },
-        };
-        let is_changed = (known.rate, known.brittle) != (statement.rate, statement.brittle);
-        let received_at = known.received_at.max(statement.received_at);
-        let sent_at = known.sent_at.max(statement.sent_at);
-        *known = Statement {
-            sent_at,
-            received_at,
-            ..statement
-        };
+        if statement.sent_at >= known.received_at {
+            let is_changed = !statement.agrees(known);
+            *known = statement;
+            return is_changed;
+        }
+        let merged = known.merge(&statement);
+        let is_changed = !merged.agrees(known);
+        *known = merged;
         is_changed
     }
 
