An instance without links says so instead of blaming the server

Cause: an instance that was asked for help and did not reach the server answered that the server is unreachable, without looking at its own links. The instance that had asked passed the server over, and soon all of them.

Change: it checks its links first, and answers that it can not help if it reaches no server. Then another instance is asked.

--- a/crates/relay/src/links.rs
+++ b/crates/relay/src/links.rs
@@ -63,6 +63,12 @@
         }
     }
 
+    /// Records that this instance can't reach a server, and returns whether it reaches other ones.
+    pub async fn reaches_others(self: &Rc<Self>, server: &Server) -> bool {
+        self.record_unreachable(server);
+        !self.with(|state| state.links.is_cut_off()) && self.reaches_servers(CHECKED_SERVERS).await
+    }
+
     /// Finds out in the background whether any server can be reached, and waits until one can if not.
     fn check_links(self: &Rc<Self>) {
         let hub = self.clone();
