A server that got nothing may be called by another instance

Cause: a server counted as tried when the instance that was asked for help could not call it, so that a pool with one server had none left.

Change: it does not count as tried then.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -37,7 +37,7 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Attempts {
     /// The servers that the request was sent to, including unreachable ones.
-    tried: Vec<Name>,
+    pub(crate) tried: Vec<Name>,
     /// The number of servers that the request reached.
     pub(crate) reached: u32,
     /// The number of servers that were unreachable or whose address another server uses.
--- a/crates/relay/src/pending.rs
+++ b/crates/relay/src/pending.rs
@@ -232,6 +232,10 @@
         if matches!(failure, Failure::HelperLost | Failure::HelperUnavailable) {
             attempts.helpers.extend(self.helper.clone());
         }
+        if failure == Failure::HelperUnavailable {
+            // The server got nothing, so another instance may call it.
+            attempts.tried.retain(|tried| *tried != server.id);
+        }
         if failure == Failure::Broken {
             crash::record(hub, job, &server, self.guard.age(), Duration::ZERO);
         }
