Tests: connections that an own cut breaks count as crashes

Cause: each connection that breaks while a server runs a request is recorded as a crash of the server, also if all connections of the instance break as it loses its links.

--- /dev/null
+++ b/crates/relay/tests/own_cut.rs
@@ -0,0 +1,67 @@
+//! Connections that break as the links of this instance to all servers are lost.
+
+mod support;
+
+use core::time::Duration;
+use std::rc::Rc;
+
+use googletest::prelude::*;
+use relay::{Answer, Failure, Hub, serve::serve};
+use site::route::Kind;
+use support::{Reaction, Servers, hub, job};
+use tokio::time;
+
+/// How long the links are lost.
+const CUT: Duration = Duration::from_secs(1);
+
+/// How long after that the runs of servers are known.
+const SETTLED: Duration = Duration::from_secs(3);
+
+/// Sends a stream and a whole request whose connections break in a cut of this instance, and waits until it has ended.
+async fn cut_off(hub: &Rc<Hub<Servers>>) {
+    let stream = serve(hub, job(hub, Kind::Streaming, |_| {})).await;
+    let Ok(Answer::Stream { mut body, .. }) = stream else {
+        panic!("expected a stream");
+    };
+    expect_that!(body.next().await.is_ok(), eq(true));
+    hub.transport.is_cut_off.set(true);
+    while let Ok(Some(_)) = body.next().await {}
+    let whole = serve(hub, job(hub, Kind::Idempotent, |_| {})).await;
+    expect_that!(whole.is_err(), eq(true));
+    time::sleep(CUT).await;
+    expect_that!(hub.transport.crashes.borrow().len(), eq(0));
+    hub.transport.is_cut_off.set(false);
+    time::sleep(SETTLED).await;
+}
+
+fn reactions() -> Vec<Reaction> {
+    vec![
+        Reaction::Answer(200, vec![Ok("id: 1\ndata: a\n\n"), Err(Failure::Broken)]),
+        Reaction::Fail(Failure::Broken),
+        Reaction::Fail(Failure::Broken),
+    ]
+}
+
+/// RECOVER: connections that a cut of this instance reset counted as crashes of servers, and a part of prompts was refused.
+#[gtest]
+#[actix_web::test]
+async fn connections_that_a_cut_of_this_instance_breaks_are_no_crashes() {
+    time::pause();
+    let hub = hub(reactions());
+    cut_off(&hub).await;
+    expect_that!(hub.transport.crashes.borrow().len(), eq(0));
+    expect_that!(hub.with(|state| state.crashes.count(7)), eq(0));
+}
+
+/// Servers that crash together look like a cut of this instance until they run again.
+#[gtest]
+#[actix_web::test]
+async fn crashes_of_all_servers_are_recorded_once_they_state_later_runs() {
+    time::pause();
+    let hub = hub(reactions());
+    let later_run = (Duration::ZERO, Ok(9));
+    hub.transport.statements.replace(vec![later_run; 3].into());
+    cut_off(&hub).await;
+    expect_that!(hub.transport.crashes.borrow().len(), ge(1));
+    expect_that!(hub.with(|state| state.crashes.count(7)), ge(1));
+}
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -137,6 +137,8 @@
     pub(crate) asked: Cell<usize>,
     /// Whether answers end with their connection.
     pub(crate) is_close_delimited: Cell<bool>,
+    /// Whether no connection to any server opens.
+    pub(crate) is_cut_off: Cell<bool>,
 }
 
 pub(crate) struct Chunks {
@@ -258,7 +260,7 @@
     }
 
     async fn probe(&self, _: &Server) -> bool {
-        true
+        !self.is_cut_off.get()
     }
 
     fn close_idle(&self) {}
@@ -453,6 +455,7 @@
         runs: RefCell::default(),
         asked: Cell::default(),
         is_close_delimited: Cell::default(),
+        is_cut_off: Cell::default(),
     };
     let bound = Bound {
         ratio: 0.2,
