Connections that an own cut breaks don't count as crashes

Cause: each connection that broke while a server ran a request was recorded as a crash of the server, without looking at the links of the instance.

Change: a broken connection has the links checked first. If no server is reached, it is held until one is, and counts as a crash if its server then states another run. Failures of calls that were under way in a cut leave the estimates of servers as they were.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -208,7 +208,7 @@
                     return Ok(earlier.into_attempt(hub, attempts, reply));
                 }
                 Event::Failed(failure) => {
-                    pending.finish(hub, job, attempts, failure);
+                    pending.finish(hub, job, attempts, failure).await;
                     let mut retry = attempts.check_retry(hub, job, failure);
                     if retry.is_ok() && failure == Failure::InputGone {
                         let remade = stages::run(hub, job, inputs.domain(), since);
@@ -225,7 +225,7 @@
                     }
                 }
                 Event::SilentFailed(mut earlier, failure) => {
-                    earlier.finish(hub, job, attempts, failure);
+                    earlier.finish(hub, job, attempts, failure).await;
                 }
                 Event::Silent => {
                     pending.record_silence(attempts);
--- a/crates/relay/src/body.rs
+++ b/crates/relay/src/body.rs
@@ -309,7 +309,7 @@
     async fn resume(&mut self, failure: Failure) -> Result<(), Failure> {
         let last_event = self.events.last_id();
         let now = self.hub.transport.now();
-        if let Some(attempt) = self.attempt.take() {
+        if let Some(mut attempt) = self.attempt.take() {
             let server = attempt.guard.server.clone();
             log::info!(
                 target: "relay", request:% = self.job.id, server:% = server.id,
@@ -318,13 +318,9 @@
                 silent_ms = (now - self.last_bytes_at).as_millis();
                 "stream interrupted"
             );
-            let age = attempt.guard.age();
-            attempt.guard.finish(completion_of(failure));
-            if failure == Failure::Broken {
-                let first_event_at = self.first_event_at.unwrap_or(self.last_bytes_at);
-                let wrote = self.last_bytes_at - first_event_at;
-                crash::record(&self.hub, &self.job, &server, age, wrote);
-            }
+            let first_event_at = self.first_event_at.unwrap_or(self.last_bytes_at);
+            let wrote = self.last_bytes_at - first_event_at;
+            crash::complete(&self.hub, &self.job, &mut attempt.guard, failure, wrote).await;
         }
         if failure == Failure::TimedOut {
             return Err(self.fail(last_event, Code::DeadlinePassed.title()));
--- a/crates/relay/src/crash.rs
+++ b/crates/relay/src/crash.rs
@@ -6,8 +6,27 @@
 use base::{Name, Tick};
 use retry::parts::{Crash, Verdict};
 use site::roster::Server;
+use tokio::task;
 
-use crate::{Hub, Job, Refusal, Transport, attempt::Attempts, hub::State, serve};
+use crate::{
+    Failure, Hub, Job, Refusal, Transport,
+    attempt::Attempts,
+    guard::Guard,
+    hub::{State, completion_of},
+    origin, serve,
+};
+
+/// The largest number of broken connections that are held until it is known whether servers crashed.
+const MAX_HELD: usize = 1_024;
+
+/// A connection that broke while a server ran a request.
+#[derive(Debug)]
+pub(crate) struct Held {
+    server: Rc<Server>,
+    digest: u64,
+    crash: Crash,
+    age: Duration,
+}
 
 /// Checks that a request has crashed no servers before and that no part of its prompt does, or takes a trial for it.
 ///
@@ -45,16 +64,20 @@
     }
 }
 
-/// Records that a connection broke while a server ran a request, `age` after it was sent and after the server had been
-/// writing for a time, and reports it if it is new.
-pub(crate) fn record<E: Transport>(
+/// Ends a call that failed after its server had been writing for a time, and records a crash of the server if its connection
+/// broke. If this instance lost its links to all servers, that is decided when it reaches servers again.
+pub(crate) async fn complete<E: Transport>(
     hub: &Rc<Hub<E>>,
     job: &Job<E::Request>,
-    server: &Server,
-    age: Duration,
+    guard: &mut Guard<E>,
+    failure: Failure,
     wrote: Duration,
 ) {
-    let now = hub.transport.now();
+    if failure != Failure::Broken {
+        guard.complete(completion_of(failure));
+        return;
+    }
+    let (server, age) = (guard.server.clone(), guard.age());
     let crash = Crash {
         server: server.id.clone(),
         started_at_ms: server.started_at_ms,
@@ -63,17 +86,72 @@
         parts: job.shared_parts(),
         wrote,
     };
+    let held = Held {
+        server,
+        digest: job.digest,
+        crash,
+        age,
+    };
+    let is_own_cut = guard.is_direct && hub.are_links_lost().await;
+    guard.complete(completion_of(failure));
+    if !is_own_cut {
+        record(hub, held);
+        return;
+    }
+    hub.with(|state| {
+        if state.held.len() < MAX_HELD {
+            state.held.push(held);
+        }
+    });
+}
+
+/// Records a crash, and reports it if it is new.
+fn record<E: Transport>(hub: &Rc<Hub<E>>, held: Held) {
+    let now = hub.transport.now();
+    let Held {
+        digest, crash, age, ..
+    } = held;
     let is_new = hub.with(|state| {
-        let is_new_content = state.crashes.record(now, job.digest, &server.id);
+        let is_new_content = state.crashes.record(now, digest, &crash.server);
         let is_new = state.parts.record_crash(now, crash.clone(), age, false);
         state.judge_parts(now);
         is_new || is_new_content
     });
     if is_new {
-        hub.transport.report_crash(job.digest, &crash, age);
+        hub.transport.report_crash(digest, &crash, age);
+    }
+}
+
+/// Finds out in the background which servers crashed while this instance reached none: those that state another run now.
+pub(crate) fn settle<E: Transport>(hub: &Rc<Hub<E>>) {
+    let mut held = hub.with(|state| core::mem::take(&mut state.held));
+    held.sort_by(|a, b| run(a).cmp(&run(b)));
+    let mut held = held.into_iter().peekable();
+    while let Some(first) = held.next() {
+        let server = first.server.clone();
+        let mut broken = vec![first];
+        while let Some(next) = held.next_if(|next| run(next) == run(&broken[0])) {
+            broken.push(next);
+        }
+        let hub = hub.clone();
+        task::spawn_local(async move {
+            let is_same = origin::is_same_run(&hub, &server).await;
+            log::info!(
+                target: "servers", server:% = server.id, connections = broken.len(), crashed = !is_same;
+                "connections broke while no server was reachable"
+            );
+            if !is_same {
+                broken.into_iter().for_each(|held| record(&hub, held));
+            }
+        });
     }
 }
 
+/// Returns the run of the server whose connection broke.
+fn run(held: &Held) -> (&Name, u64) {
+    (&held.server.id, held.server.started_at_ms)
+}
+
 /// Records that a server gave a whole answer to a request that it got at a time. Without the time, the server may as well
 /// have crashed, as the end of its connection is the only mark; the answer is no evidence against earlier crashes then.
 pub(crate) fn record_answer<E: Transport>(
--- a/crates/relay/src/guard.rs
+++ b/crates/relay/src/guard.rs
@@ -17,13 +17,20 @@
     sent_at: Tick,
     /// Whether the server has been silent for long, which counts as a failure if the call is dropped.
     pub(crate) is_silent: bool,
+    /// Whether this instance makes the call itself.
+    pub(crate) is_direct: bool,
     /// Whether the call took a turn that lasts until it has ended.
     has_turn: bool,
     is_finished: bool,
 }
 
 impl<E: Transport> Guard<E> {
-    pub(crate) fn start(hub: &Rc<Hub<E>>, server: &Rc<Server>, tokens: u64) -> Self {
+    pub(crate) fn start(
+        hub: &Rc<Hub<E>>,
+        server: &Rc<Server>,
+        tokens: u64,
+        is_direct: bool,
+    ) -> Self {
         let now = hub.transport.now();
         let has_turn = hub.with(|state| {
             state.fleet.record_start(now, &server.id, tokens);
@@ -35,6 +42,7 @@
             tokens,
             sent_at: now,
             is_silent: false,
+            is_direct,
             has_turn,
             is_finished: false,
         }
@@ -74,6 +82,15 @@
         }
         let now = self.hub.transport.now();
         self.hub.with(|state| {
+            let completion = match completion {
+                // A cut of this instance says nothing about its servers.
+                Completion::Failed | Completion::Unreachable
+                    if self.is_direct && state.links.is_cut_off() =>
+                {
+                    Completion::Abandoned
+                }
+                completion => completion,
+            };
             state
                 .fleet
                 .record_completion(now, &self.server.id, completion)
--- a/crates/relay/src/hub.rs
+++ b/crates/relay/src/hub.rs
@@ -12,7 +12,9 @@
 use retry::{Crashes, Parts, Window, window::Bound};
 use site::{Config, Roster, roster::Server};
 
-use crate::{Failure, Transport, configs, estimate::Estimator, pieces::Waiter};
+use crate::{
+    Failure, Transport, configs, crash::Held, estimate::Estimator, links::Check, pieces::Waiter,
+};
 
 /// The state that all requests of an instance share.
 pub struct Hub<E> {
@@ -22,6 +24,8 @@
     pub domain: Name,
     /// Settings.
     pub settings: configs::Config,
+    /// The check of the links that is under way.
+    pub(crate) check: RefCell<Option<Check>>,
     state: RefCell<State>,
 }
 
@@ -45,6 +49,8 @@
     pub scheduler: Scheduler,
     /// The retry budget.
     pub retry_window: Window,
+    /// Connections that broke while the links were lost, any of which may be a crash.
+    pub(crate) held: Vec<Held>,
     /// Requests that crashed servers.
     pub crashes: Crashes,
     /// Parts of prompts that crash servers.
@@ -82,6 +88,7 @@
             transport,
             domain,
             settings,
+            check: RefCell::default(),
             state: RefCell::new(State {
                 config: None,
                 roster: Roster::default(),
@@ -92,6 +99,7 @@
                 brittle: Brittle::default(),
                 scheduler: Scheduler::default(),
                 retry_window: Window::new(bound),
+                held: Vec::new(),
                 crashes: Crashes::default(),
                 parts: Parts::default(),
                 members,
--- a/crates/relay/src/links.rs
+++ b/crates/relay/src/links.rs
@@ -4,19 +4,26 @@
 use std::rc::Rc;
 
 use base::{Name, Tick};
-use futures_util::{StreamExt, stream::FuturesUnordered};
+use futures_util::{
+    FutureExt, StreamExt,
+    future::{self, LocalBoxFuture, Shared},
+    stream::FuturesUnordered,
+};
 use mesh::Peer;
 use pick::links;
 use rand::{RngExt, seq::SliceRandom};
 use site::roster::Server;
 use tokio::{task, time};
 
-use crate::{Hub, Transport, attempt::Attempts, hub::State};
+use crate::{Hub, Transport, attempt::Attempts, crash, hub::State};
 
 /// The number of servers to which a check opens connections: one in the local failure domain, as that may be cut off from
 /// the others, and the rest in different other ones if possible.
 const CHECKED_SERVERS: usize = 3;
 
+/// The number of other servers that a check tries before the links count as lost, as some servers may crash together.
+const RECHECKED_SERVERS: usize = 8;
+
 /// The same for the attempts to reach a server while the links are lost.
 const PROBED_SERVERS: usize = 2;
 
@@ -26,6 +33,9 @@
 /// The largest part of the interval by which it varies, so that instances don't probe together.
 const PROBE_JITTER: f64 = 0.25;
 
+/// A check of the links, which returns whether a server was reached.
+pub(crate) type Check = Shared<LocalBoxFuture<'static, bool>>;
+
 /// How a call reaches its server.
 pub(crate) enum Way {
     Direct,
@@ -51,7 +61,7 @@
     fn record_silence(self: &Rc<Self>, sent_at: Tick) {
         let now = self.transport.now();
         if self.with(|state| state.links.record_silence(now, sent_at)) {
-            self.check_links();
+            drop(self.check_links());
         }
     }
 
@@ -59,46 +69,67 @@
     pub(crate) fn record_unreachable(self: &Rc<Self>, server: &Server) {
         let now = self.transport.now();
         if self.with(|state| state.links.record_unreachable(now, &server.id)) {
-            self.check_links();
+            drop(self.check_links());
         }
     }
 
     /// Records that this instance can't reach a server, and returns whether it reaches other ones.
     pub async fn reaches_others(self: &Rc<Self>, server: &Server) -> bool {
         self.record_unreachable(server);
-        !self.with(|state| state.links.is_cut_off()) && self.reaches_servers(CHECKED_SERVERS).await
+        !self.are_links_lost().await
     }
 
-    /// Finds out in the background whether any server can be reached, and waits until one can if not.
-    fn check_links(self: &Rc<Self>) {
+    /// Returns whether no server can be reached any more, after a connection broke.
+    pub async fn are_links_lost(self: &Rc<Self>) -> bool {
+        // A check that is under way may have reached a server before the connection broke.
+        let earlier = self.check.borrow().clone();
+        if let Some(check) = earlier {
+            check.await;
+        }
+        self.with(|state| state.links.is_cut_off()) || !self.check_links().await
+    }
+
+    /// Begins to find out whether any server can be reached, unless such a check is under way already, and returns the check.
+    /// It goes on if nobody waits for it.
+    fn check_links(self: &Rc<Self>) -> Check {
+        if let Some(check) = &*self.check.borrow() {
+            return check.clone();
+        }
         let hub = self.clone();
-        task::spawn_local(async move {
-            let is_reached = hub.reaches_servers(CHECKED_SERVERS).await;
+        let check = async move {
+            let count = CHECKED_SERVERS + RECHECKED_SERVERS;
+            let servers = hub.with(|state| state.sample_servers(&hub.domain, count));
+            let (first, rest) = servers.split_at(servers.len().min(CHECKED_SERVERS));
+            // A server list that is empty says nothing about the links.
+            let is_reached =
+                servers.is_empty() || hub.reaches_any(first).await || hub.reaches_any(rest).await;
+            hub.check.take();
             hub.record_check(is_reached);
-            while hub.with(|state| state.links.is_cut_off()) {
-                let draw = hub.with(|state| state.rng.random_range(-PROBE_JITTER..PROBE_JITTER));
-                time::sleep(PROBE_INTERVAL.mul_f64(1.0 + draw)).await;
-                if hub.reaches_servers(PROBED_SERVERS).await {
-                    hub.record_check(true);
-                }
-            }
-        });
+            is_reached
+        };
+        let check = check.boxed_local().shared();
+        self.check.replace(Some(check.clone()));
+        task::spawn_local(check.clone());
+        check
     }
 
-    /// Returns whether one of a number of servers can be reached.
-    async fn reaches_servers(&self, count: usize) -> bool {
-        let servers = self.with(|state| state.sample_servers(&self.domain, count));
-        // A server list that is empty says nothing about the links.
-        let mut is_reached = servers.is_empty();
-        let probes = servers.iter().map(|server| self.transport.probe(server));
-        let mut probes: FuturesUnordered<_> = probes.collect();
-        while let Some(reached) = probes.next().await {
-            is_reached |= reached;
-            if is_reached {
-                break;
+    /// Opens connections to servers until one opens.
+    async fn regain_links(self: Rc<Self>) {
+        while self.with(|state| state.links.is_cut_off()) {
+            let draw = self.with(|state| state.rng.random_range(-PROBE_JITTER..PROBE_JITTER));
+            time::sleep(PROBE_INTERVAL.mul_f64(1.0 + draw)).await;
+            let servers = self.with(|state| state.sample_servers(&self.domain, PROBED_SERVERS));
+            if servers.is_empty() || self.reaches_any(&servers).await {
+                self.record_check(true);
             }
         }
-        is_reached
+    }
+
+    /// Returns whether one of some servers can be reached.
+    async fn reaches_any(&self, servers: &[Rc<Server>]) -> bool {
+        let probes = servers.iter().map(|server| self.transport.probe(server));
+        let probes: FuturesUnordered<_> = probes.collect();
+        pin!(probes.any(future::ready)).await
     }
 
     fn record_check(self: &Rc<Self>, is_reached: bool) {
@@ -115,8 +146,10 @@
         self.transport.close_idle();
         if is_reached {
             log::info!(target: "servers", "servers are reachable again");
+            crash::settle(self);
         } else {
             log::warn!(target: "servers", "no server is reachable; other instances make the calls");
+            task::spawn_local(self.clone().regain_links());
         }
         self.dispatch();
     }
--- a/crates/relay/src/origin.rs
+++ b/crates/relay/src/origin.rs
@@ -144,6 +144,17 @@
     None
 }
 
+/// Returns whether a server is still the run that was listed, by its own statement, or by the list if it makes none.
+pub(crate) async fn is_same_run<E: Transport>(hub: &Hub<E>, server: &Server) -> bool {
+    match ask_run(hub, server).await {
+        Some(run) => run == server.started_at_ms,
+        None => hub.with(|state| {
+            let listed = state.roster.get(&server.id);
+            listed.is_some_and(|listed| listed.started_at_ms == server.started_at_ms)
+        }),
+    }
+}
+
 /// Returns whether the list now shows a later run of a server, of another version. The list lags, so the request may have
 /// reached either run.
 pub(crate) fn has_restarted<E: Transport>(hub: &Hub<E>, server: &Server) -> bool {
--- a/crates/relay/src/pending.rs
+++ b/crates/relay/src/pending.rs
@@ -90,7 +90,7 @@
         let helper = call.helper.as_ref().map(|helper| helper.name.clone());
         let is_sent = Rc::new(Cell::new(!is_bound || helper.is_some()));
         Self {
-            guard: Guard::start(hub, &choice.server, choice.tokens),
+            guard: Guard::start(hub, &choice.server, choice.tokens, helper.is_none()),
             reply: Box::pin(send(hub, job, call, is_sent.clone())),
             is_sent,
             inputs: inputs.clone(),
@@ -196,7 +196,7 @@
     }
 
     /// Records that the attempt failed.
-    pub(crate) fn finish(
+    pub(crate) async fn finish(
         &mut self,
         hub: &Rc<Hub<E>>,
         job: &Job<E::Request>,
@@ -209,7 +209,7 @@
             attempt = attempts.reached + 1, age_ms = self.guard.age().as_millis(), cause:% = failure;
             "attempt failed"
         );
-        self.guard.complete(completion_of(failure));
+        crash::complete(hub, job, &mut self.guard, failure, Duration::ZERO).await;
         let now = hub.transport.now();
         hub.with(|state| {
             if self.helper.is_none() {
@@ -236,9 +236,6 @@
             // The server got nothing, so another instance may call it.
             attempts.tried.retain(|tried| *tried != server.id);
         }
-        if failure == Failure::Broken {
-            crash::record(hub, job, &server, self.guard.age(), Duration::ZERO);
-        }
         attempts.may_have_run |= failure.may_have_run();
         if !matches!(
             failure,
@@ -323,7 +320,7 @@
         let mut earlier = silent.remove(at);
         match reply {
             Ok(reply) => return Some(earlier.into_attempt(hub, attempts, reply)),
-            Err(failure) => earlier.finish(hub, job, attempts, failure),
+            Err(failure) => earlier.finish(hub, job, attempts, failure).await,
         }
     }
     None
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -116,11 +116,7 @@
             Err(failure) => failure,
         };
         let server = attempt.guard.server.clone();
-        let age = attempt.guard.age();
-        attempt.guard.finish(completion_of(failure));
-        if failure == Failure::Broken {
-            crash::record(hub, &job, &server, age, Duration::ZERO);
-        }
+        crash::complete(hub, &job, &mut attempt.guard, failure, Duration::ZERO).await;
         log::info!(target: "relay", request:% = job.id, server:% = server.id, cause:% = failure; "answer interrupted");
         attempts.may_have_run = true;
         let time_left = job.time_left(hub.transport.now());
