Test: a request at a silent server moves as soon as another one may be used

Cause: another server is looked for once when a server has been silent for long, and again only after as long a silence.

--- a/crates/relay/tests/silence.rs
+++ b/crates/relay/tests/silence.rs
@@ -56,6 +56,40 @@
     });
 }
 
+/// Pauses all servers but the one with the request.
+fn pause_other_servers(hub: &Hub, pause: Duration) {
+    let used = hub.transport.sent.borrow()[0].server.clone();
+    let now = relay::Transport::now(&hub.transport);
+    hub.with(|state| {
+        for id in ["i-0", "i-1", "i-2"] {
+            if used.as_str() != id {
+                state.fleet.pause(now, &id.into(), now + pause);
+            }
+        }
+    });
+}
+
+/// A request was refused at its deadline because the other servers were paused at the moment at which its server had been
+/// silent for long: the next look for another server came as long after that.
+#[gtest]
+#[actix_web::test]
+async fn a_request_at_a_silent_server_moves_as_soon_as_another_server_may_be_used() {
+    for kind in [Kind::Idempotent, Kind::Streaming] {
+        time::pause();
+        let hub = hub(vec![Reaction::Hang, answer(BOTH)]);
+        let job = patient_job(&hub, kind, |route| {
+            route.timeout = Duration::from_millis(1_800);
+        });
+        let pause = async {
+            time::sleep(Duration::from_millis(100)).await;
+            pause_other_servers(&hub, Duration::from_millis(1_100));
+        };
+        let (text, ()) = tokio::join!(text_of(&hub, job), pause);
+        expect_that!(text, ok(eq(BOTH)), "{kind:?}");
+        time::resume();
+    }
+}
+
 /// LOST: a stream was cut because its server was silent and the retry budget was spent.
 #[gtest]
 #[actix_web::test]
