Another server is looked for each 100 ms once a server is silent

Cause: a request whose server had been silent for long looked for another one once, and again only after as long a silence. One that was paused or blocked just then stayed out.

Change: from then on it looks each 100 ms, within its attempts and the retry budget as before.

--- a/crates/relay/src/pending.rs
+++ b/crates/relay/src/pending.rs
@@ -26,6 +26,9 @@
 /// The part of the time left that a question for the run of a server waits for its turn, as a divisor.
 const QUESTION_WAIT_DIVISOR: u32 = 4;
 
+/// The interval at which another server is looked for once a server has been silent for long.
+const SILENT_INTERVAL: Duration = Duration::from_millis(100);
+
 /// An attempt whose head has not arrived.
 pub(crate) struct Pending<'a, E: Transport> {
     reply: Pin<Box<dyn Future<Output = Result<E::Reply, Failure>> + 'a>>,
@@ -114,6 +117,9 @@
         since: Tick,
     ) -> Event<'a, E> {
         let mut limit = policy::head_silence_limit(&job.route, &hub.settings);
+        if self.guard.is_silent {
+            limit = limit.min(SILENT_INTERVAL);
+        }
         if silent.is_empty() {
             return match time::timeout(limit, &mut self.reply).await {
                 Ok(reply) => Event::of(reply),
