Tests: an unnamed stream is not taken up by an old list

Cause: a caller that names no attempt is judged by the list of servers, however old it is: servers of another version may have come since.

--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -485,7 +485,9 @@
             work: Work::Pieces(pieces),
         },
     ];
+    let now = hub.transport.now();
     hub.with(|state| {
+        state.roster.record_read(now);
         state.config = Some(Rc::new(site::Config::new(1, Vec::new(), pools, None)));
         for (at, pool) in ["engines", "engines", "engines", "stages"]
             .iter()
--- a/crates/relay/tests/versions.rs
+++ b/crates/relay/tests/versions.rs
@@ -301,6 +301,24 @@
     }
 }
 
+/// ORDER: a stream of an unnamed attempt went on by a list that an instance had not read for long: servers of other versions
+/// may have come meanwhile.
+#[gtest]
+#[actix_web::test]
+async fn a_stream_of_an_unnamed_attempt_waits_for_the_list_to_be_read() {
+    time::pause();
+    let hub = hub(vec![second()]);
+    time::sleep(Duration::from_secs(4)).await;
+    expect_that!(
+        take_up(&hub, None).await,
+        err(eq(&(Code::OriginUnavailable, true)))
+    );
+    expect_that!(sent_to(&hub).len(), eq(0));
+    let now = relay::Transport::now(&hub.transport);
+    hub.with(|state| state.roster.record_read(now));
+    expect_that!(take_up(&hub, None).await, ok(eq(SECOND)));
+}
+
 /// LOST: a caller that names no attempt could not take its stream up though all servers run one version.
 #[gtest]
 #[actix_web::test]
--- a/crates/site/src/roster.rs
+++ b/crates/site/src/roster.rs
@@ -86,6 +86,8 @@
     departure_count: u64,
     /// The time until which a missing entry may have lapsed although its server is live, and the server is used.
     lapse_grace_until: Tick,
+    /// The time as of which the entries are known, or none before they were read.
+    read_at: Option<Tick>,
 }
 
 #[derive(Clone, Debug)]
@@ -122,6 +124,9 @@
     },
 }
 
+/// The age from which the entries count as old. Instances read them, or are told of them, about each second and a half.
+const CURRENT_AGE: Duration = Duration::from_secs(3);
+
 /// The number of departures that are remembered; the oldest are forgotten first.
 const MAX_DEPARTURES: usize = 4_096;
 
@@ -226,6 +231,29 @@
         false
     }
 
+    /// Records the time as of which the entries are known.
+    pub fn record_read(&mut self, read_at: Tick) {
+        self.read_at = self.read_at.max(Some(read_at));
+    }
+
+    /// Returns whether the entries are those of a short time ago.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use base::Tick;
+    /// use site::Roster;
+    /// let mut roster = Roster::default();
+    /// assert!(!roster.is_current(Tick::from_millis(1_000)));
+    /// roster.record_read(Tick::from_millis(1_000));
+    /// assert!(roster.is_current(Tick::from_millis(3_999)));
+    /// assert!(!roster.is_current(Tick::from_millis(4_000)));
+    /// ```
+    pub fn is_current(&self, now: Tick) -> bool {
+        self.read_at
+            .is_some_and(|read_at| now - read_at < CURRENT_AGE)
+    }
+
     /// Records that the store answers again after an outage.
     pub fn record_store_recovery(&mut self, now: Tick) {
         self.set_grace(now, LAPSE_GRACE);
