An unnamed stream is taken up only by a list of a short time ago

Cause: a caller that names no attempt was judged by the list of servers, however old it was: at an instance that could not read it, or that stood still, servers of another version may have come since.

--- a/crates/relay/src/origin.rs
+++ b/crates/relay/src/origin.rs
@@ -200,11 +200,18 @@
     Ok(())
 }
 
-/// Returns the origin of a stream whose caller names no attempt, and `list`, if all servers run the same software.
+/// Returns the origin of a stream whose caller names no attempt, and `list`, if all servers run the same software. An old
+/// list may lack servers of other software.
 fn find_sole<E: Transport>(hub: &Hub<E>, job: &Job<E::Request>) -> Result<(Origin, Name), Code> {
     let pool = attempt::select_pool(job)?;
-    let software = hub.with(|state| state.roster.sole_software(&pool));
+    let now = hub.transport.now();
+    let software = hub.with(|state| {
+        let is_current = state.roster.is_current(now);
+        let software = state.roster.sole_software(&pool);
+        software.map(|software| is_current.then_some(software))
+    });
     let software = software.ok_or(Code::OriginUnknown)?;
+    let software = software.ok_or(Code::OriginUnavailable)?;
     Ok((Origin { pool, software }, "list".into()))
 }
 
