Test: connections that break together share a check of the links

Cause: each broken connection has the links checked, which opens connections to servers; these have a price.

--- a/crates/relay/tests/own_cut.rs
+++ b/crates/relay/tests/own_cut.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 
 use googletest::prelude::*;
-use relay::{Answer, Failure, Hub, serve::serve};
+use relay::{Answer, Failure, Hub, Job, serve::serve};
 use site::route::Kind;
 use support::{Reaction, Servers, hub, job};
 use tokio::time;
@@ -17,6 +17,9 @@
 /// How long after that the runs of servers are known.
 const SETTLED: Duration = Duration::from_secs(3);
 
+/// The number of requests whose connections break together.
+const REQUESTS: usize = 20;
+
 /// Sends a stream and a whole request whose connections break in a cut of this instance, and waits until it has ended.
 async fn cut_off(hub: &Rc<Hub<Servers>>) {
     let stream = serve(hub, job(hub, Kind::Streaming, |_| {})).await;
@@ -65,3 +68,22 @@
     expect_that!(hub.transport.crashes.borrow().len(), ge(1));
     expect_that!(hub.with(|state| state.crashes.count(7)), ge(1));
 }
+
+/// A server that crashed under many requests had the links checked for each of them.
+#[gtest]
+#[actix_web::test]
+async fn connections_that_break_together_share_a_check_of_the_links() {
+    time::pause();
+    let hub = hub(vec![Reaction::Fail(Failure::Broken); REQUESTS]);
+    for number in 0..REQUESTS {
+        let single = job(&hub, Kind::Idempotent, |route| route.max_attempts = 1);
+        let single = Rc::new(Job {
+            digest: number as u64,
+            ..Job::clone(&single)
+        });
+        expect_that!(serve(&hub, single).await.is_err(), eq(true));
+    }
+    expect_that!(hub.transport.crashes.borrow().len(), eq(REQUESTS));
+    // A check opens three connections.
+    expect_that!(hub.transport.probes.get(), le(3));
+}
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -139,6 +139,8 @@
     pub(crate) is_close_delimited: Cell<bool>,
     /// Whether no connection to any server opens.
     pub(crate) is_cut_off: Cell<bool>,
+    /// The number of connections that were opened to check the links.
+    pub(crate) probes: Cell<usize>,
 }
 
 pub(crate) struct Chunks {
@@ -260,6 +262,7 @@
     }
 
     async fn probe(&self, _: &Server) -> bool {
+        self.probes.set(self.probes.get() + 1);
         !self.is_cut_off.get()
     }
 
@@ -456,6 +459,7 @@
         asked: Cell::default(),
         is_close_delimited: Cell::default(),
         is_cut_off: Cell::default(),
+        probes: Cell::default(),
     };
     let bound = Bound {
         ratio: 0.2,
