Broken connections share a check of the links for 0.1 s

Cause: the links were checked anew for each broken connection.

Change: a check that reached a server less than 0.1 s ago, or one that is under way, decides for them.

--- a/crates/pick/src/links.rs
+++ b/crates/pick/src/links.rs
@@ -14,6 +14,9 @@
 /// The shortest time between two checks that found the links sound.
 const CHECK_INTERVAL: Duration = Duration::from_millis(500);
 
+/// How long a check that reached a server also decides for connections that break after it.
+const SOUND_TIME: Duration = Duration::from_millis(100);
+
 /// How long a server is passed over that another instance did not reach either.
 const OUT_OF_REACH_TIME: Duration = Duration::from_secs(2);
 
@@ -38,6 +41,12 @@
         self.is_cut_off
     }
 
+    /// Returns whether a check reached a server a moment ago.
+    pub fn is_sound(&self, now: Tick) -> bool {
+        let is_checked = self.last_check > Tick::default();
+        !self.is_cut_off && is_checked && now - self.last_check < SOUND_TIME
+    }
+
     /// Records that a server answered a call on a link of this instance.
     pub fn record_answer(&mut self, now: Tick) {
         self.unreachable.clear();
--- a/crates/relay/src/links.rs
+++ b/crates/relay/src/links.rs
@@ -81,12 +81,13 @@
 
     /// Returns whether no server can be reached any more, after a connection broke.
     pub async fn are_links_lost(self: &Rc<Self>) -> bool {
-        // A check that is under way may have reached a server before the connection broke.
-        let earlier = self.check.borrow().clone();
-        if let Some(check) = earlier {
-            check.await;
+        let now = self.transport.now();
+        if self.with(|state| state.links.is_cut_off()) {
+            return true;
         }
-        self.with(|state| state.links.is_cut_off()) || !self.check_links().await
+        // Many connections break together when a server crashes.
+        let is_sound = self.with(|state| state.links.is_sound(now));
+        !is_sound && !self.check_links().await
     }
 
     /// Begins to find out whether any server can be reached, unless such a check is under way already, and returns the check.
