Test: connections that break just before the last link is lost

Cause: the links are checked at once after the first connection breaks, while another server may still be reachable for some milliseconds, so that the break counts as a crash.

--- a/crates/relay/tests/own_cut.rs
+++ b/crates/relay/tests/own_cut.rs
@@ -14,6 +14,9 @@
 /// How long the links are lost.
 const CUT: Duration = Duration::from_secs(1);
 
+/// The time between the loss of the first link and of the last one.
+const SPREAD: Duration = Duration::from_millis(10);
+
 /// How long after that the runs of servers are known.
 const SETTLED: Duration = Duration::from_secs(3);
 
@@ -56,6 +59,24 @@
     expect_that!(hub.with(|state| state.crashes.count(7)), eq(0));
 }
 
+/// Connections that broke some milliseconds before the last link was lost counted as crashes.
+#[gtest]
+#[actix_web::test]
+async fn connections_that_break_just_before_the_last_link_is_lost_are_no_crashes() {
+    time::pause();
+    let hub = hub(vec![Reaction::Fail(Failure::Broken)]);
+    let single = job(&hub, Kind::Idempotent, |route| route.max_attempts = 1);
+    let loss = async {
+        time::sleep(SPREAD).await;
+        hub.transport.is_cut_off.set(true);
+    };
+    let (served, ()) = tokio::join!(serve(&hub, single), loss);
+    expect_that!(served.is_err(), eq(true));
+    hub.transport.is_cut_off.set(false);
+    time::sleep(SETTLED).await;
+    expect_that!(hub.transport.crashes.borrow().len(), eq(0));
+}
+
 /// Servers that crash together look like a cut of this instance until they run again.
 #[gtest]
 #[actix_web::test]
