The links are checked 20 ms after a connection broke

Cause: a check right after the first connection broke could still reach a server whose link was lost some milliseconds later.

Change: the check waits 20 ms. The test of shared checks sends its 20 requests at once and not one after the other, as its name says; its bound is the same.

--- a/crates/relay/src/links.rs
+++ b/crates/relay/src/links.rs
@@ -27,6 +27,9 @@
 /// The same for the attempts to reach a server while the links are lost.
 const PROBED_SERVERS: usize = 2;
 
+/// How long after a connection broke the links are checked. A cut may take some milliseconds to reach all links.
+const CUT_SPREAD: Duration = Duration::from_millis(20);
+
 /// The average time between attempts to reach a server while the links are lost.
 const PROBE_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -81,10 +84,11 @@
 
     /// Returns whether no server can be reached any more, after a connection broke.
     pub async fn are_links_lost(self: &Rc<Self>) -> bool {
-        let now = self.transport.now();
         if self.with(|state| state.links.is_cut_off()) {
             return true;
         }
+        time::sleep(CUT_SPREAD).await;
+        let now = self.transport.now();
         // Many connections break together when a server crashes.
         let is_sound = self.with(|state| state.links.is_sound(now));
         !is_sound && !self.check_links().await
--- a/crates/relay/tests/own_cut.rs
+++ b/crates/relay/tests/own_cut.rs
@@ -5,6 +5,7 @@
 use core::time::Duration;
 use std::rc::Rc;
 
+use futures_util::future;
 use googletest::prelude::*;
 use relay::{Answer, Failure, Hub, Job, serve::serve};
 use site::route::Kind;
@@ -96,14 +97,16 @@
 async fn connections_that_break_together_share_a_check_of_the_links() {
     time::pause();
     let hub = hub(vec![Reaction::Fail(Failure::Broken); REQUESTS]);
-    for number in 0..REQUESTS {
+    let requests = (0..REQUESTS).map(|number| {
         let single = job(&hub, Kind::Idempotent, |route| route.max_attempts = 1);
         let single = Rc::new(Job {
             digest: number as u64,
             ..Job::clone(&single)
         });
-        expect_that!(serve(&hub, single).await.is_err(), eq(true));
-    }
+        serve(&hub, single)
+    });
+    let served = future::join_all(requests).await;
+    expect_that!(served.iter().all(|served| served.is_err()), eq(true));
     expect_that!(hub.transport.crashes.borrow().len(), eq(REQUESTS));
     // A check opens three connections.
     expect_that!(hub.transport.probes.get(), le(3));
