Test: a crash is recorded although the caller leaves

Cause: a broken connection is recorded after the links were checked, by the request itself, which ends when its caller leaves or its time is over.

--- a/crates/relay/tests/own_cut.rs
+++ b/crates/relay/tests/own_cut.rs
@@ -78,6 +78,19 @@
     expect_that!(hub.transport.crashes.borrow().len(), eq(0));
 }
 
+/// A crash was not recorded if its caller left while the links were checked.
+#[gtest]
+#[actix_web::test]
+async fn a_crash_is_recorded_although_the_caller_leaves() {
+    time::pause();
+    let hub = hub(vec![Reaction::Fail(Failure::Broken)]);
+    let single = job(&hub, Kind::Idempotent, |route| route.max_attempts = 1);
+    let served = time::timeout(SPREAD, serve(&hub, single)).await;
+    expect_that!(served.is_err(), eq(true));
+    time::sleep(SETTLED).await;
+    expect_that!(hub.transport.crashes.borrow().len(), eq(1));
+}
+
 /// Servers that crash together look like a cut of this instance until they run again.
 #[gtest]
 #[actix_web::test]
