A crash is recorded although its caller leaves

Cause: the request itself waited for the check of the links.

Change: the check and the record run in a task of their own.

--- a/crates/relay/src/crash.rs
+++ b/crates/relay/src/crash.rs
@@ -92,17 +92,31 @@
         crash,
         age,
     };
-    let is_own_cut = guard.is_direct && hub.are_links_lost().await;
+    // The crash counts also if the caller leaves meanwhile.
+    let decided = task::spawn_local(decide(hub.clone(), held, guard.is_direct));
+    if let Err(error) = decided.await {
+        log::warn!(target: "servers", server:% = guard.server.id, cause:% = error; "crash not recorded");
+    }
     guard.complete(completion_of(failure));
+}
+
+/// Records a crash, or holds it if this instance reaches no server.
+async fn decide<E: Transport>(hub: Rc<Hub<E>>, held: Held, is_direct: bool) {
+    let is_own_cut = is_direct && hub.are_links_lost().await;
     if !is_own_cut {
-        record(hub, held);
+        record(&hub, held);
         return;
     }
-    hub.with(|state| {
-        if state.held.len() < MAX_HELD {
+    let dropped = hub.with(|state| match state.held.len() < MAX_HELD {
+        true => {
             state.held.push(held);
+            None
         }
+        false => Some(held),
     });
+    if let Some(held) = dropped {
+        log::warn!(target: "servers", server:% = held.server.id; "too many broken connections; this one is not held");
+    }
 }
 
 /// Records a crash, and reports it if it is new.
