The origin of a stream is looked up again before it counts as unknown

Cause: an origin that other instances are to keep is under way for 0.1 s and more, and the instance that began the stream need not be asked.

Change: if no instance knows the origin, all are asked once more 0.2 s later. A caller that names a stream which nobody knows is refused 0.2 s later than before.

--- a/crates/relay/src/origin.rs
+++ b/crates/relay/src/origin.rs
@@ -17,6 +17,10 @@
 /// How long other instances may take to tell where a stream began.
 const LOOKUP_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// The time before instances are asked again that know nothing of a stream. Origins are gathered for 0.1 s before they are
+/// sent, so that one of a stream which began just now may be on its way.
+const ARRIVAL_TIME: Duration = Duration::from_millis(200);
+
 /// How long an origin is kept after the caller's deadline, as requests take some time to arrive.
 const TTL_MARGIN: Duration = Duration::from_secs(2);
 
@@ -230,8 +234,18 @@
     hub.transport.record_origin(holders, record);
 }
 
-/// Returns the origin of a stream and the name of the instance that knows it, or `local`.
+/// Returns the origin of a stream and the name of the instance that knows it, or `local`. It is looked up once more if no
+/// instance knows it.
 async fn find<E: Transport>(hub: &Hub<E>, stream: &Name) -> Result<(Origin, Name), Code> {
+    match look_up(hub, stream).await {
+        Err(Code::OriginUnknown) => {}
+        found => return found,
+    }
+    time::sleep(ARRIVAL_TIME).await;
+    look_up(hub, stream).await
+}
+
+async fn look_up<E: Transport>(hub: &Hub<E>, stream: &Name) -> Result<(Origin, Name), Code> {
     let now = hub.transport.now();
     let known = hub.with(|state| state.origins.find(now, stream).cloned());
     if let Some(origin) = known {
