--- a/review/kit/mod.rs
+++ b/review/kit/mod.rs
@@ -426,8 +426,32 @@
     text
 }
 
+/// Decodes a value of a query.
+fn decode_query(text: &str) -> Vec<u8> {
+    let mut bytes = Vec::new();
+    let mut rest = text.as_bytes();
+    while let Some((first, after)) = rest.split_first() {
+        let hex = after.get(..2).and_then(|hex| std::str::from_utf8(hex).ok());
+        match (first, hex.and_then(|hex| u8::from_str_radix(hex, 16).ok())) {
+            (b'%', Some(byte)) => {
+                bytes.push(byte);
+                rest = &after[2..];
+            }
+            (byte, _) => {
+                bytes.push(if *byte == b'+' { b' ' } else { *byte });
+                rest = after;
+            }
+        }
+    }
+    bytes
+}
+
 // ---------------------------------------------------------------- store
 
+/// What a page of the newest records holds at most.
+const MAX_PAGE_ITEMS: usize = 500;
+const MAX_PAGE_BYTES: usize = 1_000_000;
+
 /// The platform's store, as far as the system uses it.
 #[derive(Clone)]
 pub struct Store {
@@ -466,13 +490,26 @@
                     let (key, value) = record[1..].split_at(usize::from(record[0]));
                     newest.insert(String::from_utf8_lossy(key).into_owned(), (offset, value.to_vec()));
                 }
-                let kept = newest.iter().filter(|(_, (_, value))| !value.is_empty());
+                let after = decode_query(&request.query("after"));
+                let mut kept: Vec<_> = newest
+                    .iter()
+                    .filter(|(key, (_, value))| !value.is_empty() && key.as_bytes() > after.as_slice())
+                    .collect();
+                let mut bytes = 0;
+                let fits = kept.iter().take(MAX_PAGE_ITEMS).take_while(|(_, (_, value))| {
+                    bytes += value.len();
+                    bytes <= MAX_PAGE_BYTES
+                });
+                let fitting = fits.count().max(1);
+                let has_more = kept.len() > fitting;
+                kept.truncate(fitting);
                 let items: Vec<String> = kept
+                    .into_iter()
                     .map(|(key, (offset, value))| {
                         format!(r#"{{"key":"{key}","value":"{}","offset":{offset}}}"#, base64(value))
                     })
                     .collect();
-                let page = format!(r#"{{"items":[{}],"more":false,"end":{}}}"#, items.join(","), records.len());
+                let page = format!(r#"{{"items":[{}],"more":{has_more},"end":{}}}"#, items.join(","), records.len());
                 response(200, ERA, page.as_bytes())
             }
             "/v1/log-read" => {
