--- a/review/kit/mod.rs
+++ b/review/kit/mod.rs
@@ -97,6 +97,7 @@
 /// Starts a case: opens its record, whose path is the first argument, and bounds its time.
 pub fn begin() -> Log {
     let path = std::env::args().nth(1).unwrap_or_else(|| stop("usage: case RECORD"));
+    std::panic::set_hook(Box::new(|info| stop(&info.to_string())));
     thread::spawn(|| {
         thread::sleep(MAX_TIME);
         stop("time is over");
