--- a/review/5/case.rs
+++ b/review/5/case.rs
@@ -1,5 +1,4 @@
-//! Machines are removed for good, one after the other, and others are added; later one process is killed while streams are
-//! under way, and clients take the streams up at the other machine.
+//! All machines are stopped and started in turn while streams are under way, and clients take up those that are cut.
 
 #[path = "../kit/mod.rs"]
 mod kit;
@@ -13,18 +12,23 @@
     time::Duration,
 };
 
-use kit::{Instance, Log, SIGKILL, SIGTERM, Store};
+use kit::{Instance, Log, SIGTERM, Store};
 use streams::{DEADLINE_S, EVENTS, Outcome, attempt};
 
-/// The machines that each zone has had, of which the last one stays.
-const MACHINES: usize = 7;
-
-/// The streams that are under way when a process is killed, and when, in seconds after the first one.
+/// The streams that are under way at the machine that is stopped last.
 const STREAMS: usize = 30;
-const KILLED_AT_S: f64 = 3.0;
 
-/// When clients take their streams up, in seconds after the kill.
-const TAKEN_UP_AT_S: f64 = 1.0;
+/// When the first machine is stopped, in seconds after the last stream began, and the pause until the next one.
+const ROLL_FROM_S: f64 = 0.5;
+const ROLL_GAP_S: f64 = 1.3;
+
+/// How soon the platform starts a process again that has ended.
+const RESTART: Duration = Duration::from_millis(500);
+
+/// How soon a client takes up a stream that breaks.
+const RETRY: Duration = Duration::from_millis(200);
+
+const NEW_FROM_S: f64 = 10.0;
 const NEW_STREAMS: usize = 30;
 
 fn main() {
@@ -32,63 +36,59 @@
     let folder = kit::folder();
     let store = Store::open();
     streams::open_runners(&log, &store);
+    let instances: Vec<Instance> = [("front-1", "a"), ("front-2", "b"), ("front-3", "a")]
+        .map(|(name, zone)| Instance::start(&folder, &store, name, zone))
+        .into();
+    instances.iter().for_each(Instance::wait_ready);
+    // All machines are in touch.
+    thread::sleep(Duration::from_secs(4));
 
-    // One machine at a time is replaced; its successor is ready before.
-    let mut live: Vec<Instance> = Vec::new();
-    for number in 1..=MACHINES {
-        for (at, zone) in ["b", "c"].into_iter().enumerate() {
-            let name = format!("front-{zone}-{number}");
-            let instance = Instance::start(&folder, &store, &name, zone);
-            instance.wait_ready();
-            log.line(format!("{name} is added"));
-            if live.len() <= at {
-                live.push(instance);
-                continue;
-            }
-            let mut old = std::mem::replace(&mut live[at], instance);
-            let (how, signal) = match kit::has_trouble() {
-                true => ("without", SIGKILL),
-                false => ("with", SIGTERM),
-            };
-            old.signal(signal);
-            log.line(format!("{} is removed for good, {how} SIGTERM", old.name));
+    let fronts: Vec<SocketAddr> = instances.iter().map(|instance| instance.front).collect();
+    let outcome: Arc<Mutex<Outcome>> = Arc::default();
+    // When each machine is in touch.
+    let in_touch_from = Arc::new(Mutex::new(vec![0.0; fronts.len()]));
+    let mut threads = Vec::new();
+    for number in 0..STREAMS {
+        let (log, fronts, outcome, in_touch_from) = (log.clone(), fronts.clone(), outcome.clone(), in_touch_from.clone());
+        threads.push(thread::spawn(move || stream(&log, &fronts, number, &in_touch_from, &outcome)));
+        thread::sleep(Duration::from_millis(10));
+    }
+    let roll_from = log.now() + ROLL_FROM_S;
+    // The machine with the streams is the last one.
+    for (at, mut instance) in instances.into_iter().enumerate().rev() {
+        let (log, in_touch_from) = (log.clone(), in_touch_from.clone());
+        let stopped_at = roll_from + ROLL_GAP_S * (2 - at) as f64;
+        threads.push(thread::spawn(move || {
             if !kit::has_trouble() {
-                thread::spawn(move || old.wait());
-            } else {
-                old.wait();
+                return;
             }
-        }
-    }
-    // The last ones that were stopped have ended after `graceS`; all machines that stay are in touch.
-    thread::sleep(Duration::from_secs(9));
-
-    let (fronts, outcome) = ([live[0].front, live[1].front], Arc::new(Mutex::new(Outcome::default())));
-    let killed_at = log.now() + KILLED_AT_S;
-    let mut clients = Vec::new();
-    for number in 0..STREAMS {
-        let (log, outcome) = (log.clone(), outcome.clone());
-        clients.push(thread::spawn(move || stream(&log, fronts, number, killed_at, &outcome)));
-        thread::sleep(Duration::from_millis(30));
+            sleep_until(&log, stopped_at);
+            in_touch_from.lock().unwrap()[at] = f64::INFINITY;
+            log.line(format!("{} gets SIGTERM", instance.name));
+            instance.signal(SIGTERM);
+            instance.wait();
+            log.line(format!("{} has ended", instance.name));
+            thread::sleep(RESTART);
+            instance.spawn();
+            in_touch_from.lock().unwrap()[at] = log.now() + 3.0;
+            instance.wait_ready();
+            log.line(format!("{} is ready again", instance.name));
+            sleep_until(&log, roll_from + 30.0);
+        }));
     }
-    sleep_until(&log, killed_at);
-    log.line(format!("{} is killed", live[0].name));
-    live[0].signal(SIGKILL);
-    live[0].wait();
-    sleep_until(&log, killed_at + TAKEN_UP_AT_S);
+    sleep_until(&log, roll_from + NEW_FROM_S);
     for number in 0..NEW_STREAMS {
         let (log, outcome) = (log.clone(), outcome.clone());
-        clients.push(thread::spawn(move || {
-            let events = attempt(&log, fronts[1], &format!("n{number:04}"), "", DEADLINE_S, 3);
+        let front = fronts[1 + number % 2];
+        threads.push(thread::spawn(move || {
+            let events = attempt(&log, front, &format!("n{number:04}"), "", DEADLINE_S, 3);
             let mut outcome = outcome.lock().unwrap();
             outcome.sent += 1;
             outcome.began += usize::from(!events.is_empty());
         }));
         thread::sleep(Duration::from_millis(30));
     }
-    sleep_until(&log, killed_at + 3.5);
-    live[0].spawn();
-    log.line(format!("{} is started again", live[0].name));
-    clients.into_iter().for_each(|client| drop(client.join()));
+    threads.into_iter().for_each(|thread| drop(thread.join()));
     let outcome = *outcome.lock().unwrap();
     outcome.judge(&log);
 }
@@ -97,8 +97,8 @@
     thread::sleep(Duration::from_secs_f64((at - log.now()).max(0.0)));
 }
 
-/// A client that begins a stream at the first machine, and takes it up once at the second one, if it breaks.
-fn stream(log: &Log, fronts: [SocketAddr; 2], number: usize, killed_at: f64, outcome: &Mutex<Outcome>) {
+/// A client that begins a stream at the first machine, and takes it up once at another one, if it breaks.
+fn stream(log: &Log, fronts: &[SocketAddr], number: usize, in_touch_from: &Mutex<Vec<f64>>, outcome: &Mutex<Outcome>) {
     let sent_at = log.now();
     let first = format!("s{number:04}");
     let events = attempt(log, fronts[0], &first, "", DEADLINE_S, EVENTS);
@@ -106,9 +106,13 @@
     if last == 0 || last == EVENTS {
         return;
     }
-    sleep_until(log, killed_at + TAKEN_UP_AT_S);
-    let went_on = streams::take_up(log, fronts[1], &first, last, DEADLINE_S - (log.now() - sent_at));
-    let mut outcome = outcome.lock().unwrap();
-    outcome.taken_up += 1;
-    outcome.went_on += usize::from(went_on);
+    thread::sleep(RETRY);
+    let other = 1 + number % 2;
+    let is_in_touch = log.now() >= in_touch_from.lock().unwrap()[other];
+    let went_on = streams::take_up(log, fronts[other], &first, last, DEADLINE_S - (log.now() - sent_at));
+    if is_in_touch {
+        let mut outcome = outcome.lock().unwrap();
+        outcome.taken_up += 1;
+        outcome.went_on += usize::from(went_on);
+    }
 }
