--- a/crates/logs/src/configs.rs
+++ b/crates/logs/src/configs.rs
@@ -18,7 +18,8 @@
         Self {
             level: log::LevelFilter::Info,
             targets: vec![
-                "config", "ingress", "instance", "peers", "relay", "servers", "stages", "store",
+                "config", "http", "ingress", "instance", "peers", "relay", "servers", "stages",
+                "store",
             ],
             lines_per_second: 200,
             queue_capacity: 1_024,
