Select instances by a hash function that all builds share

Instances of two builds run side by side during an upgrade. Two builds could have looked for origins in different places and granted a server's limit twice. Not seen: both builds use one toolchain today.

--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod clock;
 pub mod code;
 pub mod digest;
+pub mod hash;
 pub mod incarnation;
 pub mod key;
 pub mod name;
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod members;
 pub mod origins;
 pub mod reader;
+pub mod rendezvous;
 pub mod replica;
 
 pub use self::{
--- a/crates/mesh/src/members.rs
+++ b/crates/mesh/src/members.rs
@@ -1,11 +1,10 @@
 //! Tracks which instances answer, and which of them owns a task.
 
-use core::{cmp::Reverse, hash::Hasher, net::SocketAddr, time::Duration};
-use std::hash::DefaultHasher;
+use core::{cmp::Reverse, net::SocketAddr, time::Duration};
 
 use base::{Name, Tick};
 
-use crate::Config;
+use crate::{Config, rendezvous::hash};
 
 /// The part of a server's limit that an instance grants in a deployment of cells if it isn't the first choice, which may
 /// be lost or only be unreachable from here.
@@ -458,9 +457,5 @@
 
 /// Returns an instance's rank for a task: its capacity, and between equals its rendezvous hash.
 fn rank(task: &Name, peer: &Peer) -> (u32, u64) {
-    let mut hasher = DefaultHasher::new();
-    hasher.write(task.as_str().as_bytes());
-    hasher.write_u8(0);
-    hasher.write(peer.name.as_str().as_bytes());
-    (peer.capacity, hasher.finish())
+    (peer.capacity, hash(task, &peer.name))
 }
--- a/crates/mesh/src/origins.rs
+++ b/crates/mesh/src/origins.rs
@@ -4,12 +4,11 @@
 //! further instances, which rendezvous hashing of the stream's id determines for all instances alike. Only a few
 //! instances of each failure domain keep origins for others, so that not all have to connect to all.
 
-use core::{cmp::Reverse, hash::Hasher, time::Duration};
-use std::hash::DefaultHasher;
+use core::{cmp::Reverse, time::Duration};
 
 use base::{Name, Software, Tick};
 
-use crate::{Members, Peer};
+use crate::{Members, Peer, rendezvous::hash};
 
 /// The largest number of origins that are remembered; the ones that expire first are forgotten first.
 const MAX_ORIGINS: usize = 16_384;
@@ -237,12 +236,3 @@
     }
     domains
 }
-
-/// Returns the weight of an instance or a failure domain for a stream in rendezvous hashing.
-fn hash(stream: &Name, name: &Name) -> u64 {
-    let mut hasher = DefaultHasher::new();
-    hasher.write(stream.as_str().as_bytes());
-    hasher.write_u8(0);
-    hasher.write(name.as_str().as_bytes());
-    hasher.finish()
-}
--- a/crates/pick/src/engine.rs
+++ b/crates/pick/src/engine.rs
@@ -1,9 +1,9 @@
 //! Selection among engines, by queued tokens and by the prompt parts in their caches.
 
 use core::{hash::Hasher, net::SocketAddr};
-use std::{hash::DefaultHasher, rc::Rc};
+use std::rc::Rc;
 
-use base::{Name, Tick};
+use base::{Name, Tick, hash::Stable};
 use rand::{Rng, RngExt};
 use site::roster::Server;
 
@@ -263,9 +263,9 @@
 
 /// Returns the digest of each prefix of the prompt's parts.
 fn chains(prompt: &Prompt) -> Vec<u64> {
-    let mut hasher = DefaultHasher::new();
+    let mut hasher = Stable::new();
     let digests = prompt.parts.iter().map(|part| {
-        hasher.write_u64(part.id);
+        hasher.write(&part.id.to_le_bytes());
         hasher.finish()
     });
     digests.collect()
@@ -273,8 +273,8 @@
 
 /// Returns a server's weight for a chain in rendezvous hashing.
 fn weight(chain: u64, server: &Server) -> u64 {
-    let mut hasher = DefaultHasher::new();
-    hasher.write_u64(chain);
+    let mut hasher = Stable::new();
+    hasher.write(&chain.to_le_bytes());
     hasher.write(server.id.as_str().as_bytes());
     hasher.finish()
 }
