Keep origins of streams at live instances

Cause: the first four instances of a domain by hash keep origins, and they were chosen among all entries, lost or not. Entries of machines that were removed without notice stay for good, so after some replacements no live instance was among the four.

Change: mesh::origins::Keepers chooses the first four live ones of each domain, and lost ones only if there are too few. Lookups ask the first ones with and without those that count as lost, as instances may disagree. Origins::hand_over returns what an instance that has started again would be asked for; Members::record_start tells one process of an instance from the next.

--- a/crates/mesh/src/members.rs
+++ b/crates/mesh/src/members.rs
@@ -2,7 +2,7 @@
 
 use core::{cmp::Reverse, net::SocketAddr, time::Duration};
 
-use base::{Name, Tick};
+use base::{Name, Stamp, Tick};
 
 use crate::{Config, rendezvous::hash};
 
@@ -61,6 +61,8 @@
 #[derive(Clone, Debug)]
 struct PeerState {
     peer: Peer,
+    /// When its process started, as far as it is known.
+    started_at: Stamp,
     /// When it last answered, or was first relied on after a time without heartbeats.
     last_answer: Option<Tick>,
     is_lost: bool,
@@ -116,6 +118,22 @@
         }
     }
 
+    /// Adds an instance as [`Members::add`] does, and returns whether its process is another one than before, which knows
+    /// nothing of what the other instances were told.
+    pub fn record_start(&mut self, peer: Peer, started_at: Stamp) -> bool {
+        if peer.name == self.local.name {
+            return false;
+        }
+        let known = self.find(&peer.name).ok();
+        let known = known.map(|at| self.peers[at].started_at);
+        let name = peer.name.clone();
+        self.add(peer);
+        if let Ok(at) = self.find(&name) {
+            self.peers[at].started_at = started_at;
+        }
+        known != Some(started_at)
+    }
+
     /// Removes an instance that announced its departure.
     pub fn remove(&mut self, name: &Name) {
         if let Ok(at) = self.find(name) {
@@ -440,6 +458,7 @@
     const fn new(peer: Peer) -> Self {
         Self {
             peer,
+            started_at: Stamp::from_millis(0),
             last_answer: None,
             is_lost: false,
             is_cut_off: false,
--- a/crates/mesh/src/origins.rs
+++ b/crates/mesh/src/origins.rs
@@ -137,6 +137,24 @@
         })
     }
 
+    /// Returns the records that an instance which has started again would be asked for.
+    pub fn hand_over(&self, now: Tick, keepers: &Keepers, name: &Name) -> Vec<Record> {
+        if !keepers.contains(name) {
+            return Vec::new();
+        }
+        let live = self.entries.iter().filter(|entry| now < entry.expires_at);
+        let is_asked = |entry: &&Entry| {
+            let sources = keepers.sources(&entry.stream);
+            sources.iter().any(|source| source.name == *name)
+        };
+        let records = live.filter(is_asked).map(|entry| Record {
+            stream: entry.stream.clone(),
+            origin: entry.origin.clone(),
+            ttl: entry.expires_at - now,
+        });
+        records.collect()
+    }
+
     /// Returns the number of origins that are remembered, including expired ones.
     pub const fn len(&self) -> usize {
         self.entries.len()
@@ -160,79 +178,160 @@
     }
 }
 
-/// Returns the other instances that keep the origin of a stream which the local instance serves.
-///
-/// They are in different failure domains, of which one is the local one, unless there are too few instances.
-pub fn holders(members: &Members, stream: &Name) -> Vec<Peer> {
-    let mut domains = domains(members, stream);
-    let own = &members.local().domain;
-    domains.sort_by_key(|domain| (domain.name != own, Reverse(hash(stream, domain.name))));
-    let nth = |at: usize| domains.iter().filter_map(move |domain| domain.live.get(at));
-    let mut candidates: Vec<_> = (0..HOLDERS).flat_map(nth).collect();
-    candidates.sort_by_key(|candidate| candidate.is_lost);
-    let holders = candidates.into_iter().take(HOLDERS);
-    holders.map(|candidate| candidate.peer.clone()).collect()
+/// The instances that keep origins for others: the first live ones of each failure domain by rendezvous hashing.
+#[derive(Clone, Debug)]
+pub struct Keepers {
+    local: Name,
+    /// The failure domain of the local instance.
+    domain: Name,
+    /// Sorted by name.
+    domains: Vec<Domain>,
 }
 
-/// Returns the other instances that may keep the origin of a stream which any instance may have served.
-///
-/// Instances may disagree on which ones are lost, so the first ones are asked with and without lost ones.
-pub fn sources(members: &Members, stream: &Name) -> Vec<Peer> {
-    let mut sources = Vec::new();
-    for domain in domains(members, stream) {
-        let first = domain.all.iter().take(SOURCES_PER_DOMAIN);
-        for candidate in first.chain(domain.live.iter().take(SOURCES_PER_DOMAIN)) {
-            if !sources.contains(&candidate.peer) {
-                sources.push(candidate.peer);
-            }
-        }
-    }
-    sources.into_iter().cloned().collect()
+/// The keepers among the instances of one failure domain.
+#[derive(Clone, Debug)]
+struct Domain {
+    name: Name,
+    /// The first ones of all instances, as those that are taken to be lost may be live.
+    all: Vec<Candidate>,
+    /// The first ones of the live instances, and lost ones if there are too few.
+    live: Vec<Candidate>,
 }
 
-/// Another instance as a candidate to keep an origin.
-#[derive(Clone, Copy)]
-struct Candidate<'a> {
-    peer: &'a Peer,
+/// An instance as a candidate to keep an origin.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Candidate {
+    peer: Peer,
     is_lost: bool,
 }
 
-/// The keepers among the other instances of one failure domain, the first candidate first.
-struct Domain<'a> {
-    name: &'a Name,
-    /// Live and lost ones alike.
-    all: Vec<Candidate<'a>>,
-    /// Lost ones last.
-    live: Vec<Candidate<'a>>,
-}
+impl Keepers {
+    /// Returns the keepers among the known instances.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use mesh::{Config, Members, Peer, origins::Keepers};
+    /// let peer = |name: &str, domain: &str| Peer {
+    ///     name: name.into(),
+    ///     address: "10.0.0.2:7740".parse().unwrap(),
+    ///     domain: domain.into(),
+    ///     capacity: 250,
+    /// };
+    /// let mut members = Members::new(Config::default(), peer("a", "d-1"));
+    /// members.add(peer("b", "d-2"));
+    /// let keepers = Keepers::new(&members);
+    /// assert_eq!(keepers.holders(&"r-1".into()), [peer("b", "d-2")]);
+    /// assert_eq!(keepers.sources(&"r-1".into()), [peer("b", "d-2")]);
+    /// ```
+    pub fn new(members: &Members) -> Self {
+        let local = members.local();
+        let task = Name::from("origins");
+        let others = members.others().chain([(local, false)]);
+        let mut candidates: Vec<_> = others
+            .map(|(peer, is_lost)| (peer, is_lost, Reverse(hash(&task, &peer.name))))
+            .collect();
+        candidates.sort_unstable_by_key(|(peer, _, weight)| (&peer.domain, *weight));
+        let domains = candidates.chunk_by_mut(|(a, ..), (b, ..)| a.domain == b.domain);
+        let domains = domains.map(|domain| {
+            let first = |domain: &[(&Peer, bool, Reverse<u64>)]| {
+                let keepers = domain.iter().take(KEEPERS_PER_DOMAIN);
+                let keepers = keepers.map(|(peer, is_lost, _)| Candidate {
+                    peer: Peer::clone(peer),
+                    is_lost: *is_lost,
+                });
+                keepers.collect::<Vec<_>>()
+            };
+            let all = first(domain);
+            domain.sort_by_key(|(_, is_lost, _)| *is_lost);
+            Domain {
+                name: domain[0].0.domain.clone(),
+                live: first(domain),
+                all,
+            }
+        });
+        let domains = domains.collect();
+        Self {
+            local: local.name.clone(),
+            domain: local.domain.clone(),
+            domains,
+        }
+    }
 
-fn domains<'a>(members: &'a Members, stream: &Name) -> Vec<Domain<'a>> {
-    let mut domains: Vec<Domain<'a>> = Vec::new();
-    let local = members.local();
-    for (peer, is_lost) in members.others().chain([(local, false)]) {
-        let candidate = Candidate { peer, is_lost };
-        match domains.binary_search_by(|domain| domain.name.cmp(&peer.domain)) {
-            Ok(at) => domains[at].all.push(candidate),
-            Err(at) => {
-                let domain = Domain {
-                    name: &peer.domain,
-                    all: vec![candidate],
-                    live: Vec::new(),
-                };
-                domains.insert(at, domain);
+    /// Returns the other instances that keep the origin of a stream which the local instance serves.
+    ///
+    /// They are in different failure domains, of which one is the local one, unless there are too few instances.
+    pub fn holders(&self, stream: &Name) -> Vec<Peer> {
+        let mut domains: Vec<_> = self.domains.iter().collect();
+        domains.sort_by_cached_key(|domain| {
+            (
+                domain.name != self.domain,
+                Reverse(hash(stream, &domain.name)),
+            )
+        });
+        let live: Vec<_> = domains
+            .into_iter()
+            .map(|domain| {
+                let mut live = self.rank(stream, &domain.live);
+                live.sort_by_key(|candidate| candidate.is_lost);
+                live
+            })
+            .collect();
+        let nth = |at: usize| {
+            live.iter()
+                .filter_map(move |domain| domain.get(at).copied())
+        };
+        let mut candidates: Vec<_> = (0..HOLDERS).flat_map(nth).collect();
+        candidates.sort_by_key(|candidate| candidate.is_lost);
+        let holders = candidates.into_iter().take(HOLDERS);
+        holders.map(|candidate| candidate.peer.clone()).collect()
+    }
+
+    /// Returns the other instances that may keep the origin of a stream which any instance may have served.
+    ///
+    /// Instances may disagree on which ones are lost, so the first ones are asked with and without lost ones.
+    pub fn sources(&self, stream: &Name) -> Vec<Peer> {
+        let mut sources = Vec::new();
+        for domain in &self.domains {
+            let all = self.rank(stream, &domain.all);
+            let mut live = self.rank(stream, &domain.live);
+            live.sort_by_key(|candidate| candidate.is_lost);
+            let first = all.into_iter().take(SOURCES_PER_DOMAIN);
+            for candidate in first.chain(live.into_iter().take(SOURCES_PER_DOMAIN)) {
+                if !sources.contains(&candidate.peer) {
+                    sources.push(candidate.peer.clone());
+                }
             }
         }
+        sources
     }
-    let task = Name::from("origins");
-    for domain in &mut domains {
-        let keeper_weight = |candidate: &Candidate<'_>| Reverse(hash(&task, &candidate.peer.name));
-        domain.all.sort_by_cached_key(keeper_weight);
-        domain.all.truncate(KEEPERS_PER_DOMAIN);
-        domain.all.retain(|keeper| keeper.peer.name != local.name);
-        let weight = |candidate: &Candidate<'_>| Reverse(hash(stream, &candidate.peer.name));
-        domain.all.sort_by_cached_key(weight);
-        domain.live.clone_from(&domain.all);
-        domain.live.sort_by_key(|candidate| candidate.is_lost);
+
+    /// Returns whether an instance keeps origins for others.
+    pub fn contains(&self, name: &Name) -> bool {
+        let mut keepers = self
+            .domains
+            .iter()
+            .flat_map(|domain| domain.all.iter().chain(&domain.live));
+        keepers.any(|candidate| candidate.peer.name == *name)
     }
-    domains
+
+    /// Returns keepers in the order for a stream, without the local instance.
+    fn rank<'a>(&self, stream: &Name, keepers: &'a [Candidate]) -> Vec<&'a Candidate> {
+        let others = keepers
+            .iter()
+            .filter(|candidate| candidate.peer.name != self.local);
+        let mut others: Vec<_> = others.collect();
+        others.sort_by_cached_key(|candidate| Reverse(hash(stream, &candidate.peer.name)));
+        others
+    }
+}
+
+/// Returns the other instances that keep the origin of a stream which the local instance serves.
+pub fn holders(members: &Members, stream: &Name) -> Vec<Peer> {
+    Keepers::new(members).holders(stream)
+}
+
+/// Returns the other instances that may keep the origin of a stream which any instance may have served.
+pub fn sources(members: &Members, stream: &Name) -> Vec<Peer> {
+    Keepers::new(members).sources(stream)
 }
--- a/crates/mesh/tests/origins.rs
+++ b/crates/mesh/tests/origins.rs
@@ -6,7 +6,7 @@
 use googletest::prelude::*;
 use mesh::{
     Config, Members, Origin, Origins, Peer,
-    origins::{Record, holders, sources},
+    origins::{Keepers, Record, holders, sources},
 };
 use rand::{RngExt, SeedableRng, rngs::SmallRng, seq::SliceRandom};
 
@@ -299,3 +299,65 @@
     origins.record(much_later, record(&long, "v1", TTL));
     expect_that!(origins.len(), eq(0));
 }
+
+/// Starts an instance again without memory; the running ones hand over what it would be asked for.
+fn restart(instances: &mut [Instance], now: Tick, at: usize) {
+    instances[at].origins = Origins::default();
+    let name = instances[at].peer.name.clone();
+    if !Keepers::new(&instances[at].members).contains(&name) {
+        return;
+    }
+    let others = instances.iter().filter(|other| other.peer.name != name);
+    let handed_over = others.flat_map(|other| {
+        let keepers = Keepers::new(&other.members);
+        other.origins.hand_over(now, &keepers, &name)
+    });
+    let handed_over: Vec<_> = handed_over.collect();
+    for record in handed_over {
+        instances[at].origins.record(now, record);
+    }
+}
+
+/// LOST: after a rolling restart nobody knew where the streams had begun that were under way.
+#[gtest]
+fn origins_are_found_after_all_instances_restarted_one_after_the_other() {
+    for sizes in DEPLOYMENTS {
+        let share = share_found(sizes, 3, |rng, instances| {
+            let mut order: Vec<_> = (0..instances.len()).collect();
+            order.shuffle(rng);
+            for at in order {
+                restart(instances, Tick::from_millis(2_000), at);
+            }
+        });
+        expect_that!(share, eq(1.0), "{sizes:?}");
+    }
+}
+
+/// LOST: the first four instances of a domain by hash kept its origins, lost or not. After six replacements in each of two domains
+/// none of 30 streams was found once its instance was killed.
+#[gtest]
+fn origins_are_found_beside_instances_that_were_removed_without_notice() {
+    let now = Tick::from_millis(1_000);
+    for survivor in 0..7 {
+        let mut instances = deployment(&[7, 7]);
+        let live = [survivor, 7 + survivor];
+        let removed: Vec<_> = (0..14).filter(|at| !live.contains(at)).collect();
+        for at in removed {
+            let name = instances[at].peer.name.clone();
+            instances[at].is_running = false;
+            for other in &mut instances {
+                other.members.mark_lost(&name);
+            }
+        }
+        for stream in 0..30 {
+            let name = format!("r-{stream}");
+            begin(&mut instances, now, live[0], &name, "v1");
+            let found = look_up(&instances, now, live[1], &name.as_str().into());
+            expect_that!(
+                found,
+                some(eq(&origin("v1"))),
+                "survivor {survivor}, {name}"
+            );
+        }
+    }
+}
