Let streams go on after their origins were lost with restarted instances

Cause: an instance tells two others where a stream began, once. When these restart nobody tells them again, and with one version in the pool nothing is written into the store. That all listed servers run one version now is no proof, as a release may have replaced them since.

A stream that nobody knows goes on at that version if it has been the only one for longer than streams last, or since the deployment's first start, by a current list. An instance that can't be told or asked counts as lost, and the next one takes its place.

--- a/crates/relay/src/hub.rs
+++ b/crates/relay/src/hub.rs
@@ -10,7 +10,7 @@
 use quota::{Brittle, Limits, Meter};
 use rand::{SeedableRng, rngs::SmallRng};
 use retry::{Crashes, Parts, Window, window::Bound};
-use site::{Config, Roster, roster::Server};
+use site::{Config, History, Roster, roster::Server};
 
 use crate::{
     Failure, Transport, configs, crash::Held, estimate::Estimator, links::Check, pieces::Waiter,
@@ -61,6 +61,8 @@
     pub departures: Departures,
     /// Where recent streams began.
     pub origins: Origins,
+    /// Since when the servers of each pool run one software.
+    pub software: History,
     /// Estimates of the time to the first event and of request sizes.
     pub estimator: Estimator,
     /// The source of randomness.
@@ -105,6 +107,7 @@
                 members,
                 departures: Departures::default(),
                 origins: Origins::default(),
+                software: History::default(),
                 estimator: Estimator::default(),
                 rng: SmallRng::seed_from_u64(seed),
                 waiters: Vec::new(),
--- a/crates/relay/src/origin.rs
+++ b/crates/relay/src/origin.rs
@@ -24,6 +24,12 @@
 /// How long an origin is kept after the caller's deadline, as requests take some time to arrive.
 const TTL_MARGIN: Duration = Duration::from_secs(2);
 
+/// The longest time for which a caller takes a stream up again, as a multiple of the route's timeout, which bounds one attempt.
+const MAX_ATTEMPT_SPANS: u32 = 2;
+
+/// What is added to it for requests on their way and for clocks of instances that differ.
+const HISTORY_MARGIN: Duration = Duration::from_secs(5);
+
 /// The part of the time left for its next event that a broken stream waits for the run of the server that began it, as a
 /// divisor.
 const CHECK_TIME_DIVISOR: u32 = 2;
@@ -183,7 +189,7 @@
     };
     let stream = resumption.first_attempt.as_ref();
     let found = match stream {
-        Some(stream) => find(hub, stream).await,
+        Some(stream) => find(hub, job, stream).await,
         None => find_sole(hub, job),
     };
     let (version, source) = match &found {
@@ -234,17 +240,46 @@
     hub.transport.record_origin(holders, record);
 }
 
-/// Returns the origin of a stream and the name of the instance that knows it, or `local`. It is looked up once more if no
-/// instance knows it.
-async fn find<E: Transport>(hub: &Hub<E>, stream: &Name) -> Result<(Origin, Name), Code> {
-    match look_up(hub, stream).await {
-        Err(Code::OriginUnknown) => {}
+/// Returns the origin of a stream and the name of the instance that knows it, or `local`. If no instance does, it is
+/// `history` where all servers have run one software since before the stream began; otherwise it is looked up once more.
+async fn find<E: Transport>(
+    hub: &Hub<E>,
+    job: &Job<E::Request>,
+    stream: &Name,
+) -> Result<(Origin, Name), Code> {
+    let code = match look_up(hub, stream).await {
+        // Other instances take the place of those that were found lost.
+        Err(Code::OriginUnavailable) => look_up(hub, stream).await,
+        found => found,
+    };
+    let code = match code {
+        Err(code) => code,
         found => return found,
+    };
+    if let Some(origin) = find_in_history(hub, job) {
+        return Ok((origin, "history".into()));
+    }
+    if code != Code::OriginUnknown {
+        return Err(code);
     }
     time::sleep(ARRIVAL_TIME).await;
     look_up(hub, stream).await
 }
 
+/// Returns the software that all servers have run since before the oldest stream began that may still be taken up, if the
+/// list of servers is current.
+fn find_in_history<E: Transport>(hub: &Hub<E>, job: &Job<E::Request>) -> Option<Origin> {
+    let pool = attempt::select_pool(job).ok()?;
+    let now = hub.transport.now();
+    let time_of_day = hub.transport.time_of_day();
+    let time = job.route.timeout * MAX_ATTEMPT_SPANS + HISTORY_MARGIN;
+    let software = hub.with(|state| {
+        let software = state.software.sole(time_of_day, &pool, time);
+        software.filter(|_| state.roster.is_current(now)).cloned()
+    })?;
+    Some(Origin { pool, software })
+}
+
 async fn look_up<E: Transport>(hub: &Hub<E>, stream: &Name) -> Result<(Origin, Name), Code> {
     let now = hub.transport.now();
     let known = hub.with(|state| state.origins.find(now, stream).cloned());
@@ -262,7 +297,10 @@
         match found {
             Ok(Some(origin)) => return Ok((origin, peer.name.clone())),
             Ok(None) => {}
-            Err(_) => is_certain = false,
+            Err(_) => {
+                is_certain = false;
+                hub.with(|state| state.members.mark_lost(&peer.name));
+            }
         }
     }
     if is_certain {
--- a/crates/relay/tests/versions.rs
+++ b/crates/relay/tests/versions.rs
@@ -747,3 +747,81 @@
         err(eq(&(Code::VersionGone, false)))
     );
 }
+
+/// A time that no stream lasts.
+const LONG: Duration = Duration::from_secs(90);
+
+/// Lets some time pass, in which all servers of the pool have run one version for `age`.
+async fn run_one_version(hub: &Hub, age: Duration) {
+    const TIME: Duration = Duration::from_secs(100);
+    time::sleep(TIME).await;
+    let now = relay::Transport::now(&hub.transport);
+    let since = base::Stamp::default() + (TIME - age);
+    hub.with(|state| {
+        state.roster.record_read(now);
+        for server in state.roster.all().cloned().collect::<Vec<_>>() {
+            let version = Some("v1".into());
+            state.roster.insert(
+                Server {
+                    version,
+                    ..Server::clone(&server)
+                },
+                2,
+            );
+        }
+        state.software.load(site::history::Span {
+            pool: "engines".into(),
+            software: Some(Software::Version("v1".into())),
+            since,
+        });
+    });
+}
+
+/// LOST: of 30 streams that a rolling restart cut none went on, as the instances that had kept their origins had been restarted,
+/// though all servers had run one version all the time.
+#[gtest]
+#[actix_web::test]
+async fn a_stream_that_nobody_knows_goes_on_at_the_only_version_since_before_it_began() {
+    for peer_answers in [true, false] {
+        time::pause();
+        let hub = hub(vec![second()]);
+        run_one_version(&hub, LONG).await;
+        add_instances(&hub, vec![("b", vec![])]);
+        if !peer_answers {
+            add_unreachable(&hub, "c");
+        }
+        expect_that!(take_up(&hub, Some("r-9")).await, ok(eq(SECOND)));
+        time::resume();
+    }
+}
+
+/// ORDER: a release may have replaced all servers after the stream began.
+#[gtest]
+#[actix_web::test]
+async fn a_stream_that_nobody_knows_is_refused_if_the_version_may_be_newer() {
+    time::pause();
+    let hub = hub(vec![second()]);
+    run_one_version(&hub, Duration::from_secs(3)).await;
+    add_instances(&hub, vec![("b", vec![])]);
+    expect_that!(
+        take_up(&hub, Some("r-9")).await,
+        err(eq(&(Code::OriginUnknown, false)))
+    );
+    expect_that!(sent_to(&hub).len(), eq(0));
+}
+
+/// ORDER: the list of a process that stood still, or of an instance out of touch, may lack servers of another version.
+#[gtest]
+#[actix_web::test]
+async fn a_stream_that_nobody_knows_does_not_go_on_by_an_old_list() {
+    time::pause();
+    let hub = hub(vec![second()]);
+    run_one_version(&hub, LONG).await;
+    add_instances(&hub, vec![("b", vec![])]);
+    time::sleep(Duration::from_secs(4)).await;
+    expect_that!(
+        take_up(&hub, Some("r-9")).await,
+        err(eq(&(Code::OriginUnknown, false)))
+    );
+    expect_that!(sent_to(&hub).len(), eq(0));
+}
