--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -17,7 +17,7 @@
     pending::{self, Event, Pending},
     policy::{self, Decision},
     stages::{self, Inputs},
-    turns,
+    stop, turns,
 };
 
 /// An attempt whose head has arrived.
@@ -84,6 +84,8 @@
     attempts: &mut Attempts,
     since: Tick,
 ) -> Result<Prepared<E>, Code> {
+    let now = hub.transport.now();
+    hub.with(|state| stop::check(state, now, job, attempts))?;
     let pool = select_pool(job)?;
     if job.origin.get().is_some() {
         let time_left = job.event_deadline(since) - hub.transport.now();
@@ -147,8 +149,14 @@
             }
         };
         // The request may have waited for its turn.
-        let is_late = is_late || job.time_left(hub.transport.now()).is_zero();
+        let now = hub.transport.now();
+        let is_late = is_late || job.time_left(now).is_zero();
+        let stopping = hub.with(|state| stop::check(state, now, job, attempts));
         let mut pending = match choice {
+            Ok(Some(_)) if stopping.is_err() => {
+                let code = stopping.err().unwrap_or(Code::Stopping);
+                silent.pop().ok_or(code)?
+            }
             Ok(Some(choice)) if !is_late => {
                 if attempts.tried.is_empty() {
                     hub.with(|state| state.retry_window.record_request(now, &pool));
--- a/crates/relay/src/hub.rs
+++ b/crates/relay/src/hub.rs
@@ -14,6 +14,7 @@
 
 use crate::{
     Failure, Transport, configs, crash::Held, estimate::Estimator, links::Check, pieces::Waiter,
+    stop::Stop,
 };
 
 /// The state that all requests of an instance share.
@@ -63,6 +64,8 @@
     pub origins: Origins,
     /// Since when the servers of each pool run one software.
     pub software: History,
+    /// The shutdown of this instance, once it has begun.
+    pub stop: Option<Stop>,
     /// Estimates of the time to the first event and of request sizes.
     pub estimator: Estimator,
     /// The source of randomness.
@@ -108,6 +111,7 @@
                 departures: Departures::default(),
                 origins: Origins::default(),
                 software: History::default(),
+                stop: None,
                 estimator: Estimator::default(),
                 rng: SmallRng::seed_from_u64(seed),
                 waiters: Vec::new(),
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -27,6 +27,7 @@
 mod release;
 pub mod serve;
 mod stages;
+pub mod stop;
 mod turns;
 
 pub use self::{
@@ -35,4 +36,5 @@
     hub::Hub,
     job::{Job, Resumption},
     serve::{Answer, Refusal},
+    stop::Stop,
 };
