Bound the memory of all answers together

Callers saw (report of another operator): a server sent bytes without end, its instance ran out of memory, and the requests of others ended with it.

Cause: each answer that is read whole has a limit of 4 MB and each event one of 1 MB, and nothing bounded their sum.

Change: answers and incomplete events share 32 MB; small ones are always taken, and a large one that finds no room is given up as invalid.

--- a/crates/relay/src/body.rs
+++ b/crates/relay/src/body.rs
@@ -14,6 +14,7 @@
     crash,
     events::Splitter,
     hub::completion_of,
+    memory::Share,
     origin, policy, serve,
 };
 
@@ -24,6 +25,8 @@
     attempt: Option<Attempt<E>>,
     attempts: Attempts,
     events: Splitter,
+    /// The memory for the bytes of an incomplete event.
+    share: Share<E>,
     /// When bytes of the answer last arrived.
     last_bytes_at: Tick,
     /// When the caller last got events, or began to wait for the first ones.
@@ -51,6 +54,7 @@
             last_bytes_at: hub.transport.now(),
             last_events_at: job.arrived_at,
             events: Splitter::resume_after(job.last_event),
+            share: Share::new(hub),
             job,
             attempt: Some(attempt),
             attempts,
@@ -82,6 +86,7 @@
                     let events = self.events.push(&bytes);
                     self.record_first_bytes();
                     if !events.is_empty() {
+                        self.share.resize(0);
                         self.partial_count = 0;
                         self.last_events_at = self.last_bytes_at;
                         self.record_writing();
@@ -104,6 +109,9 @@
     /// Records a part without a complete event, and returns whether the bytes may still become one. An event has a limited
     /// size, and its parts arrive at about the same time, but for a silence between two of them.
     fn may_become_event(&mut self) -> bool {
+        if !self.share.resize(self.events.partial_length()) {
+            return false;
+        }
         let settings = &self.hub.settings;
         if self.partial_count == 0 {
             self.partial_since = self.last_bytes_at;
--- a/crates/relay/src/configs.rs
+++ b/crates/relay/src/configs.rs
@@ -7,6 +7,10 @@
 pub struct Config {
     /// The largest answer that is buffered until it is complete, in bytes.
     pub max_buffered_bytes: usize,
+    /// The largest number of bytes of all answers that are buffered until they, or an event of theirs, are complete.
+    pub max_kept_bytes: usize,
+    /// The size up to which an answer is buffered whatever others take, in bytes.
+    pub small_answer_bytes: usize,
     /// The number of unreachable servers after which a request is refused.
     pub max_unreachable: usize,
     /// The shortest silence before the head of an answer after which another server is tried.
@@ -55,6 +59,8 @@
     fn default() -> Self {
         Self {
             max_buffered_bytes: 4 * 1024 * 1024,
+            max_kept_bytes: 32 * 1024 * 1024,
+            small_answer_bytes: 64 * 1024,
             max_unreachable: 4,
             min_attempt_timeout: Duration::from_millis(400),
             max_stream_silence: Duration::from_secs(2),
--- a/crates/relay/src/hub.rs
+++ b/crates/relay/src/hub.rs
@@ -64,6 +64,8 @@
     pub origins: Origins,
     /// Since when the servers of each pool run one software.
     pub software: History,
+    /// The bytes of answers that are kept until they can be passed on.
+    pub(crate) kept_bytes: usize,
     /// The shutdown of this instance, once it has begun.
     pub stop: Option<Stop>,
     /// Estimates of the time to the first event and of request sizes.
@@ -111,6 +113,7 @@
                 departures: Departures::default(),
                 origins: Origins::default(),
                 software: History::default(),
+                kept_bytes: 0,
                 stop: None,
                 estimator: Estimator::default(),
                 rng: SmallRng::seed_from_u64(seed),
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod hub;
 pub mod job;
 mod links;
+mod memory;
 mod notices;
 mod origin;
 mod pending;
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -15,6 +15,7 @@
     attempt::{self, Attempt, Attempts},
     crash,
     hub::completion_of,
+    memory::Share,
     origin,
     pending::{self, Pending},
     policy,
@@ -165,14 +166,13 @@
     attempts: &mut Attempts,
     attempt: &mut Attempt<E>,
 ) -> Result<Bytes, Failure> {
-    let max_bytes = hub.settings.max_buffered_bytes;
     let limit = policy::body_time_limit(&job.route, &hub.settings);
-    let mut body = BytesMut::new();
+    let mut body = Buffer::new(hub);
     loop {
         let time_left = job.time_left(hub.transport.now());
-        let reading = read_body(&mut attempt.reply, &mut body, max_bytes);
+        let reading = body.read(&mut attempt.reply);
         match time::timeout(limit.min(time_left), reading).await {
-            Ok(Ok(())) => return Ok(body.freeze()),
+            Ok(Ok(())) => return Ok(body.bytes.freeze()),
             Ok(Err(failure)) => return Err(failure),
             Err(_) if time_left <= limit => return Err(Failure::TimedOut),
             Err(_) if !attempts.may_leave_silent(hub, job) => continue,
@@ -180,7 +180,7 @@
         }
         log::info!(
             target: "relay", request:% = job.id, server:% = attempt.guard.server.id,
-            age_ms = attempt.guard.age().as_millis(), bytes = body.len();
+            age_ms = attempt.guard.age().as_millis(), bytes = body.bytes.len();
             "answer takes long; trying another server beside it"
         );
         let time_left = job.time_left(hub.transport.now());
@@ -191,8 +191,8 @@
         let mut failure = None;
         let next = tokio::select! {
             biased;
-            read = read_body(&mut attempt.reply, &mut body, max_bytes) => match read {
-                Ok(()) => return Ok(body.freeze()),
+            read = body.read(&mut attempt.reply) => match read {
+                Ok(()) => return Ok(body.bytes.freeze()),
                 Err(error) => {
                     failure = Some(error);
                     sent.await
@@ -205,7 +205,7 @@
                 let slow = core::mem::replace(attempt, next);
                 slow.guard
                     .finish(completion_of(failure.unwrap_or(Failure::TimedOut)));
-                body.clear();
+                body = Buffer::new(hub);
             }
             (_, Some(failure)) => return Err(failure),
             (_, None) => {}
@@ -213,19 +213,33 @@
     }
 }
 
-/// Reads the rest of a body of limited size.
-async fn read_body<R: Reply>(
-    reply: &mut R,
-    body: &mut BytesMut,
+/// The body of an answer, of limited size.
+struct Buffer<E: Transport> {
+    bytes: BytesMut,
+    share: Share<E>,
     max_bytes: usize,
-) -> Result<(), Failure> {
-    while let Some(chunk) = reply.chunk().await? {
-        if body.len() + chunk.len() > max_bytes {
-            return Err(Failure::Mismatched);
+}
+
+impl<E: Transport> Buffer<E> {
+    fn new(hub: &Rc<Hub<E>>) -> Self {
+        Self {
+            bytes: BytesMut::new(),
+            share: Share::new(hub),
+            max_bytes: hub.settings.max_buffered_bytes,
+        }
+    }
+
+    /// Reads the rest of the body.
+    async fn read(&mut self, reply: &mut E::Reply) -> Result<(), Failure> {
+        while let Some(chunk) = reply.chunk().await? {
+            let length = self.bytes.len() + chunk.len();
+            if length > self.max_bytes || !self.share.resize(length) {
+                return Err(Failure::Mismatched);
+            }
+            self.bytes.extend_from_slice(&chunk);
         }
-        body.extend_from_slice(&chunk);
+        Ok(())
     }
-    Ok(())
 }
 
 /// Returns the refusal of a request that has not run because requests like it crash servers.
