--- a/crates/relay/src/origin.rs
+++ b/crates/relay/src/origin.rs
@@ -299,7 +299,11 @@
             Ok(None) => {}
             Err(_) => {
                 is_certain = false;
-                hub.with(|state| state.members.mark_lost(&peer.name));
+                let now = hub.transport.now();
+                hub.with(|state| {
+                    state.members.mark_lost(&peer.name);
+                    state.members.monitor(now, &peer.name);
+                });
             }
         }
     }
