--- a/crates/batch/src/piece.rs
+++ b/crates/batch/src/piece.rs
@@ -1,8 +1,6 @@
 //! Pieces of stages and their outcomes.
 
-use core::net::SocketAddr;
-
-use base::{Name, Tick};
+use base::{Incarnation, Name, Tick};
 use site::route::Rank;
 
 /// A piece that is queued for a call.
@@ -49,8 +47,8 @@
 /// A reference to a result that is stored on the server that produced it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Handle {
-    /// The address of the server that holds the result.
-    pub address: SocketAddr,
+    /// The run of the server that holds the result, if it is known. Another server may get its address.
+    pub maker: Option<Incarnation>,
     /// The handle as the server issued it.
     pub text: Name,
 }
--- a/crates/batch/tests/simulation/mod.rs
+++ b/crates/batch/tests/simulation/mod.rs
@@ -166,7 +166,7 @@
         for (_, batch) in finished.collect::<Vec<_>>() {
             let results = batch.pieces.iter().map(|piece| {
                 let handle = Handle {
-                    address: batch.server.address,
+                    maker: Some(batch.server.incarnation()),
                     text: format!("{}-{}", batch.server.id, piece.ticket).into(),
                 };
                 (handle, piece.result_bytes)
--- a/crates/feed/src/client.rs
+++ b/crates/feed/src/client.rs
@@ -80,10 +80,17 @@
     /// - The instance is unreachable, stopping or doesn't answer in time.
     pub async fn release(&self, address: SocketAddr, handles: &[Handle]) -> Result<(), Error> {
         let mut client = FeedClient::new(self.channel(address)?);
-        let answer =
-            time::timeout(RELEASE_TIMEOUT, client.free(codec::encode_handles(handles))).await;
+        let answer = time::timeout(
+            RELEASE_TIMEOUT,
+            client.release(codec::encode_handles(handles)),
+        )
+        .await;
         match answer {
             Ok(Ok(_)) => Ok(()),
+            // An earlier build, which is reachable.
+            Ok(Err(status)) if status.code() == Code::Unimplemented => {
+                Err(Error::Call(status.to_string()))
+            }
             Ok(Err(status)) => Err(self.drop_channel(address, status.to_string())),
             Err(_) => Err(self.drop_channel(address, "no answer in time".to_owned())),
         }
--- a/crates/feed/src/codec.rs
+++ b/crates/feed/src/codec.rs
@@ -425,16 +425,27 @@
 }
 
 fn encode_handle(handle: &Handle) -> message::Handle {
+    let text = handle.text.as_str();
+    let address = text.split_once('/').map_or(text, |(address, _)| address);
+    let (server, started_ms) = match &handle.maker {
+        Some(maker) => (maker.name.as_str().to_owned(), maker.start.as_millis()),
+        None => Default::default(),
+    };
     message::Handle {
-        maker: handle.address.to_string(),
-        text: handle.text.as_str().to_owned(),
+        maker: address.to_owned(),
+        text: text.to_owned(),
+        server,
+        started_ms,
     }
 }
 
 fn decode_handle(handle: message::Handle) -> Result<Handle, Error> {
-    let address = handle.maker.parse();
+    let address = handle.maker.parse::<core::net::SocketAddr>();
+    address.map_err(|_| Error::Malformed("the maker of a result is no address"))?;
+    let start = Stamp::from_millis(handle.started_ms);
+    let maker = Incarnation::new(handle.server, start);
     Ok(Handle {
-        address: address.map_err(|_| Error::Malformed("the maker of a result is no address"))?,
+        maker: Some(maker).filter(|maker| !maker.name.as_str().is_empty()),
         text: handle.text.into(),
     })
 }
--- a/crates/feed/src/server.rs
+++ b/crates/feed/src/server.rs
@@ -157,6 +157,15 @@
     async fn free(
         &self,
         request: Request<message::Handles>,
+    ) -> Result<Response<message::Freed>, Status> {
+        let count = request.into_inner().handles.len();
+        log::debug!(target: "stages", results = count; "results of an instance of an earlier build are left to expire");
+        Ok(Response::new(message::Freed {}))
+    }
+
+    async fn release(
+        &self,
+        request: Request<message::Handles>,
     ) -> Result<Response<message::Freed>, Status> {
         let handles = codec::decode_handles(request.into_inner())
             .map_err(|error| Status::invalid_argument(error.to_string()))?;
--- a/crates/feed/tests/loopback.rs
+++ b/crates/feed/tests/loopback.rs
@@ -19,7 +19,7 @@
 
 fn handle(number: u64) -> Handle {
     Handle {
-        address: "10.0.0.1:80".parse().unwrap(),
+        maker: Some(Incarnation::new("i-1", Stamp::from_millis(7))),
         text: format!("10.0.0.1:80/{number:x}").into(),
     }
 }
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -291,13 +291,8 @@
         handles: &[Handle],
     ) -> impl Future<Output = Result<(), Failure>>;
 
-    /// Releases results on the server that stores them, which is `None` if it is no longer registered.
-    fn release(
-        &self,
-        address: SocketAddr,
-        server: Option<&Server>,
-        handles: Vec<Handle>,
-    ) -> impl Future<Output = ()>;
+    /// Releases results on the server that stores them.
+    fn release(&self, server: &Server, handles: Vec<Handle>) -> impl Future<Output = ()>;
 
     /// Reports to other instances that a server crashed while it ran a request with this digest, `age` after it was sent.
     fn report_crash(&self, digest: u64, crash: &Crash, age: Duration);
--- a/crates/relay/src/release.rs
+++ b/crates/relay/src/release.rs
@@ -1,6 +1,6 @@
 //! Releases the results of stages on the servers that store them.
 
-use core::{net::SocketAddr, time::Duration};
+use core::time::Duration;
 use std::rc::Rc;
 
 use base::{Name, Tick};
@@ -10,7 +10,7 @@
 use site::roster::Server;
 use tokio::{task, time};
 
-use crate::{Hub, Transport};
+use crate::{Hub, Transport, hub::State};
 
 /// How long released results are collected, so that few calls report them to their servers.
 const RELEASE_DELAY: Duration = Duration::from_millis(10);
@@ -19,12 +19,11 @@
     /// Releases results in the background, through the instances that own the shards of their servers.
     pub fn release(self: &Rc<Self>, mut handles: Vec<Handle>) {
         let now = self.transport.now();
-        handles.sort_by_key(|handle| handle.address);
-        for group in handles.chunk_by(|a, b| a.address == b.address) {
+        handles.sort_by(|a, b| a.maker.cmp(&b.maker));
+        for group in handles.chunk_by(|a, b| a.maker == b.maker) {
             let group = group.to_vec();
             let owner = self.with(|state| {
-                let mut servers = state.roster.all();
-                let server = servers.find(|server| server.address == group[0].address)?;
+                let server = state.holder(&group[0])?.clone();
                 match state.members.owner(now, &server.pool, &server.domain) {
                     Owner::Peer(peer) => Some(peer),
                     Owner::Local | Owner::Unavailable => None,
@@ -46,7 +45,9 @@
     }
 
     /// Queues the release of results on servers of this instance's shards, and reports several in one call.
-    pub fn queue_release(self: &Rc<Self>, handles: Vec<Handle>) {
+    pub fn queue_release(self: &Rc<Self>, mut handles: Vec<Handle>) {
+        // Servers keep results of unknown makers until they expire.
+        handles.retain(|handle| handle.maker.is_some());
         let is_first = self.with(|state| {
             state.scheduler.record_released(&handles);
             let is_first = state.unreported.is_empty();
@@ -67,27 +68,27 @@
 
     /// Reports released results to their servers, and to those that asked for a pause once it has ended.
     async fn report_released(&self, mut handles: Vec<Handle>) {
-        handles.sort_by_key(|handle| handle.address);
+        handles.sort_by(|a, b| a.maker.cmp(&b.maker));
         while !handles.is_empty() {
             let now = self.transport.now();
             let mut paused = Vec::new();
             let mut first_end = Tick::MAX;
             let mut calls = Vec::new();
-            for group in handles.chunk_by(|a, b| a.address == b.address) {
-                let address = group[0].address;
-                let server = self.server_at(address);
-                let end = self.release_delay_end(now, server.as_deref()).await;
+            for group in handles.chunk_by(|a, b| a.maker == b.maker) {
+                let holder = self.with(|state| state.holder(&group[0]).cloned());
+                // Results end with the run that holds them, and one that leaves gets no more work that needs their memory.
+                let Some(server) = holder.filter(|server| !server.leaving) else {
+                    log::debug!(target: "stages", results = group.len(), maker:? = group[0].maker; "results are left to expire; their server is gone");
+                    continue;
+                };
+                let end = self.release_delay_end(now, &server).await;
                 if let Some(end) = end {
                     first_end = first_end.min(end);
                     paused.extend_from_slice(group);
                     continue;
                 }
                 let group = group.to_vec();
-                calls.push(async move {
-                    self.transport
-                        .release(address, server.as_deref(), group)
-                        .await;
-                });
+                calls.push(async move { self.transport.release(&server, group).await });
             }
             future::join_all(calls).await;
             if paused.is_empty() {
@@ -103,8 +104,7 @@
     }
 
     /// Returns when a server may take a release, if it asked for a pause or has no turn left. Otherwise its turn is taken.
-    async fn release_delay_end(&self, now: Tick, server: Option<&Server>) -> Option<Tick> {
-        let server = server?;
+    async fn release_delay_end(&self, now: Tick, server: &Server) -> Option<Tick> {
         let end = self.with(|state| {
             let held = state.fleet.held_until(now, &server.id);
             held.max(state.fleet.paused_until(now, &server.id))
@@ -120,16 +120,17 @@
         self.with(|state| state.fleet.held_until(now, &server.id))
     }
 
-    /// Returns the registered server at an address.
-    fn server_at(&self, address: SocketAddr) -> Option<Rc<Server>> {
-        self.with(|state| {
-            let mut servers = state.roster.all();
-            servers.find(|server| server.address == address).cloned()
-        })
+    /// Returns the failure domain of the server that stores a result.
+    pub(crate) fn domain_of(&self, handle: &Handle) -> Option<Name> {
+        self.with(|state| Some(state.holder(handle)?.domain.clone()))
     }
+}
 
-    /// Returns the failure domain of the server that stores a result.
-    pub(crate) fn domain_of(&self, address: SocketAddr) -> Option<Name> {
-        self.server_at(address).map(|server| server.domain.clone())
+impl State {
+    /// Returns the server that stores a result, if the run that made it is listed.
+    fn holder(&self, handle: &Handle) -> Option<&Rc<Server>> {
+        let maker = handle.maker.as_ref()?;
+        let server = self.roster.get(&maker.name)?;
+        (server.incarnation() == *maker).then_some(server)
     }
 }
--- a/crates/relay/src/stages.rs
+++ b/crates/relay/src/stages.rs
@@ -53,7 +53,7 @@
             return None;
         }
         let first = self.handles.first()?;
-        self.hub.domain_of(first.address)
+        self.hub.domain_of(first)
     }
 }
 
@@ -293,7 +293,7 @@
         let mut input_bytes: Vec<(Name, u64)> = Vec::new();
         for dependency in &stages[stage].depends_on {
             for handle in &self.results[*dependency] {
-                let Some(domain) = self.hub.domain_of(handle.address) else {
+                let Some(domain) = self.hub.domain_of(handle) else {
                     continue;
                 };
                 match input_bytes.iter_mut().find(|(known, _)| *known == domain) {
--- a/crates/relay/tests/silent_stages.rs
+++ b/crates/relay/tests/silent_stages.rs
@@ -195,15 +195,18 @@
 #[actix_web::test]
 async fn results_are_released_on_other_servers_while_one_is_silent() {
     time::pause();
-    let hub = hub(Vec::new());
-    let silent = "10.0.1.1:80".parse().unwrap();
-    let handle = |address| Handle {
-        address,
-        text: format!("{address}/1").into(),
+    let hub = stage_hub(3, Vec::new());
+    let handle = |id: &str| {
+        let maker = hub.with(|state| state.roster.get(&id.into()).unwrap().incarnation());
+        Handle {
+            maker: Some(maker),
+            text: format!("{id}/1").into(),
+        }
     };
-    let sound = handle("10.0.1.2:80".parse().unwrap());
-    hub.transport.silent_releases.borrow_mut().push(silent);
-    hub.release(vec![handle(silent), sound.clone()]);
+    let (silent, sound) = (handle("s-1"), handle("s-2"));
+    let silent_id: Name = "s-1".into();
+    hub.transport.silent_releases.borrow_mut().push(silent_id);
+    hub.release(vec![silent, sound.clone()]);
     time::sleep(RELEASE_TIMEOUT / 2).await;
     expect_that!(*hub.transport.released.borrow(), eq(&[sound]));
 }
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -4,7 +4,6 @@
 
 use core::{
     cell::{Cell, OnceCell, RefCell},
-    net::SocketAddr,
     time::Duration,
 };
 use std::{collections::VecDeque, rc::Rc};
@@ -120,7 +119,7 @@
     /// The time that a call to a stage server takes.
     pub(crate) stage_time: Cell<Duration>,
     /// The servers that don't answer releases.
-    pub(crate) silent_releases: RefCell<Vec<SocketAddr>>,
+    pub(crate) silent_releases: RefCell<Vec<Name>>,
     /// Whether calls to other instances get no answer; otherwise they fail.
     pub(crate) is_mesh_silent: Cell<bool>,
     /// The reactions of the stage servers to the next calls; without one, they answer after `stage_time`.
@@ -365,7 +364,7 @@
         }
         let outcomes = pieces.iter().map(|piece| {
             Outcome::Result(Handle {
-                address: server.address,
+                maker: Some(server.incarnation()),
                 text: format!(
                     "{}-{}-{}-{number}",
                     piece.request, piece.stage, piece.number
@@ -390,8 +389,8 @@
         Err(Failure::Unreachable)
     }
 
-    async fn release(&self, address: SocketAddr, _: Option<&Server>, handles: Vec<Handle>) {
-        if self.silent_releases.borrow().contains(&address) {
+    async fn release(&self, server: &Server, handles: Vec<Handle>) {
+        if self.silent_releases.borrow().contains(&server.id) {
             time::sleep(RELEASE_TIMEOUT).await;
             return;
         }
--- a/crates/site/src/roster.rs
+++ b/crates/site/src/roster.rs
@@ -71,7 +71,26 @@
         }
     }
 
-    fn incarnation(&self) -> Incarnation {
+    /// Returns the run of the server.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use base::Stamp;
+    /// use site::roster::Server;
+    /// let server = Server {
+    ///     id: "i-1".into(),
+    ///     pool: "ledger".into(),
+    ///     address: "10.0.0.1:80".parse().unwrap(),
+    ///     domain: "a".into(),
+    ///     slots: 6,
+    ///     leaving: false,
+    ///     started_at_ms: 7,
+    ///     version: None,
+    /// };
+    /// assert_eq!(server.incarnation().start, Stamp::from_millis(7));
+    /// ```
+    pub fn incarnation(&self) -> Incarnation {
         Incarnation::new(self.id.clone(), Stamp::from_millis(self.started_at_ms))
     }
 }
