Go on with a stream only at an answer that is its rest

A caller whose stream broke off got, where the next server answered 200 with a seal: its JSON text (length and chunks), an end that looked complete after an empty answer (length and chunks), and events that it had already, if the server took no notice of Last-Event-Id. A server that wrote the head of an error into its own stream had it passed on, in all three framings. Failures of the next server and answers without a seal were not passed on before either.

Cause: an answer with status 200 was taken for the rest of the stream. Now its media type must not be another one, its events must follow the last one, its lines must be comments or fields, and a rest without an event is no end: no sign tells it from an answer that says nothing, and a caller whose stream breaks off asks for the rest itself.

--- a/crates/relay/src/body.rs
+++ b/crates/relay/src/body.rs
@@ -22,7 +22,11 @@
 pub struct Body<E: Transport> {
     hub: Rc<Hub<E>>,
     job: Rc<Job<E::Request>>,
+    /// The head that the caller gets.
+    head: <E::Reply as Reply>::Head,
     attempt: Option<Attempt<E>>,
+    /// Whether another server than the first one goes on with the stream.
+    is_resumed: bool,
     attempts: Attempts,
     events: Splitter,
     /// The memory for the bytes of an incomplete event.
@@ -56,7 +60,9 @@
             events: Splitter::resume_after(job.last_event),
             share: Share::new(hub),
             job,
+            head: attempt.reply.head(),
             attempt: Some(attempt),
+            is_resumed: false,
             attempts,
             partial_count: 0,
             partial_since: hub.transport.now(),
@@ -76,6 +82,9 @@
             if self.is_finished {
                 return Ok(None);
             }
+            if self.events.is_invalid() {
+                self.resume(Failure::Mismatched).await?;
+            }
             match self.next_chunk().await {
                 Ok(Some(bytes)) => {
                     if self.is_from_another_version() {
@@ -195,7 +204,7 @@
             }
         };
         match result {
-            Some(next) if next.reply.status() == 200 => {
+            Some(next) if next.reply.continues(&self.head) => {
                 self.move_to(next, last_event);
                 None
             }
@@ -215,6 +224,7 @@
         self.events.discard_partial();
         self.partial_count = 0;
         self.first_event_at = None;
+        self.is_resumed = true;
         self.is_writing = false;
         self.last_bytes_at = now;
         if let Some(silent) = self.attempt.replace(next) {
@@ -289,13 +299,16 @@
     }
 
     /// Returns the failure if the body has ended before the stream was complete. The end of a connection marks the end of
-    /// a stream only after a whole event, as a server that crashes closes its connections, too.
+    /// a stream only after a whole event, as a server that crashes closes its connections, too. A rest without an event
+    /// shows no end either: the caller can ask for the rest itself.
     fn early_end(&self) -> Option<Failure> {
         let attempt = self.attempt.as_ref()?;
         match attempt.reply.is_close_delimited() {
             true => (self.events.is_inside_event() || self.first_event_at.is_none())
                 .then_some(Failure::Broken),
-            false => self.events.is_inside_event().then_some(Failure::Mismatched),
+            false => (self.events.is_inside_event()
+                || self.is_resumed && self.first_event_at.is_none())
+            .then_some(Failure::Mismatched),
         }
     }
 
@@ -350,11 +363,14 @@
         let sent = time::timeout(time_left, sent).await;
         drop(silent);
         match sent {
-            Ok(Ok(attempt)) if attempt.reply.status() == 200 => {
+            Ok(Ok(attempt)) if attempt.reply.continues(&self.head) => {
                 self.move_to(attempt, last_event);
                 Ok(())
             }
-            Ok(Ok(_)) => Err(self.fail(last_event, "the next server answered with a failure")),
+            Ok(Ok(_)) => Err(self.fail(
+                last_event,
+                "the next server's answer is no rest of the stream",
+            )),
             Ok(Err(code)) => Err(self.fail(last_event, code.title())),
             Err(_) => Err(self.fail(last_event, Code::DeadlinePassed.title())),
         }
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -173,6 +173,10 @@
     /// Returns the status code.
     fn status(&self) -> u16;
 
+    /// Returns whether this answer can go on with a stream that began with another one's head: a success of no other media
+    /// type.
+    fn continues(&self, first: &Self::Head) -> bool;
+
     /// Returns the start time of the server's run that sends the answer, if it is known.
     fn run(&self) -> Option<u64>;
 
--- a/crates/relay/src/events.rs
+++ b/crates/relay/src/events.rs
@@ -28,6 +28,9 @@
     /// Whether they include any line of an event since the last blank line.
     has_line: bool,
     last_id: Option<u64>,
+    /// The event after which another server goes on with the stream.
+    resumed_after: Option<u64>,
+    is_invalid: bool,
 }
 
 impl Splitter {
@@ -41,6 +44,9 @@
 
     /// Adds bytes and returns the events that are now complete.
     pub fn push(&mut self, bytes: &[u8]) -> Bytes {
+        if self.is_invalid {
+            return Bytes::new();
+        }
         self.pending.extend_from_slice(bytes);
         let Some(end) = self.find_event_end() else {
             return Bytes::new();
@@ -69,6 +75,10 @@
             let line = line.strip_suffix(b"\r").unwrap_or(line);
             self.line_start = line_end + 1;
             self.searched = self.line_start;
+            if !is_field(line) || self.repeats_event(line) {
+                self.is_invalid = true;
+                return event_end;
+            }
             if !line.is_empty() {
                 self.has_field |= is_event_field(line);
                 self.has_line |= !line.starts_with(b":");
@@ -93,9 +103,21 @@
         self.has_line || self.line_start < self.pending.len()
     }
 
-    /// Discards an incomplete event.
+    /// Returns whether the bytes after the last complete event are no part of the stream: an event from before the last one,
+    /// of a server that did not go on after it, or a line without a field, as in the head of an answer or in JSON.
+    pub const fn is_invalid(&self) -> bool {
+        self.is_invalid
+    }
+
+    fn repeats_event(&self, line: &[u8]) -> bool {
+        parse_id(line).is_some_and(|id| self.resumed_after.is_some_and(|last| id <= last))
+    }
+
+    /// Discards an incomplete event of a server that is left. The next one goes on after the last complete event.
     pub fn discard_partial(&mut self) {
         self.take_remainder();
+        self.resumed_after = self.last_id;
+        self.is_invalid = false;
     }
 
     /// Returns and clears the bytes of an incomplete event.
@@ -111,9 +133,18 @@
     line.starts_with(b"id:") || line.starts_with(b"data:")
 }
 
+/// Returns whether a line may stand in a stream of events: a blank line, a comment or a field, whose name is one word.
+fn is_field(line: &[u8]) -> bool {
+    let name = line.split(|byte| *byte == b':').next().unwrap_or_default();
+    name.iter()
+        .all(|byte| byte.is_ascii_alphanumeric() || b"-_.".contains(byte))
+}
+
 fn parse_last_id(bytes: &[u8]) -> Option<u64> {
-    let lines = bytes.split(|byte| *byte == b'\n').rev();
-    lines
-        .filter_map(|line| line.strip_prefix(b"id:"))
-        .find_map(|id| core::str::from_utf8(id).ok()?.trim().parse().ok())
+    bytes.split(|byte| *byte == b'\n').rev().find_map(parse_id)
+}
+
+fn parse_id(line: &[u8]) -> Option<u64> {
+    let id = line.strip_prefix(b"id:")?;
+    core::str::from_utf8(id).ok()?.trim().parse().ok()
 }
--- a/crates/relay/tests/framing.rs
+++ b/crates/relay/tests/framing.rs
@@ -89,7 +89,9 @@
 #[gtest]
 #[actix_web::test]
 async fn an_end_inside_an_event_does_not_clear_a_content_of_crashes() {
-    let hub = hub(vec![halves(3), halves(1), Reaction::Fail(Failure::Full)]);
+    // The second server goes on after the first event.
+    let rest = Reaction::Answer(200, vec![Ok(EVENTS[1][0])]);
+    let hub = hub(vec![halves(3), rest, Reaction::Fail(Failure::Full)]);
     hub.transport.is_close_delimited.set(true);
     let job = patient_job(&hub, Kind::Streaming, |_| {});
     let digest = job.digest;
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -182,6 +182,10 @@
         self.status
     }
 
+    fn continues(&self, first: &u16) -> bool {
+        self.status == *first
+    }
+
     fn run(&self) -> Option<u64> {
         self.run
     }
