Close the other ways of a call that names no server

A call made for another instance names the server by construction. A release looks its server up again after the waits for turns.

--- a/crates/batch/src/piece.rs
+++ b/crates/batch/src/piece.rs
@@ -47,7 +47,8 @@
 /// A reference to a result that is stored on the server that produced it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Handle {
-    /// The run of the server that holds the result, if it is known. Another server may get its address.
+    /// The run of the server that made and holds the result, if it is known. An address would not name it, as another server
+    /// may get that.
     pub maker: Option<Incarnation>,
     /// The handle as the server issued it.
     pub text: Name,
--- a/crates/feed/src/codec.rs
+++ b/crates/feed/src/codec.rs
@@ -424,16 +424,17 @@
     handles.handles.into_iter().map(decode_handle).collect()
 }
 
+/// The address that earlier builds get for a server. They would call it without naming the server.
+const NO_ADDRESS: &str = "0.0.0.0:0";
+
 fn encode_handle(handle: &Handle) -> message::Handle {
-    let text = handle.text.as_str();
-    let address = text.split_once('/').map_or(text, |(address, _)| address);
     let (server, started_ms) = match &handle.maker {
         Some(maker) => (maker.name.as_str().to_owned(), maker.start.as_millis()),
         None => Default::default(),
     };
     message::Handle {
-        maker: address.to_owned(),
-        text: text.to_owned(),
+        maker: NO_ADDRESS.to_owned(),
+        text: handle.text.as_str().to_owned(),
         server,
         started_ms,
     }
--- /dev/null
+++ b/crates/feed/tests/earlier_builds.rs
@@ -0,0 +1,57 @@
+//! Messages of instances of an earlier build, whose handles name no server.
+
+use core::time::Duration;
+
+use batch::piece::{Handle, Source};
+use feed::{Command, serve};
+use googletest::prelude::*;
+use tokio::{sync::mpsc, time};
+use tonic::transport::Endpoint;
+use wire::feed::{self as message, feed_client::FeedClient};
+
+/// How long a command may take to arrive.
+const TIME_LIMIT: Duration = Duration::from_secs(2);
+
+fn handle() -> message::Handle {
+    message::Handle {
+        maker: "10.0.0.1:80".to_owned(),
+        text: "10.0.0.1:80/1".to_owned(),
+        ..Default::default()
+    }
+}
+
+/// UNASKED: a release whose server is known by its address alone could reach another server there.
+#[gtest]
+#[actix_web::test]
+async fn results_of_unknown_makers_are_left_to_expire() {
+    let (sender, mut commands) = mpsc::unbounded_channel();
+    let address = "127.0.0.1:17746".parse().unwrap();
+    serve(address, sender).unwrap();
+    let endpoint = Endpoint::from_shared(format!("http://{address}")).unwrap();
+    let mut client = FeedClient::new(endpoint.connect_lazy());
+    let handles = vec![handle()];
+    let freed = client.free(message::Handles { handles }).await;
+    expect_that!(freed.is_ok(), eq(true));
+    let order = message::Order {
+        pool: "stages".to_owned(),
+        request: "r-1".to_owned(),
+        numbers: vec![0],
+        inputs: vec![handle()],
+        ..Default::default()
+    };
+    let make = client.make(order);
+    let arrived = async { time::timeout(TIME_LIMIT, commands.recv()).await };
+    let command = tokio::select! {
+        command = arrived => command,
+        _ = make => panic!("an answer before the command was taken"),
+    };
+    // The release came first and led to no command.
+    let Ok(Some(Command::Run { delegation, .. })) = command else {
+        panic!("expected pieces: {command:?}");
+    };
+    let inputs = Source::Results(vec![Handle {
+        maker: None,
+        text: "10.0.0.1:80/1".into(),
+    }]);
+    expect_that!(delegation.source, eq(&inputs));
+}
--- a/crates/relay/src/release.rs
+++ b/crates/relay/src/release.rs
@@ -76,7 +76,7 @@
             let mut calls = Vec::new();
             for group in handles.chunk_by(|a, b| a.maker == b.maker) {
                 let holder = self.with(|state| state.holder(&group[0]).cloned());
-                // Results end with the run that holds them, and one that leaves gets no more work that needs their memory.
+                // Results end with the run that holds them, and one that leaves gets no new work that needs their memory.
                 let Some(server) = holder.filter(|server| !server.leaving) else {
                     log::debug!(target: "stages", results = group.len(), maker:? = group[0].maker; "results are left to expire; their server is gone");
                     continue;
@@ -88,7 +88,12 @@
                     continue;
                 }
                 let group = group.to_vec();
-                calls.push(async move { self.transport.release(&server, group).await });
+                calls.push(async move {
+                    // The server may have left while others were waited for.
+                    if self.with(|state| state.holder(&group[0]) == Some(&server)) {
+                        self.transport.release(&server, group).await;
+                    }
+                });
             }
             future::join_all(calls).await;
             if paused.is_empty() {
