Break a stream off at once where the rest holds no event

Review of the fix of resumed streams: an empty rest was asked for at each remaining server, and where its connection ended it counted as a crash of the server. The stream is broken off at once now.

--- a/crates/relay/src/body.rs
+++ b/crates/relay/src/body.rs
@@ -22,7 +22,7 @@
 pub struct Body<E: Transport> {
     hub: Rc<Hub<E>>,
     job: Rc<Job<E::Request>>,
-    /// The head that the caller gets.
+    /// The head of the first answer, with which later ones are compared.
     head: <E::Reply as Reply>::Head,
     attempt: Option<Attempt<E>>,
     /// Whether another server than the first one goes on with the stream.
@@ -106,6 +106,11 @@
                         self.resume(Failure::Mismatched).await?;
                     }
                 }
+                Ok(None) if self.is_empty_rest() => {
+                    let last_event = self.events.last_id();
+                    self.complete();
+                    return Err(self.fail(last_event, "the next server sent no event"));
+                }
                 Ok(None) => match self.early_end() {
                     Some(failure) => self.resume(failure).await?,
                     None => return Ok(self.complete()),
@@ -298,17 +303,20 @@
         self.attempts.has_started = true;
     }
 
+    /// Returns whether the server that was to go on with the stream has ended its answer without an event. Nothing tells that
+    /// from a failure, so the caller is left to ask for the rest itself.
+    fn is_empty_rest(&self) -> bool {
+        self.is_resumed && self.first_event_at.is_none() && !self.events.is_inside_event()
+    }
+
     /// Returns the failure if the body has ended before the stream was complete. The end of a connection marks the end of
-    /// a stream only after a whole event, as a server that crashes closes its connections, too. A rest without an event
-    /// shows no end either: the caller can ask for the rest itself.
+    /// a stream only after a whole event, as a server that crashes closes its connections, too.
     fn early_end(&self) -> Option<Failure> {
         let attempt = self.attempt.as_ref()?;
         match attempt.reply.is_close_delimited() {
             true => (self.events.is_inside_event() || self.first_event_at.is_none())
                 .then_some(Failure::Broken),
-            false => (self.events.is_inside_event()
-                || self.is_resumed && self.first_event_at.is_none())
-            .then_some(Failure::Mismatched),
+            false => self.events.is_inside_event().then_some(Failure::Mismatched),
         }
     }
 
--- a/crates/relay/src/events.rs
+++ b/crates/relay/src/events.rs
@@ -28,7 +28,7 @@
     /// Whether they include any line of an event since the last blank line.
     has_line: bool,
     last_id: Option<u64>,
-    /// The event after which another server goes on with the stream.
+    /// The event after which the server goes on with the stream.
     resumed_after: Option<u64>,
     is_invalid: bool,
 }
@@ -38,6 +38,7 @@
     pub fn resume_after(last: Option<u64>) -> Self {
         Self {
             last_id: last,
+            resumed_after: last,
             ..Self::default()
         }
     }
@@ -103,8 +104,8 @@
         self.has_line || self.line_start < self.pending.len()
     }
 
-    /// Returns whether the bytes after the last complete event are no part of the stream: an event from before the last one,
-    /// of a server that did not go on after it, or a line without a field, as in the head of an answer or in JSON.
+    /// Returns whether the bytes after the last complete event are no part of the stream: an event that came before, of a
+    /// server that did not go on after it, or a line without a field, as in the head of an answer or in JSON.
     pub const fn is_invalid(&self) -> bool {
         self.is_invalid
     }
@@ -136,8 +137,9 @@
 /// Returns whether a line may stand in a stream of events: a blank line, a comment or a field, whose name is one word.
 fn is_field(line: &[u8]) -> bool {
     let name = line.split(|byte| *byte == b':').next().unwrap_or_default();
-    name.iter()
-        .all(|byte| byte.is_ascii_alphanumeric() || b"-_.".contains(byte))
+    let is_of_name =
+        |byte: &u8| byte.is_ascii_alphanumeric() || !byte.is_ascii() || b"-_.".contains(byte);
+    name.trim_ascii().iter().all(is_of_name)
 }
 
 fn parse_last_id(bytes: &[u8]) -> Option<u64> {
--- a/crates/relay/tests/events.rs
+++ b/crates/relay/tests/events.rs
@@ -80,3 +80,46 @@
         expect_that!(splitter.is_inside_event(), eq(false), "{bytes:?}");
     }
 }
+
+/// ORDER, MIXED: events that the caller had, and lines that are no part of a stream, were passed on.
+#[gtest]
+fn bytes_that_are_no_rest_of_the_stream_are_told_apart() {
+    for (bytes, complete, is_invalid) in [
+        ("id: 4\ndata: a\n\n", "id: 4\ndata: a\n\n", false),
+        (
+            "data: a\n\nid: 9\ndata: a\n\n",
+            "data: a\n\nid: 9\ndata: a\n\n",
+            false,
+        ),
+        ("id: 3\ndata: a\n\n", "", true),
+        ("id: 1\ndata: a\n\nid: 4\ndata: a\n\n", "", true),
+        ("id: 4\ndata: a\n\nid: 2\n", "id: 4\ndata: a\n\n", true),
+        (
+            "id: 4\ndata: a\n\nHTTP/1.1 500 Error\r\n\r\n",
+            "id: 4\ndata: a\n\n",
+            true,
+        ),
+        ("internal error\n", "", true),
+        ("{\"error\": 1}\n", "", true),
+        (
+            "x-weight-versions: 2\nid: 4\ndata : a\ndata\n\n",
+            "x-weight-versions: 2\nid: 4\ndata : a\ndata\n\n",
+            false,
+        ),
+        (": {ping}\n\n", "", false),
+    ] {
+        let mut taken_over = Splitter::default();
+        taken_over.push(b"id: 3\ndata: a\n\nid");
+        taken_over.discard_partial();
+        for mut splitter in [taken_over, Splitter::resume_after(Some(3))] {
+            expect_that!(
+                &splitter.push(bytes.as_bytes())[..],
+                eq(complete.as_bytes()),
+                "{bytes:?}"
+            );
+            expect_that!(splitter.is_invalid(), eq(is_invalid), "{bytes:?}");
+            splitter.discard_partial();
+            expect_that!(splitter.is_invalid(), eq(false), "{bytes:?}");
+        }
+    }
+}
