--- a/crates/relay/src/body.rs
+++ b/crates/relay/src/body.rs
@@ -18,6 +18,9 @@
     origin, policy, serve,
 };
 
+/// How long the end of an answer without events may follow on its head, while the silent server is still waited for.
+const EMPTY_REST_TIME: Duration = Duration::from_millis(50);
+
 /// The event stream of an answer, which resumes on another server if the route allows it.
 pub struct Body<E: Transport> {
     hub: Rc<Hub<E>>,
@@ -163,7 +166,7 @@
     }
 
     /// Tries another server beside the silent one, which is left when the other one goes on with the stream. Returns
-    /// what the silent server sent if the stream goes on there.
+    /// what the server sent with which the stream goes on.
     async fn try_beside(&mut self, limit: Duration) -> Option<Result<Option<Bytes>, Failure>> {
         let Self {
             hub, job, attempts, ..
@@ -209,9 +212,19 @@
             }
         };
         match result {
-            Some(next) if next.reply.continues(&self.head) => {
-                self.move_to(next, last_event);
-                None
+            Some(mut next) if next.reply.continues(&self.head) => {
+                match time::timeout(EMPTY_REST_TIME, next.reply.chunk()).await {
+                    // The silent server may still send the end.
+                    Ok(Ok(None)) => {
+                        let latency = next.guard.age();
+                        next.guard.finish(Completion::Answered { latency });
+                        kept
+                    }
+                    chunk => {
+                        self.move_to(next, last_event);
+                        chunk.ok()
+                    }
+                }
             }
             _ => kept,
         }
