Evacuate failure domains by the operator's records

Change: site::Evacuations keeps the newest position of the operator's topic and the domains; Roster::usable leaves their servers out.

--- a/crates/feed/src/call.rs
+++ b/crates/feed/src/call.rs
@@ -136,7 +136,8 @@
         Failure::TimedOut => message::Failure::TimedOut,
         Failure::Unacknowledged => message::Failure::Unacknowledged,
         Failure::Exhausted => message::Failure::Exhausted,
-        Failure::Unconfirmed => message::Failure::Unconfirmed,
+        // Earlier builds know no reason of its own; the request was not sent, and another server may get it.
+        Failure::Evacuated | Failure::Unconfirmed => message::Failure::Unconfirmed,
         Failure::Unreachable => message::Failure::Unreachable,
         // Answers that state these are passed on as they are.
         Failure::Full
--- a/crates/feed/src/codec.rs
+++ b/crates/feed/src/codec.rs
@@ -14,8 +14,8 @@
 use wire::feed as message;
 
 use crate::{
-    Answer, Ask, CachedChain, Delegation, EngineLoad, Error, Grant, Heartbeat, Limit, Lists,
-    Results, Topics, Wanted,
+    Answer, Ask, CachedChain, Delegation, EngineLoad, Error, Evacuation, Evacuations, Grant,
+    Heartbeat, Limit, Lists, Results, Topics, Wanted,
 };
 
 pub(crate) fn encode_delegation(delegation: Delegation) -> message::Order {
@@ -150,6 +150,37 @@
             .collect(),
         limits: heartbeat.limits.into_iter().map(encode_limit).collect(),
         cut_off: heartbeat.is_cut_off,
+        evacuations: heartbeat.evacuations.map(encode_evacuations),
+    }
+}
+
+fn encode_evacuations(evacuations: Evacuations) -> message::Evacuations {
+    let domains = evacuations.domains.into_iter();
+    let domains = domains.map(|evacuation| message::Evacuation {
+        domain: evacuation.domain.as_str().to_owned(),
+        since_ms: evacuation.since.as_millis(),
+        left_ms: evacuation.left.map(millis),
+    });
+    message::Evacuations {
+        era: evacuations.position.era,
+        offset: evacuations.position.offset,
+        domains: domains.collect(),
+    }
+}
+
+fn decode_evacuations(evacuations: message::Evacuations) -> Evacuations {
+    let domains = evacuations.domains.into_iter();
+    let domains = domains.map(|evacuation| Evacuation {
+        domain: evacuation.domain.into(),
+        since: Stamp::from_millis(evacuation.since_ms),
+        left: evacuation.left_ms.map(Duration::from_millis),
+    });
+    Evacuations {
+        position: Position {
+            era: evacuations.era,
+            offset: evacuations.offset,
+        },
+        domains: domains.collect(),
     }
 }
 
@@ -411,6 +442,7 @@
         departures: pulse.departures.into_iter().map(decode_departure).collect(),
         limits: pulse.limits.into_iter().filter_map(decode_limit).collect(),
         is_cut_off: pulse.cut_off,
+        evacuations: pulse.evacuations.map(decode_evacuations),
     }
 }
 
--- a/crates/feed/src/lib.rs
+++ b/crates/feed/src/lib.rs
@@ -12,7 +12,7 @@
 
 use core::time::Duration;
 
-use base::Name;
+use base::{Name, Stamp};
 use batch::{
     Shard,
     piece::{Outcome, Source},
@@ -87,6 +87,28 @@
     pub limits: Vec<Limit>,
     /// Whether the instance reaches no servers.
     pub is_cut_off: bool,
+    /// The evacuated failure domains, or none before the instance knows of them.
+    pub evacuations: Option<Evacuations>,
+}
+
+/// The evacuated failure domains at a position in the operator's topic.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Evacuations {
+    /// The position up to which the operator's records are known.
+    pub position: Position,
+    /// The domains.
+    pub domains: Vec<Evacuation>,
+}
+
+/// An evacuated failure domain.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Evacuation {
+    /// The failure domain.
+    pub domain: Name,
+    /// The time of day since which it is evacuated.
+    pub since: Stamp,
+    /// The time until the evacuation ends by itself, if a restored store lacks its record.
+    pub left: Option<Duration>,
 }
 
 /// The request rate that a run of a server stated in an answer.
--- a/crates/feed/tests/loopback.rs
+++ b/crates/feed/tests/loopback.rs
@@ -9,8 +9,8 @@
 };
 use bytes::Bytes;
 use feed::{
-    Answer, CachedChain, Client, Command, Delegation, EngineLoad, Heartbeat, Limit, Lists, Topics,
-    Wanted, serve,
+    Answer, CachedChain, Client, Command, Delegation, EngineLoad, Evacuation, Evacuations,
+    Heartbeat, Limit, Lists, Topics, Wanted, serve,
 };
 use googletest::prelude::*;
 use mesh::{Changes, Departure, Origin, Position, Record, origins};
@@ -24,6 +24,14 @@
     }
 }
 
+fn evacuation(domain: &str, left: Option<Duration>) -> Evacuation {
+    Evacuation {
+        domain: domain.into(),
+        since: Stamp::from_millis(1_790_000_000_000),
+        left,
+    }
+}
+
 fn delegation(source: Source) -> Delegation {
     Delegation {
         shard: Shard {
@@ -109,6 +117,13 @@
             received_age: Duration::from_millis(20),
         }],
         is_cut_off: true,
+        evacuations: Some(Evacuations {
+            position: Position { era: 3, offset: 9 },
+            domains: vec![
+                evacuation("a", None),
+                evacuation("b", Some(Duration::from_millis(900))),
+            ],
+        }),
     };
     let client = Client::default();
     for source in [
@@ -132,8 +147,8 @@
             let Some(Command::Heartbeat { heartbeat, reply }) = commands.recv().await else {
                 panic!("expected a heartbeat");
             };
-            reply.send(heartbeat.clone()).unwrap();
-            heartbeat
+            reply.send(*heartbeat.clone()).unwrap();
+            *heartbeat
         }
     );
     expect_that!(received, eq(&heartbeat));
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -95,6 +95,10 @@
         }
     }
     let started_at = hub.transport.now();
+    if hub.with(|state| state.lacks_servers(started_at, &pool, job)) {
+        let code = policy::final_code(attempts.may_have_run, Code::StageUnavailable);
+        return Err(code);
+    }
     let max_wait = turns::max_wait(job, started_at, since);
     if hub
         .with(|state| state.pause_left(started_at, &pool, job, max_wait))
@@ -258,7 +262,8 @@
     ) -> Result<(), Code> {
         self.unreachable += usize::from(matches!(
             failure,
-            Failure::Exhausted
+            Failure::Evacuated
+                | Failure::Exhausted
                 | Failure::HelperUnavailable
                 | Failure::Moved
                 | Failure::Unconfirmed
--- a/crates/relay/src/batches.rs
+++ b/crates/relay/src/batches.rs
@@ -255,7 +255,7 @@
         for piece in batch.pieces {
             if matches!(
                 failure,
-                Failure::Exhausted | Failure::Full | Failure::Unreachable
+                Failure::Evacuated | Failure::Exhausted | Failure::Full | Failure::Unreachable
             ) {
                 self.with(|state| {
                     // The request may have ended meanwhile.
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -49,6 +49,9 @@
     /// The connection ended before the answer was complete.
     #[error("the connection ended before the answer was complete")]
     Broken,
+    /// The operator has evacuated the failure domain of the server; the request was not sent.
+    #[error("the failure domain of the server is evacuated")]
+    Evacuated,
     /// All connections that this instance may open to the server are in use; no bytes were written.
     #[error("all connections to the server are in use")]
     Exhausted,
@@ -104,7 +107,8 @@
             | Self::Mismatched
             | Self::TimedOut
             | Self::Unacknowledged => true,
-            Self::Exhausted
+            Self::Evacuated
+            | Self::Exhausted
             | Self::Full
             | Self::HelperUnavailable
             | Self::InputGone
--- a/crates/relay/src/hub.rs
+++ b/crates/relay/src/hub.rs
@@ -158,6 +158,7 @@
             }
             // These failures don't show whether the domain is reachable.
             Failure::Broken
+            | Failure::Evacuated
             | Failure::Exhausted
             | Failure::HelperLost
             | Failure::HelperUnavailable
@@ -195,7 +196,8 @@
             Completion::Failed
         }
         Failure::Exhausted | Failure::Full => Completion::Full,
-        Failure::HelperLost
+        Failure::Evacuated
+        | Failure::HelperLost
         | Failure::HelperUnavailable
         | Failure::InputGone
         | Failure::Rejected
--- a/crates/relay/src/links.rs
+++ b/crates/relay/src/links.rs
@@ -103,7 +103,8 @@
         let hub = self.clone();
         let check = async move {
             let count = CHECKED_SERVERS + RECHECKED_SERVERS;
-            let servers = hub.with(|state| state.sample_servers(&hub.domain, count));
+            let now = hub.transport.now();
+            let servers = hub.with(|state| state.sample_servers(now, &hub.domain, count));
             let (first, rest) = servers.split_at(servers.len().min(CHECKED_SERVERS));
             // A server list that is empty says nothing about the links.
             let is_reached =
@@ -123,7 +124,9 @@
         while self.with(|state| state.links.is_cut_off()) {
             let draw = self.with(|state| state.rng.random_range(-PROBE_JITTER..PROBE_JITTER));
             time::sleep(PROBE_INTERVAL.mul_f64(1.0 + draw)).await;
-            let servers = self.with(|state| state.sample_servers(&self.domain, PROBED_SERVERS));
+            let now = self.transport.now();
+            let servers =
+                self.with(|state| state.sample_servers(now, &self.domain, PROBED_SERVERS));
             if servers.is_empty() || self.reaches_any(&servers).await {
                 self.record_check(true);
             }
@@ -191,8 +194,12 @@
     }
 
     /// Returns random servers, one of the local failure domain first, and of different ones as far as there are that many.
-    fn sample_servers(&mut self, local: &Name, count: usize) -> Vec<Rc<Server>> {
-        let mut servers: Vec<_> = self.roster.all().cloned().collect();
+    fn sample_servers(&mut self, now: Tick, local: &Name, count: usize) -> Vec<Rc<Server>> {
+        // The machines of an evacuated domain may be switched off, which says nothing about the links.
+        let all: Vec<_> = self.roster.all().cloned().collect();
+        let used = all.iter().filter(|server| !self.is_evacuated(now, server));
+        let used: Vec<_> = used.cloned().collect();
+        let mut servers = if used.is_empty() { all } else { used };
         servers.shuffle(&mut self.rng);
         servers.sort_by_key(|server| server.domain != *local);
         let mut sample: Vec<Rc<Server>> = Vec::new();
--- a/crates/relay/src/notices.rs
+++ b/crates/relay/src/notices.rs
@@ -83,6 +83,25 @@
         is_listed && self.fleet.paused_until(now, &server.id).is_none()
     }
 
+    /// Returns whether the failure domain of a server is evacuated.
+    pub fn is_evacuated(&self, now: Tick, server: &Server) -> bool {
+        self.roster.evacuations.contains(now, &server.domain)
+    }
+
+    /// Records that the servers of a failure domain get work again after the end of its evacuation.
+    pub fn record_domain_return(&mut self, _now: Tick, domain: &Name) {
+        let servers = self.roster.all().filter(|server| server.domain == *domain);
+        log::info!(target: "servers", domain:% = domain, servers = servers.count(); "failure domain gets work again");
+    }
+
+    /// Returns whether a request can't be served because all servers of a pool that it needs are evacuated.
+    pub(crate) fn lacks_servers<R>(&self, now: Tick, pool: &Name, job: &Job<R>) -> bool {
+        let stages = job.route.stages.iter().zip(&job.pieces);
+        let stages = stages.filter(|(_, pieces)| **pieces > 0);
+        let mut pools = stages.map(|(stage, _)| &stage.pool).chain([pool]);
+        pools.any(|pool| self.roster.is_evacuated(now, pool))
+    }
+
     /// Returns when the first of a pool's servers that may be used takes requests again, if all of them asked for a
     /// pause, or have no turn within `max_wait`.
     fn pause_end(
--- a/crates/relay/src/origin.rs
+++ b/crates/relay/src/origin.rs
@@ -145,6 +145,9 @@
         {
             continue;
         }
+        if hub.with(|state| state.is_evacuated(hub.transport.now(), server)) {
+            return None;
+        }
         // Streams may hold all connections that requests may use.
         let max_connections = hub.max_connections(&server.pool).saturating_add(1);
         if let Ok(run) = hub.transport.ask_run(server, max_connections).await {
--- a/crates/relay/src/pending.rs
+++ b/crates/relay/src/pending.rs
@@ -245,7 +245,8 @@
         attempts.may_have_run |= failure.may_have_run();
         if !matches!(
             failure,
-            Failure::Exhausted
+            Failure::Evacuated
+                | Failure::Exhausted
                 | Failure::HelperUnavailable
                 | Failure::Unconfirmed
                 | Failure::Unreachable
@@ -272,6 +273,10 @@
         {
             return Err(Failure::Unconfirmed);
         }
+        // The domain may have been evacuated while the question waited for its turn.
+        if hub.with(|state| state.is_evacuated(hub.transport.now(), &call.server)) {
+            return Err(Failure::Evacuated);
+        }
         let confirmed = hub
             .transport
             .confirm_run(&call.server, call.max_connections);
--- a/crates/relay/src/pieces.rs
+++ b/crates/relay/src/pieces.rs
@@ -70,7 +70,13 @@
                 Owner::Local => {
                     let made = self.run_local(&shard, pieces.clone());
                     tokio::select! {
-                        outcomes = made => return outcomes,
+                        outcomes = made => match self.is_moved(&shard, &outcomes) {
+                            true => {
+                                self.release_results(outcomes);
+                                continue;
+                            }
+                            false => return outcomes,
+                        },
                         () = self.wait_until_cut_off() => continue,
                     }
                 }
@@ -84,7 +90,12 @@
                 () = lost => Err(Failure::TimedOut),
             };
             match outcomes {
-                Ok(outcomes) if outcomes.len() == pieces.len() => return outcomes,
+                Ok(outcomes) if outcomes.len() == pieces.len() => {
+                    if !self.is_moved(&shard, &outcomes) {
+                        return outcomes;
+                    }
+                    self.release_results(outcomes);
+                }
                 Ok(_) => {
                     log::error!(target: "peers", peer:% = peer.name; "instance returned a wrong number of results")
                 }
@@ -115,6 +126,28 @@
         self.run_local(&shard, pieces).await
     }
 
+    /// Returns whether pieces failed in a shard whose failure domain is evacuated, so that they go to another one.
+    fn is_moved(&self, shard: &Shard, outcomes: &[Outcome]) -> bool {
+        let now = self.transport.now();
+        let has_failed = |outcome: &Outcome| matches!(outcome, Outcome::Failed(_));
+        let Some(domain) = shard.domain.as_ref() else {
+            return false;
+        };
+        outcomes.iter().any(has_failed)
+            && self.with(|state| {
+                let is_evacuated = state.roster.evacuations.contains(now, domain);
+                is_evacuated && !state.roster.is_evacuated(now, &shard.pool)
+            })
+    }
+
+    fn release_results(self: &Rc<Self>, outcomes: Vec<Outcome>) {
+        let results = outcomes.into_iter().filter_map(|outcome| match outcome {
+            Outcome::Result(handle) => Some(handle),
+            Outcome::Failed(_) => None,
+        });
+        self.release(results.collect());
+    }
+
     /// Returns the shard of a pool that is nearest to a failure domain, and its owner.
     fn shard_owner(&self, pool: &Name, preferred: Option<&Name>) -> (Shard, Owner) {
         let now = self.transport.now();
--- a/crates/relay/src/policy.rs
+++ b/crates/relay/src/policy.rs
@@ -55,7 +55,8 @@
         return Decision::Fail(Code::CallUnknown);
     }
     match failure {
-        Failure::Exhausted
+        Failure::Evacuated
+        | Failure::Exhausted
         | Failure::HelperUnavailable
         | Failure::Unconfirmed
         | Failure::Unreachable
@@ -69,7 +70,8 @@
         {
             Decision::Retry { is_counted: true }
         }
-        Failure::Exhausted
+        Failure::Evacuated
+        | Failure::Exhausted
         | Failure::HelperUnavailable
         | Failure::Rejected
         | Failure::Unconfirmed
--- a/crates/relay/src/release.rs
+++ b/crates/relay/src/release.rs
@@ -77,8 +77,12 @@
             for group in handles.chunk_by(|a, b| a.maker == b.maker) {
                 let holder = self.with(|state| state.holder(&group[0]).cloned());
                 // Results end with the run that holds them, and one that leaves gets no new work that needs their memory.
-                let Some(server) = holder.filter(|server| !server.leaving) else {
-                    log::debug!(target: "stages", results = group.len(), maker:? = group[0].maker; "results are left to expire; their server is gone");
+                // Nothing is sent to servers of evacuated domains.
+                let is_released = |server: &Rc<Server>| {
+                    !server.leaving && !self.with(|state| state.is_evacuated(now, server))
+                };
+                let Some(server) = holder.filter(is_released) else {
+                    log::debug!(target: "stages", results = group.len(), maker:? = group[0].maker; "results are left to expire; their server is gone or evacuated");
                     continue;
                 };
                 let end = self.release_delay_end(now, &server).await;
@@ -89,8 +93,12 @@
                 }
                 let group = group.to_vec();
                 calls.push(async move {
-                    // The server may have left while others were waited for.
-                    if self.with(|state| state.holder(&group[0]) == Some(&server)) {
+                    // The server may have left, or been evacuated, while others were waited for.
+                    let now = self.transport.now();
+                    if self.with(|state| {
+                        state.holder(&group[0]) == Some(&server)
+                            && !state.is_evacuated(now, &server)
+                    }) {
                         self.transport.release(&server, group).await;
                     }
                 });
--- a/crates/site/src/roster.rs
+++ b/crates/site/src/roster.rs
@@ -5,6 +5,8 @@
 
 use base::{Incarnation, Name, Software, Stamp, Tick};
 
+use crate::Evacuations;
+
 /// How long after an outage of the platform's store a server is still used whose entry lapsed.
 ///
 /// The platform states that live servers register again about two seconds after the store's recovery.
@@ -98,6 +100,8 @@
 /// The registered servers.
 #[derive(Clone, Debug, Default)]
 pub struct Roster {
+    /// The failure domains whose servers get no work.
+    pub evacuations: Evacuations,
     servers: Vec<Entry>,
     /// The runs that left, sorted by the server's id.
     departures: Vec<Departure>,
@@ -395,7 +399,7 @@
             .binary_search_by(|departure| departure.id.cmp(id))
     }
 
-    /// Returns the servers of a pool that may get new work.
+    /// Returns the servers of a pool that may get new work: those that are not leaving and not in an evacuated domain.
     pub fn usable<'a>(
         &'a self,
         now: Tick,
@@ -406,6 +410,24 @@
             .filter(move |entry| entry.expires_at.is_none_or(|until| now < until))
             .map(|entry| &entry.server)
             .filter(move |server| !server.leaving && server.pool == *pool)
+            .filter(move |server| !self.evacuations.contains(now, &server.domain))
+    }
+
+    /// Returns whether servers of a pool are listed, but all that could get work are in evacuated domains.
+    pub fn is_evacuated(&self, now: Tick, pool: &Name) -> bool {
+        let mut servers = self.all().filter(|server| server.pool == *pool);
+        servers.any(|server| self.evacuations.contains(now, &server.domain))
+            && self.usable(now, pool).next().is_none()
+    }
+
+    /// Returns whether only servers in evacuated domains are listed at an address.
+    pub fn is_evacuated_address(&self, now: Tick, address: SocketAddr) -> bool {
+        if self.evacuations.in_force(now).next().is_none() {
+            return false;
+        }
+        let mut servers = self.all().filter(|server| server.address == address);
+        let is_evacuated = |server: &Rc<Server>| self.evacuations.contains(now, &server.domain);
+        servers.next().is_some_and(is_evacuated) && servers.all(is_evacuated)
     }
 
     /// Returns the software of a pool's registered servers, leaving ones included, if all are known to run the same.
