Grant turns at cold servers by rank

A server that starts during traffic or returns after its domain was away sustains few requests a second and falls over above that; all instances sent to it at once. Three instances may now grant turns at it, the first one the rate and the others what the bound leaves, so that the sum holds in any partition. Entries, start times, answers and failed connections tell that a server is cold.

Heartbeats in feed::Command are boxed, as they became much larger than the other commands.

--- a/crates/batch/tests/simulation/mod.rs
+++ b/crates/batch/tests/simulation/mod.rs
@@ -63,6 +63,7 @@
             name: POOL.into(),
             max_connections: 8,
             work: Work::Pieces(work),
+            cold: None,
         };
         let mut roster = Roster::default();
         for (at, domain) in domains.iter().enumerate() {
--- a/crates/feed/src/codec.rs
+++ b/crates/feed/src/codec.rs
@@ -9,7 +9,7 @@
 };
 use bytes::Bytes;
 use mesh::{Changes, Departure, Origin, Position, Record, origins};
-use quota::Turn;
+use quota::{Turn, cold::Report};
 use site::route::Rank;
 use wire::feed as message;
 
@@ -150,6 +150,7 @@
             .collect(),
         limits: heartbeat.limits.into_iter().map(encode_limit).collect(),
         cut_off: heartbeat.is_cut_off,
+        cold: heartbeat.cold.into_iter().map(encode_cold).collect(),
     }
 }
 
@@ -249,6 +250,7 @@
         limit: Some(encode_limit(ask.limit)),
         max_wait_ms: millis(ask.max_wait),
         duration_ms: millis(ask.duration),
+        cold: ask.cold.map(encode_cold),
     }
 }
 
@@ -257,9 +259,35 @@
         limit: decode_limit(ask.limit?)?,
         max_wait: Duration::from_millis(ask.max_wait_ms),
         duration: Duration::from_millis(ask.duration_ms),
+        cold: ask.cold.map(decode_cold),
     })
 }
 
+fn encode_cold(report: Report) -> message::Cold {
+    message::Cold {
+        server: report.server.as_str().to_owned(),
+        started_ms: report.started_at_ms,
+        left_ms: millis(report.left),
+        sequence: report.sequence,
+        event_age_ms: report.event_age.map(millis),
+    }
+}
+
+fn decode_cold(cold: message::Cold) -> Report {
+    // No server is cold for longer, and a larger number must not keep one from being used.
+    let left = Duration::from_millis(cold.left_ms).min(MAX_COLD_TIME);
+    Report {
+        server: cold.server.into(),
+        started_at_ms: cold.started_ms,
+        left,
+        sequence: cold.sequence,
+        event_age: cold.event_age_ms.map(Duration::from_millis),
+    }
+}
+
+/// The longest cold time that another instance may report.
+const MAX_COLD_TIME: Duration = Duration::from_secs(60);
+
 pub(crate) fn encode_grant(grant: Grant) -> message::Grant {
     let (wait_us, next_us) = match grant.turn {
         Turn::Granted { wait, next_in } => (Some(micros(wait)), micros(next_in)),
@@ -411,6 +439,7 @@
         departures: pulse.departures.into_iter().map(decode_departure).collect(),
         limits: pulse.limits.into_iter().filter_map(decode_limit).collect(),
         is_cut_off: pulse.cut_off,
+        cold: pulse.cold.into_iter().map(decode_cold).collect(),
     }
 }
 
--- a/crates/feed/src/lib.rs
+++ b/crates/feed/src/lib.rs
@@ -19,7 +19,7 @@
 };
 use bytes::Bytes;
 use mesh::{Changes, Departure, Position};
-use quota::Turn;
+use quota::{Turn, cold::Report};
 use site::route::Rank;
 
 pub use self::{
@@ -87,6 +87,8 @@
     pub limits: Vec<Limit>,
     /// Whether the instance reaches no servers.
     pub is_cut_off: bool,
+    /// Servers that may be cold after an event that the instance saw a moment ago.
+    pub cold: Vec<Report>,
 }
 
 /// The request rate that a run of a server stated in an answer.
@@ -115,6 +117,8 @@
     pub max_wait: Duration,
     /// The longest time that it takes at the server, or zero for a call that takes no slot.
     pub duration: Duration,
+    /// What the asking instance knows of a cold server, if the turn is one at a cold server.
+    pub cold: Option<Report>,
 }
 
 /// The answer to a question for a turn.
--- a/crates/feed/src/server.rs
+++ b/crates/feed/src/server.rs
@@ -79,7 +79,7 @@
     /// Exchanges heartbeats.
     Heartbeat {
         /// The heartbeat of the other instance.
-        heartbeat: Heartbeat,
+        heartbeat: Box<Heartbeat>,
         /// The channel for the heartbeat of this instance.
         reply: oneshot::Sender<Heartbeat>,
     },
@@ -241,7 +241,7 @@
         &self,
         request: Request<message::Pulse>,
     ) -> Result<Response<message::Pulse>, Status> {
-        let heartbeat = codec::decode_heartbeat(request.into_inner());
+        let heartbeat = Box::new(codec::decode_heartbeat(request.into_inner()));
         let own = self
             .request(|reply| Command::Heartbeat { heartbeat, reply })
             .await?;
--- a/crates/feed/tests/loopback.rs
+++ b/crates/feed/tests/loopback.rs
@@ -14,6 +14,7 @@
 };
 use googletest::prelude::*;
 use mesh::{Changes, Departure, Origin, Position, Record, origins};
+use quota::cold::Report;
 use site::route::Rank;
 use tokio::sync::mpsc;
 
@@ -109,6 +110,13 @@
             received_age: Duration::from_millis(20),
         }],
         is_cut_off: true,
+        cold: vec![Report {
+            server: "i-5".into(),
+            started_at_ms: 1_790_000_000_000,
+            left: Duration::from_millis(2_300),
+            sequence: 4,
+            event_age: Some(Duration::from_millis(30)),
+        }],
     };
     let client = Client::default();
     for source in [
@@ -132,8 +140,8 @@
             let Some(Command::Heartbeat { heartbeat, reply }) = commands.recv().await else {
                 panic!("expected a heartbeat");
             };
-            reply.send(heartbeat.clone()).unwrap();
-            heartbeat
+            reply.send((*heartbeat).clone()).unwrap();
+            *heartbeat
         }
     );
     expect_that!(received, eq(&heartbeat));
--- a/crates/mesh/src/configs.rs
+++ b/crates/mesh/src/configs.rs
@@ -17,6 +17,8 @@
     pub monitoring_period: Duration,
     /// The largest number of instances that all send heartbeats to each other; a larger deployment is divided into cells.
     pub full_mesh_limit: usize,
+    /// How long an instance that was removed keeps its rank among those that grant turns at cold servers.
+    pub rank_memory: Duration,
 }
 
 impl Default for Config {
@@ -28,6 +30,7 @@
             lost_heartbeat_interval: Duration::from_secs(1),
             monitoring_period: Duration::from_secs(3),
             full_mesh_limit: 16,
+            rank_memory: Duration::from_secs(4),
         }
     }
 }
--- a/crates/mesh/src/members.rs
+++ b/crates/mesh/src/members.rs
@@ -1,5 +1,7 @@
 //! Tracks which instances answer, and which of them owns a task.
 
+mod granters;
+
 use core::{cmp::Reverse, net::SocketAddr, time::Duration};
 
 use base::{Name, Stamp, Tick};
@@ -56,6 +58,8 @@
     /// Whether the local instance reaches no servers.
     is_cut_off: bool,
     peers: Vec<PeerState>,
+    /// Instances that were removed a short time ago, which may still act as if they were listed.
+    removed: Vec<(Tick, Peer)>,
 }
 
 #[derive(Clone, Debug)]
@@ -103,6 +107,7 @@
             local,
             is_cut_off: false,
             peers: Vec::new(),
+            removed: Vec::new(),
         }
     }
 
--- a/crates/quota/src/configs.rs
+++ b/crates/quota/src/configs.rs
@@ -50,3 +50,70 @@
         }
     }
 }
+
+/// Settings of cold servers with their defaults.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Cold {
+    /// The time in which the requests at a cold server are counted.
+    pub window: Duration,
+    /// How late a granted turn may be used.
+    pub max_delay: Duration,
+    /// By how much the ways of two requests to their server may differ.
+    pub max_transit: Duration,
+    /// The time for which the first in rank keeps unused turns. Without it half of the turns of a server are lost whose
+    /// requests come at random times.
+    pub burst: Duration,
+    /// The shortest time between the writing of an entry and its arrival.
+    pub min_entry_age: Duration,
+    /// The longest such time: the store's delay of 0.8 s, the pause between two reads and the heartbeat that passes it on.
+    pub max_entry_age: Duration,
+    /// How long a server counts as cold after an event if no entry arrives.
+    pub max_event_time: Duration,
+    /// The time after the end of the cold time in which the rate grows.
+    pub ramp: Duration,
+    /// The time in which the rate doubles.
+    pub doubling: Duration,
+    /// The age up to which a process grants no more than a lower rank, as its list of instances may lack some.
+    pub settling: Duration,
+    /// The longest time that turns are granted ahead; shorter than the settling time.
+    pub max_wait: Duration,
+    /// The same while the rate grows.
+    pub max_ramp_wait: Duration,
+    /// When an instance may ask again if the one that it asked may grant nothing.
+    pub unknown_retry: Duration,
+    /// The number of denied questions for each turn from which on instances are told to ask later.
+    pub questions_per_turn: f64,
+    /// The longest time that an instance is told to wait because many ask.
+    pub max_retry: Duration,
+    /// The interval at which denied turns at a server are logged.
+    pub log_interval: Duration,
+    /// The largest number of servers in one heartbeat.
+    pub max_shared: usize,
+    /// The time after which a server is forgotten that nothing was heard of.
+    pub idle_timeout: Duration,
+}
+
+impl Default for Cold {
+    fn default() -> Self {
+        Self {
+            window: Duration::from_secs(1),
+            max_delay: Duration::from_millis(250),
+            max_transit: Duration::from_millis(50),
+            burst: Duration::from_millis(40),
+            min_entry_age: Duration::from_millis(800),
+            max_entry_age: Duration::from_secs(2),
+            max_event_time: Duration::from_secs(15),
+            ramp: Duration::from_millis(1_200),
+            doubling: Duration::from_millis(300),
+            settling: Duration::from_secs(4),
+            max_wait: Duration::from_secs(2),
+            max_ramp_wait: Duration::from_millis(100),
+            unknown_retry: Duration::from_millis(500),
+            questions_per_turn: 3.0,
+            max_retry: Duration::from_secs(1),
+            log_interval: Duration::from_secs(2),
+            max_shared: 32,
+            idle_timeout: Duration::from_secs(60),
+        }
+    }
+}
--- a/crates/relay/src/batches.rs
+++ b/crates/relay/src/batches.rs
@@ -233,6 +233,7 @@
                 .fleet
                 .record_completion(now, &server.id, completion_of(failure));
             state.record_reachability(now, &server.domain, failure);
+            state.record_cold_failure(now, server, failure);
             let completion = match failure {
                 Failure::Exhausted | Failure::Full => scheduler::Completion::Full,
                 Failure::TimedOut | Failure::Unacknowledged => scheduler::Completion::TimedOut,
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -11,7 +11,7 @@
 };
 use bytes::Bytes;
 use mesh::{Origin, Peer, origins};
-use quota::{Statement, Turn};
+use quota::{Statement, Turn, cold::Report};
 use retry::parts::Crash;
 use site::roster::Server;
 use thiserror::Error;
@@ -137,6 +137,8 @@
     pub rate: Rate,
     /// What the server states of the requests that it turns away in a second at most before it falls over.
     pub brittle: Rate,
+    /// How much longer the server is cold, if it states it.
+    pub cold_left: Option<Duration>,
 }
 
 /// What an answer states of the requests a second that its server takes, or turns away, of all instances together.
@@ -262,6 +264,18 @@
         duration: Duration,
     ) -> impl Future<Output = Result<(Turn, Option<Statement>), Failure>>;
 
+    /// Asks another instance for a turn at a cold server.
+    ///
+    /// # Errors
+    ///
+    /// - A failure that shows that the instance doesn't answer.
+    fn ask_cold_turn(
+        &self,
+        granter: &Peer,
+        report: Report,
+        max_wait: Duration,
+    ) -> impl Future<Output = Result<Turn, Failure>>;
+
     /// Tells another instance that the request of a turn has ended, and whether the server turned it away.
     fn end_turn(&self, holder: Peer, server: Name, is_rejected: bool);
 
--- a/crates/relay/src/crash.rs
+++ b/crates/relay/src/crash.rs
@@ -74,6 +74,7 @@
     wrote: Duration,
 ) {
     if failure != Failure::Broken {
+        record_cold(hub, guard, failure);
         guard.complete(completion_of(failure));
         return;
     }
@@ -97,9 +98,18 @@
     if let Err(error) = decided.await {
         log::warn!(target: "servers", server:% = guard.server.id, cause:% = error; "crash not recorded");
     }
+    record_cold(hub, guard, failure);
     guard.complete(completion_of(failure));
 }
 
+/// Counts the server of a failed call as cold, if the failure may show that it was away.
+fn record_cold<E: Transport>(hub: &Hub<E>, guard: &Guard<E>, failure: Failure) {
+    if guard.is_direct {
+        let now = hub.transport.now();
+        hub.with(|state| state.record_cold_failure(now, &guard.server, failure));
+    }
+}
+
 /// Records a crash, or holds it if this instance reaches no server.
 async fn decide<E: Transport>(hub: Rc<Hub<E>>, held: Held, is_direct: bool) {
     let is_own_cut = is_direct && hub.are_links_lost().await;
--- a/crates/relay/src/hub.rs
+++ b/crates/relay/src/hub.rs
@@ -7,7 +7,7 @@
 use batch::{Scheduler, piece::Handle};
 use mesh::{Departures, Members, Origins};
 use pick::{Fleet, Links, fleet::Completion};
-use quota::{Brittle, Limits, Meter};
+use quota::{Brittle, Cold, Limits, Meter};
 use rand::{SeedableRng, rngs::SmallRng};
 use retry::{Crashes, Parts, Window, window::Bound};
 use site::{Config, History, Roster, roster::Server};
@@ -46,6 +46,8 @@
     pub meter: Meter,
     /// The turns that it grants at servers that fall over when they turn too many requests away.
     pub brittle: Brittle,
+    /// The cold servers, and the turns that it grants at them.
+    pub cold: Cold,
     /// The scheduler of stage pieces.
     pub scheduler: Scheduler,
     /// The retry budget.
@@ -104,6 +106,7 @@
                 limits: Limits::default(),
                 meter: Meter::default(),
                 brittle: Brittle::default(),
+                cold: Cold::default(),
                 scheduler: Scheduler::default(),
                 retry_window: Window::new(bound),
                 held: Vec::new(),
@@ -151,6 +154,7 @@
             Failure::Unreachable => {
                 if self.fleet.reachability.record_failure(now, domain) {
                     log::warn!(target: "servers", domain:% = domain; "failure domain is unreachable");
+                    self.record_domain_return(now, domain);
                 }
             }
             Failure::Full | Failure::InputGone | Failure::Moved | Failure::Rejected => {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -11,6 +11,7 @@
 mod batches;
 pub mod body;
 pub mod call;
+mod cold;
 pub mod configs;
 pub mod crash;
 pub mod estimate;
--- a/crates/relay/src/notices.rs
+++ b/crates/relay/src/notices.rs
@@ -25,6 +25,10 @@
                 "answer",
             );
         }
+        if let Some(left) = notice.cold_left {
+            let times = (notice.sent_at, notice.received_at);
+            self.record_cold_answer(times, &notice.server, notice.started_at_ms, left);
+        }
         let known = self.limits.get(&notice.server);
         let rate = notice.rate.or(known.and_then(|known| known.rate));
         let brittle = notice.brittle.or(known.and_then(|known| known.brittle));
--- a/crates/relay/src/turns.rs
+++ b/crates/relay/src/turns.rs
@@ -26,10 +26,10 @@
 const MAX_HOLDERS: usize = 3;
 
 /// How late a turn may be used: a process that stood still meanwhile asks for another one.
-const MAX_DELAY: Duration = Duration::from_millis(250);
+pub(crate) const MAX_DELAY: Duration = Duration::from_millis(250);
 
 /// How long a server is left alone if no instance that could grant turns answers.
-const UNKNOWN_HOLD: Duration = Duration::from_millis(500);
+pub(crate) const UNKNOWN_HOLD: Duration = Duration::from_millis(500);
 
 /// The part of the time left that a request which is late already waits for its turn, as a divisor.
 const LATE_WAIT_DIVISOR: u32 = 4;
@@ -79,16 +79,15 @@
         let now = hub.transport.now();
         let choice = attempt::choose(hub, job, pool, inputs, tried);
         let choice =
-            choice.filter(|choice| !hub.with(|state| state.needs_turn(&choice.server, true)));
+            choice.filter(|choice| !hub.with(|state| state.needs_turn(now, &choice.server, true)));
         if choice.is_some() {
             return Ok(choice);
         }
         let first = hub.with(|state| state.first_in_turn(now, job, pool, tried));
         let Some((server, free_at)) = first else {
             let choice = attempt::choose_blocked(hub, job, pool, inputs, tried);
-            return Ok(
-                choice.filter(|choice| !hub.with(|state| state.needs_turn(&choice.server, true)))
-            );
+            return Ok(choice
+                .filter(|choice| !hub.with(|state| state.needs_turn(now, &choice.server, true))));
         };
         if free_at > give_up_at || now > give_up_at {
             return Err(NoTurn);
@@ -121,11 +120,26 @@
         server: &Server,
         max_wait: Duration,
         duration: Duration,
+    ) -> Result<(), NoTurn> {
+        self.take_stated_turn(server, max_wait, duration).await?;
+        let turn = self.take_cold_turn(server, max_wait).await;
+        if turn.is_err() && !duration.is_zero() {
+            self.end_turn(server, false);
+        }
+        turn
+    }
+
+    /// Takes a turn at a server that stated a limit.
+    async fn take_stated_turn(
+        &self,
+        server: &Server,
+        max_wait: Duration,
+        duration: Duration,
     ) -> Result<(), NoTurn> {
         for _ in 0..MAX_HOLDERS {
             let now = self.transport.now();
             let asked = self.with(|state| {
-                if !state.needs_turn(server, !duration.is_zero()) {
+                if !state.needs_stated_turn(server, !duration.is_zero()) {
                     return None;
                 }
                 let statement = state.limits.get(&server.id).cloned()?;
@@ -274,7 +288,12 @@
     }
 
     /// Returns whether a call needs a turn at a server.
-    pub(crate) fn needs_turn(&self, server: &Server, takes_slot: bool) -> bool {
+    pub(crate) fn needs_turn(&self, now: Tick, server: &Server, takes_slot: bool) -> bool {
+        self.needs_stated_turn(server, takes_slot) || self.needs_cold_turn(now, server)
+    }
+
+    /// Returns whether a call needs a turn at a server because of what the server stated.
+    fn needs_stated_turn(&self, server: &Server, takes_slot: bool) -> bool {
         let rate = self.limits.rate(&server.id, server.started_at_ms);
         rate.is_some() || takes_slot && self.is_brittle(server)
     }
@@ -298,7 +317,7 @@
             job.may_use(server)
                 && !tried.contains(&server.id)
                 && !self.fleet.is_unusable(now, &server.id)
-                && self.needs_turn(server, true)
+                && self.needs_turn(now, server, true)
         });
         let free_at = |server: &Rc<Server>| self.fleet.held_until(now, &server.id).unwrap_or(now);
         let first = servers.min_by_key(|server| free_at(server))?;
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -15,7 +15,7 @@
 };
 use bytes::Bytes;
 use mesh::{Members, Origin, Peer, origins};
-use quota::{Statement, Turn};
+use quota::{Statement, Turn, cold::Report};
 use relay::{
     Answer, Call, Failure, Hub, Job, Notice, Rate, Reply, Transport, call::Results,
     configs::Config, serve::serve,
@@ -221,6 +221,7 @@
             pause,
             rate: Rate::Unclear,
             brittle: Rate::Unclear,
+            cold_left: None,
         });
     }
 }
@@ -281,6 +282,10 @@
         Err(Failure::Unreachable)
     }
 
+    async fn ask_cold_turn(&self, _: &Peer, _: Report, _: Duration) -> Result<Turn, Failure> {
+        Err(Failure::Unreachable)
+    }
+
     fn end_turn(&self, _: Peer, _: Name, _: bool) {}
 
     async fn send(&self, (): &(), call: Call) -> Result<Chunks, Failure> {
@@ -485,11 +490,13 @@
             name: "engines".into(),
             max_connections: 8,
             work: Work::Plain,
+            cold: None,
         },
         Pool {
             name: "stages".into(),
             max_connections: 8,
             work: Work::Pieces(pieces),
+            cold: None,
         },
     ];
     let now = hub.transport.now();
--- a/crates/site/src/pool.rs
+++ b/crates/site/src/pool.rs
@@ -13,6 +13,17 @@
     pub max_connections: usize,
     /// The kind of work that its servers do.
     pub work: Work,
+    /// How many requests a cold server takes, or none if cold servers take as many as others.
+    pub cold: Option<Cold>,
+}
+
+/// What a cold server of a pool takes.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Cold {
+    /// The requests a second that it sustains.
+    pub rate: f64,
+    /// How long a server is cold after its start.
+    pub start_time: Duration,
 }
 
 /// The kind of work that the servers of a pool do.
