--- a/crates/relay/src/notices.rs
+++ b/crates/relay/src/notices.rs
@@ -25,6 +25,10 @@
                 "answer",
             );
         }
+        if let Some(left) = notice.cold_left {
+            let times = (notice.sent_at, notice.received_at);
+            self.record_cold_answer(times, &notice.server, notice.started_at_ms, left);
+        }
         let known = self.limits.get(&notice.server);
         let rate = notice.rate.or(known.and_then(|known| known.rate));
         let brittle = notice.brittle.or(known.and_then(|known| known.brittle));
@@ -88,12 +92,6 @@
         self.roster.evacuations.contains(now, &server.domain)
     }
 
-    /// Records that the servers of a failure domain get work again after the end of its evacuation.
-    pub fn record_domain_return(&mut self, _now: Tick, domain: &Name) {
-        let servers = self.roster.all().filter(|server| server.domain == *domain);
-        log::info!(target: "servers", domain:% = domain, servers = servers.count(); "failure domain gets work again");
-    }
-
     /// Returns whether a request can't be served because all servers of a pool that it needs are evacuated.
     pub(crate) fn lacks_servers<R>(&self, now: Tick, pool: &Name, job: &Job<R>) -> bool {
         let stages = job.route.stages.iter().zip(&job.pieces);
--- a/crates/relay/tests/evacuation.rs
+++ b/crates/relay/tests/evacuation.rs
@@ -275,6 +275,7 @@
                 is_leaving: false,
                 pause: Some(PAUSE),
                 rate: Rate::Unlimited,
+                cold_left: None,
                 brittle: Rate::Unlimited,
             });
         } else {
