Keep requests in the regions that their route or account allows

Cause: the configuration may name allowedRegions, which nothing read.

Change: site::Regions knows the region of each failure domain (settings zones.DOMAIN and region) and gives the domains that a request may reach. Without cells the local instance runs restricted pieces in a shard of one allowed domain. A request without a server in reach is refused at once.

--- a/crates/mesh/src/members.rs
+++ b/crates/mesh/src/members.rs
@@ -288,9 +288,15 @@
         self.find(name).is_ok_and(|at| self.peers[at].is_cut_off)
     }
 
-    /// Returns an instance that reaches servers and was not tried, those of the local failure domain first. `draw` from 0
-    /// to 1 selects one of several.
-    pub fn helper(&mut self, now: Tick, tried: &[Name], draw: f64) -> Option<Peer> {
+    /// Returns an instance that reaches servers, was not tried and is allowed, those of the local failure domain first.
+    /// `draw` from 0 to 1 selects one of several.
+    pub fn helper(
+        &mut self,
+        now: Tick,
+        tried: &[Name],
+        draw: f64,
+        is_allowed: impl Fn(&Peer) -> bool,
+    ) -> Option<Peer> {
         let has_cells = self.has_cells();
         let may_help = |state: &PeerState| {
             let is_present = match has_cells && !state.is_monitored(now, &self.config) {
@@ -298,7 +304,10 @@
                 true => !state.is_lost && !state.is_leaving,
                 false => self.is_peer_live(now, state),
             };
-            is_present && !state.is_cut_off && !tried.contains(&state.peer.name)
+            is_present
+                && !state.is_cut_off
+                && !tried.contains(&state.peer.name)
+                && is_allowed(&state.peer)
         };
         let helpers = (0..self.peers.len()).filter(|at| may_help(&self.peers[*at]));
         let (near, far): (Vec<_>, Vec<_>) =
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -5,6 +5,7 @@
 
 use base::{Code, Name, Tick};
 use futures_util::future::Either;
+use mesh::Peer;
 use pick::{Fleet, engine, plain};
 use site::route::Kind;
 
@@ -140,7 +141,7 @@
         // A paused process finds what it waited for before its timers.
         let is_late = job.time_left(now).is_zero();
         let is_harmful = !attempts.is_trial && hub.with(|state| state.has_harmful_part(now, job));
-        let way = hub.with(|state| state.way(now, attempts));
+        let way = hub.with(|state| state.way(now, job, attempts));
         let choice = match is_late || is_harmful || matches!(way, Way::Nowhere) {
             true => Ok(None),
             false => {
@@ -169,7 +170,7 @@
                 let way = match choice.is_blocked {
                     true => {
                         attempts.needs_helper = true;
-                        hub.with(|state| state.way(now, attempts))
+                        hub.with(|state| state.way(now, job, attempts))
                     }
                     false => way,
                 };
@@ -377,7 +378,8 @@
     let now = hub.transport.now();
     let domain = inputs.domain();
     hub.with(|state| {
-        state.members.helper(now, &[], 0.0)?;
+        let may_help = |peer: &Peer| job.allows_instance(&peer.domain);
+        state.members.helper(now, &[], 0.0, may_help)?;
         let mut fleet = state.fleet.clone();
         fleet.forget_unreachable();
         let servers = state.roster.usable(now, pool);
--- a/crates/relay/src/hub.rs
+++ b/crates/relay/src/hub.rs
@@ -10,7 +10,7 @@
 use quota::{Brittle, Limits, Meter};
 use rand::{SeedableRng, rngs::SmallRng};
 use retry::{Crashes, Parts, Window, window::Bound};
-use site::{Config, History, Roster, roster::Server};
+use site::{Config, History, Regions, Roster, roster::Server};
 
 use crate::{
     Failure, Transport, configs, crash::Held, estimate::Estimator, links::Check, pieces::Waiter,
@@ -36,6 +36,8 @@
     pub config: Option<Rc<Config>>,
     /// The registered servers.
     pub roster: Roster,
+    /// The regions of failure domains.
+    pub regions: Regions,
     /// The load estimates of these servers.
     pub fleet: Fleet,
     /// Whether this instance reaches servers at all.
@@ -99,6 +101,7 @@
             state: RefCell::new(State {
                 config: None,
                 roster: Roster::default(),
+                regions: Regions::default(),
                 fleet: Fleet::default(),
                 links: Links::default(),
                 limits: Limits::default(),
--- a/crates/relay/src/job.rs
+++ b/crates/relay/src/job.rs
@@ -8,6 +8,7 @@
 use pick::engine::Prompt;
 use site::{
     Route,
+    region::Reach,
     roster::Server,
     route::{Kind, Rank},
 };
@@ -50,6 +51,8 @@
     pub route: Rc<Route>,
     /// The version of the configuration that selected the route.
     pub config_version: u64,
+    /// The failure domains that the request may reach, if it must stay in some regions.
+    pub reach: Option<Rc<Reach>>,
     /// The client account that sent it.
     pub account: Option<Name>,
     /// The rank; the lowest goes first.
@@ -100,11 +103,25 @@
         }
     }
 
-    /// Returns whether the request may be sent to a server; a stream goes on only at the software that began it.
+    /// Returns whether the servers of a failure domain may get the request or its pieces.
+    pub fn allows_server(&self, domain: &Name) -> bool {
+        let reach = self.reach.as_ref();
+        reach.is_none_or(|reach| reach.allows_server(domain))
+    }
+
+    /// Returns whether the body of the request may be passed to the instances of a failure domain.
+    pub fn allows_instance(&self, domain: &Name) -> bool {
+        let reach = self.reach.as_ref();
+        reach.is_none_or(|reach| reach.allows_instance(domain))
+    }
+
+    /// Returns whether the request may be sent to a server: it is in an allowed region, and a stream goes on only at the
+    /// software that began it.
     pub fn may_use(&self, server: &Server) -> bool {
         let origin = self.origin.get();
         let is_other_run = *self.origin_check.borrow() == Check::OtherRun;
-        origin.is_none_or(|origin| !is_other_run && server.runs(&origin.software))
+        self.allows_server(&server.domain)
+            && origin.is_none_or(|origin| !is_other_run && server.runs(&origin.software))
     }
 
     /// Returns the time left until the final deadline.
--- a/crates/relay/src/links.rs
+++ b/crates/relay/src/links.rs
@@ -12,10 +12,10 @@
 use mesh::Peer;
 use pick::links;
 use rand::{RngExt, seq::SliceRandom};
-use site::roster::Server;
+use site::{region::Reach, roster::Server};
 use tokio::{task, time};
 
-use crate::{Hub, Transport, attempt::Attempts, crash, hub::State};
+use crate::{Hub, Job, Transport, attempt::Attempts, crash, hub::State};
 
 /// The number of servers to which a check opens connections: one in the local failure domain, as that may be cut off from
 /// the others, and the rest in different other ones if possible.
@@ -163,12 +163,15 @@
     }
 
     /// Returns once the links of this instance to all servers are lost while another instance can take its pieces.
-    pub(crate) async fn wait_until_cut_off(&self) {
+    pub(crate) async fn wait_until_cut_off(&self, reach: Option<&Reach>) {
         const POLL_INTERVAL: Duration = Duration::from_millis(100);
         loop {
             let is_replaceable = self.with(|state| {
                 let now = self.transport.now();
-                state.links.is_cut_off() && state.members.helper(now, &[], 0.0).is_some()
+                let may_help =
+                    |peer: &Peer| reach.is_none_or(|reach| reach.allows_instance(&peer.domain));
+                let is_cut_off = state.links.is_cut_off();
+                is_cut_off && state.members.helper(now, &[], 0.0, may_help).is_some()
             });
             if is_replaceable {
                 return;
@@ -180,13 +183,14 @@
 
 impl State {
     /// Returns how the next call of a request reaches its server.
-    pub(crate) fn way(&mut self, now: Tick, attempts: &Attempts) -> Way {
+    pub(crate) fn way<R>(&mut self, now: Tick, job: &Job<R>, attempts: &Attempts) -> Way {
         let is_cut_off = self.links.is_cut_off();
         if !is_cut_off && !attempts.needs_helper {
             return Way::Direct;
         }
         let draw = self.rng.random();
-        match self.members.helper(now, &attempts.helpers, draw) {
+        let may_help = |peer: &Peer| job.allows_instance(&peer.domain);
+        match self.members.helper(now, &attempts.helpers, draw, may_help) {
             Some(helper) => Way::Through(helper),
             None if is_cut_off => Way::Nowhere,
             None => Way::Direct,
--- a/crates/relay/src/notices.rs
+++ b/crates/relay/src/notices.rs
@@ -94,12 +94,18 @@
         log::info!(target: "servers", domain:% = domain, servers = servers.count(); "failure domain gets work again");
     }
 
-    /// Returns whether a request can't be served because all servers of a pool that it needs are evacuated.
+    /// Returns whether a request can't be served because all servers of a pool that it needs are evacuated or in regions that
+    /// it must not reach.
     pub(crate) fn lacks_servers<R>(&self, now: Tick, pool: &Name, job: &Job<R>) -> bool {
         let stages = job.route.stages.iter().zip(&job.pieces);
         let stages = stages.filter(|(_, pieces)| **pieces > 0);
         let mut pools = stages.map(|(stage, _)| &stage.pool).chain([pool]);
-        pools.any(|pool| self.roster.is_evacuated(now, pool))
+        pools.any(|pool| {
+            let mut servers = self.roster.usable(now, pool);
+            let is_out_of_reach =
+                job.reach.is_some() && !servers.any(|server| job.allows_server(&server.domain));
+            is_out_of_reach || self.roster.is_evacuated(now, pool)
+        })
     }
 
     /// Returns when the first of a pool's servers that may be used takes requests again, if all of them asked for a
@@ -133,8 +139,11 @@
     ) -> Option<Duration> {
         let stages = job.route.stages.iter().zip(&job.pieces);
         let stages = stages.filter(|(_, pieces)| **pieces > 0);
-        let ends =
-            stages.filter_map(|(stage, _)| self.pause_end(now, &stage.pool, max_wait, |_| true));
+        let ends = stages.filter_map(|(stage, _)| {
+            self.pause_end(now, &stage.pool, max_wait, |server| {
+                job.allows_server(&server.domain)
+            })
+        });
         let own_end = self.pause_end(now, pool, max_wait, |server| job.may_use(server));
         ends.chain(own_end).max().map(|end| end - now)
     }
--- a/crates/relay/src/pieces.rs
+++ b/crates/relay/src/pieces.rs
@@ -9,6 +9,7 @@
     piece::{Outcome, Reason},
 };
 use mesh::Owner;
+use site::region::Reach;
 use tokio::{sync::mpsc, time};
 
 use crate::{Failure, Hub, Transport, hub::State};
@@ -59,13 +60,14 @@
         self: &Rc<Self>,
         pool: &Name,
         pieces: Vec<Piece>,
+        reach: Option<&Reach>,
     ) -> Vec<Outcome> {
         let preferred = pieces
             .first()
             .and_then(|piece| piece.preferred_domain.clone());
         // Tries the owner in the preferred domain, then its successor, and then the owner in the local domain.
         for domain in [preferred.as_ref(), preferred.as_ref(), None] {
-            let (shard, owner) = self.shard_owner(pool, domain);
+            let (shard, owner) = self.shard_owner(pool, domain, reach);
             let peer = match owner {
                 Owner::Local => {
                     let made = self.run_local(&shard, pieces.clone());
@@ -77,11 +79,15 @@
                             }
                             false => return outcomes,
                         },
-                        () = self.wait_until_cut_off() => continue,
+                        () = self.wait_until_cut_off(reach) => continue,
                     }
                 }
-                Owner::Peer(peer) => peer,
-                Owner::Unavailable => continue,
+                Owner::Peer(peer)
+                    if reach.is_none_or(|reach| reach.allows_instance(&peer.domain)) =>
+                {
+                    peer
+                }
+                Owner::Peer(_) | Owner::Unavailable => continue,
             };
             let delegated = self.transport.delegate(&peer, &shard, &pieces);
             let lost = self.wait_until_lost(&peer.name);
@@ -122,7 +128,7 @@
                 }
             }
         }
-        let (shard, _) = self.shard_owner(pool, None);
+        let (shard, _) = self.shard_owner(pool, None, reach);
         self.run_local(&shard, pieces).await
     }
 
@@ -148,16 +154,27 @@
         self.release(results.collect());
     }
 
-    /// Returns the shard of a pool that is nearest to a failure domain, and its owner.
-    fn shard_owner(&self, pool: &Name, preferred: Option<&Name>) -> (Shard, Owner) {
+    /// Returns the shard of a pool that is nearest to a failure domain, and its owner. A request that must stay in some regions
+    /// reaches shards of single domains only, and without cells this instance runs its pieces.
+    fn shard_owner(
+        &self,
+        pool: &Name,
+        preferred: Option<&Name>,
+        reach: Option<&Reach>,
+    ) -> (Shard, Owner) {
         let now = self.transport.now();
         self.with(|state| {
-            if !state.members.has_cells() {
+            let has_cells = state.members.has_cells();
+            if !has_cells && reach.is_none() {
                 let owner = state.members.owner(now, pool, &self.domain);
                 return (Shard::whole(pool), owner);
             }
             let reachability = &state.fleet.reachability;
-            let domains = || state.roster.usable(now, pool).map(|server| &server.domain);
+            let is_allowed = |domain: &&Name| reach.is_none_or(|reach| reach.allows_server(domain));
+            let domains = || {
+                let servers = state.roster.usable(now, pool);
+                servers.map(|server| &server.domain).filter(is_allowed)
+            };
             let preferred = preferred.filter(|domain| !reachability.is_unreachable(now, domain));
             let candidates = preferred.into_iter().chain([&self.domain]);
             let candidates = candidates.filter(|domain| domains().any(|known| known == *domain));
@@ -165,7 +182,19 @@
             others.sort();
             others.dedup();
             let candidates: Vec<_> = candidates.chain(others).cloned().collect();
-            let mut domain = candidates.first().unwrap_or(&self.domain).clone();
+            let nearest = match reach {
+                // No domain has this name, so that the pieces expire.
+                Some(_) => &Name::default(),
+                None => &self.domain,
+            };
+            let mut domain = candidates.first().unwrap_or(nearest).clone();
+            if !has_cells {
+                let shard = Shard {
+                    pool: pool.clone(),
+                    domain: Some(domain),
+                };
+                return (shard, Owner::Local);
+            }
             let mut owner = state.members.owner(now, pool, &domain);
             // All instances of a domain may be lost, or reach no servers.
             for candidate in candidates {
--- a/crates/relay/src/stages.rs
+++ b/crates/relay/src/stages.rs
@@ -124,7 +124,8 @@
         for stage in run.start_ready() {
             let pieces = run.build_pieces(stage);
             let pool = &job.route.stages[stage].pool;
-            running.push(async move { (stage, hub.run_pieces(pool, pieces).await) });
+            let reach = job.reach.as_deref();
+            running.push(async move { (stage, hub.run_pieces(pool, pieces, reach).await) });
         }
         match running.next().await {
             Some((stage, outcomes)) => run.record_outcomes(stage, outcomes)?,
@@ -146,7 +147,9 @@
         if !state.members.has_cells() {
             return None;
         }
-        let is_reachable = |domain: &Name| !state.fleet.reachability.is_unreachable(now, domain);
+        let is_reachable = |domain: &Name| {
+            job.allows_server(domain) && !state.fleet.reachability.is_unreachable(now, domain)
+        };
         let domains = pools.iter().map(|pool| {
             let servers = state.roster.usable(now, pool).map(|server| &server.domain);
             servers
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -104,6 +104,8 @@
     start: Instant,
     pub(crate) reactions: RefCell<VecDeque<Reaction>>,
     pub(crate) sent: RefCell<Vec<Sent>>,
+    /// The instances that made the calls of these requests, none for direct ones.
+    pub(crate) helpers: RefCell<Vec<Option<Name>>>,
     pub(crate) batch_sizes: RefCell<Vec<usize>>,
     /// When calls were sent to stage servers.
     pub(crate) stage_calls: RefCell<Vec<Tick>>,
@@ -292,6 +294,8 @@
             inputs: call.inputs.len(),
             time_left: call.time_left,
         });
+        let helper = call.helper.as_ref().map(|helper| helper.name.clone());
+        self.helpers.borrow_mut().push(helper);
         let sent_at = Instant::now();
         let run = self.runs.borrow_mut().pop_front();
         let mut reaction = self.reactions.borrow_mut().pop_front();
@@ -443,6 +447,7 @@
         start: Instant::now(),
         reactions: RefCell::new(reactions.into()),
         sent: RefCell::default(),
+        helpers: RefCell::default(),
         batch_sizes: RefCell::default(),
         stage_calls: RefCell::default(),
         released: RefCell::default(),
@@ -541,6 +546,7 @@
         id: "r-1".into(),
         route: Rc::new(route),
         config_version: 1,
+        reach: None,
         account: None,
         rank: Rank::default(),
         arrived_at: now,
--- a/crates/site/src/config.rs
+++ b/crates/site/src/config.rs
@@ -45,6 +45,8 @@
     pub name: Name,
     /// The account's priority, if it has its own; 0 goes first.
     pub priority: Option<u8>,
+    /// The regions whose servers may get its requests; empty without a restriction.
+    pub allowed_regions: Vec<Name>,
 }
 
 #[derive(Clone, Debug)]
--- a/crates/site/src/route.rs
+++ b/crates/site/src/route.rs
@@ -33,6 +33,8 @@
     pub stages: Vec<Stage>,
     /// Whether no key is needed.
     pub public: bool,
+    /// The regions whose servers may get the requests; empty without a restriction.
+    pub allowed_regions: Vec<Name>,
 }
 
 /// Which of a route's requests may be retried.
@@ -101,6 +103,7 @@
             max_attempts: 1,
             stages: Vec::new(),
             public: false,
+            allowed_regions: Vec::new(),
         }
     }
 }
--- a/crates/site/tests/config.rs
+++ b/crates/site/tests/config.rs
@@ -51,6 +51,7 @@
 #[gtest]
 fn a_key_identifies_its_account() {
     let account = Account {
+        allowed_regions: Vec::new(),
         name: "press".into(),
         priority: Some(1),
     };
