Wait for news after a pause of the process before calls are sent

The checks after a wait for a turn had no test that failed without them.

Tests of stage calls, releases and questions whose turn takes a while, and of delegated pieces of restricted requests in cells.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -137,6 +137,7 @@
     let Prepared { pool, mut inputs } = prepared;
     let is_stream = job.route.kind == Kind::Streaming;
     loop {
+        hub.transport.settled().await;
         let now = hub.transport.now();
         // A paused process finds what it waited for before its timers.
         let is_late = job.time_left(now).is_zero();
--- a/crates/relay/src/batches.rs
+++ b/crates/relay/src/batches.rs
@@ -72,6 +72,7 @@
 
     async fn run_batch(self: Rc<Self>, batch: Batch) {
         let limit = batch.timeout + self.settings.max_stage_silence;
+        self.transport.settled().await;
         let turn = self.take_turn(&batch.server, Duration::ZERO, limit);
         let has_turn = turn.await.is_ok();
         let now = self.transport.now();
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -218,6 +218,11 @@
     /// Returns the time of day, which may be set while the process runs.
     fn time_of_day(&self) -> Stamp;
 
+    /// Waits until decisions may rest on what is known. A process that stood still gets the news that arrived meanwhile first.
+    fn settled(&self) -> impl Future<Output = ()> {
+        core::future::ready(())
+    }
+
     /// Returns the notices that arrived since the last call, in the order of arrival.
     ///
     /// A notice is available as soon as the head of its answer has arrived, so that no decision after that ignores it.
--- a/crates/relay/src/pieces.rs
+++ b/crates/relay/src/pieces.rs
@@ -82,12 +82,8 @@
                         () = self.wait_until_cut_off(reach) => continue,
                     }
                 }
-                Owner::Peer(peer)
-                    if reach.is_none_or(|reach| reach.allows_instance(&peer.domain)) =>
-                {
-                    peer
-                }
-                Owner::Peer(_) | Owner::Unavailable => continue,
+                Owner::Peer(peer) => peer,
+                Owner::Unavailable => continue,
             };
             let delegated = self.transport.delegate(&peer, &shard, &pieces);
             let lost = self.wait_until_lost(&peer.name);
--- a/crates/relay/tests/evacuation.rs
+++ b/crates/relay/tests/evacuation.rs
@@ -8,7 +8,7 @@
 use base::{Code, Incarnation, Name, Software, Stamp, Tick};
 use batch::piece::Handle;
 use googletest::prelude::*;
-use mesh::{Origin, Position};
+use mesh::{Origin, Owner, Peer, Position};
 use quota::Statement;
 use relay::{Failure, Job, Notice, Rate, Transport, serve::serve};
 use site::{
@@ -156,19 +156,8 @@
     time::pause();
     let turn = Duration::from_millis(500);
     let hub = hub_of_two(vec![whole(); 8]);
-    for id in ["i-0", "i-1", "i-2"] {
-        let now = hub.transport.now();
-        hub.with(|state| {
-            state.record_rate(Statement {
-                server: id.into(),
-                started_at_ms: 7,
-                rate: Some(1.0 / turn.as_secs_f64()),
-                brittle: None,
-                sent_at: Tick::default(),
-                received_at: now,
-            });
-        });
-    }
+    let rate = 1.0 / turn.as_secs_f64();
+    limit(&hub, &["i-0", "i-1", "i-2"], rate);
     for _ in 0..3 {
         let served = serve(&hub, job(&hub, Kind::Idempotent, |_| {})).await;
         expect_that!(served.is_ok(), eq(true));
@@ -203,6 +192,88 @@
     expect_that!(sent_to(&hub), elements_are![eq(&Name::from("i-2"))]);
 }
 
+/// Lets servers limit their request rate.
+fn limit(hub: &Hub, servers: &[&str], rate: f64) {
+    for server in servers {
+        let now = hub.transport.now();
+        hub.with(|state| {
+            state.record_rate(Statement {
+                server: (*server).into(),
+                started_at_ms: 7,
+                rate: Some(rate),
+                brittle: None,
+                sent_at: Tick::default(),
+                received_at: now,
+            });
+        });
+    }
+}
+
+/// Guards against a question for a run that waited for its turn when the order arrived.
+#[gtest]
+#[actix_web::test]
+async fn a_server_is_not_asked_for_its_run_after_a_wait() {
+    time::pause();
+    let hub = hub_of_two(vec![whole(); 4]);
+    limit(&hub, &["i-0", "i-1", "i-2"], 2.0);
+    let resumed = patient_job(&hub, Kind::Streaming, |_| {});
+    let origin = Origin {
+        pool: "engines".into(),
+        software: Software::Version("v1".into()),
+    };
+    expect_that!(resumed.origin.set(origin).is_ok(), eq(true));
+    // The first turn is for the request, and the second one, half a second later, for the question.
+    let order = evacuate_after(&hub, Duration::from_millis(100), &["a", "b"]);
+    let (served, ()) = tokio::join!(serve(&hub, resumed), order);
+    expect_that!(served.is_err(), eq(true));
+    expect_that!(hub.transport.confirmed.borrow().clone(), is_empty());
+    expect_that!(sent_to(&hub), is_empty());
+}
+
+/// Guards against a stage call and a release whose turns another instance granted while the order arrived.
+#[gtest]
+#[actix_web::test]
+async fn stage_calls_and_releases_that_wait_for_a_turn_are_not_sent() {
+    time::pause();
+    let delay = Duration::from_millis(100);
+    let hub = hub_of_two(vec![whole(); 4]);
+    hub.with(|state| state.roster.remove(Tick::from_millis(1), &"i-4".into()));
+    limit(&hub, &["i-3"], 20.0);
+    let now = hub.transport.now();
+    let is_holder = hub.with(|state| {
+        (0..64).any(|number| {
+            let name = Name::from(format!("other-{number}"));
+            state.members.add(Peer {
+                name: name.clone(),
+                address: "10.0.0.2:7740".parse().unwrap(),
+                domain: "a".into(),
+                capacity: 250,
+            });
+            state.members.mark_live(now, &name);
+            let holder = state.members.holder(now, &"i-3".into(), &"a".into());
+            // The local instance runs the pieces.
+            let owner = state.members.owner(now, &"stages".into(), &"a".into());
+            matches!((holder, owner), (Owner::Peer(_), Owner::Local)) || {
+                state.members.remove(&name);
+                false
+            }
+        })
+    });
+    expect_that!(is_holder, eq(true));
+    hub.transport.turn_delay.set(Some(delay));
+    let result = Handle {
+        maker: Some(Incarnation::new("i-3", Stamp::from_millis(7))),
+        text: "i-3/1".into(),
+    };
+    hub.queue_release(vec![result]);
+    let served = serve(&hub, job(&hub, Kind::Idempotent, add_stage));
+    let (served, ()) = tokio::join!(served, evacuate_after(&hub, delay / 2, &["a"]));
+    expect_that!(served.is_err(), eq(true));
+    time::sleep(delay * 20).await;
+    expect_that!(hub.transport.stage_calls.borrow().len(), eq(0));
+    expect_that!(hub.transport.released.borrow().len(), eq(0));
+}
+
 /// Guards against questions for a server's run that go on after the order.
 #[gtest]
 #[actix_web::test]
--- a/crates/relay/tests/regions.rs
+++ b/crates/relay/tests/regions.rs
@@ -163,3 +163,31 @@
         time::resume();
     }
 }
+
+/// Guards against pieces that are delegated to instances of another region in a deployment of cells.
+#[gtest]
+#[actix_web::test]
+async fn pieces_are_delegated_within_the_allowed_region_only() {
+    time::pause();
+    for (region, domain, stage) in [("south", "c", "i-4"), ("north", "b", "i-5")] {
+        let hub = hub_of_two(vec![whole(); 2]);
+        // The local domain has no server of the stage.
+        let now = hub.transport.now();
+        hub.with(|state| state.roster.remove(now, &"i-3".into()));
+        place(&hub, "i-5", "stages", "b");
+        for number in 0..20 {
+            let domain = ["a", "b", "c"][number % 3];
+            add_instance(&hub, &format!("{domain}-{number}"), domain);
+        }
+        expect_that!(hub.with(|state| state.members.has_cells()), eq(true));
+        expect_that!(serve(&hub, job_in(&hub, region)).await.is_ok(), eq(true));
+        let delegated = hub.transport.delegated.borrow().clone();
+        expect_that!(
+            delegated,
+            all!(not(is_empty()), each(eq(&Name::from(domain)))),
+            "{region}"
+        );
+        let makers = released_by(&hub).await;
+        expect_that!(makers, all!(not(is_empty()), each(eq(&Name::from(stage)))));
+    }
+}
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -104,6 +104,10 @@
     start: Instant,
     pub(crate) reactions: RefCell<VecDeque<Reaction>>,
     pub(crate) sent: RefCell<Vec<Sent>>,
+    /// How long other instances take to grant a turn, which they do at once then; without it they don't answer.
+    pub(crate) turn_delay: Cell<Option<Duration>>,
+    /// The failure domains of the instances that were to run pieces.
+    pub(crate) delegated: RefCell<Vec<Name>>,
     /// The instances that made the calls of these requests, none for direct ones.
     pub(crate) helpers: RefCell<Vec<Option<Name>>>,
     pub(crate) batch_sizes: RefCell<Vec<usize>>,
@@ -280,7 +284,13 @@
         _: Duration,
         _: Duration,
     ) -> Result<(Turn, Option<Statement>), Failure> {
-        Err(Failure::Unreachable)
+        let delay = self.turn_delay.get().ok_or(Failure::Unreachable)?;
+        time::sleep(delay).await;
+        let turn = Turn::Granted {
+            wait: Duration::ZERO,
+            next_in: Duration::ZERO,
+        };
+        Ok((turn, None))
     }
 
     fn end_turn(&self, _: Peer, _: Name, _: bool) {}
@@ -386,7 +396,13 @@
         })
     }
 
-    async fn delegate(&self, _: &Peer, _: &Shard, _: &[Piece]) -> Result<Vec<Outcome>, Failure> {
+    async fn delegate(
+        &self,
+        owner: &Peer,
+        _: &Shard,
+        _: &[Piece],
+    ) -> Result<Vec<Outcome>, Failure> {
+        self.delegated.borrow_mut().push(owner.domain.clone());
         if self.is_mesh_silent.get() {
             core::future::pending::<()>().await;
         }
@@ -447,6 +463,8 @@
         start: Instant::now(),
         reactions: RefCell::new(reactions.into()),
         sent: RefCell::default(),
+        turn_delay: Cell::default(),
+        delegated: RefCell::default(),
         helpers: RefCell::default(),
         batch_sizes: RefCell::default(),
         stage_calls: RefCell::default(),
