--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -104,6 +104,12 @@
     start: Instant,
     pub(crate) reactions: RefCell<VecDeque<Reaction>>,
     pub(crate) sent: RefCell<Vec<Sent>>,
+    /// How long other instances take to grant a turn, which they do at once then; without it they don't answer.
+    pub(crate) turn_delay: Cell<Option<Duration>>,
+    /// The failure domains of the instances that were to run pieces.
+    pub(crate) delegated: RefCell<Vec<Name>>,
+    /// The instances that made the calls of these requests, none for direct ones.
+    pub(crate) helpers: RefCell<Vec<Option<Name>>>,
     pub(crate) batch_sizes: RefCell<Vec<usize>>,
     /// When calls were sent to stage servers.
     pub(crate) stage_calls: RefCell<Vec<Tick>>,
@@ -279,7 +285,13 @@
         _: Duration,
         _: Duration,
     ) -> Result<(Turn, Option<Statement>), Failure> {
-        Err(Failure::Unreachable)
+        let delay = self.turn_delay.get().ok_or(Failure::Unreachable)?;
+        time::sleep(delay).await;
+        let turn = Turn::Granted {
+            wait: Duration::ZERO,
+            next_in: Duration::ZERO,
+        };
+        Ok((turn, None))
     }
 
     async fn ask_cold_turn(&self, _: &Peer, _: Report, _: Duration) -> Result<Turn, Failure> {
@@ -297,6 +309,8 @@
             inputs: call.inputs.len(),
             time_left: call.time_left,
         });
+        let helper = call.helper.as_ref().map(|helper| helper.name.clone());
+        self.helpers.borrow_mut().push(helper);
         let sent_at = Instant::now();
         let run = self.runs.borrow_mut().pop_front();
         let mut reaction = self.reactions.borrow_mut().pop_front();
@@ -387,7 +401,13 @@
         })
     }
 
-    async fn delegate(&self, _: &Peer, _: &Shard, _: &[Piece]) -> Result<Vec<Outcome>, Failure> {
+    async fn delegate(
+        &self,
+        owner: &Peer,
+        _: &Shard,
+        _: &[Piece],
+    ) -> Result<Vec<Outcome>, Failure> {
+        self.delegated.borrow_mut().push(owner.domain.clone());
         if self.is_mesh_silent.get() {
             core::future::pending::<()>().await;
         }
@@ -448,6 +468,9 @@
         start: Instant::now(),
         reactions: RefCell::new(reactions.into()),
         sent: RefCell::default(),
+        turn_delay: Cell::default(),
+        delegated: RefCell::default(),
+        helpers: RefCell::default(),
         batch_sizes: RefCell::default(),
         stage_calls: RefCell::default(),
         released: RefCell::default(),
@@ -548,6 +571,7 @@
         id: "r-1".into(),
         route: Rc::new(route),
         config_version: 1,
+        reach: None,
         account: None,
         rank: Rank::default(),
         arrived_at: now,
