Bound the bytes held for callers, and read streams while callers are slow

The events of a stream were read from the server only as its caller took them, so that a caller that reads a byte a second stopped the reading, and servers cut off answers that remain unread. Bodies of requests and whole answers on their way to slow callers were counted nowhere.

A task of its own reads each stream into a queue. relay::hold is the budget for queues, requests and whole answers: a quarter of limits.memoryMb. Streams share half of it by a threshold that moves with what is left, so that reading stops first for the caller that holds most; those of one server share a quarter. A caller without held bytes is always read for. Requests wait for room while they are read, all but the oldest. The time while reading is stopped counts neither to the deadline nor to the silence of the server.

relay::uploads counts the bytes of requests at each server. After a crash under at least 4 MB, servers of that pool get fewer than it held; the limit doubles each minute, and is dropped after six.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -6,7 +6,7 @@
 use base::{Code, Name, Tick};
 use futures_util::future::Either;
 use pick::{Fleet, engine, plain};
-use site::route::Kind;
+use site::{roster::Server, route::Kind};
 
 use crate::{
     Failure, Hub, Job, Transport,
@@ -343,7 +343,7 @@
 
 /// The server selected for an attempt.
 pub(crate) struct Choice {
-    pub(crate) server: Rc<site::roster::Server>,
+    pub(crate) server: Rc<Server>,
     pub(crate) tokens: u64,
     pub(crate) fetch_from: Option<core::net::SocketAddr>,
     /// Whether this instance did not reach the server a moment ago, so that another one makes the call.
@@ -400,7 +400,13 @@
     let now = hub.transport.now();
     let fleet = fleet.unwrap_or(&state.fleet);
     let registered = state.roster.usable(now, pool);
-    let registered: Vec<_> = registered.filter(|server| job.may_use(server)).collect();
+    let may_hold = |server: &Server| {
+        let uploads = &state.uploads;
+        uploads.may_send(now, pool, &server.id, job.body_bytes)
+    };
+    let registered: Vec<_> = registered
+        .filter(|server| job.may_use(server) && may_hold(server))
+        .collect();
     let servers = hub::reachable(fleet, now, registered);
     let mut cx = plain::Context {
         now,
--- a/crates/relay/src/body.rs
+++ b/crates/relay/src/body.rs
@@ -3,7 +3,7 @@
 use core::{pin::pin, time::Duration};
 use std::rc::Rc;
 
-use base::{Code, Tick};
+use base::{Code, Name, Tick};
 use bytes::Bytes;
 use pick::fleet::Completion;
 use tokio::time;
@@ -13,6 +13,7 @@
     attempt::{self, Attempt, Attempts},
     crash,
     events::Splitter,
+    hold::Kind,
     hub::completion_of,
     memory::Share,
     origin, policy, serve,
@@ -44,6 +45,8 @@
     partial_since: Tick,
     /// When the current attempt brought its first complete event.
     first_event_at: Option<Tick>,
+    /// How long reading was stopped because the caller took no events, which is no fault of the server.
+    paused: Duration,
     /// Whether the current attempt counts as a run that has been writing for some time.
     is_writing: bool,
     is_finished: bool,
@@ -61,7 +64,7 @@
             last_bytes_at: hub.transport.now(),
             last_events_at: job.arrived_at,
             events: Splitter::resume_after(job.last_event),
-            share: Share::new(hub),
+            share: Share::open(hub, Kind::Whole),
             job,
             head: attempt.reply.head(),
             attempt: Some(attempt),
@@ -70,11 +73,33 @@
             partial_count: 0,
             partial_since: hub.transport.now(),
             first_event_at: None,
+            paused: Duration::ZERO,
             is_writing: false,
             is_finished: false,
         }
     }
 
+    pub(crate) const fn hub(&self) -> &Rc<Hub<E>> {
+        &self.hub
+    }
+
+    /// Records that reading was stopped for a while, so that neither the deadline nor the silence limit counts it.
+    pub(crate) fn record_pause(&mut self, pause: Duration) {
+        self.paused += pause;
+        self.last_bytes_at = self.hub.transport.now();
+    }
+
+    /// Returns the id of the request.
+    pub(crate) fn request(&self) -> &Name {
+        &self.job.id
+    }
+
+    /// Returns the server that sends the stream, until it has ended.
+    pub(crate) fn server(&self) -> Option<&Name> {
+        let attempt = self.attempt.as_ref();
+        attempt.map(|attempt| &attempt.guard.server.id)
+    }
+
     /// Returns the next complete events, or none at the end of the stream.
     ///
     /// # Errors
@@ -148,7 +173,7 @@
             limit = limit.max(self.job.route.objective);
         }
         loop {
-            let time_left = self.job.time_left(self.hub.transport.now());
+            let time_left = self.job.final_deadline() + self.paused - self.hub.transport.now();
             let Some(attempt) = &mut self.attempt else {
                 return Err(Failure::Broken);
             };
--- a/crates/relay/src/configs.rs
+++ b/crates/relay/src/configs.rs
@@ -7,7 +7,8 @@
 pub struct Config {
     /// The largest answer that is buffered until it is complete, in bytes.
     pub max_buffered_bytes: usize,
-    /// The largest number of bytes of all answers that are buffered until they, or an event of theirs, are complete.
+    /// The largest number of bytes that are held for callers: requests, answers that are buffered until they, or an event of
+    /// theirs, are complete, and answers that slow callers have not taken.
     pub max_kept_bytes: usize,
     /// The size up to which an answer is buffered whatever others take, in bytes.
     pub small_answer_bytes: usize,
--- a/crates/relay/src/crash.rs
+++ b/crates/relay/src/crash.rs
@@ -26,6 +26,8 @@
     digest: u64,
     crash: Crash,
     age: Duration,
+    /// The bytes of this instance's requests that the server held.
+    bytes: usize,
 }
 
 /// Checks that a request has crashed no servers before and that no part of its prompt does, or takes a trial for it.
@@ -86,7 +88,9 @@
         parts: job.shared_parts(),
         wrote,
     };
+    let bytes = hub.with(|state| state.uploads.at_server(&server.id));
     let held = Held {
+        bytes,
         server,
         digest: job.digest,
         crash,
@@ -123,9 +127,22 @@
 fn record<E: Transport>(hub: &Rc<Hub<E>>, held: Held) {
     let now = hub.transport.now();
     let Held {
-        digest, crash, age, ..
+        server,
+        digest,
+        crash,
+        age,
+        bytes,
     } = held;
     let is_new = hub.with(|state| {
+        let limit = state
+            .uploads
+            .record_crash(now, &server.pool, &server.id, bytes);
+        if let Some(limit) = limit {
+            log::warn!(
+                target: "servers", server:% = server.id, pool:% = server.pool, bytes = limit;
+                "server crashed while it held many bytes of requests; others of its pool get fewer"
+            );
+        }
         let is_new_content = state.crashes.record(now, digest, &crash.server);
         let is_new = state.parts.record_crash(now, crash.clone(), age, false);
         state.judge_parts(now);
--- a/crates/relay/src/guard.rs
+++ b/crates/relay/src/guard.rs
@@ -14,6 +14,8 @@
     hub: Rc<Hub<E>>,
     pub(crate) server: Rc<Server>,
     tokens: u64,
+    /// The bytes of the request, which the server holds until the call has ended.
+    bytes: usize,
     sent_at: Tick,
     /// Whether the server has been silent for long, which counts as a failure if the call is dropped.
     pub(crate) is_silent: bool,
@@ -29,17 +31,20 @@
         hub: &Rc<Hub<E>>,
         server: &Rc<Server>,
         tokens: u64,
+        bytes: usize,
         is_direct: bool,
     ) -> Self {
         let now = hub.transport.now();
         let has_turn = hub.with(|state| {
             state.fleet.record_start(now, &server.id, tokens);
+            state.uploads.begin(&server.id, bytes);
             state.is_brittle(server)
         });
         Self {
             hub: hub.clone(),
             server: server.clone(),
             tokens,
+            bytes,
             sent_at: now,
             is_silent: false,
             is_direct,
@@ -82,6 +87,7 @@
         }
         let now = self.hub.transport.now();
         self.hub.with(|state| {
+            state.uploads.end(&self.server.id, self.bytes);
             let completion = match completion {
                 // A cut of this instance says nothing about its servers.
                 Completion::Failed | Completion::Unreachable
--- a/crates/relay/src/hub.rs
+++ b/crates/relay/src/hub.rs
@@ -13,8 +13,8 @@
 use site::{Config, History, Roster, roster::Server};
 
 use crate::{
-    Failure, Transport, configs, crash::Held, estimate::Estimator, links::Check, pieces::Waiter,
-    stop::Stop,
+    Failure, Transport, configs, crash::Held, estimate::Estimator, hold::Budget, links::Check,
+    pieces::Waiter, stop::Stop, uploads::Uploads,
 };
 
 /// The state that all requests of an instance share.
@@ -64,8 +64,10 @@
     pub origins: Origins,
     /// Since when the servers of each pool run one software.
     pub software: History,
-    /// The bytes of answers that are kept until they can be passed on.
-    pub(crate) kept_bytes: usize,
+    /// The bytes that are held for callers.
+    pub hold: Budget,
+    /// The bytes of requests at servers.
+    pub uploads: Uploads,
     /// The shutdown of this instance, once it has begun.
     pub stop: Option<Stop>,
     /// Estimates of the time to the first event and of request sizes.
@@ -91,6 +93,7 @@
         settings: configs::Config,
         seed: u64,
     ) -> Rc<Self> {
+        let hold = Budget::new(settings.max_kept_bytes);
         Rc::new(Self {
             transport,
             domain,
@@ -113,7 +116,8 @@
                 departures: Departures::default(),
                 origins: Origins::default(),
                 software: History::default(),
-                kept_bytes: 0,
+                hold,
+                uploads: Uploads::default(),
                 stop: None,
                 estimator: Estimator::default(),
                 rng: SmallRng::seed_from_u64(seed),
--- a/crates/relay/src/job.rs
+++ b/crates/relay/src/job.rs
@@ -60,6 +60,8 @@
     pub deadline: Tick,
     /// A digest of the account, the path and the body.
     pub digest: u64,
+    /// The length of the body.
+    pub body_bytes: usize,
     /// The prompt, if the request has one.
     pub prompt: Option<Prompt>,
     /// The number of pieces of each stage.
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -16,26 +16,31 @@
 pub mod estimate;
 pub mod events;
 mod guard;
+pub mod hold;
 pub mod hub;
 pub mod job;
 mod links;
-mod memory;
+pub mod memory;
 mod notices;
 mod origin;
 mod pending;
 mod pieces;
 pub mod policy;
+pub mod queue;
 mod release;
 pub mod serve;
 mod stages;
 pub mod stop;
 mod turns;
+pub mod uploads;
 
 pub use self::{
     body::Body,
     call::{Call, Failure, Notice, Rate, Reply, Transport},
     hub::Hub,
     job::{Job, Resumption},
+    memory::Share,
+    queue::Queue,
     serve::{Answer, Refusal},
     stop::Stop,
 };
--- a/crates/relay/src/memory.rs
+++ b/crates/relay/src/memory.rs
@@ -1,50 +1,74 @@
-//! The memory for parts of answers that can't be passed on yet.
+//! Shares of the budget of bytes that an instance holds.
 
+use core::time::Duration;
 use std::rc::Rc;
 
-use crate::{Hub, Transport};
+use base::Name;
+use tokio::time;
 
-/// The part of an instance's memory that one answer takes.
+use crate::{Hub, Transport, hold::Kind};
+
+/// The interval at which a request that waits for room looks for it.
+const ROOM_INTERVAL: Duration = Duration::from_millis(50);
+
+/// The part of an instance's memory that one answer or request takes.
 ///
-/// Servers may send bytes without end on many connections at the same time. A limit for each answer bounds one of them only.
-pub(crate) struct Share<E: Transport> {
+/// Servers may send bytes without end on many connections at the same time, and callers may take none. A limit for each
+/// answer bounds one of them only.
+pub struct Share<E: Transport> {
     hub: Rc<Hub<E>>,
-    bytes: usize,
+    id: u64,
 }
 
 impl<E: Transport> Share<E> {
-    pub(crate) fn new(hub: &Rc<Hub<E>>) -> Self {
+    /// Returns a share without bytes.
+    pub fn open(hub: &Rc<Hub<E>>, kind: Kind) -> Self {
         Self {
             hub: hub.clone(),
-            bytes: 0,
+            id: hub.with(|state| state.hold.open(kind)),
         }
     }
 
     /// Changes the share to a number of bytes, and returns whether there is room. A small share is always granted, so that
     /// ordinary answers pass beside those that use up the memory.
-    pub(crate) fn resize(&mut self, bytes: usize) -> bool {
-        let settings = &self.hub.settings;
-        let before = self.bytes;
+    pub(crate) fn resize(&self, bytes: usize) -> bool {
+        let small = self.hub.settings.small_answer_bytes;
         let (is_granted, total) = self.hub.with(|state| {
-            let total = state.kept_bytes - before + bytes;
-            let has_room = total <= settings.max_kept_bytes;
-            let is_granted = has_room || bytes <= before || bytes <= settings.small_answer_bytes;
-            if is_granted {
-                state.kept_bytes = total;
-            }
-            (is_granted, total)
+            let is_granted = state.hold.try_resize(self.id, bytes, small);
+            (is_granted, state.hold.total())
         });
-        if is_granted {
-            self.bytes = bytes;
-        } else {
+        if !is_granted {
             log::warn!(target: "relay", bytes = bytes, total = total; "answers use up the memory; a large one is given up");
         }
         is_granted
     }
+
+    /// Changes the share to the number of bytes that are held in any case.
+    pub fn set(&self, bytes: usize) {
+        self.hub.with(|state| state.hold.resize(self.id, bytes));
+    }
+
+    /// Returns whether more bytes may be read.
+    pub fn may_read(&self) -> bool {
+        self.hub.with(|state| state.hold.may_read(self.id))
+    }
+
+    /// Counts the bytes to the server that they come from.
+    pub(crate) fn set_server(&self, server: &Name) {
+        self.hub
+            .with(|state| state.hold.set_server(self.id, server));
+    }
+
+    /// Waits until more bytes may be read.
+    pub async fn wait_for_room(&self) {
+        while !self.may_read() {
+            time::sleep(ROOM_INTERVAL).await;
+        }
+    }
 }
 
 impl<E: Transport> Drop for Share<E> {
     fn drop(&mut self) {
-        self.hub.with(|state| state.kept_bytes -= self.bytes);
+        self.hub.with(|state| state.hold.close(self.id));
     }
 }
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -13,7 +13,7 @@
 use crate::{
     Body, Failure, Hub, Job, Reply, Transport,
     attempt::{self, Attempt, Attempts},
-    crash,
+    crash, hold,
     hub::completion_of,
     memory::Share,
     origin,
@@ -29,6 +29,8 @@
         reply: E::Reply,
         /// The body.
         body: Bytes,
+        /// The memory that the body takes until its caller has it.
+        share: Share<E>,
     },
     /// A stream of events.
     Stream {
@@ -96,7 +98,7 @@
     loop {
         let body = read_body_or_move(hub, &job, &mut attempts, &mut attempt).await;
         let failure = match body {
-            Ok(body) => {
+            Ok((body, share)) => {
                 let latency = attempt.guard.age();
                 let server = attempt.guard.server.id.clone();
                 let sent_at = attempt.guard.sent_at();
@@ -109,6 +111,7 @@
                 return Ok(Answer::Whole {
                     reply: attempt.reply,
                     body,
+                    share,
                 });
             }
             Err(Failure::TimedOut) => {
@@ -165,14 +168,14 @@
     job: &Job<E::Request>,
     attempts: &mut Attempts,
     attempt: &mut Attempt<E>,
-) -> Result<Bytes, Failure> {
+) -> Result<(Bytes, Share<E>), Failure> {
     let limit = policy::body_time_limit(&job.route, &hub.settings);
     let mut body = Buffer::new(hub);
     loop {
         let time_left = job.time_left(hub.transport.now());
         let reading = body.read(&mut attempt.reply);
         match time::timeout(limit.min(time_left), reading).await {
-            Ok(Ok(())) => return Ok(body.bytes.freeze()),
+            Ok(Ok(())) => return Ok((body.bytes.freeze(), body.share)),
             Ok(Err(failure)) => return Err(failure),
             Err(_) if time_left <= limit => return Err(Failure::TimedOut),
             Err(_) if !attempts.may_leave_silent(hub, job) => continue,
@@ -192,7 +195,7 @@
         let next = tokio::select! {
             biased;
             read = body.read(&mut attempt.reply) => match read {
-                Ok(()) => return Ok(body.bytes.freeze()),
+                Ok(()) => return Ok((body.bytes.freeze(), body.share)),
                 Err(error) => {
                     failure = Some(error);
                     sent.await
@@ -224,7 +227,7 @@
     fn new(hub: &Rc<Hub<E>>) -> Self {
         Self {
             bytes: BytesMut::new(),
-            share: Share::new(hub),
+            share: Share::open(hub, hold::Kind::Whole),
             max_bytes: hub.settings.max_buffered_bytes,
         }
     }
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -546,6 +546,7 @@
         arrived_at: now,
         deadline: now + Duration::from_millis(900),
         digest: 7,
+        body_bytes: 0,
         prompt: None,
         pieces: vec![2, 3],
         piece_key: "key".into(),
