Report the backlog of a shard

Other instances can't tell whether a request can be on time at a shard that they don't schedule. The scheduler now gives the wait of a new piece by rank, on time and late, and the memory in use, from its last plan and at most every 50 ms.

--- a/crates/batch/src/configs.rs
+++ b/crates/batch/src/configs.rs
@@ -27,6 +27,9 @@
     pub latency_weight: f64,
     /// The shortest time in which an unreachable server may recover; pieces with less time left expire.
     pub min_recovery_time: Duration,
+    /// How long a computed backlog is used; a plan changes little in this time, and it may be asked for with each
+    /// request.
+    pub backlog_interval: Duration,
 }
 
 impl Default for Config {
@@ -41,6 +44,7 @@
             trial_interval: Duration::from_secs(1),
             latency_weight: 0.5,
             min_recovery_time: Duration::from_millis(400),
+            backlog_interval: Duration::from_millis(50),
         }
     }
 }
--- a/crates/batch/src/scheduler.rs
+++ b/crates/batch/src/scheduler.rs
@@ -15,7 +15,7 @@
 };
 
 use self::queue::Queue;
-use crate::{Piece, Shard, configs, piece::Handle};
+use crate::{Backlog, Piece, Shard, configs, piece::Handle};
 
 /// The inputs of a scheduling decision.
 #[derive(Clone, Copy, Debug)]
@@ -146,6 +146,31 @@
         self.find(shard).map_or(0, |at| self.queues[at].len())
     }
 
+    /// Returns the shards that pieces were queued for.
+    pub fn shards(&self) -> impl Iterator<Item = &Shard> {
+        self.queues.iter().map(|queue| &queue.shard)
+    }
+
+    /// Returns the backlog of a shard as the last plan shows it, or none if no piece was ever queued for it or its pool is
+    /// no longer configured.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use base::Tick;
+    /// use batch::{Scheduler, Shard};
+    /// let (now, config) = (Tick::from_millis(1), site::Config::default());
+    /// let shard = Shard::whole(&"board".into());
+    /// assert_eq!(Scheduler::default().backlog(now, &config, &shard), None);
+    /// ```
+    pub fn backlog(&mut self, now: Tick, config: &Config, shard: &Shard) -> Option<&Backlog> {
+        let at = self.find(shard).ok()?;
+        match config.pool(&shard.pool)?.work {
+            Work::Pieces(work) => Some(self.queues[at].backlog(now, &self.config, &work)),
+            Work::Engine(_) | Work::Plain => None,
+        }
+    }
+
     /// Records that a call ended.
     pub fn record_completion(
         &mut self,
--- a/crates/batch/src/scheduler/plan.rs
+++ b/crates/batch/src/scheduler/plan.rs
@@ -15,6 +15,8 @@
     pub(crate) density: u32,
     pub(crate) due: Tick,
     pub(crate) deadline: Tick,
+    /// Whether the last plan found that the group can't be on time.
+    pub(crate) is_late: bool,
     pub(crate) result_bytes: u64,
     pub(crate) preferred_domain: Option<base::Name>,
     pub(crate) transfer_bytes: u64,
@@ -56,6 +58,11 @@
         self.start(call) + call_time(self.work, size)
     }
 
+    /// Returns when the call starts that takes a piece behind the first `pieces` pieces.
+    pub(crate) fn start_time(&mut self, pieces: usize) -> Tick {
+        self.start(pieces / self.work.max_batch.max(1))
+    }
+
     fn start(&mut self, call: usize) -> Tick {
         while self.starts.len() <= call {
             let full = call_time(self.work, self.work.max_batch);
@@ -96,6 +103,9 @@
 ) -> Plan {
     let mut plan = Plan::default();
     groups.sort_by_key(|group| (group.due, group.ticket()));
+    for group in &mut groups {
+        group.is_late = false;
+    }
     let mut count = 0;
     for group in groups {
         count += group.pieces.len();
@@ -121,7 +131,10 @@
         let wait = timeline.finish_time(count + group.pieces.len()) - now;
         if now + wait.mul_f64(config.late_wait_factor) <= group.deadline {
             count += group.pieces.len();
-            plan.late.push(group);
+            plan.late.push(Group {
+                is_late: true,
+                ..group
+            });
         } else {
             plan.expired.push(group);
         }
--- a/crates/batch/src/scheduler/queue.rs
+++ b/crates/batch/src/scheduler/queue.rs
@@ -4,13 +4,18 @@
 use std::rc::Rc;
 
 use base::{Name, Tick};
-use site::{pool::Pieces, roster::Server};
+use site::{pool::Pieces, roster::Server, route::Rank};
 
 use super::{
     Action, Batch, Completion, Context,
     plan::{Group, Plan, Timeline, call_time, plan},
 };
-use crate::{Piece, Shard, configs::Config, piece::Handle};
+use crate::{
+    Backlog, Piece, Shard,
+    backlog::{Level, MAX_LEVELS},
+    configs::Config,
+    piece::Handle,
+};
 
 /// The factor by which a call may exceed its expected time before it is overdue.
 const TIMEOUT_FACTOR: f64 = 3.0;
@@ -24,6 +29,10 @@
     best_ratio: f64,
     /// When the first server without a turn may get a call, or the first one at all if all are blocked or paused.
     unblocked_at: Option<Tick>,
+    /// When each server is free, as of the last plan; empty before the first one.
+    free_at: Vec<Tick>,
+    /// The backlog that was computed last, and when.
+    backlog: Option<(Tick, Backlog)>,
 }
 
 /// The state of one server, as seen by this instance.
@@ -73,6 +82,7 @@
             density: first.density,
             due: first.due,
             deadline: first.deadline,
+            is_late: false,
             result_bytes: first.result_bytes,
             preferred_domain: first.preferred_domain.clone(),
             transfer_bytes: first.transfer_bytes,
@@ -221,6 +231,69 @@
         }
         self.groups = plan.on_time;
         self.groups.append(&mut plan.late);
+        self.free_at = self.free_times(cx, config, &servers);
+    }
+
+    /// Returns the backlog, which is computed anew when the last one is older than a short time.
+    pub(super) fn backlog(&mut self, now: Tick, config: &Config, work: &Pieces) -> &Backlog {
+        let known = self.backlog.take();
+        let known = known.filter(|(at, _)| now < *at + config.backlog_interval);
+        let (at, backlog) = known.unwrap_or_else(|| (now, self.compute_backlog(now, work)));
+        &self.backlog.insert((at, backlog)).1
+    }
+
+    fn compute_backlog(&self, now: Tick, work: &Pieces) -> Backlog {
+        let stored = self.workers.iter().map(|worker| worker.used_bytes(now));
+        let used = stored.sum::<u64>().saturating_mul(1_000);
+        let capacity = work.memory_bytes * self.workers.len() as u64;
+        let memory = used.checked_div(capacity).unwrap_or_default().min(1_000);
+        let free_at = self.free_at.iter().map(|at| (*at).max(now));
+        let free_at: Vec<_> = free_at.collect();
+        let mut counts: Vec<(Rank, usize, usize)> = Vec::new();
+        for group in &self.groups {
+            let at = match counts.binary_search_by_key(&group.rank, |(rank, ..)| *rank) {
+                Ok(at) => at,
+                Err(at) => {
+                    counts.insert(at, (group.rank, 0, 0));
+                    at
+                }
+            };
+            match group.is_late {
+                false => counts[at].1 += group.pieces.len(),
+                true => counts[at].2 += group.pieces.len(),
+            }
+        }
+        while counts.len() > MAX_LEVELS {
+            if let Some((_, on_time, late)) = counts.pop()
+                && let Some(last) = counts.last_mut()
+            {
+                last.1 += on_time;
+                last.2 += late;
+            }
+        }
+        if free_at.is_empty() {
+            // Nothing is known of the servers before the first plan.
+            return Backlog::default();
+        }
+        let mut timeline = Timeline::new(work, self.len(), free_at);
+        let mut wait = |pieces| timeline.start_time(pieces) - now;
+        let free_in = wait(0);
+        let total: usize = counts.iter().map(|(_, on_time, _)| on_time).sum();
+        let (mut on_time, mut late) = (0, total);
+        let levels = counts.into_iter().map(|(rank, more, more_late)| {
+            on_time += more;
+            late += more_late;
+            Level {
+                rank,
+                on_time: wait(on_time),
+                late: wait(late),
+            }
+        });
+        Backlog {
+            free_in,
+            levels: levels.collect(),
+            memory_permille: u16::try_from(memory).unwrap_or(1_000),
+        }
     }
 
     /// Returns the next time at which a server for the queued pieces may be free or have memory again.
@@ -261,6 +334,7 @@
             .into_iter()
             .partition(|group| usable_at.is_some_and(|at| at < group.deadline));
         self.groups = kept;
+        self.free_at = usable_at.into_iter().collect();
         let expired = expired.into_iter().flat_map(|group| group.pieces);
         actions.extend(expired.map(Action::Expire));
     }
@@ -434,9 +508,13 @@
         if now < self.out_of_memory_until {
             return 0;
         }
+        work.memory_bytes.saturating_sub(self.used_bytes(now))
+    }
+
+    /// Returns the memory that results take or will take after the call in flight, in bytes.
+    fn used_bytes(&self, now: Tick) -> u64 {
         let stored = self.results.iter().filter(|result| now < result.expires_at);
         let stored: u64 = stored.map(|result| result.bytes).sum();
-        work.memory_bytes
-            .saturating_sub(self.reserved_bytes + stored)
+        self.reserved_bytes + stored
     }
 }
