Add the crate room: forecast of waits and admission decision

The forecast keeps the newest backlog of each shard with its age and trend; the controller decides whether a request starts, is delayed or refused, by the expected end of its chain on time and late. Accounts' work and the usual deadlines of routes are tracked for it. Messages between instances carry backlogs (Results field 2, Pulse field 19), which nothing fills yet.

--- a/crates/batch/src/scheduler.rs
+++ b/crates/batch/src/scheduler.rs
@@ -2,6 +2,7 @@
 
 mod plan;
 mod queue;
+mod report;
 
 use std::rc::Rc;
 
--- a/crates/batch/src/scheduler/queue.rs
+++ b/crates/batch/src/scheduler/queue.rs
@@ -4,18 +4,14 @@
 use std::rc::Rc;
 
 use base::{Name, Tick};
-use site::{pool::Pieces, roster::Server, route::Rank};
+use site::{pool::Pieces, roster::Server};
 
 use super::{
     Action, Batch, Completion, Context,
     plan::{Group, Plan, Timeline, call_time, plan},
+    report::report,
 };
-use crate::{
-    Backlog, Piece, Shard,
-    backlog::{Level, MAX_LEVELS},
-    configs::Config,
-    piece::Handle,
-};
+use crate::{Backlog, Piece, Shard, configs::Config, piece::Handle};
 
 /// The factor by which a call may exceed its expected time before it is overdue.
 const TIMEOUT_FACTOR: f64 = 3.0;
@@ -248,51 +244,9 @@
         let capacity = work.memory_bytes * self.workers.len() as u64;
         let memory = used.checked_div(capacity).unwrap_or_default().min(1_000);
         let free_at = self.free_at.iter().map(|at| (*at).max(now));
-        let free_at: Vec<_> = free_at.collect();
-        let mut counts: Vec<(Rank, usize, usize)> = Vec::new();
-        for group in &self.groups {
-            let at = match counts.binary_search_by_key(&group.rank, |(rank, ..)| *rank) {
-                Ok(at) => at,
-                Err(at) => {
-                    counts.insert(at, (group.rank, 0, 0));
-                    at
-                }
-            };
-            match group.is_late {
-                false => counts[at].1 += group.pieces.len(),
-                true => counts[at].2 += group.pieces.len(),
-            }
-        }
-        while counts.len() > MAX_LEVELS {
-            if let Some((_, on_time, late)) = counts.pop()
-                && let Some(last) = counts.last_mut()
-            {
-                last.1 += on_time;
-                last.2 += late;
-            }
-        }
-        if free_at.is_empty() {
-            // Nothing is known of the servers before the first plan.
-            return Backlog::default();
-        }
-        let mut timeline = Timeline::new(work, self.len(), free_at);
-        let mut wait = |pieces| timeline.start_time(pieces) - now;
-        let free_in = wait(0);
-        let total: usize = counts.iter().map(|(_, on_time, _)| on_time).sum();
-        let (mut on_time, mut late) = (0, total);
-        let levels = counts.into_iter().map(|(rank, more, more_late)| {
-            on_time += more;
-            late += more_late;
-            Level {
-                rank,
-                on_time: wait(on_time),
-                late: wait(late),
-            }
-        });
         Backlog {
-            free_in,
-            levels: levels.collect(),
             memory_permille: u16::try_from(memory).unwrap_or(1_000),
+            ..report(now, work, &self.groups, free_at.collect())
         }
     }
 
--- a/crates/feed/src/codec.rs
+++ b/crates/feed/src/codec.rs
@@ -15,7 +15,7 @@
 
 use crate::{
     Answer, Ask, CachedChain, Delegation, EngineLoad, Error, Grant, Heartbeat, Limit, Lists,
-    Results, Topics, Wanted,
+    Results, Topics, Wanted, backlogs,
 };
 
 pub(crate) fn encode_delegation(delegation: Delegation) -> message::Order {
@@ -81,7 +81,7 @@
 }
 
 pub(crate) fn encode_results(results: Results) -> message::Results {
-    let results = results.into_iter().map(|outcome| match outcome {
+    let outcomes = results.outcomes.into_iter().map(|outcome| match outcome {
         Outcome::Result(handle) => message::Result {
             handle: Some(encode_handle(&handle)),
             reason: 0,
@@ -98,12 +98,13 @@
         },
     });
     message::Results {
-        results: results.collect(),
+        results: outcomes.collect(),
+        backlogs: backlogs::encode(results.backlogs),
     }
 }
 
 pub(crate) fn decode_results(results: message::Results) -> Result<Results, Error> {
-    let results = results.results.into_iter().map(|result| {
+    let outcomes = results.results.into_iter().map(|result| {
         let reason = result.reason();
         match result.handle {
             Some(handle) => Ok(Outcome::Result(decode_handle(handle)?)),
@@ -115,7 +116,11 @@
             })),
         }
     });
-    results.collect()
+    let outcomes: Result<Vec<_>, _> = outcomes.collect();
+    Ok(Results {
+        outcomes: outcomes?,
+        backlogs: backlogs::decode(results.backlogs),
+    })
 }
 
 pub(crate) fn encode_heartbeat(heartbeat: Heartbeat) -> message::Pulse {
@@ -150,6 +155,7 @@
             .collect(),
         limits: heartbeat.limits.into_iter().map(encode_limit).collect(),
         cut_off: heartbeat.is_cut_off,
+        backlogs: backlogs::encode(heartbeat.backlogs),
     }
 }
 
@@ -411,6 +417,7 @@
         departures: pulse.departures.into_iter().map(decode_departure).collect(),
         limits: pulse.limits.into_iter().filter_map(decode_limit).collect(),
         is_cut_off: pulse.cut_off,
+        backlogs: backlogs::decode(pulse.backlogs),
     }
 }
 
--- a/crates/feed/src/lib.rs
+++ b/crates/feed/src/lib.rs
@@ -4,6 +4,7 @@
 //! - [`serve`] answers the messages of other instances. They arrive as [`Command`]s on a channel, as the shared
 //!   state of an instance stays on one thread.
 
+mod backlogs;
 mod call;
 mod client;
 mod codec;
@@ -14,7 +15,7 @@
 
 use base::Name;
 use batch::{
-    Shard,
+    Backlog, Shard,
     piece::{Outcome, Source},
 };
 use bytes::Bytes;
@@ -57,8 +58,14 @@
     pub transfer_bytes: u64,
 }
 
-/// The outcomes of delegated pieces, in their order.
-pub type Results = Vec<Outcome>;
+/// The answer to a delegation.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Results {
+    /// The outcomes of the pieces, in their order.
+    pub outcomes: Vec<Outcome>,
+    /// Backlogs of shards that the answering instance owns.
+    pub backlogs: Vec<(Shard, Backlog)>,
+}
 
 /// The state that an instance sends to the others.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -87,6 +94,8 @@
     pub limits: Vec<Limit>,
     /// Whether the instance reaches no servers.
     pub is_cut_off: bool,
+    /// In an answer, the backlogs of shards that the instance owns.
+    pub backlogs: Vec<(Shard, Backlog)>,
 }
 
 /// The request rate that a run of a server stated in an answer.
--- /dev/null
+++ b/crates/room/src/configs.rs
@@ -0,0 +1,74 @@
+//! Settings of admission control.
+
+use core::time::Duration;
+
+/// Settings with their defaults.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Config {
+    /// The age up to which a backlog counts in full.
+    pub full_age: Duration,
+    /// The age from which a backlog is ignored.
+    pub max_age: Duration,
+    /// The largest number of shards whose backlogs are kept.
+    pub max_shards: usize,
+    /// The shortest time over which a change of a wait is measured; reports arrive in bursts.
+    pub trend_interval: Duration,
+    /// The time in which the trend of a wait is forgotten.
+    pub trend_memory: Duration,
+    /// The time margin, in full calls of the longest stage, with which a request must be expected to be on time: a busy
+    /// server is halfway through a call on average when pieces arrive.
+    pub margin_calls: f64,
+    /// The wait in later stages, in full calls, up to which late work may start. Its results take memory of the earlier
+    /// stages meanwhile; a server that isn't overloaded takes about this time, too.
+    pub late_calls: f64,
+    /// The same for callers that return after a refusal, which go before new ones of their rank.
+    pub returned_late_calls: f64,
+    /// The part of the memory for results, in thousandths, from which on late work doesn't start.
+    pub max_memory_permille: u16,
+    /// The share of the time left at arrival that a request may be delayed, which is the share that callers wait after
+    /// a refusal at most.
+    pub max_delay_share: f64,
+    /// The shortest and longest time after which a delayed request is decided on again.
+    pub delay_steps: (Duration, Duration),
+    /// The time in which the recorded work of an account halves.
+    pub account_half_life: Duration,
+    /// The largest number of accounts that are tracked.
+    pub max_accounts: usize,
+    /// The multiple of its fair share from which on an account yields.
+    pub max_shares: f64,
+    /// The part of the requests of a yielding account that is treated as those of others, so that it isn't starved: a
+    /// quarter of the level for all is required.
+    pub spared_share: f64,
+    /// The time over which the longest deadline of a route is kept at least.
+    pub deadline_memory: Duration,
+    /// The part of a route's requests that must state about the longest deadline. Otherwise the deadlines of its callers
+    /// differ anyway, and say nothing about the time that they waited.
+    pub usual_share: f64,
+    /// The smallest difference between deadlines that counts as time waited; a refusal asks for a longer wait.
+    pub min_waited: Duration,
+}
+
+impl Default for Config {
+    fn default() -> Self {
+        Self {
+            full_age: Duration::from_secs(1),
+            max_age: Duration::from_secs(3),
+            max_shards: 512,
+            trend_interval: Duration::from_millis(100),
+            trend_memory: Duration::from_millis(500),
+            margin_calls: 0.5,
+            late_calls: 1.0,
+            returned_late_calls: 2.0,
+            max_memory_permille: 900,
+            max_delay_share: 0.33,
+            delay_steps: (Duration::from_millis(20), Duration::from_millis(250)),
+            account_half_life: Duration::from_secs(5),
+            max_accounts: 4_096,
+            max_shares: 2.0,
+            spared_share: 0.3,
+            deadline_memory: Duration::from_secs(30),
+            usual_share: 0.2,
+            min_waited: Duration::from_millis(20),
+        }
+    }
+}
