Admit requests by the backlogs of their stages (trial)

Instances exchange backlogs with answers, the domain of small results is drawn by spare capacity, the due time of a piece uses the expected waits of later stages, and the controller decides before the first stage.

--- a/crates/feed/tests/loopback.rs
+++ b/crates/feed/tests/loopback.rs
@@ -4,13 +4,14 @@
 
 use base::{Incarnation, Software, Stamp};
 use batch::{
-    Shard,
+    Backlog, Shard,
+    backlog::Level,
     piece::{Handle, Outcome, Reason, Source},
 };
 use bytes::Bytes;
 use feed::{
-    Answer, CachedChain, Client, Command, Delegation, EngineLoad, Heartbeat, Limit, Lists, Topics,
-    Wanted, serve,
+    Answer, CachedChain, Client, Command, Delegation, EngineLoad, Heartbeat, Limit, Lists, Results,
+    Topics, Wanted, serve,
 };
 use googletest::prelude::*;
 use mesh::{Changes, Departure, Origin, Position, Record, origins};
@@ -70,7 +71,24 @@
     let (sender, mut commands) = mpsc::unbounded_channel();
     let address = "127.0.0.1:17741".parse().unwrap();
     serve(address, sender).unwrap();
-    let outcomes = vec![Outcome::Result(handle(7)), Outcome::Failed(Reason::Room)];
+    let shard = Shard {
+        pool: "portfolio".into(),
+        domain: Some("a".into()),
+    };
+    let level = Level {
+        rank: Rank::new(Some(1), 2),
+        on_time: Duration::from_millis(300),
+        late: Duration::from_millis(700),
+    };
+    let backlog = Backlog {
+        free_in: Duration::from_millis(20),
+        levels: vec![level],
+        memory_permille: 450,
+    };
+    let results = Results {
+        outcomes: vec![Outcome::Result(handle(7)), Outcome::Failed(Reason::Room)],
+        backlogs: vec![(shard.clone(), backlog.clone())],
+    };
     let heartbeat = Heartbeat {
         name: "b".into(),
         leaving: true,
@@ -109,6 +127,10 @@
             received_age: Duration::from_millis(20),
         }],
         is_cut_off: true,
+        backlogs: vec![
+            (shard, backlog),
+            (Shard::whole(&"p".into()), Backlog::default()),
+        ],
     };
     let client = Client::default();
     for source in [
@@ -120,11 +142,11 @@
             let Some(Command::Run { delegation, reply }) = commands.recv().await else {
                 panic!("expected a delegation");
             };
-            reply.send(outcomes.clone()).unwrap();
+            reply.send(results.clone()).unwrap();
             delegation
         });
         expect_that!(received, eq(&sent));
-        expect_that!(answer.unwrap(), eq(&outcomes));
+        expect_that!(answer.unwrap(), eq(&results));
     }
     let (answer, received) = tokio::join!(
         client.send_heartbeat(address, heartbeat.clone(), Duration::from_secs(5)),
--- a/crates/feed/tests/silence.rs
+++ b/crates/feed/tests/silence.rs
@@ -15,7 +15,7 @@
     Shard,
     piece::{Outcome, Reason, Source},
 };
-use feed::{Client, Command, Delegation, serve};
+use feed::{Client, Command, Delegation, Results, serve};
 use googletest::prelude::*;
 use site::route::Rank;
 use tokio::{sync::mpsc, time};
@@ -91,7 +91,10 @@
         time::sleep(silence).await;
         is_silent.store(false, Ordering::Relaxed);
         // The caller may have given up.
-        let _ = reply.send(vec![Outcome::Failed(Reason::Room)]);
+        let _ = reply.send(Results {
+            outcomes: vec![Outcome::Failed(Reason::Room)],
+            ..Results::default()
+        });
     };
     let (run, ()) = tokio::join!(run, owner);
     run.ok().map(|outcomes| outcomes.is_ok())
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -9,7 +9,7 @@
 use site::route::Kind;
 
 use crate::{
-    Failure, Hub, Job, Transport,
+    Failure, Hub, Job, Transport, admission,
     guard::Guard,
     hub::{self, State},
     links::Way,
@@ -53,6 +53,8 @@
     pub(crate) needs_helper: bool,
     /// The instances that did not make a call.
     pub(crate) helpers: Vec<Name>,
+    /// When the caller may return, if the request was refused before its first stage.
+    pub(crate) retry_after: Option<Duration>,
 }
 
 /// Runs the stages of a request and sends it to servers until the head of an answer arrives. `since` is the time
@@ -103,7 +105,8 @@
         return Err(policy::final_code(attempts.may_have_run, Code::Overloaded));
     }
     let preferred = preferred_domain(hub, job, &pool);
-    let inputs = stages::run(hub, job, preferred, since).await?;
+    let domain = admission::admit(hub, job, attempts, preferred.as_ref(), since).await?;
+    let inputs = stages::run(hub, job, preferred, domain, since).await?;
     attempts.stage_time += hub.transport.now() - started_at;
     Ok(Prepared {
         pool,
@@ -219,7 +222,9 @@
                     pending.finish(hub, job, attempts, failure).await;
                     let mut retry = attempts.check_retry(hub, job, failure);
                     if retry.is_ok() && failure == Failure::InputGone {
-                        let remade = stages::run(hub, job, inputs.domain(), since);
+                        let preferred = inputs.domain();
+                        let domain = admission::draw_domain(hub, job, preferred.as_ref());
+                        let remade = stages::run(hub, job, preferred, domain, since);
                         match pending::run_beside(hub, job, attempts, silent, remade).await {
                             Either::Left(remade) => {
                                 retry = remade.map(|remade| inputs = Rc::new(remade));
--- a/crates/relay/src/balance.rs
+++ b/crates/relay/src/balance.rs
@@ -17,6 +17,25 @@
 /// assert_eq!(relay::balance::choose_domain(&stages, 0.67), Some(&b));
 /// ```
 pub fn choose_domain<'a>(stages: &[Vec<&'a Name>], draw: f64) -> Option<&'a Name> {
+    choose_by_spare(stages, |_| 1.0, draw)
+}
+
+/// Returns a domain as [`choose_domain`] does, with the weight of each domain multiplied by its spare part from 0 to 1.
+///
+/// # Examples
+///
+/// ```
+/// let (a, b) = ("a".into(), "b".into());
+/// let stages = [vec![&a, &b]];
+/// let spare = |domain: &base::Name| if *domain == a { 0.1 } else { 0.3 };
+/// assert_eq!(relay::balance::choose_by_spare(&stages, spare, 0.24), Some(&a));
+/// assert_eq!(relay::balance::choose_by_spare(&stages, spare, 0.26), Some(&b));
+/// ```
+pub fn choose_by_spare<'a>(
+    stages: &[Vec<&'a Name>],
+    spare: impl Fn(&Name) -> f64,
+    draw: f64,
+) -> Option<&'a Name> {
     let mut domains: Vec<&Name> = stages.iter().flatten().copied().collect();
     domains.sort();
     domains.dedup();
@@ -27,7 +46,13 @@
         });
         shares.fold(1.0, f64::min)
     };
-    let shares: Vec<_> = domains.iter().map(|domain| share(domain)).collect();
+    let shares: Vec<_> = domains
+        .iter()
+        .map(|domain| match share(domain) {
+            0.0 => 0.0,
+            share => share * spare(domain),
+        })
+        .collect();
     let mut remaining = draw * shares.iter().sum::<f64>();
     for (domain, share) in domains.iter().zip(&shares) {
         remaining -= share;
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -5,7 +5,7 @@
 
 use base::{Name, Stamp, Tick};
 use batch::{
-    Piece, Shard,
+    Backlog, Piece, Shard,
     piece::{Handle, Outcome},
     scheduler::Load,
 };
@@ -201,6 +201,15 @@
     pub load: Option<Load>,
 }
 
+/// The answer of another instance to delegated pieces.
+#[derive(Clone, Debug, Default)]
+pub struct Delegated {
+    /// One outcome per piece, in the order in which the pieces were sent.
+    pub outcomes: Vec<Outcome>,
+    /// Backlogs of shards that the other instance owns.
+    pub backlogs: Vec<(Shard, Backlog)>,
+}
+
 /// The calls to servers and instances, which the process implements.
 pub trait Transport: 'static {
     /// A request to forward.
@@ -286,7 +295,7 @@
         owner: &Peer,
         shard: &Shard,
         pieces: &[Piece],
-    ) -> impl Future<Output = Result<Vec<Outcome>, Failure>>;
+    ) -> impl Future<Output = Result<Delegated, Failure>>;
 
     /// Asks another instance to release results on the servers of its shards.
     fn delegate_release(
--- a/crates/relay/src/hub.rs
+++ b/crates/relay/src/hub.rs
@@ -10,6 +10,7 @@
 use quota::{Brittle, Limits, Meter};
 use rand::{SeedableRng, rngs::SmallRng};
 use retry::{Crashes, Parts, Window, window::Bound};
+use room::Controller;
 use site::{Config, History, Roster, roster::Server};
 
 use crate::{
@@ -48,6 +49,10 @@
     pub brittle: Brittle,
     /// The scheduler of stage pieces.
     pub scheduler: Scheduler,
+    /// The waits that the backlogs of shards let expect, and the admission of requests by them.
+    pub controller: Controller,
+    /// When the backlogs of this instance's shards were recorded last.
+    pub(crate) backlogs_at: Option<Tick>,
     /// The retry budget.
     pub retry_window: Window,
     /// Connections that broke while the links were lost, any of which may be a crash.
@@ -105,6 +110,8 @@
                 meter: Meter::default(),
                 brittle: Brittle::default(),
                 scheduler: Scheduler::default(),
+                controller: Controller::default(),
+                backlogs_at: None,
                 retry_window: Window::new(bound),
                 held: Vec::new(),
                 crashes: Crashes::default(),
--- a/crates/relay/src/job.rs
+++ b/crates/relay/src/job.rs
@@ -1,6 +1,9 @@
 //! Admitted requests and their deadlines.
 
-use core::{cell::OnceCell, time::Duration};
+use core::{
+    cell::{Cell, OnceCell},
+    time::Duration,
+};
 use std::rc::Rc;
 
 use base::{Name, Tick};
@@ -72,6 +75,8 @@
     pub resumption: Option<Resumption>,
     /// Where its stream began, once that is known.
     pub origin: OnceCell<Origin>,
+    /// How long its caller has waited since the first attempt, as far as the deadline shows it.
+    pub waited: Cell<Duration>,
     /// What is known of the server that began its stream.
     pub origin_check: watch::Sender<Check>,
     /// The request itself.
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`Transport`] is implemented by the process and makes the calls to servers and instances.
 //! - [`Hub`] holds the state that all requests of an instance share.
 
+mod admission;
 mod attempt;
 pub mod balance;
 mod batches;
--- a/crates/relay/src/pieces.rs
+++ b/crates/relay/src/pieces.rs
@@ -79,10 +79,14 @@
             };
             let delegated = self.transport.delegate(&peer, &shard, &pieces);
             let lost = self.wait_until_lost(&peer.name);
-            let outcomes = tokio::select! {
-                outcomes = delegated => outcomes,
+            let delegated = tokio::select! {
+                delegated = delegated => delegated,
                 () = lost => Err(Failure::TimedOut),
             };
+            let outcomes = delegated.map(|delegated| {
+                self.record_backlogs(&peer.name, delegated.backlogs);
+                delegated.outcomes
+            });
             match outcomes {
                 Ok(outcomes) if outcomes.len() == pieces.len() => return outcomes,
                 Ok(_) => {
@@ -102,6 +106,7 @@
                     );
                     self.with(|state| {
                         state.members.mark_lost(&peer.name);
+                        state.controller.forecast.forget_owner(&peer.name);
                         state.record_reachability(
                             self.transport.now(),
                             &peer.domain,
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -268,7 +268,10 @@
             .and_then(|pool| hub.with(|state| state.pause_left(now, &pool, job, Duration::ZERO)));
         let spread = settings.retry_after_jitter.mul_f64(draw);
         let delay = pause_left.unwrap_or_default().max(settings.min_retry_after) + spread;
-        if code == Code::DeadlineUnmeetable {
+        if let Some(drained_in) = attempts.retry_after {
+            // Spread already, and bounded by the time that callers wait.
+            drained_in.max(settings.min_retry_after)
+        } else if code == Code::DeadlineUnmeetable {
             let (min, max) = settings.overload_retry_share;
             delay.max(job.time_left(now).mul_f64(min + (max - min) * draw))
         } else {
--- a/crates/relay/src/stages.rs
+++ b/crates/relay/src/stages.rs
@@ -11,10 +11,10 @@
 use futures_util::{StreamExt, stream::FuturesUnordered};
 use site::pool::Work as PoolWork;
 
-use crate::{Hub, Job, Transport, balance};
+use crate::{Hub, Job, Transport, admission};
 
 /// The assumed time of a stage with an unknown pool: a call of 150 ms, some pieces and a wait.
-const DEFAULT_STAGE_TIME: Duration = Duration::from_millis(250);
+pub(crate) const DEFAULT_STAGE_TIME: Duration = Duration::from_millis(250);
 
 /// The expected time of a stage in full calls: on average a busy server is halfway through a call when a piece
 /// arrives.
@@ -93,7 +93,8 @@
     }
 }
 
-/// Runs the stages of a request and returns the results that it reads.
+/// Runs the stages of a request and returns the results that it reads. Stages with small results run in
+/// `small_results_domain` if possible, and the others in `domain`.
 ///
 /// # Errors
 ///
@@ -102,6 +103,7 @@
     hub: &Rc<Hub<E>>,
     job: &Job<E::Request>,
     domain: Option<Name>,
+    small_results_domain: Option<Name>,
     since: Tick,
 ) -> Result<Inputs<E>, Code> {
     let count = job.route.stages.len();
@@ -115,7 +117,7 @@
         phases: phases.collect(),
         results: vec![Vec::new(); count],
         domain,
-        small_results_domain: small_results_domain(hub, job),
+        small_results_domain,
         since,
         density: density(hub, job),
     };
@@ -133,45 +135,12 @@
     }
 }
 
-/// Returns the failure domain for a request's stages with small results, selected at random by the domains' capacity,
-/// or none if the deployment has no cells.
-fn small_results_domain<E: Transport>(hub: &Rc<Hub<E>>, job: &Job<E::Request>) -> Option<Name> {
-    let now = hub.transport.now();
-    let stages = job.route.stages.iter();
-    let stages = stages.filter(|stage| stage.result_bytes < hub.settings.large_result_bytes);
-    let pools: Vec<_> = stages.map(|stage| &stage.pool).collect();
-    // The upper 53 bits of the digest as a number from 0 to 1.
-    let draw = (job.digest >> 11) as f64 / (1_u64 << 53) as f64;
-    hub.with(|state| {
-        if !state.members.has_cells() {
-            return None;
-        }
-        let is_reachable = |domain: &Name| !state.fleet.reachability.is_unreachable(now, domain);
-        let domains = pools.iter().map(|pool| {
-            let servers = state.roster.usable(now, pool).map(|server| &server.domain);
-            servers
-                .filter(|domain| is_reachable(domain))
-                .collect::<Vec<_>>()
-        });
-        let domains: Vec<_> = domains.collect();
-        balance::choose_domain(&domains, draw).cloned()
-    })
-}
-
 /// Returns a request's value per second of stage work, times 1,000.
 ///
 /// One part of the value is the same for every request, and the rest is proportional to its size. The fixed time of a
 /// call is shared by its pieces.
 fn density<E: Transport>(hub: &Rc<Hub<E>>, job: &Job<E::Request>) -> u32 {
-    let work = hub.with(|state| {
-        let config = state.config.as_ref()?;
-        let stages = job.route.stages.iter().enumerate();
-        let work = stages.map(|(at, stage)| match config.pool(&stage.pool)?.work {
-            PoolWork::Pieces(work) => Some(work.time_per_piece() * piece_count(job, at)),
-            PoolWork::Engine(_) | PoolWork::Plain => None,
-        });
-        work.sum::<Option<Duration>>()
-    });
+    let work = work_time(hub, job);
     let size = hub.with(|state| {
         state
             .estimator
@@ -179,11 +148,37 @@
     });
     let value = FIXED_VALUE_SHARE + (1.0 - FIXED_VALUE_SHARE) * size.min(MAX_RELATIVE_SIZE);
     let seconds = work.unwrap_or_default().as_secs_f64().max(1e-3);
-    (value * 1e3 / seconds) as u32
+    // Pieces of an account above its share are deferred first within their rank.
+    let priority = hub.with(|state| {
+        let accounts = &state.controller.accounts;
+        let account = job.account.as_ref();
+        account.map_or(1.0, |account| accounts.priority(account))
+    });
+    (value * priority * 1e3 / seconds) as u32
+}
+
+/// Returns the work of a request's stages, or none if a pool is unknown.
+pub(crate) fn work_time<E: Transport>(hub: &Rc<Hub<E>>, job: &Job<E::Request>) -> Option<Duration> {
+    hub.with(|state| {
+        let config = state.config.as_ref()?;
+        let stages = job.route.stages.iter().enumerate();
+        let work = stages.map(|(at, stage)| match config.pool(&stage.pool)?.work {
+            PoolWork::Pieces(work) => Some(work.time_per_piece() * piece_count(job, at)),
+            PoolWork::Engine(_) | PoolWork::Plain => None,
+        });
+        work.sum::<Option<Duration>>()
+    })
+}
+
+/// Returns the expected time from the end of a request's stages to its first event.
+pub(crate) fn engine_time<E: Transport>(hub: &Rc<Hub<E>>, job: &Job<E::Request>) -> Duration {
+    let prompt_read_time = job.prompt_read_time();
+    let route = &job.route.name;
+    hub.with(|state| state.estimator.first_event_time(route, prompt_read_time))
 }
 
 /// Returns the number of pieces of a stage.
-fn piece_count<R>(job: &Job<R>, stage: usize) -> u32 {
+pub(crate) fn piece_count<R>(job: &Job<R>, stage: usize) -> u32 {
     job.pieces.get(stage).copied().unwrap_or(0)
 }
 
@@ -226,7 +221,10 @@
         };
         let (preferred_domain, transfer_bytes) = self.placement(stage);
         // Reserve time for the stages and the engine that follow.
-        let time_after = self.time_after(stage) + self.engine_time();
+        let time_after = self.time_after(stage) + engine_time(self.hub, self.job);
+        // The objective counts from the caller's first attempt.
+        let objective = self.job.route.objective;
+        let objective = objective.saturating_sub(self.job.waited.get());
         let time_left = self.job.event_deadline(self.since) - self.since;
         let mut deadline = self.since + time_left.saturating_sub(time_after);
         if !config.depends_on.is_empty() {
@@ -240,7 +238,7 @@
             source: source.clone(),
             rank: self.job.rank,
             density: self.density,
-            due: self.since + self.job.route.objective.saturating_sub(time_after),
+            due: self.since + objective.saturating_sub(time_after),
             deadline,
             result_bytes: config.result_bytes,
             preferred_domain: preferred_domain.clone(),
@@ -251,16 +249,18 @@
     }
 
     /// Returns the time of the longest chain of stages that depend on a stage, if each call is full and waits for
-    /// half of another one.
+    /// half of another one, or for longer where the stage's backlog lets expect that.
     fn time_after(&self, stage: usize) -> Duration {
         let stages = &self.job.route.stages;
         let next = (0..stages.len()).filter(|at| stages[*at].depends_on.contains(&stage));
         next.map(|at| {
             let own_time = match piece_count(self.job, at) {
                 0 => Duration::ZERO,
-                _ => self
-                    .full_call_time(&stages[at].pool)
-                    .mul_f64(CALLS_PER_STAGE),
+                _ => {
+                    let call_time = self.full_call_time(&stages[at].pool);
+                    let expected = call_time + self.expected_wait(at);
+                    expected.max(call_time.mul_f64(CALLS_PER_STAGE))
+                }
             };
             own_time + self.time_after(at)
         })
@@ -268,6 +268,23 @@
         .unwrap_or_default()
     }
 
+    /// Returns the wait that the backlog of a stage lets expect, or zero if it is not known.
+    fn expected_wait(&self, stage: usize) -> Duration {
+        let is_small = admission::has_small_results(self.hub, &self.job.route.stages[stage]);
+        let domain = match is_small {
+            true => self.small_results_domain.as_ref().or(self.domain.as_ref()),
+            false => self.domain.as_ref(),
+        };
+        let now = self.hub.transport.now();
+        let pool = &self.job.route.stages[stage].pool;
+        self.hub.with(|state| {
+            let shard = state.nearest_shard(now, &self.hub.domain, pool, domain);
+            let forecast = &state.controller.forecast;
+            let wait = forecast.wait(now, &shard, self.job.rank, Duration::ZERO);
+            wait.map_or(Duration::ZERO, |wait| wait.on_time)
+        })
+    }
+
     fn full_call_time(&self, pool: &Name) -> Duration {
         self.hub.with(|state| {
             let pool = state.config.as_ref().and_then(|config| config.pool(pool));
@@ -278,13 +295,6 @@
         })
     }
 
-    fn engine_time(&self) -> Duration {
-        let prompt_read_time = self.job.prompt_read_time();
-        let route = &self.job.route.name;
-        self.hub
-            .with(|state| state.estimator.first_event_time(route, prompt_read_time))
-    }
-
     /// Returns the preferred failure domain for the pieces of a stage, and the bytes that cross domains for each
     /// piece that runs in another one; every piece reads all results of the stages that its stage depends on.
     fn placement(&self, stage: usize) -> (Option<Name>, u64) {
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -17,8 +17,10 @@
 use mesh::{Members, Origin, Peer, origins};
 use quota::{Statement, Turn};
 use relay::{
-    Answer, Call, Failure, Hub, Job, Notice, Rate, Reply, Transport, call::Results,
-    configs::Config, serve::serve,
+    Answer, Call, Failure, Hub, Job, Notice, Rate, Reply, Transport,
+    call::{Delegated, Results},
+    configs::Config,
+    serve::serve,
 };
 use retry::{parts::Crash, window::Bound};
 use site::{
@@ -382,7 +384,7 @@
         })
     }
 
-    async fn delegate(&self, _: &Peer, _: &Shard, _: &[Piece]) -> Result<Vec<Outcome>, Failure> {
+    async fn delegate(&self, _: &Peer, _: &Shard, _: &[Piece]) -> Result<Delegated, Failure> {
         if self.is_mesh_silent.get() {
             core::future::pending::<()>().await;
         }
@@ -552,6 +554,7 @@
         last_event: None,
         resumption: None,
         origin: OnceCell::new(),
+        waited: Cell::default(),
         origin_check: watch::Sender::default(),
         request: Rc::new(()),
     })
--- a/crates/room/src/accounts.rs
+++ b/crates/room/src/accounts.rs
@@ -78,6 +78,11 @@
         self.shares(account) > self.config.max_shares
     }
 
+    /// Returns the factor for the value of an account's work: 1 up to its share, and less above it.
+    pub fn priority(&self, account: &Name) -> f64 {
+        (self.config.max_shares / self.shares(account).max(1e-6)).min(1.0)
+    }
+
     /// Returns the number of tracked accounts.
     pub const fn len(&self) -> usize {
         self.work.len()
--- a/crates/room/src/controller.rs
+++ b/crates/room/src/controller.rs
@@ -18,6 +18,29 @@
     pub accounts: Accounts,
     /// The deadlines that callers state.
     pub deadlines: Deadlines,
+    tally: Vec<(Group, u64)>,
+}
+
+/// Decisions that are counted together.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Group {
+    /// The first part of the requests' rank.
+    pub rank: u8,
+    /// Whether their accounts had more than their share.
+    pub is_heavy: bool,
+    /// What was decided.
+    pub outcome: Outcome,
+}
+
+/// What was decided on a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Outcome {
+    /// It started.
+    Started,
+    /// It was delayed, and is counted again with what follows.
+    Delayed,
+    /// It was refused.
+    Refused(Reason),
 }
 
 /// A stage of a request, in the failure domain where it would run.
@@ -38,6 +61,8 @@
 pub struct Estimate {
     /// When the first event arrives if the request is on time.
     pub on_time: Duration,
+    /// When it arrives if nothing is queued.
+    pub idle: Duration,
     /// When it arrives if the request is late, so that others go first.
     pub late: Duration,
     /// The longest wait of a later stage if the request is late, in full calls.
@@ -92,7 +117,7 @@
 }
 
 /// Why a request is refused.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Reason {
     /// It can't be answered before its deadline.
     Deadline,
@@ -109,6 +134,7 @@
             forecast: Forecast::new(config.clone()),
             accounts: Accounts::new(config.clone()),
             deadlines: Deadlines::new(config.clone()),
+            tally: Vec::new(),
             config,
         }
     }
@@ -123,11 +149,21 @@
     ) -> Estimate {
         let mut estimate = Estimate::default();
         let mut ends = vec![None; stages.len()];
+        let mut idle = vec![Duration::ZERO; stages.len()];
         for at in 0..stages.len() {
             let (on_time, late) = self.end_of(now, stages, at, rank, &mut ends, &mut estimate);
+            let before = stages[at].depends_on.iter().filter(|before| **before < at);
+            let before = before.map(|before| idle[*before]).max();
+            let call_time = match stages[at].is_omitted {
+                true => Duration::ZERO,
+                false => stages[at].call_time,
+            };
+            idle[at] = before.unwrap_or_default() + call_time;
+            estimate.idle = estimate.idle.max(idle[at]);
             estimate.on_time = estimate.on_time.max(on_time);
             estimate.late = estimate.late.max(late);
         }
+        estimate.idle += engine_time;
         estimate.on_time += engine_time;
         estimate.late += engine_time;
         estimate
@@ -248,6 +284,31 @@
         }
     }
 
+    /// Counts a decision.
+    pub fn record_decision(&mut self, request: &Request<'_>, decision: Decision) {
+        let group = Group {
+            // Ranks beyond those of the platform count together, which bounds the counts.
+            rank: request.rank.account.min(9),
+            is_heavy: request
+                .account
+                .is_some_and(|account| self.accounts.is_heavy(account)),
+            outcome: match decision {
+                Decision::Start => Outcome::Started,
+                Decision::Delay(_) => Outcome::Delayed,
+                Decision::Refuse { reason, .. } => Outcome::Refused(reason),
+            },
+        };
+        match self.tally.binary_search_by_key(&group, |(group, _)| *group) {
+            Ok(at) => self.tally[at].1 += 1,
+            Err(at) => self.tally.insert(at, (group, 1)),
+        }
+    }
+
+    /// Returns the numbers of decisions.
+    pub fn tally(&self) -> &[(Group, u64)] {
+        &self.tally
+    }
+
     /// Refuses a request until its stages' backlog has drained, but for no longer than callers wait.
     fn refuse(&self, request: &Request<'_>, estimate: &Estimate, reason: Reason) -> Decision {
         let longest = request.time_left.mul_f64(self.config.max_delay_share);
