Late pieces free the memory of their inputs; groups count as late only when they are

Cause: a late piece whose stage is used up by work on time waited until its deadline and held the memory of the stage before; and 1.5 calls for each later stage made pieces late that could still be on time. Late is what callers state below 0.8 of their route's longest deadline. The trend of waits made decisions worse and is removed.

--- a/crates/batch/src/configs.rs
+++ b/crates/batch/src/configs.rs
@@ -18,6 +18,11 @@
     /// The factor by which the planned wait of a late piece is stretched, as pieces that arrive meanwhile and can
     /// be on time go first. A piece that would then miss its deadline expires at once.
     pub late_wait_factor: f64,
+    /// The largest such factor of a piece that reads results, which take memory of the stage before while it waits. Its
+    /// factor is greater the larger the part of the calls is that pieces on time took lately.
+    pub max_late_wait_factor: f64,
+    /// The time in which that part is forgotten.
+    pub share_memory: Duration,
     /// The multiple of the latency of the pool's fastest server from which a server counts as slow and gets only
     /// trial calls.
     pub slow_factor: f64,
@@ -40,6 +45,8 @@
             out_of_memory_pause: Duration::from_millis(60),
             due_margin: Duration::from_millis(30),
             late_wait_factor: 2.0,
+            max_late_wait_factor: 20.0,
+            share_memory: Duration::from_secs(1),
             slow_factor: 2.0,
             trial_interval: Duration::from_secs(1),
             latency_weight: 0.5,
--- a/crates/batch/src/piece.rs
+++ b/crates/batch/src/piece.rs
@@ -1,5 +1,7 @@
 //! Pieces of stages and their outcomes.
 
+use core::time::Duration;
+
 use base::{Incarnation, Name, Tick};
 use site::route::Rank;
 
@@ -23,6 +25,9 @@
     pub density: u32,
     /// When the result is needed for the request to be on time.
     pub due: Tick,
+    /// How much later than `due` the request can still be on time, if it waits nowhere after that. Pieces are ordered by
+    /// when they are due, and count as late only after this time.
+    pub slack: Duration,
     /// When the result is too late for the request to be answered at all.
     pub deadline: Tick,
     /// The approximate size of the result in bytes.
--- a/crates/batch/src/scheduler.rs
+++ b/crates/batch/src/scheduler.rs
@@ -120,6 +120,7 @@
     ///     rank: site::route::Rank::default(),
     ///     density: 1_000,
     ///     due: Tick::from_millis(100),
+    ///     slack: core::time::Duration::ZERO,
     ///     deadline: Tick::from_millis(900),
     ///     result_bytes: 8_000,
     ///     preferred_domain: None,
--- a/crates/batch/src/scheduler/plan.rs
+++ b/crates/batch/src/scheduler/plan.rs
@@ -5,7 +5,7 @@
 use base::Tick;
 use site::{pool::Pieces, route::Rank};
 
-use crate::{Piece, configs::Config};
+use crate::{Piece, configs::Config, piece::Source};
 
 /// Pieces of one stage of one request, which share a due time.
 #[derive(Clone, Debug)]
@@ -14,6 +14,8 @@
     pub(crate) rank: Rank,
     pub(crate) density: u32,
     pub(crate) due: Tick,
+    /// When the group has to finish to be on time.
+    pub(crate) latest: Tick,
     pub(crate) deadline: Tick,
     /// Whether the last plan found that the group can't be on time.
     pub(crate) is_late: bool,
@@ -23,6 +25,12 @@
 }
 
 impl Group {
+    /// Returns whether the group reads results of another stage.
+    fn reads_results(&self) -> bool {
+        let first = self.pieces.first();
+        first.is_some_and(|piece| matches!(piece.source, Source::Results(_)))
+    }
+
     fn ticket(&self) -> Option<u64> {
         self.pieces.first().map(|piece| piece.ticket)
     }
@@ -94,12 +102,16 @@
 /// Groups are considered by due time. If a group would be late, groups of its rank or a lower-priority one are
 /// deferred until it is on time, starting with the lowest density.
 ///
+/// `on_time_share` is the part of the servers' calls that groups on time took lately. A late group that reads results waits
+/// for what is left, so that it expires at once if nothing is, and its inputs don't take memory meanwhile.
+///
 /// A group that would finish just in time already counts as late, as calls end slightly later than planned.
 pub(crate) fn plan(
     now: Tick,
     mut groups: Vec<Group>,
     mut timeline: Timeline<'_>,
     config: &Config,
+    on_time_share: f64,
 ) -> Plan {
     let mut plan = Plan::default();
     groups.sort_by_key(|group| (group.due, group.ticket()));
@@ -109,11 +121,11 @@
     let mut count = 0;
     for group in groups {
         count += group.pieces.len();
-        let (due, rank, ticket) = (group.due, group.rank, group.ticket());
+        let (latest, rank, ticket) = (group.latest, group.rank, group.ticket());
         plan.on_time.push(group);
         // All pieces of a call finish together, so several may have to be deferred before one moves to an
         // earlier call.
-        while timeline.finish_time(count) + config.due_margin > due {
+        while timeline.finish_time(count) + config.due_margin > latest {
             let Some(group) = defer_one(&mut plan.on_time, rank) else {
                 break;
             };
@@ -127,9 +139,14 @@
     }
     let mut late = core::mem::take(&mut plan.late);
     late.sort_by_key(|group| (group.rank, group.deadline));
+    let busy_factor = 1.0 / (1.0 - on_time_share).max(1.0 / config.max_late_wait_factor);
     for group in late {
         let wait = timeline.finish_time(count + group.pieces.len()) - now;
-        if now + wait.mul_f64(config.late_wait_factor) <= group.deadline {
+        let factor = match group.reads_results() {
+            true => busy_factor.max(config.late_wait_factor),
+            false => config.late_wait_factor,
+        };
+        if now + wait.mul_f64(factor) <= group.deadline {
             count += group.pieces.len();
             plan.late.push(Group {
                 is_late: true,
--- a/crates/batch/src/scheduler/queue.rs
+++ b/crates/batch/src/scheduler/queue.rs
@@ -27,6 +27,10 @@
     unblocked_at: Option<Tick>,
     /// When each server is free, as of the last plan; empty before the first one.
     free_at: Vec<Tick>,
+    /// The part of the calls that pieces on time took lately.
+    on_time_share: f64,
+    /// When the last call was sent.
+    last_call: Tick,
     /// The backlog that was computed last, and when.
     backlog: Option<(Tick, Backlog)>,
 }
@@ -77,6 +81,7 @@
             rank: first.rank,
             density: first.density,
             due: first.due,
+            latest: first.due + first.slack,
             deadline: first.deadline,
             is_late: false,
             result_bytes: first.result_bytes,
@@ -211,7 +216,13 @@
         }
         self.best_ratio = self.min_latency_ratio(&servers);
         let timeline = Timeline::new(work, self.len(), self.free_times(cx, config, &servers));
-        let mut plan = plan(cx.now, core::mem::take(&mut self.groups), timeline, config);
+        let mut plan = plan(
+            cx.now,
+            core::mem::take(&mut self.groups),
+            timeline,
+            config,
+            self.on_time_share,
+        );
         let expired = plan.expired.drain(..).flat_map(|group| group.pieces);
         actions.extend(expired.map(Action::Expire));
         let mut free: Vec<_> = servers
@@ -220,8 +231,12 @@
             .collect();
         free.sort_by_key(|server| self.worker(&server.id).map(|worker| worker.busy_until));
         for server in free {
+            let count = |plan: &Plan| plan.on_time.iter().map(|group| group.pieces.len()).sum();
+            let before: usize = count(&plan);
             let pieces = self.take_pieces(cx, config, work, server, &servers, &mut plan);
             if !pieces.is_empty() {
+                let on_time = before.saturating_sub(count(&plan));
+                self.record_share(cx.now, config, work, on_time, servers.len());
                 actions.push(Action::Send(self.start_batch(cx, work, server, pieces)));
             }
         }
@@ -230,6 +245,25 @@
         self.free_at = self.free_times(cx, config, &servers);
     }
 
+    /// Records the part of a call that pieces on time take.
+    fn record_share(
+        &mut self,
+        now: Tick,
+        config: &Config,
+        work: &Pieces,
+        on_time: usize,
+        servers: usize,
+    ) {
+        let share = on_time as f64 / work.max_batch.max(1) as f64;
+        // The servers' calls together make up the time that passes.
+        let time = call_time(work, work.max_batch) / u32::try_from(servers.max(1)).unwrap_or(1);
+        // After a pause the calls before it say little.
+        let time = time.max(now - self.last_call);
+        self.last_call = now;
+        let newness = 1.0 - (-time.div_duration_f64(config.share_memory)).exp();
+        self.on_time_share += newness * (share.min(1.0) - self.on_time_share);
+    }
+
     /// Returns the backlog, which is computed anew when the last one is older than a short time.
     pub(super) fn backlog(&mut self, now: Tick, config: &Config, work: &Pieces) -> &Backlog {
         let known = self.backlog.take();
--- a/crates/batch/tests/simulation/mod.rs
+++ b/crates/batch/tests/simulation/mod.rs
@@ -111,6 +111,7 @@
                 rank: Rank::default(),
                 density: 1_000,
                 due: self.now + Duration::from_millis(850),
+                slack: Duration::ZERO,
                 deadline: self.now + Duration::from_secs(4),
                 result_bytes: 8_000,
                 preferred_domain: None,
--- a/crates/feed/src/codec.rs
+++ b/crates/feed/src/codec.rs
@@ -44,6 +44,7 @@
         route_rank: u32::from(delegation.rank.route),
         pull: delegation.transfer_bytes,
         density: delegation.density,
+        slack_ms: millis(delegation.slack),
         domain: delegation
             .preferred_domain
             .map_or_else(String::new, |domain| domain.as_str().to_owned()),
@@ -68,6 +69,7 @@
         numbers: order.numbers,
         source,
         due: Duration::from_millis(u64::try_from(order.due_ms).unwrap_or(0)),
+        slack: Duration::from_millis(order.slack_ms),
         time_left: Duration::from_millis(order.left_ms),
         result_bytes: order.bytes,
         rank: Rank {
--- a/crates/feed/src/lib.rs
+++ b/crates/feed/src/lib.rs
@@ -48,6 +48,8 @@
     pub density: u32,
     /// The time until the results are due; zero if they are already late.
     pub due: Duration,
+    /// How much later the request can still be on time, if it waits nowhere after that.
+    pub slack: Duration,
     /// The time until the deadline of the results.
     pub time_left: Duration,
     /// The approximate size of one result in bytes.
--- a/crates/feed/tests/loopback.rs
+++ b/crates/feed/tests/loopback.rs
@@ -41,6 +41,7 @@
         },
         density: 12_000,
         due: Duration::from_millis(250),
+        slack: Duration::from_millis(40),
         time_left: Duration::from_millis(900),
         result_bytes: 60_000,
         preferred_domain: Some("a".into()),
@@ -154,8 +155,8 @@
             let Some(Command::Heartbeat { heartbeat, reply }) = commands.recv().await else {
                 panic!("expected a heartbeat");
             };
-            reply.send(heartbeat.clone()).unwrap();
-            heartbeat
+            reply.send(*heartbeat.clone()).unwrap();
+            *heartbeat
         }
     );
     expect_that!(received, eq(&heartbeat));
--- a/crates/feed/tests/silence.rs
+++ b/crates/feed/tests/silence.rs
@@ -33,6 +33,7 @@
         rank: Rank::default(),
         density: 1,
         due: Duration::from_secs(1),
+        slack: Duration::from_millis(40),
         time_left: Duration::from_secs(20),
         result_bytes: 1,
         preferred_domain: None,
--- a/crates/relay/src/stages.rs
+++ b/crates/relay/src/stages.rs
@@ -221,7 +221,9 @@
         };
         let (preferred_domain, transfer_bytes) = self.placement(stage);
         // Reserve time for the stages and the engine that follow.
-        let time_after = self.time_after(stage) + engine_time(self.hub, self.job);
+        let engine_time = engine_time(self.hub, self.job);
+        let time_after = self.time_after(stage, true) + engine_time;
+        let least_after = self.time_after(stage, false) + engine_time;
         // The objective counts from the caller's first attempt.
         let objective = self.job.route.objective;
         let objective = objective.saturating_sub(self.job.waited.get());
@@ -230,6 +232,8 @@
         if !config.depends_on.is_empty() {
             deadline = deadline.min(self.hub.transport.now() + MIN_RESULT_LIFETIME);
         }
+        let due = self.since + objective.saturating_sub(time_after);
+        let latest = self.since + objective.saturating_sub(least_after);
         let pieces = (0..piece_count(self.job, stage)).map(|number| Piece {
             ticket: 0,
             request: self.job.id.clone(),
@@ -238,7 +242,8 @@
             source: source.clone(),
             rank: self.job.rank,
             density: self.density,
-            due: self.since + objective.saturating_sub(time_after),
+            due,
+            slack: latest - due,
             deadline,
             result_bytes: config.result_bytes,
             preferred_domain: preferred_domain.clone(),
@@ -248,9 +253,9 @@
         pieces.collect()
     }
 
-    /// Returns the time of the longest chain of stages that depend on a stage, if each call is full and waits for
-    /// half of another one, or for longer where the stage's backlog lets expect that.
-    fn time_after(&self, stage: usize) -> Duration {
+    /// Returns the time of the longest chain of stages that depend on a stage, in full calls. With `has_waits` each
+    /// waits for half of another one, or for longer where the stage's backlog lets expect that.
+    fn time_after(&self, stage: usize, has_waits: bool) -> Duration {
         let stages = &self.job.route.stages;
         let next = (0..stages.len()).filter(|at| stages[*at].depends_on.contains(&stage));
         next.map(|at| {
@@ -258,11 +263,14 @@
                 0 => Duration::ZERO,
                 _ => {
                     let call_time = self.full_call_time(&stages[at].pool);
+                    if !has_waits {
+                        return call_time + self.time_after(at, has_waits);
+                    }
                     let expected = call_time + self.expected_wait(at);
                     expected.max(call_time.mul_f64(CALLS_PER_STAGE))
                 }
             };
-            own_time + self.time_after(at)
+            own_time + self.time_after(at, has_waits)
         })
         .max()
         .unwrap_or_default()
@@ -280,7 +288,7 @@
         self.hub.with(|state| {
             let shard = state.nearest_shard(now, &self.hub.domain, pool, domain);
             let forecast = &state.controller.forecast;
-            let wait = forecast.wait(now, &shard, self.job.rank, Duration::ZERO);
+            let wait = forecast.wait(now, &shard, self.job.rank);
             wait.map_or(Duration::ZERO, |wait| wait.on_time)
         })
     }
--- a/crates/room/src/configs.rs
+++ b/crates/room/src/configs.rs
@@ -11,13 +11,9 @@
     pub max_age: Duration,
     /// The largest number of shards whose backlogs are kept.
     pub max_shards: usize,
-    /// The shortest time over which a change of a wait is measured; reports arrive in bursts.
-    pub trend_interval: Duration,
-    /// The time in which the trend of a wait is forgotten.
-    pub trend_memory: Duration,
-    /// The time margin, in full calls of the longest stage, with which a request must be expected to be on time: a busy
-    /// server is halfway through a call on average when pieces arrive.
-    pub margin_calls: f64,
+    /// The time, in full calls of the longest stage, by which a request must be expected to be late to be taken for late:
+    /// waits are those of full calls behind all work of the rank, and the shards' own plans drop what is late in fact.
+    pub tolerance_calls: f64,
     /// The wait in later stages, in full calls, up to which late work may start. Its results take memory of the earlier
     /// stages meanwhile; a server that isn't overloaded takes about this time, too.
     pub late_calls: f64,
@@ -41,11 +37,10 @@
     pub spared_share: f64,
     /// The time over which the longest deadline of a route is kept at least.
     pub deadline_memory: Duration,
-    /// The part of a route's requests that must state about the longest deadline. Otherwise the deadlines of its callers
-    /// differ anyway, and say nothing about the time that they waited.
-    pub usual_share: f64,
-    /// The smallest difference between deadlines that counts as time waited; a refusal asks for a longer wait.
-    pub min_waited: Duration,
+    /// The part of a route's longest deadline below which a caller has returned: first attempts state 0.85 of it or more.
+    pub min_first_deadline: f64,
+    /// The part of it that first attempts state on average.
+    pub mean_first_deadline: f64,
 }
 
 impl Default for Config {
@@ -54,9 +49,7 @@
             full_age: Duration::from_secs(1),
             max_age: Duration::from_secs(3),
             max_shards: 512,
-            trend_interval: Duration::from_millis(100),
-            trend_memory: Duration::from_millis(500),
-            margin_calls: 0.5,
+            tolerance_calls: 0.5,
             late_calls: 1.0,
             returned_late_calls: 2.0,
             max_memory_permille: 900,
@@ -67,8 +60,8 @@
             max_shares: 2.0,
             spared_share: 0.3,
             deadline_memory: Duration::from_secs(30),
-            usual_share: 0.2,
-            min_waited: Duration::from_millis(20),
+            min_first_deadline: 0.8,
+            mean_first_deadline: 0.925,
         }
     }
 }
--- a/crates/room/src/controller.rs
+++ b/crates/room/src/controller.rs
@@ -191,7 +191,7 @@
         }
         if !stage.is_omitted {
             let call_time = stage.call_time;
-            let wait = self.forecast.wait(now, &stage.shard, rank, on_time);
+            let wait = self.forecast.wait(now, &stage.shard, rank);
             if let Some(wait) = wait {
                 on_time += wait.on_time;
                 late += wait.late;
@@ -244,9 +244,9 @@
         if estimate.late.min(estimate.on_time) > request.time_left {
             return self.refuse(request, estimate, Reason::Deadline);
         }
-        let margin = estimate.call_time.mul_f64(self.config.margin_calls);
+        let tolerance = estimate.call_time.mul_f64(self.config.tolerance_calls);
         let objective_left = request.objective.saturating_sub(request.waited);
-        let is_on_time = estimate.on_time + margin <= objective_left;
+        let is_on_time = estimate.on_time <= objective_left + tolerance;
         let yields = request.draw >= self.config.spared_share
             && request
                 .account
--- a/crates/room/src/deadlines.rs
+++ b/crates/room/src/deadlines.rs
@@ -6,21 +6,18 @@
 
 use crate::Config;
 
-/// The usual deadlines of routes' callers.
+/// The longest deadlines that routes' callers stated lately.
 #[derive(Clone, Debug, Default)]
 pub struct Deadlines {
     config: Config,
     routes: Vec<(Name, [Window; 2])>,
 }
 
-/// The deadlines stated in a period.
+/// The longest deadline of a period.
 #[derive(Clone, Copy, Debug, Default)]
 struct Window {
     since: Tick,
     longest: Duration,
-    count: u32,
-    /// The number of requests with about the longest deadline.
-    usual: u32,
 }
 
 impl Deadlines {
@@ -32,7 +29,11 @@
         }
     }
 
-    /// Records the time left that a caller states, and returns how long it has waited since its first attempt.
+    /// Records the time left that a caller states, and returns how long it has waited since its first attempt, or zero if
+    /// it may be its first attempt.
+    ///
+    /// First attempts state between 0.85 and 1 of the longest deadline of their route, so only a caller that states clearly
+    /// less has returned, and its first deadline is taken to be an average one.
     ///
     /// # Examples
     ///
@@ -42,7 +43,8 @@
     /// let (mut deadlines, ms) = (room::Deadlines::default(), Duration::from_millis);
     /// let route = "digest".into();
     /// assert_eq!(deadlines.record(Tick::from_millis(1), &route, ms(5_000)), ms(0));
-    /// assert_eq!(deadlines.record(Tick::from_millis(9), &route, ms(4_200)), ms(800));
+    /// assert_eq!(deadlines.record(Tick::from_millis(9), &route, ms(4_200)), ms(0));
+    /// assert_eq!(deadlines.record(Tick::from_millis(9), &route, ms(3_800)), ms(825));
     /// ```
     pub fn record(&mut self, now: Tick, route: &Name, time_left: Duration) -> Duration {
         let at = match self.routes.binary_search_by(|(known, _)| known.cmp(route)) {
@@ -61,26 +63,13 @@
                 ..Window::default()
             };
         }
-        if time_left > current.longest + config.min_waited {
-            *current = Window {
-                since: current.since,
-                longest: time_left,
-                ..*current
-            };
-            current.usual = 0;
-        }
-        current.count += 1;
-        current.usual += u32::from(time_left + config.min_waited > current.longest);
+        current.longest = current.longest.max(time_left);
         let longest = current.longest.max(previous.longest);
-        let count = current.count + previous.count;
-        let is_near = |window: &Window| window.longest + config.min_waited > longest;
-        let windows = [*current, *previous];
-        let usual = windows.iter().filter(|window| is_near(window));
-        let usual: u32 = usual.map(|window| window.usual).sum();
-        let waited = longest.saturating_sub(time_left);
-        if waited < config.min_waited || f64::from(usual) < config.usual_share * f64::from(count) {
+        if time_left >= longest.mul_f64(config.min_first_deadline) {
             return Duration::ZERO;
         }
-        waited
+        longest
+            .mul_f64(config.mean_first_deadline)
+            .saturating_sub(time_left)
     }
 }
--- a/crates/room/src/forecast.rs
+++ b/crates/room/src/forecast.rs
@@ -23,10 +23,6 @@
     owner: Name,
     backlog: Backlog,
     received_at: Tick,
-    /// An earlier wait of the last rank, from which the trend is measured.
-    earlier: (Tick, Duration),
-    /// The change of the wait of the last rank per time; 1 if nothing is served, -1 if nothing arrives.
-    trend: f64,
 }
 
 /// The expected wait in a shard.
@@ -66,14 +62,13 @@
     /// let free_in = Duration::from_millis(200);
     /// let backlog = Backlog { free_in, ..Backlog::default() };
     /// forecast.record(Tick::from_millis(5_000), &shard, &"b".into(), backlog);
-    /// let wait = |at| forecast.wait(Tick::from_millis(at), &shard, Default::default(), Duration::ZERO);
+    /// let wait = |at| forecast.wait(Tick::from_millis(at), &shard, Default::default());
     /// assert_eq!(wait(6_000).map(|wait| wait.on_time), Some(free_in));
     /// // After two seconds a report counts half, and after three it is ignored.
     /// assert_eq!(wait(7_000).map(|wait| wait.on_time), Some(free_in / 2));
     /// assert_eq!(wait(8_000), None);
     /// ```
     pub fn record(&mut self, now: Tick, shard: &Shard, owner: &Name, backlog: Backlog) {
-        let wait = backlog.total_on_time_wait();
         let at = match self.find(shard) {
             Ok(at) => at,
             Err(at) => {
@@ -91,26 +86,12 @@
                     owner: owner.clone(),
                     backlog: Backlog::default(),
                     received_at: now,
-                    earlier: (now, wait),
-                    trend: 0.0,
                 };
                 self.entries.insert(at, entry);
                 at
             }
         };
-        let config = &self.config;
         let entry = &mut self.entries[at];
-        let (earlier_at, earlier) = entry.earlier;
-        let elapsed = now - earlier_at;
-        if elapsed >= config.max_age || entry.owner != *owner {
-            entry.trend = 0.0;
-            entry.earlier = (now, wait);
-        } else if elapsed >= config.trend_interval {
-            let change = (wait.as_secs_f64() - earlier.as_secs_f64()) / elapsed.as_secs_f64();
-            let newness = 1.0 - (-elapsed.div_duration_f64(config.trend_memory)).exp();
-            entry.trend += newness * (change.clamp(-1.0, 1.0) - entry.trend);
-            entry.earlier = (now, wait);
-        }
         entry.owner = owner.clone();
         entry.backlog = backlog;
         entry.received_at = now;
@@ -121,8 +102,8 @@
         self.entries.retain(|entry| entry.owner != *owner);
     }
 
-    /// Returns the expected wait of a piece that arrives at a shard after some time, or none without a report.
-    pub fn wait(&self, now: Tick, shard: &Shard, rank: Rank, after: Duration) -> Option<Wait> {
+    /// Returns the expected wait of a piece that arrives at a shard, or none without a report.
+    pub fn wait(&self, now: Tick, shard: &Shard, rank: Rank) -> Option<Wait> {
         let entry = &self.entries[self.find(shard).ok()?];
         let age = now - entry.received_at;
         let weight = self.weight(age);
@@ -131,14 +112,7 @@
         }
         let backlog = &entry.backlog;
         let total = backlog.total_on_time_wait();
-        // What is queued upstream arrives meanwhile, as the trend shows.
-        let ahead = (after + age).min(self.config.full_age).as_secs_f64();
-        let change = entry.trend * ahead;
-        let expect = |wait: Duration| {
-            let part = wait.as_secs_f64() / total.as_secs_f64().max(1e-3);
-            let later = wait.as_secs_f64() + change * part.min(1.0);
-            Duration::from_secs_f64(later.max(0.0) * weight)
-        };
+        let expect = |wait: Duration| wait.mul_f64(weight);
         Some(Wait {
             on_time: expect(backlog.on_time_wait(rank)),
             late: expect(backlog.late_wait(rank)),
--- a/crates/room/tests/chain.rs
+++ b/crates/room/tests/chain.rs
@@ -20,20 +20,49 @@
     [End::OnTime, End::Late, End::Refused, End::Expired].map(|end| simulation.count(end, |_| true))
 }
 
+fn chain(is_open: bool) -> Simulation {
+    let mut simulation = Simulation::new([12, 12, 8]);
+    simulation.is_open = is_open;
+    simulation
+}
+
+/// Guards against late work that takes the capacity, and memory of the second stage, from work that can be on time. Before,
+/// 0.46 of the capacity was on time at twice the capacity.
 #[gtest]
-fn figures() {
-    for factor in [0.8, 1.0, 1.2, 2.0] {
-        for (is_open, callers_return) in [(true, false), (false, false), (false, true)] {
-            let mut simulation = Simulation::new([12, 12, 8]);
-            simulation.is_open = is_open;
+fn most_of_the_capacity_is_on_time_in_an_overload_of_the_most_urgent_kind() {
+    for factor in [1.2, 2.0] {
+        for (is_open, callers_return) in [(false, false), (false, true), (true, false)] {
+            let mut simulation = chain(is_open);
             simulation.callers_return = callers_return;
             let ends = overload(&mut simulation, factor);
-            let mean = simulation.second_memory.0 / simulation.second_memory.1.max(1);
+            let part = ends[0] as f64 * 2.0 / (CAPACITY * 20.0);
             println!(
-                "load {factor}, open {is_open}, return {callers_return}: on time {:.3} of capacity, {ends:?} memory {:?} mean of second {mean}",
-                ends[0] as f64 * 2.0 / (CAPACITY * 20.0),
-                simulation.memory,
+                "load {factor}, open {is_open}, return {callers_return}: {part:.3} of capacity on time, \
+                 {ends:?} on time, late, refused, expired; memory {:?}",
+                simulation.memory
             );
+            expect_that!(part, ge(0.9));
+            // The plans keep half of the memory free.
+            expect_that!(simulation.memory[1], le(500));
+            expect_that!(ends[1], le(ends[0] / 20));
         }
     }
 }
+
+/// Guards against decisions that cost capacity where there is enough.
+#[gtest]
+fn all_requests_are_on_time_below_the_capacity() {
+    let mut simulation = chain(false);
+    let ends = overload(&mut simulation, 0.8);
+    expect_that!(&ends[1..], each(eq(&0)));
+}
+
+/// Guards against decisions by reports that don't arrive: without them every request starts at once, as before.
+#[gtest]
+fn without_reports_every_request_starts() {
+    let (mut blind, mut open) = (chain(false), chain(true));
+    (blind.has_reports, open.has_reports) = (false, false);
+    let ends = overload(&mut blind, 2.0);
+    expect_that!(ends, eq(overload(&mut open, 2.0)));
+    expect_that!(ends[2], eq(0));
+}
--- a/crates/room/tests/simulation/mod.rs
+++ b/crates/room/tests/simulation/mod.rs
@@ -221,8 +221,8 @@
     }
 
     fn report(&mut self) {
-        for stage in 0..3 {
-            let shard = Shard::whole(&POOLS[stage].into());
+        for (stage, pool) in POOLS.into_iter().enumerate() {
+            let shard = Shard::whole(&pool.into());
             let backlog = self.schedulers[stage].backlog(self.now, &self.config, &shard);
             let Some(backlog) = backlog.cloned() else {
                 continue;
@@ -319,6 +319,9 @@
             rank: call.rank,
             density: (1_000.0 * priority) as u32,
             due: call.first_at + OBJECTIVE.saturating_sub(after),
+            slack: after.saturating_sub(
+                WORK.full_call_time() * u32::try_from(2 - stage).unwrap() + ENGINE_TIME,
+            ),
             deadline,
             result_bytes: RESULT_BYTES,
             preferred_domain: None,
@@ -340,7 +343,7 @@
             let shard = Shard::whole(&POOLS[next].into());
             let rank = self.calls[at].rank;
             let wait = &self.controller.forecast;
-            let wait = wait.wait(self.now, &shard, rank, Duration::ZERO);
+            let wait = wait.wait(self.now, &shard, rank);
             let wait = wait.map_or(Duration::ZERO, |wait| wait.on_time);
             (call_time + wait).max(call_time.mul_f64(1.5))
         });
@@ -439,7 +442,10 @@
 
     /// Returns a random number from 0 to 1.
     pub(crate) fn draw(&mut self) -> f64 {
-        self.rng = self.rng.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+        self.rng = self
+            .rng
+            .wrapping_mul(6_364_136_223_846_793_005)
+            .wrapping_add(1_442_695_040_888_963_407);
         (self.rng >> 11) as f64 / (1_u64 << 53) as f64
     }
 }
