Expire late pieces by the capacity that on-time work leaves

Cause: a late piece whose stage is used up by work on time waited until its deadline and held the memory of the stage before. Change: its planned wait is stretched by 1/(1 - part of the capacity that pieces on time took in the last second), 2 to 10 times, instead of 2 times; reported waits of late pieces are stretched alike.

--- a/crates/batch/src/backlog.rs
+++ b/crates/batch/src/backlog.rs
@@ -25,7 +25,8 @@
     pub rank: Rank,
     /// The wait if the piece can be on time: behind the work that can be on time of this rank and of those before it.
     pub on_time: Duration,
-    /// The wait if it is late: behind all work that can be on time, and late work of this rank and of those before it.
+    /// The wait if it is late: behind all work that can be on time, late work of this rank and of those before it, and what
+    /// arrives meanwhile and can be on time.
     pub late: Duration,
 }
 
--- a/crates/batch/src/configs.rs
+++ b/crates/batch/src/configs.rs
@@ -15,13 +15,10 @@
     pub out_of_memory_pause: Duration,
     /// How long before its due time a piece is planned to finish.
     pub due_margin: Duration,
-    /// The factor by which the planned wait of a late piece is stretched, as pieces that arrive meanwhile and can
-    /// be on time go first. A piece that would then miss its deadline expires at once.
-    pub late_wait_factor: f64,
-    /// The largest such factor of a piece that reads results, which take memory of the stage before while it waits. Its
-    /// factor is greater the larger the part of the calls is that pieces on time took lately.
-    pub max_late_wait_factor: f64,
-    /// The time in which that part is forgotten.
+    /// The smallest and largest factor by which the planned wait of a late piece is stretched, as pieces that arrive
+    /// meanwhile and can be on time go first. A piece that would then miss its deadline expires at once.
+    pub late_wait_factors: (f64, f64),
+    /// The time over which the part of the capacity is averaged that pieces on time take.
     pub share_memory: Duration,
     /// The multiple of the latency of the pool's fastest server from which a server counts as slow and gets only
     /// trial calls.
@@ -44,8 +41,7 @@
             slack_calls: 1,
             out_of_memory_pause: Duration::from_millis(60),
             due_margin: Duration::from_millis(30),
-            late_wait_factor: 2.0,
-            max_late_wait_factor: 20.0,
+            late_wait_factors: (2.0, 10.0),
             share_memory: Duration::from_secs(1),
             slow_factor: 2.0,
             trial_interval: Duration::from_secs(1),
@@ -55,3 +51,21 @@
         }
     }
 }
+
+impl Config {
+    /// Returns the factor by which the planned wait of a late piece is stretched if pieces on time take some part of the
+    /// capacity.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// let config = batch::configs::Config::default();
+    /// assert_eq!(config.late_wait_factor(0.0), 2.0);
+    /// assert_eq!(config.late_wait_factor(0.75), 4.0);
+    /// assert_eq!(config.late_wait_factor(1.0), 10.0);
+    /// ```
+    pub fn late_wait_factor(&self, on_time_share: f64) -> f64 {
+        let (min, max) = self.late_wait_factors;
+        (1.0 / (1.0 - on_time_share).max(1.0 / max)).max(min)
+    }
+}
--- a/crates/batch/src/scheduler.rs
+++ b/crates/batch/src/scheduler.rs
@@ -3,6 +3,7 @@
 mod plan;
 mod queue;
 mod report;
+mod share;
 
 use std::rc::Rc;
 
--- a/crates/batch/src/scheduler/plan.rs
+++ b/crates/batch/src/scheduler/plan.rs
@@ -5,7 +5,7 @@
 use base::Tick;
 use site::{pool::Pieces, route::Rank};
 
-use crate::{Piece, configs::Config, piece::Source};
+use crate::{Piece, configs::Config};
 
 /// Pieces of one stage of one request, which share a due time.
 #[derive(Clone, Debug)]
@@ -25,12 +25,6 @@
 }
 
 impl Group {
-    /// Returns whether the group reads results of another stage.
-    fn reads_results(&self) -> bool {
-        let first = self.pieces.first();
-        first.is_some_and(|piece| matches!(piece.source, Source::Results(_)))
-    }
-
     fn ticket(&self) -> Option<u64> {
         self.pieces.first().map(|piece| piece.ticket)
     }
@@ -102,8 +96,8 @@
 /// Groups are considered by due time. If a group would be late, groups of its rank or a lower-priority one are
 /// deferred until it is on time, starting with the lowest density.
 ///
-/// `on_time_share` is the part of the servers' calls that groups on time took lately. A late group that reads results waits
-/// for what is left, so that it expires at once if nothing is, and its inputs don't take memory meanwhile.
+/// The wait of a late group is stretched by `late_wait_factor`, so that it expires at once if it would miss its deadline, and
+/// its inputs don't take memory meanwhile.
 ///
 /// A group that would finish just in time already counts as late, as calls end slightly later than planned.
 pub(crate) fn plan(
@@ -111,7 +105,7 @@
     mut groups: Vec<Group>,
     mut timeline: Timeline<'_>,
     config: &Config,
-    on_time_share: f64,
+    late_wait_factor: f64,
 ) -> Plan {
     let mut plan = Plan::default();
     groups.sort_by_key(|group| (group.due, group.ticket()));
@@ -139,14 +133,9 @@
     }
     let mut late = core::mem::take(&mut plan.late);
     late.sort_by_key(|group| (group.rank, group.deadline));
-    let busy_factor = 1.0 / (1.0 - on_time_share).max(1.0 / config.max_late_wait_factor);
     for group in late {
         let wait = timeline.finish_time(count + group.pieces.len()) - now;
-        let factor = match group.reads_results() {
-            true => busy_factor.max(config.late_wait_factor),
-            false => config.late_wait_factor,
-        };
-        if now + wait.mul_f64(factor) <= group.deadline {
+        if now + wait.mul_f64(late_wait_factor) <= group.deadline {
             count += group.pieces.len();
             plan.late.push(Group {
                 is_late: true,
--- a/crates/batch/src/scheduler/queue.rs
+++ b/crates/batch/src/scheduler/queue.rs
@@ -10,6 +10,7 @@
     Action, Batch, Completion, Context,
     plan::{Group, Plan, Timeline, call_time, plan},
     report::report,
+    share::Recent,
 };
 use crate::{Backlog, Piece, Shard, configs::Config, piece::Handle};
 
@@ -27,10 +28,10 @@
     unblocked_at: Option<Tick>,
     /// When each server is free, as of the last plan; empty before the first one.
     free_at: Vec<Tick>,
-    /// The part of the calls that pieces on time took lately.
-    on_time_share: f64,
-    /// When the last call was sent.
-    last_call: Tick,
+    /// The pieces that were sent on time lately.
+    on_time: Recent,
+    /// The factor by which the last plan stretched the wait of late pieces.
+    late_wait_factor: f64,
     /// The backlog that was computed last, and when.
     backlog: Option<(Tick, Backlog)>,
 }
@@ -215,14 +216,12 @@
             self.worker_mut(&server.id);
         }
         self.best_ratio = self.min_latency_ratio(&servers);
+        let on_time_share = self.on_time.share(cx.now, config, work, servers.len());
+        self.late_wait_factor = config.late_wait_factor(on_time_share);
         let timeline = Timeline::new(work, self.len(), self.free_times(cx, config, &servers));
-        let mut plan = plan(
-            cx.now,
-            core::mem::take(&mut self.groups),
-            timeline,
-            config,
-            self.on_time_share,
-        );
+        let groups = core::mem::take(&mut self.groups);
+        let factor = self.late_wait_factor;
+        let mut plan = plan(cx.now, groups, timeline, config, factor);
         let expired = plan.expired.drain(..).flat_map(|group| group.pieces);
         actions.extend(expired.map(Action::Expire));
         let mut free: Vec<_> = servers
@@ -236,7 +235,7 @@
             let pieces = self.take_pieces(cx, config, work, server, &servers, &mut plan);
             if !pieces.is_empty() {
                 let on_time = before.saturating_sub(count(&plan));
-                self.record_share(cx.now, config, work, on_time, servers.len());
+                self.on_time.record(on_time);
                 actions.push(Action::Send(self.start_batch(cx, work, server, pieces)));
             }
         }
@@ -245,25 +244,6 @@
         self.free_at = self.free_times(cx, config, &servers);
     }
 
-    /// Records the part of a call that pieces on time take.
-    fn record_share(
-        &mut self,
-        now: Tick,
-        config: &Config,
-        work: &Pieces,
-        on_time: usize,
-        servers: usize,
-    ) {
-        let share = on_time as f64 / work.max_batch.max(1) as f64;
-        // The servers' calls together make up the time that passes.
-        let time = call_time(work, work.max_batch) / u32::try_from(servers.max(1)).unwrap_or(1);
-        // After a pause the calls before it say little.
-        let time = time.max(now - self.last_call);
-        self.last_call = now;
-        let newness = 1.0 - (-time.div_duration_f64(config.share_memory)).exp();
-        self.on_time_share += newness * (share.min(1.0) - self.on_time_share);
-    }
-
     /// Returns the backlog, which is computed anew when the last one is older than a short time.
     pub(super) fn backlog(&mut self, now: Tick, config: &Config, work: &Pieces) -> &Backlog {
         let known = self.backlog.take();
@@ -280,7 +260,13 @@
         let free_at = self.free_at.iter().map(|at| (*at).max(now));
         Backlog {
             memory_permille: u16::try_from(memory).unwrap_or(1_000),
-            ..report(now, work, &self.groups, free_at.collect())
+            ..report(
+                now,
+                work,
+                &self.groups,
+                free_at.collect(),
+                self.late_wait_factor,
+            )
         }
     }
 
--- a/crates/batch/src/scheduler/report.rs
+++ b/crates/batch/src/scheduler/report.rs
@@ -17,7 +17,15 @@
 }
 
 /// Returns the waits in a queue whose servers are free at the given times. Nothing is known of a queue without servers.
-pub(super) fn report(now: Tick, work: &Pieces, groups: &[Group], free_at: Vec<Tick>) -> Backlog {
+///
+/// The waits of late pieces are stretched by `late_wait_factor`, as the plan does it.
+pub(super) fn report(
+    now: Tick,
+    work: &Pieces,
+    groups: &[Group],
+    free_at: Vec<Tick>,
+    late_wait_factor: f64,
+) -> Backlog {
     if free_at.is_empty() {
         return Backlog::default();
     }
@@ -33,7 +41,7 @@
         Level {
             rank: count.rank,
             on_time: wait(on_time),
-            late: wait(late),
+            late: wait(late).mul_f64(late_wait_factor.max(1.0)),
         }
     });
     Backlog {
--- a/crates/relay/src/admission.rs
+++ b/crates/relay/src/admission.rs
@@ -248,7 +248,7 @@
         rank = job.rank.account, route_rank = job.rank.route, account:% = account.map_or("", Name::as_str),
         shares = shares, waited_ms = request.waited.as_millis(), left_ms = request.time_left.as_millis(),
         objective_ms = request.objective.as_millis(), on_time_ms = estimate.on_time.as_millis(),
-        late_ms = estimate.late.as_millis(), late_calls = estimate.late_calls,
+        late_ms = estimate.late.as_millis(), clear_ms = estimate.clear_in.as_millis(),
         memory_permille = estimate.memory_permille, report_age_ms = estimate.age.as_millis(),
         pause_ms = pause.as_millis(); "request not started"
     );
--- a/crates/room/src/configs.rs
+++ b/crates/room/src/configs.rs
@@ -14,11 +14,6 @@
     /// The time, in full calls of the longest stage, by which a request must be expected to be late to be taken for late:
     /// waits are those of full calls behind all work of the rank, and the shards' own plans drop what is late in fact.
     pub tolerance_calls: f64,
-    /// The wait in later stages, in full calls, up to which late work may start. Its results take memory of the earlier
-    /// stages meanwhile; a server that isn't overloaded takes about this time, too.
-    pub late_calls: f64,
-    /// The same for callers that return after a refusal, which go before new ones of their rank.
-    pub returned_late_calls: f64,
     /// The part of the memory for results, in thousandths, from which on late work doesn't start.
     pub max_memory_permille: u16,
     /// The share of the time left at arrival that a request may be delayed, which is the share that callers wait after
@@ -50,8 +45,6 @@
             max_age: Duration::from_secs(3),
             max_shards: 512,
             tolerance_calls: 0.5,
-            late_calls: 1.0,
-            returned_late_calls: 2.0,
             max_memory_permille: 900,
             max_delay_share: 0.33,
             delay_steps: (Duration::from_millis(20), Duration::from_millis(250)),
--- a/crates/room/src/controller.rs
+++ b/crates/room/src/controller.rs
@@ -65,9 +65,7 @@
     pub idle: Duration,
     /// When it arrives if the request is late, so that others go first.
     pub late: Duration,
-    /// The longest wait of a later stage if the request is late, in full calls.
-    pub late_calls: f64,
-    /// The time until late work may start.
+    /// The longest wait of a stage for what is queued there now and goes first.
     pub clear_in: Duration,
     /// The longest call of a stage.
     pub call_time: Duration,
@@ -121,7 +119,7 @@
 pub enum Reason {
     /// It can't be answered before its deadline.
     Deadline,
-    /// It would be late, and take capacity from requests that can be on time.
+    /// It would be late, and take memory from requests that can be on time.
     Late,
     /// Its account has more than its share.
     Account,
@@ -197,12 +195,7 @@
                 late += wait.late;
                 estimate.is_pressed |= wait.is_queued;
                 estimate.age = estimate.age.max(wait.age);
-                if !stage.depends_on.is_empty() {
-                    let calls = wait.late.div_duration_f64(call_time.max(MIN_CALL));
-                    estimate.late_calls = estimate.late_calls.max(calls);
-                    let usual = call_time.mul_f64(self.config.late_calls);
-                    estimate.clear_in = estimate.clear_in.max(wait.late.saturating_sub(usual));
-                }
+                estimate.clear_in = estimate.clear_in.max(wait.on_time);
                 let is_read = stages.iter().any(|stage| stage.depends_on.contains(&at));
                 if is_read && estimate.memory_permille < wait.memory_permille {
                     estimate.memory_permille = wait.memory_permille;
@@ -246,24 +239,27 @@
         }
         let tolerance = estimate.call_time.mul_f64(self.config.tolerance_calls);
         let objective_left = request.objective.saturating_sub(request.waited);
-        let is_on_time = estimate.on_time <= objective_left + tolerance;
+        let is_on_time = |expected| expected <= objective_left + tolerance;
         let yields = request.draw >= self.config.spared_share
             && request
                 .account
                 .is_some_and(|account| self.accounts.is_heavy(account));
-        if is_on_time && !yields {
-            return Decision::Start;
-        }
-        if estimate.late > request.time_left {
-            return self.refuse(request, estimate, Reason::Deadline);
-        }
-        let max_calls = match request.has_returned {
-            true => self.config.returned_late_calls,
-            false => self.config.late_calls,
-        };
-        let has_memory = estimate.memory_permille <= self.config.max_memory_permille;
-        if !yields && has_memory && estimate.late_calls <= max_calls {
-            return Decision::Start;
+        if yields {
+            // Others of the rank go first, on time or late.
+            if is_on_time(estimate.late) {
+                return Decision::Start;
+            }
+        } else {
+            if is_on_time(estimate.on_time) {
+                return Decision::Start;
+            }
+            if estimate.late > request.time_left {
+                return self.refuse(request, estimate, Reason::Deadline);
+            }
+            // The plans of the shards let late work run when no other can be on time.
+            if estimate.memory_permille <= self.config.max_memory_permille {
+                return Decision::Start;
+            }
         }
         let total = request.delayed + request.time_left;
         let left = total
@@ -321,6 +317,3 @@
         }
     }
 }
-
-/// The shortest time of a call, which bounds the number of calls that a wait takes.
-const MIN_CALL: Duration = Duration::from_millis(1);
