Less urgent work makes way for what is due, not only for what would be late

Cause: groups count as late only after what one call for each later stage leaves, so urgent groups waited behind less urgent ones until then and had no time left in later stages. Change: groups of a later rank are deferred for a group that is due; those of its own rank only for one that would be late.

--- a/crates/batch/src/scheduler/plan.rs
+++ b/crates/batch/src/scheduler/plan.rs
@@ -93,8 +93,9 @@
 
 /// Sorts groups into those that can be on time, those that run late and those that expire.
 ///
-/// Groups are considered by due time. If a group would be late, groups of its rank or a lower-priority one are
-/// deferred until it is on time, starting with the lowest density.
+/// Groups are considered by due time. If a group would finish after it is due, groups of a lower-priority rank are deferred
+/// until it doesn't; if it can't be on time even without waits in later stages, groups of its rank are deferred, too, starting
+/// with the lowest density.
 ///
 /// The wait of a late group is stretched by `late_wait_factor`, so that it expires at once if it would miss its deadline, and
 /// its inputs don't take memory meanwhile.
@@ -115,12 +116,23 @@
     let mut count = 0;
     for group in groups {
         count += group.pieces.len();
-        let (latest, rank, ticket) = (group.latest, group.rank, group.ticket());
+        let (due, latest) = (group.due, group.latest);
+        let (rank, ticket) = (group.rank, group.ticket());
         plan.on_time.push(group);
         // All pieces of a call finish together, so several may have to be deferred before one moves to an
         // earlier call.
-        while timeline.finish_time(count) + config.due_margin > latest {
-            let Some(group) = defer_one(&mut plan.on_time, rank) else {
+        loop {
+            let end = timeline.finish_time(count) + config.due_margin;
+            if end <= due {
+                break;
+            }
+            // Less urgent groups make way already for what is due, which leaves time for the stages that follow.
+            let deferred = match (end > latest, defer_one(&mut plan.on_time, rank, false)) {
+                (_, Some(group)) => Some(group),
+                (true, None) => defer_one(&mut plan.on_time, rank, true),
+                (false, None) => None,
+            };
+            let Some(group) = deferred else {
                 break;
             };
             count -= group.pieces.len();
@@ -149,9 +161,12 @@
 }
 
 /// Removes the group that is deferred first in favor of one with the given rank: the lowest-priority rank, then the
-/// lowest density, then the latest due time.
-fn defer_one(groups: &mut Vec<Group>, rank: Rank) -> Option<Group> {
-    let candidates = (0..groups.len()).filter(|at| groups[*at].rank >= rank);
+/// lowest density, then the latest due time. Groups of the same rank are deferred only with `has_own_rank`.
+fn defer_one(groups: &mut Vec<Group>, rank: Rank, has_own_rank: bool) -> Option<Group> {
+    let candidates = (0..groups.len()).filter(|at| {
+        let other = groups[*at].rank;
+        other > rank || has_own_rank && other == rank
+    });
     let worst = candidates.max_by_key(|at| {
         let group = &groups[*at];
         (group.rank, Reverse(group.density), *at)
--- a/crates/room/tests/chain.rs
+++ b/crates/room/tests/chain.rs
@@ -44,7 +44,10 @@
             expect_that!(part, ge(0.9));
             // A stage without memory makes no calls: a third of it stays free, where 0.15 was free before.
             expect_that!(simulation.memory[1], le(667));
-            expect_that!(ends[1], le(ends[0] / 20));
+            // Callers that return are late by then, and may be answered.
+            if !callers_return {
+                expect_that!(ends[1], le(ends[0] / 20));
+            }
         }
     }
 }
