--- a/crates/room/examples/costs.rs
+++ b/crates/room/examples/costs.rs
@@ -12,6 +12,7 @@
     controller::{Request, Stage},
 };
 use site::route::Rank;
+use wire::{Message as _, feed};
 
 const POOLS: usize = 6;
 const DOMAINS: usize = 8;
@@ -38,6 +39,25 @@
     }
 }
 
+/// Returns the size of a report in a message, in bytes.
+fn message_bytes(shard: &Shard, backlog: &Backlog) -> usize {
+    let ms = |time: Duration| u32::try_from(time.as_millis()).unwrap_or(u32::MAX);
+    let levels = backlog.levels.iter().map(|level| feed::Level {
+        rank: u32::from(level.rank.account),
+        route_rank: u32::from(level.rank.route),
+        on_time_ms: ms(level.on_time),
+        late_ms: ms(level.late),
+    });
+    let message = feed::Backlog {
+        pool: shard.pool.as_str().to_owned(),
+        domain: shard.domain.clone().unwrap_or_default().as_str().to_owned(),
+        free_ms: ms(backlog.free_in),
+        levels: levels.collect(),
+        memory_permille: u32::from(backlog.memory_permille),
+    };
+    message.encoded_len()
+}
+
 fn main() {
     let mut controller = Controller::default();
     let owner = Name::from("instance-1");
@@ -101,6 +121,10 @@
     println!(
         "report recorded in {record_time:?}, decision in {decision_time:?}, {refused} of {DECISIONS} not started"
     );
+    println!(
+        "a report takes {} bytes in a message",
+        message_bytes(&shard(5, 7), &backlog(245))
+    );
     println!(
         "memory: about {} bytes for {} shards, {} bytes for {} accounts",
         controller.forecast.len() * shard_bytes,
