--- a/crates/relay/src/admission.rs
+++ b/crates/relay/src/admission.rs
@@ -21,6 +21,10 @@
 /// The interval at which the backlogs of this instance's own shards are recorded, which is that at which they are computed.
 const BACKLOG_INTERVAL: Duration = Duration::from_millis(50);
 
+/// The interval between reports to an instance with heartbeats. They count in full for a second, and many instances may ask
+/// the owner of a shard; those that use the shard learn more from its answers.
+const REPORT_INTERVAL: Duration = Duration::from_millis(800);
+
 /// The smallest part of its capacity with which a domain is drawn, so that its backlog stays known.
 const MIN_SPARE: f64 = 0.05;
 
@@ -255,10 +259,23 @@
 }
 
 impl<E: Transport> Hub<E> {
-    /// Returns the backlogs of the shards that this instance owns.
-    pub fn own_backlogs(&self) -> Vec<(Shard, Backlog)> {
+    /// Returns the backlogs to report to another instance with a heartbeat: those of shards of this instance that have queues,
+    /// if none were reported to it a short time ago.
+    pub fn backlogs_for(&self, peer: &Name) -> Vec<(Shard, Backlog)> {
         let now = self.transport.now();
-        self.with(|state| state.own_backlogs(now, &self.domain))
+        self.with(|state| {
+            let reported = &mut state.backlogs_reported;
+            reported.retain(|(_, at)| now < *at + REPORT_INTERVAL);
+            if reported.iter().any(|(name, _)| name == peer) {
+                return Vec::new();
+            }
+            let mut backlogs = state.own_backlogs(now, &self.domain);
+            backlogs.retain(|(_, backlog)| !backlog.levels.is_empty());
+            if !backlogs.is_empty() {
+                state.backlogs_reported.push((peer.clone(), now));
+            }
+            backlogs
+        })
     }
 
     /// Returns the backlog of a shard if this instance owns it.
--- a/crates/relay/src/hub.rs
+++ b/crates/relay/src/hub.rs
@@ -53,6 +53,8 @@
     pub controller: Controller,
     /// When the backlogs of this instance's shards were recorded last.
     pub(crate) backlogs_at: Option<Tick>,
+    /// When backlogs were last reported to other instances with heartbeats.
+    pub(crate) backlogs_reported: Vec<(Name, Tick)>,
     /// The retry budget.
     pub retry_window: Window,
     /// Connections that broke while the links were lost, any of which may be a crash.
@@ -112,6 +114,7 @@
                 scheduler: Scheduler::default(),
                 controller: Controller::default(),
                 backlogs_at: None,
+                backlogs_reported: Vec::new(),
                 retry_window: Window::new(bound),
                 held: Vec::new(),
                 crashes: Crashes::default(),
