--- a/crates/batch/src/scheduler/plan.rs
+++ b/crates/batch/src/scheduler/plan.rs
@@ -14,7 +14,11 @@
     pub(crate) rank: Rank,
     pub(crate) density: u32,
     pub(crate) due: Tick,
+    /// When the group has to finish to be on time.
+    pub(crate) latest: Tick,
     pub(crate) deadline: Tick,
+    /// Whether the last plan found that the group can't be on time.
+    pub(crate) is_late: bool,
     pub(crate) result_bytes: u64,
     pub(crate) preferred_domain: Option<base::Name>,
     pub(crate) transfer_bytes: u64,
@@ -56,6 +60,11 @@
         self.start(call) + call_time(self.work, size)
     }
 
+    /// Returns when the call starts that takes a piece behind the first `pieces` pieces.
+    pub(crate) fn start_time(&mut self, pieces: usize) -> Tick {
+        self.start(pieces / self.work.max_batch.max(1))
+    }
+
     fn start(&mut self, call: usize) -> Tick {
         while self.starts.len() <= call {
             let full = call_time(self.work, self.work.max_batch);
@@ -84,8 +93,12 @@
 
 /// Sorts groups into those that can be on time, those that run late and those that expire.
 ///
-/// Groups are considered by due time. If a group would be late, groups of its rank or a lower-priority one are
-/// deferred until it is on time, starting with the lowest density.
+/// Groups are considered by due time. If a group would finish after it is due, groups of a lower-priority rank are deferred
+/// until it doesn't; if it can't be on time even without waits in later stages, groups of its rank are deferred, too, starting
+/// with the lowest density.
+///
+/// The wait of a late group is stretched by `late_wait_factor`, so that it expires at once if it would miss its deadline, and
+/// its inputs don't take memory meanwhile.
 ///
 /// A group that would finish just in time already counts as late, as calls end slightly later than planned.
 pub(crate) fn plan(
@@ -93,18 +106,33 @@
     mut groups: Vec<Group>,
     mut timeline: Timeline<'_>,
     config: &Config,
+    late_wait_factor: f64,
 ) -> Plan {
     let mut plan = Plan::default();
     groups.sort_by_key(|group| (group.due, group.ticket()));
+    for group in &mut groups {
+        group.is_late = false;
+    }
     let mut count = 0;
     for group in groups {
         count += group.pieces.len();
-        let (due, rank, ticket) = (group.due, group.rank, group.ticket());
+        let (due, latest) = (group.due, group.latest);
+        let (rank, ticket) = (group.rank, group.ticket());
         plan.on_time.push(group);
         // All pieces of a call finish together, so several may have to be deferred before one moves to an
         // earlier call.
-        while timeline.finish_time(count) + config.due_margin > due {
-            let Some(group) = defer_one(&mut plan.on_time, rank) else {
+        loop {
+            let end = timeline.finish_time(count) + config.due_margin;
+            if end <= due {
+                break;
+            }
+            // Less urgent groups make way already for what is due, which leaves time for the stages that follow.
+            let deferred = match (end > latest, defer_one(&mut plan.on_time, rank, false)) {
+                (_, Some(group)) => Some(group),
+                (true, None) => defer_one(&mut plan.on_time, rank, true),
+                (false, None) => None,
+            };
+            let Some(group) = deferred else {
                 break;
             };
             count -= group.pieces.len();
@@ -119,9 +147,12 @@
     late.sort_by_key(|group| (group.rank, group.deadline));
     for group in late {
         let wait = timeline.finish_time(count + group.pieces.len()) - now;
-        if now + wait.mul_f64(config.late_wait_factor) <= group.deadline {
+        if now + wait.mul_f64(late_wait_factor) <= group.deadline {
             count += group.pieces.len();
-            plan.late.push(group);
+            plan.late.push(Group {
+                is_late: true,
+                ..group
+            });
         } else {
             plan.expired.push(group);
         }
@@ -130,9 +161,12 @@
 }
 
 /// Removes the group that is deferred first in favor of one with the given rank: the lowest-priority rank, then the
-/// lowest density, then the latest due time.
-fn defer_one(groups: &mut Vec<Group>, rank: Rank) -> Option<Group> {
-    let candidates = (0..groups.len()).filter(|at| groups[*at].rank >= rank);
+/// lowest density, then the latest due time. Groups of the same rank are deferred only with `has_own_rank`.
+fn defer_one(groups: &mut Vec<Group>, rank: Rank, has_own_rank: bool) -> Option<Group> {
+    let candidates = (0..groups.len()).filter(|at| {
+        let other = groups[*at].rank;
+        other > rank || has_own_rank && other == rank
+    });
     let worst = candidates.max_by_key(|at| {
         let group = &groups[*at];
         (group.rank, Reverse(group.density), *at)
--- a/crates/batch/src/scheduler/queue.rs
+++ b/crates/batch/src/scheduler/queue.rs
@@ -9,8 +9,10 @@
 use super::{
     Action, Batch, Completion, Context,
     plan::{Group, Plan, Timeline, call_time, plan},
+    report::report,
+    share::Recent,
 };
-use crate::{Piece, Shard, configs::Config, piece::Handle};
+use crate::{Backlog, Piece, Shard, configs::Config, piece::Handle};
 
 /// The factor by which a call may exceed its expected time before it is overdue.
 const TIMEOUT_FACTOR: f64 = 3.0;
@@ -24,6 +26,14 @@
     best_ratio: f64,
     /// When the first server without a turn may get a call, or the first one at all if all are blocked or paused.
     unblocked_at: Option<Tick>,
+    /// When each server is free, as of the last plan; empty before the first one.
+    free_at: Vec<Tick>,
+    /// The pieces that were sent on time lately.
+    on_time: Recent,
+    /// The factor by which the last plan stretched the wait of late pieces.
+    late_wait_factor: f64,
+    /// The backlog that was computed last, and when.
+    backlog: Option<(Tick, Backlog)>,
 }
 
 /// The state of one server, as seen by this instance.
@@ -72,7 +82,9 @@
             rank: first.rank,
             density: first.density,
             due: first.due,
+            latest: first.due + first.slack,
             deadline: first.deadline,
+            is_late: false,
             result_bytes: first.result_bytes,
             preferred_domain: first.preferred_domain.clone(),
             transfer_bytes: first.transfer_bytes,
@@ -204,8 +216,12 @@
             self.worker_mut(&server.id);
         }
         self.best_ratio = self.min_latency_ratio(&servers);
+        let on_time_share = self.on_time.share(cx.now, config, work, servers.len());
+        self.late_wait_factor = config.late_wait_factor(on_time_share);
         let timeline = Timeline::new(work, self.len(), self.free_times(cx, config, &servers));
-        let mut plan = plan(cx.now, core::mem::take(&mut self.groups), timeline, config);
+        let groups = core::mem::take(&mut self.groups);
+        let factor = self.late_wait_factor;
+        let mut plan = plan(cx.now, groups, timeline, config, factor);
         let expired = plan.expired.drain(..).flat_map(|group| group.pieces);
         actions.extend(expired.map(Action::Expire));
         let mut free: Vec<_> = servers
@@ -214,13 +230,44 @@
             .collect();
         free.sort_by_key(|server| self.worker(&server.id).map(|worker| worker.busy_until));
         for server in free {
+            let count = |plan: &Plan| plan.on_time.iter().map(|group| group.pieces.len()).sum();
+            let before: usize = count(&plan);
             let pieces = self.take_pieces(cx, config, work, server, &servers, &mut plan);
             if !pieces.is_empty() {
+                let on_time = before.saturating_sub(count(&plan));
+                self.on_time.record(on_time);
                 actions.push(Action::Send(self.start_batch(cx, work, server, pieces)));
             }
         }
         self.groups = plan.on_time;
         self.groups.append(&mut plan.late);
+        self.free_at = self.free_times(cx, config, &servers);
+    }
+
+    /// Returns the backlog, which is computed anew when the last one is older than a short time.
+    pub(super) fn backlog(&mut self, now: Tick, config: &Config, work: &Pieces) -> &Backlog {
+        let known = self.backlog.take();
+        let known = known.filter(|(at, _)| now < *at + config.backlog_interval);
+        let (at, backlog) = known.unwrap_or_else(|| (now, self.compute_backlog(now, work)));
+        &self.backlog.insert((at, backlog)).1
+    }
+
+    fn compute_backlog(&self, now: Tick, work: &Pieces) -> Backlog {
+        let stored = self.workers.iter().map(|worker| worker.used_bytes(now));
+        let used = stored.sum::<u64>().saturating_mul(1_000);
+        let capacity = work.memory_bytes * self.workers.len() as u64;
+        let memory = used.checked_div(capacity).unwrap_or_default().min(1_000);
+        let free_at = self.free_at.iter().map(|at| (*at).max(now));
+        Backlog {
+            memory_permille: u16::try_from(memory).unwrap_or(1_000),
+            ..report(
+                now,
+                work,
+                &self.groups,
+                free_at.collect(),
+                self.late_wait_factor,
+            )
+        }
     }
 
     /// Returns the next time at which a server for the queued pieces may be free or have memory again.
@@ -261,6 +308,7 @@
             .into_iter()
             .partition(|group| usable_at.is_some_and(|at| at < group.deadline));
         self.groups = kept;
+        self.free_at = usable_at.into_iter().collect();
         let expired = expired.into_iter().flat_map(|group| group.pieces);
         actions.extend(expired.map(Action::Expire));
     }
@@ -434,9 +482,13 @@
         if now < self.out_of_memory_until {
             return 0;
         }
+        work.memory_bytes.saturating_sub(self.used_bytes(now))
+    }
+
+    /// Returns the memory that results take or will take after the call in flight, in bytes.
+    fn used_bytes(&self, now: Tick) -> u64 {
         let stored = self.results.iter().filter(|result| now < result.expires_at);
         let stored: u64 = stored.map(|result| result.bytes).sum();
-        work.memory_bytes
-            .saturating_sub(self.reserved_bytes + stored)
+        self.reserved_bytes + stored
     }
 }
--- a/crates/feed/src/codec.rs
+++ b/crates/feed/src/codec.rs
@@ -15,7 +15,7 @@
 
 use crate::{
     Answer, Ask, CachedChain, Delegation, EngineLoad, Error, Evacuation, Evacuations, Grant,
-    Heartbeat, Limit, Lists, Results, Topics, Wanted,
+    Heartbeat, Limit, Lists, Results, Topics, Wanted, backlogs,
 };
 
 pub(crate) fn encode_delegation(delegation: Delegation) -> message::Order {
@@ -44,6 +44,7 @@
         route_rank: u32::from(delegation.rank.route),
         pull: delegation.transfer_bytes,
         density: delegation.density,
+        slack_ms: millis(delegation.slack),
         domain: delegation
             .preferred_domain
             .map_or_else(String::new, |domain| domain.as_str().to_owned()),
@@ -68,6 +69,7 @@
         numbers: order.numbers,
         source,
         due: Duration::from_millis(u64::try_from(order.due_ms).unwrap_or(0)),
+        slack: Duration::from_millis(order.slack_ms),
         time_left: Duration::from_millis(order.left_ms),
         result_bytes: order.bytes,
         rank: Rank {
@@ -81,7 +83,7 @@
 }
 
 pub(crate) fn encode_results(results: Results) -> message::Results {
-    let results = results.into_iter().map(|outcome| match outcome {
+    let outcomes = results.outcomes.into_iter().map(|outcome| match outcome {
         Outcome::Result(handle) => message::Result {
             handle: Some(encode_handle(&handle)),
             reason: 0,
@@ -98,12 +100,13 @@
         },
     });
     message::Results {
-        results: results.collect(),
+        results: outcomes.collect(),
+        backlogs: backlogs::encode(results.backlogs),
     }
 }
 
 pub(crate) fn decode_results(results: message::Results) -> Result<Results, Error> {
-    let results = results.results.into_iter().map(|result| {
+    let outcomes = results.results.into_iter().map(|result| {
         let reason = result.reason();
         match result.handle {
             Some(handle) => Ok(Outcome::Result(decode_handle(handle)?)),
@@ -115,7 +118,11 @@
             })),
         }
     });
-    results.collect()
+    let outcomes: Result<Vec<_>, _> = outcomes.collect();
+    Ok(Results {
+        outcomes: outcomes?,
+        backlogs: backlogs::decode(results.backlogs),
+    })
 }
 
 pub(crate) fn encode_heartbeat(heartbeat: Heartbeat) -> message::Pulse {
@@ -150,6 +157,7 @@
             .collect(),
         limits: heartbeat.limits.into_iter().map(encode_limit).collect(),
         cut_off: heartbeat.is_cut_off,
+        backlogs: backlogs::encode(heartbeat.backlogs),
         cold: heartbeat.cold.into_iter().map(encode_cold).collect(),
         evacuations: heartbeat.evacuations.map(encode_evacuations),
     }
@@ -470,6 +478,7 @@
         departures: pulse.departures.into_iter().map(decode_departure).collect(),
         limits: pulse.limits.into_iter().filter_map(decode_limit).collect(),
         is_cut_off: pulse.cut_off,
+        backlogs: backlogs::decode(pulse.backlogs),
         cold: pulse.cold.into_iter().map(decode_cold).collect(),
         evacuations: pulse.evacuations.map(decode_evacuations),
     }
--- a/crates/feed/tests/loopback.rs
+++ b/crates/feed/tests/loopback.rs
@@ -4,13 +4,14 @@
 
 use base::{Incarnation, Software, Stamp};
 use batch::{
-    Shard,
+    Backlog, Shard,
+    backlog::Level,
     piece::{Handle, Outcome, Reason, Source},
 };
 use bytes::Bytes;
 use feed::{
     Answer, CachedChain, Client, Command, Delegation, EngineLoad, Evacuation, Evacuations,
-    Heartbeat, Limit, Lists, Topics, Wanted, serve,
+    Heartbeat, Limit, Lists, Results, Topics, Wanted, serve,
 };
 use googletest::prelude::*;
 use mesh::{Changes, Departure, Origin, Position, Record, origins};
@@ -49,6 +50,7 @@
         },
         density: 12_000,
         due: Duration::from_millis(250),
+        slack: Duration::from_millis(40),
         time_left: Duration::from_millis(900),
         result_bytes: 60_000,
         preferred_domain: Some("a".into()),
@@ -79,7 +81,24 @@
     let (sender, mut commands) = mpsc::unbounded_channel();
     let address = "127.0.0.1:17741".parse().unwrap();
     serve(address, sender).unwrap();
-    let outcomes = vec![Outcome::Result(handle(7)), Outcome::Failed(Reason::Room)];
+    let shard = Shard {
+        pool: "portfolio".into(),
+        domain: Some("a".into()),
+    };
+    let level = Level {
+        rank: Rank::new(Some(1), 2),
+        on_time: Duration::from_millis(300),
+        late: Duration::from_millis(700),
+    };
+    let backlog = Backlog {
+        free_in: Duration::from_millis(20),
+        levels: vec![level],
+        memory_permille: 450,
+    };
+    let results = Results {
+        outcomes: vec![Outcome::Result(handle(7)), Outcome::Failed(Reason::Room)],
+        backlogs: vec![(shard.clone(), backlog.clone())],
+    };
     let heartbeat = Heartbeat {
         name: "b".into(),
         leaving: true,
@@ -118,6 +137,10 @@
             received_age: Duration::from_millis(20),
         }],
         is_cut_off: true,
+        backlogs: vec![
+            (shard, backlog),
+            (Shard::whole(&"p".into()), Backlog::default()),
+        ],
         cold: vec![Report {
             server: "i-5".into(),
             started_at_ms: 1_790_000_000_000,
@@ -143,11 +166,11 @@
             let Some(Command::Run { delegation, reply }) = commands.recv().await else {
                 panic!("expected a delegation");
             };
-            reply.send(outcomes.clone()).unwrap();
+            reply.send(results.clone()).unwrap();
             delegation
         });
         expect_that!(received, eq(&sent));
-        expect_that!(answer.unwrap(), eq(&outcomes));
+        expect_that!(answer.unwrap(), eq(&results));
     }
     let (answer, received) = tokio::join!(
         client.send_heartbeat(address, heartbeat.clone(), Duration::from_secs(5)),
@@ -155,7 +178,7 @@
             let Some(Command::Heartbeat { heartbeat, reply }) = commands.recv().await else {
                 panic!("expected a heartbeat");
             };
-            reply.send((*heartbeat).clone()).unwrap();
+            reply.send(*heartbeat.clone()).unwrap();
             *heartbeat
         }
     );
--- a/crates/relay/src/hub.rs
+++ b/crates/relay/src/hub.rs
@@ -10,6 +10,7 @@
 use quota::{Brittle, Cold, Limits, Meter};
 use rand::{SeedableRng, rngs::SmallRng};
 use retry::{Crashes, Parts, Window, window::Bound};
+use room::Controller;
 use site::{Config, History, Regions, Roster, roster::Server};
 
 use crate::{
@@ -52,6 +53,12 @@
     pub cold: Cold,
     /// The scheduler of stage pieces.
     pub scheduler: Scheduler,
+    /// The waits that the backlogs of shards let expect, and the admission of requests by them.
+    pub controller: Controller,
+    /// When the backlogs of this instance's shards were recorded last.
+    pub(crate) backlogs_at: Option<Tick>,
+    /// When backlogs were last reported to other instances with heartbeats.
+    pub(crate) backlogs_reported: Vec<(Name, Tick)>,
     /// The retry budget.
     pub retry_window: Window,
     /// Connections that broke while the links were lost, any of which may be a crash.
@@ -114,6 +121,9 @@
                 brittle: Brittle::default(),
                 cold: Cold::default(),
                 scheduler: Scheduler::default(),
+                controller: Controller::default(),
+                backlogs_at: None,
+                backlogs_reported: Vec::new(),
                 retry_window: Window::new(bound),
                 held: Vec::new(),
                 crashes: Crashes::default(),
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -17,8 +17,10 @@
 use mesh::{Members, Origin, Peer, origins};
 use quota::{Statement, Turn, cold::Report};
 use relay::{
-    Answer, Call, Failure, Hub, Job, Notice, Rate, Reply, Transport, call::Results,
-    configs::Config, serve::serve,
+    Answer, Call, Failure, Hub, Job, Notice, Rate, Reply, Transport,
+    call::{Delegated, Results},
+    configs::Config,
+    serve::serve,
 };
 use retry::{parts::Crash, window::Bound};
 use site::{
@@ -401,12 +403,7 @@
         })
     }
 
-    async fn delegate(
-        &self,
-        owner: &Peer,
-        _: &Shard,
-        _: &[Piece],
-    ) -> Result<Vec<Outcome>, Failure> {
+    async fn delegate(&self, owner: &Peer, _: &Shard, _: &[Piece]) -> Result<Delegated, Failure> {
         self.delegated.borrow_mut().push(owner.domain.clone());
         if self.is_mesh_silent.get() {
             core::future::pending::<()>().await;
@@ -584,6 +581,7 @@
         last_event: None,
         resumption: None,
         origin: OnceCell::new(),
+        waited: Cell::default(),
         origin_check: watch::Sender::default(),
         request: Rc::new(()),
     })
