--- a/crates/quota/src/cold.rs
+++ b/crates/quota/src/cold.rs
@@ -68,8 +68,8 @@
 struct Known {
     server: Name,
     started_at_ms: u64,
-    /// The number of entries that the server had written by the last one that was read.
-    sequence: u64,
+    /// The number of entries that the server had written by the last one that was read, if one was.
+    sequence: Option<u64>,
     /// Until when it is cold by its start time, and by entries and answers.
     start_until: Tick,
     until: Tick,
@@ -80,6 +80,8 @@
     /// The time of the last turn that was granted, and of the last line on a denied one.
     last_turn: Option<Tick>,
     logged_at: Option<Tick>,
+    /// When it last answered this instance.
+    answered_at: Tick,
     /// The denied turns of the last second, decayed to `denied_at`.
     denied: f64,
     denied_at: Tick,
@@ -137,14 +139,14 @@
         if entry.started_at_ms < known.started_at_ms {
             return Change::None;
         }
-        let is_first = known.sequence == 0;
-        if !is_first && entry.sequence <= known.sequence {
+        let is_first = known.sequence.is_none();
+        if known.sequence >= Some(entry.sequence) {
             return Change::None;
         }
         if is_first && !entry.start_left.is_zero() {
             known.start_until = now + entry.start_left;
         }
-        known.sequence = entry.sequence;
+        known.sequence = Some(entry.sequence);
         let is_denied = known
             .event_at
             .is_some_and(|at| !is_first && now - at >= config.max_entry_age);
@@ -198,6 +200,13 @@
         known.update(now, &config)
     }
 
+    /// Records that a server answered this instance.
+    pub fn record_contact(&mut self, now: Tick, server: &Name) {
+        if let Ok(at) = self.find(server) {
+            self.servers[at].answered_at = now;
+        }
+    }
+
     /// Records what another instance reported.
     pub fn record_report(&mut self, now: Tick, report: &Report) -> Change {
         let config = self.config.clone();
@@ -209,12 +218,14 @@
             let at = Tick::default() + (now - (Tick::default() + age));
             // An event that later entries have denied here is not taken up again.
             let may_hold = age < config.max_entry_age
-                || age < config.max_event_time && known.sequence <= report.sequence;
-            if may_hold && known.event_at.is_none_or(|before| before < at) {
+                || age < config.max_event_time && known.sequence <= Some(report.sequence);
+            // The other instance may have lost its link to a server that answers here.
+            let was_away = known.answered_at + config.min_away <= at;
+            if may_hold && was_away && known.event_at.is_none_or(|before| before < at) {
                 known.event_at = Some(at);
                 known.is_shared = false;
             }
-        } else if report.sequence >= known.sequence {
+        } else if Some(report.sequence) >= known.sequence {
             known.until = known.until.max(now + report.left);
         }
         known.update(now, &config)
@@ -388,13 +399,14 @@
         Self {
             server,
             started_at_ms,
-            sequence: 0,
+            sequence: None,
             start_until: Tick::from_micros(0),
             until: Tick::from_micros(0),
             event_at: None,
             is_shared: false,
             last_turn: None,
             logged_at: None,
+            answered_at: Tick::from_micros(0),
             denied: 0.0,
             denied_at: now,
             is_cold: false,
@@ -429,7 +441,7 @@
             server: self.server.clone(),
             started_at_ms: self.started_at_ms,
             left: self.end(config) - now,
-            sequence: self.sequence,
+            sequence: self.sequence.unwrap_or(0),
             event_age: self.event_at.map(|at| now - at),
         }
     }
--- a/crates/quota/src/configs.rs
+++ b/crates/quota/src/configs.rs
@@ -67,6 +67,8 @@
     pub min_entry_age: Duration,
     /// The longest such time: the store's delay of 0.8 s, the pause between two reads and the heartbeat that passes it on.
     pub max_entry_age: Duration,
+    /// How long a server must not have answered this instance for an event that another one reports to count.
+    pub min_away: Duration,
     /// How long a server counts as cold after an event if no entry arrives.
     pub max_event_time: Duration,
     /// The time after the end of the cold time in which the rate grows.
@@ -102,6 +104,7 @@
             burst: Duration::from_millis(40),
             min_entry_age: Duration::from_millis(800),
             max_entry_age: Duration::from_secs(2),
+            min_away: Duration::from_secs(1),
             max_event_time: Duration::from_secs(15),
             ramp: Duration::from_millis(1_200),
             doubling: Duration::from_millis(300),
--- a/crates/relay/src/notices.rs
+++ b/crates/relay/src/notices.rs
@@ -25,6 +25,9 @@
                 "answer",
             );
         }
+        if notice.is_direct && notice.rate != Rate::Unclear {
+            self.cold.record_contact(notice.received_at, &notice.server);
+        }
         if let Some(left) = notice.cold_left {
             let times = (notice.sent_at, notice.received_at);
             self.record_cold_answer(times, &notice.server, notice.started_at_ms, left);
--- a/crates/relay/src/turns.rs
+++ b/crates/relay/src/turns.rs
@@ -85,9 +85,7 @@
         }
         let first = hub.with(|state| state.first_in_turn(now, job, pool, tried));
         let Some((server, free_at)) = first else {
-            let choice = attempt::choose_blocked(hub, job, pool, inputs, tried);
-            return Ok(choice
-                .filter(|choice| !hub.with(|state| state.needs_turn(now, &choice.server, true))));
+            return Ok(choose_blocked_in_turn(hub, job, pool, inputs, tried, give_up_at).await);
         };
         if free_at > give_up_at || now > give_up_at {
             return Err(NoTurn);
@@ -111,6 +109,30 @@
     }
 }
 
+/// Chooses a server that another instance has to call, and takes a turn there if it needs one: a server that could not be
+/// reached may be cold.
+async fn choose_blocked_in_turn<E: Transport>(
+    hub: &Rc<Hub<E>>,
+    job: &Job<E::Request>,
+    pool: &Name,
+    inputs: &Inputs<E>,
+    tried: &[Name],
+    give_up_at: Tick,
+) -> Option<Choice> {
+    let choice = attempt::choose_blocked(hub, job, pool, inputs, tried)?;
+    let now = hub.transport.now();
+    let duration = job.time_left(now);
+    let turn = hub.take_turn(&choice.server, give_up_at - now, duration);
+    turn.await.ok()?;
+    let now = hub.transport.now();
+    let may_use = hub.with(|state| state.may_get_work(now, &choice.server));
+    if !may_use || job.time_left(now).is_zero() {
+        hub.end_turn(&choice.server, false);
+        return None;
+    }
+    Some(choice)
+}
+
 impl<E: Transport> Hub<E> {
     /// Takes a turn at a server, and waits for it if it comes within `max_wait`. A server without a limit needs none.
     /// The request takes `duration` at most, or no slot if that is zero; the end of one that takes a slot is recorded with
