--- a/crates/relay/src/body.rs
+++ b/crates/relay/src/body.rs
@@ -111,12 +111,12 @@
                 return Ok(None);
             }
             if self.events.is_invalid() {
-                self.resume(Failure::Mismatched).await?;
+                Box::pin(self.resume(Failure::Mismatched)).await?;
             }
             match self.next_chunk().await {
                 Ok(Some(bytes)) => {
                     if self.is_from_another_version() {
-                        self.resume(Failure::Mismatched).await?;
+                        Box::pin(self.resume(Failure::Mismatched)).await?;
                         continue;
                     }
                     self.last_bytes_at = self.hub.transport.now();
@@ -131,7 +131,7 @@
                         return Ok(Some(events));
                     }
                     if !self.may_become_event() {
-                        self.resume(Failure::Mismatched).await?;
+                        Box::pin(self.resume(Failure::Mismatched)).await?;
                     }
                 }
                 Ok(None) if self.is_empty_rest() => {
@@ -140,10 +140,10 @@
                     return Err(self.fail(last_event, "the next server sent no event"));
                 }
                 Ok(None) => match self.early_end() {
-                    Some(failure) => self.resume(failure).await?,
+                    Some(failure) => Box::pin(self.resume(failure)).await?,
                     None => return Ok(self.complete()),
                 },
-                Err(failure) => self.resume(failure).await?,
+                Err(failure) => Box::pin(self.resume(failure)).await?,
             }
         }
     }
@@ -184,7 +184,7 @@
             if time_left <= limit {
                 return Err(Failure::TimedOut);
             }
-            if let Some(chunk) = self.try_beside(limit).await {
+            if let Some(chunk) = Box::pin(self.try_beside(limit)).await {
                 return chunk;
             }
         }
@@ -372,7 +372,8 @@
         (!remainder.is_empty()).then_some(remainder)
     }
 
-    /// Sends the request to another server after a failure, to continue after the last complete event.
+    /// Sends the request to another server after a failure, to continue after the last complete event. It is boxed where it is
+    /// awaited, as is the try beside a silent server, so that streams without failures don't take the memory for it.
     async fn resume(&mut self, failure: Failure) -> Result<(), Failure> {
         let last_event = self.events.last_id();
         let now = self.hub.transport.now();
