Test streams that drip a byte now and then

Drips of a byte each 0.5, 1 and 1.9 s end by the deadline of the request; only faster ones were tested. Callers leave earlier, after 4 s: that stays open.

--- a/crates/relay/tests/garbage.rs
+++ b/crates/relay/tests/garbage.rs
@@ -153,6 +153,26 @@
     }
 }
 
+/// A trickle with long pauses has too few parts to be told from a slow event, and must not hold a stream beyond its deadline.
+#[gtest]
+#[actix_web::test]
+async fn a_stream_that_drips_a_byte_now_and_then_ends_by_its_deadline() {
+    for pause_ms in [500, 1_000, 1_900] {
+        time::pause();
+        let hub = hub(vec![endless(FIRST, "x", Duration::from_millis(pause_ms))]);
+        let job = patient_job(&hub, Kind::Streaming, |_| {});
+        let start = time::Instant::now();
+        expect_that!(text_of(&hub, job).await, err(anything()), "{pause_ms}");
+        // The deadline, and the precision of timers.
+        expect_that!(
+            start.elapsed(),
+            le(Duration::from_millis(8_010)),
+            "{pause_ms}"
+        );
+        time::resume();
+    }
+}
+
 /// A sound stream is not limited in size, and an event may arrive in many parts with a silence between.
 #[gtest]
 #[actix_web::test]
