Choose servers by their learned and momentary speed

Servers of one pool differ, for good (0.6, 1.0 and 1.6 of the usual speed) and for moments, and pools read 38 to 157 prompt tokens per ms where the code assumed 45 for all. An instance chose as if all were equal.

pick::speed learns the usual time of each pool and the time of each server relative to it, from answers and from calls in flight, shrunk toward the pool where evidence is thin. The fourth figure of the load header counts with a half-life of 200 ms, unless answers contradict it. Choices of engines and plain servers use both; without evidence they are the same as before, which a test compares for 300 random states. Where servers differ, one is drawn by speed for each request, and new work counts at no faster server for less than at that one, so that instances don't all choose the fastest. Calls to a stage server that is 1.3 times slower than usual take fewer pieces. Heartbeats tell speeds that changed by a tenth.

--- a/crates/batch/src/configs.rs
+++ b/crates/batch/src/configs.rs
@@ -19,8 +19,10 @@
     /// be on time go first. A piece that would then miss its deadline expires at once.
     pub late_wait_factor: f64,
     /// The multiple of the latency of the pool's fastest server from which a server counts as slow and gets only
-    /// trial calls.
+    /// trial calls. Servers take 2.5 times as long for moments, and get smaller calls then.
     pub slow_factor: f64,
+    /// The multiple of the usual latency of the pool's servers from which a server gets calls with fewer pieces.
+    pub uneven_factor: f64,
     /// The pause between trial calls to a slow server.
     pub trial_interval: Duration,
     /// The weight of the newest call in a server's moving average of latency.
@@ -37,7 +39,8 @@
             out_of_memory_pause: Duration::from_millis(60),
             due_margin: Duration::from_millis(30),
             late_wait_factor: 2.0,
-            slow_factor: 2.0,
+            slow_factor: 3.0,
+            uneven_factor: 1.3,
             trial_interval: Duration::from_secs(1),
             latency_weight: 0.5,
             min_recovery_time: Duration::from_millis(400),
--- a/crates/batch/src/scheduler.rs
+++ b/crates/batch/src/scheduler.rs
@@ -68,6 +68,8 @@
     pub running: u32,
     /// Calls that are queued.
     pub waiting: u32,
+    /// How long work takes there now in percent of the usual time, if the server states it.
+    pub slowness: Option<u32>,
 }
 
 /// How a call ended.
--- a/crates/batch/src/scheduler/queue.rs
+++ b/crates/batch/src/scheduler/queue.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 
 use base::{Name, Tick};
+use pick::speed::Momentary;
 use site::{pool::Pieces, roster::Server};
 
 use super::{
@@ -22,6 +23,8 @@
     workers: Vec<Worker>,
     /// The latency ratio of the fastest reachable server.
     best_ratio: f64,
+    /// The median latency ratio of the reachable servers.
+    usual_ratio: f64,
     /// When the first server without a turn may get a call, or the first one at all if all are blocked or paused.
     unblocked_at: Option<Tick>,
 }
@@ -36,6 +39,10 @@
     busy_until: Tick,
     /// The moving average of call times, relative to the expected time.
     latency_ratio: f64,
+    /// The time of the newest call, relative to the expected time.
+    newest_ratio: f64,
+    /// How long work takes at the server now, as it states.
+    momentary: Momentary,
     /// When the last call was sent.
     last_call: Tick,
     /// Whether the call in flight is overdue.
@@ -125,10 +132,16 @@
                 let other_calls = load.map_or(0, |load| load.running + load.waiting);
                 let mut latency_ratio =
                     elapsed.div_duration_f64(call_time(work, pieces).max(Duration::from_millis(1)));
+                if let Some(percent) = load.and_then(|load| load.slowness) {
+                    worker.momentary.record(now, percent);
+                    let base = worker.latency_ratio.max(0.1);
+                    latency_ratio = worker.momentary.compare(now, latency_ratio / base) * base;
+                }
                 if was_overdue {
                     // A single silence, however long, tells little about the calls that follow.
                     latency_ratio = latency_ratio.min(TIMEOUT_FACTOR * worker.latency_ratio);
                 }
+                worker.newest_ratio = latency_ratio;
                 worker.latency_ratio +=
                     config.latency_weight * (latency_ratio - worker.latency_ratio);
                 worker.busy_until = now + typical_time * other_calls;
@@ -203,7 +216,9 @@
         for server in &servers {
             self.worker_mut(&server.id);
         }
-        self.best_ratio = self.min_latency_ratio(&servers);
+        let ratios = self.latency_ratios(&servers);
+        self.best_ratio = ratios.first().copied().unwrap_or(1.0);
+        self.usual_ratio = ratios.get((ratios.len() - 1) / 2).copied().unwrap_or(1.0);
         let timeline = Timeline::new(work, self.len(), self.free_times(cx, config, &servers));
         let mut plan = plan(cx.now, core::mem::take(&mut self.groups), timeline, config);
         let expired = plan.expired.drain(..).flat_map(|group| group.pieces);
@@ -279,11 +294,29 @@
         times
     }
 
-    fn min_latency_ratio(&self, servers: &[Rc<Server>]) -> f64 {
+    /// Returns the latency ratios of servers from the lowest to the highest.
+    fn latency_ratios(&self, servers: &[Rc<Server>]) -> Vec<f64> {
         let workers = servers.iter().filter_map(|server| self.worker(&server.id));
-        workers
-            .map(|worker| worker.latency_ratio)
-            .fold(f64::INFINITY, f64::min)
+        let mut ratios: Vec<_> = workers.map(|worker| worker.latency_ratio).collect();
+        ratios.sort_by(f64::total_cmp);
+        ratios
+    }
+
+    /// Returns the number of pieces with which a call to a server ends when a full call to a usual server would.
+    fn max_pieces(&self, now: Tick, config: &Config, work: &Pieces, worker: &Worker) -> usize {
+        let full = work.max_batch.max(1);
+        // One usual call shows that a server is no longer slow.
+        let base = worker.latency_ratio.min(worker.newest_ratio);
+        let ratio = base * worker.momentary.factor(now) / self.usual_ratio.max(1.0);
+        if ratio < config.uneven_factor {
+            return full;
+        }
+        let time_left = work
+            .full_call_time()
+            .div_f64(ratio)
+            .saturating_sub(work.call_time);
+        let fitting = time_left.div_duration_f64(work.piece_time.max(Duration::from_micros(1)));
+        (fitting as usize).clamp(1, full)
     }
 
     /// Returns whether a server is slow compared with the others of its pool.
@@ -315,7 +348,12 @@
             return Vec::new();
         };
         let is_trial = self.is_slow(config, worker);
-        let max_pieces = if is_trial { 1 } else { work.max_batch.max(1) };
+        let max_pieces = match (is_trial, plan.late.is_empty()) {
+            (true, _) => 1,
+            (false, true) => self.max_pieces(cx.now, config, work, worker),
+            // Full calls do the most work in their time, which counts where not all work can be on time.
+            (false, false) => work.max_batch.max(1),
+        };
         let mut free_bytes = worker.free_bytes(cx.now, work);
         let mut batch: Vec<Piece> = Vec::new();
         for groups in [&mut plan.on_time, &mut plan.late] {
@@ -377,7 +415,7 @@
     ) -> Batch {
         let expected = call_time(work, pieces.len());
         let worker = self.worker_mut(&server.id);
-        let expected_here = expected.mul_f64(worker.latency_ratio.clamp(1.0, 10.0));
+        let expected_here = expected.mul_f64(worker.expected_ratio(cx.now).clamp(1.0, 10.0));
         worker.calls += 1;
         worker.last_call = cx.now;
         worker.busy_until = cx.now + expected_here;
@@ -421,6 +459,8 @@
             calls: 0,
             busy_until: Tick::default(),
             latency_ratio: 1.0,
+            newest_ratio: 1.0,
+            momentary: Momentary::default(),
             last_call: Tick::default(),
             is_overdue: false,
             reserved_bytes: 0,
@@ -429,6 +469,11 @@
         }
     }
 
+    /// Returns the time that calls are expected to take now, relative to the configured time.
+    fn expected_ratio(&self, now: Tick) -> f64 {
+        self.latency_ratio * self.momentary.factor(now)
+    }
+
     /// Returns the memory left for results, in bytes.
     fn free_bytes(&self, now: Tick, work: &Pieces) -> u64 {
         if now < self.out_of_memory_until {
--- a/crates/batch/tests/simulation/mod.rs
+++ b/crates/batch/tests/simulation/mod.rs
@@ -8,7 +8,7 @@
 use batch::{
     Piece, Scheduler, Shard,
     piece::{Handle, Source},
-    scheduler::{Action, Batch, Completion, Context},
+    scheduler::{Action, Batch, Completion, Context, Load},
 };
 use pick::Fleet;
 use site::{
@@ -50,6 +50,12 @@
     pub(crate) calls: Vec<(Name, usize)>,
     /// The factors by which the calls of slow servers take longer.
     pub(crate) slow_factors: Vec<(Name, u32)>,
+    /// The percentages that servers state as their momentary speed.
+    pub(crate) stated: Vec<(Name, u32)>,
+    /// The share of the expected time that usual calls take in percent.
+    pub(crate) usual_percent: u32,
+    /// The factors in percent by which the calls of some servers take longer.
+    pub(crate) percents: Vec<(Name, u32)>,
     /// The time after which a result is released.
     pub(crate) release_delay: Duration,
     stored: Vec<(Tick, Handle)>,
@@ -92,6 +98,9 @@
             expired: Vec::new(),
             calls: Vec::new(),
             slow_factors: Vec::new(),
+            stated: Vec::new(),
+            usual_percent: 100,
+            percents: Vec::new(),
             release_delay: Duration::from_millis(200),
             stored: Vec::new(),
             next_ticket: 1,
@@ -150,10 +159,7 @@
                 Action::Expire(piece) => self.expired.push((self.now, piece)),
                 Action::Send(batch) => {
                     let id = batch.server.id.clone();
-                    let slow_factor = self.slow_factors.iter().find(|(server, _)| *server == id);
-                    let factor = slow_factor.map_or(1, |(_, factor)| *factor);
-                    let count = u32::try_from(batch.pieces.len()).unwrap();
-                    let elapsed = (self.work.call_time + self.work.piece_time * count) * factor;
+                    let elapsed = self.elapsed(&id, batch.pieces.len());
                     self.calls.push((id, batch.pieces.len()));
                     self.running.push((self.now + elapsed, batch));
                 }
@@ -176,14 +182,17 @@
                 self.stored
                     .push((self.now + self.release_delay, handle.clone()));
             }
-            let count = u32::try_from(batch.pieces.len()).unwrap();
             let id = batch.server.id.clone();
-            let slow_factor = self.slow_factors.iter().find(|(server, _)| *server == id);
-            let factor = slow_factor.map_or(1, |(_, factor)| *factor);
+            let stated = self.stated.iter().find(|(server, _)| *server == id);
+            let load = stated.map(|(_, percent)| Load {
+                running: 0,
+                waiting: 0,
+                slowness: Some(*percent),
+            });
             let end = Completion::Answered {
-                elapsed: (self.work.call_time + self.work.piece_time * count) * factor,
+                elapsed: self.elapsed(&id, batch.pieces.len()),
                 pieces: batch.pieces.len(),
-                load: None,
+                load,
                 results,
                 is_out_of_memory: false,
             };
@@ -195,6 +204,15 @@
         }
     }
 
+    /// Returns the time of a call.
+    fn elapsed(&self, server: &Name, pieces: usize) -> Duration {
+        let factor = self.slow_factors.iter().find(|(id, _)| id == server);
+        let percent = self.percents.iter().find(|(id, _)| id == server);
+        let percent = percent.map_or(self.usual_percent, |(_, percent)| *percent);
+        let expected = self.work.call_time + self.work.piece_time * u32::try_from(pieces).unwrap();
+        expected * factor.map_or(1, |(_, factor)| *factor) * percent / 100
+    }
+
     fn release_due(&mut self) {
         let finished = self.stored.extract_if(.., |(until, _)| *until <= self.now);
         let handles: Vec<_> = finished.map(|(_, handle)| handle).collect();
--- a/crates/feed/src/codec.rs
+++ b/crates/feed/src/codec.rs
@@ -15,7 +15,7 @@
 
 use crate::{
     Answer, Ask, CachedChain, Delegation, EngineLoad, Error, Grant, Heartbeat, Limit, Lists,
-    Results, Topics, Wanted,
+    Results, Speed, Topics, Wanted,
 };
 
 pub(crate) fn encode_delegation(delegation: Delegation) -> message::Order {
@@ -150,6 +150,27 @@
             .collect(),
         limits: heartbeat.limits.into_iter().map(encode_limit).collect(),
         cut_off: heartbeat.is_cut_off,
+        speeds: heartbeat.speeds.into_iter().map(encode_speed).collect(),
+    }
+}
+
+fn encode_speed(speed: Speed) -> message::Speed {
+    message::Speed {
+        server: speed.server.as_str().to_owned(),
+        started_ms: speed.started_at_ms,
+        reading: speed.reading,
+        writing: speed.writing,
+        weight: speed.weight,
+    }
+}
+
+fn decode_speed(speed: message::Speed) -> Speed {
+    Speed {
+        server: speed.server.into(),
+        started_at_ms: speed.started_ms,
+        reading: speed.reading,
+        writing: speed.writing,
+        weight: speed.weight,
     }
 }
 
@@ -411,6 +432,7 @@
         departures: pulse.departures.into_iter().map(decode_departure).collect(),
         limits: pulse.limits.into_iter().filter_map(decode_limit).collect(),
         is_cut_off: pulse.cut_off,
+        speeds: pulse.speeds.into_iter().map(decode_speed).collect(),
     }
 }
 
--- a/crates/feed/src/lib.rs
+++ b/crates/feed/src/lib.rs
@@ -87,6 +87,23 @@
     pub limits: Vec<Limit>,
     /// Whether the instance reaches no servers.
     pub is_cut_off: bool,
+    /// Speeds of servers that changed a short time ago.
+    pub speeds: Vec<Speed>,
+}
+
+/// How long a run of a server takes relative to its pool.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Speed {
+    /// The server.
+    pub server: Name,
+    /// The start time of its run in Unix milliseconds, or 0 if unknown.
+    pub started_at_ms: u64,
+    /// The time to read prompts or to answer, in percent of the pool's usual time.
+    pub reading: u32,
+    /// The time between events, in percent of the pool's usual time.
+    pub writing: u32,
+    /// The number of answers on which this rests.
+    pub weight: u32,
 }
 
 /// The request rate that a run of a server stated in an answer.
--- a/crates/feed/src/server.rs
+++ b/crates/feed/src/server.rs
@@ -79,7 +79,7 @@
     /// Exchanges heartbeats.
     Heartbeat {
         /// The heartbeat of the other instance.
-        heartbeat: Heartbeat,
+        heartbeat: Box<Heartbeat>,
         /// The channel for the heartbeat of this instance.
         reply: oneshot::Sender<Heartbeat>,
     },
@@ -243,7 +243,10 @@
     ) -> Result<Response<message::Pulse>, Status> {
         let heartbeat = codec::decode_heartbeat(request.into_inner());
         let own = self
-            .request(|reply| Command::Heartbeat { heartbeat, reply })
+            .request(|reply| Command::Heartbeat {
+                heartbeat: Box::new(heartbeat),
+                reply,
+            })
             .await?;
         Ok(Response::new(codec::encode_heartbeat(own)))
     }
--- a/crates/feed/tests/loopback.rs
+++ b/crates/feed/tests/loopback.rs
@@ -9,8 +9,8 @@
 };
 use bytes::Bytes;
 use feed::{
-    Answer, CachedChain, Client, Command, Delegation, EngineLoad, Heartbeat, Limit, Lists, Topics,
-    Wanted, serve,
+    Answer, CachedChain, Client, Command, Delegation, EngineLoad, Heartbeat, Limit, Lists, Speed,
+    Topics, Wanted, serve,
 };
 use googletest::prelude::*;
 use mesh::{Changes, Departure, Origin, Position, Record, origins};
@@ -109,6 +109,13 @@
             received_age: Duration::from_millis(20),
         }],
         is_cut_off: true,
+        speeds: vec![Speed {
+            server: "i-5".into(),
+            started_at_ms: 1_790_000_000_000,
+            reading: 167,
+            writing: 96,
+            weight: 12,
+        }],
     };
     let client = Client::default();
     for source in [
@@ -132,8 +139,8 @@
             let Some(Command::Heartbeat { heartbeat, reply }) = commands.recv().await else {
                 panic!("expected a heartbeat");
             };
-            reply.send(heartbeat.clone()).unwrap();
-            heartbeat
+            reply.send((*heartbeat).clone()).unwrap();
+            *heartbeat
         }
     );
     expect_that!(received, eq(&heartbeat));
--- a/crates/pick/src/configs.rs
+++ b/crates/pick/src/configs.rs
@@ -2,7 +2,7 @@
 
 use core::time::Duration;
 
-/// Prompt tokens that an engine is assumed to read per millisecond; the sites' engines read 43 to 51.
+/// Prompt tokens that an engine is assumed to read per millisecond until answers show it. Pools read 38 to 157.
 pub const TOKENS_PER_MS: f64 = 45.0;
 
 /// Settings with their defaults.
@@ -24,8 +24,15 @@
     pub default_latency_ms: f64,
     /// The largest random addition to the cost, as a share of it, so that instances don't all choose the same server.
     pub jitter: f64,
-    /// Prompt tokens that an engine reads per millisecond.
+    /// Prompt tokens that an engine reads per millisecond, as assumed until its pool's answers show it.
     pub tokens_per_ms: f64,
+    /// The weight of a millisecond of writing beside one of waiting for the first event, as callers wait for the first
+    /// event and read while the others arrive. Chosen, not measured.
+    pub writing_weight: f64,
+    /// The additional weight of the queued prompts for a long output, whose events they stall. Chosen, not measured.
+    pub stall_weight: f64,
+    /// The output tokens from which an output counts as long.
+    pub long_output_tokens: f64,
     /// How long a load report of another instance is valid.
     pub peer_load_ttl: Duration,
     /// How long a prompt part is assumed to stay in an engine's cache.
@@ -48,6 +55,9 @@
             default_latency_ms: 30.0,
             jitter: 0.3,
             tokens_per_ms: TOKENS_PER_MS,
+            writing_weight: 0.02,
+            stall_weight: 0.5,
+            long_output_tokens: 400.0,
             peer_load_ttl: Duration::from_secs(1),
             part_ttl: Duration::from_secs(20),
             update_ttl: Duration::from_millis(700),
--- a/crates/pick/src/engine.rs
+++ b/crates/pick/src/engine.rs
@@ -4,10 +4,14 @@
 use std::rc::Rc;
 
 use base::{Name, Tick, hash::Stable};
-use rand::{Rng, RngExt};
+use rand::Rng;
 use site::roster::Server;
 
-use crate::{Fleet, plain::Context};
+use crate::{
+    Fleet,
+    plain::{self, Context},
+    speed::Usual,
+};
 
 /// A prompt as described by the caller.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -116,11 +120,23 @@
     let chains = chains(prompt);
     let home = prompt.parts.len().checked_sub(2).map(|at| chains[at]);
     let home = home.and_then(|chain| servers.iter().max_by_key(|server| weight(chain, server)));
+    let usable = servers
+        .iter()
+        .filter(|server| !cx.tried.contains(&server.id) && !fleet.is_blocked(cx.now, &server.id));
+    let rated = usable.map(|server| (server, fleet.speeds.reading(cx.now, &server.id)));
+    let rated: Vec<_> = rated.collect();
+    let reference = plain::reference(cx.rng, rated.iter().map(|(_, ratio)| *ratio));
     let mut best: Option<(f64, Choice<'a>)> = None;
-    for server in servers {
-        if cx.tried.contains(&server.id) || fleet.is_blocked(cx.now, &server.id) {
-            continue;
-        }
+    let mut usual: Option<(&Name, Usual)> = None;
+    for (at, (server, ratio)) in rated.into_iter().enumerate() {
+        let usual = match usual {
+            Some((pool, usual)) if *pool == server.pool => usual,
+            _ => {
+                let found = fleet.speeds.usual(&server.pool, config.tokens_per_ms);
+                usual = Some((&server.pool, found));
+                found
+            }
+        };
         let cached = fleet.cached_tokens(cx.now, &server.id, &chains, prompt);
         let is_home = home.is_some_and(|home| home.id == server.id);
         let shared = if is_home { prompt.shared_tokens() } else { 0 };
@@ -136,10 +152,15 @@
         let (peer_tokens, peer_running) = fleet.peer_load(cx.now, &server.id);
         let queued_tokens = (queued_tokens + peer_tokens) as f64;
         let running = running + peer_running;
-        let jitter = 1.0 + config.jitter * cx.rng.random::<f64>();
-        let mut cost = (queued_tokens + tokens as f64) / config.tokens_per_ms * jitter;
+        let (new_ratio, is_reference) = plain::credit(reference, at, ratio);
+        let jitter = plain::jitter(config.jitter, cx.rng, is_reference);
+        // Where no speed is known, both ratios are 1.
+        let work = queued_tokens * ratio + tokens as f64 * new_ratio;
+        let mut cost = work / usual.tokens_per_ms * jitter;
         // Each call in flight counts as 1 ms of waiting.
-        cost += f64::from(running) + config.failure_penalty_ms * failures;
+        cost += f64::from(running) * ratio + config.failure_penalty_ms * failures;
+        cost += usual.fixed_ms * (new_ratio - 1.0);
+        cost += writing_cost(fleet, cx.now, server, prompt, usual, queued_tokens * ratio);
         if affinity
             .domain
             .is_some_and(|domain| *domain != server.domain)
@@ -168,6 +189,30 @@
     Some(choice)
 }
 
+/// Returns the cost of writing the output at an engine, compared with one of usual speed. Nothing is known of it before
+/// answers have shown the rate of the pool.
+///
+/// Prompts that an engine reads meanwhile stall the events of its streams, which matters more the longer a stream is.
+fn writing_cost(
+    fleet: &Fleet,
+    now: Tick,
+    server: &Server,
+    prompt: &Prompt,
+    usual: Usual,
+    queued_tokens: f64,
+) -> f64 {
+    if !usual.is_learned {
+        return 0.0;
+    }
+    let config = &fleet.config;
+    let output_tokens = prompt.max_output_tokens as f64;
+    let ratio = fleet.speeds.writing(now, &server.id);
+    let writing = output_tokens * usual.gap_ms * (ratio - 1.0) * config.writing_weight;
+    let length = (output_tokens / config.long_output_tokens).min(1.0);
+    let stalls = queued_tokens / usual.tokens_per_ms * length * config.stall_weight;
+    writing + stalls
+}
+
 impl Fleet {
     /// Records that an engine has read a prompt and cached its shared parts.
     pub fn record_cached_prompt(&mut self, now: Tick, server: &Name, prompt: &Prompt) {
--- a/crates/pick/src/fleet.rs
+++ b/crates/pick/src/fleet.rs
@@ -3,8 +3,13 @@
 use core::time::Duration;
 
 use base::{Name, Tick};
+use site::roster::Server;
 
-use crate::{Reachability, configs::Config};
+use crate::{
+    Reachability,
+    configs::Config,
+    speed::{Reading, Speeds},
+};
 
 /// An instance's load estimates for all backend servers.
 #[derive(Clone, Debug, Default)]
@@ -14,8 +19,12 @@
     /// The chains that engines are assumed to have cached, sorted by chain and engine.
     pub(crate) cached_chains: Vec<crate::engine::CachedChain>,
     peers: Vec<PeerLoads>,
+    /// The sums of the load reports, sorted by server.
+    peer_totals: Vec<Load>,
     /// The reachability of failure domains.
     pub reachability: Reachability,
+    /// The speeds of servers relative to their pools.
+    pub speeds: Speeds,
     pub(crate) cache_updates: Vec<crate::engine::Update>,
 }
 
@@ -108,6 +117,29 @@
         stats.queued_tokens += tokens;
     }
 
+    /// Records that a prompt is about to be sent to a server, before [`Self::record_start`].
+    pub fn record_prompt_sent(&mut self, now: Tick, server: &Server, tokens: u64) -> Reading {
+        let own = self.get(&server.id).map_or(0, |stats| stats.queued_tokens);
+        let queued = own + self.peer_load(now, &server.id).0;
+        self.speeds.record_sent(now, server, tokens, queued)
+    }
+
+    /// Records the first event of an answer, which shows how fast the server reads.
+    ///
+    /// Returns whether its speed is told to other instances now.
+    pub fn record_first_event(&mut self, now: Tick, server: &Server, reading: Reading) -> bool {
+        let default_rate = self.config.tokens_per_ms;
+        self.speeds
+            .record_first_event(now, server, reading, default_rate)
+    }
+
+    /// Returns the prompt tokens that engines of a pool usually read per millisecond.
+    pub fn tokens_per_ms(&self, pool: &Name) -> f64 {
+        self.speeds
+            .usual(pool, self.config.tokens_per_ms)
+            .tokens_per_ms
+    }
+
     /// Records that a server has read the prompt of a call.
     pub fn record_prompt_read(&mut self, now: Tick, id: &Name, tokens: u64) {
         let stats = self.stats(now, id);
@@ -153,7 +185,30 @@
     /// Records the load that another instance has in flight.
     pub fn record_peer_loads(&mut self, now: Tick, instance: &Name, mut loads: Vec<Load>) {
         loads.sort_by(|a, b| a.server.cmp(&b.server));
-        self.peers.retain(|peer| peer.instance != *instance);
+        let ttl = self.config.peer_load_ttl;
+        let outdated = self.peers.extract_if(.., |peer| {
+            peer.instance == *instance || now - peer.reported_at >= ttl
+        });
+        for load in outdated.flat_map(|peer| peer.loads) {
+            let totals = &mut self.peer_totals;
+            if let Ok(at) = totals.binary_search_by(|total| total.server.cmp(&load.server)) {
+                totals[at].tokens = totals[at].tokens.saturating_sub(load.tokens);
+                totals[at].running = totals[at].running.saturating_sub(load.running);
+                if totals[at].tokens == 0 && totals[at].running == 0 {
+                    totals.remove(at);
+                }
+            }
+        }
+        for load in &loads {
+            let totals = &mut self.peer_totals;
+            match totals.binary_search_by(|total| total.server.cmp(&load.server)) {
+                Ok(at) => {
+                    totals[at].tokens = totals[at].tokens.saturating_add(load.tokens);
+                    totals[at].running = totals[at].running.saturating_add(load.running);
+                }
+                Err(at) => totals.insert(at, load.clone()),
+            }
+        }
         self.peers.push(PeerLoads {
             instance: instance.clone(),
             reported_at: now,
@@ -163,9 +218,16 @@
 
     /// Returns the queued prompt tokens and the calls of other instances at a server.
     pub(crate) fn peer_load(&self, now: Tick, server: &Name) -> (u64, u32) {
-        let reports = self.peers.iter();
-        let reports = reports.filter(|peer| now - peer.reported_at < self.config.peer_load_ttl);
-        let loads = reports.filter_map(|peer| {
+        let ttl = self.config.peer_load_ttl;
+        // Reports are kept in the order of their arrival.
+        let has_expired = |peer: &PeerLoads| now - peer.reported_at >= ttl;
+        if !self.peers.first().is_some_and(has_expired) {
+            let totals = &self.peer_totals;
+            let at = totals.binary_search_by(|total| total.server.cmp(server));
+            return at.map_or((0, 0), |at| (totals[at].tokens, totals[at].running));
+        }
+        let valid = self.peers.iter().filter(|peer| !has_expired(peer));
+        let loads = valid.filter_map(|peer| {
             let at = peer.loads.binary_search_by(|load| load.server.cmp(server));
             at.ok().map(|at| &peer.loads[at])
         });
@@ -261,6 +323,7 @@
 
     /// Removes servers without calls in flight that were not used for the given time.
     pub fn remove_idle(&mut self, now: Tick, idle: Duration) {
+        self.speeds.remove_forgotten(now);
         self.servers.retain(|stats| {
             stats.running > 0 || now < stats.paused_until || now - stats.updated_at < idle
         });
@@ -309,10 +372,10 @@
         }
     }
 
-    /// Returns the latency estimate, which decays towards `default_latency_ms` as it ages.
-    pub(crate) fn latency_ms(&self, now: Tick, config: &Config) -> f64 {
+    /// Returns the latency estimate, which decays towards `default_ms` as it ages.
+    pub(crate) fn latency_ms(&self, now: Tick, config: &Config, default_ms: f64) -> f64 {
         let confidence = self.confidence * decay(now - self.updated_at, config.half_life);
-        confidence * self.latency_ms + (1.0 - confidence) * config.default_latency_ms
+        confidence * self.latency_ms + (1.0 - confidence) * default_ms
     }
 
     /// Returns the recent failures, decayed to the current time.
@@ -321,6 +384,6 @@
     }
 }
 
-fn decay(age: Duration, half_life: Duration) -> f64 {
+pub(crate) fn decay(age: Duration, half_life: Duration) -> f64 {
     0.5_f64.powf(age.div_duration_f64(half_life))
 }
--- a/crates/pick/src/lib.rs
+++ b/crates/pick/src/lib.rs
@@ -4,6 +4,7 @@
 //! - [`plain`] selects among servers that answer requests.
 //! - [`engine`] selects among engines by queued tokens and by the prompt parts in their caches.
 //! - [`Links`] tracks whether the instance reaches servers at all.
+//! - [`speed`] learns how fast each server is relative to its pool.
 //! - [`Reachability`] tracks which failure domains are unreachable.
 
 pub mod configs;
@@ -12,5 +13,6 @@
 pub mod links;
 pub mod plain;
 pub mod reachability;
+pub mod speed;
 
 pub use self::{fleet::Fleet, links::Links, reachability::Reachability};
--- /dev/null
+++ b/crates/pick/tests/speed.rs
@@ -0,0 +1,274 @@
+//! What instances learn of the speed of a server, and tell each other.
+
+use core::time::Duration;
+use std::rc::Rc;
+
+use base::{Name, Tick};
+use googletest::prelude::*;
+use pick::{
+    Fleet,
+    engine::{self, Affinity, Part, Prompt},
+    fleet::{Completion, Load},
+    plain,
+    speed::{MAX_TOLD, Speeds, Told},
+};
+use rand::{Rng, RngExt};
+use rand_chacha::{ChaCha8Rng, rand_core::SeedableRng};
+use site::roster::Server;
+
+fn server(at: usize) -> Rc<Server> {
+    Rc::new(Server {
+        id: format!("i-{at}").into(),
+        pool: "engines".into(),
+        address: format!("10.0.0.{at}:80").parse().unwrap(),
+        domain: if at.is_multiple_of(2) { "a" } else { "b" }.into(),
+        slots: 6,
+        leaving: false,
+        started_at_ms: 5,
+        version: None,
+    })
+}
+
+fn at(ms: u64) -> Tick {
+    Tick::from_millis(ms)
+}
+
+/// The state of one server as `earlier_engine` and `earlier_plain` see it.
+#[derive(Clone, Copy, Default)]
+struct Queue {
+    running: u32,
+    tokens: u64,
+    peer_running: u32,
+    peer_tokens: u64,
+    failures: u32,
+}
+
+/// The cost of an engine before speeds were learned.
+fn earlier_engine(queue: Queue, tokens: u64, is_remote: bool, rng: &mut impl Rng) -> f64 {
+    let jitter = 1.0 + 0.3 * rng.random::<f64>();
+    let mut cost = (queue.tokens + queue.peer_tokens + tokens) as f64 / 45.0 * jitter;
+    cost += f64::from(queue.running + queue.peer_running) + 120.0 * f64::from(queue.failures);
+    cost + if is_remote { 40.0 } else { 0.0 }
+}
+
+/// The cost of a plain server before speeds were learned.
+fn earlier_plain(queue: Queue, is_remote: bool, rng: &mut impl Rng) -> f64 {
+    let utilization = f64::from(queue.running) / 6.0;
+    let penalty = if is_remote { 2.0 } else { 0.0 };
+    let jitter = 1.0 + 0.3 * rng.random::<f64>();
+    (30.0 * (1.0 + utilization) + penalty) * jitter + 120.0 * f64::from(queue.failures)
+}
+
+fn lowest(costs: impl Iterator<Item = f64>) -> usize {
+    let lowest = costs.enumerate().min_by(|a, b| a.1.total_cmp(&b.1));
+    lowest.unwrap().0
+}
+
+/// Deployments of equal servers must be served as before: without evidence, the same random numbers lead to the same
+/// choice as the formula without speeds.
+#[gtest]
+fn without_evidence_the_choice_is_the_earlier_one() {
+    let servers: Vec<_> = (0..8).map(server).collect();
+    let listed: Vec<_> = servers.iter().collect();
+    let (now, domain) = (at(1_000), Name::from("a"));
+    let prompt = Prompt {
+        parts: vec![Part {
+            id: 3,
+            tokens: 4_000,
+        }],
+        input_tokens: 4_000,
+        max_output_tokens: 800,
+    };
+    for seed in 0..300 {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let mut fleet = Fleet::default();
+        let mut reports = Vec::new();
+        let mut queues = vec![Queue::default(); servers.len()];
+        for (queue, server) in queues.iter_mut().zip(&servers) {
+            queue.failures = u32::from(rng.random_bool(0.2));
+            for _ in 0..queue.failures {
+                fleet.record_start(now, &server.id, 0);
+                fleet.record_completion(now, &server.id, Completion::Failed);
+            }
+            for _ in 0..rng.random_range(0..3) {
+                let tokens = rng.random_range(0..3_000);
+                // The start of a prompt is no evidence of a speed.
+                fleet.record_prompt_sent(now, server, tokens);
+                fleet.record_start(now, &server.id, tokens);
+                queue.running += 1;
+                queue.tokens += tokens;
+            }
+            queue.peer_running = rng.random_range(0..3);
+            queue.peer_tokens = rng.random_range(0..3_000);
+            reports.push(Load {
+                server: server.id.clone(),
+                tokens: queue.peer_tokens,
+                running: queue.peer_running,
+            });
+        }
+        let mut cx = plain::Context {
+            now,
+            domain: &domain,
+            tried: &[],
+            rng: &mut ChaCha8Rng::seed_from_u64(seed),
+        };
+        let chosen = plain::choose(&fleet, &mut cx, servers.iter()).unwrap();
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let costs = queues.iter().zip(&servers);
+        let costs =
+            costs.map(|(queue, server)| earlier_plain(*queue, server.domain != domain, &mut rng));
+        expect_that!(chosen.id, eq(&servers[lowest(costs)].id));
+
+        fleet.record_peer_loads(now, &"n".into(), reports);
+        *cx.rng = ChaCha8Rng::seed_from_u64(seed);
+        let affinity = Affinity {
+            domain: Some(&domain),
+            penalty_ms: 40.0,
+        };
+        let choice = engine::choose(&fleet, &mut cx, &prompt, affinity, &listed).unwrap();
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let costs = queues.iter().zip(&servers).map(|(queue, server)| {
+            earlier_engine(*queue, 4_000, server.domain != domain, &mut rng)
+        });
+        expect_that!(choice.server.id, eq(&servers[lowest(costs)].id));
+    }
+}
+
+/// Answers prompts at four engines at 157 tokens per millisecond and 60 ms; the last one takes `ratio` times as long.
+fn answer(fleet: &mut Fleet, rounds: u64, ratio: f64) -> Tick {
+    let mut rng = ChaCha8Rng::seed_from_u64(7);
+    let mut now = at(1_000);
+    for _ in 0..rounds {
+        for number in 0..4 {
+            let tokens = rng.random_range(1_000..20_000);
+            let ms = (60.0 + tokens as f64 / 157.0) * if number == 3 { ratio } else { 1.0 };
+            let ms = ms * rng.random_range(0.9..1.1);
+            let reading = fleet.record_prompt_sent(now, &server(number), tokens);
+            now = now + Duration::from_secs_f64(ms / 1e3);
+            fleet.record_first_event(now, &server(number), reading);
+        }
+    }
+    now
+}
+
+/// The code assumed 45 tokens per millisecond, where pools read 38 and 157.
+#[gtest]
+fn the_rate_of_a_pool_is_learned() {
+    let mut fleet = Fleet::default();
+    expect_that!(fleet.tokens_per_ms(&"engines".into()), eq(45.0));
+    answer(&mut fleet, 16, 1.0);
+    let rate = fleet.tokens_per_ms(&"engines".into());
+    expect_that!(rate, all![gt(140.0), lt(175.0)]);
+}
+
+#[gtest]
+fn a_slow_engine_is_told_apart_from_noise() {
+    let mut fleet = Fleet::default();
+    let now = answer(&mut fleet, 30, 1.67);
+    let slow = fleet.speeds.reading(now, &"i-3".into());
+    expect_that!(slow, all![gt(1.35), lt(1.75)]);
+    for usual in ["i-0", "i-1", "i-2"] {
+        let ratio = fleet.speeds.reading(now, &usual.into());
+        expect_that!(ratio, all![gt(0.93), lt(1.07)]);
+    }
+    // Evidence decays.
+    let later = now + Duration::from_secs(600);
+    expect_that!(fleet.speeds.reading(later, &"i-3".into()), eq(1.0));
+}
+
+/// An engine looked fast when only its fast answers had finished.
+#[gtest]
+fn calls_in_flight_count_with_the_time_that_they_have_taken() {
+    let mut fleet = Fleet::default();
+    let now = answer(&mut fleet, 16, 1.0);
+    let before = fleet.speeds.reading(now, &"i-0".into());
+    let readings: Vec<_> = (0..12)
+        .map(|_| fleet.record_prompt_sent(now, &server(0), 4_000))
+        .collect();
+    expect_that!(fleet.speeds.reading(now, &"i-0".into()), eq(before));
+    let later = now + Duration::from_secs(1);
+    expect_that!(fleet.speeds.reading(later, &"i-0".into()), gt(1.3));
+    // Calls that were given up show nothing any more.
+    for reading in readings {
+        fleet.speeds.forget_reading(&"i-0".into(), reading);
+    }
+    expect_that!(fleet.speeds.reading(later, &"i-0".into()), lt(1.1));
+}
+
+/// What was learned of a server must not be applied to another run of it.
+#[gtest]
+fn another_run_of_a_server_is_judged_anew() {
+    let mut fleet = Fleet::default();
+    let now = answer(&mut fleet, 30, 1.67);
+    let (id, told) = (Name::from("i-3"), |started_at_ms, reading| Told {
+        server: "i-3".into(),
+        started_at_ms,
+        reading,
+        writing: 100,
+        weight: 20,
+    });
+    fleet.speeds.record_told(now, &told(4, 50));
+    expect_that!(fleet.speeds.reading(now, &id), gt(1.3));
+    fleet.speeds.record_told(now, &told(6, 100));
+    expect_that!(fleet.speeds.reading(now, &id), eq(1.0));
+}
+
+/// Speeds that are passed on must die out, take a bounded message, and not be sent while nothing changes.
+#[gtest]
+fn speeds_are_told_when_they_change() {
+    let mut fleet = Fleet::default();
+    let now = answer(&mut fleet, 30, 1.67);
+    let mut other = Speeds::default();
+    let told = Told {
+        server: "i-3".into(),
+        started_at_ms: 5,
+        reading: 167,
+        writing: 100,
+        weight: 20,
+    };
+    other.record_told(now, &told);
+    expect_that!(other.reading(now, &"i-3".into()), gt(1.3));
+    expect_that!(other.changed(now).len(), eq(0));
+
+    let mut many = Speeds::default();
+    for number in 0..200 {
+        let name: Name = format!("i-{number}").into();
+        for reading in [200, 100] {
+            let told = Told {
+                server: name.clone(),
+                reading,
+                ..told.clone()
+            };
+            many.record_told(now, &told);
+        }
+    }
+    let later = now + Duration::from_secs(2);
+    for number in 0..200 {
+        let told = Told {
+            server: format!("i-{number}").into(),
+            reading: 300,
+            ..told.clone()
+        };
+        many.record_told(later, &told);
+    }
+    expect_that!(many.changed(later).len(), le(MAX_TOLD));
+
+    // An echo of a speed does not keep it alive.
+    let (mut one, mut two) = (Speeds::default(), Speeds::default());
+    let mut weights = Vec::new();
+    one.record_told(now, &told);
+    for second in 1..200 {
+        let now = now + Duration::from_secs(second);
+        for told in one.changed(now) {
+            weights.push(told.weight);
+            two.record_told(now, &told);
+        }
+        for told in two.changed(now) {
+            weights.push(told.weight);
+            one.record_told(now, &told);
+        }
+    }
+    expect_that!(weights.iter().max().copied().unwrap_or_default(), le(20));
+    let end = now + Duration::from_secs(600);
+    expect_that!(one.reading(end, &"i-3".into()), eq(1.0));
+}
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -441,6 +441,15 @@
     choose(hub, job, pool, &inputs, &[]).map(|choice| choice.server.domain.clone())
 }
 
+/// Returns the time that an engine of usual speed takes to read the part of the prompt that no other request shares.
+pub(crate) fn prompt_read_time<E: Transport>(hub: &Hub<E>, job: &Job<E::Request>) -> Duration {
+    let rate = hub.with(|state| match select_pool(job) {
+        Ok(pool) => state.fleet.tokens_per_ms(&pool),
+        Err(_) => pick::configs::TOKENS_PER_MS,
+    });
+    job.prompt_read_time(rate)
+}
+
 /// Returns the pool that serves a request, which is the same for all its attempts, also if a newer configuration lacks it.
 pub(crate) fn select_pool<R>(job: &Job<R>) -> Result<Name, Code> {
     match job.origin.get() {
--- a/crates/relay/src/body.rs
+++ b/crates/relay/src/body.rs
@@ -15,7 +15,9 @@
     events::Splitter,
     hub::completion_of,
     memory::Share,
-    origin, policy, serve,
+    origin,
+    pace::Pace,
+    policy, serve,
 };
 
 /// How long the end of an answer without events may follow on its head, while the silent server is still waited for.
@@ -46,6 +48,8 @@
     first_event_at: Option<Tick>,
     /// Whether the current attempt counts as a run that has been writing for some time.
     is_writing: bool,
+    /// The pace of the current attempt.
+    pace: Pace,
     is_finished: bool,
 }
 
@@ -71,6 +75,7 @@
             partial_since: hub.transport.now(),
             first_event_at: None,
             is_writing: false,
+            pace: Pace::default(),
             is_finished: false,
         }
     }
@@ -81,6 +86,7 @@
     ///
     /// - [`Failure::Broken`] if the stream can't continue; it must not look complete to the caller.
     pub async fn next(&mut self) -> Result<Option<Bytes>, Failure> {
+        self.pace.record_wait(self.hub.transport.now());
         loop {
             if self.is_finished {
                 return Ok(None);
@@ -102,6 +108,7 @@
                         self.partial_count = 0;
                         self.last_events_at = self.last_bytes_at;
                         self.record_writing();
+                        self.record_pace();
                         self.begin();
                         return Ok(Some(events));
                     }
@@ -244,6 +251,7 @@
         self.first_event_at = None;
         self.is_resumed = true;
         self.is_writing = false;
+        self.pace = Pace::default();
         self.last_bytes_at = now;
         if let Some(silent) = self.attempt.replace(next) {
             silent.guard.finish(completion_of(Failure::TimedOut));
@@ -287,6 +295,14 @@
         }
     }
 
+    /// Records how fast the server writes, from time to time while the stream runs.
+    fn record_pace(&mut self) {
+        let gap = self.pace.record(self.last_events_at, self.events.last_id());
+        if let (Some(attempt), Some(gap)) = (&self.attempt, gap) {
+            attempt.guard.record_gap(gap);
+        }
+    }
+
     /// Records the first bytes of an answer, which show that the server has read the prompt and the stage results.
     fn record_first_bytes(&mut self) {
         let Some(attempt) = &mut self.attempt else {
@@ -295,6 +311,7 @@
         attempt.guard.is_silent = false;
         // Dropping the inputs releases the stage results.
         if attempt.inputs.take().is_some() {
+            attempt.guard.record_first_event();
             attempt.guard.record_prompt_read();
             if let Some(prompt) = &self.job.prompt {
                 let now = self.hub.transport.now();
@@ -305,7 +322,8 @@
         }
         if !self.attempts.has_started {
             let server = attempt.guard.server.id.clone();
-            let (elapsed, prompt_read_time) = (attempt.guard.age(), self.job.prompt_read_time());
+            let elapsed = attempt.guard.age();
+            let prompt_read_time = attempt::prompt_read_time(&self.hub, &self.job);
             self.hub.with(|state| {
                 state
                     .estimator
@@ -336,6 +354,9 @@
     fn complete(&mut self) -> Option<Bytes> {
         self.is_finished = true;
         if let Some(attempt) = self.attempt.take() {
+            if let Some(gap) = self.pace.finish() {
+                attempt.guard.record_gap(gap);
+            }
             let latency = attempt.guard.age();
             let sent_at = attempt.guard.sent_at();
             attempt.guard.finish(Completion::Answered { latency });
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -137,6 +137,8 @@
     pub rate: Rate,
     /// What the server states of the requests that it turns away in a second at most before it falls over.
     pub brittle: Rate,
+    /// How long work takes at the server now in percent of the usual time, if it states it.
+    pub slowness: Option<u32>,
 }
 
 /// What an answer states of the requests a second that its server takes, or turns away, of all instances together.
--- a/crates/relay/src/guard.rs
+++ b/crates/relay/src/guard.rs
@@ -4,16 +4,18 @@
 use std::rc::Rc;
 
 use base::Tick;
-use pick::fleet::Completion;
-use site::roster::Server;
+use pick::{fleet::Completion, speed::Reading};
+use site::{pool::Work, roster::Server};
 
-use crate::{Hub, Transport};
+use crate::{Hub, Transport, hub::State};
 
 /// Counts a call as in flight at its server until it ends or is dropped.
 pub(crate) struct Guard<E: Transport> {
     hub: Rc<Hub<E>>,
     pub(crate) server: Rc<Server>,
     tokens: u64,
+    /// The prompt that the server is to read.
+    reading: Option<Reading>,
     sent_at: Tick,
     /// Whether the server has been silent for long, which counts as a failure if the call is dropped.
     pub(crate) is_silent: bool,
@@ -32,14 +34,16 @@
         is_direct: bool,
     ) -> Self {
         let now = hub.transport.now();
-        let has_turn = hub.with(|state| {
+        let (reading, has_turn) = hub.with(|state| {
+            let reading = (tokens > 0).then(|| state.fleet.record_prompt_sent(now, server, tokens));
             state.fleet.record_start(now, &server.id, tokens);
-            state.is_brittle(server)
+            (reading, state.is_brittle(server))
         });
         Self {
             hub: hub.clone(),
             server: server.clone(),
             tokens,
+            reading,
             sent_at: now,
             is_silent: false,
             is_direct,
@@ -48,6 +52,39 @@
         }
     }
 
+    /// Records the first event, which shows how fast the server reads. A call that another instance makes takes longer.
+    pub(crate) fn record_first_event(&mut self) {
+        let now = self.hub.transport.now();
+        let Some(reading) = self.reading.take_if(|_| self.is_direct) else {
+            return;
+        };
+        self.hub.with(|state| {
+            if state.fleet.record_first_event(now, &self.server, reading) {
+                self.log_speed(now, state);
+            }
+        });
+    }
+
+    /// Records the mean time between some events of a stream.
+    pub(crate) fn record_gap(&self, gap: Duration) {
+        let now = self.hub.transport.now();
+        self.hub
+            .with(|state| state.fleet.speeds.record_gap(now, &self.server, gap));
+    }
+
+    /// Logs the speed of the server, which differs by a tenth from what other instances know.
+    fn log_speed(&self, now: Tick, state: &State) {
+        let speeds = &state.fleet.speeds;
+        let usual = speeds.usual(&self.server.pool, pick::configs::TOKENS_PER_MS);
+        log::info!(
+            target: "servers", server:% = self.server.id, pool:% = self.server.pool,
+            reading_ratio = speeds.reading(now, &self.server.id),
+            writing_ratio = speeds.writing(now, &self.server.id),
+            pool_tokens_per_ms = usual.tokens_per_ms, age_ms = self.age().as_millis();
+            "speed of a server changed"
+        );
+    }
+
     /// Records that the server has read the prompt.
     pub(crate) fn record_prompt_read(&mut self) {
         let now = self.hub.transport.now();
@@ -81,7 +118,21 @@
                 .end_turn(&self.server, completion == Completion::Full);
         }
         let now = self.hub.transport.now();
+        let reading = self.reading.take();
         self.hub.with(|state| {
+            if let Some(reading) = reading {
+                state.fleet.speeds.forget_reading(&self.server.id, reading);
+            }
+            if let Completion::Answered { latency } = completion
+                && self.is_direct
+                && state.is_plain(&self.server)
+                && state
+                    .fleet
+                    .speeds
+                    .record_latency(now, &self.server, latency)
+            {
+                self.log_speed(now, state);
+            }
             let completion = match completion {
                 // A cut of this instance says nothing about its servers.
                 Completion::Failed | Completion::Unreachable
@@ -98,6 +149,17 @@
     }
 }
 
+impl State {
+    /// Returns whether a server answers requests, and neither reads prompts nor runs pieces.
+    fn is_plain(&self, server: &Server) -> bool {
+        let pool = self
+            .config
+            .as_ref()
+            .and_then(|config| config.pool(&server.pool));
+        pool.is_some_and(|pool| pool.work == Work::Plain)
+    }
+}
+
 impl<E: Transport> Drop for Guard<E> {
     fn drop(&mut self) {
         self.complete(if self.is_silent {
--- a/crates/relay/src/job.rs
+++ b/crates/relay/src/job.rs
@@ -112,12 +112,13 @@
         self.final_deadline() - now
     }
 
-    /// Returns the time that an engine takes to read the part of the prompt that no other request shares.
-    pub fn prompt_read_time(&self) -> Duration {
+    /// Returns the time that an engine of the given rate takes to read the part of the prompt that no other request
+    /// shares.
+    pub fn prompt_read_time(&self, tokens_per_ms: f64) -> Duration {
         let Some(prompt) = &self.prompt else {
             return Duration::ZERO;
         };
-        let ms = prompt.own_tokens() as f64 / pick::configs::TOKENS_PER_MS;
+        let ms = prompt.own_tokens() as f64 / tokens_per_ms;
         Duration::from_secs_f64(ms / 1e3)
     }
 
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -22,6 +22,7 @@
 mod memory;
 mod notices;
 mod origin;
+mod pace;
 mod pending;
 mod pieces;
 pub mod policy;
--- a/crates/relay/src/notices.rs
+++ b/crates/relay/src/notices.rs
@@ -25,6 +25,14 @@
                 "answer",
             );
         }
+        if let Some(percent) = notice.slowness {
+            self.fleet.speeds.record_momentary(
+                notice.received_at,
+                &notice.server,
+                notice.started_at_ms,
+                percent,
+            );
+        }
         let known = self.limits.get(&notice.server);
         let rate = notice.rate.or(known.and_then(|known| known.rate));
         let brittle = notice.brittle.or(known.and_then(|known| known.brittle));
--- a/crates/relay/src/stages.rs
+++ b/crates/relay/src/stages.rs
@@ -11,7 +11,7 @@
 use futures_util::{StreamExt, stream::FuturesUnordered};
 use site::pool::Work as PoolWork;
 
-use crate::{Hub, Job, Transport, balance};
+use crate::{Hub, Job, Transport, attempt, balance};
 
 /// The assumed time of a stage with an unknown pool: a call of 150 ms, some pieces and a wait.
 const DEFAULT_STAGE_TIME: Duration = Duration::from_millis(250);
@@ -279,7 +279,7 @@
     }
 
     fn engine_time(&self) -> Duration {
-        let prompt_read_time = self.job.prompt_read_time();
+        let prompt_read_time = attempt::prompt_read_time(self.hub, self.job);
         let route = &self.job.route.name;
         self.hub
             .with(|state| state.estimator.first_event_time(route, prompt_read_time))
--- a/crates/relay/tests/releases.rs
+++ b/crates/relay/tests/releases.rs
@@ -98,6 +98,7 @@
             pause: Some(PAUSE),
             rate: Rate::Unlimited,
             brittle: Rate::Unlimited,
+            slowness: None,
         });
         expect_that!(released(&hub, result()).await, eq(0));
         if let Some(next) = next {
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -221,6 +221,7 @@
             pause,
             rate: Rate::Unclear,
             brittle: Rate::Unclear,
+            slowness: None,
         });
     }
 }
