Tell speeds only beyond noise; plain servers by momentary speed

Every change by a tenth was told, also one within the error of an estimate, so that instances could answer each other's messages about servers that had not changed.

The latency of plain servers is kept at their usual speed and multiplied with the momentary one; fresh latencies ignored the figure before.

--- a/crates/pick/src/fleet.rs
+++ b/crates/pick/src/fleet.rs
@@ -58,7 +58,7 @@
     pub(crate) queued_tokens: u64,
     /// Recent failures, decayed by the half-life.
     pub(crate) failures: f64,
-    /// The moving average of the time to the head of an answer, in milliseconds.
+    /// The moving average of the time to the head of an answer at the server's usual speed, in milliseconds.
     latency_ms: f64,
     /// The confidence in `latency_ms`, decayed by the half-life.
     confidence: f64,
@@ -149,11 +149,12 @@
     /// Records that a call ended.
     pub fn record_completion(&mut self, now: Tick, id: &Name, completion: Completion) {
         let config = self.config.clone();
+        let momentary = self.speeds.momentary(now, id);
         let stats = self.stats(now, id);
         stats.running = stats.running.saturating_sub(1);
         match completion {
             Completion::Answered { latency } => {
-                let ms = latency.as_secs_f64() * 1e3;
+                let ms = latency.as_secs_f64() * 1e3 / momentary;
                 let weight = config.latency_weight.max(1.0 - stats.confidence);
                 stats.latency_ms += weight * (ms - stats.latency_ms);
                 stats.confidence = 1.0;
@@ -372,10 +373,17 @@
         }
     }
 
-    /// Returns the latency estimate, which decays towards `default_ms` as it ages.
-    pub(crate) fn latency_ms(&self, now: Tick, config: &Config, default_ms: f64) -> f64 {
+    /// Returns the latency estimate, which decays towards `default_ms` as it ages. `momentary` is the factor by which
+    /// work takes longer now than usual.
+    pub(crate) fn latency_ms(
+        &self,
+        now: Tick,
+        config: &Config,
+        momentary: f64,
+        default_ms: f64,
+    ) -> f64 {
         let confidence = self.confidence * decay(now - self.updated_at, config.half_life);
-        confidence * self.latency_ms + (1.0 - confidence) * default_ms
+        confidence * self.latency_ms * momentary + (1.0 - confidence) * default_ms
     }
 
     /// Returns the recent failures, decayed to the current time.
--- a/crates/pick/src/plain.rs
+++ b/crates/pick/src/plain.rs
@@ -67,9 +67,10 @@
 ) -> f64 {
     let config = &fleet.config;
     let default_ms = config.default_latency_ms * ratio;
+    let momentary = fleet.speeds.momentary(cx.now, &server.id);
     let (latency, running, failures) = match fleet.get(&server.id) {
         Some(stats) => (
-            stats.latency_ms(cx.now, config, default_ms),
+            stats.latency_ms(cx.now, config, momentary, default_ms),
             stats.running,
             stats.failures(cx.now, config),
         ),
--- a/crates/pick/src/speed.rs
+++ b/crates/pick/src/speed.rs
@@ -202,6 +202,12 @@
         })
     }
 
+    /// Returns the factor by which work takes longer at a server now than usual, as it states itself.
+    pub fn momentary(&self, now: Tick, server: &Name) -> f64 {
+        self.find(server)
+            .map_or(1.0, |at| self.entries[at].momentary.factor(now))
+    }
+
     /// Returns the time that a server takes to write relative to its pool, without its momentary speed.
     pub fn writing(&self, now: Tick, server: &Name) -> f64 {
         self.find(server).map_or(1.0, |at| {
@@ -362,9 +368,15 @@
         }
         let (known_reading, known_writing, known_at) =
             self.known.unwrap_or((1.0, 1.0, Tick::default()));
-        let has_changed = |from: f64, to: f64| from.max(to) >= CHANGE * from.min(to);
-        let is_change = has_changed(known_reading, reading) || has_changed(known_writing, writing);
-        let is_uneven = has_changed(1.0, reading) || has_changed(1.0, writing);
+        let has_changed = |from: f64, to: f64, error: f64| {
+            // Instances would answer each other's messages without end if noise counted as a change.
+            (to / from).ln().abs() >= CHANGE.ln().max(2.0 * error)
+        };
+        let (read_error, write_error) = (self.reading.error(now), self.writing.error(now));
+        let is_change = has_changed(known_reading, reading, read_error)
+            || has_changed(known_writing, writing, write_error);
+        let is_uneven =
+            has_changed(1.0, reading, read_error) || has_changed(1.0, writing, write_error);
         let age = now - known_at;
         let is_first = self.known.is_none();
         let is_told = is_change && (is_first || age >= MIN_TELL_INTERVAL)
--- a/crates/pick/src/speed/ratio.rs
+++ b/crates/pick/src/speed/ratio.rs
@@ -66,8 +66,7 @@
         let own = self.own_weight(now);
         let told = self.told_weight(now);
         let (mut mean, mut weight) = (self.mean * own + self.told * told, own + told);
-        let variance =
-            (self.squares + PRIOR_VARIANCE * PRIOR_WEIGHT) / (self.weight + PRIOR_WEIGHT);
+        let variance = self.variance();
         // A call in flight shows something once it takes longer than most finished ones.
         let usual = if weight > 0.0 { mean / weight } else { 0.0 } + variance.sqrt();
         for ratio in running {
@@ -103,6 +102,16 @@
         (mean.clamp(-BOUND, BOUND).exp(), own.max(0.8 * told))
     }
 
+    /// Returns the standard error of the logarithm of the mean ratio.
+    pub(super) fn error(&self, now: Tick) -> f64 {
+        let weight = self.own_weight(now) + self.told_weight(now);
+        (self.variance() / weight.max(1.0)).sqrt()
+    }
+
+    fn variance(&self) -> f64 {
+        (self.squares + PRIOR_VARIANCE * PRIOR_WEIGHT) / (self.weight + PRIOR_WEIGHT)
+    }
+
     fn own_weight(&self, now: Tick) -> f64 {
         self.weight * decay(now - self.updated_at, HALF_LIFE)
     }
--- a/crates/pick/tests/speed.rs
+++ b/crates/pick/tests/speed.rs
@@ -272,3 +272,58 @@
     let end = now + Duration::from_secs(600);
     expect_that!(one.reading(end, &"i-3".into()), eq(1.0));
 }
+
+/// Noise must not make instances answer each other's messages: 20 instances see 0.1 answers a second of each of 40 engines,
+/// 15% of which take 2.5 times as long, and tell each other all changes.
+#[gtest]
+fn messages_about_speeds_stay_few() {
+    let mut rng = ChaCha8Rng::seed_from_u64(7);
+    let engines: Vec<_> = (0..40).map(server).collect();
+    let mut fleets = vec![Fleet::default(); 20];
+    let mut told = 0;
+    let seconds = 300;
+    for second in 0..seconds {
+        let now = at(1_000 + second * 1_000);
+        for fleet in &mut fleets {
+            for (number, engine) in engines.iter().enumerate() {
+                if !rng.random_bool(0.1) {
+                    continue;
+                }
+                let tokens = rng.random_range(1_000..20_000);
+                let ratio = [0.625, 1.0, 1.0, 1.67][number % 4];
+                let ratio = if rng.random_bool(0.15) {
+                    ratio * 2.5
+                } else {
+                    ratio
+                };
+                let ms = (60.0 + tokens as f64 / 157.0) * ratio * rng.random_range(0.8..1.25);
+                let reading = fleet.record_prompt_sent(now, engine, tokens);
+                let later = now + Duration::from_secs_f64(ms / 1e3);
+                fleet.record_first_event(later, engine, reading);
+            }
+        }
+        let now = now + Duration::from_millis(500);
+        let changed: Vec<_> = fleets
+            .iter()
+            .map(|fleet| fleet.speeds.changed(now))
+            .collect();
+        for (from, changed) in changed.iter().enumerate() {
+            if second >= seconds / 2 {
+                told += changed.len();
+            }
+            for (to, fleet) in fleets.iter_mut().enumerate() {
+                for told in changed.iter().filter(|_| to != from) {
+                    fleet.speeds.record_told(now, told);
+                }
+            }
+        }
+    }
+    let rate = told as f64 / (fleets.len() as f64 * seconds as f64 / 2.0);
+    println!("{rate:.3} speeds told by each instance a second");
+    expect_that!(rate, le(0.3));
+    let now = at(1_000 + seconds * 1_000);
+    for fleet in &fleets {
+        expect_that!(fleet.speeds.reading(now, &"i-3".into()), gt(1.2));
+        expect_that!(fleet.speeds.reading(now, &"i-0".into()), lt(0.85));
+    }
+}
--- a/crates/pick/tests/uneven.rs
+++ b/crates/pick/tests/uneven.rs
@@ -4,7 +4,11 @@
 
 use base::{Name, Tick};
 use googletest::prelude::*;
-use pick::{Fleet, engine, plain};
+use pick::{
+    Fleet, engine,
+    fleet::{Completion, Load},
+    plain,
+};
 use pool::{Scenario, run};
 use rand_chacha::{ChaCha8Rng, rand_core::SeedableRng};
 
@@ -183,3 +187,49 @@
     });
     expect_that!(chosen.count(), ge(4));
 }
+
+/// Returns how many of 400 requests each of four plain servers gets when all are known to take 30 ms.
+fn plain_counts(prepare: impl Fn(&mut Fleet, Tick)) -> Vec<usize> {
+    let servers: Vec<_> = (0..4).map(pool::server).collect();
+    let now = Tick::from_millis(5_000);
+    let mut fleet = Fleet::default();
+    for server in &servers {
+        let latency = core::time::Duration::from_millis(30);
+        fleet.record_start(now, &server.id, 0);
+        fleet.record_completion(now, &server.id, Completion::Answered { latency });
+    }
+    prepare(&mut fleet, now);
+    let mut counts = vec![0; servers.len()];
+    for seed in 0..400 {
+        let mut cx = plain::Context {
+            now,
+            domain: &Name::from("a"),
+            tried: &[],
+            rng: &mut ChaCha8Rng::seed_from_u64(seed),
+        };
+        let chosen = plain::choose(&fleet, &mut cx, servers.iter()).unwrap();
+        let at = servers.iter().position(|server| server.id == chosen.id);
+        counts[at.unwrap()] += 1;
+    }
+    counts
+}
+
+/// Plain servers were chosen without regard to their momentary speed, and to the calls of other instances.
+#[gtest]
+fn a_plain_server_that_is_slow_or_busy_now_gets_less() {
+    let usual = plain_counts(|_, _| {});
+    expect_that!(usual, each(ge(&70)));
+    let slow = plain_counts(|fleet, now| {
+        fleet.speeds.record_momentary(now, &"i-0".into(), 1, 250);
+    });
+    expect_that!(slow[0], le(5));
+    let busy = plain_counts(|fleet, now| {
+        let load = Load {
+            server: "i-0".into(),
+            tokens: 0,
+            running: 64,
+        };
+        fleet.record_peer_loads(now, &"n".into(), vec![load]);
+    });
+    expect_that!(busy[0], le(5));
+}
