Keep groups whole at slower stage servers

Smaller calls to a slower server split the groups of a stage, so that the reader of its results fetched them from several servers. A group that is larger than a smaller call is taken whole if that is on time, or left to a call that is to end; if none is under way, it is taken at once, as nothing else would lead to another decision.

--- a/crates/batch/src/scheduler/plan.rs
+++ b/crates/batch/src/scheduler/plan.rs
@@ -21,6 +21,24 @@
 }
 
 impl Group {
+    /// Returns whether the pieces fit into one call and into the memory for its results.
+    pub(crate) fn fits(&self, work: &Pieces, free_bytes: u64) -> bool {
+        let pieces = self.pieces.len();
+        pieces <= work.max_batch && self.result_bytes * pieces as u64 <= free_bytes
+    }
+
+    /// Returns whether a call with all pieces is on time at a server that takes `ratio` times as long as usual.
+    pub(crate) fn is_on_time_at(
+        &self,
+        now: Tick,
+        config: &Config,
+        work: &Pieces,
+        ratio: f64,
+    ) -> bool {
+        let time = call_time(work, self.pieces.len()).mul_f64(ratio);
+        now + time + config.due_margin <= self.due
+    }
+
     fn ticket(&self) -> Option<u64> {
         self.pieces.first().map(|piece| piece.ticket)
     }
@@ -144,3 +162,12 @@
 pub(crate) fn call_time(work: &Pieces, pieces: usize) -> Duration {
     work.call_time + work.piece_time * u32::try_from(pieces).unwrap_or(u32::MAX)
 }
+
+/// Returns the number of pieces with which a call to a server that takes `ratio` times as long ends when a full call to a
+/// usual server would; at least one.
+pub(crate) fn fitting_pieces(work: &Pieces, ratio: f64) -> usize {
+    let time = work.full_call_time().div_f64(ratio.max(1.0));
+    let time = time.saturating_sub(work.call_time);
+    let pieces = time.div_duration_f64(work.piece_time.max(Duration::from_micros(1)));
+    (pieces as usize).clamp(1, work.max_batch.max(1))
+}
--- a/crates/batch/src/scheduler/queue.rs
+++ b/crates/batch/src/scheduler/queue.rs
@@ -9,7 +9,7 @@
 
 use super::{
     Action, Batch, Completion, Context,
-    plan::{Group, Plan, Timeline, call_time, plan},
+    plan::{Group, Plan, Timeline, call_time, fitting_pieces, plan},
 };
 use crate::{Piece, Shard, configs::Config, piece::Handle};
 
@@ -21,7 +21,7 @@
     pub(super) shard: Shard,
     groups: Vec<Group>,
     workers: Vec<Worker>,
-    /// The latency ratio of the fastest reachable server.
+    /// The ratio of the fastest reachable server.
     best_ratio: f64,
     /// The median latency ratio of the reachable servers.
     usual_ratio: f64,
@@ -101,8 +101,10 @@
     }
 
     pub(super) fn clear(&mut self) -> Vec<Piece> {
-        let groups = self.groups.drain(..);
-        groups.flat_map(|group| group.pieces).collect()
+        self.groups
+            .drain(..)
+            .flat_map(|group| group.pieces)
+            .collect()
     }
 
     pub(super) fn record_completion(
@@ -216,9 +218,7 @@
         for server in &servers {
             self.worker_mut(&server.id);
         }
-        let ratios = self.latency_ratios(&servers);
-        self.best_ratio = ratios.first().copied().unwrap_or(1.0);
-        self.usual_ratio = ratios.get((ratios.len() - 1) / 2).copied().unwrap_or(1.0);
+        self.record_ratios(&servers);
         let timeline = Timeline::new(work, self.len(), self.free_times(cx, config, &servers));
         let mut plan = plan(cx.now, core::mem::take(&mut self.groups), timeline, config);
         let expired = plan.expired.drain(..).flat_map(|group| group.pieces);
@@ -294,34 +294,30 @@
         times
     }
 
-    /// Returns the latency ratios of servers from the lowest to the highest.
-    fn latency_ratios(&self, servers: &[Rc<Server>]) -> Vec<f64> {
+    /// Finds the lowest and the median ratio of the servers, which are slow only beside faster ones.
+    fn record_ratios(&mut self, servers: &[Rc<Server>]) {
         let workers = servers.iter().filter_map(|server| self.worker(&server.id));
+        let highest = workers.clone().map(Worker::highest_ratio);
         let mut ratios: Vec<_> = workers.map(|worker| worker.latency_ratio).collect();
+        self.best_ratio = highest.fold(f64::INFINITY, f64::min);
         ratios.sort_by(f64::total_cmp);
-        ratios
+        self.usual_ratio = ratios
+            .get(ratios.len().saturating_sub(1) / 2)
+            .map_or(1.0, |ratio| *ratio);
     }
 
-    /// Returns the number of pieces with which a call to a server ends when a full call to a usual server would.
-    fn max_pieces(&self, now: Tick, config: &Config, work: &Pieces, worker: &Worker) -> usize {
-        let full = work.max_batch.max(1);
+    /// Returns the time that a server's calls take now relative to a usual server, or none if it counts as usual.
+    fn uneven_ratio(&self, now: Tick, config: &Config, worker: &Worker) -> Option<f64> {
         // One usual call shows that a server is no longer slow.
         let base = worker.latency_ratio.min(worker.newest_ratio);
         let ratio = base * worker.momentary.factor(now) / self.usual_ratio.max(1.0);
-        if ratio < config.uneven_factor {
-            return full;
-        }
-        let time_left = work
-            .full_call_time()
-            .div_f64(ratio)
-            .saturating_sub(work.call_time);
-        let fitting = time_left.div_duration_f64(work.piece_time.max(Duration::from_micros(1)));
-        (fitting as usize).clamp(1, full)
+        (ratio >= config.uneven_factor).then_some(ratio)
     }
 
     /// Returns whether a server is slow compared with the others of its pool.
     fn is_slow(&self, config: &Config, worker: &Worker) -> bool {
-        worker.is_overdue || worker.latency_ratio >= config.slow_factor * self.best_ratio.max(1.0)
+        let limit = config.slow_factor * self.best_ratio.max(1.0);
+        worker.is_overdue || worker.highest_ratio() >= limit
     }
 
     fn is_free(&self, cx: Context<'_>, config: &Config, server: &Name) -> bool {
@@ -348,13 +344,16 @@
             return Vec::new();
         };
         let is_trial = self.is_slow(config, worker);
-        let max_pieces = match (is_trial, plan.late.is_empty()) {
+        // Full calls do the most work in their time, which counts where not all work can be on time.
+        let ratio = self.uneven_ratio(cx.now, config, worker);
+        let ratio = ratio.filter(|_| !is_trial && plan.late.is_empty());
+        let max_pieces = match (is_trial, ratio) {
             (true, _) => 1,
-            (false, true) => self.max_pieces(cx.now, config, work, worker),
-            // Full calls do the most work in their time, which counts where not all work can be on time.
-            (false, false) => work.max_batch.max(1),
+            (false, Some(ratio)) => fitting_pieces(work, ratio),
+            (false, None) => work.max_batch.max(1),
         };
         let mut free_bytes = worker.free_bytes(cx.now, work);
+        let is_waiting = self.workers.iter().any(|worker| worker.calls > 0);
         let mut batch: Vec<Piece> = Vec::new();
         for groups in [&mut plan.on_time, &mut plan.late] {
             for group in groups.iter_mut() {
@@ -364,6 +363,17 @@
                 if self.waits_for_preferred_domain(cx, config, work, server, servers, group) {
                     continue;
                 }
+                // A slower server takes a larger group as a whole, or leaves it to a call that is to end.
+                let fits = group.fits(work, free_bytes);
+                if let Some(ratio) = ratio.filter(|_| fits || is_waiting)
+                    && group.pieces.len() > max_pieces
+                {
+                    let waits = is_waiting && !group.is_on_time_at(cx.now, config, work, ratio);
+                    if batch.is_empty() && !waits && fits {
+                        batch.append(&mut group.pieces);
+                    }
+                    continue;
+                }
                 // Keep the results of one stage on one server, so that their reader finds them in one place.
                 let must_split = group.pieces.len() > max_pieces - batch.len();
                 if must_split && !batch.is_empty() {
@@ -469,6 +479,11 @@
         }
     }
 
+    /// Returns the ratio by which the server counts as slow; a single slow call suffices.
+    const fn highest_ratio(&self) -> f64 {
+        self.latency_ratio.max(self.newest_ratio)
+    }
+
     /// Returns the time that calls are expected to take now, relative to the configured time.
     fn expected_ratio(&self, now: Tick) -> f64 {
         self.latency_ratio * self.momentary.factor(now)
