--- a/crates/batch/src/scheduler/plan.rs
+++ b/crates/batch/src/scheduler/plan.rs
@@ -171,3 +171,9 @@
     let pieces = time.div_duration_f64(work.piece_time.max(Duration::from_micros(1)));
     (pieces as usize).clamp(1, work.max_batch.max(1))
 }
+
+/// Returns the lower median.
+pub(crate) fn median(mut values: Vec<f64>) -> Option<f64> {
+    values.sort_by(f64::total_cmp);
+    values.get(values.len().saturating_sub(1) / 2).copied()
+}
--- a/crates/batch/src/scheduler/queue.rs
+++ b/crates/batch/src/scheduler/queue.rs
@@ -9,7 +9,7 @@
 
 use super::{
     Action, Batch, Completion, Context,
-    plan::{Group, Plan, Timeline, call_time, fitting_pieces, plan},
+    plan::{Group, Plan, Timeline, call_time, fitting_pieces, median, plan},
 };
 use crate::{Piece, Shard, configs::Config, piece::Handle};
 
@@ -101,10 +101,8 @@
     }
 
     pub(super) fn clear(&mut self) -> Vec<Piece> {
-        self.groups
-            .drain(..)
-            .flat_map(|group| group.pieces)
-            .collect()
+        let groups = self.groups.drain(..);
+        groups.flat_map(|group| group.pieces).collect()
     }
 
     pub(super) fn record_completion(
@@ -298,12 +296,9 @@
     fn record_ratios(&mut self, servers: &[Rc<Server>]) {
         let workers = servers.iter().filter_map(|server| self.worker(&server.id));
         let highest = workers.clone().map(Worker::highest_ratio);
-        let mut ratios: Vec<_> = workers.map(|worker| worker.latency_ratio).collect();
+        let usual = median(workers.map(|worker| worker.latency_ratio).collect());
         self.best_ratio = highest.fold(f64::INFINITY, f64::min);
-        ratios.sort_by(f64::total_cmp);
-        self.usual_ratio = ratios
-            .get(ratios.len().saturating_sub(1) / 2)
-            .map_or(1.0, |ratio| *ratio);
+        self.usual_ratio = usual.unwrap_or(1.0);
     }
 
     /// Returns the time that a server's calls take now relative to a usual server, or none if it counts as usual.
