--- a/crates/pick/src/speed.rs
+++ b/crates/pick/src/speed.rs
@@ -216,6 +216,13 @@
     }
 
     /// Returns the usual times of a pool, with a rate to assume before it is known.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use pick::speed::Speeds;
+    /// assert_eq!(Speeds::default().usual(&"engines".into(), 45.0).tokens_per_ms, 45.0);
+    /// ```
     pub fn usual(&self, pool: &Name, default_rate: f64) -> Usual {
         let pool = self.pool(pool);
         let line = pool.and_then(|pool| pool.reading.line());
@@ -235,6 +242,20 @@
     }
 
     /// Records what another instance told of a server.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use base::Tick;
+    /// use pick::speed::{Speeds, Told};
+    /// let (mut speeds, now) = (Speeds::default(), Tick::from_millis(5));
+    /// let server = "i-1".into();
+    /// let told = Told { server, started_at_ms: 7, reading: 167, writing: 100, weight: 20 };
+    /// speeds.record_told(now, &told);
+    /// assert!(speeds.reading(now, &told.server) > 1.3);
+    /// // What was told is not told again.
+    /// assert!(speeds.changed(now).is_empty());
+    /// ```
     pub fn record_told(&mut self, now: Tick, told: &Told) {
         let at = self.find(&told.server);
         let is_old = at.is_ok_and(|at| {
