--- a/crates/batch/src/scheduler/queue.rs
+++ b/crates/batch/src/scheduler/queue.rs
@@ -4,11 +4,12 @@
 use std::rc::Rc;
 
 use base::{Name, Tick};
+use pick::speed::Momentary;
 use site::{pool::Pieces, roster::Server};
 
 use super::{
     Action, Batch, Completion, Context,
-    plan::{Group, Plan, Timeline, call_time, plan},
+    plan::{Group, Plan, Timeline, call_time, fitting_pieces, median, plan},
     report::report,
     share::Recent,
 };
@@ -22,8 +23,10 @@
     pub(super) shard: Shard,
     groups: Vec<Group>,
     workers: Vec<Worker>,
-    /// The latency ratio of the fastest reachable server.
+    /// The ratio of the fastest reachable server.
     best_ratio: f64,
+    /// The median latency ratio of the reachable servers.
+    usual_ratio: f64,
     /// When the first server without a turn may get a call, or the first one at all if all are blocked or paused.
     unblocked_at: Option<Tick>,
     /// When each server is free, as of the last plan; empty before the first one.
@@ -46,6 +49,10 @@
     busy_until: Tick,
     /// The moving average of call times, relative to the expected time.
     latency_ratio: f64,
+    /// The time of the newest call, relative to the expected time.
+    newest_ratio: f64,
+    /// How long work takes at the server now, as it states.
+    momentary: Momentary,
     /// When the last call was sent.
     last_call: Tick,
     /// Whether the call in flight is overdue.
@@ -137,10 +144,16 @@
                 let other_calls = load.map_or(0, |load| load.running + load.waiting);
                 let mut latency_ratio =
                     elapsed.div_duration_f64(call_time(work, pieces).max(Duration::from_millis(1)));
+                if let Some(percent) = load.and_then(|load| load.slowness) {
+                    worker.momentary.record(now, percent);
+                    let base = worker.latency_ratio.max(0.1);
+                    latency_ratio = worker.momentary.compare(now, latency_ratio / base) * base;
+                }
                 if was_overdue {
                     // A single silence, however long, tells little about the calls that follow.
                     latency_ratio = latency_ratio.min(TIMEOUT_FACTOR * worker.latency_ratio);
                 }
+                worker.newest_ratio = latency_ratio;
                 worker.latency_ratio +=
                     config.latency_weight * (latency_ratio - worker.latency_ratio);
                 worker.busy_until = now + typical_time * other_calls;
@@ -215,7 +228,7 @@
         for server in &servers {
             self.worker_mut(&server.id);
         }
-        self.best_ratio = self.min_latency_ratio(&servers);
+        self.record_ratios(&servers);
         let on_time_share = self.on_time.share(cx.now, config, work, servers.len());
         self.late_wait_factor = config.late_wait_factor(on_time_share);
         let timeline = Timeline::new(work, self.len(), self.free_times(cx, config, &servers));
@@ -327,16 +340,27 @@
         times
     }
 
-    fn min_latency_ratio(&self, servers: &[Rc<Server>]) -> f64 {
+    /// Finds the lowest and the median ratio of the servers, which are slow only beside faster ones.
+    fn record_ratios(&mut self, servers: &[Rc<Server>]) {
         let workers = servers.iter().filter_map(|server| self.worker(&server.id));
-        workers
-            .map(|worker| worker.latency_ratio)
-            .fold(f64::INFINITY, f64::min)
+        let highest = workers.clone().map(Worker::highest_ratio);
+        let usual = median(workers.map(|worker| worker.latency_ratio).collect());
+        self.best_ratio = highest.fold(f64::INFINITY, f64::min);
+        self.usual_ratio = usual.unwrap_or(1.0);
+    }
+
+    /// Returns the time that a server's calls take now relative to a usual server, or none if it counts as usual.
+    fn uneven_ratio(&self, now: Tick, config: &Config, worker: &Worker) -> Option<f64> {
+        // One usual call shows that a server is no longer slow.
+        let base = worker.latency_ratio.min(worker.newest_ratio);
+        let ratio = base * worker.momentary.factor(now) / self.usual_ratio.max(1.0);
+        (ratio >= config.uneven_factor).then_some(ratio)
     }
 
     /// Returns whether a server is slow compared with the others of its pool.
     fn is_slow(&self, config: &Config, worker: &Worker) -> bool {
-        worker.is_overdue || worker.latency_ratio >= config.slow_factor * self.best_ratio.max(1.0)
+        let limit = config.slow_factor * self.best_ratio.max(1.0);
+        worker.is_overdue || worker.highest_ratio() >= limit
     }
 
     fn is_free(&self, cx: Context<'_>, config: &Config, server: &Name) -> bool {
@@ -363,8 +387,16 @@
             return Vec::new();
         };
         let is_trial = self.is_slow(config, worker);
-        let max_pieces = if is_trial { 1 } else { work.max_batch.max(1) };
+        // Full calls do the most work in their time, which counts where not all work can be on time.
+        let ratio = self.uneven_ratio(cx.now, config, worker);
+        let ratio = ratio.filter(|_| !is_trial && plan.late.is_empty());
+        let max_pieces = match (is_trial, ratio) {
+            (true, _) => 1,
+            (false, Some(ratio)) => fitting_pieces(work, ratio),
+            (false, None) => work.max_batch.max(1),
+        };
         let mut free_bytes = worker.free_bytes(cx.now, work);
+        let is_waiting = self.workers.iter().any(|worker| worker.calls > 0);
         let mut batch: Vec<Piece> = Vec::new();
         for groups in [&mut plan.on_time, &mut plan.late] {
             for group in groups.iter_mut() {
@@ -374,6 +406,17 @@
                 if self.waits_for_preferred_domain(cx, config, work, server, servers, group) {
                     continue;
                 }
+                // A slower server takes a larger group as a whole, or leaves it to a call that is to end.
+                let fits = group.fits(work, free_bytes);
+                if let Some(ratio) = ratio.filter(|_| fits || is_waiting)
+                    && group.pieces.len() > max_pieces
+                {
+                    let waits = is_waiting && !group.is_on_time_at(cx.now, config, work, ratio);
+                    if batch.is_empty() && !waits && fits {
+                        batch.append(&mut group.pieces);
+                    }
+                    continue;
+                }
                 // Keep the results of one stage on one server, so that their reader finds them in one place.
                 let must_split = group.pieces.len() > max_pieces - batch.len();
                 if must_split && !batch.is_empty() {
@@ -425,7 +468,7 @@
     ) -> Batch {
         let expected = call_time(work, pieces.len());
         let worker = self.worker_mut(&server.id);
-        let expected_here = expected.mul_f64(worker.latency_ratio.clamp(1.0, 10.0));
+        let expected_here = expected.mul_f64(worker.expected_ratio(cx.now).clamp(1.0, 10.0));
         worker.calls += 1;
         worker.last_call = cx.now;
         worker.busy_until = cx.now + expected_here;
@@ -469,6 +512,8 @@
             calls: 0,
             busy_until: Tick::default(),
             latency_ratio: 1.0,
+            newest_ratio: 1.0,
+            momentary: Momentary::default(),
             last_call: Tick::default(),
             is_overdue: false,
             reserved_bytes: 0,
@@ -477,6 +522,16 @@
         }
     }
 
+    /// Returns the ratio by which the server counts as slow; a single slow call suffices.
+    const fn highest_ratio(&self) -> f64 {
+        self.latency_ratio.max(self.newest_ratio)
+    }
+
+    /// Returns the time that calls are expected to take now, relative to the configured time.
+    fn expected_ratio(&self, now: Tick) -> f64 {
+        self.latency_ratio * self.momentary.factor(now)
+    }
+
     /// Returns the memory left for results, in bytes.
     fn free_bytes(&self, now: Tick, work: &Pieces) -> u64 {
         if now < self.out_of_memory_until {
--- a/crates/feed/src/codec.rs
+++ b/crates/feed/src/codec.rs
@@ -15,7 +15,7 @@
 
 use crate::{
     Answer, Ask, CachedChain, Delegation, EngineLoad, Error, Evacuation, Evacuations, Grant,
-    Heartbeat, Limit, Lists, Results, Topics, Wanted, backlogs,
+    Heartbeat, Limit, Lists, Results, Speed, Topics, Wanted, backlogs,
 };
 
 pub(crate) fn encode_delegation(delegation: Delegation) -> message::Order {
@@ -160,6 +160,27 @@
         backlogs: backlogs::encode(heartbeat.backlogs),
         cold: heartbeat.cold.into_iter().map(encode_cold).collect(),
         evacuations: heartbeat.evacuations.map(encode_evacuations),
+        speeds: heartbeat.speeds.into_iter().map(encode_speed).collect(),
+    }
+}
+
+fn encode_speed(speed: Speed) -> message::Speed {
+    message::Speed {
+        server: speed.server.as_str().to_owned(),
+        started_ms: speed.started_at_ms,
+        reading: speed.reading,
+        writing: speed.writing,
+        weight: speed.weight,
+    }
+}
+
+fn decode_speed(speed: message::Speed) -> Speed {
+    Speed {
+        server: speed.server.into(),
+        started_at_ms: speed.started_ms,
+        reading: speed.reading,
+        writing: speed.writing,
+        weight: speed.weight,
     }
 }
 
@@ -478,6 +499,7 @@
         departures: pulse.departures.into_iter().map(decode_departure).collect(),
         limits: pulse.limits.into_iter().filter_map(decode_limit).collect(),
         is_cut_off: pulse.cut_off,
+        speeds: pulse.speeds.into_iter().map(decode_speed).collect(),
         backlogs: backlogs::decode(pulse.backlogs),
         cold: pulse.cold.into_iter().map(decode_cold).collect(),
         evacuations: pulse.evacuations.map(decode_evacuations),
--- a/crates/feed/tests/loopback.rs
+++ b/crates/feed/tests/loopback.rs
@@ -11,7 +11,7 @@
 use bytes::Bytes;
 use feed::{
     Answer, CachedChain, Client, Command, Delegation, EngineLoad, Evacuation, Evacuations,
-    Heartbeat, Limit, Lists, Results, Topics, Wanted, serve,
+    Heartbeat, Limit, Lists, Results, Speed, Topics, Wanted, serve,
 };
 use googletest::prelude::*;
 use mesh::{Changes, Departure, Origin, Position, Record, origins};
@@ -155,6 +155,13 @@
                 evacuation("b", Some(Duration::from_millis(900))),
             ],
         }),
+        speeds: vec![Speed {
+            server: "i-5".into(),
+            started_at_ms: 1_790_000_000_000,
+            reading: 167,
+            writing: 96,
+            weight: 12,
+        }],
     };
     let client = Client::default();
     for source in [
--- a/crates/relay/src/admission.rs
+++ b/crates/relay/src/admission.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     Hub, Job, Transport,
-    attempt::Attempts,
+    attempt::{self, Attempts},
     balance,
     hub::State,
     stages::{self, DEFAULT_STAGE_TIME, piece_count},
@@ -231,7 +231,8 @@
     let Some(account) = &job.account else {
         return;
     };
-    let work = stages::work_time(hub, job).unwrap_or_default() + job.prompt_read_time();
+    let work =
+        stages::work_time(hub, job).unwrap_or_default() + attempt::prompt_read_time(hub, job);
     let now = hub.transport.now();
     let work = work.max(Duration::from_millis(1));
     hub.with(|state| state.controller.accounts.record(now, account, work));
--- a/crates/relay/src/body.rs
+++ b/crates/relay/src/body.rs
@@ -16,7 +16,9 @@
     hold::Kind,
     hub::completion_of,
     memory::Share,
-    origin, policy, serve,
+    origin,
+    pace::Pace,
+    policy, serve,
 };
 
 /// How long the end of an answer without events may follow on its head, while the silent server is still waited for.
@@ -49,6 +51,8 @@
     paused: Duration,
     /// Whether the current attempt counts as a run that has been writing for some time.
     is_writing: bool,
+    /// The pace of the current attempt.
+    pace: Pace,
     is_finished: bool,
 }
 
@@ -75,6 +79,7 @@
             first_event_at: None,
             paused: Duration::ZERO,
             is_writing: false,
+            pace: Pace::default(),
             is_finished: false,
         }
     }
@@ -106,6 +111,7 @@
     ///
     /// - [`Failure::Broken`] if the stream can't continue; it must not look complete to the caller.
     pub async fn next(&mut self) -> Result<Option<Bytes>, Failure> {
+        self.pace.record_wait(self.hub.transport.now());
         loop {
             if self.is_finished {
                 return Ok(None);
@@ -127,6 +133,7 @@
                         self.partial_count = 0;
                         self.last_events_at = self.last_bytes_at;
                         self.record_writing();
+                        self.record_pace();
                         self.begin();
                         return Ok(Some(events));
                     }
@@ -269,6 +276,7 @@
         self.first_event_at = None;
         self.is_resumed = true;
         self.is_writing = false;
+        self.pace = Pace::default();
         self.last_bytes_at = now;
         if let Some(silent) = self.attempt.replace(next) {
             silent.guard.finish(completion_of(Failure::TimedOut));
@@ -312,6 +320,14 @@
         }
     }
 
+    /// Records how fast the server writes, from time to time while the stream runs.
+    fn record_pace(&mut self) {
+        let gap = self.pace.record(self.last_events_at, self.events.last_id());
+        if let (Some(attempt), Some(gap)) = (&self.attempt, gap) {
+            attempt.guard.record_gap(gap);
+        }
+    }
+
     /// Records the first bytes of an answer, which show that the server has read the prompt and the stage results.
     fn record_first_bytes(&mut self) {
         let Some(attempt) = &mut self.attempt else {
@@ -320,6 +336,7 @@
         attempt.guard.is_silent = false;
         // Dropping the inputs releases the stage results.
         if attempt.inputs.take().is_some() {
+            attempt.guard.record_first_event();
             attempt.guard.record_prompt_read();
             if let Some(prompt) = &self.job.prompt {
                 let now = self.hub.transport.now();
@@ -330,7 +347,8 @@
         }
         if !self.attempts.has_started {
             let server = attempt.guard.server.id.clone();
-            let (elapsed, prompt_read_time) = (attempt.guard.age(), self.job.prompt_read_time());
+            let elapsed = attempt.guard.age();
+            let prompt_read_time = attempt::prompt_read_time(&self.hub, &self.job);
             self.hub.with(|state| {
                 state
                     .estimator
@@ -361,6 +379,9 @@
     fn complete(&mut self) -> Option<Bytes> {
         self.is_finished = true;
         if let Some(attempt) = self.attempt.take() {
+            if let Some(gap) = self.pace.finish() {
+                attempt.guard.record_gap(gap);
+            }
             let latency = attempt.guard.age();
             let sent_at = attempt.guard.sent_at();
             attempt.guard.finish(Completion::Answered { latency });
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -143,6 +143,8 @@
     pub brittle: Rate,
     /// How much longer the server is cold, if it states it.
     pub cold_left: Option<Duration>,
+    /// How long work takes at the server now in percent of the usual time, if it states it.
+    pub slowness: Option<u32>,
 }
 
 /// What an answer states of the requests a second that its server takes, or turns away, of all instances together.
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod memory;
 mod notices;
 mod origin;
+mod pace;
 mod pending;
 mod pieces;
 pub mod policy;
--- a/crates/relay/src/pending.rs
+++ b/crates/relay/src/pending.rs
@@ -98,6 +98,7 @@
                 &choice.server,
                 choice.tokens,
                 job.body_bytes,
+                job.route.kind == Kind::Streaming,
                 helper.is_none(),
             ),
             reply: Box::pin(send(hub, job, call, is_sent.clone())),
--- a/crates/relay/src/stages.rs
+++ b/crates/relay/src/stages.rs
@@ -11,7 +11,7 @@
 use futures_util::{StreamExt, stream::FuturesUnordered};
 use site::pool::Work as PoolWork;
 
-use crate::{Hub, Job, Transport, admission};
+use crate::{Hub, Job, Transport, admission, attempt};
 
 /// The assumed time of a stage with an unknown pool: a call of 150 ms, some pieces and a wait.
 pub(crate) const DEFAULT_STAGE_TIME: Duration = Duration::from_millis(250);
@@ -173,7 +173,7 @@
 
 /// Returns the expected time from the end of a request's stages to its first event.
 pub(crate) fn engine_time<E: Transport>(hub: &Rc<Hub<E>>, job: &Job<E::Request>) -> Duration {
-    let prompt_read_time = job.prompt_read_time();
+    let prompt_read_time = attempt::prompt_read_time(hub, job);
     let route = &job.route.name;
     hub.with(|state| state.estimator.first_event_time(route, prompt_read_time))
 }
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -230,6 +230,7 @@
             rate: Rate::Unclear,
             brittle: Rate::Unclear,
             cold_left: None,
+            slowness: None,
         });
     }
 }
