--- a/crates/relay/tests/evacuation.rs
+++ b/crates/relay/tests/evacuation.rs
@@ -347,6 +347,7 @@
                 pause: Some(PAUSE),
                 rate: Rate::Unlimited,
                 cold_left: None,
+                slowness: None,
                 brittle: Rate::Unlimited,
             });
         } else {
