--- a/crates/batch/src/scheduler.rs
+++ b/crates/batch/src/scheduler.rs
@@ -4,6 +4,7 @@
 mod queue;
 mod report;
 mod share;
+mod worker;
 
 use std::rc::Rc;
 
--- a/crates/batch/src/scheduler/queue.rs
+++ b/crates/batch/src/scheduler/queue.rs
@@ -4,7 +4,6 @@
 use std::rc::Rc;
 
 use base::{Name, Tick};
-use pick::speed::Momentary;
 use site::{pool::Pieces, roster::Server};
 
 use super::{
@@ -12,6 +11,7 @@
     plan::{Group, Plan, Timeline, call_time, fitting_pieces, median, plan},
     report::report,
     share::Recent,
+    worker::{StoredResult, Worker},
 };
 use crate::{Backlog, Piece, Shard, configs::Config, piece::Handle};
 
@@ -39,40 +39,6 @@
     backlog: Option<(Tick, Backlog)>,
 }
 
-/// The state of one server, as seen by this instance.
-#[derive(Clone, Debug)]
-struct Worker {
-    id: Name,
-    /// Calls of this instance in flight.
-    calls: u32,
-    /// When the call in flight and the calls of other instances are expected to end.
-    busy_until: Tick,
-    /// The moving average of call times, relative to the expected time.
-    latency_ratio: f64,
-    /// The time of the newest call, relative to the expected time.
-    newest_ratio: f64,
-    /// How long work takes at the server now, as it states.
-    momentary: Momentary,
-    /// When the last call was sent.
-    last_call: Tick,
-    /// Whether the call in flight is overdue.
-    is_overdue: bool,
-    /// The result bytes of the call in flight.
-    reserved_bytes: u64,
-    /// The results that the server stores.
-    results: Vec<StoredResult>,
-    /// The end of the pause that follows a refusal for lack of memory.
-    out_of_memory_until: Tick,
-}
-
-/// A result that a server stores until it is released or expires.
-#[derive(Clone, Debug)]
-struct StoredResult {
-    handle: Name,
-    bytes: u64,
-    expires_at: Tick,
-}
-
 impl Queue {
     pub(super) fn new(shard: &Shard) -> Self {
         Self {
@@ -504,46 +470,3 @@
         at.ok().map(|at| &self.workers[at])
     }
 }
-
-impl Worker {
-    fn new(server: &Name) -> Self {
-        Self {
-            id: server.clone(),
-            calls: 0,
-            busy_until: Tick::default(),
-            latency_ratio: 1.0,
-            newest_ratio: 1.0,
-            momentary: Momentary::default(),
-            last_call: Tick::default(),
-            is_overdue: false,
-            reserved_bytes: 0,
-            results: Vec::new(),
-            out_of_memory_until: Tick::default(),
-        }
-    }
-
-    /// Returns the ratio by which the server counts as slow; a single slow call suffices.
-    const fn highest_ratio(&self) -> f64 {
-        self.latency_ratio.max(self.newest_ratio)
-    }
-
-    /// Returns the time that calls are expected to take now, relative to the configured time.
-    fn expected_ratio(&self, now: Tick) -> f64 {
-        self.latency_ratio * self.momentary.factor(now)
-    }
-
-    /// Returns the memory left for results, in bytes.
-    fn free_bytes(&self, now: Tick, work: &Pieces) -> u64 {
-        if now < self.out_of_memory_until {
-            return 0;
-        }
-        work.memory_bytes.saturating_sub(self.used_bytes(now))
-    }
-
-    /// Returns the memory that results take or will take after the call in flight, in bytes.
-    fn used_bytes(&self, now: Tick) -> u64 {
-        let stored = self.results.iter().filter(|result| now < result.expires_at);
-        let stored: u64 = stored.map(|result| result.bytes).sum();
-        self.reserved_bytes + stored
-    }
-}
