--- a/crates/batch/src/configs.rs
+++ b/crates/batch/src/configs.rs
@@ -43,7 +43,7 @@
             slack_calls: 1,
             out_of_memory_pause: Duration::from_millis(60),
             due_margin: Duration::from_millis(30),
-            late_wait_factors: (2.0, 10.0),
+            late_wait_factors: (2.0, 5.0),
             share_memory: Duration::from_secs(1),
             slow_factor: 3.0,
             uneven_factor: 1.3,
@@ -65,7 +65,7 @@
     /// let config = batch::configs::Config::default();
     /// assert_eq!(config.late_wait_factor(0.0), 2.0);
     /// assert_eq!(config.late_wait_factor(0.75), 4.0);
-    /// assert_eq!(config.late_wait_factor(1.0), 10.0);
+    /// assert_eq!(config.late_wait_factor(1.0), 5.0);
     /// ```
     pub fn late_wait_factor(&self, on_time_share: f64) -> f64 {
         let (min, max) = self.late_wait_factors;
