--- a/review/6/case.rs
+++ b/review/6/case.rs
@@ -130,9 +130,10 @@
     }
 }
 
-fn main() {
+/// Plays one deployment, and returns the number of streams with events of two versions.
+fn play(record: &Record, round: usize) -> usize {
     let has_trouble = kit::has_trouble();
-    let record = Record::open();
+    record.line(format!("round {round}: a new deployment"));
     let folder = Folder::open();
     let store = Store::open();
     let terms = "\"timeoutMs\":6000,\"targetLatencyMs\":1000,\"maxAttempts\":2,\"gapAimMs\":200,\"resumable\":true,\
@@ -142,17 +143,17 @@
     let routes = [kit::route("write", "streaming", "writer", terms)];
     store.put("keyed.op", "config", kit::config(3, &routes, &[service.to_owned()], &["key-1"]).as_bytes());
     for number in 1..=7 {
-        open_runner(&format!("old-{number}"), "v1", &record).keep_registered(&store);
+        open_runner(&format!("old-{number}"), "v1", record).keep_registered(&store);
     }
     let released: Vec<_> =
-        (1..=3).map(|number| open_runner(&format!("new-{number}"), "v2", &record)).collect();
+        (1..=3).map(|number| open_runner(&format!("new-{number}"), "v2", record)).collect();
     let stores = [store.clone(), store.front(), store.front(), store.front()];
     let zones = ["a", "a", "b", "c"];
     let mut instances: Vec<_> =
         (0..4).map(|at| Instance::start(&folder, stores[at].address, at + 1, zones[at], "")).collect();
     if !instances.iter().all(|instance| instance.wait_ready(15_000)) {
         drop(instances);
-        kit::finish(&record, 2, "the instances are not ready");
+        kit::finish(record, 2, "the instances are not ready");
     }
     sleep_ms(3_000);
     let fronts = [instances[0].front, instances[1].front];
@@ -192,15 +193,28 @@
     let (whole, taken_up) = (seen.whole.load(Ordering::Relaxed), seen.taken_up.load(Ordering::Relaxed));
     let mixed = lock(&seen.mixed).clone();
     let counts = format!(
-        "{whole} streams whole at once, {taken_up} taken up at another machine, {} with events of two versions: {}",
+        "round {round}: {whole} streams whole at once, {taken_up} taken up at another machine, {} with events of two versions: {}",
         mixed.len(),
         mixed.join(" ")
     );
+    record.line(&counts);
+    println!("{counts}");
     if !seen.new_version.load(Ordering::Relaxed) || has_trouble && taken_up == 0 {
-        kit::finish(&record, 2, &format!("the case did not come about: {counts}"));
+        kit::finish(record, 2, "the case did not come about");
     }
-    match mixed.len() {
-        0..=MAX_MIXED => kit::finish(&record, 0, &format!("ORDER held: {counts}")),
-        _ => kit::finish(&record, 1, &format!("ORDER broken: {counts}")),
+    mixed.len()
+}
+
+/// The deployments that are played at most, as the kill falls at any time between two deliveries of origins.
+const MAX_ROUNDS: usize = 3;
+
+fn main() {
+    let record = Record::open();
+    for round in 1..=MAX_ROUNDS {
+        let mixed = play(&record, round);
+        if mixed > MAX_MIXED {
+            kit::finish(&record, 1, &format!("ORDER broken: {mixed} streams of one deployment hold events of two versions"));
+        }
     }
+    kit::finish(&record, 0, "ORDER held");
 }
