--- a/review/10/case.rs
+++ b/review/10/case.rs
@@ -1,5 +1,5 @@
-//! LIMIT: the instance that grants the turns at a runner that limits its requests is killed. Its successor grants turns at the
-//! whole rate at once, while the other instances still use the turns that were granted ahead.
+//! LIMIT: the instance that grants the turns at a runner that limits its requests is stopped, as for a restart. Its successor
+//! grants turns at the whole rate at once, while the other instances still use the turns that were granted ahead.
 
 #[path = "../kit-2/mod.rs"]
 mod kit;
@@ -70,7 +70,7 @@
         Server::open(id, "pool", "a", answer).keep_registered(&store);
     }
     let zones = ["a", "a", "b", "b", "c", "c"];
-    let mut instances = Instance::start_all(&folder, store.address, &zones);
+    let instances = Instance::start_all(&folder, store.address, &zones);
     if !instances.iter().all(|instance| instance.wait_ready(15_000)) {
         drop(instances);
         kit::finish(&record, 2, "the instances are not ready");
@@ -103,10 +103,10 @@
         })
         .collect();
     sleep_ms(10_000);
-    let killed_at = record.ms();
+    let stopped_at = record.ms();
     if has_trouble {
-        record.line("disruption: the process of front-3, which grants the turns, is killed");
-        instances[HOLDER].kill();
+        record.line("disruption: front-3, which grants the turns, gets SIGTERM");
+        instances[HOLDER].signal(kit::SIGTERM);
     }
     sleep_ms(8_000);
     stop.store(true, Ordering::Relaxed);
@@ -117,15 +117,15 @@
         let mut arrivals = lock(arrivals).clone();
         arrivals.sort_unstable();
         let counted_from = arrivals.first().map_or(0, |(first, _)| first + STABILITY_MS);
-        // The machine whose process was killed is excused.
+        // The machine that was stopped is excused.
         let counted = arrivals.iter().filter(|(at, front)| *at >= counted_from && (!has_trouble || *front != HOLDER));
         let (most, from) = most_in_span(&counted.map(|(at, _)| *at).collect::<Vec<_>>());
         broken += usize::from(most as f64 > MAX_ARRIVALS);
         texts.push(format!("{id} got {most} in 4 s from {from} ms"));
     }
-    let killed = if has_trouble { format!("front-3 killed at {killed_at} ms") } else { "no process killed".to_owned() };
+    let stopped = if has_trouble { format!("front-3 got SIGTERM at {stopped_at} ms") } else { "no process stopped".to_owned() };
     let counts = format!(
-        "allowed {MAX_ARRIVALS} in 4 s: {}; {killed}; {} requests served",
+        "allowed {MAX_ARRIVALS} in 4 s: {}; {stopped}; {} requests served",
         texts.join(", "),
         served.load(Ordering::Relaxed)
     );
