--- a/review/10/case.rs
+++ b/review/10/case.rs
@@ -1,43 +1,37 @@
-//! LIMIT: the instance that grants the turns at a runner that limits its requests is stopped, as for a restart. Its successor
-//! grants turns at the whole rate at once, while the other instances still use the turns that were granted ahead.
+//! BUDGET: a request that crashes each runner that begins to run it is sent on without end where fewer than three runners
+//! serve it that start again under their ids. Each crash ends the other requests at the runner.
 
 #[path = "../kit-2/mod.rs"]
 mod kit;
 
+#[path = "../kit-2/crashing.rs"]
+mod crashing;
+
 use std::{
     io::Write,
+    net::TcpStream,
     sync::{
-        Arc, Mutex,
+        Arc,
         atomic::{AtomicBool, AtomicU64, Ordering},
     },
     thread,
 };
 
+use crashing::{Arrivals, HARMFUL, open_runner};
 use kit::{Folder, Instance, Record, Server, Store, lock, sleep_ms};
 
-const INSTANCES: usize = 6;
-const CALLERS: usize = 360;
-/// The requests a second that each runner states in `Server-Limit`.
-const RATE: f64 = 40.0;
-const RUNNERS: &[&str] = &["w-1"];
-/// The instance that grants the turns, which follows from the names of the runner and of the instances.
-const HOLDER: usize = 2;
-/// The time after the first statement from which arrivals are counted (`stabilityWindowMs`).
-const STABILITY_MS: u128 = 4_000;
-/// The span in which arrivals are counted, and what they may be.
-const SPAN_MS: u128 = 4_000;
-const MAX_ARRIVALS: f64 = 1.5 * RATE * 4.0 + 5.0;
-
-/// The arrivals at one runner: when, and from which instance.
-type Arrivals = Vec<(u128, usize)>;
+/// The time after the third crash from which retries count (`stabilityWindowMs`).
+const STABILITY_MS: u128 = 3_000;
+/// The largest number of retries that may reach runners after that.
+const MAX_RETRIES: usize = 3;
+const LENGTH_MS: u128 = 30_000;
 
-/// Returns the most arrivals in any span, and when it begins.
-fn most_in_span(arrivals: &[u128]) -> (usize, u128) {
-    let spans = arrivals.iter().enumerate().map(|(at, start)| {
-        let count = arrivals[at..].iter().take_while(|time| **time <= start + SPAN_MS).count();
-        (count, *start)
-    });
-    spans.max_by_key(|(count, _)| *count).unwrap_or_default()
+/// The sound payments of one caller: sent, answered, and ended without an answer of a runner after they were sent on.
+#[derive(Default)]
+struct Sound {
+    sent: AtomicU64,
+    answered: AtomicU64,
+    unknown: AtomicU64,
 }
 
 fn main() {
@@ -45,92 +39,86 @@
     let record = Record::open();
     let folder = Folder::open();
     let store = Store::open();
-    let terms = "\"timeoutMs\":5000,\"targetLatencyMs\":4000,\"maxAttempts\":2,\"gapAimMs\":600,\"resumable\":true,\
-                 \"sessionAffinity\":true,\"stages\":[]";
-    let service = "{\"name\":\"pool\",\"healthCheckPath\":\"/healthz\",\"maxConnections\":540,\"protocol\":\"h1\",\"tls\":false,\
-                   \"engine\":{\"slots\":32,\"kvCapacity\":274968,\"kvBytes\":163840,\"linkMbps\":740000.0}}";
-    let routes = [kit::route("note", "streaming", "pool", terms)];
-    let config = kit::config(3, &routes, &[service.to_owned()], &["key-1"]);
-    let config = config.replace("\"apiKeys\":[\"key-1\"],\"priority\":1", "\"apiKeys\":[\"key-1\"],\"priority\":0");
-    store.put("keyed.op", "config", config.as_bytes());
-    let arrivals: Arc<Vec<Mutex<Arrivals>>> = Arc::new(RUNNERS.iter().map(|_| Mutex::default()).collect());
-    for (at, id) in RUNNERS.iter().enumerate() {
-        let (arrivals, record) = (arrivals.clone(), record.clone());
-        let answer = move |request: &kit::Request, writer: &mut std::net::TcpStream| {
-            // The id names the instance that the caller sent it to.
-            let front = request.id().split('-').next().and_then(|text| text.strip_prefix('f'));
-            let front = front.and_then(|text| text.parse().ok()).unwrap_or(INSTANCES);
-            lock(&arrivals[at]).push((record.ms(), front));
-            record.line(format!("runner {} gets {}", RUNNERS[at], request.id()));
-            sleep_ms(20);
-            let events = b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
-            let headers = format!("Content-Type: text/event-stream\r\nServer-Limit: {RATE}\r\n");
-            writer.write_all(&kit::sealed(request, &headers, events)).is_ok()
+    let terms = "\"timeoutMs\":1000,\"targetLatencyMs\":150,\"maxAttempts\":1,\"stages\":[]";
+    let routes = [
+        kit::route("pay", "unsafe", "ledger", terms),
+        kit::route("look", "safe", "pages", terms),
+    ];
+    let services = [kit::plain_service("ledger", 96), kit::plain_service("pages", 96)];
+    store.put("keyed.op", "config", kit::config(3, &routes, &services, &["key-1"]).as_bytes());
+    let arrivals = Arrivals::default();
+    for id in ["ledger-1", "ledger-2"] {
+        open_runner(id, true, &store, &record, &arrivals);
+    }
+    // Another service, whose runners are reachable all the time.
+    for number in 1..=4 {
+        let answer = |request: &kit::Request, writer: &mut TcpStream| {
+            writer.write_all(&kit::sealed(request, "", b"page")).is_ok()
         };
-        Server::open(id, "pool", "a", answer).keep_registered(&store);
+        Server::open(&format!("pages-{number}"), "pages", "a", answer).keep_registered(&store);
     }
-    let zones = ["a", "a", "b", "b", "c", "c"];
-    let instances = Instance::start_all(&folder, store.address, &zones);
+    let instances = Instance::start_all(&folder, store.address, &["a", "b", "c"]);
     if !instances.iter().all(|instance| instance.wait_ready(15_000)) {
         drop(instances);
         kit::finish(&record, 2, "the instances are not ready");
     }
     sleep_ms(1_000);
-    let (stop, served) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicU64::new(0)));
-    let callers: Vec<_> = (0..CALLERS)
-        .map(|caller| {
-            sleep_ms(3);
-            let front = caller % INSTANCES;
-            let (stop, served, address) = (stop.clone(), served.clone(), instances[front].front);
-            thread::spawn(move || {
-                for number in 0.. {
-                    if stop.load(Ordering::Relaxed) {
-                        return;
-                    }
-                    let id = format!("f{front}-{caller}-{number}");
-                    let prompt = format!(
-                        "X-Model: m\r\nX-Token-Usage: 300,30\r\nX-Prompt-Prefix: {:x}:60,{:x}:40\r\n",
-                        0x1000 + caller % 50,
-                        0x10_0000 + caller * 10_000 + number
-                    );
-                    let request = kit::request("POST", "/note/x", &id, 5_000, &prompt, id.as_bytes());
-                    match kit::exchange(address, &request, 6_000).status {
-                        200 => drop(served.fetch_add(1, Ordering::Relaxed)),
-                        _ => sleep_ms(300),
-                    }
+    let fronts: Vec<_> = instances.iter().map(|instance| instance.front).collect();
+    let (sound, stop) = (Arc::new(Sound::default()), Arc::new(AtomicBool::new(false)));
+    let callers = (0..6_usize).map(|caller| {
+        let (sound, stop, record) = (sound.clone(), stop.clone(), record.clone());
+        let front = fronts[caller % fronts.len()];
+        thread::spawn(move || {
+            for number in 0.. {
+                if stop.load(Ordering::Relaxed) {
+                    return;
                 }
-            })
+                let id = format!("sound-{caller}-{number}");
+                let request = kit::request("POST", "/pay/x", &id, 1_000, "", id.as_bytes());
+                let answer = kit::exchange(front, &request, 2_000);
+                sound.sent.fetch_add(1, Ordering::Relaxed);
+                match answer.status {
+                    200 => sound.answered.fetch_add(1, Ordering::Relaxed),
+                    0 | 502 | 504 => {
+                        record.line(format!("caller: {id} answered {}, so that it may have run", answer.status));
+                        sound.unknown.fetch_add(1, Ordering::Relaxed)
+                    }
+                    _ => 0,
+                };
+                sleep_ms(100);
+            }
         })
-        .collect();
-    sleep_ms(10_000);
-    let stopped_at = record.ms();
-    if has_trouble {
-        record.line("disruption: front-3, which grants the turns, gets SIGTERM");
-        instances[HOLDER].signal(kit::SIGTERM);
+    });
+    let callers: Vec<_> = callers.collect();
+    let start = record.ms();
+    let mut attempt = 0;
+    while record.ms() - start < LENGTH_MS {
+        attempt += 1;
+        let id = format!("harmful-{attempt}");
+        let body: &[u8] = if has_trouble { HARMFUL } else { b"sound" };
+        let request = kit::request("POST", "/pay/again", &id, 1_000, "", body);
+        let answer = kit::exchange(fronts[attempt % fronts.len()], &request, 2_000);
+        record.line(format!("caller: {id} answered {}", answer.status));
+        sleep_ms(700);
     }
-    sleep_ms(8_000);
     stop.store(true, Ordering::Relaxed);
     callers.into_iter().for_each(|caller| drop(caller.join()));
     drop(instances);
-    let (mut broken, mut texts) = (0, Vec::new());
-    for (id, arrivals) in RUNNERS.iter().zip(arrivals.iter()) {
-        let mut arrivals = lock(arrivals).clone();
-        arrivals.sort_unstable();
-        let counted_from = arrivals.first().map_or(0, |(first, _)| first + STABILITY_MS);
-        // The machine that was stopped is excused.
-        let counted = arrivals.iter().filter(|(at, front)| *at >= counted_from && (!has_trouble || *front != HOLDER));
-        let (most, from) = most_in_span(&counted.map(|(at, _)| *at).collect::<Vec<_>>());
-        broken += usize::from(most as f64 > MAX_ARRIVALS);
-        texts.push(format!("{id} got {most} in 4 s from {from} ms"));
-    }
-    let stopped = if has_trouble { format!("front-3 got SIGTERM at {stopped_at} ms") } else { "no process stopped".to_owned() };
+    let arrivals = lock(&arrivals).clone();
+    let late = match arrivals.get(2) {
+        Some(third) => arrivals.iter().filter(|at| **at > third + STABILITY_MS).count(),
+        None => 0,
+    };
     let counts = format!(
-        "allowed {MAX_ARRIVALS} in 4 s: {}; {stopped}; {} requests served",
-        texts.join(", "),
-        served.load(Ordering::Relaxed)
+        "{} crashes, {late} of them later than {STABILITY_MS} ms after the third; of {} sound payments {} were answered, {} ended \
+         without it being known whether they ran",
+        arrivals.len(),
+        sound.sent.load(Ordering::Relaxed),
+        sound.answered.load(Ordering::Relaxed),
+        sound.unknown.load(Ordering::Relaxed)
     );
-    match broken {
-        0 => kit::finish(&record, 0, &format!("LIMIT held: {counts}")),
-        _ => kit::finish(&record, 1, &format!("LIMIT broken: {counts}")),
+    match late {
+        0..=MAX_RETRIES => kit::finish(&record, 0, &format!("BUDGET held: {counts}")),
+        _ => kit::finish(&record, 1, &format!("BUDGET broken: {counts}")),
     }
 }
--- a/review/kit-2/mod.rs
+++ b/review/kit-2/mod.rs
@@ -9,7 +9,10 @@
     net::{SocketAddr, TcpListener, TcpStream},
     path::PathBuf,
     process::{Child, Command, Stdio},
-    sync::{Arc, Condvar, Mutex, MutexGuard},
+    sync::{
+        Arc, Condvar, Mutex, MutexGuard,
+        atomic::{AtomicUsize, Ordering},
+    },
     thread,
     time::{Duration, Instant},
 };
@@ -201,8 +204,13 @@
     pub address: SocketAddr,
     state: Arc<(Mutex<StoreState>, Condvar)>,
     treat: Arc<Mutex<Option<Treat>>>,
+    /// The speed of the link in bytes a second, or 0 for any.
+    speed: Arc<AtomicUsize>,
 }
 
+/// The largest page of records, in bytes (`maxKb`).
+const PAGE_BYTES: usize = 1_024 * 1_024;
+
 const BASE64: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
 
 fn base64(bytes: &[u8]) -> String {
@@ -237,6 +245,8 @@
     fn serve(state: Arc<(Mutex<StoreState>, Condvar)>) -> Self {
         let treat: Arc<Mutex<Option<Treat>>> = Arc::default();
         let (shared, treated) = (state.clone(), treat.clone());
+        let speed = Arc::new(AtomicUsize::new(0));
+        let link = speed.clone();
         let address = serve(loopback(), move |request, writer| {
             let treatment = match &*lock(&treated) {
                 Some(treat) => treat(request),
@@ -255,15 +265,27 @@
                 thread::sleep(Duration::from_secs(60));
                 return false;
             }
-            writer.write_all(&answer).is_ok()
+            write_paced(writer, &answer, link.load(Ordering::Relaxed))
         });
         Self {
             address,
             state,
             treat,
+            speed,
         }
     }
 
+    /// Limits the speed of each answer at this address, as that of a machine's link.
+    pub fn limit_speed(&self, mbit_per_s: usize) {
+        self.speed.store(mbit_per_s * 125_000, Ordering::Relaxed);
+    }
+
+    /// Returns the bytes of a topic's records.
+    pub fn size(&self, topic: &str) -> usize {
+        let state = lock(&self.state.0);
+        state.topics.0.get(topic).map_or(0, |records| records.iter().map(|record| record.len() + 4).sum())
+    }
+
     pub fn treat(&self, treat: impl Fn(&Request) -> Treatment + Send + 'static) {
         *lock(&self.treat) = Some(Box::new(treat));
     }
@@ -299,6 +321,23 @@
     }
 }
 
+/// Writes bytes at a speed, or at once if it is 0.
+fn write_paced(writer: &mut TcpStream, bytes: &[u8], bytes_per_s: usize) -> bool {
+    const PART: usize = 8 * 1_024;
+    if bytes_per_s == 0 {
+        return writer.write_all(bytes).is_ok();
+    }
+    let start = Instant::now();
+    for (number, part) in bytes.chunks(PART).enumerate() {
+        if writer.write_all(part).is_err() {
+            return false;
+        }
+        let due = Duration::from_secs_f64(((number + 1) * PART).min(bytes.len()) as f64 / bytes_per_s as f64);
+        thread::sleep(due.saturating_sub(start.elapsed()));
+    }
+    true
+}
+
 fn newest(records: &[Vec<u8>]) -> BTreeMap<String, (usize, Vec<u8>)> {
     let mut keys = BTreeMap::new();
     for (offset, record) in records.iter().enumerate() {
@@ -342,6 +381,9 @@
                     let mut body = (records.len() as u64).to_be_bytes().to_vec();
                     body.extend_from_slice(&0_u64.to_be_bytes());
                     for record in records.iter().skip(from) {
+                        if body.len() + record.len() > PAGE_BYTES {
+                            break;
+                        }
                         body.extend_from_slice(&(record.len() as u32).to_be_bytes());
                         body.extend_from_slice(record);
                     }
@@ -538,6 +580,10 @@
         unsafe { kill(pid, signal) };
     }
 
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
     pub fn has_ended(&mut self) -> bool {
         matches!(self.child.try_wait(), Ok(Some(_)))
     }
