--- a/review/kit-2/mod.rs
+++ b/review/kit-2/mod.rs
@@ -74,6 +74,9 @@
 pub fn finish(record: &Record, code: i32, verdict: &str) -> ! {
     record.line(format!("verdict: {verdict}"));
     println!("{verdict}");
+    if std::env::var("KEEP").is_err() {
+        let _ = fs::remove_dir_all(folder_path());
+    }
     std::process::exit(code)
 }
 
@@ -580,10 +583,6 @@
         unsafe { kill(pid, signal) };
     }
 
-    pub fn pid(&self) -> u32 {
-        self.child.id()
-    }
-
     pub fn has_ended(&mut self) -> bool {
         matches!(self.child.try_wait(), Ok(Some(_)))
     }
@@ -632,27 +631,23 @@
     }
 }
 
-/// A temporary folder, which is removed at the end unless KEEP is set.
+fn folder_path() -> PathBuf {
+    std::env::temp_dir().join(format!("limpetstep-review-{}", std::process::id()))
+}
+
+/// A temporary folder for settings and logs, which [`finish`] removes unless KEEP is set.
 pub struct Folder {
     pub path: PathBuf,
 }
 
 impl Folder {
     pub fn open() -> Self {
-        let path = std::env::temp_dir().join(format!("limpetstep-review-{}", std::process::id()));
+        let path = folder_path();
         fs::create_dir_all(&path).expect("a writable folder");
         Self { path }
     }
 }
 
-impl Drop for Folder {
-    fn drop(&mut self) {
-        if std::env::var("KEEP").is_err() {
-            let _ = fs::remove_dir_all(&self.path);
-        }
-    }
-}
-
 /// What a caller got.
 #[derive(Clone, Debug, Default)]
 pub struct Answer {
