--- a/review/kit-2/mod.rs
+++ b/review/kit-2/mod.rs
@@ -615,8 +615,11 @@
         }
     }
 
-    /// Starts the process again after it has ended.
+    /// Starts the process again after it has ended. The settings say then that the deployment has run before.
     pub fn restart(&mut self) {
+        let settings = fs::read_to_string(&self.settings).unwrap_or_default();
+        let settings = settings.replace("bootstrap=true", "bootstrap=false");
+        fs::write(&self.settings, settings).expect("a writable folder");
         let _ = self.child.kill();
         let _ = self.child.wait();
         self.child = spawn(&self.settings, &self.log);
