--- a/review/kit-3/mod.rs
+++ b/review/kit-3/mod.rs
@@ -464,3 +464,174 @@
 }
 
 pub type Flag = Arc<AtomicBool>;
+
+/// What a runner does with a request: `is_alive` tells whether the run that got the request still lasts. Returns whether the
+/// connection stays open.
+pub type Work = dyn Fn(&Run, &Request, &mut TcpStream) -> bool + Send + Sync;
+
+/// One run of a runner's process.
+#[derive(Clone)]
+pub struct Run {
+    pub id: String,
+    pub version: String,
+    pub born: u64,
+    number: u64,
+    current: Arc<AtomicU64>,
+    /// The requests that it works on.
+    pub running: Arc<AtomicU64>,
+}
+
+impl Run {
+    /// Returns whether the process still runs.
+    pub fn is_alive(&self) -> bool {
+        self.current.load(Ordering::SeqCst) == self.number
+    }
+
+    /// Works for a time, or until the process ends; returns whether it still runs.
+    pub fn work(&self, time: Duration) -> bool {
+        let end = Instant::now() + time;
+        while self.is_alive() && Instant::now() < end {
+            thread::sleep(Duration::from_millis(2).min(end.saturating_duration_since(Instant::now())));
+        }
+        self.is_alive()
+    }
+}
+
+/// A runner whose process can end and start again at the same address. While it is down, connections to it are refused.
+pub struct Runner {
+    pub entry: Arc<Mutex<Entry>>,
+    run: Arc<Mutex<Run>>,
+    current: Arc<AtomicU64>,
+    is_up: Flag,
+    open: Arc<Mutex<Vec<TcpStream>>>,
+}
+
+impl Runner {
+    pub fn start(id: &str, service: &str, zone: &str, version: &str, born: u64, slots: u32, work: Arc<Work>) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let address = listener.local_addr().expect("an address");
+        let current = Arc::new(AtomicU64::new(1));
+        let run = Run {
+            id: id.to_owned(), version: version.to_owned(), born, number: 1, current: current.clone(), running: Arc::default(),
+        };
+        let entry = Entry {
+            id: id.to_owned(), service: service.to_owned(), address, zone: zone.to_owned(), version: version.to_owned(),
+            slots, state: "ready".to_owned(), born, sequence: 0,
+        };
+        let runner = Self {
+            entry: Arc::new(Mutex::new(entry)),
+            run: Arc::new(Mutex::new(run)),
+            current,
+            is_up: Arc::new(AtomicBool::new(true)),
+            open: Arc::default(),
+        };
+        let (run, is_up, open) = (runner.run.clone(), runner.is_up.clone(), runner.open.clone());
+        thread::spawn(move || {
+            let mut listener = Some(listener);
+            loop {
+                match (is_up.load(Ordering::SeqCst), &listener) {
+                    (false, Some(_)) => listener = None,
+                    (true, None) => listener = TcpListener::bind(address).ok(),
+                    _ => {}
+                }
+                let accepted = listener.as_ref().and_then(|listener| {
+                    listener.set_nonblocking(true).ok()?;
+                    listener.accept().ok()
+                });
+                let Some((stream, _)) = accepted else {
+                    thread::sleep(Duration::from_millis(1));
+                    continue;
+                };
+                let _ = stream.set_nonblocking(false);
+                let _ = stream.set_nodelay(true);
+                let (run, work) = (run.lock().unwrap().clone(), work.clone());
+                let Ok(kept) = stream.try_clone() else { continue };
+                open.lock().unwrap().push(kept);
+                thread::spawn(move || {
+                    let Ok(mut writer) = stream.try_clone() else { return };
+                    let mut reader = BufReader::new(stream);
+                    while run.is_alive() {
+                        let Some(request) = Request::read(&mut reader) else { break };
+                        if !work(&run, &request, &mut writer) {
+                            break;
+                        }
+                    }
+                    let _ = writer.shutdown(std::net::Shutdown::Both);
+                });
+            }
+        });
+        runner
+    }
+
+    /// Ends the process: its connections close, and new ones are refused.
+    pub fn end(&self) {
+        self.is_up.store(false, Ordering::SeqCst);
+        self.current.fetch_add(1, Ordering::SeqCst);
+        thread::sleep(Duration::from_millis(5));
+        for stream in self.open.lock().unwrap().drain(..) {
+            let _ = stream.shutdown(std::net::Shutdown::Both);
+        }
+    }
+
+    /// Starts the process again under its id and at its address. Its entry is written by `write`.
+    pub fn begin(&self, version: &str, born: u64) {
+        let mut run = self.run.lock().unwrap();
+        run.number = self.current.fetch_add(1, Ordering::SeqCst) + 1;
+        run.version = version.to_owned();
+        run.born = born;
+        run.running = Arc::default();
+        let mut entry = self.entry.lock().unwrap();
+        (entry.version, entry.born, entry.sequence) = (version.to_owned(), born, 0);
+        drop((run, entry));
+        self.is_up.store(true, Ordering::SeqCst);
+    }
+
+    pub fn write(&self, store: &Store) {
+        self.entry.lock().unwrap().write(store);
+    }
+}
+
+/// Answers what runners answer besides requests, and calls that name another runner; `None` for a request.
+pub fn answer_common(run: &Run, request: &Request, headers: &str, writer: &mut TcpStream) -> Option<bool> {
+    let expected = request.header("x-expect-instance");
+    let id = &run.id;
+    let bytes = if !expected.is_empty() && expected != id.as_str() {
+        response(421, &format!("X-Instance-Id: {id}\r\n"), b"")
+    } else if request.path == "/v1/report" {
+        let report = format!(
+            "{{\"stage\":\"both\",\"models\":[{{\"name\":\"m\",\"version\":1,\"adapters\":[]}}],\"busy\":false,\"sequence\":0,\
+             \"waiting\":0,\"running\":{},\"kvUsed\":0,\"kvTotal\":371889,\"handles\":0,\"born\":{}}}",
+            run.running.load(Ordering::SeqCst), run.born
+        );
+        response(200, &format!("Content-Type: application/json\r\n{headers}"), report.as_bytes())
+    } else if request.path == "/healthz" {
+        response(200, &format!("X-Instance-Id: {id}\r\n{headers}"), b"")
+    } else {
+        return None;
+    };
+    Some(writer.write_all(&bytes).is_ok())
+}
+
+/// The configuration of one streaming route to one service of engines.
+pub fn stream_config(slots: u32) -> String {
+    let route = "{\"name\":\"r-1\",\"hostname\":\"h.example\",\"pathPrefix\":\"/stream/\",\"kind\":\"streaming\",\"timeoutMs\":8000,\
+         \"targetLatencyMs\":1000,\"priority\":0,\"service\":\"svc\",\"maxAttempts\":2,\"stages\":[],\"public\":false,\
+         \"sessionAffinity\":true,\"resumable\":true,\"gapAimMs\":200}";
+    format!(
+        "{{\"version\":7,\"routes\":[{route}],\"services\":[{{\"name\":\"svc\",\"healthCheckPath\":\"/healthz\",\"maxConnections\":360,\
+         \"protocol\":\"h1\",\"tls\":false,\"engine\":{{\"slots\":{slots},\"kvCapacity\":371889,\"kvBytes\":163840,\"linkMbps\":740000.0,\
+         \"models\":[{{\"name\":\"m\"}}]}}}}],\
+         \"limits\":{{\"maxHeaderBytes\":16384,\"maxBodyBytes\":4194304,\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000}},\
+         \"tenants\":[{{\"name\":\"t\",\"apiKeys\":[\"key-1\"],\"priority\":1}}]}}"
+    )
+}
+
+/// A request for a stream, with further headers.
+pub fn stream_request(id: &str, left: Duration, number: usize, more: &str) -> String {
+    format!(
+        "POST /stream/p HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: {id}\r\nX-Deadline-Ms: {}\r\nX-Model: m\r\n\
+         X-Token-Usage: 600,60\r\nX-Prompt-Prefix: 5c1e07a2:300,{number:x}:300\r\nAuthorization: Token key-1\r\n\
+         {more}Content-Length: 4\r\n\r\nbody",
+        left.as_millis()
+    )
+}
