--- a/review/kit-3/mod.rs
+++ b/review/kit-3/mod.rs
@@ -563,6 +563,11 @@
         runner
     }
 
+    /// Returns the number of requests that the current run works on.
+    pub fn running(&self) -> u64 {
+        self.run.lock().unwrap().running.load(Ordering::SeqCst)
+    }
+
     /// Ends the process: its connections close, and new ones are refused.
     pub fn end(&self) {
         self.is_up.store(false, Ordering::SeqCst);
@@ -586,8 +591,11 @@
         self.is_up.store(true, Ordering::SeqCst);
     }
 
+    /// Writes the entry; a process that is down writes none.
     pub fn write(&self, store: &Store) {
-        self.entry.lock().unwrap().write(store);
+        if self.is_up.load(Ordering::SeqCst) {
+            self.entry.lock().unwrap().write(store);
+        }
     }
 }
 
