--- a/review/kit-3/mod.rs
+++ b/review/kit-3/mod.rs
@@ -121,6 +121,44 @@
         Self { address, topics, era }
     }
 
+    /// Opens another address of the store, at which entries name other addresses in place of the given ones.
+    pub fn view(&self, addresses: Vec<(SocketAddr, SocketAddr)>) -> SocketAddr {
+        let (shared, current) = (self.topics.clone(), self.era.clone());
+        let replace = move |topics: Topics| -> Topics {
+            let replace_in = |record: Vec<u8>| match String::from_utf8(record) {
+                Ok(text) => addresses
+                    .iter()
+                    .fold(text, |text, (own, other)| text.replace(&format!("\"{own}\""), &format!("\"{other}\"")))
+                    .into_bytes(),
+                Err(error) => error.into_bytes(),
+            };
+            let rewritten = topics.into_iter().map(|(topic, records)| match topic.as_str() {
+                "keyed.servers" => (topic, records.into_iter().map(replace_in).collect()),
+                _ => (topic, records),
+            });
+            rewritten.collect()
+        };
+        serve("127.0.0.1:0", move |request, writer| {
+            thread::sleep(Duration::from_millis(1));
+            if !request.path.contains("topic=keyed.servers") {
+                return writer.write_all(&answer_store(&shared, &current, request)).is_ok();
+            }
+            // Reads of servers wait here for new records, as they are answered from a copy.
+            let field = |name: &str| {
+                let mut pairs = request.path.split(['?', '&']).filter_map(|pair| pair.split_once('='));
+                pairs.find(|(key, _)| *key == name).and_then(|(_, value)| value.parse::<u64>().ok())
+            };
+            let until = Instant::now() + Duration::from_millis(field("waitMs").unwrap_or(0));
+            let count = || shared.lock().unwrap().get("keyed.servers").map_or(0, Vec::len) as u64;
+            while count() <= field("from").unwrap_or(0) && Instant::now() < until {
+                thread::sleep(Duration::from_millis(3));
+            }
+            let copy = Mutex::new(replace(shared.lock().unwrap().clone()));
+            let request = Request { path: request.path.replace("waitMs=", "waited="), ..request.clone() };
+            writer.write_all(&answer_store(&copy, &current, &request)).is_ok()
+        })
+    }
+
     /// Appends a record with a key, as the operator or a runner does. An empty value deletes the key.
     pub fn put(&self, topic: &str, key: &str, value: &str) {
         let mut record = vec![key.len() as u8];
@@ -599,6 +637,61 @@
     }
 }
 
+/// A way to a runner that can be cut: open connections are closed then, and new ones refused.
+pub struct Link {
+    pub address: SocketAddr,
+    is_up: Flag,
+    open: Arc<Mutex<Vec<TcpStream>>>,
+}
+
+impl Link {
+    pub fn open(target: SocketAddr) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let address = listener.local_addr().expect("an address");
+        let (is_up, open) = (Flag::new(AtomicBool::new(true)), Arc::<Mutex<Vec<TcpStream>>>::default());
+        let (up, kept) = (is_up.clone(), open.clone());
+        thread::spawn(move || {
+            let mut listener = Some(listener);
+            loop {
+                match (up.load(Ordering::SeqCst), &listener) {
+                    (false, Some(_)) => listener = None,
+                    (true, None) => listener = TcpListener::bind(address).ok(),
+                    _ => {}
+                }
+                let accepted = listener.as_ref().and_then(|listener| {
+                    listener.set_nonblocking(true).ok()?;
+                    listener.accept().ok()
+                });
+                let Some((near, _)) = accepted else {
+                    thread::sleep(Duration::from_millis(1));
+                    continue;
+                };
+                let Ok(far) = TcpStream::connect(target) else { continue };
+                let _ = (near.set_nonblocking(false), near.set_nodelay(true), far.set_nodelay(true));
+                for (from, to) in [(&near, &far), (&far, &near)] {
+                    let (Ok(mut from), Ok(mut to)) = (from.try_clone(), to.try_clone()) else { continue };
+                    thread::spawn(move || {
+                        let _ = std::io::copy(&mut from, &mut to);
+                        let _ = (from.shutdown(std::net::Shutdown::Both), to.shutdown(std::net::Shutdown::Both));
+                    });
+                }
+                kept.lock().unwrap().extend([near, far]);
+            }
+        });
+        Self { address, is_up, open }
+    }
+
+    pub fn set(&self, is_up: bool) {
+        self.is_up.store(is_up, Ordering::SeqCst);
+        if !is_up {
+            thread::sleep(Duration::from_millis(3));
+            for stream in self.open.lock().unwrap().drain(..) {
+                let _ = stream.shutdown(std::net::Shutdown::Both);
+            }
+        }
+    }
+}
+
 /// Answers what runners answer besides requests, and calls that name another runner; `None` for a request.
 pub fn answer_common(run: &Run, request: &Request, headers: &str, writer: &mut TcpStream) -> Option<bool> {
     let expected = request.header("x-expect-instance");
