Tell streams that lack a turn for their question from restarted servers

Cause: a stream that is taken up and gets no turn for the question after its server's run failed as "the server may have started again", as one does whose server states another run.

--- a/crates/quota/src/meter.rs
+++ b/crates/quota/src/meter.rs
@@ -48,6 +48,8 @@
     accounts: Vec<Account>,
     /// What other granters gave out, as they stated to this instance, sorted by server.
     stated: Vec<Stated>,
+    granted: u64,
+    denied: u64,
 }
 
 #[derive(Clone, Debug)]
@@ -78,6 +80,8 @@
             id,
             accounts: Vec::new(),
             stated: Vec::new(),
+            granted: 0,
+            denied: 0,
         }
     }
 
@@ -110,15 +114,15 @@
         }
         let wait = account.used_until - (now + burst);
         if wait > max_wait {
+            self.denied += 1;
             return Turn::Denied { retry_in: wait };
         }
         account.used_until = account.used_until.max(now) + Duration::from_secs_f64(1.0 / rate);
         account.granted_until = Some(account.used_until);
         account.updated_at = now;
-        Turn::Granted {
-            wait,
-            next_in: account.used_until - (now + burst),
-        }
+        let next_in = account.used_until - (now + burst);
+        self.granted += 1;
+        Turn::Granted { wait, next_in }
     }
 
     /// Returns the balance at a server as far as this instance knows it at first hand: of the turns that it granted, or that
@@ -195,6 +199,11 @@
         account.updated_at = now;
     }
 
+    /// Returns the number of turns that were granted and denied since the start.
+    pub const fn counts(&self) -> (u64, u64) {
+        (self.granted, self.denied)
+    }
+
     /// Forgets servers at which no turn was granted for long.
     pub fn sweep(&mut self, now: Tick) {
         let idle = self.config.idle_timeout;
--- a/crates/relay/src/pending.rs
+++ b/crates/relay/src/pending.rs
@@ -278,6 +278,11 @@
             .await
             .is_err()
         {
+            log::info!(
+                target: "relay", request:% = job.id, server:% = call.server.id,
+                waited_ms = max_wait.as_millis();
+                "no turn for the question after the server's run; the turn of the request is not used"
+            );
             return Err(Failure::Unconfirmed);
         }
         // The domain may have been evacuated while the question waited for its turn.
