--- a/crates/quota/src/meter.rs
+++ b/crates/quota/src/meter.rs
@@ -118,9 +118,9 @@
         }
     }
 
-    /// Grants the next turns at a server that takes `rate` requests a second, if they come in time. The last one of several
-    /// comes within the time for which unused turns are kept, or else they come with the first one, ahead of the rate by less
-    /// than one request.
+    /// Grants the next turns at a server that takes `rate` requests a second, if they come in time. Several are used together:
+    /// once the last one lies within the burst time, or, if the interval between two turns is longer than that, once the first
+    /// one is due, so that a pair is ahead of the rate by less than one request.
     ///
     /// # Examples
     ///
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -274,9 +274,9 @@
     /// question.
     fn leads_to_run(&self, server: &Server) -> bool;
 
-    /// Makes sure that a call that is bound to the listed run of a server reaches this run, with at most `max_questions`
-    /// to each connection that is opened. A bound call that is sent without waiting in between needs no further
-    /// confirmation.
+    /// Makes sure that a call that is bound to the listed run of a server reaches this run. A bound call that is sent
+    /// without waiting in between needs no further confirmation. If `max_questions` is 1, the server is asked once at most;
+    /// otherwise it is asked again if the connection ends after its answer.
     ///
     /// # Errors
     ///
--- a/crates/relay/src/turns.rs
+++ b/crates/relay/src/turns.rs
@@ -38,7 +38,7 @@
 /// The part of the time left for its next event that a stream which has begun waits for its turn.
 const BEGUN_WAIT_SHARE: f64 = 0.75;
 
-/// The longest such wait, as turns that are granted ahead are lost with their instances.
+/// The longest such wait. Turns that were granted ahead are lost when the instance that holds them ends.
 const MAX_BEGUN_WAIT: Duration = Duration::from_secs(3);
 
 /// The number of urgencies; the least urgent request waits a tenth as long as the most urgent one.
