--- a/crates/relay/src/turns.rs
+++ b/crates/relay/src/turns.rs
@@ -196,9 +196,11 @@
         max_wait: Duration,
         is_direct: bool,
     ) -> Demand {
-        let is_known = is_direct && self.transport.leads_to_run(server);
+        // The search for a connection reads the clock for each idle one, which is too dear for every request.
+        let needs_question =
+            job.is_bound(server) && !(is_direct && self.transport.leads_to_run(server));
         Demand {
-            requests: 1 + u32::from(job.is_bound(server) && !is_known),
+            requests: 1 + u32::from(needs_question),
             max_wait,
             duration: job.time_left(self.transport.now()),
         }
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -142,6 +142,8 @@
     pub(crate) confirmed: RefCell<Vec<(Name, Tick)>>,
     /// The servers to whose runs connections lead.
     pub(crate) known_runs: RefCell<Vec<Name>>,
+    /// How often a connection to the run of a server was searched for.
+    pub(crate) searches: Cell<usize>,
     /// How long servers take to state their runs, and what comes of it; the later ones state the listed run at once.
     pub(crate) statements: RefCell<VecDeque<(Duration, Result<u64, Failure>)>>,
     /// The runs that the next answers are known to come from.
@@ -274,6 +276,7 @@
     }
 
     fn leads_to_run(&self, server: &Server) -> bool {
+        self.searches.set(self.searches.get() + 1);
         let is_known = self.known_runs.borrow().contains(&server.id);
         if is_known {
             let confirmed = (server.id.clone(), self.now());
@@ -519,6 +522,7 @@
         confirmations: RefCell::default(),
         confirmed: RefCell::default(),
         known_runs: RefCell::default(),
+        searches: Cell::default(),
         statements: RefCell::default(),
         runs: RefCell::default(),
         asked: Cell::default(),
--- a/crates/relay/tests/turns.rs
+++ b/crates/relay/tests/turns.rs
@@ -148,6 +148,17 @@
     expect_that!(granted(&hub), eq(1));
 }
 
+/// Each new request searched the idle connections of its server, which delayed all requests of a busy instance.
+#[gtest]
+#[actix_web::test]
+async fn a_new_request_does_not_search_for_a_connection_to_the_run_of_its_server() {
+    time::pause();
+    let hub = limited_hub(1);
+    let served = serve(&hub, patient_job(&hub, Kind::Streaming, |_| {})).await;
+    expect_that!(served.is_ok(), eq(true));
+    expect_that!(hub.transport.searches.get(), eq(0));
+}
+
 /// LIMIT: a request whose server took long to state its run was sent long after its turn.
 #[gtest]
 #[actix_web::test]
