Scan the servers of a pool once for a refused request

Cause: since a refusal looked through all servers of its pool twice, for pauses alone and for turns, though both differ only for streams that have begun. Refusals of other requests scan once now, and the time is the one at which the turn was checked.

All tests of the crate relay passed.

--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -298,16 +298,13 @@
     pool: &Name,
     now: Tick,
 ) -> Duration {
-    let max_wait = match job.origin.get() {
-        Some(_) => turns::max_wait(job, now, now),
-        None => Duration::ZERO,
-    };
-    let (paused, until_turn) = hub.with(|state| {
-        let paused = state.pause_left(now, pool, job, Duration::MAX);
-        (paused, state.pause_left(now, pool, job, Duration::ZERO))
-    });
-    let until_turn = until_turn.unwrap_or_default().saturating_sub(max_wait);
-    paused.unwrap_or_default().max(until_turn)
+    let left = |max_wait| hub.with(|state| state.pause_left(now, pool, job, max_wait));
+    let until_turn = left(Duration::ZERO).unwrap_or_default();
+    if job.origin.get().is_none() {
+        return until_turn;
+    }
+    let paused = left(Duration::MAX).unwrap_or_default();
+    paused.max(until_turn.saturating_sub(turns::max_wait(job, now, now)))
 }
 
 /// Logs an answer, or the first event of a stream, that missed its objective.
--- a/crates/relay/src/turns.rs
+++ b/crates/relay/src/turns.rs
@@ -109,9 +109,9 @@
         };
         let demand = hub.demand(job, &choice.server, Duration::ZERO, is_direct);
         if hub.take_turn(&choice.server, demand).await.is_ok()
-            && hub.may_use_turn(job, &choice.server)
+            && let Some(now) = hub.use_turn(job, &choice.server)
         {
-            return Ok(Some(choice.with_turns(hub.transport.now(), demand)));
+            return Ok(Some(choice.with_turns(now, demand)));
         }
     }
     let started_at = hub.transport.now();
@@ -132,8 +132,9 @@
             return Err(NoTurn);
         }
         let demand = hub.demand(job, &server, give_up_at - now, is_direct);
-        if hub.take_turn(&server, demand).await.is_ok() && hub.may_use_turn(job, &server) {
-            let now = hub.transport.now();
+        if hub.take_turn(&server, demand).await.is_ok()
+            && let Some(now) = hub.use_turn(job, &server)
+        {
             let choice = Choice {
                 server,
                 tokens: job.prompt.as_ref().map_or(0, |prompt| prompt.input_tokens),
@@ -305,9 +306,9 @@
 }
 
 impl<E: Transport> Hub<E> {
-    /// Returns whether a request may still be sent to the server whose turn it waited for, and gives the turn back otherwise:
-    /// the server may have announced its departure meanwhile, or the deadline may have passed.
-    fn may_use_turn(&self, job: &Job<E::Request>, server: &Server) -> bool {
+    /// Returns the time if a request may still be sent to the server whose turn it waited for, and gives the turn back
+    /// otherwise: the server may have announced its departure meanwhile, or the deadline may have passed.
+    fn use_turn(&self, job: &Job<E::Request>, server: &Server) -> Option<Tick> {
         let now = self.transport.now();
         let may_use = !job.time_left(now).is_zero()
             && self.with(|state| {
@@ -316,7 +317,7 @@
         if !may_use {
             self.end_turn(server, false);
         }
-        may_use
+        may_use.then_some(now)
     }
 
     /// Records that the request of a turn has ended, and whether the server turned it away.
